--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+VENV ?= .venv
+PY := $(VENV)/bin/python
+STAMP := $(VENV)/.installed
+
+.PHONY: demo test lint bench bench-capacity matrix proto clean
+
+$(STAMP): pyproject.toml constraints.txt
+	python3.11 -m venv $(VENV) || python3 -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet -c constraints.txt -e '.[dev,plot]'
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(PY) -m standins.demo
+
+test: $(STAMP)
+	$(PY) -m unittest discover -s tests -t . -b
+
+lint: $(STAMP)
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+	$(VENV)/bin/mypy
+
+bench-capacity: $(STAMP)
+	$(PY) -m tools.capacity
+
+proto: $(STAMP)
+	$(PY) -m grpc_tools.protoc -I src --python_out=src --grpc_python_out=src src/moledale/peers/pb/peers.proto
+
+clean:
+	rm -rf $(VENV) build out .mypy_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/src/moledale/bundle/__init__.py
@@ -0,0 +1,1 @@
+"""Versioned bundles: their schema, signatures, storage and adoption."""
--- /dev/null
+++ b/src/moledale/bundle/schema.py
@@ -0,0 +1,250 @@
+"""What a bundle states: models, accounts, halls, classes, prices, weights and targets."""
+
+import hashlib
+import tomllib
+from enum import StrEnum
+from typing import Annotated, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
+from result import Err, Ok, Result
+
+from moledale.findings import Finding, from_validation
+from moledale.settings import Name, Url
+
+KeyDigest = Annotated[str, Field(pattern=r"^sha256:[0-9a-f]{64}$")]
+
+
+class Priority(StrEnum):
+    """How soon a request must be answered."""
+
+    IMMEDIATE = "immediate"
+    NORMAL = "normal"
+    CAN_WAIT = "can-wait"
+
+
+class Market(StrEnum):
+    """How an instance is rented."""
+
+    RECLAIMABLE = "reclaimable"
+    ON_DEMAND = "on-demand"
+
+
+class Part(BaseModel):
+    """A table of the bundle; unknown keys are findings."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class Model(Part):
+    """A model that callers may name."""
+
+    name: Name
+    context_tokens: int = Field(gt=0)
+    weights_gb: float = Field(gt=0)
+    kv_bytes_per_token: int = Field(default=100_000, gt=0)
+
+
+class Adapter(Part):
+    """An adapter of a model; callers name it as the model."""
+
+    name: Name
+    model: Name
+
+
+class Account(Part):
+    """A client account: digests of its keys, never the keys, and its limits."""
+
+    name: Name
+    key_digests: list[KeyDigest] = Field(min_length=1)
+    requests_per_s: float = Field(gt=0)
+    burst: int = Field(gt=0)
+    priorities: list[Priority] = Field(default=list(Priority), min_length=1)
+
+
+class Hall(Part):
+    """A hall that may be used, and the least and most instances of it."""
+
+    name: Name
+    region: Name
+    most_instances: int = Field(default=1000, ge=0)
+
+
+class InstanceClass(Part):
+    """A class of backend servers and its measured speeds."""
+
+    name: Name
+    prefill_tokens_per_s: float = Field(gt=0)
+    decode_tokens_per_s: float = Field(gt=0)
+    slots: int = Field(gt=0)
+    cache_tokens: int = Field(gt=0)
+    checks_fence: bool
+
+
+class Price(Part):
+    """Price of a class in a hall, per instance and hour."""
+
+    hall: Name
+    instance_class: Name
+    reclaimable: float = Field(gt=0)
+    on_demand: float = Field(gt=0)
+
+
+class Service(Part):
+    """A plain service that calls are routed to by name."""
+
+    name: Name
+    addresses: list[Url] = Field(min_length=1)
+    repeatable: bool = False
+    timeout_s: float = Field(default=10.0, gt=0)
+
+
+class Target(Part):
+    """Service level of a priority: share of requests with the first token in time."""
+
+    priority: Priority
+    first_token_ms: float = Field(gt=0)
+    between_tokens_ms: float = Field(gt=0)
+    objective: float = Field(gt=0, lt=1)
+    deadline_s: float = Field(gt=0)
+
+
+class Weights(Part):
+    """How much each measure counts, as parts of one."""
+
+    cost: float = Field(ge=0)
+    recompute: float = Field(ge=0)
+
+    @model_validator(mode="after")
+    def _some_weight(self) -> "Weights":
+        if self.cost + self.recompute <= 0:
+            raise ValueError("cost and recompute can't both be 0")
+        return self
+
+
+class Renting(Part):
+    """How demand becomes instances."""
+
+    utilization: float = Field(default=0.7, gt=0, le=1)
+    survive_halls: int = Field(default=1, ge=0)
+    on_demand_share: float = Field(default=0.25, ge=0, le=1)
+    most_changes: int = Field(default=4, ge=1)
+    least_tokens_per_s: float = Field(default=0, ge=0)
+
+
+class Routing(Part):
+    """Parameters of the routing decision."""
+
+    overflow: float = Field(default=1.3, ge=1)
+    decode_weight: float = Field(default=0.01, ge=0)
+
+
+class Bundle(Part):
+    """One version of everything that operators declare."""
+
+    version: int = Field(ge=1)
+    name: Name
+    weights: Weights
+    models: list[Model] = Field(min_length=1)
+    adapters: list[Adapter] = []
+    accounts: list[Account] = Field(min_length=1)
+    halls: list[Hall] = Field(min_length=1)
+    classes: list[InstanceClass] = Field(min_length=1)
+    prices: list[Price] = Field(min_length=1)
+    services: list[Service] = []
+    targets: list[Target] = Field(min_length=1)
+    renting: Renting = Renting()
+    routing: Routing = Routing()
+    format: Literal[1] = 1
+
+    def target(self, priority: Priority) -> Target:
+        """Return the target of a priority; validation has made sure of it."""
+        return next(target for target in self.targets if target.priority == priority)
+
+    def model(self, name: str) -> Model | None:
+        """Return the model that a model or adapter name stands for."""
+        base = next((a.model for a in self.adapters if a.name == name), name)
+        return next((model for model in self.models if model.name == base), None)
+
+    def adapter(self, name: str) -> Adapter | None:
+        """Return the adapter of that name."""
+        return next((adapter for adapter in self.adapters if adapter.name == name), None)
+
+    def service(self, name: str) -> Service | None:
+        """Return the service of that name."""
+        return next((service for service in self.services if service.name == name), None)
+
+    def instance_class(self, name: str) -> InstanceClass | None:
+        """Return the class of that name."""
+        return next((item for item in self.classes if item.name == name), None)
+
+    def account_for(self, key: str) -> Account | None:
+        """Return the account that a caller's key belongs to."""
+        wanted = key_digest(key)
+        return next((a for a in self.accounts if wanted in a.key_digests), None)
+
+
+def key_digest(key: str) -> str:
+    """Return the digest under which a bundle lists an account key."""
+    return "sha256:" + hashlib.sha256(key.encode()).hexdigest()
+
+
+def parse(source: str, body: bytes) -> Result[Bundle, list[Finding]]:
+    """Validate a bundle body; every finding comes with its place."""
+    try:
+        data = tomllib.loads(body.decode("utf-8"))
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        return Err([Finding(source, "", f"not valid TOML: {error}")])
+    try:
+        bundle = Bundle.model_validate(data)
+    except ValidationError as error:
+        return Err(from_validation(source, error))
+    findings = _unresolved(source, bundle)
+    return Err(findings) if findings else Ok(bundle)
+
+
+def _unresolved(source: str, bundle: Bundle) -> list[Finding]:
+    """Find duplicate names and references to what the bundle doesn't state."""
+    findings = _duplicates(source, bundle)
+    models = {model.name for model in bundle.models}
+    halls = {hall.name for hall in bundle.halls}
+    classes = {item.name for item in bundle.classes}
+    for index, adapter in enumerate(bundle.adapters):
+        if adapter.model not in models:
+            findings.append(_unknown(source, f"adapters[{index}].model", adapter.model))
+        if adapter.name in models:
+            path = f"adapters[{index}].name"
+            findings.append(Finding(source, path, f"{adapter.name!r} is a model's name too"))
+    for index, price in enumerate(bundle.prices):
+        if price.hall not in halls:
+            findings.append(_unknown(source, f"prices[{index}].hall", price.hall))
+        if price.instance_class not in classes:
+            path = f"prices[{index}].instance_class"
+            findings.append(_unknown(source, path, price.instance_class))
+    stated = {target.priority for target in bundle.targets}
+    for priority in Priority:
+        if priority not in stated:
+            findings.append(Finding(source, "targets", f"no target for priority {priority.value}"))
+    return findings
+
+
+def _unknown(source: str, path: str, name: str) -> Finding:
+    return Finding(source, path, f"{name!r} is not stated in this bundle")
+
+
+def _duplicates(source: str, bundle: Bundle) -> list[Finding]:
+    named: dict[str, list[str]] = {
+        "models": [item.name for item in bundle.models],
+        "adapters": [item.name for item in bundle.adapters],
+        "accounts": [item.name for item in bundle.accounts],
+        "halls": [item.name for item in bundle.halls],
+        "classes": [item.name for item in bundle.classes],
+        "services": [item.name for item in bundle.services],
+        "targets": [item.priority for item in bundle.targets],
+        "prices": [f"{item.hall}/{item.instance_class}" for item in bundle.prices],
+        "accounts.key_digests": [d for item in bundle.accounts for d in item.key_digests],
+    }
+    return [
+        Finding(source, path, f"{name!r} stands more than once")
+        for path, names in named.items()
+        for name in sorted({n for n in names if names.count(n) > 1})
+    ]
--- /dev/null
+++ b/src/moledale/bundle/signing.py
@@ -0,0 +1,83 @@
+"""Operators' signatures: Ed25519 over a bundle's exact bytes."""
+
+import base64
+import binascii
+import hashlib
+
+import msgspec
+from cryptography.exceptions import InvalidSignature
+from cryptography.hazmat.primitives import serialization
+from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey, Ed25519PublicKey
+
+# Keeps a signature over a bundle from being used for anything else.
+_CONTEXT = b"moledale bundle v1\n"
+
+
+class Signature(msgspec.Struct, frozen=True):
+    """One operator's signature; `value` is base64."""
+
+    operator: str
+    value: str
+
+
+def digest(body: bytes) -> str:
+    """Return the content address of a bundle body, as 64 hex digits."""
+    return hashlib.sha256(body).hexdigest()
+
+
+def new_private_key() -> bytes:
+    """Make a private key in PEM form."""
+    return Ed25519PrivateKey.generate().private_bytes(
+        serialization.Encoding.PEM,
+        serialization.PrivateFormat.PKCS8,
+        serialization.NoEncryption(),
+    )
+
+
+def load_private_key(pem: bytes) -> Ed25519PrivateKey | None:
+    """Read a PEM private key, or return None if it isn't an Ed25519 one."""
+    try:
+        key = serialization.load_pem_private_key(pem, password=None)
+    except (ValueError, TypeError):
+        return None
+    return key if isinstance(key, Ed25519PrivateKey) else None
+
+
+def public_text(key: Ed25519PrivateKey) -> str:
+    """Return the public half as it stands in settings."""
+    raw = key.public_key().public_bytes(serialization.Encoding.Raw, serialization.PublicFormat.Raw)
+    return base64.b64encode(raw).decode()
+
+
+def public_key(text: str) -> Ed25519PublicKey | None:
+    """Read a base64 public key, or return None."""
+    try:
+        return Ed25519PublicKey.from_public_bytes(base64.b64decode(text, validate=True))
+    except (ValueError, binascii.Error):
+        return None
+
+
+def sign(body: bytes, operator: str, key: Ed25519PrivateKey) -> Signature:
+    """Sign a bundle body in an operator's name."""
+    value = key.sign(_CONTEXT + body)
+    return Signature(operator, base64.b64encode(value).decode())
+
+
+def valid_operators(
+    body: bytes, signatures: list[Signature], keys: dict[str, str]
+) -> tuple[set[str], list[str]]:
+    """Return the operators whose signatures hold, and what is wrong with the others."""
+    valid: set[str] = set()
+    wrong: list[str] = []
+    for signature in signatures:
+        key = public_key(keys.get(signature.operator, ""))
+        if key is None:
+            wrong.append(f"operator {signature.operator!r} is not known")
+            continue
+        try:
+            key.verify(base64.b64decode(signature.value, validate=True), _CONTEXT + body)
+        except (InvalidSignature, ValueError, binascii.Error):
+            wrong.append(f"signature of {signature.operator!r} does not fit these bytes")
+            continue
+        valid.add(signature.operator)
+    return valid, wrong
--- /dev/null
+++ b/src/moledale/bundle/store.py
@@ -0,0 +1,196 @@
+"""Where bundles are kept: bodies in the object store, one head row that only moves forward."""
+
+import uuid
+
+import msgspec
+from result import Err, Ok, Result
+
+from moledale.bundle import schema
+from moledale.bundle.signing import Signature, digest, valid_operators
+from moledale.findings import Finding
+from moledale.platform.types import (
+    ABSENT,
+    Condition,
+    Platform,
+    PlatformFailure,
+    Row,
+    Transaction,
+    Write,
+)
+from moledale.settings import OperatorsSection
+
+HEAD_TABLE = "bundle"
+HEAD_KEY = "head"
+HISTORY_TABLE = "bundle-history"
+OBJECT_PREFIX = "bundles/"
+MOST_HISTORY = 1_000
+WRITE_TRIES = 3
+
+
+class Head(msgspec.Struct, frozen=True):
+    """The head row: which version is accepted. `operation` names the write that put it there."""
+
+    version: int
+    digest: str
+    name: str
+    rolled_by: str
+    rolled_at: float
+    operation: str
+
+
+class SignedBundle(msgspec.Struct, frozen=True):
+    """A bundle's exact text with the signatures over it."""
+
+    body: str
+    signatures: list[Signature]
+
+
+class RollRefusal(msgspec.Struct, frozen=True):
+    """Why a roll did not take place; `winner` is the head that stands instead.
+
+    `uncertain` means that the platform's answer was lost and the head may have moved.
+    """
+
+    kind: str
+    detail: str
+    findings: list[str] = []
+    winner: Head | None = None
+    uncertain: bool = False
+
+
+def check(
+    source: str, signed: SignedBundle, operators: OperatorsSection
+) -> Result[schema.Bundle, list[Finding]]:
+    """Validate a bundle and its signatures; all findings are reported together."""
+    body = signed.body.encode()
+    parsed = schema.parse(source, body)
+    valid, wrong = valid_operators(body, signed.signatures, operators.keys)
+    findings = parsed.unwrap_err() if isinstance(parsed, Err) else []
+    findings = [*findings, *(Finding(source, "signatures", text) for text in wrong)]
+    if len(valid) < operators.required_signatures:
+        text = f"{len(valid)} valid signatures, {operators.required_signatures} required"
+        findings.append(Finding(source, "signatures", text))
+    if findings:
+        return Err(findings)
+    return parsed
+
+
+async def read_head(platform: Platform) -> Result[tuple[Head | None, int], PlatformFailure]:
+    """Return the head and its row version."""
+    outcome = await platform.table.read(HEAD_TABLE, HEAD_KEY)
+    return outcome.map(_decode_head)
+
+
+async def fetch(
+    platform: Platform, head: Head, operators: OperatorsSection
+) -> Result[schema.Bundle, str]:
+    """Fetch the head's body, check it against digest and signatures, and parse it."""
+    outcome = await platform.objects.get(OBJECT_PREFIX + head.digest)
+    if isinstance(outcome, Err):
+        return Err(outcome.err_value.detail)
+    if outcome.ok_value is None:
+        return Err("the object store does not hold the bundle")
+    try:
+        signed = msgspec.json.decode(outcome.ok_value, type=SignedBundle)
+    except msgspec.DecodeError as error:
+        return Err(f"the stored bundle is damaged: {error}")
+    if digest(signed.body.encode()) != head.digest:
+        return Err("the stored bundle does not fit its digest")
+    checked = check(f"bundle {head.version}", signed, operators)
+    if isinstance(checked, Err):
+        return Err("; ".join(str(finding) for finding in checked.err_value))
+    if checked.ok_value.version != head.version:
+        return Err(f"the bundle says version {checked.ok_value.version}")
+    return Ok(checked.ok_value)
+
+
+async def roll(
+    platform: Platform, signed: SignedBundle, operators: OperatorsSection, wall: float
+) -> Result[Head, RollRefusal]:
+    """Make a signed bundle the head, if it is the version after the head that stands.
+
+    The body is stored before the head moves. A write whose answer was lost is sent again under
+    the same condition, so it takes effect once at the most; the row then says whose it was.
+    """
+    checked = check("bundle", signed, operators)
+    if isinstance(checked, Err):
+        found = [str(finding) for finding in checked.err_value]
+        return Err(RollRefusal("invalid", "the bundle was not accepted", found))
+    bundle = checked.ok_value
+    identity = digest(signed.body.encode())
+    current = await read_head(platform)
+    if isinstance(current, Err):
+        return Err(RollRefusal("platform", current.err_value.detail))
+    head, row_version = current.ok_value
+    if head is not None and (head.version, head.digest) == (bundle.version, identity):
+        return Ok(head)
+    refusal = _not_next(bundle, head)
+    if refusal is not None:
+        return Err(refusal)
+    # A second roll of the same version may carry other signatures; the body's are kept apart
+    # by the digest of the body alone, so the first one stored is as good.
+    stored = await platform.objects.put(OBJECT_PREFIX + identity, msgspec.json.encode(signed))
+    if isinstance(stored, Err):
+        return Err(RollRefusal("platform", stored.err_value.detail))
+    rolled_by = ", ".join(sorted({signature.operator for signature in signed.signatures}))
+    new = Head(bundle.version, identity, bundle.name, rolled_by, wall, uuid.uuid4().hex)
+    return await _move_head(platform, new, row_version)
+
+
+async def _move_head(platform: Platform, new: Head, row_version: int) -> Result[Head, RollRefusal]:
+    value = msgspec.json.encode(new).decode()
+    transaction = Transaction(
+        new.operation,
+        [Condition(HEAD_TABLE, HEAD_KEY, row_version)],
+        [
+            Write(HEAD_TABLE, HEAD_KEY, value),
+            Write(HISTORY_TABLE, f"{new.version:012d}", value),
+        ],
+    )
+    uncertain = False
+    for _ in range(WRITE_TRIES):
+        outcome = await platform.table.transact(transaction)
+        if isinstance(outcome, Err):
+            uncertain = uncertain or outcome.err_value.uncertain
+            continue
+        if outcome.ok_value.committed:
+            return Ok(new)
+        return await _settle(platform, new)
+    detail = "the table did not answer"
+    return Err(RollRefusal("platform", detail, uncertain=uncertain))
+
+
+async def _settle(platform: Platform, new: Head) -> Result[Head, RollRefusal]:
+    """Tell a conflict with another operator from an own write whose answer was lost."""
+    history = await platform.table.read(HISTORY_TABLE, f"{new.version:012d}")
+    if isinstance(history, Err):
+        detail = "the head moved, but the table did not say by whom"
+        return Err(RollRefusal("platform", detail, uncertain=True))
+    winner, _ = _decode_head(history.ok_value)
+    if winner is not None and winner.operation == new.operation:
+        return Ok(winner)
+    who = f" by {winner.rolled_by}" if winner is not None else ""
+    detail = f"version {new.version} was rolled{who} at the same time"
+    return Err(RollRefusal("conflict", detail, winner=winner))
+
+
+def _not_next(bundle: schema.Bundle, head: Head | None) -> RollRefusal | None:
+    expected = head.version + 1 if head is not None else 1
+    if bundle.version == expected:
+        return None
+    standing = f"head is version {head.version}" if head is not None else "there is no head"
+    detail = f"the bundle is version {bundle.version}, but {standing}: {expected} comes next"
+    kind = "older" if bundle.version < expected else "gap"
+    return RollRefusal(kind, detail, winner=head)
+
+
+async def history(platform: Platform) -> Result[list[Head], PlatformFailure]:
+    """Return all accepted versions, oldest first."""
+    outcome = await platform.table.scan(HISTORY_TABLE, "", MOST_HISTORY)
+    return outcome.map(lambda rows: [msgspec.json.decode(row.value, type=Head) for row in rows])
+
+
+def _decode_head(row: Row | None) -> tuple[Head | None, int]:
+    if row is None:
+        return None, ABSENT
+    return msgspec.json.decode(row.value, type=Head), row.version
--- /dev/null
+++ b/src/moledale/core/queueing.py
@@ -0,0 +1,107 @@
+"""The order in which waiting requests are dispatched, and which are refused at once.
+
+A request's rank is its arrival time plus an offset for its priority. So work that can wait
+ages: once it has waited longer than its offset it goes before newly arrived immediate work.
+"""
+
+import heapq
+from dataclasses import dataclass, field
+from typing import Generic, TypeVar
+
+from moledale.bundle.schema import Priority
+
+T = TypeVar("T")
+
+OFFSET_S = {Priority.IMMEDIATE: 0.0, Priority.NORMAL: 3.0, Priority.CAN_WAIT: 30.0}
+"""Seconds by which a priority stands behind immediate work that arrives together with it."""
+
+
+@dataclass(order=True, slots=True)
+class _Entry(Generic[T]):
+    rank: float
+    serial: int
+    deadline: float = field(compare=False)
+    priority: Priority = field(compare=False)
+    item: T = field(compare=False)
+    gone: bool = field(default=False, compare=False)
+
+
+@dataclass(frozen=True, slots=True)
+class Offered(Generic[T]):
+    """What became of an offer: whether it waits, and whom it pushed out."""
+
+    accepted: bool
+    pushed_out: T | None = None
+
+
+class WaitingQueue(Generic[T]):
+    """A bounded queue by rank; when full, lower-priority work gives way, newest first."""
+
+    def __init__(self, most: int) -> None:
+        self._most = most
+        self._heap: list[_Entry[T]] = []
+        self._entries: dict[int, _Entry[T]] = {}
+        self._serial = 0
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def offer(self, item: T, priority: Priority, now: float, deadline: float) -> Offered[T]:
+        """Let an item wait, or refuse it if there is no room for its priority."""
+        pushed_out: T | None = None
+        if len(self._entries) >= self._most:
+            victim = self._give_way(priority)
+            if victim is None:
+                return Offered(False)
+            pushed_out = victim.item
+            self._drop(victim)
+        self._serial += 1
+        entry = _Entry(now + OFFSET_S[priority], self._serial, deadline, priority, item)
+        self._entries[id(item)] = entry
+        heapq.heappush(self._heap, entry)
+        return Offered(True, pushed_out)
+
+    def remove(self, item: T) -> None:
+        """Take an item out, wherever it stands."""
+        entry = self._entries.get(id(item))
+        if entry is not None:
+            self._drop(entry)
+
+    def expired(self, now: float) -> list[T]:
+        """Take out and return every item whose deadline has passed."""
+        late = [entry for entry in self._entries.values() if entry.deadline <= now]
+        for entry in late:
+            self._drop(entry)
+        return [entry.item for entry in late]
+
+    def in_order(self) -> list[T]:
+        """Return the waiting items, next first."""
+        return [entry.item for entry in sorted(self._entries.values())]
+
+    def ahead_of(self, priority: Priority, now: float) -> int:
+        """Count the items that a new one of this priority would wait behind."""
+        rank = now + OFFSET_S[priority]
+        return sum(1 for entry in self._entries.values() if entry.rank <= rank)
+
+    def _give_way(self, priority: Priority) -> _Entry[T] | None:
+        lower = [
+            entry
+            for entry in self._entries.values()
+            if OFFSET_S[entry.priority] > OFFSET_S[priority]
+        ]
+        return max(lower, default=None)
+
+    def _drop(self, entry: _Entry[T]) -> None:
+        entry.gone = True
+        self._entries.pop(id(entry.item), None)
+        while self._heap and self._heap[0].gone:
+            heapq.heappop(self._heap)
+
+
+def estimated_wait_s(ahead: int, free_slots: int, slots: int, service_s: float) -> float:
+    """Estimate the wait of a request behind `ahead` others on `slots` slots in all."""
+    if slots == 0:
+        return float("inf")
+    if ahead < free_slots:
+        return 0.0
+    return (ahead - free_slots + 1) * service_s / slots
--- /dev/null
+++ b/src/moledale/core/reclaim.py
@@ -0,0 +1,89 @@
+"""What becomes of each live stream when its server is taken back."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import StrEnum
+
+SAFETY_S = 0.5
+"""Part of a notice that is never planned with."""
+
+
+class Course(StrEnum):
+    """The ways to bring a stream through a reclaim."""
+
+    FINISH = "finish"
+    MOVE = "move"
+    PREFILL = "prefill"
+
+
+@dataclass(frozen=True, slots=True)
+class LiveStream:
+    """A stream on the leaving server; times in seconds, sizes in bytes."""
+
+    id: str
+    context_tokens: int
+    kv_bytes: int
+    remaining_s: float
+    immediate: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ReclaimView:
+    """What there is to work with until the server is gone.
+
+    `bandwidth` is this node's part of the link out of the server, in bytes a second;
+    `prefill_tokens_per_s` is the speed at which another server would compute the context anew.
+    `recompute_weight` and `cost_weight` are the bundle's weights of the two measures.
+    """
+
+    notice_s: float
+    bandwidth: float
+    prefill_tokens_per_s: float
+    recompute_weight: float
+    cost_weight: float
+
+
+def plan(streams: Sequence[LiveStream], view: ReclaimView) -> dict[str, Course]:
+    """Choose a course for each stream.
+
+    Streams that end within the notice stay. The others move in order of the value of what a
+    move saves for each second of the link, as long as their transfers fit in the notice; what
+    doesn't fit is prefilled elsewhere, which needs nothing from the leaving server.
+    """
+    usable_s = max(0.0, view.notice_s - SAFETY_S)
+    courses = {stream.id: Course.FINISH for stream in streams if stream.remaining_s <= usable_s}
+    rest = [stream for stream in streams if stream.id not in courses]
+    rest.sort(key=lambda stream: (-_value_per_s(stream, view), stream.id))
+    spent_s = 0.0
+    for stream in rest:
+        transfer_s = _transfer_s(stream, view)
+        fits = spent_s + transfer_s <= usable_s
+        if fits and _moving_pays(stream, transfer_s, view):
+            courses[stream.id] = Course.MOVE
+            spent_s += transfer_s
+        else:
+            courses[stream.id] = Course.PREFILL
+    return courses
+
+
+def _transfer_s(stream: LiveStream, view: ReclaimView) -> float:
+    return stream.kv_bytes / view.bandwidth if view.bandwidth > 0 else float("inf")
+
+
+def _prefill_s(stream: LiveStream, view: ReclaimView) -> float:
+    return stream.context_tokens / view.prefill_tokens_per_s
+
+
+def _value_per_s(stream: LiveStream, view: ReclaimView) -> float:
+    saved = _prefill_s(stream, view) * (2.0 if stream.immediate else 1.0)
+    return saved / max(1e-6, _transfer_s(stream, view))
+
+
+def _moving_pays(stream: LiveStream, transfer_s: float, view: ReclaimView) -> bool:
+    """Say whether moving costs less than computing again, by the weights of the measures.
+
+    Both take time on the new server's account; only computing again recomputes tokens.
+    """
+    prefill_s = _prefill_s(stream, view)
+    again = (view.cost_weight + view.recompute_weight) * prefill_s
+    return view.cost_weight * transfer_s * 0.5 <= again
--- /dev/null
+++ b/src/moledale/core/renting.py
@@ -0,0 +1,181 @@
+"""Which instances to rent in which hall and class, from demand, prices and refusals."""
+
+import math
+from collections import Counter, defaultdict
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from moledale.bundle.schema import Bundle, InstanceClass, Market, Price
+
+HYSTERESIS = 0.15
+"""Capacity over the need by less than this part is kept, so that counts don't swing."""
+
+
+@dataclass(frozen=True, slots=True)
+class Held:
+    """An instance that is rented now; `idle` means it has no requests."""
+
+    id: str
+    hall: str
+    instance_class: str
+    market: Market
+    idle: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """A hall and class whose renting was refused lately; it isn't asked again for now."""
+
+    hall: str
+    instance_class: str
+    market: Market
+
+
+@dataclass(frozen=True, slots=True)
+class RentView:
+    """Demand in generated tokens a second, what is held, and what was refused."""
+
+    demand: float
+    held: Sequence[Held]
+    refusals: frozenset[Refusal] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class Rent:
+    """Rent one instance."""
+
+    hall: str
+    instance_class: str
+    market: Market
+
+
+@dataclass(frozen=True, slots=True)
+class Return:
+    """Return one instance, once it has no requests."""
+
+    instance_id: str
+    hall: str
+
+
+@dataclass(slots=True)
+class _Fleet:
+    """Running totals while a plan is made."""
+
+    bundle: Bundle
+    capacity: defaultdict[str, float] = field(default_factory=lambda: defaultdict(float))
+    on_demand: float = 0.0
+    count: Counter[str] = field(default_factory=Counter)
+
+    def add(self, hall: str, item: InstanceClass, market: Market, sign: int = 1) -> None:
+        """Count an instance in, or out."""
+        self.capacity[hall] += sign * item.decode_tokens_per_s
+        self.count[hall] += sign
+        if market is Market.ON_DEMAND:
+            self.on_demand += sign * item.decode_tokens_per_s
+
+    def surviving(self) -> float:
+        """Return the capacity left when the largest halls that may go are gone."""
+        sizes = sorted(self.capacity.values(), reverse=True)
+        return sum(sizes[self.bundle.renting.survive_halls :])
+
+
+def need(bundle: Bundle, demand: float) -> float:
+    """Return the capacity that must be left after a loss, in tokens a second."""
+    wanted = max(demand, bundle.renting.least_tokens_per_s)
+    return wanted / bundle.renting.utilization
+
+
+def plan(bundle: Bundle, view: RentView) -> list[Rent | Return]:
+    """Return the changes to make now: at most `most_changes`, rents before returns."""
+    fleet = _Fleet(bundle)
+    for held in view.held:
+        item = bundle.instance_class(held.instance_class)
+        if item is not None:
+            fleet.add(held.hall, item, held.market)
+    target = need(bundle, view.demand)
+    changes: list[Rent | Return] = []
+    while fleet.surviving() < target and len(changes) < bundle.renting.most_changes:
+        chosen = _cheapest(bundle, fleet, view.refusals, target)
+        if chosen is None:
+            break
+        changes.append(chosen)
+        item = bundle.instance_class(chosen.instance_class)
+        assert item is not None
+        fleet.add(chosen.hall, item, chosen.market)
+    if not changes:
+        changes.extend(_returns(bundle, fleet, view.held, target))
+    return changes
+
+
+def _cheapest(
+    bundle: Bundle, fleet: _Fleet, refusals: frozenset[Refusal], target: float
+) -> Rent | None:
+    """Return the cheapest rent that adds surviving capacity where it's least."""
+    market = _market(bundle, fleet, target)
+    other = Market.ON_DEMAND if market is Market.RECLAIMABLE else Market.RECLAIMABLE
+    for wanted in (market, other):
+        options = [
+            price
+            for price in bundle.prices
+            if Refusal(price.hall, price.instance_class, wanted) not in refusals
+            and _hall_has_room(bundle, fleet, price.hall)
+        ]
+        if options:
+            best = min(options, key=lambda price: _rank(bundle, fleet, price, wanted))
+            return Rent(best.hall, best.instance_class, wanted)
+    return None
+
+
+def _market(bundle: Bundle, fleet: _Fleet, target: float) -> Market:
+    wanted = bundle.renting.on_demand_share * target
+    return Market.ON_DEMAND if fleet.on_demand < wanted else Market.RECLAIMABLE
+
+
+def _hall_has_room(bundle: Bundle, fleet: _Fleet, hall: str) -> bool:
+    most = next((item.most_instances for item in bundle.halls if item.name == hall), 0)
+    return fleet.count[hall] < most
+
+
+def _rank(bundle: Bundle, fleet: _Fleet, price: Price, market: Market) -> tuple[float, str, str]:
+    """Rank by price for each surviving token a second that the rent adds."""
+    item = bundle.instance_class(price.instance_class)
+    assert item is not None
+    asked = price.reclaimable if market is Market.RECLAIMABLE else price.on_demand
+    before = fleet.surviving()
+    fleet.add(price.hall, item, market)
+    gained = fleet.surviving() - before
+    fleet.add(price.hall, item, market, -1)
+    # A rent in the largest hall adds nothing that survives its loss; a smaller hall first.
+    worth = gained + 1e-3 * item.decode_tokens_per_s / (1.0 + fleet.capacity[price.hall])
+    return (asked / worth if worth > 0 else math.inf, price.hall, price.instance_class)
+
+
+def _returns(
+    bundle: Bundle, fleet: _Fleet, held: Sequence[Held], target: float
+) -> list[Rent | Return]:
+    """Return idle instances that the need can do without, dearest first."""
+    found: list[Rent | Return] = []
+    prices = {(price.hall, price.instance_class): price for price in bundle.prices}
+
+    def price_of(item: Held) -> float:
+        price = prices.get((item.hall, item.instance_class))
+        if price is None:
+            return math.inf
+        return price.on_demand if item.market is Market.ON_DEMAND else price.reclaimable
+
+    for item in sorted(held, key=lambda one: (-price_of(one), one.id)):
+        known = bundle.instance_class(item.instance_class)
+        if not item.idle or len(found) >= bundle.renting.most_changes:
+            continue
+        if known is None:
+            found.append(Return(item.id, item.hall))
+            continue
+        fleet.add(item.hall, known, item.market, -1)
+        keeps_share = item.market is Market.RECLAIMABLE or (
+            fleet.on_demand >= bundle.renting.on_demand_share * target
+        )
+        if fleet.surviving() >= target * (1 + HYSTERESIS) and keeps_share:
+            found.append(Return(item.id, item.hall))
+        else:
+            fleet.add(item.hall, known, item.market)
+    return found
--- /dev/null
+++ b/src/moledale/core/routing.py
@@ -0,0 +1,299 @@
+"""Where a request runs: pure choice over server views, and the book that reserves with it.
+
+Affinity with an overflow bound, the decode term with `max(n, 1)` and reserving in the same
+step as the choice follow "Unified routing ablation: A (tighter affinity) + B (decode-aware
+LMetric)"; docs/DESIGN.md says what was kept of it.
+"""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from moledale.core.hashing import weight
+from moledale.servers.types import LoadReport
+
+
+class Standing(StrEnum):
+    """Life cycle of a server as this node sees it."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+    DOWN = "down"
+
+
+@dataclass(frozen=True, slots=True)
+class Speeds:
+    """Measured speeds of a class: tokens a second, and requests that run side by side."""
+
+    prefill_tokens_per_s: float
+    decode_tokens_per_s: float
+    slots: int
+
+
+@dataclass(frozen=True, slots=True)
+class Need:
+    """What a request needs from a server; token counts are estimates."""
+
+    model: str
+    prompt_tokens: int
+    max_tokens: int
+    session: str = ""
+    hall: str = ""
+    excluded: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class Reservation:
+    """What a dispatched request holds of a server until it ends."""
+
+    id: int
+    server: str
+    prefill_tokens: int
+    decode_tokens: int
+    made_at: float
+
+
+@dataclass(slots=True)
+class ServerView:
+    """A server as this node sees it: the last report plus what this node did since."""
+
+    id: str
+    hall: str
+    address: str
+    speeds: Speeds
+    models: frozenset[str] = frozenset()
+    standing: Standing = Standing.LIVE
+    sequence: int = -1
+    reported_at: float = -1.0
+    running: int = 0
+    prefill_tokens: int = 0
+    decode_tokens: int = 0
+    cached: dict[str, int] = field(default_factory=dict)
+
+    def cached_for(self, need: Need) -> int:
+        """Return how many prompt tokens the session's cache here should cover."""
+        return min(self.cached.get(need.session, 0), need.prompt_tokens)
+
+    def uncached(self, need: Need) -> int:
+        """Return the prompt tokens that this server would have to compute."""
+        return need.prompt_tokens - self.cached_for(need)
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingParams:
+    """Parameters of the choice; the bundle states them."""
+
+    overflow: float = 1.3
+    decode_weight: float = 0.01
+    recompute_weight: float = 0.5
+    cross_hall_s: float = 0.002
+
+
+@dataclass(frozen=True, slots=True)
+class Pick:
+    """The chosen server and why it was chosen."""
+
+    server: str
+    affinity: bool
+    cached_tokens: int
+
+
+def eligible(views: Iterable[ServerView], need: Need) -> list[ServerView]:
+    """Return live servers that hold the model and aren't excluded."""
+    return [
+        view
+        for view in views
+        if view.standing is Standing.LIVE
+        and need.model in view.models
+        and view.id not in need.excluded
+    ]
+
+
+def with_room(views: Iterable[ServerView]) -> list[ServerView]:
+    """Return servers with a free slot."""
+    return [view for view in views if view.running < view.speeds.slots]
+
+
+def wait_s(view: ServerView, need: Need, params: RoutingParams) -> float:
+    """Estimate the seconds until the first token if the request went to this server."""
+    uncached = view.uncached(need)
+    decode = params.decode_weight * view.decode_tokens
+    share = view.running / view.speeds.slots
+    prefill_s = (view.prefill_tokens + uncached + decode) / view.speeds.prefill_tokens_per_s
+    return prefill_s * (1.0 + share)
+
+
+def cost(view: ServerView, need: Need, params: RoutingParams) -> float:
+    """Return the seconds a choice costs: the wait, and the work that is done again."""
+    again_s = view.uncached(need) / view.speeds.prefill_tokens_per_s
+    away = params.cross_hall_s if need.hall and view.hall != need.hall else 0.0
+    return wait_s(view, need, params) + params.recompute_weight * again_s + away
+
+
+def pick(views: Sequence[ServerView], need: Need, params: RoutingParams) -> Pick | None:
+    """Choose a server with a free slot, or None where there is none.
+
+    The server with most of the session's cache keeps it until its load is over the overflow
+    bound; then the cheapest server wins, and a rendezvous weight breaks ties the same way on
+    every node.
+    """
+    candidates = with_room(eligible(views, need))
+    if not candidates:
+        return None
+    home = max(candidates, key=lambda view: view.cached_for(need))
+    if home.cached_for(need) > 0 and not overloaded(home, candidates, params):
+        return Pick(home.id, True, home.cached_for(need))
+    best = min(
+        candidates,
+        key=lambda view: (cost(view, need, params), -weight(need.session, view.id)),
+    )
+    return Pick(best.id, best.cached_for(need) > 0, best.cached_for(need))
+
+
+def overloaded(home: ServerView, candidates: Sequence[ServerView], params: RoutingParams) -> bool:
+    """Say whether a server's share of its slots is over the bound on the mean share."""
+    mean = sum(view.running / view.speeds.slots for view in candidates) / len(candidates)
+    share = home.running / home.speeds.slots
+    return home.running > 1 and share > params.overflow * mean
+
+
+class LoadBook:
+    """The views of the servers a node follows, with this node's own reservations on top.
+
+    A reservation counts until a report that was made after it, and a release is taken off
+    until a report that was made after that; so a lagged report neither hides nor doubles it.
+    """
+
+    def __init__(self, most_sessions: int) -> None:
+        self.views: dict[str, ServerView] = {}
+        self._open: dict[int, Reservation] = {}
+        self._unreported: dict[str, list[int]] = {}
+        self._ended: dict[str, list[tuple[float, Reservation]]] = {}
+        self._next_id = 0
+        self._most_sessions = most_sessions
+        self._cached_sessions: dict[str, str] = {}
+
+    def follow(self, view: ServerView) -> None:
+        """Start to follow a server, or take over its changed address and class."""
+        known = self.views.get(view.id)
+        if known is None:
+            self.views[view.id] = view
+            return
+        known.address = view.address
+        known.speeds = view.speeds
+        known.hall = view.hall
+
+    def unfollow(self, server: str) -> None:
+        """Stop following a server; open reservations may still be released."""
+        self.views.pop(server, None)
+        self._ended.pop(server, None)
+        self._unreported.pop(server, None)
+        self._cached_sessions = {s: at for s, at in self._cached_sessions.items() if at != server}
+
+    def pick_and_reserve(
+        self, need: Need, params: RoutingParams, now: float
+    ) -> tuple[Pick, Reservation] | None:
+        """Choose and reserve in one step; there is no point between where another may choose."""
+        chosen = pick(list(self.views.values()), need, params)
+        if chosen is None:
+            return None
+        return chosen, self.reserve(chosen.server, need, now)
+
+    def reserve(self, server: str, need: Need, now: float) -> Reservation:
+        """Count a request on a server from now on."""
+        view = self.views[server]
+        self._next_id += 1
+        uncached = view.uncached(need)
+        made = Reservation(self._next_id, server, uncached, need.prompt_tokens, now)
+        self._open[made.id] = made
+        self._unreported.setdefault(server, []).append(made.id)
+        _add(view, made, 1)
+        return made
+
+    def first_token(self, made: Reservation) -> Reservation:
+        """Note that a request's prefill is done."""
+        if made.id not in self._open:
+            return made
+        view = self.views.get(made.server)
+        if view is not None:
+            view.prefill_tokens = max(0, view.prefill_tokens - made.prefill_tokens)
+        after = Reservation(made.id, made.server, 0, made.decode_tokens, made.made_at)
+        self._open[made.id] = after
+        return after
+
+    def release(self, made: Reservation, now: float) -> None:
+        """Stop counting a request; releasing twice changes nothing."""
+        current = self._open.pop(made.id, None)
+        if current is None:
+            return
+        view = self.views.get(made.server)
+        if view is None:
+            return
+        _add(view, current, -1)
+        unreported = self._unreported.get(made.server, [])
+        if made.id in unreported:
+            unreported.remove(made.id)
+        else:
+            self._ended.setdefault(made.server, []).append((now, current))
+
+    def report(self, report: LoadReport, made_at: float, now: float) -> bool:
+        """Take over a report made at `made_at`; an older one than the last is ignored."""
+        view = self.views.get(report.server)
+        if view is None or report.sequence <= view.sequence:
+            return False
+        view.sequence = report.sequence
+        view.reported_at = now
+        view.models = frozenset(report.models)
+        view.running = report.running + report.waiting
+        view.prefill_tokens = report.pending_prefill_tokens
+        view.decode_tokens = report.decode_tokens
+        self._add_unreported(view, made_at)
+        self._take_off_ended(view, made_at)
+        return True
+
+    def cached(self, session: str, server: str, tokens: int) -> None:
+        """Note that a server's cache covers `tokens` of a session; the newest place counts."""
+        view = self.views.get(server)
+        if not session or view is None:
+            return
+        self.forget(session)
+        view.cached[session] = tokens
+        self._cached_sessions[session] = server
+        if len(self._cached_sessions) > self._most_sessions:
+            self.forget(next(iter(self._cached_sessions)))
+
+    def forget(self, session: str) -> None:
+        """Forget where a session's cache is."""
+        server = self._cached_sessions.pop(session, None)
+        view = self.views.get(server) if server is not None else None
+        if view is not None:
+            view.cached.pop(session, None)
+
+    def server_of(self, session: str) -> str | None:
+        """Return the server whose cache covers a session."""
+        return self._cached_sessions.get(session)
+
+    def open_reservations(self) -> int:
+        """Return the number of requests that are counted now."""
+        return len(self._open)
+
+    def _add_unreported(self, view: ServerView, made_at: float) -> None:
+        still = []
+        for identity in self._unreported.get(view.id, []):
+            made = self._open.get(identity)
+            if made is not None and made.made_at >= made_at:
+                still.append(identity)
+                _add(view, made, 1)
+        self._unreported[view.id] = still
+
+    def _take_off_ended(self, view: ServerView, made_at: float) -> None:
+        still = [(at, made) for at, made in self._ended.get(view.id, []) if at >= made_at]
+        for _, made in still:
+            _add(view, made, -1)
+        self._ended[view.id] = still
+
+
+def _add(view: ServerView, made: Reservation, sign: int) -> None:
+    view.running = max(0, view.running + sign)
+    view.prefill_tokens = max(0, view.prefill_tokens + sign * made.prefill_tokens)
+    view.decode_tokens = max(0, view.decode_tokens + sign * made.decode_tokens)
--- /dev/null
+++ b/src/moledale/edge/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP towards callers and operators."""
--- /dev/null
+++ b/src/moledale/edge/app.py
@@ -0,0 +1,115 @@
+"""The ASGI application and the HTTP server of a node."""
+
+import contextlib
+import socket
+from collections.abc import Iterator
+
+import uvicorn
+from starlette.applications import Starlette
+from starlette.exceptions import HTTPException
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+from starlette.types import ASGIApp, Receive, Scope, Send
+
+from moledale import problems
+from moledale.edge.answers import json_response, problem_response
+from moledale.edge.callers import CallerApi
+from moledale.edge.operators import OperatorApi
+from moledale.node.node import Node
+
+BACKLOG = 2048
+CLOSE_GRACE_S = 5
+
+
+class HeaderLimit:
+    """Refuses requests whose headers are larger than the limit."""
+
+    def __init__(self, app: ASGIApp, most_bytes: int) -> None:
+        self._app = app
+        self._most_bytes = most_bytes
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Pass a request on, or refuse it."""
+        if scope["type"] == "http":
+            size = sum(len(name) + len(value) for name, value in scope["headers"])
+            if size + len(scope["raw_path"]) > self._most_bytes:
+                refusal = problems.Problem(
+                    "headers-too-large",
+                    431,
+                    "The headers are too large",
+                    f"over {self._most_bytes} bytes",
+                    problems.Ran.NO,
+                )
+                await problem_response(refusal)(scope, receive, send)
+                return
+        await self._app(scope, receive, send)
+
+
+def make_app(node: Node) -> ASGIApp:
+    """Make the application of a node."""
+
+    async def live(_: Request) -> Response:
+        return json_response({"live": True})
+
+    async def ready(_: Request) -> Response:
+        refusal = node.refusal()
+        if refusal is not None:
+            return problem_response(refusal)
+        return json_response({"ready": True, "bundle_version": node.bundles.version})
+
+    routes = [
+        Route("/health/live", live),
+        Route("/health/ready", ready),
+        *CallerApi(node).routes(),
+        *OperatorApi(node).routes(),
+    ]
+    app = Starlette(routes=routes, exception_handlers={HTTPException: _http_problem})
+    return HeaderLimit(app, node.settings.limits.header_bytes)
+
+
+async def _http_problem(_: Request, error: Exception) -> Response:
+    """Answer what no route takes with a problem, like everything else."""
+    assert isinstance(error, HTTPException)
+    titles = {404: "not-found", 405: "method-not-allowed"}
+    kind = titles.get(error.status_code, "http")
+    return problem_response(
+        problems.Problem(kind, error.status_code, error.detail, error.detail, problems.Ran.NO)
+    )
+
+
+class CallerServer(uvicorn.Server):
+    """uvicorn without its own signal handling: the daemon decides when to stop."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Leave signals alone."""
+        yield
+
+
+def bind(listen: str) -> socket.socket:
+    """Bind the address for callers; raises OSError if it can't be had."""
+    host, port = listen.rsplit(":", 1)
+    host = host.strip("[]")
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    bound = socket.socket(family, socket.SOCK_STREAM)
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    bound.bind((host, int(port)))
+    bound.setblocking(False)
+    return bound
+
+
+def make_server(app: ASGIApp) -> CallerServer:
+    """Make the HTTP server; it answers on sockets given to `serve`."""
+    config = uvicorn.Config(
+        app,
+        http="httptools",
+        loop="none",
+        lifespan="off",
+        log_config=None,
+        access_log=False,
+        server_header=False,
+        backlog=BACKLOG,
+        timeout_graceful_shutdown=CLOSE_GRACE_S,
+    )
+    return CallerServer(config)
--- /dev/null
+++ b/src/moledale/edge/callers.py
@@ -0,0 +1,345 @@
+"""Endpoints for callers: generations, streams, jobs, services, keys and addresses."""
+
+from collections.abc import Awaitable, Callable
+
+import msgspec
+from result import Err, Ok, Result
+from starlette.requests import Request
+from starlette.responses import RedirectResponse, Response, StreamingResponse
+from starlette.routing import Route
+
+from moledale import problems
+from moledale.bundle.schema import Account
+from moledale.edge import sse
+from moledale.edge.answers import JSON_MEDIA_TYPE, json_response, problem_response
+from moledale.edge.requests import (
+    KEY_HEADER,
+    SESSION_HEADER,
+    Asked,
+    account_of,
+    parse_generation,
+    read_body,
+)
+from moledale.node.jobs import JobState, JobStatus, keyed_job_id, new_job_id
+from moledale.node.node import Node, OnceWork
+from moledale.node.once import OnceCall, fingerprint
+from moledale.node.streams import GenerationRequest, StreamRecord
+from moledale.problems import Problem
+from moledale.servers.types import ServiceAnswer, ServiceCall
+
+MOST_KEYS = 100
+JOB_DEADLINE_S = 7 * 24 * 3600.0
+"""A job must finish, however late; this only bounds how long its row may stand."""
+
+HOP_PARAMETER = "hop"
+_NOT_PASSED_ON = {"authorization", "host", "content-length", "connection", "transfer-encoding"}
+
+
+JobQuestion = Callable[[str, str], Awaitable[Result[JobStatus, Problem]]]
+
+
+class CallerApi:
+    """The endpoints, bound to one node."""
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+
+    def routes(self) -> list[Route]:
+        """Return the routes."""
+        return [
+            Route("/v1/completions", self.completions, methods=["POST"]),
+            Route("/v1/chat/completions", self.chat_completions, methods=["POST"]),
+            Route("/v1/streams/{id}", self.stream, methods=["GET"]),
+            Route("/v1/streams/{id}", self.cancel_stream, methods=["DELETE"]),
+            Route("/v1/jobs/{id}", self.job_status, methods=["GET"]),
+            Route("/v1/jobs/{id}", self.cancel_job, methods=["DELETE"]),
+            Route("/v1/jobs/{id}/result", self.job_result, methods=["GET"]),
+            Route("/v1/idempotency-keys", self.issue_keys, methods=["POST"]),
+            Route("/v1/addresses", self.addresses, methods=["GET"]),
+            Route("/v1/models", self.models, methods=["GET"]),
+            Route(
+                "/v1/services/{name}/{path:path}",
+                self.service,
+                methods=["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"],
+            ),
+        ]
+
+    # Generations
+
+    async def completions(self, request: Request) -> Response:
+        """Answer an OpenAI-style completion."""
+        return await self._generation(request, chat=False)
+
+    async def chat_completions(self, request: Request) -> Response:
+        """Answer an OpenAI-style chat completion."""
+        return await self._generation(request, chat=True)
+
+    async def _generation(self, request: Request, chat: bool) -> Response:
+        admitted = self._admit(request)
+        if isinstance(admitted, Err):
+            return problem_response(admitted.err_value)
+        body = await read_body(request, self._node.settings.limits.body_bytes)
+        if isinstance(body, Err):
+            return problem_response(body.err_value)
+        parsed = parse_generation(self._node, admitted.ok_value, request, body.ok_value, chat)
+        if isinstance(parsed, Err):
+            return problem_response(parsed.err_value)
+        asked = parsed.ok_value
+        if asked.respond_async:
+            return await self._accept_job(asked)
+        if asked.idempotency_key is not None:
+            return await self._generate_once(asked, asked.idempotency_key)
+        submitted = self._node.dispatcher.submit(asked.request)
+        if isinstance(submitted, Err):
+            return problem_response(submitted.err_value, asked.request.id)
+        record = submitted.ok_value
+        if asked.stream:
+            return self._streaming(record, 0)
+        return await self._whole(record)
+
+    async def _whole(self, record: StreamRecord) -> Response:
+        await record.wait_ended()
+        if record.problem is not None:
+            return problem_response(record.problem, record.request.id)
+        if record.successor is not None:
+            url = f"http://{record.successor}/v1/streams/{record.request.id}?whole=true"
+            return RedirectResponse(url, 303)
+        return Response(_whole(record), media_type=JSON_MEDIA_TYPE)
+
+    def _streaming(self, record: StreamRecord, start: int) -> Response:
+        headers = {"Cache-Control": "no-store", "Moledale-Request": record.request.id}
+        return StreamingResponse(
+            sse.events(record, start), headers=headers, media_type="text/event-stream"
+        )
+
+    async def _generate_once(self, asked: Asked, key: str) -> Response:
+        if asked.stream:
+            detail = "Idempotency-Key goes with a whole answer or with respond-async"
+            return problem_response(problems.bad_request(detail))
+        request = asked.request
+        said = [request.model, request.prompt, request.max_tokens, request.session]
+        work = msgspec.json.encode(OnceWork(generation=request))
+        mark = fingerprint(msgspec.json.encode(said))
+        outcome = await self._node.once.run(OnceCall(request.account, key, mark, work))
+        if isinstance(outcome, Err):
+            return problem_response(outcome.err_value)
+        return Response(_whole_once(request, outcome.ok_value), media_type=JSON_MEDIA_TYPE)
+
+    async def stream(self, request: Request) -> Response:
+        """Resume a stream after `Last-Event-ID`, or return its whole answer."""
+        record = await self._own_stream(request)
+        if isinstance(record, Err):
+            return problem_response(record.err_value)
+        if isinstance(record.ok_value, Response):
+            return record.ok_value
+        found = record.ok_value
+        if request.query_params.get("whole") == "true":
+            return await self._whole(found)
+        last = request.headers.get("last-event-id")
+        start = 0 if last is None else sse.start_after(found.request.id, last)
+        if start is None or start > len(found.tokens):
+            detail = f"Last-Event-ID {last!r} is not an event of this stream"
+            return problem_response(problems.bad_request(detail))
+        return self._streaming(found, start)
+
+    async def cancel_stream(self, request: Request) -> Response:
+        """Stop a stream for its caller."""
+        record = await self._own_stream(request)
+        if isinstance(record, Err):
+            return problem_response(record.err_value)
+        if isinstance(record.ok_value, Response):
+            return record.ok_value
+        self._node.dispatcher.cancel(record.ok_value.request.id)
+        return Response(status_code=204)
+
+    async def _own_stream(self, request: Request) -> Result[StreamRecord | Response, Problem]:
+        """Return the caller's stream, or where to go on asking for it."""
+        account = account_of(self._node, request)
+        if isinstance(account, Err):
+            return account
+        request_id = str(request.path_params["id"])
+        record = self._node.streams.get(request_id)
+        if record is not None and record.request.account != account.ok_value.name:
+            record = None
+        if record is None:
+            address = self._likely_holder(request_id)
+            if address is None or HOP_PARAMETER in request.query_params:
+                return Err(_unknown_stream(request_id))
+            return Ok(_go_on_at(address, request))
+        if record.successor is not None:
+            return Ok(_go_on_at(record.successor, request))
+        return Ok(record)
+
+    def _likely_holder(self, request_id: str) -> str | None:
+        """Return the node that should have a stream that isn't here: its own, or its heir."""
+        node = self._node
+        owner = node.fleet.nodes.get(request_id.split("_")[1] if "_" in request_id else "")
+        if owner is not None:
+            return None if owner.id == node.id else owner.address
+        heirs = node.successors(request_id)
+        return heirs[0].address if heirs else None
+
+    # Jobs
+
+    async def _accept_job(self, asked: Asked) -> Response:
+        node = self._node
+        request = msgspec.structs.replace(
+            asked.request, deadline_at=node.clock.wall() + JOB_DEADLINE_S, repeatable=True
+        )
+        bundle = node.bundle()
+        assert bundle is not None, "parsing has needed one"
+        if asked.idempotency_key is None:
+            job_id = new_job_id(node.settings.node.hall)
+        else:
+            halls = [hall.name for hall in bundle.halls]
+            job_id = keyed_job_id(halls, request.account, asked.idempotency_key)
+        accepted = await node.jobs.accept(request, job_id)
+        if isinstance(accepted, Err):
+            return problem_response(accepted.err_value)
+        location = f"/v1/jobs/{accepted.ok_value}"
+        headers = {"Location": location, "Preference-Applied": "respond-async"}
+        return json_response({"id": accepted.ok_value, "state": "accepted"}, 202, headers)
+
+    async def job_status(self, request: Request) -> Response:
+        """Return a job's state."""
+        return await self._job(request, self._node.jobs.status)
+
+    async def cancel_job(self, request: Request) -> Response:
+        """Cancel a job."""
+        return await self._job(request, self._node.jobs.cancel)
+
+    async def _job(self, request: Request, ask: JobQuestion) -> Response:
+        account = account_of(self._node, request)
+        if isinstance(account, Err):
+            return problem_response(account.err_value)
+        outcome = await ask(account.ok_value.name, str(request.path_params["id"]))
+        if isinstance(outcome, Err):
+            return problem_response(outcome.err_value)
+        return json_response(outcome.ok_value)
+
+    async def job_result(self, request: Request) -> Response:
+        """Return a job's answer, or 404 with a time to come back while it isn't done."""
+        account = account_of(self._node, request)
+        if isinstance(account, Err):
+            return problem_response(account.err_value)
+        job_id = str(request.path_params["id"])
+        outcome = await self._node.jobs.result(account.ok_value.name, job_id)
+        if isinstance(outcome, Err):
+            return problem_response(outcome.err_value)
+        ended = outcome.ok_value
+        if ended is None:
+            return json_response({"id": job_id, "state": "accepted"}, 202, {"Retry-After": "1"})
+        if ended.state is not JobState.DONE:
+            detail = f"the job was {ended.state.value}"
+            return problem_response(problems.conflict(detail), job_id)
+        return json_response(
+            {
+                "id": job_id,
+                "model": ended.request.model,
+                "choices": [{"index": 0, "text": ended.text, "finish_reason": ended.reason}],
+                "usage": {"completion_tokens": ended.tokens},
+            }
+        )
+
+    # Services
+
+    async def issue_keys(self, request: Request) -> Response:
+        """Issue idempotency keys that this node settles without the table."""
+        account = account_of(self._node, request)
+        if isinstance(account, Err):
+            return problem_response(account.err_value)
+        text = request.query_params.get("count", "1")
+        if not text.isdecimal() or not 1 <= int(text) <= MOST_KEYS:
+            return problem_response(problems.bad_request(f"count: a number of 1 to {MOST_KEYS}"))
+        refusal = self._node.refusal()
+        if refusal is not None:
+            return problem_response(refusal)
+        keys = [self._node.once.issue(account.ok_value.name) for _ in range(int(text))]
+        return json_response({"keys": keys, "node": self._node.id})
+
+    async def service(self, request: Request) -> Response:
+        """Pass a call through to a plain service."""
+        admitted = self._admit(request)
+        if isinstance(admitted, Err):
+            return problem_response(admitted.err_value)
+        body = await read_body(request, self._node.settings.limits.body_bytes)
+        if isinstance(body, Err):
+            return problem_response(body.err_value)
+        call = _service_call(request, body.ok_value)
+        key = request.headers.get(KEY_HEADER)
+        if key is None:
+            outcome = await self._node.services.call(call)
+        else:
+            account = admitted.ok_value.name
+            work = msgspec.json.encode(OnceWork(service=call))
+            said = [call.service, call.method, call.path, call.body]
+            mark = fingerprint(msgspec.json.encode(said))
+            outcome = await self._node.once.run(OnceCall(account, key, mark, work))
+        if isinstance(outcome, Err):
+            return problem_response(outcome.err_value)
+        answer = outcome.ok_value
+        return Response(answer.body, answer.status, media_type=answer.content_type)
+
+    # Addresses
+
+    async def addresses(self, request: Request) -> Response:
+        """Return the addresses for a session, in order, and how long to keep them."""
+        session = request.query_params.get("session") or request.headers.get(SESSION_HEADER, "")
+        views = self._node.addresses(session)
+        if not views:
+            detail = "this node does not know the list of nodes yet"
+            return problem_response(problems.unavailable(detail, 1))
+        ttl = self._node.settings.times.address_ttl_s
+        found = [{"address": view.address, "hall": view.hall} for view in views]
+        return json_response({"session": session, "addresses": found, "ttl_s": ttl})
+
+    async def models(self, request: Request) -> Response:
+        """Return the models and adapters that may be named."""
+        account = account_of(self._node, request)
+        if isinstance(account, Err):
+            return problem_response(account.err_value)
+        bundle = self._node.bundle()
+        assert bundle is not None, "an account was found in it"
+        names = [model.name for model in bundle.models]
+        names += [adapter.name for adapter in bundle.adapters]
+        data = [{"id": name, "object": "model", "owned_by": "moledale"} for name in names]
+        return json_response({"object": "list", "data": data})
+
+    def _admit(self, request: Request) -> Result[Account, Problem]:
+        """Check, before anything is read, that a request may be taken at all."""
+        refusal = self._node.refusal()
+        if refusal is not None:
+            return Err(refusal)
+        account = account_of(self._node, request)
+        if isinstance(account, Err):
+            return account
+        admitted = self._node.accounts.admit(account.ok_value)
+        return account if not isinstance(admitted, Err) else Err(admitted.err_value)
+
+
+def _go_on_at(address: str, request: Request) -> Response:
+    """Send a caller on; one hop at the most, since two nodes' lists may differ."""
+    url = request.url.include_query_params(**{HOP_PARAMETER: "1"})
+    return RedirectResponse(f"http://{address}{url.path}?{url.query}", 307)
+
+
+def _service_call(request: Request, body: bytes) -> ServiceCall:
+    path = "/" + str(request.path_params["path"])
+    if request.url.query:
+        path += f"?{request.url.query}"
+    headers = [(n, v) for n, v in request.headers.items() if n not in _NOT_PASSED_ON]
+    return ServiceCall(str(request.path_params["name"]), request.method, path, headers, body)
+
+
+def _whole(record: StreamRecord) -> bytes:
+    return sse.whole(record.request, record.tokens, record.reason or "", sse.usage_of(record))
+
+
+def _whole_once(request: GenerationRequest, answer: ServiceAnswer) -> bytes:
+    """Return a not-repeatable generation's answer in the usual form."""
+    reason, *tokens = msgspec.json.decode(answer.body, type=list[str])
+    return sse.whole(request, tokens, reason, sse.Usage(len(tokens)))
+
+
+def _unknown_stream(request_id: str) -> Problem:
+    return problems.not_found(f"stream {request_id!r}", problems.Ran.UNKNOWN)
--- /dev/null
+++ b/src/moledale/edge/operators.py
@@ -0,0 +1,149 @@
+"""Endpoints for operators: rolling bundles, and looking at the fleet and the burn."""
+
+import hmac
+
+import msgspec
+from result import Err
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from moledale import problems
+from moledale.bundle import store
+from moledale.edge.answers import json_response, problem_response
+from moledale.edge.requests import bearer, read_body
+from moledale.node.node import Node
+
+_ROLL_STATUS = {"invalid": 422, "older": 409, "gap": 409, "conflict": 409, "platform": 503}
+
+
+class ServerStanding(msgspec.Struct, frozen=True):
+    """A server as one node sees it."""
+
+    id: str
+    hall: str
+    standing: str
+    running: int
+    models: list[str]
+
+
+class NodeStatus(msgspec.Struct, frozen=True):
+    """One node's view of itself and of the fleet."""
+
+    node: str
+    hall: str
+    incarnation: str
+    bundle_version: int
+    bundle_digest: str
+    confirmed_ago_s: float | None
+    verdict: str
+    draining: bool
+    open_requests: int
+    waiting: int
+    jobs: int
+    leases: list[str]
+    nodes: dict[str, str]
+    servers: list[ServerStanding]
+
+
+class OperatorApi:
+    """The endpoints, bound to one node."""
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+
+    def routes(self) -> list[Route]:
+        """Return the routes."""
+        return [
+            Route("/admin/v1/status", self.status, methods=["GET"]),
+            Route("/admin/v1/burn", self.burn, methods=["GET"]),
+            Route("/admin/v1/bundles", self.roll, methods=["POST"]),
+            Route("/admin/v1/bundles", self.history, methods=["GET"]),
+            Route("/admin/v1/bundles/head", self.head, methods=["GET"]),
+        ]
+
+    async def status(self, request: Request) -> Response:
+        """Return the node's status."""
+        if not self._allowed(request):
+            return _denied()
+        return json_response(self._status())
+
+    async def burn(self, request: Request) -> Response:
+        """Return the node's counts of good and bad requests."""
+        if not self._allowed(request):
+            return _denied()
+        return json_response(self._node.burn.page())
+
+    async def roll(self, request: Request) -> Response:
+        """Roll a signed bundle."""
+        if not self._allowed(request):
+            return _denied()
+        body = await read_body(request, self._node.settings.limits.body_bytes)
+        if isinstance(body, Err):
+            return problem_response(body.err_value)
+        try:
+            signed = msgspec.json.decode(body.ok_value, type=store.SignedBundle)
+        except msgspec.DecodeError as error:
+            return problem_response(problems.bad_request(f"body: {error}"))
+        outcome = await self._node.roll(signed)
+        if isinstance(outcome, Err):
+            refusal = outcome.err_value
+            return json_response(refusal, _ROLL_STATUS[refusal.kind])
+        return json_response(outcome.ok_value, 201)
+
+    async def history(self, request: Request) -> Response:
+        """Return all accepted versions."""
+        if not self._allowed(request):
+            return _denied()
+        outcome = await store.history(self._node.platform)
+        if isinstance(outcome, Err):
+            return problem_response(problems.unavailable(outcome.err_value.detail, 2))
+        return json_response(outcome.ok_value)
+
+    async def head(self, request: Request) -> Response:
+        """Return the head with its body and signatures."""
+        if not self._allowed(request):
+            return _denied()
+        read = await store.read_head(self._node.platform)
+        if isinstance(read, Err):
+            return problem_response(problems.unavailable(read.err_value.detail, 2))
+        head, _ = read.ok_value
+        if head is None:
+            return problem_response(problems.not_found("no bundle has been rolled yet"))
+        body = await self._node.platform.objects.get(store.OBJECT_PREFIX + head.digest)
+        if isinstance(body, Err) or body.ok_value is None:
+            return problem_response(problems.unavailable("the object store does not answer", 2))
+        signed = msgspec.json.decode(body.ok_value, type=store.SignedBundle)
+        return json_response({"head": head, "bundle": signed})
+
+    def _allowed(self, request: Request) -> bool:
+        wanted = self._node.secrets.operator.encode()
+        return hmac.compare_digest(bearer(request).encode(), wanted)
+
+    def _status(self) -> NodeStatus:
+        node = self._node
+        head = node.bundles.head
+        return NodeStatus(
+            node.id,
+            node.settings.node.hall,
+            node.incarnation,
+            node.bundles.version,
+            head.digest if head is not None else "",
+            node.bundles.confirmed_ago_s(),
+            node.verdict().value,
+            node.draining,
+            node.dispatcher.open_requests,
+            node.dispatcher.waiting,
+            node.jobs.open_jobs,
+            node.leases_held(),
+            {view.id: view.address for view in node.fleet.node_views()},
+            [
+                ServerStanding(v.id, v.hall, v.standing.value, v.running, sorted(v.models))
+                for v in node.book.views.values()
+            ],
+        )
+
+
+def _denied() -> Response:
+    detail = "send the operators' token as Authorization: Bearer"
+    return problem_response(problems.unauthorized(detail))
--- /dev/null
+++ b/src/moledale/edge/requests.py
@@ -0,0 +1,161 @@
+"""Reads callers' requests: bounded bodies, headers, and the fields that are understood."""
+
+import uuid
+from dataclasses import dataclass
+from typing import Annotated
+
+import msgspec
+from result import Err, Ok, Result
+from starlette.requests import ClientDisconnect, Request
+
+from moledale import problems
+from moledale.bundle.schema import Account, Bundle, Priority
+from moledale.node.node import Node
+from moledale.node.streams import GenerationRequest
+from moledale.problems import Problem
+
+MOST_SESSION_LENGTH = 200
+DEFAULT_MAX_TOKENS = 256
+LONGEST_DEADLINE_MS = 24 * 3600 * 1000
+PRIORITY_HEADER = "moledale-priority"
+SESSION_HEADER = "moledale-session"
+DEADLINE_HEADER = "moledale-deadline-ms"
+KEY_HEADER = "idempotency-key"
+MaxTokens = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+
+
+class CompletionBody(msgspec.Struct, frozen=True):
+    """The fields of a completion that matter here; further ones are ignored, as is usual."""
+
+    model: str
+    prompt: str
+    max_tokens: MaxTokens = DEFAULT_MAX_TOKENS
+    stream: bool = False
+
+
+class ChatMessage(msgspec.Struct, frozen=True):
+    """One message of a chat."""
+
+    role: str
+    content: str
+
+
+class ChatBody(msgspec.Struct, frozen=True):
+    """The fields of a chat completion that matter here."""
+
+    model: str
+    messages: Annotated[list[ChatMessage], msgspec.Meta(min_length=1)]
+    max_tokens: MaxTokens = DEFAULT_MAX_TOKENS
+    stream: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """A generation as its caller asked for it."""
+
+    request: GenerationRequest
+    stream: bool
+    respond_async: bool
+    idempotency_key: str | None
+
+
+async def read_body(request: Request, most: int) -> Result[bytes, Problem]:
+    """Read a body of at most `most` bytes."""
+    parts: list[bytes] = []
+    size = 0
+    try:
+        async for part in request.stream():
+            size += len(part)
+            if size > most:
+                return Err(problems.too_large(f"the body is over {most} bytes"))
+            parts.append(part)
+    except ClientDisconnect:
+        return Err(problems.bad_request("the body was cut off"))
+    return Ok(b"".join(parts))
+
+
+def bearer(request: Request) -> str:
+    """Return the bearer token, or an empty string."""
+    scheme, _, value = request.headers.get("authorization", "").partition(" ")
+    return value.strip() if scheme.lower() == "bearer" else ""
+
+
+def account_of(node: Node, request: Request) -> Result[Account, Problem]:
+    """Return the caller's account."""
+    account = node.accounts.find(bearer(request))
+    if account is None:
+        return Err(problems.unauthorized("send a known key as Authorization: Bearer"))
+    return Ok(account)
+
+
+def parse_generation(
+    node: Node, account: Account, request: Request, body: bytes, chat: bool
+) -> Result[Asked, Problem]:
+    """Validate a completion or chat completion against the bundle in force."""
+    try:
+        if chat:
+            chat_body = msgspec.json.decode(body, type=ChatBody)
+            prompt = "\n".join(f"{m.role}: {m.content}" for m in chat_body.messages)
+            model, most, stream = chat_body.model, chat_body.max_tokens, chat_body.stream
+        else:
+            completion = msgspec.json.decode(body, type=CompletionBody)
+            prompt = completion.prompt
+            model, most, stream = completion.model, completion.max_tokens, completion.stream
+    except msgspec.DecodeError as error:
+        return Err(problems.bad_request(f"body: {error}"))
+    bundle = node.bundle()
+    if bundle is None or bundle.model(model) is None:
+        return Err(problems.not_found(f"model or adapter {model!r} is not in the bundle"))
+    respond_async = "respond-async" in request.headers.get("prefer", "").lower()
+    stated = priority_of(account, request, respond_async)
+    if isinstance(stated, Err):
+        return stated
+    priority = stated.ok_value
+    deadline = _deadline_s(bundle, request, priority)
+    if isinstance(deadline, Err):
+        return deadline
+    session = request.headers.get(SESSION_HEADER, "")
+    if len(session) > MOST_SESSION_LENGTH:
+        return Err(problems.bad_request(f"{SESSION_HEADER}: over {MOST_SESSION_LENGTH} characters"))
+    now = node.clock.wall()
+    key = request.headers.get(KEY_HEADER)
+    generation = GenerationRequest(
+        f"req_{node.id}_{uuid.uuid4().hex}",
+        account.name,
+        model,
+        prompt,
+        most,
+        priority,
+        # Sessions of two accounts never share anything, whatever they are called.
+        f"{account.name}/{session}" if session else "",
+        now + deadline.ok_value,
+        int(now),
+        chat,
+        key is None,
+    )
+    return Ok(Asked(generation, stream, respond_async, key))
+
+
+def priority_of(
+    account: Account, request: Request, respond_async: bool
+) -> Result[Priority, Problem]:
+    """Return the priority that a request states, or the usual one."""
+    usual = Priority.CAN_WAIT if respond_async else Priority.NORMAL
+    text = request.headers.get(PRIORITY_HEADER, usual.value)
+    if text not in list(Priority):
+        known = ", ".join(priority.value for priority in Priority)
+        return Err(problems.bad_request(f"{PRIORITY_HEADER}: {text!r} is none of {known}"))
+    priority = Priority(text)
+    if priority not in account.priorities:
+        return Err(problems.forbidden(f"account {account.name!r} may not use priority {text}"))
+    return Ok(priority)
+
+
+def _deadline_s(bundle: Bundle, request: Request, priority: Priority) -> Result[float, Problem]:
+    text = request.headers.get(DEADLINE_HEADER)
+    if text is None:
+        return Ok(bundle.target(priority).deadline_s)
+    if not text.isdecimal() or not 0 < int(text) <= LONGEST_DEADLINE_MS:
+        detail = f"{DEADLINE_HEADER}: {text!r} is not a number of 1 to {LONGEST_DEADLINE_MS}"
+        return Err(problems.bad_request(detail))
+    return Ok(int(text) / 1000)
--- /dev/null
+++ b/src/moledale/edge/sse.py
@@ -0,0 +1,104 @@
+"""Answers as server-sent events, and as one JSON body."""
+
+from collections.abc import AsyncIterator
+
+import msgspec
+
+from moledale.node.streams import GenerationRequest, StreamRecord
+
+
+class Usage(msgspec.Struct, frozen=True):
+    """Token counts of an answer, under the names that clients know."""
+
+    completion_tokens: int
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
+    attempts: int = 1
+
+
+DONE = b"data: [DONE]\n\n"
+
+
+def event_id(request_id: str, index: int) -> str:
+    """Return the id of the event that carries token `index`."""
+    return f"{request_id}.{index}"
+
+
+def start_after(request_id: str, last_event_id: str) -> int | None:
+    """Return the index to resume at, or None if the id isn't one of this stream."""
+    named, _, index = last_event_id.rpartition(".")
+    if named != request_id or not index.isdecimal():
+        return None
+    return int(index) + 1
+
+
+async def events(record: StreamRecord, start: int) -> AsyncIterator[bytes]:
+    """Yield a stream from token `start`; it ends in `[DONE]`, `error` or `moved`."""
+    before, after = _frame(record)
+    request_id = record.request.id
+    encode = msgspec.json.encode
+    async for position, tokens in record.follow(start):
+        yield b"".join(
+            b"id: %s.%d\ndata: %s%s%s\n\n"
+            % (request_id.encode(), position + offset, before, encode(token), after)
+            for offset, token in enumerate(tokens)
+        )
+    yield _last(record)
+
+
+def whole(request: GenerationRequest, tokens: list[str], reason: str, usage: Usage) -> bytes:
+    """Return a finished answer as one completion or chat completion."""
+    text = "".join(tokens)
+    choice: dict[str, object] = {"index": 0, "finish_reason": reason}
+    if request.chat:
+        choice["message"] = {"role": "assistant", "content": text}
+    else:
+        choice["text"] = text
+    return msgspec.json.encode({**_head(request, ""), "choices": [choice], "usage": usage})
+
+
+def usage_of(record: StreamRecord) -> Usage:
+    """Return what an answer took, over all its attempts."""
+    return Usage(
+        len(record.tokens),
+        record.cached_tokens + record.computed_tokens,
+        record.cached_tokens,
+        record.attempts,
+    )
+
+
+def _frame(record: StreamRecord) -> tuple[bytes, bytes]:
+    """Return what stands before and after the token in every event's data."""
+    head = msgspec.json.encode(_head(record.request, ".chunk"))[:-1]
+    if record.request.chat:
+        return (
+            head + b',"choices":[{"index":0,"delta":{"content":',
+            b'},"finish_reason":null}]}',
+        )
+    return head + b',"choices":[{"index":0,"text":', b',"finish_reason":null}]}'
+
+
+def _head(request: GenerationRequest, chunk: str) -> dict[str, object]:
+    kind = f"chat.completion{chunk}" if request.chat else "text_completion"
+    return {
+        "id": request.id,
+        "object": kind,
+        "created": request.created_at,
+        "model": request.model,
+    }
+
+
+def _last(record: StreamRecord) -> bytes:
+    """Return the explicit end."""
+    if record.problem is not None:
+        return b"event: error\ndata: %s\n\n" % record.problem.body(record.request.id)
+    if record.successor is not None:
+        moved = {
+            "address": record.successor,
+            "resume": f"http://{record.successor}/v1/streams/{record.request.id}",
+        }
+        return b"event: moved\ndata: %s\n\n" % msgspec.json.encode(moved)
+    choice: dict[str, object] = {"index": 0, "finish_reason": record.reason}
+    choice["delta" if record.request.chat else "text"] = {} if record.request.chat else ""
+    chunk = {**_head(record.request, ".chunk"), "choices": [choice], "usage": usage_of(record)}
+    return b"data: %s\n\n%s" % (msgspec.json.encode(chunk), DONE)
--- /dev/null
+++ b/src/moledale/log.py
@@ -0,0 +1,73 @@
+"""Numbered log events: every line has a number that docs/EVENTS.md explains."""
+
+import sys
+from dataclasses import dataclass
+from enum import Enum
+
+import logbook
+import msgspec
+
+_logger = logbook.Logger("moledale")
+
+
+@dataclass(frozen=True, slots=True)
+class EventSpec:
+    """Number, level and meaning of an event; the meaning is what the catalogue prints."""
+
+    number: int
+    level: int
+    meaning: str
+
+
+class Event(Enum):
+    """Every event that the daemon logs. Numbers are never reused."""
+
+    STARTING = EventSpec(100, logbook.INFO, "The daemon starts with these settings.")
+    LISTENING = EventSpec(101, logbook.INFO, "The caller and peer addresses are bound.")
+    READY = EventSpec(102, logbook.INFO, "The node confirmed the bundle head and takes requests.")
+    NOT_READY = EventSpec(103, logbook.WARNING, "The node stopped taking new requests.")
+    DRAINING = EventSpec(104, logbook.INFO, "A planned stop began; accepted requests go on.")
+    STOPPED = EventSpec(105, logbook.INFO, "The daemon stopped.")
+    TASK_FAILED = EventSpec(110, logbook.ERROR, "A task failed and is started again.")
+    TASK_GAVE_UP = EventSpec(111, logbook.CRITICAL, "A task failed too often; the node stops.")
+    MAILBOX_FULL = EventSpec(112, logbook.WARNING, "A mailbox was full and a message refused.")
+    BUNDLE_ADOPTED = EventSpec(200, logbook.INFO, "A newer bundle version is in force here.")
+    BUNDLE_REFUSED = EventSpec(201, logbook.ERROR, "A bundle was refused; the old one stays.")
+    BUNDLE_ROLLED = EventSpec(202, logbook.INFO, "This node moved the bundle head for operators.")
+    BUNDLE_OLDER = EventSpec(203, logbook.WARNING, "A head older than the floor was ignored.")
+    PLATFORM_DOWN = EventSpec(300, logbook.WARNING, "A part of the platform stopped answering.")
+    PLATFORM_UP = EventSpec(301, logbook.INFO, "A part of the platform answers again.")
+    WRITE_UNCERTAIN = EventSpec(302, logbook.WARNING, "A write's answer was lost; reading back.")
+    SERVER_LEAVING = EventSpec(400, logbook.INFO, "A backend server leaves; it gets no new work.")
+    SERVER_DOWN = EventSpec(401, logbook.WARNING, "A backend server does not answer.")
+    ATTEMPT_FAILED = EventSpec(402, logbook.WARNING, "An attempt failed; the request goes on.")
+    REQUEST_FAILED = EventSpec(403, logbook.ERROR, "A request failed for good.")
+    STREAM_MOVED = EventSpec(404, logbook.INFO, "A live stream went on at another server.")
+    STREAM_HANDED = EventSpec(405, logbook.INFO, "A live stream was handed to a peer.")
+    STREAM_ADOPTED = EventSpec(406, logbook.INFO, "A live stream was taken over from a peer.")
+    JOB_ADOPTED = EventSpec(407, logbook.INFO, "A waiting job was adopted from another node.")
+    ORDER_FAILED = EventSpec(408, logbook.WARNING, "An order to a backend server failed.")
+    LEASE_WON = EventSpec(500, logbook.INFO, "This node holds a lease.")
+    LEASE_LOST = EventSpec(501, logbook.WARNING, "This node no longer holds a lease.")
+    RENT_DECIDED = EventSpec(502, logbook.INFO, "Instances are rented or returned.")
+    RENT_REFUSED = EventSpec(503, logbook.WARNING, "The cloud refused an instance.")
+    PEER_REFUSED = EventSpec(600, logbook.WARNING, "A peer call without a valid token was refused.")
+    PEER_DOWN = EventSpec(601, logbook.INFO, "A peer does not answer.")
+
+
+def emit(event: Event, **fields: object) -> None:
+    """Log an event with its fields as JSON; nothing secret may be passed in."""
+    spec = event.value
+    text = msgspec.json.encode(fields, enc_hook=str).decode()
+    _logger.log(spec.level, f"E{spec.number} {event.name.lower()} {text}")
+
+
+def log_to_stderr(level: str) -> logbook.Handler:
+    """Send events to standard error from `level` up and return the handler."""
+    handler = logbook.StreamHandler(
+        sys.stderr,
+        level=level.upper(),
+        format_string="{record.time:%Y-%m-%dT%H:%M:%S.%f} {record.level_name} {record.message}",
+    )
+    handler.push_application()
+    return handler
--- /dev/null
+++ b/src/moledale/node/bundle_watch.py
@@ -0,0 +1,112 @@
+"""Follows the bundle head: adopts newer versions, never an older one."""
+
+import random
+
+from result import Err
+
+from moledale.bundle import store
+from moledale.bundle.schema import Bundle
+from moledale.clock import Clock
+from moledale.log import Event, emit
+from moledale.node.mailbox import Mailbox
+from moledale.node.messages import HeadHint
+from moledale.platform.types import Platform
+from moledale.settings import OperatorsSection
+
+HINT_WAIT_S = 0.02
+
+
+class BundleWatch:
+    """The bundle in force on this node, and how lately its head was confirmed."""
+
+    def __init__(
+        self,
+        platform: Platform,
+        operators: OperatorsSection,
+        poll_s: float,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self.bundle: Bundle | None = None
+        self.head: store.Head | None = None
+        self.hints: Mailbox[HeadHint] = Mailbox("bundle-hints", 100)
+        self.newest_seen = 0
+        self._confirmed_at: float | None = None
+        self._platform = platform
+        self._operators = operators
+        self._poll_s = poll_s
+        self._clock = clock
+        self._rng = rng
+
+    @property
+    def version(self) -> int:
+        """Return the version in force, 0 before the first."""
+        return self.bundle.version if self.bundle is not None else 0
+
+    def confirmed_ago_s(self) -> float | None:
+        """Return the seconds since the version in force was known to be the head."""
+        if self._confirmed_at is None:
+            return None
+        return self._clock.monotonic() - self._confirmed_at
+
+    async def run(self) -> None:
+        """Poll the head, and at once when a peer tells of a newer version."""
+        while True:
+            await self.poll()
+            await self._wait()
+
+    async def poll(self) -> None:
+        """Read the head once and adopt it if it is newer."""
+        asked_at = self._clock.monotonic()
+        outcome = await store.read_head(self._platform)
+        if isinstance(outcome, Err):
+            return
+        head, _ = outcome.ok_value
+        if head is None:
+            return
+        if head.version < self.version:
+            emit(Event.BUNDLE_OLDER, head=head.version, floor=self.version)
+            return
+        self.newest_seen = max(self.newest_seen, head.version)
+        if head.version > self.version and not await self._adopt(head):
+            return
+        self._confirmed_at = asked_at
+
+    def heard(self, hint: HeadHint) -> bool:
+        """Take a peer's word; return True if it tells of a newer version.
+
+        A peer's confirmation of the very same version counts for this node too, aged by what
+        the peer says; a newer version only makes this node read the table.
+        """
+        if hint.version > self.version:
+            self.newest_seen = max(self.newest_seen, hint.version)
+            return True
+        if hint.version == self.version and hint.confirmed_ago_s is not None:
+            at = self._clock.monotonic() - hint.confirmed_ago_s
+            if self._confirmed_at is None or at > self._confirmed_at:
+                self._confirmed_at = at
+        return False
+
+    async def _adopt(self, head: store.Head) -> bool:
+        fetched = await store.fetch(self._platform, head, self._operators)
+        if isinstance(fetched, Err):
+            emit(Event.BUNDLE_REFUSED, version=head.version, detail=fetched.err_value)
+            return False
+        # The floor may have risen while the body was fetched.
+        if head.version <= self.version:
+            return False
+        self.bundle = fetched.ok_value
+        self.head = head
+        emit(Event.BUNDLE_ADOPTED, version=head.version, rolled_by=head.rolled_by)
+        return True
+
+    async def _wait(self) -> None:
+        """Wait for the next poll, cut short by a hint of a newer version."""
+        # Spread, so that the nodes' polls never fall together after an outage.
+        until = self._clock.monotonic() + self._poll_s * self._rng.uniform(0.75, 1.25)
+        while self._clock.monotonic() < until:
+            hint = self.hints.get_ready()
+            if hint is not None and self.heard(hint):
+                return
+            if hint is None:
+                await self._clock.sleep(min(HINT_WAIT_S, self._poll_s))
--- /dev/null
+++ b/src/moledale/node/burn.py
@@ -0,0 +1,109 @@
+"""Service-level burn: good and bad requests by account and priority, minute by minute."""
+
+from collections import deque
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from moledale.bundle.schema import Bundle, Priority
+
+MINUTE_S = 60
+KEPT_MINUTES = 60 * 24
+WINDOWS_S = {"5m": 300, "1h": 3_600, "6h": 21_600, "24h": 86_400}
+_HIGHEST_MS = 600_000
+
+
+class BurnCount(msgspec.Struct):
+    """Requests of one account and priority in one minute; `minute` is since the epoch."""
+
+    minute: int
+    account: str
+    priority: Priority
+    good: int = 0
+    bad: int = 0
+
+
+class BurnPage(msgspec.Struct, frozen=True):
+    """A node's counts, and its first-token times by priority (p50, p95, p99 in ms)."""
+
+    node: str
+    counts: list[BurnCount]
+    first_token_ms: dict[str, list[float]]
+
+
+class BurnRow(msgspec.Struct, frozen=True):
+    """One line of the report: burn 1.0 uses up the budget exactly at the objective's pace."""
+
+    account: str
+    priority: Priority
+    objective: float
+    requests: dict[str, int]
+    burn: dict[str, float]
+
+
+class BurnBook:
+    """The counts of one node."""
+
+    def __init__(self, node: str) -> None:
+        self._node = node
+        self._counts: deque[BurnCount] = deque()
+        self._current: dict[tuple[str, Priority], BurnCount] = {}
+        self._minute = 0
+        self._times = {priority: HdrHistogram(1, _HIGHEST_MS, 2) for priority in Priority}
+
+    def note(self, account: str, priority: Priority, good: bool, wall: float) -> None:
+        """Count one request that ended."""
+        minute = int(wall // MINUTE_S)
+        if minute != self._minute:
+            self._minute = minute
+            self._current = {}
+            self._drop_old(minute)
+        count = self._current.get((account, priority))
+        if count is None:
+            count = BurnCount(minute, account, priority)
+            self._current[(account, priority)] = count
+            self._counts.append(count)
+        if good:
+            count.good += 1
+        else:
+            count.bad += 1
+
+    def note_first_token(self, priority: Priority, seconds: float) -> None:
+        """Record a time to first token."""
+        self._times[priority].record_value(min(_HIGHEST_MS, max(1, round(seconds * 1000))))
+
+    def page(self) -> BurnPage:
+        """Return all counts."""
+        quantiles = {
+            priority.value: [histogram.get_value_at_percentile(p) for p in (50, 95, 99)]
+            for priority, histogram in self._times.items()
+            if histogram.get_total_count()
+        }
+        return BurnPage(self._node, list(self._counts), quantiles)
+
+    def _drop_old(self, minute: int) -> None:
+        while self._counts and self._counts[0].minute <= minute - KEPT_MINUTES:
+            self._counts.popleft()
+
+
+def burn_rows(bundle: Bundle, counts: list[BurnCount], wall: float) -> list[BurnRow]:
+    """Merge counts of any number of nodes into report lines."""
+    groups = sorted({(count.account, count.priority) for count in counts})
+    rows = []
+    for account, priority in groups:
+        objective = bundle.target(priority).objective
+        requests: dict[str, int] = {}
+        burn: dict[str, float] = {}
+        for name, seconds in WINDOWS_S.items():
+            since = (wall - seconds) / MINUTE_S
+            inside = [
+                c
+                for c in counts
+                if (c.account, c.priority) == (account, priority) and c.minute + 1 > since
+            ]
+            bad = sum(c.bad for c in inside)
+            total = bad + sum(c.good for c in inside)
+            requests[name] = total
+            burn[name] = round(bad / total / (1 - objective), 2) if total else 0.0
+        rows.append(BurnRow(account, priority, objective, requests, burn))
+    return rows
--- /dev/null
+++ b/src/moledale/node/fleet.py
@@ -0,0 +1,164 @@
+"""What a node knows of the other instances, from the lagging list."""
+
+import random
+from collections.abc import Callable
+
+from result import Err
+
+from moledale.bundle.schema import Bundle
+from moledale.clock import Clock
+from moledale.core.addresses import NodeView
+from moledale.core.routing import ServerView, Speeds
+from moledale.core.subset import Followable, followed
+from moledale.node.messages import ServerGone, ServerLeaving, ServerMessage
+from moledale.platform.types import Instance, InstanceKind, InstanceState, Platform
+
+
+class Fleet:
+    """Nodes and servers of the list; servers this node follows are told to the dispatcher."""
+
+    def __init__(
+        self,
+        node: str,
+        hall: str,
+        most_followed: int,
+        follow: Callable[[ServerView], None],
+        tell: Callable[[ServerMessage], None],
+    ) -> None:
+        self.nodes: dict[str, Instance] = {}
+        self.servers: dict[str, Instance] = {}
+        self.followed: set[str] = set()
+        self.leaving_nodes: set[str] = set()
+        self.node_loads: dict[str, int] = {}
+        self._node = node
+        self._hall = hall
+        self._most_followed = most_followed
+        self._follow = follow
+        self._tell = tell
+
+    def other_nodes(self) -> list[Instance]:
+        """Return the other entry instances that are not gone."""
+        return [node for node in self.nodes.values() if node.id != self._node]
+
+    def node_views(self) -> list[NodeView]:
+        """Return the nodes as the address decision sees them."""
+        return [
+            NodeView(
+                node.id,
+                node.hall,
+                node.address,
+                node.state is not InstanceState.LIVE or node.id in self.leaving_nodes,
+                self.node_loads.get(node.id, 0),
+            )
+            for node in self.nodes.values()
+        ]
+
+    def node_is_live(self, node: str) -> bool:
+        """Say whether the list holds a node, whether it is leaving or not."""
+        return node in self.nodes
+
+    def take(self, full: bool, instances: list[Instance], bundle: Bundle | None) -> None:
+        """Take over a page of the list."""
+        if full:
+            present = {instance.id for instance in instances}
+            for gone in [name for name in self.nodes if name not in present]:
+                del self.nodes[gone]
+            for gone in [name for name in self.servers if name not in present]:
+                self._drop_server(gone)
+        for instance in instances:
+            if instance.kind is InstanceKind.NODE:
+                self._take_node(instance)
+            else:
+                self._take_server(instance)
+        self.refollow(bundle)
+
+    def refollow(self, bundle: Bundle | None) -> None:
+        """Choose anew which servers to follow; needs a bundle for the classes' speeds."""
+        if bundle is None:
+            return
+        known = [
+            Followable(server.id, server.hall)
+            for server in self.servers.values()
+            if bundle.instance_class(server.instance_class) is not None
+        ]
+        wanted = followed(self._node, self._hall, known, self._most_followed)
+        for server_id in self.followed - wanted:
+            self._tell(ServerGone(server_id, "no longer followed"))
+        for server_id in sorted(wanted):
+            self._follow(server_view(self.servers[server_id], bundle))
+            if self.servers[server_id].state is InstanceState.LEAVING:
+                self._tell(ServerLeaving(server_id, None, "list"))
+        self.followed = wanted
+
+    def _take_node(self, instance: Instance) -> None:
+        if instance.state is InstanceState.GONE:
+            self.nodes.pop(instance.id, None)
+            self.leaving_nodes.discard(instance.id)
+            self.node_loads.pop(instance.id, None)
+        else:
+            self.nodes[instance.id] = instance
+
+    def _take_server(self, instance: Instance) -> None:
+        if instance.state is InstanceState.GONE:
+            self._drop_server(instance.id)
+        else:
+            self.servers[instance.id] = instance
+
+    def _drop_server(self, server: str) -> None:
+        self.servers.pop(server, None)
+        if server in self.followed:
+            self.followed.discard(server)
+            self._tell(ServerGone(server, "gone from the list"))
+
+
+def server_view(instance: Instance, bundle: Bundle) -> ServerView:
+    """Make a fresh view of a listed server; its models come with its first report."""
+    item = bundle.instance_class(instance.instance_class)
+    assert item is not None, "only servers of stated classes are followed"
+    speeds = Speeds(item.prefill_tokens_per_s, item.decode_tokens_per_s, item.slots)
+    return ServerView(instance.id, instance.hall, instance.address, speeds)
+
+
+class FleetWatch:
+    """Polls the lagging list for changes."""
+
+    def __init__(
+        self,
+        platform: Platform,
+        fleet: Fleet,
+        bundle: Callable[[], Bundle | None],
+        poll_s: float,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._platform = platform
+        self._fleet = fleet
+        self._bundle = bundle
+        self._poll_s = poll_s
+        self._clock = clock
+        self._rng = rng
+        self._revision = 0
+        self._bundle_version = 0
+
+    async def run(self) -> None:
+        """Poll for ever."""
+        while True:
+            await self.poll()
+            await self._clock.sleep(self._poll_s * self._rng.uniform(0.75, 1.25))
+
+    async def poll(self) -> None:
+        """Ask for changes once; an outage keeps the last view."""
+        outcome = await self._platform.instances.changes(self._revision)
+        bundle = self._bundle()
+        version = bundle.version if bundle is not None else 0
+        if isinstance(outcome, Err):
+            changed = False
+        else:
+            page = outcome.ok_value
+            changed = page.full or bool(page.instances)
+            if changed:
+                self._fleet.take(page.full, page.instances, bundle)
+            self._revision = page.revision
+        if version != self._bundle_version and not changed:
+            self._fleet.refollow(bundle)
+        self._bundle_version = version
--- /dev/null
+++ b/src/moledale/node/hall_duty.py
@@ -0,0 +1,322 @@
+"""The duty that one node at a time has for a hall: notices, renting, models, orphaned jobs."""
+
+import asyncio
+import random
+import uuid
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import msgspec
+from result import Err
+
+from moledale.bundle.schema import Bundle, Market
+from moledale.clock import Clock
+from moledale.core.leases import Grant, Lease, LeaseAction, LeaseRow, may_order
+from moledale.core.renting import Held, Refusal, Rent, RentView, Return, plan
+from moledale.log import Event, emit
+from moledale.node.fleet import Fleet
+from moledale.node.jobs import Jobs
+from moledale.node.messages import ServerLeaving
+from moledale.platform.types import (
+    ABSENT,
+    Condition,
+    Instance,
+    InstanceState,
+    Platform,
+    RentOrder,
+    Transaction,
+    Write,
+)
+from moledale.servers.types import LoadReport, ModelServers, Order
+from moledale.settings import TimesSection
+
+LEASE_TABLE = "lease"
+DEMAND_TABLE = "demand"
+REFUSAL_S = 30.0
+TICKS_PER_RENT = 5
+TICKS_PER_ADOPT = 3
+DEMAND_GROWTH = 1.2
+"""A hall's demand is taken as its measured rate times this, so that growth is met early."""
+
+
+class HallDemand(msgspec.Struct, frozen=True):
+    """What a hall's duty holder measured: tokens a second now, and instances without work."""
+
+    operation: str
+    hall: str
+    tokens_per_s: float
+    idle: list[str] = []
+
+
+@dataclass(slots=True)
+class _Memory:
+    """What the holder remembers between its rounds; losing it costs time only."""
+
+    refusals: dict[Refusal, float] = field(default_factory=dict)
+    notices: set[str] = field(default_factory=set)
+    reports: dict[str, LoadReport] = field(default_factory=dict)
+    demand_version: int = ABSENT
+
+
+class HallDuty:
+    """Stands for one hall's lease and does the hall's duty while it holds it."""
+
+    def __init__(
+        self,
+        hall: str,
+        node: str,
+        platform: Platform,
+        servers: ModelServers,
+        fleet: Fleet,
+        jobs: Jobs,
+        bundle: Callable[[], Bundle | None],
+        announce: Callable[[ServerLeaving], None],
+        times: TimesSection,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self.hall = hall
+        self.lease = Lease(f"hall/{hall}", node, times.lease_ttl_s)
+        self._node = node
+        self._platform = platform
+        self._servers = servers
+        self._fleet = fleet
+        self._jobs = jobs
+        self._bundle = bundle
+        self._announce = announce
+        self._times = times
+        self._clock = clock
+        self._rng = rng
+        self._memory = _Memory()
+        self._held = False
+        self._round = 0
+
+    async def run(self) -> None:
+        """Keep the lease and do the duty, for ever."""
+        pause = self._times.lease_ttl_s / 10
+        while True:
+            await self.keep_lease()
+            grant = self.lease.grant(self._clock.monotonic())
+            self._note_change(grant)
+            if grant is not None:
+                await self._do_duty(grant)
+            await self._clock.sleep(pause * self._rng.uniform(0.8, 1.2))
+
+    async def keep_lease(self) -> None:
+        """Do what the lease asks for now: read, take or renew it."""
+        action = self.lease.decide(self._clock.monotonic())
+        if action is LeaseAction.READ:
+            await self._read()
+        elif action in (LeaseAction.TAKE, LeaseAction.RENEW):
+            await self._write()
+
+    async def _read(self) -> None:
+        outcome = await self._platform.table.read(LEASE_TABLE, self.lease.name)
+        if isinstance(outcome, Err):
+            return
+        row = outcome.ok_value
+        decoded = None if row is None else msgspec.json.decode(row.value, type=LeaseRow)
+        version = ABSENT if row is None else row.version
+        self.lease.saw(decoded, version, self._clock.monotonic())
+
+    async def _write(self) -> None:
+        sent_at = self._clock.monotonic()
+        row = self.lease.next_row(uuid.uuid4().hex)
+        name = self.lease.name
+        outcome = await self._platform.table.transact(
+            Transaction(
+                row.operation,
+                [Condition(LEASE_TABLE, name, self.lease.version)],
+                [Write(LEASE_TABLE, name, msgspec.json.encode(row).decode())],
+            )
+        )
+        if isinstance(outcome, Err) or not outcome.ok_value.committed:
+            await self._settle(row, sent_at)
+            return
+        self.lease.wrote(row, outcome.ok_value.versions[0], sent_at)
+
+    async def _settle(self, row: LeaseRow, sent_at: float) -> None:
+        """Read the row to learn whether a write whose answer was lost or refused stands."""
+        outcome = await self._platform.table.read(LEASE_TABLE, self.lease.name)
+        if isinstance(outcome, Err):
+            return
+        found = outcome.ok_value
+        if found is None:
+            return
+        held = msgspec.json.decode(found.value, type=LeaseRow)
+        if held.operation == row.operation:
+            self.lease.wrote(row, found.version, sent_at)
+        else:
+            self.lease.saw(held, found.version, self._clock.monotonic())
+
+    def _note_change(self, grant: Grant | None) -> None:
+        if (grant is not None) == self._held:
+            return
+        self._held = grant is not None
+        if grant is not None:
+            self._memory = _Memory()
+            emit(Event.LEASE_WON, lease=grant.name, epoch=grant.epoch)
+        else:
+            emit(Event.LEASE_LOST, lease=self.lease.name)
+
+    # The duty itself
+
+    async def _do_duty(self, grant: Grant) -> None:
+        self._round += 1
+        await self._tell_notices()
+        if self._round % TICKS_PER_ADOPT == 1:
+            await self._jobs.adopt_orphans(self.hall, self._fleet.node_is_live)
+        if self._round % TICKS_PER_RENT == 1:
+            await self._survey()
+            await self._place_models(grant)
+            await self._rent(grant)
+
+    async def _tell_notices(self) -> None:
+        outcome = await self._platform.cloud.notices(self.hall)
+        if isinstance(outcome, Err):
+            return
+        for notice in outcome.ok_value:
+            if notice.instance_id not in self._memory.notices:
+                self._memory.notices.add(notice.instance_id)
+                self._announce(ServerLeaving(notice.instance_id, notice.seconds_left, "cloud"))
+
+    def _servers_here(self) -> list[Instance]:
+        return [
+            server
+            for server in self._fleet.servers.values()
+            if server.hall == self.hall and server.state is InstanceState.LIVE
+        ]
+
+    async def _survey(self) -> None:
+        """Ask the hall's servers for their load, whichever subset this node follows."""
+        servers = self._servers_here()
+        outcomes = await asyncio.gather(*(self._servers.load(s.address) for s in servers))
+        self._memory.reports = {
+            server.id: outcome.ok_value
+            for server, outcome in zip(servers, outcomes, strict=True)
+            if not isinstance(outcome, Err)
+        }
+
+    async def _place_models(self, grant: Grant) -> None:
+        """Have each server of the hall load every model and adapter that the bundle states.
+
+        This is the same again each round: a stale order's effect lasts until the next one.
+        """
+        bundle = self._bundle()
+        if bundle is None:
+            return
+        wanted = [model.name for model in bundle.models]
+        wanted += [adapter.name for adapter in bundle.adapters]
+        for server in self._servers_here():
+            report = self._memory.reports.get(server.id)
+            if report is None or report.leaving:
+                continue
+            for name in wanted:
+                if name not in report.models:
+                    await self._order_load(grant, server, bundle, name)
+
+    async def _order_load(self, grant: Grant, server: Instance, bundle: Bundle, name: str) -> None:
+        kind = "load_model" if bundle.adapter(name) is None else "load_adapter"
+        item = bundle.instance_class(server.instance_class)
+        granted = await self._platform.weights.ask(server.id, name)
+        if isinstance(granted, Err) or not granted.ok_value.granted:
+            return
+        checks = item is not None and item.checks_fence
+        times = self._times
+        now = self._clock.monotonic()
+        if not may_order(grant, now, checks, times.lease_ttl_s, times.order_max_s):
+            return
+        order = Order(f"{grant.name}:{server.id}:{name}", grant.name, grant.epoch, kind, name)
+        outcome = await self._servers.order(server.address, order)
+        if isinstance(outcome, Err):
+            emit(Event.ORDER_FAILED, server=server.id, detail=outcome.err_value.detail)
+        elif not outcome.ok_value.taken:
+            emit(Event.ORDER_FAILED, server=server.id, detail=outcome.ok_value.detail)
+
+    async def _rent(self, grant: Grant) -> None:
+        """Carry out this hall's part of the plan that all holders make from the same rows."""
+        bundle = self._bundle()
+        if bundle is None:
+            return
+        own = self._own_demand(bundle)
+        await self._write_demand(own)
+        demands = await self._read_demands(own)
+        if demands is None:
+            return
+        now = self._clock.monotonic()
+        self._memory.refusals = {r: t for r, t in self._memory.refusals.items() if t > now}
+        view = RentView(
+            sum(demand.tokens_per_s for demand in demands) * DEMAND_GROWTH,
+            self._held_instances(demands),
+            frozenset(self._memory.refusals),
+        )
+        for index, change in enumerate(plan(bundle, view)):
+            if change.hall == self.hall and grant.valid(self._clock.monotonic()):
+                await self._carry_out(change, f"{grant.name}:{grant.epoch}:{self._round}:{index}")
+
+    def _own_demand(self, bundle: Bundle) -> HallDemand:
+        total = 0.0
+        idle = []
+        for server in self._servers_here():
+            report = self._memory.reports.get(server.id)
+            item = bundle.instance_class(server.instance_class)
+            if report is None or item is None:
+                continue
+            busy = report.running + report.waiting
+            total += item.decode_tokens_per_s * busy / item.slots
+            if busy == 0:
+                idle.append(server.id)
+        return HallDemand(uuid.uuid4().hex, self.hall, total, idle)
+
+    async def _write_demand(self, own: HallDemand) -> None:
+        value = msgspec.json.encode(own).decode()
+        condition = Condition(DEMAND_TABLE, self.hall, self._memory.demand_version)
+        outcome = await self._platform.table.transact(
+            Transaction(own.operation, [condition], [Write(DEMAND_TABLE, self.hall, value)])
+        )
+        if isinstance(outcome, Err):
+            return
+        if outcome.ok_value.committed:
+            self._memory.demand_version = outcome.ok_value.versions[0]
+            return
+        row = await self._platform.table.read(DEMAND_TABLE, self.hall)
+        if not isinstance(row, Err) and row.ok_value is not None:
+            self._memory.demand_version = row.ok_value.version
+
+    async def _read_demands(self, own: HallDemand) -> list[HallDemand] | None:
+        outcome = await self._platform.table.scan(DEMAND_TABLE, "", 100)
+        if isinstance(outcome, Err):
+            return None
+        rows = [msgspec.json.decode(row.value, type=HallDemand) for row in outcome.ok_value]
+        return [own, *(row for row in rows if row.hall != self.hall)]
+
+    def _held_instances(self, demands: list[HallDemand]) -> list[Held]:
+        idle = {server for demand in demands for server in demand.idle}
+        return [
+            Held(
+                server.id,
+                server.hall,
+                server.instance_class,
+                Market.ON_DEMAND if server.market == Market.ON_DEMAND else Market.RECLAIMABLE,
+                server.id in idle,
+            )
+            for server in self._fleet.servers.values()
+            if server.state is InstanceState.LIVE and server.id not in self._memory.notices
+        ]
+
+    async def _carry_out(self, change: Rent | Return, token: str) -> None:
+        if isinstance(change, Return):
+            emit(Event.RENT_DECIDED, returned=change.instance_id)
+            self._announce(ServerLeaving(change.instance_id, None, "returned"))
+            await self._platform.cloud.release(change.instance_id)
+            return
+        order = RentOrder(token, change.hall, change.instance_class, change.market.value)
+        outcome = await self._platform.cloud.rent(order)
+        if isinstance(outcome, Err):
+            return
+        if outcome.ok_value.instance_id is None:
+            refusal = Refusal(change.hall, change.instance_class, change.market)
+            self._memory.refusals[refusal] = self._clock.monotonic() + REFUSAL_S
+            emit(Event.RENT_REFUSED, hall=change.hall, detail=outcome.ok_value.refused)
+        else:
+            emit(Event.RENT_DECIDED, rented=outcome.ok_value.instance_id, hall=change.hall)
--- /dev/null
+++ b/src/moledale/node/journal.py
@@ -0,0 +1,198 @@
+"""Group commit: one table transaction for the durable writes of many requests."""
+
+import asyncio
+import uuid
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+import msgspec
+from result import Err
+
+from moledale.clock import Clock
+from moledale.log import Event, emit
+from moledale.node.mailbox import Mailbox
+from moledale.platform.types import Condition, TableService, Transaction, Write
+
+MOST_ENTRIES = 256
+MOST_BYTES = 512_000
+COMMIT_TRIES = 3
+RETRY_PAUSE_S = 0.1
+
+
+class Marked(msgspec.Struct):
+    """The one field that every journaled row has: the operation that wrote it."""
+
+    operation: str
+
+
+class Outcome(StrEnum):
+    """What became of an entry."""
+
+    COMMITTED = "committed"
+    CONFLICT = "conflict"
+    UNKNOWN = "unknown"
+    NOT_WRITTEN = "not-written"
+
+
+@dataclass(slots=True)
+class Entry:
+    """The writes of one request; the first put carries `operation` in its value.
+
+    `versions` follow the writes once the entry is committed; they are empty where the answer
+    was lost and only the row itself told that the write took effect.
+    """
+
+    operation: str
+    conditions: list[Condition]
+    writes: list[Write]
+    versions: list[int] = field(default_factory=list)
+    done: "asyncio.Future[Outcome] | None" = None
+
+    def size(self) -> int:
+        """Return about how many bytes the entry adds to a transaction."""
+        return sum(len(write.value or "") + len(write.key) + 64 for write in self.writes)
+
+
+def new_operation() -> str:
+    """Return a fresh operation id."""
+    return uuid.uuid4().hex
+
+
+class Journal:
+    """Collects entries for a short interval and commits them together.
+
+    The interval bounds the wait that durability adds and the writes a second that a node
+    makes. Entries are independent: one whose condition fails is taken out, and the rest is
+    sent again.
+    """
+
+    def __init__(
+        self, table: TableService, interval_s: float, most_bytes: int, clock: Clock
+    ) -> None:
+        self._table = table
+        self._interval_s = interval_s
+        self._clock = clock
+        self._inbox: Mailbox[Entry] = Mailbox("journal", 4 * MOST_ENTRIES)
+        self._most_bytes = most_bytes
+        self._bytes = 0
+        self.transactions = 0
+
+    async def commit(self, entry: Entry) -> Outcome:
+        """Have an entry committed and return what became of it."""
+        if self._bytes + entry.size() > self._most_bytes:
+            return Outcome.NOT_WRITTEN
+        entry.done = asyncio.get_running_loop().create_future()
+        if not self._inbox.put(entry):
+            return Outcome.NOT_WRITTEN
+        self._bytes += entry.size()
+        try:
+            return await entry.done
+        finally:
+            self._bytes -= entry.size()
+
+    async def run(self) -> None:
+        """Commit batches for ever."""
+        while True:
+            batch = await self._collect()
+            try:
+                await self._commit_batch(batch)
+            finally:
+                for entry in batch:
+                    _settle(entry, Outcome.UNKNOWN)
+
+    async def _collect(self) -> list[Entry]:
+        batch = [await self._inbox.get()]
+        await self._clock.sleep(self._interval_s)
+        size = batch[0].size()
+        while len(batch) < MOST_ENTRIES and size < MOST_BYTES:
+            entry = self._inbox.get_ready()
+            if entry is None:
+                break
+            batch.append(entry)
+            size += entry.size()
+        return batch
+
+    async def _commit_batch(self, batch: list[Entry]) -> None:
+        """Commit a batch; entries in conflict leave it one round after the other."""
+        rest = batch
+        uncertain = False
+        failures = 0
+        while rest:
+            conditions = [condition for entry in rest for condition in entry.conditions]
+            writes = [write for entry in rest for write in entry.writes]
+            self.transactions += 1
+            outcome = await self._table.transact(Transaction(new_operation(), conditions, writes))
+            if isinstance(outcome, Err):
+                uncertain = uncertain or outcome.err_value.uncertain
+                failures += 1
+                if failures >= COMMIT_TRIES:
+                    self._give_up(rest, uncertain)
+                    return
+                if outcome.err_value.uncertain:
+                    emit(Event.WRITE_UNCERTAIN, entries=len(rest))
+                await self._clock.sleep(RETRY_PAUSE_S * failures)
+                continue
+            if outcome.ok_value.committed:
+                _committed(rest, outcome.ok_value.versions)
+                return
+            rest = await self._without_conflicts(rest, outcome.ok_value.failed, uncertain)
+
+    async def _without_conflicts(
+        self, batch: list[Entry], failed: list[int], uncertain: bool
+    ) -> list[Entry]:
+        """Settle the entries whose conditions failed and return the others."""
+        conflicting = _entries_at(batch, failed)
+        for entry in conflicting:
+            if uncertain:
+                _settle(entry, await self._read_back(entry))
+            else:
+                _settle(entry, Outcome.CONFLICT)
+        return [entry for entry in batch if entry not in conflicting]
+
+    async def _read_back(self, entry: Entry) -> Outcome:
+        """Tell an own write whose answer was lost from somebody else's."""
+        write = next((write for write in entry.writes if write.value is not None), None)
+        if write is None:
+            return Outcome.UNKNOWN
+        for _ in range(COMMIT_TRIES):
+            outcome = await self._table.read(write.table, write.key)
+            if isinstance(outcome, Err):
+                await self._clock.sleep(RETRY_PAUSE_S)
+                continue
+            row = outcome.ok_value
+            if row is None:
+                return Outcome.CONFLICT
+            if msgspec.json.decode(row.value, type=Marked).operation == entry.operation:
+                entry.versions = [row.version if w is write else 0 for w in entry.writes]
+                return Outcome.COMMITTED
+            return Outcome.CONFLICT
+        return Outcome.UNKNOWN
+
+    def _give_up(self, batch: list[Entry], uncertain: bool) -> None:
+        for entry in batch:
+            _settle(entry, Outcome.UNKNOWN if uncertain else Outcome.NOT_WRITTEN)
+
+
+def _settle(entry: Entry, outcome: Outcome) -> None:
+    if entry.done is not None and not entry.done.done():
+        entry.done.set_result(outcome)
+
+
+def _committed(batch: list[Entry], versions: list[int]) -> None:
+    position = 0
+    for entry in batch:
+        entry.versions = versions[position : position + len(entry.writes)]
+        position += len(entry.writes)
+        _settle(entry, Outcome.COMMITTED)
+
+
+def _entries_at(batch: list[Entry], conditions: list[int]) -> list[Entry]:
+    """Return the entries that the conditions at these indices belong to."""
+    failed = set(conditions)
+    found = []
+    position = 0
+    for entry in batch:
+        if failed & set(range(position, position + len(entry.conditions))):
+            found.append(entry)
+        position += len(entry.conditions)
+    return found
--- /dev/null
+++ b/src/moledale/node/mailbox.py
@@ -0,0 +1,39 @@
+"""Bounded mailboxes between tasks."""
+
+import asyncio
+from typing import Generic, TypeVar
+
+from moledale.log import Event, emit
+
+T = TypeVar("T")
+
+
+class Mailbox(Generic[T]):
+    """A queue of typed messages with a bound; a full one refuses instead of waiting."""
+
+    def __init__(self, name: str, most: int) -> None:
+        self.name = name
+        self._queue: asyncio.Queue[T] = asyncio.Queue(most)
+
+    def put(self, message: T) -> bool:
+        """Deliver a message; return False if the mailbox is full."""
+        try:
+            self._queue.put_nowait(message)
+        except asyncio.QueueFull:
+            emit(Event.MAILBOX_FULL, mailbox=self.name)
+            return False
+        return True
+
+    async def get(self) -> T:
+        """Wait for the next message."""
+        return await self._queue.get()
+
+    def get_ready(self) -> T | None:
+        """Return a message that is there already, or None."""
+        try:
+            return self._queue.get_nowait()
+        except asyncio.QueueEmpty:
+            return None
+
+    def __len__(self) -> int:
+        return self._queue.qsize()
--- /dev/null
+++ b/src/moledale/node/node.py
@@ -0,0 +1,411 @@
+"""One entry instance: builds its parts, supervises them, and stops without cutting anything."""
+
+import asyncio
+import random
+import uuid
+from contextlib import suppress
+from typing import Any
+
+import msgspec
+from result import Err, Ok, Result
+
+from moledale import problems
+from moledale.bundle import store
+from moledale.bundle.schema import Bundle
+from moledale.clock import Clock
+from moledale.core.addresses import NodeView, addresses_for
+from moledale.core.duties import duty_halls
+from moledale.core.freshness import Freshness, Verdict, judge
+from moledale.core.hashing import ranked
+from moledale.core.routing import LoadBook
+from moledale.log import Event, emit
+from moledale.node.accounts import Accounts
+from moledale.node.bundle_watch import BundleWatch
+from moledale.node.burn import BurnBook
+from moledale.node.dispatcher import Dispatcher
+from moledale.node.fleet import Fleet, FleetWatch
+from moledale.node.hall_duty import HallDuty
+from moledale.node.jobs import Jobs
+from moledale.node.journal import Journal
+from moledale.node.messages import HeadHint, ServerLeaving
+from moledale.node.metrics import make_metrics
+from moledale.node.once import OnceCall, OnceKeeper
+from moledale.node.server_watch import ServerWatch
+from moledale.node.services import ServiceRouter
+from moledale.node.streams import GenerationRequest, StreamRecord, StreamTable
+from moledale.node.supervisor import Supervisor
+from moledale.peers import server as peer_server
+from moledale.peers.auth import PeerTokens
+from moledale.peers.client import PeerClient
+from moledale.peers.gossip import PEERS_FOR_NEWS, Gossip
+from moledale.peers.pb import peers_pb2
+from moledale.platform.guard import guarded
+from moledale.platform.types import Platform
+from moledale.problems import Problem
+from moledale.servers.types import ModelServers, PlainServices, ServiceAnswer, ServiceCall
+from moledale.settings import Secrets, Settings
+
+HAND_OVER_TRIES = 3
+DUTY_CHECK_S = 1.0
+DRAIN_STEP_S = 0.05
+LEAVING_TO_TELL_S = 30.0
+
+
+class OnceWork(msgspec.Struct, frozen=True):
+    """What a not-repeatable call is: one of the two."""
+
+    service: ServiceCall | None = None
+    generation: GenerationRequest | None = None
+
+
+class Node:
+    """Everything of one entry instance but the sockets towards callers."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        secrets: Secrets,
+        platform: Platform,
+        servers: ModelServers,
+        services: PlainServices,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.secrets = secrets
+        self.id = settings.node.id
+        self.incarnation = uuid.uuid4().hex
+        self.draining = False
+        self.clock = clock
+        self.rng = rng
+        self.platform, self._table_guard = guarded(platform, clock, rng)
+        limits, times = settings.limits, settings.times
+        self.bundles = BundleWatch(
+            self.platform, settings.operators, settings.platform.poll_s, clock, rng
+        )
+        self.burn = BurnBook(self.id)
+        self.metrics = make_metrics(settings.metrics)
+        self.streams = StreamTable(
+            limits.streams, limits.finished_streams, limits.finished_stream_s
+        )
+        self.book = LoadBook(limits.sessions)
+        self.dispatcher = Dispatcher(
+            settings.node.hall,
+            servers,
+            self.streams,
+            self.book,
+            self.burn,
+            self.metrics,
+            self.bundle,
+            limits.queue,
+            clock,
+            rng,
+        )
+        self.fleet = Fleet(
+            self.id,
+            settings.node.hall,
+            limits.followed_servers,
+            self.dispatcher.follow,
+            self.dispatcher.handle,
+        )
+        self.journal = Journal(
+            self.platform.table, times.commit_interval_s, limits.journal_bytes, clock
+        )
+        self.accounts = Accounts(self.bundle, lambda: len(self.fleet.nodes), clock)
+        self.services = ServiceRouter(services, self.bundle, rng)
+        self._tokens = PeerTokens(self.id, secrets.peer, clock)
+        self._peers = PeerClient(self.id, self._tokens)
+        self.once = OnceKeeper(
+            self.id,
+            self.incarnation,
+            secrets.peer,
+            self.platform.table,
+            self.journal,
+            self,
+            self._dispatch_once,
+            limits.idempotency_keys,
+            clock,
+        )
+        self.jobs = Jobs(
+            self.id,
+            self.incarnation,
+            settings.node.hall,
+            self.platform,
+            self.journal,
+            self.dispatcher,
+            clock,
+        )
+        self._fleet_watch = FleetWatch(
+            self.platform, self.fleet, self.bundle, settings.platform.poll_s, clock, rng
+        )
+        self._server_watch = ServerWatch(
+            servers, self.book, self.dispatcher.handle, times.load_poll_s, clock, rng
+        )
+        self._gossip = Gossip(
+            self._peers, self.fleet, self.own_digest, self._heard, times.gossip_s, clock, rng
+        )
+        self._servers = servers
+        self.supervisor = Supervisor("node", clock)
+        self._duties: dict[str, HallDuty] = {}
+        self._duty_supervisor = Supervisor("duties", clock)
+        self._peer_server: Any = None
+        self._heard_peer_at: float | None = None
+        self._leaving_to_tell: dict[str, float] = {}
+        self._verdict = Verdict.UNCONFIRMED
+        self._news: set[asyncio.Task[None]] = set()
+
+    def bundle(self) -> Bundle | None:
+        """Return the bundle in force."""
+        return self.bundles.bundle
+
+    # Life
+
+    async def start(self) -> int:
+        """Start all tasks and return the port for peers."""
+        self._peer_server, port = await peer_server.start(
+            self, self._tokens, self.settings.node.peer_listen
+        )
+        self.supervisor.start("journal", self.journal.run)
+        self.supervisor.start("bundle", self.bundles.run)
+        self.supervisor.start("fleet", self._fleet_watch.run)
+        self.supervisor.start("servers", self._server_watch.run)
+        self.supervisor.start("dispatcher", self.dispatcher.run)
+        self.supervisor.start("gossip", self._gossip.run)
+        self.supervisor.start("standing", self._watch_standing)
+        self.supervisor.start("own-jobs", self._adopt_own_jobs)
+        self.supervisor.start("duty-choice", self._choose_duties)
+        self.supervisor.start_under(self._duty_supervisor)
+        return port
+
+    async def drain(self) -> None:
+        """Finish a planned stop: let requests end, and hand over those that don't in time."""
+        self.draining = True
+        emit(Event.DRAINING, open=self.dispatcher.open_requests, jobs=self.jobs.open_jobs)
+        await self._gossip.exchange(PEERS_FOR_NEWS)
+        await self.jobs.release_all()
+        until = self.clock.monotonic() + self.settings.times.drain_s
+        while self.dispatcher.open_requests and self.clock.monotonic() < until:
+            await self.clock.sleep(DRAIN_STEP_S)
+        await asyncio.gather(*(self._hand_over(record) for record in self.streams.live()))
+        # What no peer would take is finished here, however long that is.
+        while self.dispatcher.open_requests:
+            await self.clock.sleep(DRAIN_STEP_S)
+
+    async def stop(self) -> None:
+        """Stop all tasks, last started first."""
+        await self.supervisor.stop()
+        if self._peer_server is not None:
+            await self._peer_server.stop(1.0)
+        await self._peers.close()
+
+    async def _hand_over(self, record: StreamRecord) -> None:
+        """Give a stream to a peer; which one follows from its id alone, so any node can tell."""
+        for view in self.successors(record.request.id)[:HAND_OVER_TRIES]:
+            peer = self.fleet.nodes[view.id]
+            outcome = await self._peers.hand_over(peer.peer_address, record)
+            if not isinstance(outcome, Err):
+                emit(Event.STREAM_HANDED, request=record.request.id, peer=peer.id)
+                self.dispatcher.hand_over(record, peer.address)
+                return
+
+    def successors(self, request_id: str) -> list[NodeView]:
+        """Return the nodes that may take a stream over, in order."""
+        staying = {
+            view.id: view
+            for view in self.fleet.node_views()
+            if not view.leaving and view.id != self.id
+        }
+        return [staying[name] for name in ranked(request_id, staying)]
+
+    # Standing
+
+    def verdict(self) -> Verdict:
+        """Say whether new requests may be taken, by what is known of the bundle."""
+        heard = self._heard_peer_at
+        view = Freshness(
+            self.bundles.version,
+            self.bundles.confirmed_ago_s(),
+            None if heard is None else self.clock.monotonic() - heard,
+            len(self.fleet.other_nodes()),
+            self.bundles.newest_seen,
+        )
+        return judge(view, self.settings.times.isolation_grace_s)
+
+    def refusal(self) -> Problem | None:
+        """Return why new requests are refused now, or None."""
+        if self.draining:
+            return problems.unavailable("this node is leaving; use another address", 1)
+        verdict = self.verdict()
+        if verdict is Verdict.UNCONFIRMED:
+            return problems.unavailable("this node has not confirmed its bundle yet", 1)
+        if verdict is Verdict.ISOLATED:
+            return problems.unavailable("this node is cut off from platform and peers", 2)
+        return None
+
+    def addresses(self, session: str) -> list[NodeView]:
+        """Return the addresses that a session's caller should use, in order."""
+        views = self.fleet.node_views()
+        return addresses_for(session, views)
+
+    async def _watch_standing(self) -> None:
+        while True:
+            verdict = self.verdict()
+            if verdict is not self._verdict:
+                self._verdict = verdict
+                event = Event.READY if verdict is Verdict.SERVE else Event.NOT_READY
+                emit(event, verdict=verdict.value, version=self.bundles.version)
+            self.metrics.gauge("open_requests", self.dispatcher.open_requests)
+            self.metrics.gauge("waiting", self.dispatcher.waiting)
+            await self.clock.sleep(DUTY_CHECK_S)
+
+    # Duties
+
+    async def _adopt_own_jobs(self) -> None:
+        """Take up the jobs of an earlier incarnation of this node."""
+        while self.bundles.version == 0:
+            await self.clock.sleep(DRAIN_STEP_S)
+        await self.jobs.adopt_orphans(self.settings.node.hall, lambda _: True)
+
+    async def _choose_duties(self) -> None:
+        """Stand for the leases that this node should stand for; a duty once begun is kept."""
+        while True:
+            bundle = self.bundle()
+            halls = [hall.name for hall in bundle.halls] if bundle is not None else []
+            own = self.settings.node.hall
+            for hall in duty_halls(self.id, own, self.fleet.node_views(), halls):
+                if hall not in self._duties and bundle is not None:
+                    self._start_duty(hall)
+            await self.clock.sleep(DUTY_CHECK_S)
+
+    def _start_duty(self, hall: str) -> None:
+        duty = HallDuty(
+            hall,
+            self.id,
+            self.platform,
+            self._servers,
+            self.fleet,
+            self.jobs,
+            self.bundle,
+            self.server_leaves,
+            self.settings.times,
+            self.clock,
+            self.rng,
+        )
+        self._duties[hall] = duty
+        self._duty_supervisor.start(f"hall/{hall}", duty.run)
+
+    def leases_held(self) -> list[str]:
+        """Return the names of the leases that are held now."""
+        now = self.clock.monotonic()
+        return [d.lease.name for d in self._duties.values() if d.lease.grant(now) is not None]
+
+    def server_leaves(self, message: ServerLeaving) -> None:
+        """Act on a notice here, and tell peers at once."""
+        self.dispatcher.handle(message)
+        self._leaving_to_tell[message.server] = self.clock.monotonic()
+        self.tell_news()
+
+    # Peers
+
+    def tell_news(self) -> None:
+        """Exchange digests with several peers now."""
+        task = asyncio.create_task(self._gossip.exchange(PEERS_FOR_NEWS))
+        self._news.add(task)
+        task.add_done_callback(self._news.discard)
+
+    def own_digest(self) -> peers_pb2.DigestMessage:
+        """Return what this node knows, for peers."""
+        confirmed = self.bundles.confirmed_ago_s()
+        oldest = self.clock.monotonic() - LEAVING_TO_TELL_S
+        self._leaving_to_tell = {s: at for s, at in self._leaving_to_tell.items() if at >= oldest}
+        return peers_pb2.DigestMessage(
+            node=self.id,
+            hall=self.settings.node.hall,
+            bundle_version=self.bundles.version,
+            confirmed_ago_ms=round((confirmed if confirmed is not None else 1e6) * 1000),
+            table_reachable=self._table_guard.reachable,
+            leaving=self.draining,
+            leaving_servers=list(self._leaving_to_tell),
+            open_requests=self.dispatcher.open_requests,
+            demand=self.accounts.demand(),
+        )
+
+    def digest_heard(self, message: peers_pb2.DigestMessage) -> peers_pb2.DigestMessage:
+        """Take a peer's digest and return this node's own."""
+        self._heard(message)
+        return self.own_digest()
+
+    def _heard(self, message: peers_pb2.DigestMessage) -> None:
+        self._heard_peer_at = self.clock.monotonic()
+        if message.leaving:
+            self.fleet.leaving_nodes.add(message.node)
+        else:
+            self.fleet.leaving_nodes.discard(message.node)
+        self.fleet.node_loads[message.node] = message.open_requests
+        self.accounts.peer_demand(message.node, dict(message.demand))
+        hint = HeadHint(message.bundle_version, message.confirmed_ago_ms / 1000, message.node)
+        if hint.version >= self.bundles.version:
+            self.bundles.hints.put(hint)
+        for server in message.leaving_servers:
+            if server not in self._leaving_to_tell:
+                self._leaving_to_tell[server] = self.clock.monotonic()
+                self.dispatcher.handle(ServerLeaving(server, None, f"peer {message.node}"))
+
+    def take_over(self, record: StreamRecord) -> str | None:
+        """Take a live stream from a leaving peer; asked twice, it has it already."""
+        if self.streams.get(record.request.id) is not None:
+            return None
+        if self.draining:
+            return "leaving"
+        if self.streams.full:
+            return "full"
+        self.dispatcher.adopt(record)
+        return None
+
+    # Not-repeatable calls
+
+    async def run_once(self, node: str, call: OnceCall) -> Result[ServiceAnswer, Problem]:
+        """Send a call on to the node that answers for its key."""
+        peer = self.fleet.nodes.get(node)
+        if peer is None:
+            return Err(problems.outcome_unknown(f"node {node}, which took the key, is gone"))
+        return await self._peers.run_once(peer.peer_address, call)
+
+    async def run_once_here(self, call: OnceCall) -> Result[ServiceAnswer, Problem]:
+        """Run a call that a peer sent on."""
+        return await self.once.run(call)
+
+    async def _dispatch_once(self, call: OnceCall) -> Result[ServiceAnswer, Problem]:
+        work = msgspec.json.decode(call.encoded, type=OnceWork)
+        if work.service is not None:
+            return await self.services.call(work.service)
+        assert work.generation is not None, "work is one of the two"
+        return await self.generate_whole(work.generation)
+
+    async def generate_whole(self, request: GenerationRequest) -> Result[ServiceAnswer, Problem]:
+        """Run a generation to its end and return its tokens as a JSON list."""
+        submitted = self.dispatcher.submit(request)
+        if isinstance(submitted, Err):
+            return submitted
+        record = submitted.ok_value
+        await record.wait_ended()
+        if record.problem is not None:
+            return Err(record.problem)
+        if record.successor is not None:
+            return Err(problems.outcome_unknown(f"the stream went on at {record.successor}"))
+        body = msgspec.json.encode([record.reason or "", *record.tokens])
+        return Ok(ServiceAnswer(200, "application/json", body))
+
+    # Operators
+
+    async def roll(self, signed: store.SignedBundle) -> Result[store.Head, store.RollRefusal]:
+        """Move the head for operators, adopt it here and tell peers."""
+        outcome = await store.roll(
+            self.platform, signed, self.settings.operators, self.clock.wall()
+        )
+        if isinstance(outcome, Ok):
+            emit(Event.BUNDLE_ROLLED, version=outcome.ok_value.version)
+            with suppress(Exception):
+                await self.bundles.poll()
+            self.tell_news()
+        return outcome
--- /dev/null
+++ b/src/moledale/node/once.py
@@ -0,0 +1,308 @@
+"""Not-repeatable calls: each key is dispatched once at most, whoever asks again and where."""
+
+import asyncio
+import hashlib
+from collections import OrderedDict
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Protocol
+
+import jwt
+import msgspec
+from result import Err, Ok, Result
+
+from moledale import problems
+from moledale.clock import Clock
+from moledale.node.journal import Entry, Journal, Outcome, new_operation
+from moledale.platform.types import ABSENT, Condition, TableService, Write
+from moledale.problems import Problem, Ran
+from moledale.servers.types import ServiceAnswer
+
+CLAIM_TABLE = "claim"
+KEY_PREFIX = "mk_"
+KEY_LIFE_S = 24 * 3600
+MOST_KEY_LENGTH = 512
+MOST_STORED_ANSWER = 32_768
+_ALGORITHM = "HS256"
+
+
+class ClaimState(StrEnum):
+    """Life cycle of a claim."""
+
+    CLAIMED = "claimed"
+    DONE = "done"
+
+
+class StoredAnswer(msgspec.Struct, frozen=True):
+    """An answer kept for callers that ask again; the body is base64 in JSON."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+class Claim(msgspec.Struct, frozen=True):
+    """A claim row: who may dispatch a caller's key, and the answer once it is known."""
+
+    operation: str
+    node: str
+    incarnation: str
+    fingerprint: str
+    state: ClaimState
+    at: float
+    answer: StoredAnswer | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class OnceCall:
+    """A not-repeatable call: `fingerprint` is a digest of everything it says."""
+
+    account: str
+    key: str
+    fingerprint: str
+    encoded: bytes
+
+
+class OncePeers(Protocol):
+    """Sends a call on to the node that answers for its key."""
+
+    async def run_once(self, node: str, call: OnceCall) -> Result[ServiceAnswer, Problem]:
+        """Have `node` run the call or say what became of it."""
+        ...
+
+
+Dispatch = Callable[[OnceCall], Awaitable[Result[ServiceAnswer, Problem]]]
+
+
+@dataclass(slots=True)
+class _Known:
+    """What this incarnation knows of a key."""
+
+    fingerprint: str
+    outcome: "asyncio.Future[Result[ServiceAnswer, Problem]]"
+
+
+def fingerprint(encoded: bytes) -> str:
+    """Return the digest that tells one call from another with the same key."""
+    return hashlib.sha256(encoded).hexdigest()
+
+
+class OnceKeeper:
+    """Runs not-repeatable calls.
+
+    A key that this incarnation issued is settled in memory: no other process can have seen it
+    before. Any other key is claimed in the table before it is dispatched. Either way a key has
+    one dispatcher, which dispatches it once; what may have run is never sent again.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        incarnation: str,
+        secret: str,
+        table: TableService,
+        journal: Journal,
+        peers: OncePeers,
+        dispatch: Dispatch,
+        most_keys: int,
+        clock: Clock,
+    ) -> None:
+        self._node = node
+        self._incarnation = incarnation
+        self._secret = secret
+        self._table = table
+        self._journal = journal
+        self._peers = peers
+        self._dispatch = dispatch
+        self._most_keys = most_keys
+        self._clock = clock
+        self._known: OrderedDict[tuple[str, str], _Known] = OrderedDict()
+        self._serial = 0
+        self._late: set[asyncio.Task[Outcome]] = set()
+
+    def issue(self, account: str) -> str:
+        """Issue a key for an account; it works at this node even while the table is down."""
+        self._serial += 1
+        claims = {
+            "n": self._node,
+            "i": self._incarnation,
+            "s": self._serial,
+            "a": account,
+            "exp": int(self._clock.wall()) + KEY_LIFE_S,
+        }
+        return KEY_PREFIX + jwt.encode(claims, self._secret, algorithm=_ALGORITHM)
+
+    async def run(self, call: OnceCall) -> Result[ServiceAnswer, Problem]:
+        """Run a call, or return what became of the key's earlier call."""
+        if not 0 < len(call.key) <= MOST_KEY_LENGTH:
+            return Err(problems.bad_request(f"Idempotency-Key: 1 to {MOST_KEY_LENGTH} characters"))
+        known = self._known.get((call.account, call.key))
+        if known is not None:
+            return await self._again(known, call)
+        if not call.key.startswith(KEY_PREFIX):
+            return await self._claimed(call)
+        return await self._issued(call)
+
+    async def _again(self, known: _Known, call: OnceCall) -> Result[ServiceAnswer, Problem]:
+        if known.fingerprint != call.fingerprint:
+            return Err(problems.key_reused("it came with another call"))
+        return await asyncio.shield(known.outcome)
+
+    async def _issued(self, call: OnceCall) -> Result[ServiceAnswer, Problem]:
+        try:
+            claims = jwt.decode(
+                call.key.removeprefix(KEY_PREFIX), self._secret, algorithms=[_ALGORITHM]
+            )
+        except jwt.InvalidTokenError as error:
+            detail = f"Idempotency-Key was not issued here or has expired: {error}"
+            return Err(problems.bad_request(detail))
+        if claims.get("a") != call.account:
+            return Err(problems.bad_request("Idempotency-Key was issued to another account"))
+        if claims.get("n") != self._node:
+            return await self._peers.run_once(str(claims.get("n")), call)
+        if claims.get("i") != self._incarnation:
+            return Err(problems.outcome_unknown("the node that issued the key was restarted"))
+        if self._forgotten(int(claims.get("s", 0))):
+            return Err(problems.outcome_unknown("the key is too old to be told apart"))
+        return await self._dispatch_once(call, self._remember(call))
+
+    async def _claimed(self, call: OnceCall) -> Result[ServiceAnswer, Problem]:
+        """Claim a caller's own key in the table, then dispatch."""
+        known = self._remember(call)
+        operation = new_operation()
+        claim = Claim(
+            operation,
+            self._node,
+            self._incarnation,
+            call.fingerprint,
+            ClaimState.CLAIMED,
+            self._clock.wall(),
+        )
+        key = claim_key(call)
+        entry = Entry(operation, [Condition(CLAIM_TABLE, key, ABSENT)], [_put(key, claim)])
+        try:
+            outcome = await self._journal.commit(entry)
+        except asyncio.CancelledError:
+            self._forget(call, problems.unavailable("cancelled before it was dispatched", 1))
+            raise
+        if outcome is Outcome.COMMITTED:
+            version = entry.versions[0] if entry.versions else None
+            answer = await self._dispatch_once(call, known)
+            self._store_answer(key, claim, version, answer)
+            return answer
+        if outcome is Outcome.CONFLICT:
+            return await self._held_elsewhere(call, known)
+        # Nothing was dispatched. A claim that may have landed names this incarnation, so a
+        # retry here finds out that it is its own; elsewhere it is sent on to this node.
+        refusal = problems.unavailable("the table service does not answer; nothing was run", 2)
+        self._forget(call, refusal)
+        return Err(refusal)
+
+    async def _held_elsewhere(
+        self, call: OnceCall, known: _Known
+    ) -> Result[ServiceAnswer, Problem]:
+        """Find out from the claim row what became of the key."""
+        read = await self._table.read(CLAIM_TABLE, claim_key(call))
+        if isinstance(read, Err) or read.ok_value is None:
+            outcome: Result[ServiceAnswer, Problem] = Err(
+                problems.outcome_unknown("the key is claimed, but the table does not say by whom")
+            )
+            self._settle(call, known, outcome, keep=False)
+            return outcome
+        claim = msgspec.json.decode(read.ok_value.value, type=Claim)
+        if claim.fingerprint != call.fingerprint:
+            outcome = Err(problems.key_reused("it came with another call"))
+        elif claim.answer is not None:
+            answer = claim.answer
+            outcome = Ok(ServiceAnswer(answer.status, answer.content_type, answer.body))
+        elif (claim.node, claim.incarnation) == (self._node, self._incarnation):
+            # This incarnation's own claim, landed late: what it dispatched it remembers, and
+            # it remembers nothing of this key.
+            answered = await self._dispatch_once(call, known)
+            self._store_answer(claim_key(call), claim, read.ok_value.version, answered)
+            return answered
+        elif claim.node == self._node:
+            outcome = Err(problems.outcome_unknown("the node that took the key was restarted"))
+        else:
+            outcome = await self._peers.run_once(claim.node, call)
+        self._settle(call, known, outcome, keep=False)
+        return outcome
+
+    async def _dispatch_once(self, call: OnceCall, known: _Known) -> Result[ServiceAnswer, Problem]:
+        """Dispatch; from here on the key is never dispatched again, whatever happens."""
+        try:
+            outcome = await self._dispatch(call)
+        except asyncio.CancelledError:
+            self._settle(
+                call, known, Err(problems.outcome_unknown("the call was cut off")), keep=True
+            )
+            raise
+        except Exception as error:
+            outcome = Err(problems.outcome_unknown(f"internal error: {error!r}"))
+        # "Did not run" is final for this request, but lets the same key be tried again.
+        did_not_run = isinstance(outcome, Err) and outcome.err_value.ran is Ran.NO
+        self._settle(call, known, outcome, keep=not did_not_run)
+        return outcome
+
+    def _remember(self, call: OnceCall) -> _Known:
+        known = _Known(call.fingerprint, asyncio.get_running_loop().create_future())
+        self._known[(call.account, call.key)] = known
+        while len(self._known) > self._most_keys:
+            oldest = next(iter(self._known))
+            if not self._known[oldest].outcome.done():
+                break
+            del self._known[oldest]
+        return known
+
+    def _settle(
+        self,
+        call: OnceCall,
+        known: _Known,
+        outcome: Result[ServiceAnswer, Problem],
+        keep: bool,
+    ) -> None:
+        if not known.outcome.done():
+            known.outcome.set_result(outcome)
+        if not keep:
+            self._known.pop((call.account, call.key), None)
+
+    def _forget(self, call: OnceCall, refusal: Problem) -> None:
+        known = self._known[(call.account, call.key)]
+        self._settle(call, known, Err(refusal), keep=False)
+
+    def _forgotten(self, serial: int) -> bool:
+        """Say whether a key is so old that a settled outcome may have been dropped."""
+        return serial <= self._serial - self._most_keys
+
+    def _store_answer(
+        self,
+        key: str,
+        claim: Claim,
+        version: int | None,
+        outcome: Result[ServiceAnswer, Problem],
+    ) -> None:
+        """Put the answer into the claim row, for callers that ask another node."""
+        if version is None or isinstance(outcome, Err):
+            return
+        answer = outcome.ok_value
+        if len(answer.body) > MOST_STORED_ANSWER:
+            return
+        stored = StoredAnswer(answer.status, answer.content_type, answer.body)
+        operation = new_operation()
+        done = msgspec.structs.replace(
+            claim, operation=operation, state=ClaimState.DONE, answer=stored
+        )
+        entry = Entry(operation, [Condition(CLAIM_TABLE, key, version)], [_put(key, done)])
+        task = asyncio.create_task(self._journal.commit(entry))
+        self._late.add(task)
+        task.add_done_callback(self._late.discard)
+
+
+def claim_key(call: OnceCall) -> str:
+    """Return the row key of a caller's idempotency key."""
+    return f"{call.account}/{hashlib.sha256(call.key.encode()).hexdigest()}"
+
+
+def _put(key: str, claim: Claim) -> Write:
+    return Write(CLAIM_TABLE, key, msgspec.json.encode(claim).decode())
--- /dev/null
+++ b/src/moledale/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Traffic between entry instances over gRPC."""
--- /dev/null
+++ b/src/moledale/peers/client.py
@@ -0,0 +1,106 @@
+"""Calls to other nodes over gRPC."""
+
+import grpc
+import msgspec
+from result import Err, Ok, Result
+
+from moledale import problems
+from moledale.node.once import OnceCall
+from moledale.node.streams import GenerationRequest, StreamRecord
+from moledale.peers.auth import METADATA_KEY, PeerTokens
+from moledale.peers.pb import peers_pb2, peers_pb2_grpc
+from moledale.problems import Problem, Ran
+from moledale.servers.types import ServiceAnswer
+
+DIGEST_TIMEOUT_S = 1.0
+HAND_OVER_TIMEOUT_S = 2.0
+RUN_ONCE_TIMEOUT_S = 60.0
+MOST_CHANNELS = 64
+
+
+class PeerClient:
+    """Keeps a bounded number of channels to peers."""
+
+    def __init__(self, node: str, tokens: PeerTokens) -> None:
+        self._node = node
+        self._tokens = tokens
+        self._channels: dict[str, grpc.aio.Channel] = {}
+
+    async def digest(
+        self, address: str, message: peers_pb2.DigestMessage
+    ) -> Result[peers_pb2.DigestMessage, str]:
+        """Exchange digests."""
+        stub = await self._stub(address)
+        try:
+            return Ok(
+                await stub.Digest(message, metadata=self._metadata(), timeout=DIGEST_TIMEOUT_S)
+            )
+        except grpc.aio.AioRpcError as error:
+            return Err(f"{error.code().name}: {error.details()}")
+
+    async def hand_over(self, address: str, record: StreamRecord) -> Result[None, str]:
+        """Give a live stream to a peer."""
+        state = peers_pb2.StreamState(
+            request_id=record.request.id,
+            request=encode_request(record.request),
+            tokens=record.tokens,
+            from_node=self._node,
+        )
+        stub = await self._stub(address)
+        try:
+            reply = await stub.HandOver(
+                state, metadata=self._metadata(), timeout=HAND_OVER_TIMEOUT_S
+            )
+        except grpc.aio.AioRpcError as error:
+            return Err(f"{error.code().name}: {error.details()}")
+        return Ok(None) if reply.accepted else Err(str(reply.reason))
+
+    async def run_once(self, address: str, call: OnceCall) -> Result[ServiceAnswer, Problem]:
+        """Have the node that answers for a key run the call, or tell what became of it.
+
+        Whatever goes wrong on the way leaves the outcome unknown: the peer may have run it.
+        """
+        message = peers_pb2.OnceRequest(key=call.key, call=msgspec.json.encode(call))
+        stub = await self._stub(address)
+        try:
+            reply = await stub.RunOnce(
+                message, metadata=self._metadata(), timeout=RUN_ONCE_TIMEOUT_S
+            )
+        except grpc.aio.AioRpcError as error:
+            detail = f"the node that took the key does not answer: {error.code().name}"
+            return Err(problems.outcome_unknown(detail))
+        if reply.ran:
+            body = msgspec.json.decode(reply.body, type=dict[str, str])
+            return Err(
+                Problem(body["kind"], reply.status, body["title"], body["detail"], Ran(reply.ran))
+            )
+        return Ok(ServiceAnswer(reply.status, reply.content_type, reply.body))
+
+    async def close(self) -> None:
+        """Close all channels."""
+        for channel in self._channels.values():
+            await channel.close()
+        self._channels.clear()
+
+    async def _stub(self, address: str) -> peers_pb2_grpc.PeersStub:
+        channel = self._channels.get(address)
+        if channel is None:
+            if len(self._channels) >= MOST_CHANNELS:
+                oldest = next(iter(self._channels))
+                await self._channels.pop(oldest).close()
+            channel = grpc.aio.insecure_channel(address)
+            self._channels[address] = channel
+        return peers_pb2_grpc.PeersStub(channel)
+
+    def _metadata(self) -> tuple[tuple[str, str], ...]:
+        return ((METADATA_KEY, self._tokens.token()),)
+
+
+def encode_request(request: GenerationRequest) -> bytes:
+    """Encode a request for a peer."""
+    return msgspec.msgpack.encode(request)
+
+
+def decode_request(body: bytes) -> GenerationRequest:
+    """Decode a peer's request; raises msgspec.DecodeError on a damaged one."""
+    return msgspec.msgpack.decode(body, type=GenerationRequest)
--- /dev/null
+++ b/src/moledale/peers/gossip.py
@@ -0,0 +1,62 @@
+"""Small digests to a few random peers: the bundle head, leaving servers, open requests."""
+
+import random
+from collections.abc import Callable
+
+from result import Err
+
+from moledale.clock import Clock
+from moledale.log import Event, emit
+from moledale.node.fleet import Fleet
+from moledale.peers.client import PeerClient
+from moledale.peers.pb import peers_pb2
+from moledale.platform.types import Instance
+
+PEERS_EACH_ROUND = 1
+PEERS_FOR_NEWS = 6
+"""Peers that are told at once of a new head or a notice; the rest hear it from these."""
+
+
+class Gossip:
+    """Exchanges digests with one random peer a round, and at once when there is news."""
+
+    def __init__(
+        self,
+        client: PeerClient,
+        fleet: Fleet,
+        own_digest: Callable[[], peers_pb2.DigestMessage],
+        heard: Callable[[peers_pb2.DigestMessage], None],
+        interval_s: float,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._client = client
+        self._fleet = fleet
+        self._own_digest = own_digest
+        self._heard = heard
+        self._interval_s = interval_s
+        self._clock = clock
+        self._rng = rng
+        self._down: set[str] = set()
+
+    async def run(self) -> None:
+        """Exchange digests for ever."""
+        while True:
+            await self._clock.sleep(self._interval_s * self._rng.uniform(0.75, 1.25))
+            await self.exchange(PEERS_EACH_ROUND)
+
+    async def exchange(self, peers: int) -> None:
+        """Exchange digests with some random peers."""
+        others = [node for node in self._fleet.other_nodes() if node.peer_address]
+        for peer in self._rng.sample(others, min(peers, len(others))):
+            await self._exchange_with(peer)
+
+    async def _exchange_with(self, peer: Instance) -> None:
+        outcome = await self._client.digest(peer.peer_address, self._own_digest())
+        if isinstance(outcome, Err):
+            if peer.id not in self._down:
+                self._down.add(peer.id)
+                emit(Event.PEER_DOWN, peer=peer.id, detail=outcome.err_value)
+            return
+        self._down.discard(peer.id)
+        self._heard(outcome.ok_value)
--- /dev/null
+++ b/src/moledale/peers/pb/__init__.py
@@ -0,0 +1,1 @@
+"""Generated code for the peer protocol."""
--- /dev/null
+++ b/src/moledale/peers/server.py
@@ -0,0 +1,107 @@
+"""What other nodes may ask of this one."""
+
+from typing import Any, Protocol
+
+import grpc
+import msgspec
+from result import Err, Result
+
+from moledale.log import Event, emit
+from moledale.node.once import OnceCall
+from moledale.node.streams import StreamRecord
+from moledale.peers.auth import METADATA_KEY, PeerTokens
+from moledale.peers.client import decode_request
+from moledale.peers.pb import peers_pb2, peers_pb2_grpc
+from moledale.problems import Problem
+from moledale.servers.types import ServiceAnswer
+
+MOST_MESSAGE_BYTES = 16_000_000
+
+
+class PeerHandler(Protocol):
+    """The node's side of the calls."""
+
+    def digest_heard(self, message: peers_pb2.DigestMessage) -> peers_pb2.DigestMessage:
+        """Take a peer's digest and return this node's own."""
+        ...
+
+    def take_over(self, record: StreamRecord) -> str | None:
+        """Take a live stream; return why not, or None if it was taken."""
+        ...
+
+    async def run_once_here(self, call: OnceCall) -> Result[ServiceAnswer, Problem]:
+        """Run a not-repeatable call whose key this node answers for."""
+        ...
+
+
+class PeerServer(peers_pb2_grpc.PeersServicer):  # type: ignore[misc]
+    """The gRPC service; calls without a valid token are refused."""
+
+    def __init__(self, handler: PeerHandler, tokens: PeerTokens) -> None:
+        self._handler = handler
+        self._tokens = tokens
+
+    async def Digest(
+        self, request: peers_pb2.DigestMessage, context: Any
+    ) -> peers_pb2.DigestMessage:
+        """Exchange digests."""
+        await self._authenticate(context)
+        return self._handler.digest_heard(request)
+
+    async def HandOver(
+        self, request: peers_pb2.StreamState, context: Any
+    ) -> peers_pb2.HandOverReply:
+        """Take a live stream."""
+        peer = await self._authenticate(context)
+        try:
+            decoded = decode_request(request.request)
+        except msgspec.DecodeError as error:
+            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, f"damaged request: {error}")
+            raise AssertionError("abort raises") from error
+        reason = self._handler.take_over(StreamRecord(decoded, list(request.tokens)))
+        if reason is None:
+            emit(Event.STREAM_ADOPTED, request=decoded.id, peer=peer)
+        return peers_pb2.HandOverReply(accepted=reason is None, reason=reason or "")
+
+    async def RunOnce(self, request: peers_pb2.OnceRequest, context: Any) -> peers_pb2.OnceReply:
+        """Run a not-repeatable call."""
+        await self._authenticate(context)
+        try:
+            call = msgspec.json.decode(request.call, type=OnceCall)
+        except msgspec.DecodeError as error:
+            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, f"damaged call: {error}")
+            raise AssertionError("abort raises") from error
+        outcome = await self._handler.run_once_here(call)
+        if isinstance(outcome, Err):
+            problem = outcome.err_value
+            fields = {"kind": problem.kind, "title": problem.title, "detail": problem.detail}
+            return peers_pb2.OnceReply(
+                status=problem.status, body=msgspec.json.encode(fields), ran=problem.ran.value
+            )
+        answer = outcome.ok_value
+        return peers_pb2.OnceReply(
+            status=answer.status, content_type=answer.content_type, body=answer.body
+        )
+
+    async def _authenticate(self, context: Any) -> str:
+        metadata = dict(context.invocation_metadata() or ())
+        peer = self._tokens.check(str(metadata.get(METADATA_KEY, "")))
+        if peer is None:
+            emit(Event.PEER_REFUSED, caller=context.peer())
+            await context.abort(grpc.StatusCode.UNAUTHENTICATED, "no valid peer token")
+            raise AssertionError("abort raises")
+        return peer
+
+
+async def start(handler: PeerHandler, tokens: PeerTokens, listen: str) -> tuple[Any, int]:
+    """Start the service and return it with its port."""
+    server = grpc.aio.server(
+        options=[
+            ("grpc.max_receive_message_length", MOST_MESSAGE_BYTES),
+            ("grpc.so_reuseport", 0),
+        ]
+    )
+    peers_pb2_grpc.add_PeersServicer_to_server(PeerServer(handler, tokens), server)
+    port = server.add_insecure_port(listen)
+    await server.start()
+    return server, port
--- /dev/null
+++ b/src/moledale/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Typed interfaces to the given platform, with an HTTP adapter."""
--- /dev/null
+++ b/src/moledale/servers/__init__.py
@@ -0,0 +1,1 @@
+"""Typed interface to backend servers, with an HTTP adapter."""
--- /dev/null
+++ b/src/moledale/servers/http.py
@@ -0,0 +1,176 @@
+"""HTTP adapter to backend servers."""
+
+from collections.abc import AsyncGenerator
+from contextlib import aclosing
+from typing import TypeVar
+
+import aiosonic
+import msgspec
+from aiosonic.connectors import TCPConnector
+from aiosonic.exceptions import AiosonicError, ConnectTimeout
+from aiosonic.pools import PoolConfig
+from aiosonic.timeout import Timeouts
+from result import Err, Ok, Result
+
+from moledale.servers.types import (
+    CacheEvent,
+    CacheEventPage,
+    GenerateCall,
+    GenerateEvent,
+    KvTicket,
+    LoadReport,
+    Order,
+    OrderReply,
+    ServerError,
+    ServerFailure,
+    ServiceAnswer,
+    ServiceCall,
+)
+
+T = TypeVar("T")
+_JSON = {"Content-Type": "application/json"}
+_EVENT_END = b"\n\n"
+_DATA = b"data: "
+CONNECT_S = 1.0
+CALL_S = 2.0
+STREAM_IDLE_S = 20.0
+MAX_CONNECTIONS = 4_000
+_event_decoder = msgspec.json.Decoder(GenerateEvent)
+_HOP_BY_HOP = {"connection", "transfer-encoding", "keep-alive", "content-length", "host"}
+
+
+def make_client() -> aiosonic.HTTPClient:
+    """Make a client with room for every stream of a node."""
+    return aiosonic.HTTPClient(TCPConnector({":default": PoolConfig(size=MAX_CONNECTIONS)}))
+
+
+class HttpModelServers:
+    """Model engines over HTTP, their streams as server-sent events."""
+
+    def __init__(self, client: aiosonic.HTTPClient) -> None:
+        self._client = client
+        self._stream_timeouts = Timeouts(
+            sock_connect=CONNECT_S, sock_read=STREAM_IDLE_S, request_timeout=None
+        )
+        self._call_timeouts = Timeouts(
+            sock_connect=CONNECT_S, sock_read=CALL_S, request_timeout=CALL_S
+        )
+
+    async def generate(
+        self, address: str, call: GenerateCall
+    ) -> AsyncGenerator[GenerateEvent, None]:
+        """Start an attempt and yield its events."""
+        try:
+            response = await self._client.request(
+                f"http://{address}/v1/generate",
+                method="POST",
+                headers=_JSON,
+                data=msgspec.json.encode(call),
+                timeouts=self._stream_timeouts,
+                stream=True,
+            )
+            if response.status_code != 200:
+                raise ServerError(f"answered {response.status_code}")
+            pending = b""
+            async with aclosing(response.read_chunks()) as chunks:
+                async for chunk in chunks:
+                    *events, pending = (pending + chunk).split(_EVENT_END)
+                    for event in events:
+                        yield _event_decoder.decode(event.removeprefix(_DATA))
+        except (AiosonicError, OSError, TimeoutError, msgspec.DecodeError) as error:
+            raise ServerError(type(error).__name__) from error
+
+    async def cancel(self, address: str, attempt: str) -> Result[None, ServerFailure]:
+        """Stop an attempt."""
+        outcome = await self._call(address, "POST", "/v1/cancel", {"attempt": attempt})
+        return outcome.map(lambda _: None)
+
+    async def load(self, address: str) -> Result[LoadReport, ServerFailure]:
+        """Ask for a load report."""
+        return await self._decoded(address, "GET", "/v1/load", None, LoadReport)
+
+    async def cache_events(
+        self, address: str, after: int
+    ) -> Result[list[CacheEvent], ServerFailure]:
+        """Return cache events after a sequence number."""
+        path = f"/v1/cache-events?after={after}"
+        page = await self._decoded(address, "GET", path, None, CacheEventPage)
+        return page.map(lambda found: found.events)
+
+    async def order(self, address: str, order: Order) -> Result[OrderReply, ServerFailure]:
+        """Give a fenced order."""
+        return await self._decoded(address, "POST", "/v1/orders", order, OrderReply)
+
+    async def export_kv(self, address: str, attempt: str) -> Result[KvTicket, ServerFailure]:
+        """Make an attempt's KV cache ready for another server."""
+        body = {"attempt": attempt}
+        return await self._decoded(address, "POST", "/v1/kv/export", body, KvTicket)
+
+    async def import_kv(self, address: str, ticket: KvTicket) -> Result[None, ServerFailure]:
+        """Have a server fetch a KV cache from another one."""
+        outcome = await self._call(address, "POST", "/v1/kv/import", ticket)
+        return outcome.map(lambda _: None)
+
+    async def _call(
+        self, address: str, method: str, path: str, body: object
+    ) -> Result[bytes, ServerFailure]:
+        try:
+            response = await self._client.request(
+                f"http://{address}{path}",
+                method=method,
+                headers=_JSON,
+                data=None if body is None else msgspec.json.encode(body),
+                timeouts=self._call_timeouts,
+            )
+            content = await response.content()
+        except (AiosonicError, OSError, TimeoutError) as error:
+            return Err(ServerFailure(type(error).__name__, may_have_run=True))
+        if response.status_code >= 300:
+            return Err(ServerFailure(f"answered {response.status_code}", may_have_run=False))
+        return Ok(content)
+
+    async def _decoded(
+        self, address: str, method: str, path: str, body: object, kind: type[T]
+    ) -> Result[T, ServerFailure]:
+        outcome = await self._call(address, method, path, body)
+        if isinstance(outcome, Err):
+            return outcome
+        try:
+            return Ok(msgspec.json.decode(outcome.ok_value, type=kind))
+        except msgspec.DecodeError as error:
+            return Err(ServerFailure(f"odd answer: {error}", may_have_run=True))
+
+
+class HttpPlainServices:
+    """Plain services over HTTP, each call on a connection of its own.
+
+    A new connection for each call tells a call that never left (the connection was refused)
+    from one that may have run. The body goes as an iterator, which the client library never
+    sends a second time.
+    """
+
+    async def call(
+        self, base: str, call: ServiceCall, timeout_s: float
+    ) -> Result[ServiceAnswer, ServerFailure]:
+        """Send a call once, never again."""
+        timeouts = Timeouts(sock_connect=CONNECT_S, sock_read=timeout_s, request_timeout=timeout_s)
+        headers = {name: value for name, value in call.headers if name not in _HOP_BY_HOP}
+        headers["Connection"] = "close"
+        headers["Content-Length"] = str(len(call.body))
+        async with aiosonic.HTTPClient() as client:
+            try:
+                response = await client.request(
+                    base + call.path,
+                    method=call.method,
+                    headers=headers,
+                    data=call.body or None,
+                    timeouts=timeouts,
+                    follow=False,
+                )
+                body = await response.content()
+            except (ConnectionRefusedError, ConnectTimeout) as error:
+                return Err(ServerFailure(type(error).__name__, may_have_run=False))
+            except (AiosonicError, OSError, TimeoutError) as error:
+                return Err(ServerFailure(type(error).__name__, may_have_run=True))
+        content_type = response.headers.get("content-type", "application/octet-stream")
+        return Ok(ServiceAnswer(response.status_code, content_type, body))
--- /dev/null
+++ b/src/moledale/settings.py
@@ -0,0 +1,198 @@
+"""Settings of one node, read from TOML; every finding is reported with its key path."""
+
+import os
+import tomllib
+from pathlib import Path
+from typing import Annotated, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator, model_validator
+from result import Err, Ok, Result
+
+from moledale.findings import Finding, from_validation
+
+HostPort = Annotated[str, Field(pattern=r"^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$")]
+Url = Annotated[str, Field(pattern=r"^https?://[^\s/]+$")]
+Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
+MIN_SECRET_BYTES = 16
+
+
+class Section(BaseModel):
+    """A table of the file; unknown keys are findings and types are not coerced."""
+
+    model_config = ConfigDict(extra="forbid", strict=True, frozen=True)
+
+
+class NodeSection(Section):
+    """Who this node is and where it listens."""
+
+    id: Name
+    hall: Name
+    region: Name
+    listen: HostPort
+    peer_listen: HostPort
+
+
+class PlatformSection(Section):
+    """Base addresses of the platform's parts and the bounds on calls to them."""
+
+    table: Url
+    objects: Url
+    cloud: Url
+    weights: Url
+    instances: Url
+    timeout_s: float = Field(default=1.0, gt=0, le=30)
+    poll_s: float = Field(default=2.0, ge=0.05, le=5)
+
+
+class OperatorsSection(Section):
+    """Ed25519 public keys (base64) of those who may sign off a bundle."""
+
+    keys: dict[Name, str] = Field(min_length=1)
+    required_signatures: int = Field(default=1, ge=1)
+
+    @model_validator(mode="after")
+    def _enough_keys(self) -> "OperatorsSection":
+        if self.required_signatures > len(self.keys):
+            raise ValueError("required_signatures is larger than the number of keys")
+        return self
+
+
+class SecretSource(Section):
+    """Where a secret comes from: exactly one of an environment variable and a file."""
+
+    env: str | None = None
+    file: str | None = None
+
+    @model_validator(mode="after")
+    def _one_source(self) -> "SecretSource":
+        if (self.env is None) == (self.file is None):
+            raise ValueError("name exactly one of env and file")
+        return self
+
+    def read(self) -> Result[str, str]:
+        """Return the secret, or what is wrong with its source."""
+        if self.env is not None:
+            value = os.environ.get(self.env)
+            if value is None:
+                return Err(f"environment variable {self.env} is not set")
+        else:
+            try:
+                value = Path(str(self.file)).read_text("utf-8").strip()
+            except (OSError, UnicodeDecodeError) as error:
+                return Err(f"file can't be read: {type(error).__name__}")
+        if len(value.encode()) < MIN_SECRET_BYTES:
+            return Err(f"secret is shorter than {MIN_SECRET_BYTES} bytes")
+        return Ok(value)
+
+
+class SecretsSection(Section):
+    """Secrets of the node; their values are never logged."""
+
+    peer: SecretSource
+    operator: SecretSource
+
+
+class LimitsSection(Section):
+    """Bounds of one node; each map and queue has its cap here."""
+
+    body_bytes: int = Field(default=1_000_000, ge=1024, le=64_000_000)
+    header_bytes: int = Field(default=16_384, ge=1024, le=262_144)
+    streams: int = Field(default=2_000, ge=1)
+    finished_streams: int = Field(default=500, ge=0)
+    finished_stream_s: float = Field(default=60.0, ge=0)
+    queue: int = Field(default=1_000, ge=1)
+    sessions: int = Field(default=20_000, ge=1)
+    idempotency_keys: int = Field(default=20_000, ge=1)
+    followed_servers: int = Field(default=32, ge=2)
+    journal_bytes: int = Field(default=4_000_000, ge=1024)
+
+
+class TimesSection(Section):
+    """Durations in seconds that a node lives by."""
+
+    lease_ttl_s: float = Field(default=10.0, gt=0)
+    order_max_s: float = Field(default=2.0, gt=0)
+    commit_interval_s: float = Field(default=0.05, gt=0, le=5)
+    drain_s: float = Field(default=20.0, ge=0)
+    isolation_grace_s: float = Field(default=5.0, gt=0)
+    gossip_s: float = Field(default=2.0, gt=0)
+    load_poll_s: float = Field(default=1.0, gt=0)
+    address_ttl_s: int = Field(default=30, ge=1)
+
+
+class MetricsSection(Section):
+    """Where statsd listens; left out, no metrics are sent."""
+
+    statsd: HostPort | None = None
+    prefix: Name = "moledale"
+
+
+class LogSection(Section):
+    """The lowest level that is written."""
+
+    level: Literal["debug", "info", "warning", "error"] = "info"
+
+
+class Settings(Section):
+    """All settings of one node."""
+
+    node: NodeSection
+    platform: PlatformSection
+    operators: OperatorsSection
+    secrets: SecretsSection
+    limits: LimitsSection = LimitsSection()
+    times: TimesSection = TimesSection()
+    metrics: MetricsSection = MetricsSection()
+    log: LogSection = LogSection()
+
+    @field_validator("operators")
+    @classmethod
+    def _keys_decode(cls, value: OperatorsSection) -> OperatorsSection:
+        from moledale.bundle.signing import public_key
+
+        for name, key in value.keys.items():
+            if public_key(key) is None:
+                raise ValueError(f"keys.{name} is not a base64 Ed25519 public key")
+        return value
+
+
+class Secrets(BaseModel):
+    """The values of the secrets, kept out of every representation."""
+
+    peer: str = Field(repr=False)
+    operator: str = Field(repr=False)
+
+
+def parse(source: str, text: str) -> Result[Settings, list[Finding]]:
+    """Validate TOML text; `source` is the file named in findings."""
+    try:
+        data = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        return Err([Finding(source, "", f"not valid TOML: {error}")])
+    try:
+        return Ok(Settings.model_validate(data))
+    except ValidationError as error:
+        return Err(from_validation(source, error))
+
+
+def load(path: Path) -> Result[Settings, list[Finding]]:
+    """Read and validate a settings file."""
+    try:
+        text = path.read_text("utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return Err([Finding(str(path), "", f"can't be read: {type(error).__name__}")])
+    return parse(str(path), text)
+
+
+def read_secrets(source: str, settings: Settings) -> Result[Secrets, list[Finding]]:
+    """Read every secret; all that are missing are reported together."""
+    peer = settings.secrets.peer.read()
+    operator = settings.secrets.operator.read()
+    findings = [
+        Finding(source, f"secrets.{name}", outcome.unwrap_err())
+        for name, outcome in (("peer", peer), ("operator", operator))
+        if outcome.is_err()
+    ]
+    if findings:
+        return Err(findings)
+    return Ok(Secrets(peer=peer.unwrap(), operator=operator.unwrap()))
--- /dev/null
+++ b/src/moledale/ui/__init__.py
@@ -0,0 +1,1 @@
+"""Command line of the daemon and of the operators' tool."""
--- /dev/null
+++ b/src/moledale/ui/client.py
@@ -0,0 +1,88 @@
+"""The command line's calls to nodes."""
+
+import asyncio
+from dataclasses import dataclass
+
+import aiosonic
+from aiosonic.exceptions import AiosonicError
+from aiosonic.timeout import Timeouts
+from result import Err, Ok, Result
+
+CALL_S = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A node's answer."""
+
+    node: str
+    status: int
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class NodeClient:
+    """Calls nodes with the operators' token."""
+
+    addresses: tuple[str, ...]
+    token: str
+
+    def ask(self, path: str) -> Result[Answer, str]:
+        """Ask the nodes in order until one answers."""
+        return asyncio.run(self._ask(path))
+
+    def send(self, path: str, body: bytes) -> Result[Answer, str]:
+        """Send a body to the first node that takes the connection; never to a second one.
+
+        Only a refused connection makes it go on: after that, the first node may have acted.
+        """
+        return asyncio.run(self._send(path, body))
+
+    def ask_each(self, addresses: list[str], path: str) -> list[Result[Answer, str]]:
+        """Ask several nodes side by side."""
+        return asyncio.run(self._ask_each(addresses, path))
+
+    async def _ask(self, path: str) -> Result[Answer, str]:
+        failure: Result[Answer, str] = Err("no node is named: use --node or MOLEDALE_NODES")
+        async with aiosonic.HTTPClient() as client:
+            for address in self.addresses:
+                failure = await self._call(client, address, "GET", path, None)
+                if isinstance(failure, Ok):
+                    return failure
+        return failure
+
+    async def _send(self, path: str, body: bytes) -> Result[Answer, str]:
+        outcome: Result[Answer, str] = Err("no node is named: use --node or MOLEDALE_NODES")
+        async with aiosonic.HTTPClient() as client:
+            for address in self.addresses:
+                outcome = await self._call(client, address, "POST", path, body)
+                if isinstance(outcome, Ok) or "ConnectionRefused" not in outcome.err_value:
+                    return outcome
+        return outcome
+
+    async def _ask_each(self, addresses: list[str], path: str) -> list[Result[Answer, str]]:
+        async with aiosonic.HTTPClient() as client:
+            calls = (self._call(client, address, "GET", path, None) for address in addresses)
+            return list(await asyncio.gather(*calls))
+
+    async def _call(
+        self,
+        client: aiosonic.HTTPClient,
+        address: str,
+        method: str,
+        path: str,
+        body: bytes | None,
+    ) -> Result[Answer, str]:
+        headers = {"Authorization": f"Bearer {self.token}", "Content-Type": "application/json"}
+        timeouts = Timeouts(sock_connect=2, sock_read=CALL_S, request_timeout=CALL_S)
+        try:
+            response = await client.request(
+                f"http://{address}{path}",
+                method=method,
+                headers=headers,
+                data=body,
+                timeouts=timeouts,
+            )
+            return Ok(Answer(address, response.status_code, await response.content()))
+        except (AiosonicError, OSError, TimeoutError) as error:
+            return Err(f"{address}: {type(error).__name__}")
--- /dev/null
+++ b/src/moledale/ui/daemon.py
@@ -0,0 +1,90 @@
+"""`moledaled`: the daemon that every entry instance runs."""
+
+import argparse
+import asyncio
+import random
+import signal
+import sys
+from pathlib import Path
+
+import uvloop
+from result import Err
+
+from moledale import __version__
+from moledale.clock import SystemClock
+from moledale.edge.app import bind, make_app, make_server
+from moledale.findings import Finding
+from moledale.log import Event, emit, log_to_stderr
+from moledale.node.node import Node
+from moledale.platform.http import http_platform
+from moledale.servers.http import HttpModelServers, HttpPlainServices, make_client
+from moledale.settings import Secrets, Settings, load, read_secrets
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_SETTINGS = 2
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run the daemon until SIGTERM; 2 means that the settings are wrong."""
+    parser = argparse.ArgumentParser(prog="moledaled", description="Entry node of moledale.")
+    parser.add_argument("--settings", required=True, type=Path, metavar="FILE")
+    parser.add_argument("--version", action="version", version=f"moledaled {__version__}")
+    options = parser.parse_args(arguments)
+    settings = load(options.settings)
+    if isinstance(settings, Err):
+        return _report(settings.err_value)
+    secrets = read_secrets(str(options.settings), settings.ok_value)
+    if isinstance(secrets, Err):
+        return _report(secrets.err_value)
+    log_to_stderr(settings.ok_value.log.level)
+    code: int = uvloop.run(_run(settings.ok_value, secrets.ok_value))
+    return code
+
+
+def _report(findings: list[Finding]) -> int:
+    for finding in findings:
+        print(finding, file=sys.stderr)
+    return EXIT_SETTINGS
+
+
+async def _run(settings: Settings, secrets: Secrets) -> int:
+    """Serve until told to stop, then drain."""
+    emit(Event.STARTING, node=settings.node.id, hall=settings.node.hall, version=__version__)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    try:
+        sock = bind(settings.node.listen)
+    except OSError as error:
+        return _report([Finding("settings", "node.listen", f"can't be bound: {error}")])
+    platform_client, server_client = make_client(), make_client()
+    node = Node(
+        settings,
+        secrets,
+        http_platform(platform_client, settings.platform),
+        HttpModelServers(server_client),
+        HttpPlainServices(),
+        SystemClock(),
+        random.Random(),
+    )
+    peer_port = await node.start()
+    server = make_server(make_app(node))
+    serving = asyncio.create_task(server.serve(sockets=[sock]))
+    emit(Event.LISTENING, port=sock.getsockname()[1], peer_port=peer_port)
+    gave_up = asyncio.create_task(node.supervisor.gave_up.wait())
+    stopping = asyncio.create_task(stop.wait())
+    await asyncio.wait([stopping, gave_up, serving], return_when=asyncio.FIRST_COMPLETED)
+    await node.drain()
+    server.should_exit = True
+    await serving
+    await node.stop()
+    for client in (platform_client, server_client):
+        await client.aclose()
+    emit(Event.STOPPED, node=settings.node.id)
+    return EXIT_OK if stop.is_set() else EXIT_FAILED
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,119 @@
+"""The demo: stand-ins and three nodes on loopback, and the main kinds of request."""
+
+import json
+import sys
+import time
+from urllib.request import Request, urlopen
+
+from standins.local_fleet import CALL_S, LocalFleet
+
+NODES = {"entry-1": "hall-a", "entry-2": "hall-a", "entry-3": "hall-b"}
+KEY = {"Authorization": "Bearer brokers-key"}
+JOB_S = 20.0
+
+
+def call(
+    method: str, url: str, body: object = None, headers: dict[str, str] | None = None
+) -> tuple[dict[str, str], str]:
+    """Make one call as a caller would and return headers and text."""
+    data = None if body is None else json.dumps(body).encode()
+    request = Request(url, data=data, method=method, headers={**KEY, **(headers or {})})
+    with urlopen(request, timeout=CALL_S) as response:
+        found = {name.lower(): value for name, value in response.headers.items()}
+        return found, response.read().decode()
+
+
+def main() -> int:
+    """Run the demo and return 0 if every step went well."""
+    fleet = LocalFleet()
+    try:
+        _start(fleet)
+        _roll(fleet)
+        first = _addresses(fleet)
+        _stream(first)
+        _job(first)
+        _once(first)
+        _look(fleet)
+        return _stop(fleet)
+    finally:
+        fleet.close()
+
+
+def _start(fleet: LocalFleet) -> None:
+    for name, hall in (("engine-a", "hall-a"), ("engine-b", "hall-b")):
+        fleet.start_engine(name, hall, "--checks-fence")
+    fleet.start_standin("eligibility", "standins.service")
+    for name, hall in NODES.items():
+        fleet.start_node(name, hall)
+    print("started:", ", ".join(f"{p.name} at {p.address}" for p in fleet.procs.values()))
+
+
+def _roll(fleet: LocalFleet) -> None:
+    bundle = fleet.write_bundle(service=fleet.procs["eligibility"].address)
+    print("\n$ moledale bundle check bundle.toml")
+    print(fleet.cli("bundle", "check", str(bundle)).stdout)
+    fleet.sign(bundle)
+    done = fleet.cli("bundle", "roll", str(bundle), node="entry-1")
+    print("$ moledale bundle roll bundle.toml")
+    print(done.stdout or done.stderr)
+    took = fleet.wait_ready(list(NODES), servers=2)
+    print(f"in force on all nodes, models loaded, {took:.2f} s later")
+
+
+def _addresses(fleet: LocalFleet) -> str:
+    url = f"http://{fleet.procs['entry-3'].address}/v1/addresses?session=anna-1"
+    found = json.loads(call("GET", url)[1])
+    print("\naddresses for session anna-1:", found)
+    return str(found["addresses"][0]["address"])
+
+
+def _stream(address: str) -> None:
+    body = {"model": "claims", "prompt": "Is hail covered?", "max_tokens": 12, "stream": True}
+    headers = {"Moledale-Session": "anna-1", "Moledale-Priority": "immediate"}
+    answer_headers, text = call("POST", f"http://{address}/v1/completions", body, headers)
+    events = [line for line in text.splitlines() if line.startswith("data: ")]
+    tokens = [json.loads(line[6:])["choices"][0]["text"] for line in events[:-1]]
+    usage = json.loads(events[-2][6:])["usage"]
+    print("\nstreamed through", address, "as", answer_headers["moledale-request"])
+    print("  text:", "".join(tokens))
+    print("  usage:", usage, "end:", events[-1])
+
+
+def _job(address: str) -> None:
+    body = {"model": "cover-7b", "prompt": "Summarise the claims of 2025.", "max_tokens": 30}
+    headers, _ = call("POST", f"http://{address}/v1/completions", body, {"Prefer": "respond-async"})
+    url = f"http://{address}{headers['location']}"
+    until = time.monotonic() + JOB_S
+    state = ""
+    while state != "done" and time.monotonic() < until:
+        status = json.loads(call("GET", url)[1])
+        if status["state"] != state:
+            state = status["state"]
+            print("\njob", headers["location"], "is", state)
+        time.sleep(0.05)
+    print("  text:", json.loads(call("GET", f"{url}/result")[1])["choices"][0]["text"][:60], "…")
+
+
+def _once(address: str) -> None:
+    url = f"http://{address}/v1/services/eligibility/check"
+    key = {"Idempotency-Key": "file-4711"}
+    print("\nnot-repeatable call, sent twice with one key:")
+    for _ in range(2):
+        print("  answer:", call("POST", url, {"traveller": "Anna"}, key)[1])
+
+
+def _look(fleet: LocalFleet) -> None:
+    print("\n$ moledale fleet show")
+    print(fleet.cli("fleet", "show", node="entry-1").stdout)
+    print("$ moledale report burn")
+    print(fleet.cli("report", "burn", node="entry-1").stdout)
+
+
+def _stop(fleet: LocalFleet) -> int:
+    codes = {name: fleet.stop(name) for name in NODES}
+    print("planned stop, exit codes:", codes)
+    return 0 if set(codes.values()) == {0} else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/standins/engine_model.py
@@ -0,0 +1,200 @@
+"""A model of an engine that batches continuously; the stand-in server and the bench step it.
+
+Time is whatever the caller takes it for: `step` says how long a step takes, in seconds.
+"""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+BLOCK_TOKENS = 16
+PREFILL_CHUNK = 512
+"""Prompt tokens that one step computes beside the decoding sequences."""
+
+FIXED_SHARE = 0.6
+"""Part of a full batch's step that even a batch of one takes."""
+
+CONTEXT_TOKENS_PER_S = 20e6
+"""Speed at which a step reads the contexts of its decoding sequences."""
+
+PRIORITY_ORDER = {"immediate": 0, "normal": 1, "can-wait": 2}
+
+
+@dataclass(frozen=True, slots=True)
+class EngineSpec:
+    """Speeds and sizes of an engine."""
+
+    prefill_tokens_per_s: float = 8_000.0
+    decode_tokens_per_s: float = 1_500.0
+    slots: int = 32
+    cache_tokens: int = 200_000
+
+
+@dataclass(slots=True)
+class Sequence:
+    """One attempt; `blocks` are chained hashes of its context, one for each whole block."""
+
+    attempt: str
+    session: str
+    blocks: tuple[int, ...]
+    context_tokens: int
+    produced: int
+    max_tokens: int
+    priority: str
+    arrived: int = 0
+    prefill_left: int = 0
+    cached_tokens: int = 0
+    computed_tokens: int = 0
+    running: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """What one step did: its duration, the attempts that got a token, and those that ended."""
+
+    seconds: float
+    tokens: list[tuple[str, int]]
+    finished: list[Sequence]
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """An engine's load at one moment."""
+
+    running: int
+    waiting: int
+    pending_prefill_tokens: int
+    decode_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class CacheNote:
+    """A session's prefix was stored in the cache or evicted from it."""
+
+    kind: str
+    session: str
+    tokens: int
+
+
+@dataclass(slots=True)
+class PrefixCache:
+    """Blocks in order of last use, up to a number of tokens."""
+
+    capacity_tokens: int
+    blocks: OrderedDict[int, str] = field(default_factory=OrderedDict)
+    notes: list[CacheNote] = field(default_factory=list)
+
+    def match(self, blocks: tuple[int, ...]) -> int:
+        """Return how many leading blocks are cached, and count them as used."""
+        found = 0
+        for block in blocks:
+            if block not in self.blocks:
+                break
+            self.blocks.move_to_end(block)
+            found += 1
+        return found
+
+    def store(self, blocks: tuple[int, ...], session: str) -> None:
+        """Cache a context; the least lately used blocks make room."""
+        for block in reversed(blocks):
+            self.blocks[block] = session
+            self.blocks.move_to_end(block)
+        self.notes.append(CacheNote("stored", session, len(blocks) * BLOCK_TOKENS))
+        evicted: set[str] = set()
+        while len(self.blocks) * BLOCK_TOKENS > self.capacity_tokens:
+            _, owner = self.blocks.popitem(last=False)
+            evicted.add(owner)
+        self.notes.extend(CacheNote("evicted", owner, 0) for owner in sorted(evicted))
+
+
+class EngineModel:
+    """Waiting and running sequences, and the prefix cache."""
+
+    def __init__(self, spec: EngineSpec) -> None:
+        self.spec = spec
+        self.cache = PrefixCache(spec.cache_tokens)
+        self.sequences: dict[str, Sequence] = {}
+        self._arrivals = 0
+        full_step = spec.slots / spec.decode_tokens_per_s
+        self._fixed_s = FIXED_SHARE * full_step
+        self._each_s = (1 - FIXED_SHARE) * full_step / spec.slots
+
+    @property
+    def busy(self) -> bool:
+        """Whether there is anything to step for."""
+        return bool(self.sequences)
+
+    def submit(self, sequence: Sequence) -> None:
+        """Take an attempt."""
+        self._arrivals += 1
+        sequence.arrived = self._arrivals
+        sequence.prefill_left = sequence.context_tokens
+        self.sequences[sequence.attempt] = sequence
+
+    def cancel(self, attempt: str) -> None:
+        """Drop an attempt."""
+        self.sequences.pop(attempt, None)
+
+    def adopt_cache(self, blocks: tuple[int, ...], session: str) -> None:
+        """Take over a context that another engine exported."""
+        self.cache.store(blocks, session)
+
+    def load(self) -> Load:
+        """Return the load now."""
+        running = [sequence for sequence in self.sequences.values() if sequence.running]
+        waiting = len(self.sequences) - len(running)
+        prefill = sum(sequence.prefill_left for sequence in self.sequences.values())
+        decode = sum(s.context_tokens for s in running if s.prefill_left == 0)
+        return Load(len(running), waiting, prefill, decode)
+
+    def step(self) -> Step:
+        """Run one iteration of the batch."""
+        self._admit()
+        prefilled = self._prefill()
+        decoding = [s for s in self.sequences.values() if s.running and s.prefill_left == 0]
+        context = sum(sequence.context_tokens for sequence in decoding)
+        seconds = (
+            self._fixed_s
+            + self._each_s * len(decoding)
+            + prefilled / self.spec.prefill_tokens_per_s
+            + context / CONTEXT_TOKENS_PER_S
+        )
+        tokens = []
+        finished = []
+        for sequence in decoding:
+            tokens.append((sequence.attempt, sequence.produced))
+            sequence.produced += 1
+            sequence.context_tokens += 1
+            if sequence.produced >= sequence.max_tokens:
+                finished.append(sequence)
+                del self.sequences[sequence.attempt]
+        return Step(seconds, tokens, finished)
+
+    def _admit(self) -> None:
+        free = self.spec.slots - sum(1 for s in self.sequences.values() if s.running)
+        if free <= 0:
+            return
+        waiting = [sequence for sequence in self.sequences.values() if not sequence.running]
+        waiting.sort(key=lambda s: (PRIORITY_ORDER.get(s.priority, 1), s.arrived))
+        for sequence in waiting[:free]:
+            cached = min(
+                self.cache.match(sequence.blocks) * BLOCK_TOKENS, sequence.context_tokens - 1
+            )
+            sequence.running = True
+            sequence.cached_tokens = cached
+            sequence.computed_tokens = sequence.context_tokens - cached
+            sequence.prefill_left = sequence.computed_tokens
+
+    def _prefill(self) -> int:
+        """Compute a chunk of prompt, the most urgent first; return its tokens."""
+        budget = PREFILL_CHUNK
+        pending = [s for s in self.sequences.values() if s.running and s.prefill_left > 0]
+        pending.sort(key=lambda s: (PRIORITY_ORDER.get(s.priority, 1), s.arrived))
+        for sequence in pending:
+            done = min(budget, sequence.prefill_left)
+            sequence.prefill_left -= done
+            budget -= done
+            if sequence.prefill_left == 0:
+                self.cache.store(sequence.blocks, sequence.session)
+            if budget == 0:
+                break
+        return PREFILL_CHUNK - budget
