Routing: sessions keep to their cache, idle caches move on a notice

At 1.5 times the capacity, leaving a cache tips the engines into computing prompts again: work that is not immediate now waits up to 2 s for its server.

--- a/bench/policies.py
+++ b/bench/policies.py
@@ -1,7 +1,7 @@
 """Routing policies: baselines, the paper's steps, ours, and ours without each of its parts."""
 
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, replace
 
 from moledale.core import routing
 from moledale.core.hashing import weight
@@ -25,7 +25,7 @@
     reserve_delay_s: float = 0.0
     refuses: bool = True
     plans: bool = True
-    params: RoutingParams = field(default_factory=RoutingParams)
+    moves_idle: bool = True
 
 
 def _room(views: Sequence[ServerView], need: Need) -> list[ServerView]:
@@ -92,7 +92,7 @@
 
 
 def _ours_without_affinity(params: RoutingParams) -> Choose:
-    """Always the cheapest; a session's cache counts only in the cost."""
+    """Always the cheapest; a session's cache counts only in the wait."""
 
     def choose(views: Sequence[ServerView], need: Need) -> Pick | None:
         room = routing.suited(routing.eligible(views, need), need, params)
@@ -103,17 +103,55 @@
     return choose
 
 
+def _ours_impatient(params: RoutingParams) -> Choose:
+    """Go elsewhere at once when the session's server has no free slot."""
+    return lambda views, need: routing.pick(views, replace(need, patient=False), params)
+
+
+def _ours_with_overflow(params: RoutingParams, overflow: float) -> Choose:
+    """Leave the session's server when its share of slots is over a bound on the mean."""
+
+    def choose(views: Sequence[ServerView], need: Need) -> Pick | None:
+        live = routing.eligible(views, need)
+        home = routing.home_of(live, need)
+        if home is not None:
+            mean = sum(v.running / v.speeds.slots for v in live) / len(live)
+            if home.running > 1 and home.running / home.speeds.slots > overflow * mean:
+                room = routing.suited(live, need, params)
+                best = min(room, key=lambda v: routing.cost(v, need, params), default=None)
+                return _picked(best, need) if best is not None else None
+        return routing.pick(views, need, params)
+
+    return choose
+
+
+def _ours_with_decode(params: RoutingParams) -> Choose:
+    """Count the contexts that are decoded as the paper does, at 0.01 prefill tokens each."""
+
+    def score(view: ServerView, need: Need) -> float:
+        decode = 0.01 * view.decode_tokens / view.speeds.prefill_tokens_per_s
+        return routing.cost(view, need, params) + decode
+
+    def choose(views: Sequence[ServerView], need: Need) -> Pick | None:
+        live = routing.eligible(views, need)
+        if routing.home_of(live, need) is not None:
+            return routing.pick(views, need, params)
+        room = routing.suited(live, need, params)
+        best = min(room, key=lambda v: score(v, need), default=None)
+        return _picked(best, need) if best is not None else None
+
+    return choose
+
+
 def _plain(name: str, choose: Choose, delay_s: float = 0.0) -> Policy:
     """Return a baseline: it refuses nothing ahead and plans nothing on a notice."""
     return Policy(name, choose, delay_s, refuses=False, plans=False)
 
 
-def all_policies(recompute: float) -> list[Policy]:
-    """Return every policy; `recompute` is the bundle's weight of recomputed tokens."""
-    base = RoutingParams(recompute_weight=recompute)
-    loose = RoutingParams(overflow=1e9, recompute_weight=recompute)
-    no_decode = RoutingParams(decode_weight=0.0, recompute_weight=recompute)
-    mixed = RoutingParams(set_aside=0.0, recompute_weight=recompute)
+def all_policies() -> list[Policy]:
+    """Return every policy."""
+    base = RoutingParams()
+    mixed = RoutingParams(set_aside=0.0)
     return [
         _plain("round robin", _round_robin()),
         _plain("fewest requests", _fewest),
@@ -123,13 +161,14 @@
         _plain("paper: decode term", _paper(1.3, 0.01, False), DELAY_S),
         _plain("paper: max(n, 1)", _paper(1.3, 0.01, True), DELAY_S),
         _plain("paper: atomic", _paper(1.3, 0.01, True)),
-        Policy("ours", _ours(base), params=base),
-        Policy("ours, no affinity rule", _ours_without_affinity(base), params=base),
-        Policy("ours, no overflow", _ours(loose), params=loose),
-        Policy("ours, no decode term", _ours(no_decode), params=no_decode),
-        Policy("ours, no recompute term", _ours(RoutingParams(recompute_weight=0.0))),
-        Policy("ours, none set aside", _ours(mixed), params=mixed),
-        Policy("ours, not atomic", _ours(base), DELAY_S, params=base),
-        Policy("ours, no refusal", _ours(base), refuses=False, params=base),
-        Policy("ours, no reclaim plan", _ours(base), plans=False, params=base),
+        Policy("ours", _ours(base)),
+        Policy("ours, no affinity rule", _ours_without_affinity(base)),
+        Policy("ours, impatient", _ours_impatient(base)),
+        Policy("ours, none set aside", _ours(mixed)),
+        Policy("ours, not atomic", _ours(base), DELAY_S),
+        Policy("ours, no refusal", _ours(base), refuses=False),
+        Policy("ours, no reclaim plan", _ours(base), plans=False),
+        Policy("ours, idle caches stay", _ours(base), moves_idle=False),
+        Policy("ours + overflow 1.3", _ours_with_overflow(base, 1.3)),
+        Policy("ours + decode term", _ours_with_decode(base)),
     ]
--- a/src/moledale/bundle/schema.py
+++ b/src/moledale/bundle/schema.py
@@ -134,8 +134,6 @@
 class Routing(Part):
     """Parameters of the routing decision."""
 
-    overflow: float = Field(default=1.3, ge=1)
-    decode_weight: float = Field(default=0.01, ge=0)
     set_aside: float = Field(default=0.2, ge=0, le=0.5)
 
 
--- a/src/moledale/core/reclaim.py
+++ b/src/moledale/core/reclaim.py
@@ -1,4 +1,4 @@
-"""What becomes of each live stream when its server is taken back."""
+"""What becomes of each session on a server that is taken back: live streams and idle caches."""
 
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -8,6 +8,10 @@
 """Part of a notice that is never planned with."""
 
 
+RETURN_SHARE = 0.5
+"""Part of the idle sessions that are taken to have another turn soon."""
+
+
 class Course(StrEnum):
     """The ways to bring a stream through a reclaim."""
 
@@ -17,14 +21,19 @@
 
 
 @dataclass(frozen=True, slots=True)
-class LiveStream:
-    """A stream on the leaving server; times in seconds, sizes in bytes."""
+class Held:
+    """A session on the leaving server; times in seconds, sizes in bytes.
+
+    An idle one has no stream now, only a cache that its next turn would use; for it, `PREFILL`
+    means that nothing is done.
+    """
 
     id: str
     context_tokens: int
     kv_bytes: int
     remaining_s: float
     immediate: bool
+    idle: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,7 +52,7 @@
     cost_weight: float
 
 
-def plan(streams: Sequence[LiveStream], view: ReclaimView) -> dict[str, Course]:
+def plan(streams: Sequence[Held], view: ReclaimView) -> dict[str, Course]:
     """Choose a course for each stream.
 
     Streams that end within the notice stay. The others move in order of the value of what a
@@ -51,7 +60,11 @@
     doesn't fit is prefilled elsewhere, which needs nothing from the leaving server.
     """
     usable_s = max(0.0, view.notice_s - SAFETY_S)
-    courses = {stream.id: Course.FINISH for stream in streams if stream.remaining_s <= usable_s}
+    courses = {
+        stream.id: Course.FINISH
+        for stream in streams
+        if not stream.idle and stream.remaining_s <= usable_s
+    }
     rest = [stream for stream in streams if stream.id not in courses]
     rest.sort(key=lambda stream: (-_value_per_s(stream, view), stream.id))
     spent_s = 0.0
@@ -66,20 +79,21 @@
     return courses
 
 
-def _transfer_s(stream: LiveStream, view: ReclaimView) -> float:
+def _transfer_s(stream: Held, view: ReclaimView) -> float:
     return stream.kv_bytes / view.bandwidth if view.bandwidth > 0 else float("inf")
 
 
-def _prefill_s(stream: LiveStream, view: ReclaimView) -> float:
+def _prefill_s(stream: Held, view: ReclaimView) -> float:
     return stream.context_tokens / view.prefill_tokens_per_s
 
 
-def _value_per_s(stream: LiveStream, view: ReclaimView) -> float:
+def _value_per_s(stream: Held, view: ReclaimView) -> float:
     saved = _prefill_s(stream, view) * (2.0 if stream.immediate else 1.0)
+    saved *= RETURN_SHARE if stream.idle else 1.0
     return saved / max(1e-6, _transfer_s(stream, view))
 
 
-def _moving_pays(stream: LiveStream, transfer_s: float, view: ReclaimView) -> bool:
+def _moving_pays(stream: Held, transfer_s: float, view: ReclaimView) -> bool:
     """Say whether moving costs less than computing again, by the weights of the measures.
 
     Both take time on the new server's account; only computing again recomputes tokens.
--- a/src/moledale/core/routing.py
+++ b/src/moledale/core/routing.py
@@ -1,8 +1,7 @@
 """Where a request runs: pure choice over server views, and the book that reserves with it.
 
-Affinity with an overflow bound, the decode term with `max(n, 1)` and reserving in the same
-step as the choice follow "Unified routing ablation: A (tighter affinity) + B (decode-aware
-LMetric)"; docs/DESIGN.md says what was kept of it.
+Reserving in the same step as the choice follows "Unified routing ablation: A (tighter affinity)
++ B (decode-aware LMetric)"; docs/DESIGN.md says what else of it was tried and left out.
 """
 
 from collections.abc import Iterable, Sequence
@@ -48,6 +47,7 @@
     hall: str = ""
     priority: Priority = Priority.NORMAL
     excluded: frozenset[str] = frozenset()
+    patient: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,9 +110,6 @@
 class RoutingParams:
     """Parameters of the choice; the bundle states them."""
 
-    overflow: float = 1.3
-    decode_weight: float = 0.01
-    recompute_weight: float = 0.5
     cross_hall_s: float = 0.002
     set_aside: float = 0.2
 
@@ -166,35 +163,38 @@
     return view.prefill_tokens == 0 and view.running < QUIET_SHARE * view.speeds.slots
 
 
-def wait_s(view: ServerView, need: Need, params: RoutingParams) -> float:
+def wait_s(view: ServerView, need: Need) -> float:
     """Estimate the seconds until the first token if the request went to this server."""
-    uncached = view.uncached(need)
-    decode = params.decode_weight * view.decode_tokens
+    work = view.prefill_tokens + view.uncached(need)
     share = view.running / view.speeds.slots
-    prefill_s = (view.prefill_tokens + uncached + decode) / view.speeds.prefill_tokens_per_s
-    return prefill_s * (1.0 + share)
+    return work / view.speeds.prefill_tokens_per_s * (1.0 + share)
 
 
 def cost(view: ServerView, need: Need, params: RoutingParams) -> float:
-    """Return the seconds a choice costs: the wait, and the work that is done again."""
-    again_s = view.uncached(need) / view.speeds.prefill_tokens_per_s
+    """Return the seconds that a choice costs: the wait, and the way to another hall."""
     away = params.cross_hall_s if need.hall and view.hall != need.hall else 0.0
-    return wait_s(view, need, params) + params.recompute_weight * again_s + away
+    return wait_s(view, need) + away
 
 
 def pick(views: Sequence[ServerView], need: Need, params: RoutingParams) -> Pick | None:
-    """Choose a server with a free slot, or None where there is none.
+    """Choose a server with a free slot, or None to wait for one.
 
-    The server with most of the session's cache keeps it until its load is over the overflow
-    bound; then the cheapest server wins, and a rendezvous weight breaks ties the same way on
-    every node.
+    The server with most of the session's cache keeps it as long as it is there. Where it has no
+    free slot, immediate work goes elsewhere, and other work waits for it while it is patient:
+    what leaves its cache is computed again elsewhere, which takes more of the servers than it
+    saves when they are short. Without such a server the cheapest wins, and a rendezvous weight
+    breaks ties the same way on every node.
     """
-    candidates = suited(eligible(views, need), need, params)
+    live = eligible(views, need)
+    home = home_of(live, need)
+    if home is not None:
+        if home.running < home.speeds.slots:
+            return Pick(home.id, True, home.cached_for(need))
+        if need.patient and need.priority is not Priority.IMMEDIATE:
+            return None
+    candidates = suited(live, need, params)
     if not candidates:
         return None
-    home = max(candidates, key=lambda view: view.cached_for(need))
-    if home.cached_for(need) > 0 and not overloaded(home, candidates, params):
-        return Pick(home.id, True, home.cached_for(need))
     best = min(
         candidates,
         key=lambda view: (cost(view, need, params), -weight(need.session, view.id)),
@@ -202,11 +202,10 @@
     return Pick(best.id, best.cached_for(need) > 0, best.cached_for(need))
 
 
-def overloaded(home: ServerView, candidates: Sequence[ServerView], params: RoutingParams) -> bool:
-    """Say whether a server's share of its slots is over the bound on the mean share."""
-    mean = sum(view.running / view.speeds.slots for view in candidates) / len(candidates)
-    share = home.running / home.speeds.slots
-    return home.running > 1 and share > params.overflow * mean
+def home_of(live: Sequence[ServerView], need: Need) -> ServerView | None:
+    """Return the server that holds most of the session's cache, if one holds any."""
+    home = max(live, key=lambda view: view.cached_for(need), default=None)
+    return home if home is not None and home.cached_for(need) > 0 else None
 
 
 class LoadBook:
--- a/src/moledale/node/dispatcher.py
+++ b/src/moledale/node/dispatcher.py
@@ -4,7 +4,7 @@
 import random
 from collections.abc import Callable
 from contextlib import aclosing
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from result import Err, Ok, Result
 
@@ -22,6 +22,7 @@
     ServerView,
     Standing,
     eligible,
+    pick,
 )
 from moledale.log import Event, emit
 from moledale.node.burn import BurnBook
@@ -36,10 +37,15 @@
 
 RETRY_PAUSE_S = 0.05
 DEFAULT_NOTICE_S = 30.0
-LINK_BYTES_PER_S = 1.0e9
+LINK_BYTES_PER_S = 3.0e9
 """Assumed bandwidth out of a leaving server, shared by the nodes with streams on it."""
 
 TICK_S = 0.1
+HOME_WAIT_S = 2.0
+"""Seconds that work waits for a slot at the server with its cache before it goes elsewhere."""
+
+MOST_TRIED = 64
+"""Waiting requests that are tried each time something changes; the first in rank."""
 
 
 @dataclass(slots=True)
@@ -49,6 +55,7 @@
     record: StreamRecord
     need: Need
     slot: "asyncio.Future[Reservation | Problem]"
+    since: float
 
 
 class Dispatcher:
@@ -194,7 +201,8 @@
             made = self._reserve(need)
             if made is not None:
                 return made
-        waiter = _Waiter(record, need, asyncio.get_running_loop().create_future())
+        slot = asyncio.get_running_loop().create_future()
+        waiter = _Waiter(record, need, slot, self._clock.monotonic())
         offered = self._queue.offer(
             waiter, record.request.priority, now, record.request.deadline_at
         )
@@ -214,16 +222,22 @@
         """Give free slots to waiting requests, in order of rank."""
         if not len(self._queue):
             return
-        # What finds no slot for its model and priority finds none for the next one like it.
+        # What finds no slot for its model and priority finds none for the next one like it,
+        # unless that has a server of its own that it waits for.
         full: set[tuple[str, Priority]] = set()
-        for waiter in self._queue.in_order():
-            kind = (waiter.need.model, waiter.need.priority)
-            if kind in full:
+        now = self._clock.monotonic()
+        for waiter in self._queue.in_order()[:MOST_TRIED]:
+            need = waiter.need
+            kind = (need.model, need.priority)
+            has_home = self.book.server_of(need.session) is not None
+            if kind in full and not has_home:
                 continue
-            made = self._reserve(waiter.need)
+            if now - waiter.since >= HOME_WAIT_S:
+                need = replace(need, patient=False)
+            made = self._reserve(need)
             if made is not None:
                 self._resolve(waiter, made)
-            elif not waiter.need.excluded:
+            elif not need.excluded and not has_home:
                 full.add(kind)
 
     def _reserve(self, need: Need) -> Reservation | None:
@@ -387,9 +401,12 @@
         view.note_leaving()  # type: ignore[attr-defined]
         emit(Event.SERVER_LEAVING, server=message.server, source=message.source)
         notice = DEFAULT_NOTICE_S if message.seconds_left is None else message.seconds_left
-        for record, course in self._plan_leaving(view, notice):
-            if course is not reclaim.Course.FINISH:
-                asyncio.create_task(self._move(record, view, course))
+        records = {r.request.id: r for r in self.streams.live() if r.server == view.id}
+        for held, course in self._plan_leaving(view, records, notice):
+            if held.idle and course is reclaim.Course.MOVE:
+                asyncio.create_task(self._move_cache(held.id, held.context_tokens, view))
+            elif not held.idle and course is not reclaim.Course.FINISH:
+                asyncio.create_task(self._move(records[held.id], view, course))
 
     def _gone(self, message: ServerGone) -> None:
         view = self.book.views.get(message.server)
@@ -401,22 +418,17 @@
         self.book.unfollow(message.server)
 
     def _plan_leaving(
-        self, view: ServerView, notice_s: float
-    ) -> list[tuple[StreamRecord, reclaim.Course]]:
+        self, view: ServerView, records: dict[str, StreamRecord], notice_s: float
+    ) -> list[tuple[reclaim.Held, reclaim.Course]]:
         bundle = self._bundle()
-        records = [r for r in self.streams.live() if r.server == view.id]
-        if bundle is None or not records:
+        if bundle is None:
             return []
-        token_s = self._token_s(view)
-        streams = [
-            reclaim.LiveStream(
-                record.request.id,
-                count_tokens(record.request.prompt) + len(record.tokens),
-                self._kv_bytes(bundle, record),
-                (record.request.max_tokens - len(record.tokens)) * token_s,
-                record.request.priority is Priority.IMMEDIATE,
-            )
-            for record in records
+        held = [self._held_stream(bundle, view, record) for record in records.values()]
+        busy = {record.request.session for record in records.values()}
+        held += [
+            self._held_cache(bundle, session, tokens)
+            for session, tokens in view.cached.items()
+            if session not in busy
         ]
         situation = reclaim.ReclaimView(
             notice_s,
@@ -425,8 +437,23 @@
             bundle.weights.recompute,
             bundle.weights.cost,
         )
-        courses = reclaim.plan(streams, situation)
-        return [(record, courses[record.request.id]) for record in records]
+        courses = reclaim.plan(held, situation)
+        return [(one, courses[one.id]) for one in held]
+
+    def _held_stream(self, bundle: Bundle, view: ServerView, record: StreamRecord) -> reclaim.Held:
+        request = record.request
+        context = count_tokens(request.prompt) + len(record.tokens)
+        return reclaim.Held(
+            request.id,
+            context,
+            context * _kv_bytes_per_token(bundle, request.model),
+            (request.max_tokens - len(record.tokens)) * self._token_s(view),
+            request.priority is Priority.IMMEDIATE,
+        )
+
+    def _held_cache(self, bundle: Bundle, session: str, tokens: int) -> reclaim.Held:
+        each = max(model.kv_bytes_per_token for model in bundle.models)
+        return reclaim.Held(session, tokens, tokens * each, 0.0, immediate=False, idle=True)
 
     async def _move(self, record: StreamRecord, source: ServerView, course: reclaim.Course) -> None:
         """Take a stream off a leaving server; a failed transfer falls back to prefill."""
@@ -456,14 +483,31 @@
         if target is None:
             return None
         address = self.book.views[target.server].address
-        exported = await self._servers.export_kv(source.address, attempt)
-        if isinstance(exported, Ok):
-            imported = await self._servers.import_kv(address, exported.ok_value)
-            if isinstance(imported, Ok):
-                return target
+        if await self._copy_cache(record.request.session or attempt, source.address, address):
+            return target
         self.book.release(target, self._clock.monotonic())
         return None
 
+    async def _move_cache(self, session: str, tokens: int, source: ServerView) -> None:
+        """Copy an idle session's KV cache to where its next turn should go."""
+        models = sorted(source.models)
+        need = Need(models[0] if models else "", tokens, 0, session, self._hall)
+        chosen = pick(list(self.book.views.values()), need, self._params())
+        if chosen is None:
+            return
+        address = self.book.views[chosen.server].address
+        if not await self._copy_cache(session, source.address, address):
+            return
+        # A turn that came meanwhile knows better where the session is.
+        if self.book.server_of(session) in (None, source.id):
+            self.book.cached(session, chosen.server, tokens)
+
+    async def _copy_cache(self, session: str, source: str, target: str) -> bool:
+        exported = await self._servers.export_kv(source, session)
+        if isinstance(exported, Err):
+            return False
+        return isinstance(await self._servers.import_kv(target, exported.ok_value), Ok)
+
     # Small things
 
     def _need(
@@ -487,22 +531,11 @@
         bundle = self._bundle()
         if bundle is None:
             return RoutingParams()
-        share = bundle.weights.recompute / (bundle.weights.cost + bundle.weights.recompute)
-        return RoutingParams(
-            bundle.routing.overflow,
-            bundle.routing.decode_weight,
-            share,
-            set_aside=bundle.routing.set_aside,
-        )
+        return RoutingParams(set_aside=bundle.routing.set_aside)
 
     def _token_s(self, view: ServerView) -> float:
         return view.speeds.slots / view.speeds.decode_tokens_per_s
 
-    def _kv_bytes(self, bundle: Bundle, record: StreamRecord) -> int:
-        model = bundle.model(record.request.model)
-        each = model.kv_bytes_per_token if model is not None else 0
-        return each * (count_tokens(record.request.prompt) + len(record.tokens))
-
     def _account_for(self, record: StreamRecord) -> None:
         """Count a request that ended here towards burn, metrics and the expected time."""
         if record.state == "handed":
@@ -542,6 +575,11 @@
     return max(1, len(text.split()))
 
 
+def _kv_bytes_per_token(bundle: Bundle, name: str) -> int:
+    model = bundle.model(name)
+    return model.kv_bytes_per_token if model is not None else 0
+
+
 def _after_dispatch(problem: Problem, record: StreamRecord) -> Problem:
     """A refusal after an attempt was sent can't promise that nothing ran."""
     if not record.dispatched:
--- a/src/moledale/servers/http.py
+++ b/src/moledale/servers/http.py
@@ -102,9 +102,9 @@
         """Give a fenced order."""
         return await self._decoded(address, "POST", "/v1/orders", order, OrderReply)
 
-    async def export_kv(self, address: str, attempt: str) -> Result[KvTicket, ServerFailure]:
-        """Make an attempt's KV cache ready for another server."""
-        body = {"attempt": attempt}
+    async def export_kv(self, address: str, session: str) -> Result[KvTicket, ServerFailure]:
+        """Make a session's KV cache, with what runs of it, ready for another server."""
+        body = {"session": session}
         return await self._decoded(address, "POST", "/v1/kv/export", body, KvTicket)
 
     async def import_kv(self, address: str, ticket: KvTicket) -> Result[None, ServerFailure]:
--- a/src/moledale/servers/types.py
+++ b/src/moledale/servers/types.py
@@ -154,8 +154,8 @@
         """Give a fenced order."""
         ...
 
-    async def export_kv(self, address: str, attempt: str) -> Result[KvTicket, ServerFailure]:
-        """Make an attempt's KV cache ready for another server."""
+    async def export_kv(self, address: str, session: str) -> Result[KvTicket, ServerFailure]:
+        """Make a session's KV cache, with what runs of it, ready for another server."""
         ...
 
     async def import_kv(self, address: str, ticket: KvTicket) -> Result[None, ServerFailure]:
--- a/src/moledale/settings.py
+++ b/src/moledale/settings.py
@@ -104,7 +104,7 @@
     sessions: int = Field(default=20_000, ge=1)
     idempotency_keys: int = Field(default=20_000, ge=1)
     followed_servers: int = Field(default=32, ge=2)
-    load_polls_per_s: float = Field(default=1.5, gt=0)
+    load_polls_per_s: float = Field(default=1.0, gt=0)
     journal_bytes: int = Field(default=4_000_000, ge=1024)
 
 
@@ -116,7 +116,7 @@
     commit_interval_s: float = Field(default=0.05, gt=0, le=5)
     drain_s: float = Field(default=20.0, ge=0)
     isolation_grace_s: float = Field(default=5.0, gt=0)
-    gossip_s: float = Field(default=4.0, gt=0)
+    gossip_s: float = Field(default=5.0, gt=0)
     load_poll_s: float = Field(default=1.0, gt=0)
     address_ttl_s: int = Field(default=30, ge=1)
 
--- a/standins/engine_model.py
+++ b/standins/engine_model.py
@@ -82,6 +82,7 @@
     capacity_tokens: int
     blocks: OrderedDict[int, str] = field(default_factory=OrderedDict)
     notes: list[CacheNote] = field(default_factory=list)
+    contexts: dict[str, tuple[int, ...]] = field(default_factory=dict)
 
     def match(self, blocks: tuple[int, ...]) -> int:
         """Return how many leading blocks are cached, and count them as used."""
@@ -95,6 +96,7 @@
 
     def store(self, blocks: tuple[int, ...], session: str) -> None:
         """Cache a context; the least lately used blocks make room."""
+        self.contexts[session] = blocks
         for block in reversed(blocks):
             self.blocks[block] = session
             self.blocks.move_to_end(block)
@@ -103,6 +105,7 @@
         while len(self.blocks) * BLOCK_TOKENS > self.capacity_tokens:
             _, owner = self.blocks.popitem(last=False)
             evicted.add(owner)
+            self.contexts.pop(owner, None)
         self.notes.extend(CacheNote("evicted", owner, 0) for owner in sorted(evicted))
 
 
