Let the bundle's weights decide what is rented on demand

Ruled out: weights in the reclaim plan, where a transfer always paid; they are taken out there, a transfer may now take four times the prefill.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -13,6 +13,7 @@
 from bench.policies import all_policies
 from bench.replay import Replay
 from bench.scenarios import SIZES, Case, all_cases, quote_desk
+from bench.weights import WEIGHTS, table, trade
 from bench.workload import make
 
 OUT = Path("out")
@@ -36,7 +37,7 @@
     case = quote_desk(job.size) if job.size is not None else all_cases()[job.case]
     policy = next(p for p in all_policies() if p.name == job.policy)
     turns = make(case.mixes, job.seed, case.scenario.seconds, case.requests_per_s)
-    outcome = Replay(case.scenario, policy, turns, job.seed, case.recompute).run()
+    outcome = Replay(case.scenario, policy, turns, job.seed).run()
     return measure(case.scenario, outcome)
 
 
@@ -61,8 +62,10 @@
         jobs += [Job(0, size, name, seed) for size in SIZES for name in SWEPT for seed in SEEDS]
     with ProcessPoolExecutor(PROCESSES) as pool:
         found = dict(zip(jobs, pool.map(run, jobs), strict=True))
+        pairs = [(recompute, seed) for recompute in WEIGHTS for seed in SEEDS]
+        trades = [] if options.no_sweep else list(pool.map(trade, *zip(*pairs, strict=True)))
     OUT.mkdir(exist_ok=True)
-    text = report(cases, found)
+    text = report(cases, found) + (table(trades) + "\n" if trades else "")
     (OUT / "bench.txt").write_text(text)
     print(text)
     _plot(cases, found)
--- a/bench/replay.py
+++ b/bench/replay.py
@@ -134,13 +134,11 @@
         policy: Policy,
         turns: list[Turn],
         seed: int,
-        recompute: float,
     ) -> None:
         self._scenario = scenario
         self._policy = policy
         self._turns = turns
         self._rng = random.Random(seed)
-        self._recompute = recompute
         self._now = 0.0
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._serial = 0
@@ -440,8 +438,6 @@
                 wave.notice_s - HEARD_S,
                 LINK_BYTES_PER_S * share,
                 spec.prefill_tokens_per_s,
-                self._recompute,
-                1.0 - self._recompute,
             )
             by_id = {one.id: one for one in held}
             spent = 0.0
--- a/src/moledale/bundle/schema.py
+++ b/src/moledale/bundle/schema.py
@@ -122,11 +122,11 @@
 
 
 class Renting(Part):
-    """How demand becomes instances."""
+    """How demand becomes instances; without a share, the weights decide what is on demand."""
 
     utilization: float = Field(default=0.7, gt=0, le=1)
     survive_halls: int = Field(default=1, ge=0)
-    on_demand_share: float = Field(default=0.25, ge=0, le=1)
+    on_demand_share: float | None = Field(default=None, ge=0, le=1)
     most_changes: int = Field(default=4, ge=1)
     least_tokens_per_s: float = Field(default=0, ge=0)
 
--- a/src/moledale/core/reclaim.py
+++ b/src/moledale/core/reclaim.py
@@ -8,6 +8,9 @@
 """Part of a notice that is never planned with."""
 
 
+WORTH = 4.0
+"""A transfer may take this many times as long as computing again: it takes no server's time."""
+
 RETURN_SHARE = 0.5
 """Part of the idle sessions that are taken to have another turn soon."""
 
@@ -42,14 +45,11 @@
 
     `bandwidth` is this node's part of the link out of the server, in bytes a second;
     `prefill_tokens_per_s` is the speed at which another server would compute the context anew.
-    `recompute_weight` and `cost_weight` are the bundle's weights of the two measures.
     """
 
     notice_s: float
     bandwidth: float
     prefill_tokens_per_s: float
-    recompute_weight: float
-    cost_weight: float
 
 
 def plan(streams: Sequence[Held], view: ReclaimView) -> dict[str, Course]:
@@ -71,7 +71,7 @@
     for stream in rest:
         transfer_s = _transfer_s(stream, view)
         fits = spent_s + transfer_s <= usable_s
-        if fits and _moving_pays(stream, transfer_s, view):
+        if fits and transfer_s <= _prefill_s(stream, view) * WORTH:
             courses[stream.id] = Course.MOVE
             spent_s += transfer_s
         else:
@@ -91,13 +91,3 @@
     saved = _prefill_s(stream, view) * (2.0 if stream.immediate else 1.0)
     saved *= RETURN_SHARE if stream.idle else 1.0
     return saved / max(1e-6, _transfer_s(stream, view))
-
-
-def _moving_pays(stream: Held, transfer_s: float, view: ReclaimView) -> bool:
-    """Say whether moving costs less than computing again, by the weights of the measures.
-
-    Both take time on the new server's account; only computing again recomputes tokens.
-    """
-    prefill_s = _prefill_s(stream, view)
-    again = (view.cost_weight + view.recompute_weight) * prefill_s
-    return view.cost_weight * transfer_s * 0.5 <= again
--- a/src/moledale/core/renting.py
+++ b/src/moledale/core/renting.py
@@ -10,6 +10,9 @@
 HYSTERESIS = 0.15
 """Capacity over the need by less than this part is kept, so that counts don't swing."""
 
+MOST_ON_DEMAND = 0.6
+"""Part that is on demand when only recomputed tokens count."""
+
 
 @dataclass(frozen=True, slots=True)
 class Held:
@@ -85,6 +88,19 @@
     return wanted / bundle.renting.utilization
 
 
+def on_demand_share(bundle: Bundle) -> float:
+    """Return the part of the need that is rented on demand, where it can't be reclaimed.
+
+    On-demand instances cost more and lose no caches. So the weight of recomputed tokens against
+    that of cost decides, up to `MOST_ON_DEMAND`, unless the bundle states the part.
+    """
+    stated = bundle.renting.on_demand_share
+    if stated is not None:
+        return stated
+    weights = bundle.weights
+    return MOST_ON_DEMAND * weights.recompute / (weights.cost + weights.recompute)
+
+
 def plan(bundle: Bundle, view: RentView) -> list[Rent | Return]:
     """Return the changes to make now: at most `most_changes`, rents before returns."""
     fleet = _Fleet(bundle)
@@ -127,7 +143,7 @@
 
 
 def _market(bundle: Bundle, fleet: _Fleet, target: float) -> Market:
-    wanted = bundle.renting.on_demand_share * target
+    wanted = on_demand_share(bundle) * target
     return Market.ON_DEMAND if fleet.on_demand < wanted else Market.RECLAIMABLE
 
 
@@ -172,7 +188,7 @@
             continue
         fleet.add(item.hall, known, item.market, -1)
         keeps_share = item.market is Market.RECLAIMABLE or (
-            fleet.on_demand >= bundle.renting.on_demand_share * target
+            fleet.on_demand >= on_demand_share(bundle) * target
         )
         if fleet.surviving() >= target * (1 + HYSTERESIS) and keeps_share:
             found.append(Return(item.id, item.hall))
--- a/src/moledale/node/dispatcher.py
+++ b/src/moledale/node/dispatcher.py
@@ -434,8 +434,6 @@
             notice_s,
             LINK_BYTES_PER_S * max(1, len(records)) / max(1, view.running, len(records)),
             view.speeds.prefill_tokens_per_s,
-            bundle.weights.recompute,
-            bundle.weights.cost,
         )
         courses = reclaim.plan(held, situation)
         return [(one, courses[one.id]) for one in held]
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -2,11 +2,12 @@
 
 import random
 import unittest
+from pathlib import Path
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from moledale.bundle.schema import Priority
+from moledale.bundle.schema import Bundle, Market, Priority, Renting, Weights, parse
 from moledale.core.addresses import NodeView, addresses_for
 from moledale.core.breaker import Breaker, BreakerLimits
 from moledale.core.duties import duty_halls
@@ -15,6 +16,9 @@
 from moledale.core.limits import RateBucket, RetryBudget, node_share
 from moledale.core.queueing import OFFSET_S, WaitingQueue, estimated_wait_s
 from moledale.core.reclaim import Course, Held, ReclaimView, plan
+from moledale.core.renting import Held as Rented
+from moledale.core.renting import Refusal, Rent, RentView
+from moledale.core.renting import plan as renting_plan
 from moledale.core.routing import LoadBook, Need, RoutingParams, ServerView, Speeds, Standing, pick
 from moledale.core.subset import Followable, followed
 from moledale.servers.types import LoadReport
@@ -333,8 +337,78 @@
                 self.assertEqual(judge(seen, 5.0), wanted)
 
 
+def bundle_with(**renting: object) -> Bundle:
+    path = Path(__file__).parent.parent / "examples" / "bundle.toml"
+    parsed = parse("b", path.read_bytes()).unwrap()
+    return parsed.model_copy(update={"renting": Renting.model_validate(renting)})
+
+
+def rented(
+    bundle: Bundle, demand: float, refused: frozenset[Refusal] = frozenset()
+) -> list[Rented]:
+    """Rent until the plan has no changes left, as the rounds of the holders do."""
+    held: list[Rented] = []
+    for number in range(50):
+        changes = renting_plan(bundle, RentView(demand, held, refused))
+        rents = [change for change in changes if isinstance(change, Rent)]
+        if not rents:
+            return held
+        for place, rent in enumerate(rents):
+            name = f"i{number}-{place}"
+            held.append(Rented(name, rent.hall, rent.instance_class, rent.market))
+    raise AssertionError("the plan never settles")
+
+
+class RentingTest(unittest.TestCase):
+    def test_any_hall_may_go(self) -> None:
+        bundle = bundle_with()
+        for demand in (0.0, 500.0, 4_000.0, 20_000.0):
+            held = rented(bundle, demand)
+            for hall in ("hall-a", "hall-b"):
+                left = sum(1_500 for one in held if one.hall != hall)
+                self.assertGreaterEqual(left, demand / 0.7)
+
+    def test_changes_are_bounded_and_settle(self) -> None:
+        bundle = bundle_with(most_changes=2)
+        self.assertEqual(len(renting_plan(bundle, RentView(20_000.0, []))), 2)
+        held = rented(bundle, 5_000.0)
+        idle = [Rented(h.id, h.hall, h.instance_class, h.market, True) for h in held]
+        self.assertEqual(renting_plan(bundle, RentView(5_000.0, idle)), [])
+        self.assertEqual(renting_plan(bundle, RentView(4_800.0, idle)), [])
+        returned = renting_plan(bundle, RentView(500.0, idle))
+        self.assertEqual(len(returned), 2)
+        busy = renting_plan(bundle, RentView(500.0, held))
+        self.assertEqual(busy, [], "what has requests is not returned")
+
+    def test_weights_decide_what_is_on_demand(self) -> None:
+        shares = []
+        for recompute in (0.1, 0.5, 0.9):
+            weights = Weights(cost=1 - recompute, recompute=recompute)
+            bundle = bundle_with().model_copy(update={"weights": weights})
+            held = rented(bundle, 20_000.0)
+            shares.append(sum(h.market is Market.ON_DEMAND for h in held) / len(held))
+        self.assertEqual(shares, sorted(shares))
+        self.assertLess(shares[0], shares[2])
+
+    def test_a_refused_market_or_hall_falls_back(self) -> None:
+        bundle = bundle_with()
+        cheap = frozenset(
+            Refusal(hall, "small", Market.RECLAIMABLE) for hall in ("hall-a", "hall-b")
+        )
+        markets = {one.market for one in rented(bundle, 4_000.0, cheap)}
+        self.assertEqual(markets, {Market.ON_DEMAND})
+        everything = cheap | {Refusal(h, "small", Market.ON_DEMAND) for h in ("hall-a", "hall-b")}
+        self.assertEqual(rented(bundle, 4_000.0, everything), [])
+
+    def test_a_hall_takes_no_more_than_its_most(self) -> None:
+        bundle = bundle_with()
+        halls = [hall.model_copy(update={"most_instances": 2}) for hall in bundle.halls]
+        held = rented(bundle.model_copy(update={"halls": halls}), 50_000.0)
+        self.assertEqual(len(held), 4)
+
+
 class ReclaimTest(unittest.TestCase):
-    VIEW = ReclaimView(10.0, 1e9, 8_000, 0.7, 0.3)
+    VIEW = ReclaimView(10.0, 1e9, 8_000)
 
     def stream(self, name: str, tokens: int, remaining: float = 60.0) -> Held:
         return Held(name, tokens, tokens * 100_000, remaining, False)
@@ -363,7 +437,7 @@
 
     def test_no_time_or_no_link_means_prefill(self) -> None:
         for notice, link in [(0.0, 1e9), (10.0, 0.0)]:
-            view = ReclaimView(notice, link, 8_000, 0.7, 0.3)
+            view = ReclaimView(notice, link, 8_000)
             self.assertEqual(plan([self.stream("a", 100)], view), {"a": Course.PREFILL})
 
 
