--- a/bench/replay.py
+++ b/bench/replay.py
@@ -26,7 +26,7 @@
     Standing,
     eligible,
 )
-from moledale.node.dispatcher import HOME_WAIT_S, MOST_TRIED
+from moledale.node.waiting import HOME_WAIT_S, MOST_TRIED
 from moledale.servers.types import LoadReport
 from standins.engine_model import EngineModel, EngineSpec, Sequence
 
--- /dev/null
+++ b/src/moledale/node/needs.py
@@ -0,0 +1,40 @@
+"""What a request needs of a server, as the routing decision takes it."""
+
+from moledale.bundle.schema import Bundle
+from moledale.core.routing import Need, RoutingParams
+from moledale.node.streams import GenerationRequest, StreamRecord
+
+
+def count_tokens(text: str) -> int:
+    """Estimate the tokens of a prompt by its words; engines alone know the true count."""
+    return max(1, len(text.split()))
+
+
+def context_tokens(record: StreamRecord) -> int:
+    """Return the length of the prompt and of what was generated so far."""
+    return count_tokens(record.request.prompt) + len(record.tokens)
+
+
+def need_of(
+    request: GenerationRequest,
+    tokens: list[str],
+    hall: str,
+    excluded: frozenset[str] = frozenset(),
+) -> Need:
+    """Return the need of a request that has some tokens already."""
+    return Need(
+        request.model,
+        count_tokens(request.prompt) + len(tokens),
+        request.max_tokens - len(tokens),
+        request.session,
+        hall,
+        request.priority,
+        excluded,
+    )
+
+
+def params_of(bundle: Bundle | None) -> RoutingParams:
+    """Return the routing parameters that a bundle states."""
+    if bundle is None:
+        return RoutingParams()
+    return RoutingParams(set_aside=bundle.routing.set_aside)
--- a/src/moledale/node/node.py
+++ b/src/moledale/node/node.py
@@ -21,6 +21,7 @@
 from moledale.core.routing import LoadBook
 from moledale.log import Event, emit
 from moledale.node.accounts import Accounts
+from moledale.node.background import Background
 from moledale.node.bundle_watch import BundleWatch
 from moledale.node.burn import BurnBook
 from moledale.node.dispatcher import Dispatcher
@@ -35,6 +36,7 @@
 from moledale.node.services import ServiceRouter
 from moledale.node.streams import GenerationRequest, StreamRecord, StreamTable
 from moledale.node.supervisor import Supervisor
+from moledale.node.tally import Tally
 from moledale.peers.gossip import PEERS_FOR_NEWS, PEERS_TO_PASS_ON, Gossip
 from moledale.peers.link import PeerLink
 from moledale.peers.pb import peers_pb2
@@ -112,8 +114,7 @@
             servers,
             self.streams,
             self.book,
-            self.burn,
-            self.metrics,
+            Tally(self.burn, self.metrics, self.bundle, clock),
             self.bundle,
             limits.queue,
             clock,
@@ -176,7 +177,7 @@
         # Bounded, so that a server heard of again long after may be passed on again.
         self._leaving_told: LRUCache[str, bool] = LRUCache(MOST_LEAVING_TOLD)
         self._verdict = Verdict.UNCONFIRMED
-        self._news: set[asyncio.Task[None]] = set()
+        self._background = Background("news")
 
     @property
     def draining(self) -> bool:
@@ -347,9 +348,7 @@
 
     def tell_news(self, peers: int = PEERS_FOR_NEWS) -> None:
         """Exchange digests with several peers now."""
-        task = asyncio.create_task(self._gossip.exchange(peers))
-        self._news.add(task)
-        task.add_done_callback(self._news.discard)
+        self._background.start(self._gossip.exchange(peers))
 
     def own_digest(self) -> peers_pb2.DigestMessage:
         """Return what this node knows, for peers."""
--- a/src/moledale/node/once.py
+++ b/src/moledale/node/once.py
@@ -14,6 +14,7 @@
 
 from moledale import problems
 from moledale.clock import Clock
+from moledale.node.background import Background
 from moledale.node.journal import Entry, Journal, Outcome, new_operation
 from moledale.platform.types import ABSENT, Condition, TableService, Write
 from moledale.problems import Problem, Ran
@@ -119,7 +120,7 @@
         self._clock = clock
         self._known: OrderedDict[tuple[str, str], _Known] = OrderedDict()
         self._serial = 0
-        self._late: set[asyncio.Task[Outcome]] = set()
+        self._background = Background("answers")
 
     def issue(self, account: str) -> str:
         """Issue a key for an account; it works at this node even while the table is down."""
@@ -295,9 +296,7 @@
             claim, operation=operation, state=ClaimState.DONE, answer=stored
         )
         entry = Entry(operation, [Condition(CLAIM_TABLE, key, version)], [_put(key, done)])
-        task = asyncio.create_task(self._journal.commit(entry))
-        self._late.add(task)
-        task.add_done_callback(self._late.discard)
+        self._background.start(self._journal.commit(entry))
 
 
 def claim_key(call: OnceCall) -> str:
--- /dev/null
+++ b/src/moledale/node/tally.py
@@ -0,0 +1,63 @@
+"""Counts requests that ended: service-level burn and metrics."""
+
+from collections.abc import Callable
+
+from moledale.bundle.schema import Bundle
+from moledale.clock import Clock
+from moledale.log import Event, emit
+from moledale.node.burn import BurnBook
+from moledale.node.metrics import Metrics
+from moledale.node.streams import GenerationRequest, StreamRecord
+
+
+class Tally:
+    """Says of each request that ended whether it was good, by the bundle's targets."""
+
+    def __init__(
+        self,
+        burn: BurnBook,
+        metrics: Metrics,
+        bundle: Callable[[], Bundle | None],
+        clock: Clock,
+    ) -> None:
+        self._burn = burn
+        self._metrics = metrics
+        self._bundle = bundle
+        self._clock = clock
+
+    def refused(self, request: GenerationRequest) -> None:
+        """Count a request that was refused at once."""
+        self._note(request, good=False)
+
+    def ended(self, record: StreamRecord) -> None:
+        """Count a request that finished or failed here; one that was handed on counts there."""
+        request = record.request
+        if record.state == "failed":
+            if record.problem is not None and record.problem.kind != "cancelled":
+                emit(Event.REQUEST_FAILED, request=request.id, kind=record.problem.kind)
+                self._note(request, good=False)
+        elif record.state == "finished":
+            first_s = self._first_token_s(record)
+            self._burn.note_first_token(request.priority, first_s)
+            self._metrics.timing(f"first_token.{request.priority.value}", first_s * 1000)
+            self._note(request, good=self._in_target(record, first_s))
+
+    def _first_token_s(self, record: StreamRecord) -> float:
+        if record.first_token_at is None or record.taken_over:
+            return 0.0
+        return record.first_token_at - record.accepted_at
+
+    def _in_target(self, record: StreamRecord, first_s: float) -> bool:
+        bundle = self._bundle()
+        if bundle is None:
+            return True
+        target = bundle.target(record.request.priority)
+        return (
+            first_s * 1000 <= target.first_token_ms
+            and record.between_tokens_s() * 1000 <= target.between_tokens_ms
+            and self._clock.wall() <= record.request.deadline_at
+        )
+
+    def _note(self, request: GenerationRequest, good: bool) -> None:
+        self._burn.note(request.account, request.priority, good, self._clock.wall())
+        self._metrics.incr(f"requests.{'good' if good else 'bad'}")
--- /dev/null
+++ b/src/moledale/node/waiting.py
@@ -0,0 +1,148 @@
+"""Requests that wait for a server: reserved in order of rank, refused when it is too late."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from moledale import problems
+from moledale.bundle.schema import Bundle, Priority
+from moledale.clock import Clock
+from moledale.core.queueing import WaitingQueue, estimated_wait_s
+from moledale.core.routing import LoadBook, Need, Reservation, eligible
+from moledale.node.needs import need_of, params_of
+from moledale.node.streams import GenerationRequest, StreamRecord
+from moledale.problems import Problem, Ran
+
+HOME_WAIT_S = 2.0
+"""Seconds that work waits for a slot at the server with its cache before it goes elsewhere."""
+
+MOST_TRIED = 64
+"""Waiting requests that are tried each time something changes; the first in rank."""
+
+DEFAULT_SERVICE_S = 5.0
+"""Expected time of a request before any has been measured."""
+
+SERVICE_WEIGHT = 0.1
+"""Weight of the newest request in the expected time."""
+
+
+@dataclass(slots=True)
+class _Waiter:
+    """A record that waits for a server."""
+
+    record: StreamRecord
+    need: Need
+    slot: "asyncio.Future[Reservation | Problem]"
+    since: float
+
+
+class WaitingRoom:
+    """Gives out reservations of servers, at once or in order of rank."""
+
+    def __init__(
+        self,
+        hall: str,
+        book: LoadBook,
+        bundle: Callable[[], Bundle | None],
+        most_waiting: int,
+        clock: Clock,
+    ) -> None:
+        self._hall = hall
+        self._book = book
+        self._bundle = bundle
+        self._queue: WaitingQueue[_Waiter] = WaitingQueue(most_waiting)
+        self._clock = clock
+        self._service_s = DEFAULT_SERVICE_S
+
+    def __len__(self) -> int:
+        return len(self._queue)
+
+    def note_service(self, seconds: float) -> None:
+        """Note how long a request took in all."""
+        self._service_s += SERVICE_WEIGHT * (seconds - self._service_s)
+
+    def refusal(self, request: GenerationRequest) -> Problem | None:
+        """Refuse at once what would wait longer than its deadline allows."""
+        need = need_of(request, [], self._hall)
+        ready = eligible(self._book.views.values(), need)
+        if not ready:
+            return problems.unavailable(f"no server holds model {request.model!r} now", 5)
+        slots = sum(view.speeds.slots for view in ready)
+        free = sum(max(0, view.speeds.slots - view.running) for view in ready)
+        ahead = self._queue.ahead_of(request.priority, self._clock.wall())
+        wait = estimated_wait_s(ahead, free, slots, self._service_s)
+        if self._clock.wall() + wait <= request.deadline_at:
+            return None
+        detail = f"would wait {wait:.1f} s, past its deadline"
+        return problems.overloaded(detail, max(1, round(wait)))
+
+    def reserve(self, need: Need) -> Reservation | None:
+        """Pick and reserve a server in one step, or return None."""
+        params = params_of(self._bundle())
+        found = self._book.pick_and_reserve(need, params, self._clock.monotonic())
+        return found[1] if found is not None else None
+
+    async def slot(self, record: StreamRecord, excluded: frozenset[str]) -> Reservation | Problem:
+        """Reserve a server, or wait for one until the deadline."""
+        request = record.request
+        need = need_of(request, record.tokens, self._hall, excluded)
+        if not len(self._queue):
+            made = self.reserve(need)
+            if made is not None:
+                return made
+        slot = asyncio.get_running_loop().create_future()
+        waiter = _Waiter(record, need, slot, self._clock.monotonic())
+        now = self._clock.wall()
+        offered = self._queue.offer(waiter, request.priority, now, request.deadline_at)
+        if not offered.accepted:
+            return problems.overloaded("the queue is full", 1)
+        if offered.pushed_out is not None:
+            refusal = problems.overloaded("more urgent work took its place", 2)
+            self._resolve(offered.pushed_out, refusal)
+        self.fill()
+        try:
+            return await waiter.slot
+        except asyncio.CancelledError:
+            self._give_back(waiter)
+            raise
+
+    def fill(self) -> None:
+        """Give free slots to waiting requests, in order of rank."""
+        if not len(self._queue):
+            return
+        # What finds no slot for its model and priority finds none for the next one like it,
+        # unless that has a server of its own that it waits for.
+        full: set[tuple[str, Priority]] = set()
+        now = self._clock.monotonic()
+        for waiter in self._queue.in_order()[:MOST_TRIED]:
+            need = waiter.need
+            kind = (need.model, need.priority)
+            has_home = self._book.server_of(need.session) is not None
+            if kind in full and not has_home:
+                continue
+            if now - waiter.since >= HOME_WAIT_S:
+                need = replace(need, patient=False)
+            made = self.reserve(need)
+            if made is not None:
+                self._resolve(waiter, made)
+            elif not need.excluded and not has_home:
+                full.add(kind)
+
+    def refuse_expired(self) -> None:
+        """Refuse waiting requests whose deadline has passed."""
+        for waiter in self._queue.expired(self._clock.wall()):
+            self._resolve(waiter, problems.deadline_passed("it passed while waiting", Ran.NO))
+
+    def _resolve(self, waiter: _Waiter, outcome: Reservation | Problem) -> None:
+        self._queue.remove(waiter)
+        if not waiter.slot.done():
+            waiter.slot.set_result(outcome)
+        elif isinstance(outcome, Reservation):
+            self._book.release(outcome, self._clock.monotonic())
+
+    def _give_back(self, waiter: _Waiter) -> None:
+        self._queue.remove(waiter)
+        if waiter.slot.done() and not waiter.slot.cancelled():
+            outcome = waiter.slot.result()
+            if isinstance(outcome, Reservation):
+                self._book.release(outcome, self._clock.monotonic())
