--- a/src/moledale/node/hall_duty.py
+++ b/src/moledale/node/hall_duty.py
@@ -103,17 +103,34 @@
         self._round = 0
 
     async def run(self) -> None:
-        """Keep the lease and do the duty, for ever."""
+        """Keep the lease and do the duty, for ever, side by side.
+
+        A duty that takes long, since a server or the cloud does not answer, must not cost the
+        lease.
+        """
+        async with asyncio.TaskGroup() as both:
+            both.create_task(self._keep_for_ever())
+            both.create_task(self._work_for_ever())
+
+    async def _keep_for_ever(self) -> None:
         while True:
             await self.keep_lease()
             grant = self.lease.grant(self._clock.monotonic())
             self._note_change(grant)
-            if grant is not None:
-                await self._do_duty(grant)
             # A candidate looks at the row three times in its life; only a holder is busy.
             parts = HOLDER_TICKS if grant is not None else CANDIDATE_TICKS
-            pause = self._times.lease_ttl_s / parts
-            await self._clock.sleep(pause * self._rng.uniform(0.8, 1.2))
+            await self._pause(parts)
+
+    async def _work_for_ever(self) -> None:
+        while True:
+            grant = self.lease.grant(self._clock.monotonic())
+            if grant is not None:
+                await self._do_duty(grant)
+            await self._pause(HOLDER_TICKS)
+
+    async def _pause(self, parts: int) -> None:
+        """Wait for a part of the lease's life, spread by a fifth."""
+        await self._clock.sleep(self._times.lease_ttl_s / parts * self._rng.uniform(0.8, 1.2))
 
     async def keep_lease(self) -> None:
         """Do what the lease asks for now: read, take or renew it."""
--- a/src/moledale/node/journal.py
+++ b/src/moledale/node/journal.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import uuid
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -61,13 +62,17 @@
 class Journal:
     """Collects entries for a short interval and commits them together.
 
-    The interval bounds the wait that durability adds and the writes a second that a node
-    makes. Entries are independent: one whose condition fails is taken out, and the rest is
-    sent again.
+    The interval is the wait that durability adds, and bounds the writes a second that a node
+    makes; it grows with the number of nodes, so that all together stay within the table's.
+    Entries are independent: one whose condition fails is taken out, and the rest is sent again.
     """
 
     def __init__(
-        self, table: TableService, interval_s: float, most_bytes: int, clock: Clock
+        self,
+        table: TableService,
+        interval_s: Callable[[], float],
+        most_bytes: int,
+        clock: Clock,
     ) -> None:
         self._table = table
         self._interval_s = interval_s
@@ -102,7 +107,7 @@
 
     async def _collect(self) -> list[Entry]:
         batch = [await self._inbox.get()]
-        await self._clock.sleep(self._interval_s)
+        await self._clock.sleep(self._interval_s())
         size = batch[0].size()
         while len(batch) < MOST_ENTRIES and size < MOST_BYTES:
             entry = self._inbox.get_ready()
--- a/src/moledale/node/node.py
+++ b/src/moledale/node/node.py
@@ -128,7 +128,7 @@
             self._listed,
         )
         self.journal = Journal(
-            self.platform.table, times.commit_interval_s, limits.journal_bytes, clock
+            self.platform.table, self._commit_interval_s, limits.journal_bytes, clock
         )
         self.accounts = Accounts(self.bundle, lambda: len(self.fleet.nodes), clock)
         self.services = ServiceRouter(services, self.bundle, rng)
@@ -188,6 +188,11 @@
         """Return the bundle in force."""
         return self.bundles.bundle
 
+    def _commit_interval_s(self) -> float:
+        """Return how long the journal collects, so that all nodes keep to the table's writes."""
+        writes = self.settings.limits.journal_writes_per_s
+        return max(self.settings.times.commit_interval_s, len(self.fleet.nodes) / writes)
+
     # Life
 
     async def start(self) -> int:
--- a/src/moledale/settings.py
+++ b/src/moledale/settings.py
@@ -105,6 +105,7 @@
     idempotency_keys: int = Field(default=20_000, ge=1)
     followed_servers: int = Field(default=32, ge=2)
     load_polls_per_s: float = Field(default=1.0, gt=0)
+    journal_writes_per_s: float = Field(default=80.0, gt=0)
     journal_bytes: int = Field(default=4_000_000, ge=1024)
 
 
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -577,6 +577,22 @@
         late = [order for order in checking.orders if order.epoch < epoch]
         self.assertEqual(late, [])
 
+    @in_world
+    async def test_a_slow_duty_costs_no_lease(self, world: World) -> None:
+        await world.up(nodes=1)
+        await world.until(lambda: "hall/hall-a" in self.held(world, "n0"), 30.0)
+
+        async def slow(at: World, node: str, server: str) -> None:
+            await at.clock.sleep(9.0)
+
+        world.plan("order", slow, times=4)
+        for engine in world.engines.values():
+            engine.models.clear()
+        until = world.clock.now + 40.0
+        while world.clock.now < until:
+            self.assertIn("hall/hall-a", self.held(world, "n0"))
+            await world.clock.sleep(0.5)
+
     def held(self, world: World, *names: str) -> list[str]:
         return [lease for name in names for lease in world.nodes[name].leases_held()]
 
