Ask servers for load only after 10 s of silence

Cause: with 32 servers a node spent 3.1 KB/s on control against 2.3 with 4: each poll came after the server had closed the idle connection, so it cost a new one. At the target, reports that ride along come each 1.7 s from each of 32 servers, so nearly no polls are needed. A server without models is still asked each second, and news of leaving comes by peers and list. Ruled out: fewer polls a second alone; what a poll costs would stay.

--- a/src/moledale/node/server_watch.py
+++ b/src/moledale/node/server_watch.py
@@ -15,6 +15,9 @@
 DOWN_AFTER = 3
 """Polls in a row without an answer after which a server gets no new work."""
 
+EMPTY_POLL_S = 1.0
+"""Seconds between two polls of a server that holds no model yet."""
+
 EVENTS_SHARE = 0.1
 """Part of the polls that ask for cache events instead of load."""
 
@@ -71,9 +74,13 @@
             self._events_due -= 1.0
             await self._poll_some_events(views)
             return
-        silent = min(views, key=self._heard_at, default=None)
-        if silent is not None and now - self._heard_at(silent) >= self._poll_s:
-            await self._poll_load(silent)
+        due = [view for view in views if now - self._heard_at(view) >= self._due_s(view)]
+        if due:
+            await self._poll_load(min(due, key=self._heard_at))
+
+    def _due_s(self, view: ServerView) -> float:
+        """Return how long a server may be silent; one that waits for its models is asked sooner."""
+        return self._poll_s if view.models else min(self._poll_s, EMPTY_POLL_S)
 
     def _heard_at(self, view: ServerView) -> float:
         return max(view.reported_at, self._asked_at[view.id])
--- a/src/moledale/settings.py
+++ b/src/moledale/settings.py
@@ -118,7 +118,7 @@
     drain_s: float = Field(default=20.0, ge=0)
     isolation_grace_s: float = Field(default=5.0, gt=0)
     gossip_s: float = Field(default=5.0, gt=0)
-    load_poll_s: float = Field(default=1.0, gt=0)
+    load_poll_s: float = Field(default=10.0, gt=0)
     address_ttl_s: int = Field(default=30, ge=1)
 
 
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -22,6 +22,9 @@
 import msgspec
 from aiosonic.timeout import Timeouts
 
+from moledale.bundle.schema import Market, parse
+from moledale.core.addresses import NodeView, addresses_for
+from moledale.core.renting import Held, RentView, plan
 from moledale.core.routing import LoadBook, Need, RoutingParams, ServerView, Speeds
 from moledale.core.subset import Followable, followed
 from moledale.platform.types import Instance, InstanceKind, InstanceState
@@ -35,6 +38,17 @@
 STREAMS = 64
 TOKENS = 300
 RELAY_ROUNDS = 3
+MANY_STREAMS = 380
+"""Streams that are open at once at the target (docs/CAPACITY.md)."""
+
+SLOW_S = 0.1
+"""Pace of their tokens, so that this machine can carry them."""
+
+LEAST_TOKENS = 1_000
+"""Tokens of a measurement at the least, so that the kernel's ticks don't matter."""
+
+LIVE = InstanceState.LIVE
+EXAMPLE = Path(__file__).parent.parent / "examples" / "bundle.toml"
 TICK_S = 1 / os.sysconf("SC_CLK_TCK")
 HALLS = ("hall-a", "hall-b")
 
@@ -55,6 +69,7 @@
     parts: dict[str, Callable[[], list[Figure]]] = {
         "decisions": measure_decisions,
         "relay": measure_relay,
+        "streams": measure_streams,
         "control": measure_control,
     }
     parser.add_argument("parts", nargs="*", default=[], metavar="PART")
@@ -90,9 +105,37 @@
         known = [Followable(f"s{i}", f"h{i % 7}") for i in range(servers)]
         spent = _time_us(partial(followed, "n1", "h1", known, 32), 50)
         figures.append(Figure("choice of followed servers", f"{servers} servers", spent, "us"))
+    for nodes in (9, 390):
+        views = [NodeView(f"n{i}", f"h{i % 7}", f"10.0.0.{i}:80") for i in range(nodes)]
+        spent = _time_us(partial(addresses_for, "session", views), 50)
+        figures.append(Figure("addresses of a session", f"{nodes} nodes", spent, "us"))
+    bundle = parse("example", EXAMPLE.read_bytes()).unwrap()
+    for held in (10, 1_100):
+        view = RentView(held * 1_000.0, [_held(index) for index in range(held)])
+        spent = _time_us(partial(plan, bundle, view), 3)
+        figures.append(Figure("plan of renting", f"{held} instances", spent / 1000, "ms"))
+    figures.append(Figure("memory of the list", "1490 instances", _list_mb(1_490), "MB"))
     return figures
 
 
+def _held(index: int) -> Held:
+    return Held(f"i{index}", HALLS[index % 2], "small", Market.RECLAIMABLE, idle=index % 2 == 0)
+
+
+def _list_mb(instances: int) -> float:
+    """Return the memory of the node's copy of the lagging list."""
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    entries = [
+        Instance(f"i-{n:08d}", InstanceKind.SERVER, f"h{n % 7}", "r", f"10.0.{n}:80", LIVE, "", "c")
+        for n in range(instances)
+    ]
+    known = {entry.id: entry for entry in entries}
+    grown = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    return grown / 1e6 if known else 0.0
+
+
 def _book(servers: int, sessions: int) -> LoadBook:
     book = LoadBook(sessions)
     speeds = Speeds(8_000, 1_500, 1_000_000)
@@ -139,7 +182,7 @@
         hoses = [_start_hose(fleet, f"hose-{index}") for index in range(3)]
         relay = fleet.start_standin("relay", "tools.bare_relay", "--target", hoses[0].address)
         node = fleet.start_node("entry-1", HALLS[0])
-        fleet.roll(fleet.write_bundle(), "entry-1")
+        fleet.roll(_wide_bundle(fleet), "entry-1")
         fleet.wait_ready(["entry-1"], servers=3)
         call = {
             "attempt": "a",
@@ -154,6 +197,8 @@
         for _ in range(RELAY_ROUNDS):
             bare.append(_us_a_token(relay, "/v1/generate", call))
             ours.append(_us_a_token(node, "/v1/completions", asked))
+        short = {**asked, "max_tokens": 1}
+        request = [_us_a_token(node, "/v1/completions", short) for _ in range(RELAY_ROUNDS)]
         at = f"{STREAMS} streams x {TOKENS}, {RELAY_ROUNDS} runs"
         ratios = [one / other for one, other in zip(ours, bare, strict=True)]
         return [
@@ -162,14 +207,59 @@
             Figure("node over bare relay, median", at, statistics.median(ratios), "times"),
             Figure("node over bare relay, least", at, min(ratios), "times"),
             Figure("node over bare relay, most", at, max(ratios), "times"),
+            Figure("node, a request of one token", at, statistics.median(request), "us"),
             Figure("memory of the node, resident", at, _resident_mb(node), "MB"),
         ]
     finally:
         fleet.close()
 
 
-def _start_hose(fleet: LocalFleet, name: str) -> Proc:
-    proc = fleet.start_standin(name, "standins.firehose", "--name", name)
+def measure_streams() -> list[Figure]:
+    """Memory of a node while many streams are open side by side."""
+    fleet = LocalFleet()
+    try:
+        for index in range(3):
+            _start_hose(fleet, f"hose-{index}", SLOW_S)
+        node = fleet.start_node("entry-1", HALLS[0])
+        fleet.roll(_wide_bundle(fleet), "entry-1")
+        fleet.wait_ready(["entry-1"], servers=3)
+        idle = _resident_mb(node)
+        asked = {"model": "cover-7b", "prompt": "p", "max_tokens": TOKENS, "stream": True}
+        url = f"http://{node.address}/v1/completions"
+        peak = asyncio.run(_peak_mb(node, url, json.dumps(asked).encode()))
+        at = f"{MANY_STREAMS} open streams x {TOKENS}"
+        return [
+            Figure("memory of the node, before", at, idle, "MB"),
+            Figure("memory of the node, at the end", at, peak, "MB"),
+            Figure("memory for each stream", at, (peak - idle) * 1000 / MANY_STREAMS, "KB"),
+        ]
+    finally:
+        fleet.close()
+
+
+def _wide_bundle(fleet: LocalFleet) -> Path:
+    """Write the example bundle with limits that a measurement doesn't reach."""
+    path = fleet.write_bundle()
+    text = path.read_text("utf-8").replace("slots = 32", "slots = 1000")
+    for old, new in (("per_s = 200", "per_s = 20000"), ("burst = 400", "burst = 20000")):
+        text = text.replace(old, new)
+    path.write_text(text, "utf-8")
+    return path
+
+
+async def _peak_mb(node: Proc, url: str, body: bytes) -> float:
+    drinking = asyncio.create_task(_drink(url, body, TOKENS, MANY_STREAMS))
+    peak = 0.0
+    while not drinking.done():
+        await asyncio.sleep(0.5)
+        peak = max(peak, _resident_mb(node))
+    await drinking
+    return peak
+
+
+def _start_hose(fleet: LocalFleet, name: str, pause_s: float = 0.01) -> Proc:
+    pace = ("--pause-s", str(pause_s))
+    proc = fleet.start_standin(name, "standins.firehose", "--name", name, *pace)
     instance = Instance(
         name,
         InstanceKind.SERVER,
@@ -184,13 +274,17 @@
 
 
 def _us_a_token(proc: Proc, path: str, body: dict[str, object]) -> float:
+    tokens = int(str(body["max_tokens"]))
+    rounds = max(1, LEAST_TOKENS // (STREAMS * tokens))
     before = _cpu_s(proc)
-    asyncio.run(_drink(f"http://{proc.address}{path}", json.dumps(body).encode()))
-    return (_cpu_s(proc) - before) / (STREAMS * TOKENS) * 1e6
+    for _ in range(rounds):
+        url = f"http://{proc.address}{path}"
+        asyncio.run(_drink(url, json.dumps(body).encode(), tokens))
+    return (_cpu_s(proc) - before) / (STREAMS * tokens * rounds) * 1e6
 
 
-async def _drink(url: str, body: bytes) -> None:
-    """Read `STREAMS` streams side by side to their ends."""
+async def _drink(url: str, body: bytes, tokens: int, streams: int = STREAMS) -> None:
+    """Read streams side by side to their ends."""
     headers = {"Authorization": "Bearer brokers-key", "Content-Type": "application/json"}
 
     async def one(client: aiosonic.HTTPClient) -> None:
@@ -198,10 +292,10 @@
             url, headers=headers, data=body, timeouts=Timeouts(request_timeout=60)
         )
         text = await answer.content()
-        assert text.count(b"token ") == TOKENS, text[-300:]
+        assert text.count(b"token ") == tokens, text[-300:]
 
     async with make_client() as client:
-        await asyncio.gather(*(one(client) for _ in range(STREAMS)))
+        await asyncio.gather(*(one(client) for _ in range(streams)))
 
 
 # Control
