--- a/src/moledale/node/node.py
+++ b/src/moledale/node/node.py
@@ -49,6 +49,9 @@
 HAND_OVER_TRIES = 3
 DUTY_CHECK_S = 1.0
 DRAIN_STEP_S = 0.05
+NEWS_PAUSE_S = 0.02
+"""Time that news is collected for, as when a hall's servers all leave at once."""
+
 LEAVING_TO_TELL_S = 30.0
 MOST_LEAVING_TOLD = 2_000
 
@@ -178,6 +181,7 @@
         self._leaving_told: LRUCache[str, bool] = LRUCache(MOST_LEAVING_TOLD)
         self._verdict = Verdict.UNCONFIRMED
         self._background = Background("news")
+        self._news_for = 0
 
     @property
     def draining(self) -> bool:
@@ -352,8 +356,15 @@
     # Peers
 
     def tell_news(self, peers: int = PEERS_FOR_NEWS) -> None:
-        """Exchange digests with several peers now."""
-        self._background.start(self._gossip.exchange(peers))
+        """Exchange digests with several peers soon; news that comes together goes together."""
+        if self._news_for == 0:
+            self._background.start(self._tell_soon())
+        self._news_for = max(self._news_for, peers)
+
+    async def _tell_soon(self) -> None:
+        await self.clock.sleep(NEWS_PAUSE_S)
+        peers, self._news_for = self._news_for, 0
+        await self._gossip.exchange(peers)
 
     def own_digest(self) -> peers_pb2.DigestMessage:
         """Return what this node knows, for peers."""
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -7,6 +7,7 @@
 
 from moledale.bundle.schema import Priority
 from moledale.node.jobs import JobState, new_job_id
+from moledale.node.messages import ServerLeaving
 from moledale.platform.types import InstanceKind, InstanceState, Notice, Part
 from moledale.problems import Ran
 from tests.world import World, in_world, whole
@@ -405,6 +406,19 @@
         world.state.notices["e0"] = Notice("e0", "hall-a", 30.0)
         await self.check(world, world.clock.now)
 
+    @in_world
+    async def test_news_of_many_servers_goes_in_few_messages(self, world: World) -> None:
+        await world.up(nodes=6, engines=2)
+        sent = world.digests
+        for number in range(50):
+            world.nodes["n0"].server_leaves(ServerLeaving(f"gone-{number}", 5.0, "cloud"))
+        await world.clock.sleep(1.0)
+        heard = [
+            node for node in world.nodes.values() if "gone-49" in node.own_digest().leaving_servers
+        ]
+        self.assertEqual(len(heard), 6)
+        self.assertLess(world.digests - sent, 60)
+
     @in_world
     async def test_queued_work_goes_elsewhere(self, world: World) -> None:
         await world.up(engines=2)
--- a/tests/world.py
+++ b/tests/world.py
@@ -446,6 +446,7 @@
     async def digest(
         self, address: str, message: peers_pb2.DigestMessage
     ) -> Result[peers_pb2.DigestMessage, str]:
+        self._world.digests += 1
         handler = await self._reach(address)
         return Err("unreachable") if handler is None else Ok(handler.digest_heard(message))
 
@@ -488,6 +489,7 @@
         self.runs: Counter[str] = Counter()
         self.service_down = False
         self.break_service = 0
+        self.digests = 0
         self.reached: Counter[str] = Counter()
         self.versions: defaultdict[str, list[int]] = defaultdict(list)
         self._fault: tuple[str, int, Action] | None = None
