Answer a chat that can wait in the form of a chat; one text for settings

Cause, found by reading: a job's result was always a completion, whichever endpoint took it; and the settings of a test node stood in two places. A test for statsd's wire form, which nothing had checked.

--- a/src/moledale/edge/callers.py
+++ b/src/moledale/edge/callers.py
@@ -233,14 +233,9 @@
         if ended.state is not JobState.DONE:
             detail = f"the job was {ended.state.value}"
             return problem_response(problems.conflict(detail), job_id)
-        return json_response(
-            {
-                "id": job_id,
-                "model": ended.request.model,
-                "choices": [{"index": 0, "text": ended.text, "finish_reason": ended.reason}],
-                "usage": {"completion_tokens": ended.tokens},
-            }
-        )
+        usage = sse.Usage(ended.tokens)
+        body = sse.whole(ended.request, [ended.text or ""], ended.reason, usage)
+        return Response(body, media_type=JSON_MEDIA_TYPE)
 
     # Services
 
--- a/standins/local_fleet.py
+++ b/standins/local_fleet.py
@@ -20,6 +20,7 @@
 from moledale.edge.operators import NodeStatus
 from moledale.platform.types import Instance, InstanceKind, InstanceState
 from standins.serve import LISTENING
+from standins.settings_text import settings_text
 
 ROOT = Path(__file__).resolve().parent.parent
 START_S = 20.0
@@ -156,26 +157,7 @@
     def write_settings(self, name: str, hall: str, extra: str = "") -> Path:
         """Write a node's settings file."""
         base = f"http://{self.platform.address}"
-        keys = "\n".join(f'{operator} = "{key}"' for operator, key in self._public.items())
-        parts = "\n".join(
-            f'{part} = "{base}"' for part in ("table", "objects", "cloud", "weights", "instances")
-        )
-        text = f"""
-[node]
-id = "{name}"
-hall = "{hall}"
-region = "north"
-listen = "127.0.0.1:0"
-peer_listen = "127.0.0.1:0"
-[platform]
-{parts}
-[operators.keys]
-{keys}
-[secrets]
-peer = {{ env = "MOLEDALE_PEER_SECRET" }}
-operator = {{ env = "MOLEDALE_OPERATOR_TOKEN" }}
-{extra}
-"""
+        text = settings_text(name, hall, base, self._public, extra)
         path = self.folder / f"{name}.toml"
         path.write_text(text, "utf-8")
         return path
--- a/tests/test_system.py
+++ b/tests/test_system.py
@@ -236,6 +236,20 @@
         self.assertEqual(first.headers["location"], again.headers["location"])
         self.assertEqual(self.job_text(first.headers["location"]), text_of("draft a mandate", 20))
 
+    def test_a_chat_that_can_wait_is_answered_as_a_chat(self) -> None:
+        messages = [{"role": "user", "content": "later"}]
+        body = {"model": MODEL, "messages": messages, "max_tokens": 4}
+        headers = {"Prefer": "respond-async"}
+        job = call(self.address(), "POST", "/v1/chat/completions", body, headers)
+        location = job.headers["location"]
+        until = time.monotonic() + WAIT_S
+        while (result := call(self.address(), "GET", f"{location}/result")).status != 200:
+            self.assertLess(time.monotonic(), until)
+            time.sleep(0.1)
+        answer = result.json()
+        self.assertEqual(answer["object"], "chat.completion")
+        self.assertEqual(answer["choices"][0]["message"]["content"], text_of("user: later", 4))
+
     def job_text(self, location: str, node: str = "entry-2") -> str:
         until = time.monotonic() + WAIT_S
         while time.monotonic() < until:
--- a/tests/test_written.py
+++ b/tests/test_written.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import re
+import socket
 import unittest
 from pathlib import Path
 
@@ -17,8 +18,9 @@
 from moledale.log import Event
 from moledale.node.burn import BurnCount, burn_rows
 from moledale.node.jobs import new_job_id, row_key
+from moledale.node.metrics import make_metrics
 from moledale.peers.auth import PeerTokens
-from moledale.settings import Settings, parse, read_secrets
+from moledale.settings import MetricsSection, Settings, parse, read_secrets
 
 ROOT = Path(__file__).parent.parent
 SETTINGS = (ROOT / "examples" / "settings.toml").read_text("utf-8")
@@ -182,6 +184,18 @@
         self.assertEqual((row.burn["5m"], row.burn["6h"]), (1.0, 0.5))
 
 
+class MetricsTest(unittest.TestCase):
+    def test_statsd(self) -> None:
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as heard:
+            heard.bind(("127.0.0.1", 0))
+            heard.settimeout(10)
+            address = f"127.0.0.1:{heard.getsockname()[1]}"
+            made = make_metrics(MetricsSection(statsd=address, prefix="here"))
+            made.incr("requests.good")
+            self.assertEqual(heard.recv(100), b"here.requests.good:1|c")
+        make_metrics(MetricsSection()).incr("nothing")
+
+
 class CatalogueTest(unittest.TestCase):
     def test_every_event_is_in_the_catalogue_with_its_meaning(self) -> None:
         page = (ROOT / "docs" / "EVENTS.md").read_text("utf-8")
--- a/tests/world.py
+++ b/tests/world.py
@@ -62,6 +62,7 @@
 from moledale.settings import Secrets, Settings, parse
 from standins.engine import token_text
 from standins.platform import PlatformState
+from standins.settings_text import settings_text
 
 T = TypeVar("T")
 TIMEOUT_S = 0.5
@@ -551,27 +552,9 @@
         return node
 
     def settings(self, name: str, hall: str) -> Settings:
-        keys = "\n".join(
-            f'{n} = "{signing.public_text(_loaded(pem))}"' for n, pem in self._keys.items()
-        )
-        parts = "\n".join(f'{part.value} = "http://127.0.0.1:1"' for part in Part)
-        text = f"""
-[node]
-id = "{name}"
-hall = "{hall}"
-region = "north"
-listen = "127.0.0.1:0"
-peer_listen = "127.0.0.1:0"
-[platform]
-{parts}
-[operators.keys]
-{keys}
-[secrets]
-peer = {{ env = "X" }}
-operator = {{ env = "Y" }}
-[times]
-drain_s = 0.3
-"""
+        keys = {n: signing.public_text(_loaded(pem)) for n, pem in self._keys.items()}
+        extra = "[times]\ndrain_s = 0.3\n"
+        text = settings_text(name, hall, "http://127.0.0.1:1", keys, extra)
         return parse(name, text).unwrap()
 
     def signed(self, version: int, operator: str = "anna", mark: str = "") -> SignedBundle:
