--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -19,7 +19,7 @@
 OUT = Path("out")
 SEEDS = (1, 2, 3)
 PROCESSES = 6
-SWEPT = ("fewest requests", "paper: atomic", "ours")
+SWEPT = ("round robin", "fewest requests", "affinity alone", "paper: atomic", "ours")
 
 
 @dataclass(frozen=True)
