Test the supervisor, broken answers and slow readers; remove dead states

Cause, found by reading: restart limits and the order of a stop had no test, nor had answers that break off in other ways than the one found before; a slow reader was claimed and not tested. A job state and a field that nothing set are gone; a docstring told of a body sent as an iterator, which it isn't.

--- a/src/moledale/node/jobs.py
+++ b/src/moledale/node/jobs.py
@@ -47,7 +47,6 @@
     ACCEPTED = "accepted"
     RUNNING = "running"
     DONE = "done"
-    FAILED = "failed"
     CANCELLED = "cancelled"
 
 
@@ -75,7 +74,6 @@
     text: str | None = None
     tokens: int = 0
     reason: str = ""
-    problem: str = ""
 
 
 class JobStatus(msgspec.Struct, frozen=True):
@@ -85,7 +83,6 @@
     state: JobState
     owner: str | None = None
     adoptions: int = 0
-    detail: str = ""
 
 
 def new_job_id(hall: str) -> str:
@@ -182,7 +179,7 @@
             return found
         if isinstance(found.ok_value, JobResult):
             ended = found.ok_value
-            return Ok(JobStatus(job_id, ended.state, detail=ended.problem))
+            return Ok(JobStatus(job_id, ended.state))
         job = found.ok_value
         record = self._dispatcher.streams.get(job_id)
         running = record is not None and record.dispatched
@@ -212,7 +209,7 @@
                 return found
             row, held = found.ok_value
             if isinstance(held, JobResult):
-                return Ok(JobStatus(job_id, held.state, detail=held.problem))
+                return Ok(JobStatus(job_id, held.state))
             outcome = await self._end(
                 held, row.version, _ended(held, JobState.CANCELLED, self._clock.wall())
             )
--- a/src/moledale/node/supervisor.py
+++ b/src/moledale/node/supervisor.py
@@ -68,10 +68,6 @@
                 await asyncio.gather(child.task, return_exceptions=True)
         self._children.clear()
 
-    def names(self) -> list[str]:
-        """Return the names of the children in the order of their start."""
-        return [child.name for child in self._children]
-
     async def _keep(self, child: _Child) -> None:
         while True:
             try:
--- a/src/moledale/servers/http.py
+++ b/src/moledale/servers/http.py
@@ -146,8 +146,8 @@
     """Plain services over HTTP, each call on a connection of its own.
 
     A new connection for each call tells a call that never left (the connection was refused)
-    from one that may have run. The body goes as an iterator, which the client library never
-    sends a second time.
+    from one that may have run. And the client library sends idempotent methods a second time
+    only when a kept connection drops, which this is not.
     """
 
     async def call(
--- /dev/null
+++ b/tests/test_supervisor.py
@@ -0,0 +1,116 @@
+"""The supervisor tree, mailboxes, and the HTTP adapters' view of broken answers."""
+
+import asyncio
+import unittest
+
+import logbook
+
+from moledale.node.mailbox import Mailbox
+from moledale.node.supervisor import RestartLimit, Supervisor
+from moledale.platform.http import HttpTable
+from moledale.platform.types import Part, Transaction
+from moledale.servers.http import HttpModelServers, make_client
+from moledale.servers.types import GenerateCall, ServerError
+from tests.world import ManualClock
+
+
+class SupervisorTest(unittest.TestCase):
+    def run_on_clock(self, work: "asyncio.Future[None] | object") -> None:
+        with logbook.NullHandler().applicationbound():
+            asyncio.run(self.clock.run(work))  # type: ignore[arg-type]
+
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.seen: list[str] = []
+
+    async def child(self, name: str, failures: int = 0) -> None:
+        self.seen.append(f"start {name}")
+        if self.seen.count(f"start {name}") <= failures:
+            raise RuntimeError(name)
+        try:
+            await asyncio.Event().wait()
+        finally:
+            self.seen.append(f"end {name}")
+
+    def test_failed_children_start_again_and_all_stop_in_reverse(self) -> None:
+        async def work() -> None:
+            tree = Supervisor("tree", self.clock)
+            tree.start("a", lambda: self.child("a"))
+            tree.start("b", lambda: self.child("b", failures=2))
+            await self.clock.sleep(2.0)
+            self.assertFalse(tree.gave_up.is_set())
+            await tree.stop()
+
+        self.run_on_clock(work())
+        self.assertEqual(self.seen.count("start b"), 3)
+        self.assertEqual(self.seen[-2:], ["end b", "end a"])
+
+    def test_too_many_failures_reach_the_parent(self) -> None:
+        async def work() -> None:
+            root = Supervisor("root", self.clock)
+            below = Supervisor("below", self.clock, RestartLimit(2, 60.0))
+            root.start_under(below)
+            below.start("c", lambda: self.child("c", failures=99))
+            await root.gave_up.wait()
+            await root.stop()
+
+        self.run_on_clock(work())
+        self.assertEqual(self.seen.count("start c"), 3)
+
+    def test_a_full_mailbox_refuses(self) -> None:
+        async def work() -> None:
+            box: Mailbox[int] = Mailbox("box", 2)
+            self.assertEqual([box.put(n) for n in range(3)], [True, True, False])
+            self.assertEqual((await box.get(), box.get_ready(), box.get_ready()), (0, 1, None))
+            self.assertIsNone(await box.get_within(1.0, self.clock))
+
+        self.run_on_clock(work())
+
+
+class BrokenAnswersTest(unittest.TestCase):
+    """Servers that answer nonsense, half an answer, or nothing."""
+
+    CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+    async def answered(self, answer: bytes) -> tuple[str, bool]:
+        """Return what a generation raised, and whether a table write is uncertain."""
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(answer)
+            await writer.drain()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        async with make_client() as client:
+            raised = ""
+            call = GenerateCall("a", "m", "p", 1, "normal", "")
+            try:
+                async for _ in HttpModelServers(client).generate(address, call):
+                    pass
+            except ServerError as error:
+                raised = type(error).__name__
+            table = HttpTable(client, Part.TABLE, f"http://{address}", 5.0)
+            failure = (await table.transact(Transaction("o", [], []))).unwrap_err()
+        server.close()
+        return raised, failure.uncertain
+
+    def test_every_broken_answer_is_an_expected_error(self) -> None:
+        cases = [
+            ("nothing", b""),
+            ("no HTTP", b"\x00\xff\r\n\r\n"),
+            ("half a head", b"HTTP/1.1 200"),
+            ("a chunk cut off", self.CHUNKED + b"40\r\ndata: {"),
+            ("an end cut off", self.CHUNKED + b"2\r\n{}\r\n"),
+            ("odd JSON", self.CHUNKED + b"a\r\ndata: {]\n\n\r\n0\r\n\r\n"),
+            ("an error", b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"),
+        ]
+        for name, answer in cases:
+            with self.subTest(name):
+                found = asyncio.run(self.answered(answer))
+                self.assertEqual(found, ("ServerError", True))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_system.py
+++ b/tests/test_system.py
@@ -186,6 +186,19 @@
         other = call(self.address(), "GET", f"/v1/streams/{name}", headers=stranger)
         self.assertIn(other.status, (404, 307))
 
+    def test_a_slow_reader_gets_everything(self) -> None:
+        connection = http.client.HTTPConnection(self.address(), timeout=WAIT_S)
+        body = json.dumps(completion("slow reader", 80)).encode()
+        connection.request("POST", "/v1/completions", body, KEY)
+        response = connection.getresponse()
+        name = response.headers["moledale-request"]
+        # It reads nothing until the answer has long ended; another reader has it all by then.
+        call(self.address(), "GET", f"/v1/streams/{name}?whole=true")
+        events = response.read().decode()
+        connection.close()
+        self.assertEqual(events.count("id: "), 80)
+        self.assertTrue(events.endswith("data: [DONE]\n\n"))
+
     def test_bad_input_is_refused_with_what_is_wrong(self) -> None:
         good = completion("x", 1, False)
         cases: list[tuple[str, Any, dict[str, str], int, str]] = [
