Wait for the breakers after an outage in the process tests

Cause of a flaky verdict (1 of 2 runs of the whole suite in a fresh clone): the test of a dead platform brought it back and ended, but a node's breaker stays open for up to 10 s after an outage, and the next test's keyed call was answered 'undecided', as it must be. Ruled out: a fault in the call, whose answer said truly that the table was not asked. The fleet is now left as it was: the test waits until every node's status says that the table is reachable, which operators can see too.

--- a/src/moledale/edge/operators.py
+++ b/src/moledale/edge/operators.py
@@ -37,6 +37,7 @@
     bundle_digest: str
     confirmed_ago_s: float | None
     verdict: str
+    table_reachable: bool
     draining: bool
     open_requests: int
     waiting: int
@@ -131,6 +132,7 @@
             head.digest if head is not None else "",
             node.bundles.confirmed_ago_s(),
             node.verdict().value,
+            node.table_reachable,
             node.draining,
             node.dispatcher.open_requests,
             node.dispatcher.waiting,
--- a/src/moledale/node/node.py
+++ b/src/moledale/node/node.py
@@ -188,6 +188,11 @@
         """Whether a planned stop has begun."""
         return self.state in ("draining", "stopped")
 
+    @property
+    def table_reachable(self) -> bool:
+        """Whether the table service answered last, as far as this node's breaker knows."""
+        return self._table_guard.reachable
+
     def bundle(self) -> Bundle | None:
         """Return the bundle in force."""
         return self.bundles.bundle
@@ -376,7 +381,7 @@
             hall=self.settings.node.hall,
             bundle_version=self.bundles.version,
             confirmed_ago_ms=round((confirmed if confirmed is not None else 1e6) * 1000),
-            table_reachable=self._table_guard.reachable,
+            table_reachable=self.table_reachable,
             leaving=self.draining,
             leaving_servers=list(self._leaving_to_tell),
             open_requests=self.dispatcher.open_requests,
--- a/tests/test_system.py
+++ b/tests/test_system.py
@@ -152,6 +152,15 @@
     def faults(self, part: Part, **fields: Any) -> None:
         self.fleet.control("faults", {part: Faults(**fields)})
 
+    def end_outage(self) -> None:
+        """Bring the platform back, and wait until every node's breaker has noticed."""
+        for part in Part:
+            self.faults(part)
+        until = time.monotonic() + WAIT_S
+        while not all(self.fleet.status(node).table_reachable for node in self.nodes):
+            self.assertLess(time.monotonic(), until)
+            time.sleep(0.05)
+
     def test_streams_and_whole_answers(self) -> None:
         stream = Stream(self.address(), "is hail covered", 15).wait()
         self.assertEqual((stream.text, stream.end), (text_of("is hail covered", 15), "done"))
@@ -355,7 +364,7 @@
     def test_a_dead_platform_stops_no_request(self) -> None:
         for part in Part:
             self.faults(part, down=True)
-        self.addCleanup(lambda: [self.faults(part) for part in Part])
+        self.addCleanup(self.end_outage)
         stream = Stream(self.address(), "in an outage", 10).wait()
         self.assertEqual((stream.text, stream.end), (text_of("in an outage", 10), "done"))
         job = call(
