--- a/standins/demo.py
+++ b/standins/demo.py
@@ -7,6 +7,7 @@
 
 from standins.local_fleet import CALL_S, LocalFleet
 
+ENGINES = {"engine-a": "hall-a", "engine-b": "hall-b"}
 NODES = {"entry-1": "hall-a", "entry-2": "hall-a", "entry-3": "hall-b"}
 KEY = {"Authorization": "Bearer brokers-key"}
 JOB_S = 20.0
@@ -31,8 +32,11 @@
         _roll(fleet)
         first = _addresses(fleet)
         _stream(first)
+        _passed_through(fleet, first, "the stream")
         _job(first)
+        _passed_through(fleet, first, "stream and job")
         _once(first)
+        print("  passed through", _name(fleet, first), "and", fleet.procs["eligibility"].address)
         _look(fleet)
         return _stop(fleet)
     finally:
@@ -40,7 +44,7 @@
 
 
 def _start(fleet: LocalFleet) -> None:
-    for name, hall in (("engine-a", "hall-a"), ("engine-b", "hall-b")):
+    for name, hall in ENGINES.items():
         fleet.start_engine(name, hall, "--checks-fence")
     fleet.start_standin("eligibility", "standins.service")
     for name, hall in NODES.items():
@@ -102,6 +106,21 @@
         print("  answer:", call("POST", url, {"traveller": "Anna"}, key)[1])
 
 
+def _name(fleet: LocalFleet, address: str) -> str:
+    """Return the node at an address."""
+    return next(name for name in NODES if fleet.procs[name].address == address)
+
+
+def _passed_through(fleet: LocalFleet, address: str, what: str) -> None:
+    """Tell the node that a request went to, and which engines have run something so far."""
+    ran = []
+    for name in ENGINES:
+        counts = json.loads(call("GET", f"http://{fleet.procs[name].address}/control/counts")[1])
+        if counts["attempts"]:
+            ran.append(f"{name} ({counts['attempts']} attempts)")
+    print(f"  {what} passed through {_name(fleet, address)} and", ", ".join(ran))
+
+
 def _look(fleet: LocalFleet) -> None:
     print("\n$ moledale fleet show")
     print(fleet.cli("fleet", "show", node="entry-1").stdout)
