--- a/src/moledale/platform/guard.py
+++ b/src/moledale/backing/guard.py
@@ -7,10 +7,7 @@
 
 from result import Err, Result
 
-from moledale.clock import Clock
-from moledale.core.breaker import CLOSED, Breaker, BreakerLimits
-from moledale.log import Event, emit
-from moledale.platform.types import (
+from moledale.backing.types import (
     CloudApi,
     InstanceList,
     InstancePage,
@@ -28,6 +25,9 @@
     WeightGrant,
     WeightStore,
 )
+from moledale.clock import Clock
+from moledale.core.breaker import CLOSED, Breaker, BreakerLimits
+from moledale.log import Event, emit
 
 T = TypeVar("T")
 
--- a/src/moledale/platform/http.py
+++ b/src/moledale/backing/http.py
@@ -8,8 +8,7 @@
 from aiosonic.timeout import Timeouts
 from result import Err, Ok, Result
 
-from moledale.http_failures import CALL_FAILURES
-from moledale.platform.types import (
+from moledale.backing.types import (
     InstancePage,
     Notice,
     NoticePage,
@@ -24,6 +23,7 @@
     TransactionOutcome,
     WeightGrant,
 )
+from moledale.http_failures import CALL_FAILURES
 from moledale.settings import PlatformSection
 
 T = TypeVar("T")
--- a/src/moledale/bundle/store.py
+++ b/src/moledale/bundle/store.py
@@ -5,10 +5,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from moledale.bundle import schema
-from moledale.bundle.signing import Signature, digest, valid_operators
-from moledale.findings import Finding
-from moledale.platform.types import (
+from moledale.backing.types import (
     ABSENT,
     Condition,
     Platform,
@@ -17,6 +14,9 @@
     Transaction,
     Write,
 )
+from moledale.bundle import schema
+from moledale.bundle.signing import Signature, digest, valid_operators
+from moledale.findings import Finding
 from moledale.settings import OperatorsSection
 
 HEAD_TABLE = "bundle"
--- a/src/moledale/node/bundle_watch.py
+++ b/src/moledale/node/bundle_watch.py
@@ -5,13 +5,13 @@
 
 from result import Err
 
+from moledale.backing.types import Platform
 from moledale.bundle import store
 from moledale.bundle.schema import Bundle
 from moledale.clock import Clock
 from moledale.log import Event, emit
 from moledale.node.mailbox import Mailbox
 from moledale.node.messages import HeadHint
-from moledale.platform.types import Platform
 from moledale.settings import OperatorsSection
 
 
--- a/src/moledale/node/fleet.py
+++ b/src/moledale/node/fleet.py
@@ -5,13 +5,13 @@
 
 from result import Err
 
+from moledale.backing.types import Instance, InstanceKind, InstanceState, Platform
 from moledale.bundle.schema import Bundle
 from moledale.clock import Clock
 from moledale.core.addresses import NodeView
 from moledale.core.routing import ServerView, Speeds
 from moledale.core.subset import Followable, followed
 from moledale.node.messages import ServerGone, ServerLeaving, ServerMessage
-from moledale.platform.types import Instance, InstanceKind, InstanceState, Platform
 
 
 class Fleet:
--- a/src/moledale/node/hall_duty.py
+++ b/src/moledale/node/hall_duty.py
@@ -10,15 +10,7 @@
 import msgspec
 from result import Err
 
-from moledale.bundle.schema import Bundle
-from moledale.clock import Clock
-from moledale.core.leases import Grant, Lease, LeaseAction, LeaseRow, may_order
-from moledale.log import Event, emit
-from moledale.node.fleet import Fleet
-from moledale.node.hall_renting import HallRenting
-from moledale.node.jobs import Jobs
-from moledale.node.messages import ServerLeaving
-from moledale.platform.types import (
+from moledale.backing.types import (
     ABSENT,
     Condition,
     Instance,
@@ -27,6 +19,14 @@
     Transaction,
     Write,
 )
+from moledale.bundle.schema import Bundle
+from moledale.clock import Clock
+from moledale.core.leases import Grant, Lease, LeaseAction, LeaseRow, may_order
+from moledale.log import Event, emit
+from moledale.node.fleet import Fleet
+from moledale.node.hall_renting import HallRenting
+from moledale.node.jobs import Jobs
+from moledale.node.messages import ServerLeaving
 from moledale.servers.types import LoadReport, ModelServers, Order
 from moledale.settings import TimesSection
 
--- a/src/moledale/node/hall_renting.py
+++ b/src/moledale/node/hall_renting.py
@@ -6,14 +6,7 @@
 import msgspec
 from result import Err
 
-from moledale.bundle.schema import Bundle, Market
-from moledale.clock import Clock
-from moledale.core.leases import Grant
-from moledale.core.renting import Held, Refusal, Rent, RentView, Return, plan
-from moledale.log import Event, emit
-from moledale.node.fleet import Fleet
-from moledale.node.messages import ServerLeaving
-from moledale.platform.types import (
+from moledale.backing.types import (
     ABSENT,
     Condition,
     InstanceState,
@@ -23,6 +16,13 @@
     Transaction,
     Write,
 )
+from moledale.bundle.schema import Bundle, Market
+from moledale.clock import Clock
+from moledale.core.leases import Grant
+from moledale.core.renting import Held, Refusal, Rent, RentView, Return, plan
+from moledale.log import Event, emit
+from moledale.node.fleet import Fleet
+from moledale.node.messages import ServerLeaving
 
 DEMAND_TABLE = "demand"
 MOST_HALLS = 100
--- a/src/moledale/node/jobs.py
+++ b/src/moledale/node/jobs.py
@@ -10,13 +10,7 @@
 from result import Err, Ok, Result
 
 from moledale import problems
-from moledale.clock import Clock
-from moledale.core.hashing import first
-from moledale.log import Event, emit
-from moledale.node.dispatcher import Dispatcher
-from moledale.node.journal import Entry, Journal, Outcome, new_operation
-from moledale.node.streams import GenerationRequest, StreamRecord
-from moledale.platform.types import (
+from moledale.backing.types import (
     ABSENT,
     Condition,
     ObjectStore,
@@ -26,6 +20,12 @@
     TableService,
     Write,
 )
+from moledale.clock import Clock
+from moledale.core.hashing import first
+from moledale.log import Event, emit
+from moledale.node.dispatcher import Dispatcher
+from moledale.node.journal import Entry, Journal, Outcome, new_operation
+from moledale.node.streams import GenerationRequest, StreamRecord
 from moledale.problems import Problem, Ran
 
 JOB_TABLE = "job"
--- a/src/moledale/node/journal.py
+++ b/src/moledale/node/journal.py
@@ -9,10 +9,10 @@
 import msgspec
 from result import Err
 
+from moledale.backing.types import Condition, TableService, Transaction, Write
 from moledale.clock import Clock
 from moledale.log import Event, emit
 from moledale.node.mailbox import Mailbox
-from moledale.platform.types import Condition, TableService, Transaction, Write
 
 MOST_ENTRIES = 256
 MOST_BYTES = 512_000
--- a/src/moledale/node/node.py
+++ b/src/moledale/node/node.py
@@ -11,6 +11,8 @@
 from transitions import Machine
 
 from moledale import problems
+from moledale.backing.guard import guarded
+from moledale.backing.types import Platform
 from moledale.bundle import store
 from moledale.bundle.schema import Bundle
 from moledale.clock import Clock
@@ -40,8 +42,6 @@
 from moledale.peers.gossip import PEERS_FOR_NEWS, PEERS_TO_PASS_ON, Gossip
 from moledale.peers.link import PeerLink
 from moledale.peers.pb import peers_pb2
-from moledale.platform.guard import guarded
-from moledale.platform.types import Platform
 from moledale.problems import Problem
 from moledale.servers.types import ModelServers, PlainServices, ServiceAnswer, ServiceCall
 from moledale.settings import Secrets, Settings
--- a/src/moledale/node/once.py
+++ b/src/moledale/node/once.py
@@ -13,10 +13,10 @@
 from result import Err, Ok, Result
 
 from moledale import problems
+from moledale.backing.types import ABSENT, Condition, TableService, Write
 from moledale.clock import Clock
 from moledale.node.background import Background
 from moledale.node.journal import Entry, Journal, Outcome, new_operation
-from moledale.platform.types import ABSENT, Condition, TableService, Write
 from moledale.problems import Problem, Ran
 from moledale.servers.types import ServiceAnswer
 
--- a/src/moledale/peers/gossip.py
+++ b/src/moledale/peers/gossip.py
@@ -5,12 +5,12 @@
 
 from result import Err
 
+from moledale.backing.types import Instance
 from moledale.clock import Clock
 from moledale.log import Event, emit
 from moledale.node.fleet import Fleet
 from moledale.peers.link import PeerLink
 from moledale.peers.pb import peers_pb2
-from moledale.platform.types import Instance
 
 PEERS_EACH_ROUND = 1
 PEERS_FOR_NEWS = 6
--- a/src/moledale/ui/daemon.py
+++ b/src/moledale/ui/daemon.py
@@ -11,6 +11,7 @@
 from result import Err
 
 from moledale import __version__
+from moledale.backing.http import http_platform
 from moledale.clock import SystemClock
 from moledale.edge.app import bind, make_app, make_server
 from moledale.findings import Finding
@@ -18,7 +19,6 @@
 from moledale.node.node import Node
 from moledale.peers.auth import PeerTokens
 from moledale.peers.grpc_link import GrpcLink
-from moledale.platform.http import http_platform
 from moledale.servers.http import HttpModelServers, HttpPlainServices, make_client
 from moledale.settings import Secrets, Settings, load, read_secrets
 
--- a/standins/local_fleet.py
+++ b/standins/local_fleet.py
@@ -16,9 +16,9 @@
 
 import msgspec
 
+from moledale.backing.types import Instance, InstanceKind, InstanceState
 from moledale.bundle import signing
 from moledale.edge.operators import NodeStatus
-from moledale.platform.types import Instance, InstanceKind, InstanceState
 from standins.serve import LISTENING
 from standins.settings_text import settings_text
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -9,7 +9,7 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
-from moledale.platform.types import (
+from moledale.backing.types import (
     ABSENT,
     Instance,
     InstancePage,
--- a/standins/settings_text.py
+++ b/standins/settings_text.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Mapping
 
-from moledale.platform.types import Part
+from moledale.backing.types import Part
 
 
 def settings_text(
--- a/tests/matrix.py
+++ b/tests/matrix.py
@@ -15,9 +15,9 @@
 import logbook
 from result import Err, Result
 
+from moledale.backing.types import Part
 from moledale.node.jobs import JobState, new_job_id
 from moledale.node.once import OnceCall
-from moledale.platform.types import Part
 from moledale.problems import Problem, Ran
 from moledale.servers.types import ServiceAnswer
 from tests.world import Action, World, whole
--- a/tests/test_orders_of_faults.py
+++ b/tests/test_orders_of_faults.py
@@ -9,8 +9,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
+from moledale.backing.types import Part
 from moledale.node.jobs import JobState, new_job_id
-from moledale.platform.types import Part
 from moledale.problems import Ran
 from tests.world import World, whole
 
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -5,10 +5,10 @@
 
 from result import Err
 
+from moledale.backing.types import InstanceKind, InstanceState, Notice, Part
 from moledale.bundle.schema import Priority
 from moledale.node.jobs import JobState, new_job_id
 from moledale.node.messages import ServerLeaving
-from moledale.platform.types import InstanceKind, InstanceState, Notice, Part
 from moledale.problems import Ran
 from tests.world import World, in_world, whole
 
--- a/tests/test_supervisor.py
+++ b/tests/test_supervisor.py
@@ -5,10 +5,10 @@
 
 import logbook
 
+from moledale.backing.http import HttpTable
+from moledale.backing.types import Part, Transaction
 from moledale.node.mailbox import Mailbox
 from moledale.node.supervisor import RestartLimit, Supervisor
-from moledale.platform.http import HttpTable
-from moledale.platform.types import Part, Transaction
 from moledale.servers.http import HttpModelServers, make_client
 from moledale.servers.types import GenerateCall, ServerError
 from tests.world import ManualClock
--- a/tests/test_system.py
+++ b/tests/test_system.py
@@ -11,9 +11,9 @@
 
 import grpc
 
+from moledale.backing.types import InstanceState, Part
 from moledale.bundle.signing import Signature
 from moledale.peers.pb import peers_pb2, peers_pb2_grpc
-from moledale.platform.types import InstanceState, Part
 from standins.engine import token_text
 from standins.local_fleet import ROOT, LocalFleet
 from standins.local_fleet import http as call_url
--- a/tests/world.py
+++ b/tests/world.py
@@ -18,15 +18,7 @@
 from result import Err, Ok, Result
 
 from moledale import problems
-from moledale.bundle import schema, signing
-from moledale.bundle.schema import Priority
-from moledale.bundle.store import SignedBundle
-from moledale.node.node import Node, OnceWork
-from moledale.node.once import OnceCall, fingerprint
-from moledale.node.streams import GenerationRequest, StreamRecord
-from moledale.peers.link import PeerHandler
-from moledale.peers.pb import peers_pb2
-from moledale.platform.types import (
+from moledale.backing.types import (
     Instance,
     InstanceKind,
     InstancePage,
@@ -42,6 +34,14 @@
     TransactionOutcome,
     WeightGrant,
 )
+from moledale.bundle import schema, signing
+from moledale.bundle.schema import Priority
+from moledale.bundle.store import SignedBundle
+from moledale.node.node import Node, OnceWork
+from moledale.node.once import OnceCall, fingerprint
+from moledale.node.streams import GenerationRequest, StreamRecord
+from moledale.peers.link import PeerHandler
+from moledale.peers.pb import peers_pb2
 from moledale.problems import Problem
 from moledale.servers.types import (
     CacheEvent,
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -22,12 +22,12 @@
 import msgspec
 from aiosonic.timeout import Timeouts
 
+from moledale.backing.types import Instance, InstanceKind, InstanceState
 from moledale.bundle.schema import Market, parse
 from moledale.core.addresses import NodeView, addresses_for
 from moledale.core.renting import Held, RentView, plan
 from moledale.core.routing import LoadBook, Need, RoutingParams, ServerView, Speeds
 from moledale.core.subset import Followable, followed
-from moledale.platform.types import Instance, InstanceKind, InstanceState
 from moledale.servers.http import make_client
 from standins.local_fleet import LocalFleet, Proc, http
 from standins.platform import Stats
