--- /dev/null
+++ b/src/moledale/gateway/balance.py
@@ -0,0 +1,220 @@
+"""Which server gets a request: views of servers, and a pure choice over them."""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from moledale.core.hashing import ranked
+from moledale.gateway.messages import PromptPart, RequestFacts, Server
+from moledale.gateway.peers import NodeState
+from moledale.gateway.plan import Engine
+
+PREFILL_TOKENS_PER_S = 40_000.0
+"""Prompt tokens that a model server reads in a second beside what it decodes."""
+
+SLOT_WAIT_S = 0.15
+"""Wait that a full batch adds; it is shared out by the part of slots taken."""
+
+FULL_WAIT_S = 1.0
+"""Wait for a server whose slots are all taken."""
+
+FAILED_WAIT_S = 0.4
+"""Extra cost of a server for each part of its answers that failed lately."""
+
+OTHER_HALL_S = 0.001
+SMOOTHING = 0.2
+FIRST_PAUSE_S = 0.5
+LONGEST_PAUSE_S = 3.0
+
+
+@dataclass(slots=True)
+class ServerView:
+    """A server as this node sees it."""
+
+    server: Server
+    running: int = 0
+    prefill_tokens: int = 0
+    others_running: int = 0
+    others_prefill: int = 0
+    failed_share: float = 0.0
+    answer_s: float = 0.02
+    failures: int = 0
+    paused_until: float = 0.0
+    cached: OrderedDict[str, int] = field(default_factory=OrderedDict)
+    cached_tokens: int = 0
+
+    @property
+    def all_running(self) -> int:
+        """Return the requests that all nodes have there."""
+        return self.running + self.others_running
+
+    @property
+    def all_prefill(self) -> int:
+        """Return the prompt tokens that all nodes have waiting there."""
+        return self.prefill_tokens + self.others_prefill
+
+    def remember(self, parts: tuple[PromptPart, ...], capacity: int) -> None:
+        """Note that a prompt's parts lie in the server's memory now."""
+        for part in parts:
+            if part.id not in self.cached:
+                self.cached_tokens += part.tokens
+            self.cached[part.id] = part.tokens
+            self.cached.move_to_end(part.id)
+        while self.cached_tokens > capacity and self.cached:
+            _, tokens = self.cached.popitem(last=False)
+            self.cached_tokens -= tokens
+
+    def covers(self, parts: tuple[PromptPart, ...]) -> int:
+        """Return the tokens at the front of a prompt that lie in the server's memory."""
+        tokens = 0
+        for part in parts:
+            if part.id not in self.cached:
+                break
+            tokens += part.tokens
+        return tokens
+
+
+@dataclass(slots=True)
+class Placement:
+    """A request counted on a server until it ends."""
+
+    view: ServerView
+    prefill: int
+    sent_at: float
+    ended: bool = False
+
+    def first_token(self) -> None:
+        """Note that the prompt was read."""
+        self.view.prefill_tokens -= self.prefill
+        self.prefill = 0
+
+    def end(self) -> None:
+        """Stop counting the request; a second call changes nothing."""
+        if self.ended:
+            return
+        self.ended = True
+        self.first_token()
+        self.view.running -= 1
+
+
+def affinity_key(parts: tuple[PromptPart, ...]) -> str:
+    """Return what requests that should meet on one server have in common."""
+    if not parts:
+        return ""
+    return parts[-2].id if len(parts) > 1 else parts[0].id
+
+
+def engine_cost(view: ServerView, facts: RequestFacts, home: bool, engine: Engine) -> float:
+    """Estimate the seconds until the first token if the request went to a server."""
+    cached = view.covers(facts.parts)
+    if home and not cached:
+        cached = sum(part.tokens for part in facts.parts[:-1]) // 2
+    work = view.all_prefill + max(0, facts.prompt_tokens - cached)
+    cost = work / PREFILL_TOKENS_PER_S + SLOT_WAIT_S * view.all_running / engine.slots
+    if view.all_running >= engine.slots:
+        cost += FULL_WAIT_S * view.all_running / engine.slots
+    return cost + FAILED_WAIT_S * view.failed_share
+
+
+def plain_cost(view: ServerView, hall: str) -> float:
+    """Estimate the seconds until an answer of a plain service."""
+    waiting = 1 + view.all_running / max(1, view.server.slots)
+    away = OTHER_HALL_S if view.server.hall != hall else 0.0
+    return view.answer_s * waiting + away + FAILED_WAIT_S * view.failed_share
+
+
+class ServerBook:
+    """The servers of all services, with what this node and its peers have running there."""
+
+    def __init__(self, hall: str) -> None:
+        self.views: dict[str, ServerView] = {}
+        self._hall = hall
+
+    def apply(self, servers: Iterable[Server]) -> list[str]:
+        """Take over the list of servers; return the ids that are there no more."""
+        listed = {server.id: server for server in servers}
+        gone = [name for name in self.views if name not in listed]
+        for name in gone:
+            del self.views[name]
+        for name, server in listed.items():
+            known = self.views.get(name)
+            if known is None:
+                self.views[name] = ServerView(server)
+            else:
+                known.server = server
+        return gone
+
+    def others(self, states: Iterable[NodeState]) -> None:
+        """Take over what live peers have running."""
+        for view in self.views.values():
+            view.others_running = 0
+            view.others_prefill = 0
+        for state in states:
+            for name, (running, prefill) in state.loads.items():
+                view = self.views.get(name)
+                if view is not None:
+                    view.others_running += running
+                    view.others_prefill += prefill
+
+    def loads(self) -> dict[str, tuple[int, int]]:
+        """Return what this node has running, by server."""
+        return {
+            name: (view.running, view.prefill_tokens)
+            for name, view in self.views.items()
+            if view.running
+        }
+
+    def ready(self, service: str, now: float, excluded: frozenset[str]) -> list[ServerView]:
+        """Return the servers that may get new work; paused ones only if there are no others."""
+        staying = [
+            view
+            for view in self.views.values()
+            if view.server.service == service
+            and not view.server.leaving
+            and view.server.id not in excluded
+        ]
+        return [view for view in staying if view.paused_until <= now] or staying
+
+    def place(
+        self,
+        service: str,
+        facts: RequestFacts,
+        engine: Engine | None,
+        now: float,
+        excluded: frozenset[str] = frozenset(),
+    ) -> Placement | None:
+        """Choose a server and count the request there in one step; None if there is none."""
+        views = self.ready(service, now, excluded)
+        if not views:
+            return None
+        if engine is None:
+            best = min(views, key=lambda view: (plain_cost(view, self._hall), view.server.id))
+            return self._count(best, 0, now)
+        home = ranked(affinity_key(facts.parts), (view.server.id for view in views))[0]
+        best = min(
+            views,
+            key=lambda view: engine_cost(view, facts, view.server.id == home, engine),
+        )
+        uncached = max(0, facts.prompt_tokens - best.covers(facts.parts))
+        best.remember(facts.parts, engine.cache_tokens)
+        return self._count(best, uncached, now)
+
+    def _count(self, view: ServerView, prefill: int, now: float) -> Placement:
+        view.running += 1
+        view.prefill_tokens += prefill
+        return Placement(view, prefill, now)
+
+
+def note_answer(view: ServerView, failed: bool, took_s: float) -> None:
+    """Learn from an answer."""
+    view.failures = 0
+    view.failed_share += SMOOTHING * (float(failed) - view.failed_share)
+    view.answer_s += SMOOTHING * (min(took_s, 2.0) - view.answer_s)
+
+
+def note_silence(view: ServerView, now: float) -> None:
+    """Learn from a server that can't be reached or broke off: pause it, longer each time."""
+    view.failures += 1
+    view.failed_share += SMOOTHING * (1.0 - view.failed_share)
+    pause = min(FIRST_PAUSE_S * 2 ** (view.failures - 1), LONGEST_PAUSE_S)
+    view.paused_until = now + pause
--- /dev/null
+++ b/src/moledale/gateway/calls.py
@@ -0,0 +1,93 @@
+"""Calls by HTTP to what is given and to peers: one send is one send, nothing is asked again."""
+
+import asyncio
+import time
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from moledale.gateway.messages import Headers
+from moledale.gateway.upstream import AnswerCut, ConnectFailed, UpstreamConnection, connect
+
+MOST_IDLE = 4
+IDLE_S = 20.0
+
+
+@dataclass(frozen=True, slots=True)
+class CallAnswer:
+    """A whole answer, and when the call was sent and answered (monotonic seconds)."""
+
+    status: int
+    body: bytes
+    sent_at: float
+    answered_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class CallFailed:
+    """No whole answer came; with `sent` the call may have had its effect."""
+
+    detail: str
+    sent: bool
+
+
+class HttpCaller:
+    """Calls to one address over a few kept connections; a failed one is never used again."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self._idle: list[UpstreamConnection] = []
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        headers: Headers | None = None,
+        timeout_s: float = 1.0,
+    ) -> Result[CallAnswer, CallFailed]:
+        """Send one request and return its whole answer."""
+        connection: UpstreamConnection | None = None
+        sent = False
+        try:
+            async with asyncio.timeout(timeout_s):
+                connection = self._take() or await connect(self.address, timeout_s)
+                sent_at = time.monotonic()
+                connection.send(self._encode(method, path, body, headers or []))
+                sent = True
+                head = await connection.head()
+                parts = []
+                while (data := await connection.chunk()) is not None:
+                    parts.append(data)
+            if head.get(b"connection") == b"close":
+                connection.usable = False
+            now = time.monotonic()
+            if connection.finish(now) and len(self._idle) < MOST_IDLE:
+                self._idle.append(connection)
+            connection = None
+            return Ok(CallAnswer(head.status, b"".join(parts), sent_at, now))
+        except (ConnectFailed, AnswerCut, TimeoutError) as error:
+            return Err(CallFailed(f"{type(error).__name__} {error}", sent))
+        finally:
+            if connection is not None:
+                connection.abort()
+
+    def close(self) -> None:
+        """Close kept connections."""
+        while self._idle:
+            self._idle.pop().close()
+
+    def _take(self) -> UpstreamConnection | None:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.usable and time.monotonic() - connection.idle_since < IDLE_S:
+                return connection
+            connection.close()
+        return None
+
+    def _encode(self, method: str, path: str, body: bytes, headers: Headers) -> bytes:
+        lines = [f"{method} {path} HTTP/1.1\r\nHost: {self.address}".encode()]
+        lines.extend(name + b": " + value for name, value in headers)
+        if body or method in ("POST", "PUT"):
+            lines.append(b"Content-Length: %d" % len(body))
+        return b"\r\n".join(lines) + b"\r\n\r\n" + body
--- /dev/null
+++ b/src/moledale/gateway/forwarder.py
@@ -0,0 +1,399 @@
+"""One request from its caller to a server and back: admission, attempts, whole answers."""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import StrEnum
+
+from moledale.gateway.accounts import AccountLimits
+from moledale.gateway.balance import Placement, ServerBook, note_answer, note_silence
+from moledale.gateway.dialect import Dialect
+from moledale.gateway.events import EventCutter
+from moledale.gateway.messages import (
+    AnswerFacts,
+    AnswerHead,
+    AttemptFacts,
+    Caller,
+    InboundRequest,
+    Refusal,
+    RequestFacts,
+)
+from moledale.gateway.plan import Kind, Plan, PlanIndex, Route, chosen_service
+from moledale.gateway.pool import ConnectionPool
+from moledale.gateway.reply import CHUNKED, Reply
+from moledale.gateway.sharing import Sharing
+from moledale.gateway.upstream import AnswerCut, ConnectFailed, Cut, UpstreamConnection
+from moledale.log import Event, emit
+
+MOST_BUFFERED_BYTES = 1_048_576
+"""Plain answers up to this size are read whole before the caller gets a byte of them."""
+
+ANSWER_MARGIN_S = 0.03
+"""A final answer leaves this long before the caller's deadline, so that it arrives in time."""
+
+NO_PLAN_AGAIN_S = 0.5
+NO_SERVER_AGAIN_S = 0.6
+NOT_RUN_AGAIN_S = 0.3
+LEAST_AGAIN_S = 0.05
+SPREAD = 0.5
+"""Times to come back are spread by this part, so that callers don't come together."""
+
+PROMISES = frozenset({408, 421, 429, 503})
+"""Statuses that tell a caller that its request has not run and never will."""
+
+
+class Ending(StrEnum):
+    """How an attempt ended."""
+
+    ANSWERED = "answered"
+    NOT_SENT = "not sent"
+    NOT_RUN = "not run"
+    FAILED = "failed"
+    BROKEN = "broken"
+
+
+@dataclass(slots=True)
+class Attempt:
+    """Outcome of one send; the answer of a server, if there is one to pass on."""
+
+    ending: Ending
+    head: AnswerHead | None = None
+    body: bytes = b""
+    retry_after_s: float | None = None
+    why: str = ""
+
+
+@dataclass(slots=True)
+class Job:
+    """A request under way: who asks for what, until when, and what was tried."""
+
+    request: InboundRequest
+    facts: RequestFacts
+    route: Route
+    caller: Caller
+    service: str
+    ends_at: float
+    reply: Reply
+    cutter: EventCutter
+    tried: frozenset[str] = frozenset()
+    sends: int = 0
+    may_have_run: bool = False
+    counted: bool = False
+    offered: bool = False
+    taken: float = 0.0
+
+    def left_s(self, now: float) -> float:
+        """Return the time left."""
+        return self.ends_at - now
+
+
+class Forwarder:
+    """Carries requests to servers; all nodes' news come in through `sharing`."""
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        book: ServerBook,
+        pool: ConnectionPool,
+        sharing: Sharing,
+        now: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.index: PlanIndex | None = None
+        self.limits = AccountLimits()
+        self._dialect = dialect
+        self._book = book
+        self._pool = pool
+        self._sharing = sharing
+        self._now = now
+        self._random = random.Random()
+
+    def adopt(self, plan: Plan) -> bool:
+        """Put a plan in force unless a newer one is; say whether it is in force now."""
+        if self.index is not None and plan.version <= self.index.version:
+            return False
+        self.index = PlanIndex(plan)
+        return True
+
+    async def handle(self, request: InboundRequest, reply: Reply) -> None:
+        """Answer one request."""
+        job = self._admit(request, reply)
+        if isinstance(job, Refusal):
+            self._refuse(reply, request, job)
+            return
+        try:
+            async with asyncio.timeout(max(0.0, job.left_s(self._now()))):
+                await self._carry(job)
+        except TimeoutError:
+            self._give_up(job, Refusal(504, "the time limit was reached"))
+        except asyncio.CancelledError:
+            emit(Event.CALLER_GONE, request=job.facts.id, sends=job.sends)
+            raise
+
+    def _admit(self, request: InboundRequest, reply: Reply) -> Job | Refusal:
+        """Find route and account, and take from the account's limit."""
+        try:
+            facts = self._dialect.read_request(request.head)
+        except ValueError as error:
+            return Refusal(400, str(error))
+        index = self.index
+        if index is None:
+            return Refusal(503, "no plan is known yet", NO_PLAN_AGAIN_S)
+        host = request.head.get(b"host")
+        if host is None:
+            return Refusal(400, "the Host header is missing")
+        route = index.route(host.decode("latin-1"), request.head.target.decode("latin-1"))
+        if route is None:
+            return Refusal(404, "there is no such route")
+        caller = self._caller(index, route, facts)
+        if isinstance(caller, Refusal):
+            return caller
+        limit = route.time_limit_s
+        if facts.deadline_s is not None:
+            limit = min(limit, facts.deadline_s - ANSWER_MARGIN_S)
+        if limit <= 0:
+            return Refusal(503, "no time is left", LEAST_AGAIN_S)
+        return Job(
+            request,
+            facts,
+            route,
+            caller,
+            chosen_service(route, self._random.random()),
+            request.arrived_at + limit,
+            reply,
+            EventCutter(facts.resumed_after),
+        )
+
+    def _caller(self, index: PlanIndex, route: Route, facts: RequestFacts) -> Caller | Refusal:
+        account = index.account(facts.key) if facts.key else None
+        if account is None:
+            if index.has_accounts and not route.public:
+                return Refusal(401, "the key is not known")
+            return Caller(None, route.priority)
+        wait_s = self.limits.take(account, account.price(facts.tokens), self._now())
+        if wait_s > 0:
+            return Refusal(429, "the account's limit is reached", self._spread(wait_s))
+        priority = route.priority if account.priority is None else account.priority
+        return Caller(account.name, priority)
+
+    async def _carry(self, job: Job) -> None:
+        """Try servers until one answers or no more may be tried."""
+        self._sharing.request(job.service, self._now())
+        last = Attempt(Ending.NOT_SENT, why="no server is there")
+        while True:
+            placement = self._place(job)
+            if placement is None:
+                break
+            attempt = await self._attempt(job, placement)
+            if attempt.ending is Ending.ANSWERED:
+                return
+            last = attempt
+            if not self._may_repeat(job, attempt):
+                break
+        self._end_without_answer(job, last)
+
+    def _place(self, job: Job) -> Placement | None:
+        index = self.index
+        assert index is not None
+        service = index.services.get(job.service)
+        engine = service.engine if service is not None else None
+        return self._book.place(job.service, job.facts, engine, self._now(), job.tried)
+
+    def _may_repeat(self, job: Job, attempt: Attempt) -> bool:
+        """Say whether another server may be tried."""
+        server_left = job.sends < job.route.max_servers
+        if attempt.ending is Ending.NOT_SENT:
+            return len(job.tried) < job.route.max_servers + 2
+        if not server_left or (job.may_have_run and not job.route.repeatable):
+            return False
+        return self._sharing.may_repeat(job.service, self._now())
+
+    async def _attempt(self, job: Job, placement: Placement) -> Attempt:
+        """Send the request to one server and pass its answer on."""
+        view = placement.view
+        server = view.server
+        job.tried |= {server.id}
+        connection: UpstreamConnection | None = None
+        try:
+            try:
+                connection = await self._pool.take(server.id, server.address)
+            except ConnectFailed as error:
+                note_silence(view, self._now())
+                emit(Event.CONNECT_FAILED, request=job.facts.id, server=server.id, why=str(error))
+                return Attempt(Ending.NOT_SENT, why="no connection")
+            self._send(job, connection, server.id)
+            try:
+                attempt = await self._read(job, connection, placement)
+            except AnswerCut as error:
+                attempt = self._cut(job, placement, error.cut)
+            if attempt.ending is not Ending.ANSWERED:
+                emit(
+                    Event.ATTEMPT_ENDED,
+                    request=job.facts.id,
+                    server=server.id,
+                    ending=attempt.ending.value,
+                    why=attempt.why,
+                    ms=round((self._now() - placement.sent_at) * 1000),
+                )
+            self._pool.give_back(server.id, connection)
+            connection = None
+            return attempt
+        finally:
+            if connection is not None:
+                connection.abort()
+            placement.end()
+
+    def _send(self, job: Job, connection: UpstreamConnection, server_id: str) -> None:
+        now = self._now()
+        if job.sends:
+            self._sharing.repeat(job.service, now)
+        job.sends += 1
+        job.offered = True
+        after = job.cutter.last_id if job.cutter.passed else ""
+        facts = AttemptFacts(
+            server_id,
+            job.caller.account,
+            job.left_s(now),
+            job.caller.priority,
+            after_event=after,
+        )
+        body = job.request.body
+        connection.send(self._dialect.attempt_head(job.request.head, facts, len(body)) + body)
+
+    async def _read(
+        self, job: Job, connection: UpstreamConnection, placement: Placement
+    ) -> Attempt:
+        """Read an answer's head, decide what it means, and read or pass on the rest."""
+        head = await connection.head()
+        facts = self._dialect.read_answer(head)
+        if facts.closes:
+            connection.usable = False
+        connection.keep_alive_s = facts.keep_alive_s
+        if facts.request_id is not None and facts.request_id != job.facts.id:
+            connection.usable = False
+            return self._cut(job, placement, Cut.GARBLED)
+        if facts.not_run:
+            await self._read_whole(connection)
+            return Attempt(Ending.NOT_RUN, retry_after_s=facts.retry_after_s, why=str(head.status))
+        if not facts.signed:
+            connection.usable = False
+            return self._cut(job, placement, Cut.GARBLED)
+        if job.route.kind is Kind.STREAM and head.status < 300:
+            return await self._pass_stream(job, connection, placement, head)
+        return await self._pass_whole(job, connection, placement, head, facts)
+
+    async def _read_whole(self, connection: UpstreamConnection) -> bytes:
+        parts = []
+        while (data := await connection.chunk()) is not None:
+            parts.append(data)
+        return b"".join(parts)
+
+    async def _pass_whole(
+        self,
+        job: Job,
+        connection: UpstreamConnection,
+        placement: Placement,
+        head: AnswerHead,
+        facts: AnswerFacts,
+    ) -> Attempt:
+        body = await self._read_whole(connection)
+        now = self._now()
+        failed = head.status >= 500
+        note_answer(placement.view, failed, now - placement.sent_at)
+        job.may_have_run = True
+        self._count(job)
+        if failed and job.reply.begun:
+            return Attempt(Ending.FAILED, head, body, why=str(head.status))
+        if failed and job.route.repeatable and job.sends < job.route.max_servers:
+            return Attempt(Ending.FAILED, head, body, why=str(head.status))
+        self._pass(job, head, body)
+        return Attempt(Ending.ANSWERED)
+
+    def _pass(self, job: Job, head: AnswerHead, body: bytes) -> None:
+        """Pass a server's whole answer on; its promises are not ours to repeat."""
+        if head.status in PROMISES:
+            self._refuse(job.reply, job.request, Refusal(502, "the server's answer is unclear"))
+            return
+        job.reply.whole(head.status, self._dialect.answer_headers(head), body)
+
+    async def _pass_stream(
+        self, job: Job, connection: UpstreamConnection, placement: Placement, head: AnswerHead
+    ) -> Attempt:
+        """Pass events on as they come, whole ones only."""
+        first = True
+        while (data := await connection.chunk()) is not None:
+            if first:
+                first = False
+                placement.first_token()
+                job.may_have_run = True
+                self._count(job)
+                note_answer(placement.view, False, self._now() - placement.sent_at)
+            whole = job.cutter.feed(data)
+            if whole:
+                self._begin_stream(job, head)
+                job.reply.send(whole)
+                await job.reply.drained()
+        self._begin_stream(job, head)
+        job.reply.send(job.cutter.rest())
+        job.reply.finish()
+        return Attempt(Ending.ANSWERED)
+
+    def _begin_stream(self, job: Job, head: AnswerHead) -> None:
+        if not job.reply.begun:
+            job.reply.start(head.status, self._dialect.answer_headers(head), CHUNKED)
+
+    def _cut(self, job: Job, placement: Placement, cut: Cut) -> Attempt:
+        """An answer ended early: the request may have run."""
+        job.may_have_run = True
+        note_silence(placement.view, self._now())
+        job.cutter.start_again()
+        return Attempt(Ending.BROKEN, why=cut.value)
+
+    def _count(self, job: Job) -> None:
+        if not job.counted and job.caller.account is not None:
+            job.counted = True
+            self._sharing.started(job.caller.account)
+
+    def _end_without_answer(self, job: Job, last: Attempt) -> None:
+        """Give the final answer at once: a server's failure, or one of our own."""
+        if job.reply.begun:
+            job.reply.break_off()
+            emit(Event.STREAM_BROKEN, request=job.facts.id, events=job.cutter.passed, why=last.why)
+        elif last.head is not None:
+            self._pass(job, last.head, last.body)
+        elif job.may_have_run:
+            self._give_up(job, Refusal(502, "the server broke off"))
+        else:
+            again = last.retry_after_s if last.retry_after_s is not None else NOT_RUN_AGAIN_S
+            if last.ending is Ending.NOT_SENT:
+                again = NO_SERVER_AGAIN_S
+            self._give_up(job, Refusal(503, last.why, self._spread(again)))
+
+    def _give_up(self, job: Job, refusal: Refusal) -> None:
+        if job.reply.begun:
+            if not job.reply.complete:
+                job.reply.break_off()
+                emit(Event.STREAM_BROKEN, request=job.facts.id, why=refusal.reason)
+            return
+        if not job.offered and refusal.status == 504:
+            refusal = Refusal(503, refusal.reason, NOT_RUN_AGAIN_S)
+        self._refuse(job.reply, job.request, refusal, job.facts.id)
+
+    def _refuse(
+        self, reply: Reply, request: InboundRequest, refusal: Refusal, name: str = ""
+    ) -> None:
+        emit(
+            Event.REFUSED,
+            request=name,
+            status=refusal.status,
+            why=refusal.reason,
+            again_s=refusal.retry_after_s,
+            held_ms=round((self._now() - request.arrived_at) * 1000),
+        )
+        body = b'{"error":"%s"}' % refusal.reason.encode()
+        headers = self._dialect.refusal_headers(name, refusal.retry_after_s)
+        reply.whole(refusal.status, headers, body)
+
+    def _spread(self, seconds: float) -> float:
+        return max(LEAST_AGAIN_S, seconds * (1.0 + SPREAD * self._random.random()))
--- /dev/null
+++ b/src/moledale/gateway/inbound.py
@@ -0,0 +1,246 @@
+"""Callers' connections: limits on what they send, one request after another, prompt cancellation.
+
+A connection is a state machine over `httptools`; a web framework on top would hide when a caller
+leaves, how long a head takes and whether a refused request was read.
+"""
+
+import asyncio
+from collections import deque
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import httptools
+
+from moledale.gateway.messages import Headers, InboundRequest, RequestHead, first_header
+from moledale.gateway.plan import Limits
+from moledale.gateway.reply import Reply
+
+SWEEP_S = 0.25
+MOST_PIPELINED = 4
+MOST_UNSENT_BYTES = 262_144
+JSON_TYPE = (b"Content-Type", b"application/json")
+
+Handler = Callable[[InboundRequest, Reply], Awaitable[None]]
+
+
+@dataclass(slots=True)
+class Listener:
+    """What all connections of one listening address share."""
+
+    handle: Handler
+    limits: Callable[[], Limits]
+    now: Callable[[], float]
+    closing: bool = False
+    connections: set["InboundConnection"] = field(default_factory=set)
+
+    def busy(self) -> int:
+        """Return the number of connections with a request in hand."""
+        return sum(1 for connection in self.connections if connection.busy)
+
+    def sweep(self) -> None:
+        """Close connections that have been at rest, or at a head, for too long."""
+        limits = self.limits()
+        now = self.now()
+        for connection in list(self.connections):
+            connection.expire(now, limits)
+
+    def close_idle(self) -> None:
+        """Close connections that have no request in hand."""
+        for connection in list(self.connections):
+            if not connection.busy:
+                connection.close()
+
+
+class InboundConnection(asyncio.Protocol):
+    """One caller's connection."""
+
+    def __init__(self, listener: Listener) -> None:
+        self._listener = listener
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._waiting: deque[InboundRequest] = deque()
+        self._task: asyncio.Task[None] | None = None
+        self._reply: Reply | None = None
+        self._refused = False
+        self._rest_since = listener.now()
+        self._head_since: float | None = None
+        self._reset_message()
+
+    def _reset_message(self) -> None:
+        self._target = b""
+        self._headers: Headers = []
+        self._body: list[bytes] = []
+        self._head_bytes = 0
+        self._body_bytes = 0
+        self._in_body = False
+
+    @property
+    def busy(self) -> bool:
+        """Say whether a request is in hand or being read."""
+        return self._task is not None or self._head_since is not None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Register the connection."""
+        self._transport = transport  # type: ignore[assignment]
+        transport.set_write_buffer_limits(high=MOST_UNSENT_BYTES)  # type: ignore[attr-defined]
+        self._listener.connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Stop work for a caller that is gone."""
+        self._listener.connections.discard(self)
+        self._waiting.clear()
+        if self._task is not None:
+            self._task.cancel()
+
+    def eof_received(self) -> bool | None:
+        """A caller that ends its sending has left."""
+        return None
+
+    def pause_writing(self) -> None:
+        """Hold back the answer of a slow reader."""
+        if self._reply is not None:
+            self._reply.pause()
+
+    def resume_writing(self) -> None:
+        """Go on with the answer."""
+        if self._reply is not None:
+            self._reply.resume()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what the caller sent."""
+        if self._refused:
+            return
+        if self._head_since is None:
+            self._head_since = self._listener.now()
+        if not self._in_body:
+            self._head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse(400, b"upgrades are not supported")
+        except httptools.HttpParserError:
+            self._refuse(400, b"not a valid HTTP/1.1 request")
+        if not self._in_body and self._head_bytes > self._listener.limits().header_bytes:
+            self._refuse(431, b"the head is too long")
+
+    def on_url(self, url: bytes) -> None:
+        """Collect the target."""
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header."""
+        self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Check the head; a body follows or not."""
+        self._in_body = True
+        size = len(self._target) + sum(len(name) + len(value) + 4 for name, value in self._headers)
+        if size > self._listener.limits().header_bytes:
+            self._refuse(431, b"the head is too long")
+            return
+        length = first_header(self._headers, b"content-length")
+        if length is not None and int(length) > self._listener.limits().body_bytes:
+            self._refuse(413, b"the body is too long")
+            return
+        expects = first_header(self._headers, b"expect")
+        if expects is not None and expects.lower() == b"100-continue" and self._transport:
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        """Collect the body."""
+        self._body_bytes += len(body)
+        if self._body_bytes > self._listener.limits().body_bytes:
+            self._refuse(413, b"the body is too long")
+            return
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Take a whole request in hand."""
+        if self._refused:
+            return
+        head = RequestHead(self._parser.get_method(), self._target, self._headers)
+        request = InboundRequest(
+            head,
+            b"".join(self._body),
+            self._listener.now(),
+            closing=not self._parser.should_keep_alive(),
+        )
+        self._reset_message()
+        self._head_since = None
+        self._waiting.append(request)
+        if self._task is None:
+            self._next()
+        elif len(self._waiting) >= MOST_PIPELINED and self._transport is not None:
+            self._transport.pause_reading()
+
+    def _next(self) -> None:
+        request = self._waiting.popleft()
+        if self._transport is None:
+            return
+        self._reply = Reply(self._transport, request.closing or self._listener.closing)
+        self._task = asyncio.get_running_loop().create_task(self._run(request, self._reply))
+
+    async def _run(self, request: InboundRequest, reply: Reply) -> None:
+        try:
+            await self._listener.handle(request, reply)
+        finally:
+            self._done(reply)
+
+    def _done(self, reply: Reply) -> None:
+        self._task = None
+        self._rest_since = self._listener.now()
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        if not reply.complete:
+            transport.abort()
+        elif reply.close:
+            transport.close()
+        else:
+            transport.resume_reading()
+            if self._waiting:
+                self._next()
+
+    def expire(self, now: float, limits: Limits) -> None:
+        """Answer a head that takes too long, close what rests too long."""
+        if self._task is not None or self._refused:
+            return
+        if self._head_since is not None:
+            if not self._in_body and now - self._head_since > limits.header_timeout_s:
+                self._refuse(408, b"the head took too long")
+        elif now - self._rest_since > limits.idle_timeout_s:
+            self.close()
+
+    def close(self) -> None:
+        """Close in order."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def _refuse(self, status: int, reason: bytes) -> None:
+        """Refuse what was not read whole, behind any answer still under way."""
+        if self._refused or self._transport is None:
+            return
+        self._refused = True
+        self._head_since = None
+        if self._task is not None:
+            self._waiting.clear()
+            return
+        reply = Reply(self._transport, close=True)
+        reply.whole(status, [JSON_TYPE], b'{"error":"%s"}' % reason)
+        self._transport.close()
+
+
+async def listen(address: str, listener: Listener) -> asyncio.Server:
+    """Accept callers at `host:port`."""
+    host, port = address.rsplit(":", 1)
+    loop = asyncio.get_running_loop()
+    return await loop.create_server(
+        lambda: InboundConnection(listener), host, int(port), backlog=1024, reuse_address=True
+    )
+
+
+async def sweep_forever(listener: Listener) -> None:
+    """Keep the time limits of a listener's connections."""
+    while True:
+        await asyncio.sleep(SWEEP_S)
+        listener.sweep()
--- /dev/null
+++ b/src/moledale/gateway/messages.py
@@ -0,0 +1,131 @@
+"""Typed messages between the parts of a gateway node."""
+
+from dataclasses import dataclass, field
+
+import msgspec
+
+Headers = list[tuple[bytes, bytes]]
+
+
+@dataclass(slots=True)
+class RequestHead:
+    """The first lines of a caller's request, as they came."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+
+    def get(self, name: bytes) -> bytes | None:
+        """Return the first header of a lower-case name."""
+        return first_header(self.headers, name)
+
+
+@dataclass(slots=True)
+class AnswerHead:
+    """The first lines of a server's answer, as they came."""
+
+    status: int
+    headers: Headers
+
+    def get(self, name: bytes) -> bytes | None:
+        """Return the first header of a lower-case name."""
+        return first_header(self.headers, name)
+
+
+def first_header(headers: Headers, name: bytes) -> bytes | None:
+    """Return the first value of a lower-case header name."""
+    for key, value in headers:
+        if key.lower() == name:
+            return value
+    return None
+
+
+class PromptPart(msgspec.Struct, frozen=True):
+    """A part of a prompt that other requests may share; `tokens` is its length."""
+
+    id: str
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class RequestFacts:
+    """What a request says of itself, whatever its headers are called."""
+
+    id: str = ""
+    key: str = ""
+    deadline_s: float | None = None
+    prompt_tokens: int = 0
+    answer_tokens: int = 0
+    parts: tuple[PromptPart, ...] = ()
+    resumed_after: str = ""
+
+    @property
+    def tokens(self) -> int:
+        """Return the tokens that count against a limit."""
+        return self.prompt_tokens + self.answer_tokens
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerFacts:
+    """What an answer says of itself, whatever its headers are called."""
+
+    request_id: str | None
+    signed: bool
+    not_run: bool
+    retry_after_s: float | None
+    keep_alive_s: float | None
+    closes: bool
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptFacts:
+    """What the system adds to a request that it sends to a server."""
+
+    server_id: str
+    account: str | None
+    left_s: float | None
+    priority: int | None
+    after_event: str = ""
+    continued_from: str = ""
+    backup_at: str = ""
+
+
+class Server(msgspec.Struct, frozen=True):
+    """A backend server as the platform lists it; `leaves_s` is the time it has left, if told."""
+
+    id: str
+    service: str
+    address: str
+    hall: str
+    slots: int
+    leaving: bool = False
+    spot: bool = False
+    leaves_s: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """An answer of the system's own; with `retry_after_s` the request has not run."""
+
+    status: int
+    reason: str
+    retry_after_s: float | None = None
+
+
+@dataclass(slots=True)
+class Caller:
+    """Who asks: the account behind a key, or nobody on a public route."""
+
+    account: str | None
+    priority: int | None
+
+
+@dataclass(slots=True)
+class InboundRequest:
+    """A whole request of a caller; `arrived_at` is on the monotonic clock."""
+
+    head: RequestHead
+    body: bytes
+    arrived_at: float
+    closing: bool = False
+    context: dict[str, object] = field(default_factory=dict)
--- /dev/null
+++ b/src/moledale/gateway/outside.py
@@ -0,0 +1,118 @@
+"""What the gateway needs from the outside, as typed interfaces; adapters implement them."""
+
+from typing import Protocol
+
+import msgspec
+from result import Result
+
+from moledale.gateway.messages import Server
+from moledale.gateway.plan import Plan
+
+ABSENT = 0
+"""Version of a row that does not exist."""
+
+
+class Trouble(msgspec.Struct, frozen=True):
+    """A call that brought nothing; with `uncertain` its effect may have happened or may yet.
+
+    `history_gone` tells that changes since the asked version are no longer known.
+    """
+
+    detail: str
+    uncertain: bool = True
+    history_gone: bool = False
+
+
+class StateRow(msgspec.Struct, frozen=True):
+    """A row that this system keeps in the store."""
+
+    key: str
+    value: bytes
+    version: int
+
+
+class Written(msgspec.Struct, frozen=True):
+    """Outcome of a conditional write: its version, or the row that stood in its way."""
+
+    version: int
+    committed: bool
+    standing: StateRow | None = None
+
+
+class Reading(msgspec.Struct, frozen=True):
+    """Rows as of one moment; `store_s` is the store's steady clock in seconds."""
+
+    rows: tuple[StateRow, ...]
+    version: int
+    store_s: float
+
+
+class ServerList(msgspec.Struct, frozen=True):
+    """The backend servers that the store lists, as of one moment."""
+
+    servers: tuple[Server, ...]
+    version: int
+    store_s: float
+
+
+class PlanNews(msgspec.Struct, frozen=True):
+    """Answer of a watch: the newest plan if it changed, and where to go on watching."""
+
+    plan: Plan | None
+    raw: bytes
+    position: int
+    store_s: float
+
+
+class Store(Protocol):
+    """The platform's store, as far as the gateway uses it."""
+
+    async def read(self, table: str, timeout_s: float) -> Result[Reading, Trouble]:
+        """Return all rows of one of this system's tables."""
+        ...
+
+    async def write(
+        self, table: str, key: str, value: bytes, expected: int, timeout_s: float
+    ) -> Result[Written, Trouble]:
+        """Put a row if it stands at version `expected`."""
+        ...
+
+    async def put(self, table: str, key: str, value: bytes, timeout_s: float) -> Trouble | None:
+        """Put a row without a condition."""
+        ...
+
+    async def remove(self, table: str, key: str, timeout_s: float) -> Trouble | None:
+        """Remove a row."""
+        ...
+
+    async def servers(self, timeout_s: float) -> Result[ServerList, Trouble]:
+        """Return the list of backend servers."""
+        ...
+
+    async def plan(self, timeout_s: float) -> Result[PlanNews, Trouble]:
+        """Return the newest plan."""
+        ...
+
+    async def watch_plan(self, position: int, wait_s: float) -> Result[PlanNews, Trouble]:
+        """Return the newest plan once there is one after `position`, or after `wait_s`."""
+        ...
+
+    def decode_plan(self, raw: bytes) -> Plan:
+        """Read a plan that a peer passed on; ValueError if it can't be read."""
+        ...
+
+
+class Orders(Protocol):
+    """Calls to the cloud that one node at a time may make."""
+
+    async def report_usage(
+        self, holder: str, fence: int, window: int, counts: dict[str, int]
+    ) -> Trouble | None:
+        """Report how many requests of each account began to run in a window."""
+        ...
+
+    async def order_servers(
+        self, holder: str, fence: int, service: str, hall: str, number: int, spot: bool
+    ) -> Result[bool, Trouble]:
+        """Order how many servers a hall shall have; False where none are to be had now."""
+        ...
--- /dev/null
+++ b/src/moledale/gateway/peers.py
@@ -0,0 +1,118 @@
+"""What nodes tell each other: each node's own state, newest first, and who is there.
+
+A state holds counters that only grow within one life of a process, so a message that is lost,
+late or doubled changes nothing, and what a node counted outlives it at its peers.
+"""
+
+from dataclasses import dataclass, field
+from enum import IntEnum
+
+import msgspec
+
+ALIVE_S = 1.5
+"""A node not heard of for this long takes no part in choices."""
+
+REMEMBERED_S = 40.0
+"""A node's last counts are kept this long after it was last heard of."""
+
+
+class Standing(IntEnum):
+    """Life cycle of a node."""
+
+    STARTING = 0
+    READY = 1
+    LEAVING = 2
+
+
+class LeaseNews(msgspec.Struct, array_like=True):
+    """The lease as its holder last wrote it; `age_s` counts from before the write was sent."""
+
+    fence: int
+    version: int
+    age_s: float
+
+
+class NodeState(msgspec.Struct, array_like=True):
+    """All that a node tells of itself; `life` is new at each start of its process."""
+
+    id: str
+    life: int
+    sequence: int
+    hall: str
+    address: str
+    peer: str
+    control: str
+    standing: int
+    plan_version: int
+    started: dict[int, dict[str, int]]
+    spent: dict[str, float]
+    loads: dict[str, tuple[int, int]]
+    sends: dict[str, tuple[int, int]]
+    offset_s: float | None = None
+    lease: LeaseNews | None = None
+    fleet_digest: int = 0
+    fleet_age_s: float = 1e9
+
+
+@dataclass(slots=True)
+class Member:
+    """A node as this one knows it."""
+
+    state: NodeState
+    heard_at: float
+
+
+@dataclass(slots=True)
+class Membership:
+    """Every node heard of, this one left out; earlier lives are kept for their counts."""
+
+    own_id: str
+    own_life: int
+    members: dict[str, Member] = field(default_factory=dict)
+    former: list[Member] = field(default_factory=list)
+
+    def heard(self, state: NodeState, now: float) -> NodeState | None:
+        """Take over a newer state; return the one before it of the same life.
+
+        The state itself is returned where nothing was known of that life.
+        """
+        if state.id == self.own_id:
+            if state.life != self.own_life:
+                self._keep_former(state, now)
+            return None
+        known = self.members.get(state.id)
+        if known is None:
+            self.members[state.id] = Member(state, now)
+            return state
+        before = known.state
+        if before.life == state.life:
+            if state.sequence <= before.sequence:
+                return None
+            self.members[state.id] = Member(state, now)
+            return before
+        if any(each.state.life == state.life for each in self.former):
+            return None
+        self.former.append(known)
+        self.members[state.id] = Member(state, now)
+        return state
+
+    def _keep_former(self, state: NodeState, now: float) -> None:
+        for each in self.former:
+            if each.state.id == state.id and each.state.life == state.life:
+                return
+        self.former.append(Member(state, now))
+
+    def alive(self, now: float) -> list[NodeState]:
+        """Return the nodes heard of lately."""
+        return [each.state for each in self.members.values() if now - each.heard_at < ALIVE_S]
+
+    def all_states(self) -> list[NodeState]:
+        """Return the last state of each life of each node still remembered."""
+        return [each.state for each in (*self.members.values(), *self.former)]
+
+    def forget_old(self, now: float) -> None:
+        """Forget nodes that were not heard of for long."""
+        self.former = [each for each in self.former if now - each.heard_at < REMEMBERED_S]
+        gone = [name for name, each in self.members.items() if now - each.heard_at > REMEMBERED_S]
+        for name in gone:
+            del self.members[name]
--- /dev/null
+++ b/src/moledale/gateway/pool.py
@@ -0,0 +1,59 @@
+"""Idle connections to backend servers, kept for the next request."""
+
+from collections.abc import Callable
+
+from moledale.gateway.upstream import UpstreamConnection, connect
+
+KEEP_ALIVE_SHARE = 0.7
+"""Part of a server's stated keep-alive during which a connection is used again."""
+
+MOST_IDLE_S = 8.0
+"""Connections at rest for longer are not used again where a server states no time."""
+
+
+class ConnectionPool:
+    """Connections by server id: the one used last is used first, so that few are kept."""
+
+    def __init__(self, now: Callable[[], float]) -> None:
+        self._now = now
+        self._idle: dict[str, list[UpstreamConnection]] = {}
+        self.opened = 0
+
+    async def take(self, server: str, address: str) -> UpstreamConnection:
+        """Return a connection at rest, or a new one; ConnectFailed if there is none."""
+        idle = self._idle.get(server)
+        while idle:
+            connection = idle.pop()
+            if connection.usable and not self._stale(connection):
+                return connection
+            connection.close()
+        self.opened += 1
+        return await connect(address)
+
+    def give_back(self, server: str, connection: UpstreamConnection) -> None:
+        """Keep a connection whose exchange ended whole, else close it."""
+        if connection.finish(self._now()):
+            self._idle.setdefault(server, []).append(connection)
+
+    def forget(self, server: str) -> None:
+        """Close what is kept of a server."""
+        for connection in self._idle.pop(server, []):
+            connection.close()
+
+    def sweep(self) -> None:
+        """Close connections that have been at rest for too long."""
+        for server, idle in list(self._idle.items()):
+            kept = [each for each in idle if each.usable and not self._stale(each)]
+            for each in idle:
+                if each not in kept:
+                    each.close()
+            if kept:
+                self._idle[server] = kept
+            else:
+                del self._idle[server]
+
+    def _stale(self, connection: UpstreamConnection) -> bool:
+        most = MOST_IDLE_S
+        if connection.keep_alive_s is not None:
+            most = connection.keep_alive_s * KEEP_ALIVE_SHARE
+        return self._now() - connection.idle_since > most
--- /dev/null
+++ b/src/moledale/gateway/retries.py
@@ -0,0 +1,59 @@
+"""The budget of repeated sends to a service, shared by all nodes."""
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+MARGIN = 0.6
+"""Part of the allowed repeats that is used, since news of the others' repeats comes late."""
+
+SLICE_S = 0.5
+
+
+@dataclass(slots=True)
+class _Slice:
+    begins: float
+    requests: int = 0
+    repeats: int = 0
+
+
+@dataclass(slots=True)
+class RetryBudget:
+    """Counts of one service over a sliding window of `window_s`."""
+
+    ratio: float
+    slack: float
+    window_s: float
+    _slices: deque[_Slice] = field(default_factory=deque)
+
+    def request(self, now: float) -> None:
+        """Note a request of a caller."""
+        self._slice(now).requests += 1
+
+    def repeat(self, now: float) -> None:
+        """Note a send after the first one."""
+        self._slice(now).repeats += 1
+
+    def counts(self, now: float) -> tuple[int, int]:
+        """Return requests and repeats of the window."""
+        self._slice(now)
+        requests = sum(each.requests for each in self._slices)
+        return requests, sum(each.repeats for each in self._slices)
+
+    def allows(self, now: float, others: Iterable[tuple[int, int]], nodes: int) -> bool:
+        """Say whether one more repeat fits, with the counts that other nodes told."""
+        requests, repeats = self.counts(now)
+        own_share = self.slack * MARGIN / max(1, nodes)
+        if repeats < self.ratio * MARGIN * requests + own_share:
+            return True
+        for other_requests, other_repeats in others:
+            requests += other_requests
+            repeats += other_repeats
+        return repeats < (self.ratio * requests + self.slack) * MARGIN / 2
+
+    def _slice(self, now: float) -> _Slice:
+        while self._slices and self._slices[0].begins < now - self.window_s - SLICE_S:
+            self._slices.popleft()
+        if not self._slices or now - self._slices[-1].begins >= SLICE_S:
+            self._slices.append(_Slice(now))
+        return self._slices[-1]
--- /dev/null
+++ b/src/moledale/gateway/settings.py
@@ -0,0 +1,107 @@
+"""Settings of a gateway node, read from TOML; every finding is reported with its place."""
+
+import tomllib
+from pathlib import Path
+
+import msgspec
+from result import Err, Ok, Result
+
+from moledale.findings import Finding
+
+
+class Table(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A table of the file; unknown keys are findings."""
+
+
+class Identity(Table, frozen=True):
+    """Who this node is and where it listens (`host:port`)."""
+
+    id: str
+    hall: str
+    region: str
+    callers: str
+    control: str
+    directory: str
+    readiness: str
+    peers: str
+    seeds: tuple[str, ...] = ()
+
+
+class Outside(Table, frozen=True):
+    """Addresses of what is given (`host:port`)."""
+
+    store: str
+    cloud: str = ""
+
+
+class Bounds(Table, frozen=True):
+    """Times and shares that the whole system keeps; times are in seconds.
+
+    `stop_s` is what a planned stop may take, `address_ttl_s` how long callers keep an answer of
+    the directory, `lease_s` the least time between two holders of a duty.
+    """
+
+    stop_s: float = 8.0
+    leave_s: float = 2.0
+    apply_s: float = 2.0
+    lease_s: float = 3.0
+    retry_ratio: float = 0.2
+    retry_slack: float = 20.0
+    retry_window_s: float = 10.0
+    usage_window_s: float = 5.0
+    usage_late_s: float = 10.0
+    address_ttl_s: float = 2.0
+
+
+class GatewaySettings(Table, frozen=True):
+    """All settings of one gateway node."""
+
+    node: Identity
+    outside: Outside
+    bounds: Bounds = Bounds()
+    log_level: str = "info"
+
+
+def parse(source: str, text: str) -> Result[GatewaySettings, list[Finding]]:
+    """Validate TOML text; `source` is the file named in findings."""
+    try:
+        data = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        return Err([Finding(source, "", f"not valid TOML: {error}")])
+    try:
+        settings = msgspec.convert(data, GatewaySettings, strict=False)
+    except msgspec.ValidationError as error:
+        message, _, path = str(error).partition(" - at ")
+        return Err([Finding(source, path.strip("`$.") or "", message)])
+    findings = _check(source, settings)
+    return Err(findings) if findings else Ok(settings)
+
+
+def load(path: Path) -> Result[GatewaySettings, list[Finding]]:
+    """Read and validate a settings file."""
+    try:
+        text = path.read_text("utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return Err([Finding(str(path), "", f"can't be read: {type(error).__name__}")])
+    return parse(str(path), text)
+
+
+def _check(source: str, settings: GatewaySettings) -> list[Finding]:
+    findings = []
+    node = settings.node
+    places = {
+        "node.callers": node.callers,
+        "node.control": node.control,
+        "node.directory": node.directory,
+        "node.readiness": node.readiness,
+        "node.peers": node.peers,
+        "outside.store": settings.outside.store,
+    }
+    for path, address in places.items():
+        host, _, port = address.rpartition(":")
+        if not host or not port.isdigit() or int(port) > 65_535:
+            findings.append(Finding(source, path, f"{address!r} is not host:port"))
+    for name in Bounds.__struct_fields__:
+        if getattr(settings.bounds, name) < 0:
+            findings.append(Finding(source, f"bounds.{name}", "must not be negative"))
+    return findings
--- /dev/null
+++ b/src/moledale/gateway/sharing.py
@@ -0,0 +1,81 @@
+"""What a node counts for all nodes, and what it takes over from what they count."""
+
+import time
+from collections.abc import Callable
+
+from moledale.gateway.accounts import AccountLimits
+from moledale.gateway.balance import ServerBook
+from moledale.gateway.peers import Membership, NodeState
+from moledale.gateway.retries import RetryBudget
+from moledale.gateway.settings import Bounds
+from moledale.gateway.usage import TrueTime, UsageCounts
+
+
+class Sharing:
+    """Usage, retry budgets and true time of this node, with the news of its peers."""
+
+    def __init__(
+        self,
+        members: Membership,
+        bounds: Bounds,
+        now: Callable[[], float] = time.monotonic,
+        wall: Callable[[], float] = time.time,
+    ) -> None:
+        self.members = members
+        self.usage = UsageCounts(bounds.usage_window_s)
+        self.true_time = TrueTime()
+        self._bounds = bounds
+        self._budgets: dict[str, RetryBudget] = {}
+        self._now = now
+        self._wall = wall
+
+    def started(self, account: str) -> None:
+        """Count a request that began to run."""
+        self.usage.count(account, self.time())
+
+    def time(self) -> float:
+        """Return true time in seconds since the epoch."""
+        return self.true_time.now(self._wall(), self._now())
+
+    def request(self, service: str, now: float) -> None:
+        """Count a caller's request for a service."""
+        self._budget(service).request(now)
+
+    def repeat(self, service: str, now: float) -> None:
+        """Count a send after a request's first one."""
+        self._budget(service).repeat(now)
+
+    def may_repeat(self, service: str, now: float) -> bool:
+        """Say whether the budget of all nodes allows one more repeat."""
+        alive = self.members.alive(now)
+        others = [state.sends[service] for state in alive if service in state.sends]
+        return self._budget(service).allows(now, others, len(alive) + 1)
+
+    def sends(self, now: float) -> dict[str, tuple[int, int]]:
+        """Return requests and repeats of the window, by service."""
+        return {service: budget.counts(now) for service, budget in self._budgets.items()}
+
+    def offset_s(self) -> float | None:
+        """Return how far this machine's time of day is ahead of the store's clock."""
+        return self.true_time.offset_s(self._wall(), self._now())
+
+    def heard(self, state: NodeState, limits: AccountLimits, book: ServerBook) -> bool:
+        """Take over a peer's state; say whether it was news."""
+        now = self._now()
+        before = self.members.heard(state, now)
+        if before is None:
+            return False
+        if before is not state:
+            limits.spent_elsewhere(before.spent, state.spent)
+        alive = self.members.alive(now)
+        self.true_time.others(each.offset_s for each in alive)
+        book.others(alive)
+        return True
+
+    def _budget(self, service: str) -> RetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            bounds = self._bounds
+            budget = RetryBudget(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s)
+            self._budgets[service] = budget
+        return budget
--- /dev/null
+++ b/src/moledale/gateway/upstream.py
@@ -0,0 +1,221 @@
+"""Connections to backend servers: one request at a time, exact framing, one send is one send.
+
+An HTTP client library is not used here, since those at hand send idempotent requests again on
+their own and do not show bytes that no request asked for. `httptools` parses.
+"""
+
+import asyncio
+from collections import deque
+from enum import StrEnum
+
+import httptools
+
+from moledale.gateway.messages import AnswerHead
+
+CONNECT_TIMEOUT_S = 1.0
+MOST_UNREAD_BYTES = 262_144
+
+
+class Cut(StrEnum):
+    """Why an answer ended without being whole."""
+
+    RESET = "reset"
+    CLOSED = "closed"
+    GARBLED = "garbled"
+
+
+class ConnectFailed(Exception):
+    """No connection came about, so nothing was sent."""
+
+
+class AnswerCut(Exception):
+    """An answer ended before it was whole; `cut` tells how."""
+
+    def __init__(self, cut: Cut) -> None:
+        super().__init__(cut.value)
+        self.cut = cut
+
+
+class UpstreamConnection(asyncio.Protocol):
+    """One connection to one server; `usable` while another request may follow."""
+
+    def __init__(self) -> None:
+        self.transport: asyncio.Transport | None = None
+        self.usable = True
+        self.closed = False
+        self.used = 0
+        self.idle_since = 0.0
+        self.keep_alive_s: float | None = None
+        self._waiter: asyncio.Future[None] | None = None
+        self._begin()
+
+    def _begin(self) -> None:
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._head: AnswerHead | None = None
+        self._chunks: deque[bytes] = deque()
+        self._unread = 0
+        self._complete = False
+        self._cut: Cut | None = None
+        self._until_close = False
+        self._asked = False
+        self._interim = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self.transport = transport  # type: ignore[assignment]
+
+    def send(self, data: bytes) -> None:
+        """Send one whole request; its answer is read with `head` and `chunk`."""
+        assert self.transport is not None
+        if self.used:
+            self._begin()
+        self.used += 1
+        self._asked = True
+        self.transport.write(data)
+
+    async def head(self) -> AnswerHead:
+        """Return the first lines of the answer."""
+        while self._head is None:
+            if self._cut is not None:
+                raise AnswerCut(self._cut)
+            await self._wait()
+        return self._head
+
+    async def chunk(self) -> bytes | None:
+        """Return the next bytes of the body, or None once it is whole."""
+        while not self._chunks:
+            if self._complete:
+                return None
+            if self._cut is not None:
+                raise AnswerCut(self._cut)
+            await self._wait()
+        data = b"".join(self._chunks) if len(self._chunks) > 1 else self._chunks[0]
+        self._chunks.clear()
+        self._resume_reading()
+        return data
+
+    def finish(self, now: float) -> bool:
+        """End an exchange; say whether the connection may carry another request."""
+        whole = self._complete and self.usable and not self.closed
+        unsent = self.transport is not None and self.transport.get_write_buffer_size() > 0
+        if not whole or unsent or self._until_close:
+            self.abort()
+            return False
+        self._asked = False
+        self.idle_since = now
+        return True
+
+    def close(self) -> None:
+        """Close in order."""
+        self.usable = False
+        if self.transport is not None and not self.closed:
+            self.transport.close()
+
+    def abort(self) -> None:
+        """Close at once, so that the server stops its work."""
+        self.usable = False
+        if self.transport is not None and not self.closed:
+            self.transport.abort()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what came; bytes nobody asked for make the connection unusable."""
+        if not self._asked or self._complete:
+            self.abort()
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            if not self._complete:
+                self._cut = Cut.GARBLED
+            self.usable = False
+        self._wake()
+
+    def eof_received(self) -> bool | None:
+        """A server's end of data ends an answer that has no length."""
+        self.usable = False
+        self._end_of_data()
+        return None
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Note how the connection ended."""
+        self.closed = True
+        self.usable = False
+        if exc is not None and not self._complete:
+            self._cut = self._cut or Cut.RESET
+        self._end_of_data()
+
+    def _end_of_data(self) -> None:
+        if not self._complete and self._cut is None:
+            if self._until_close and self._head is not None:
+                self._complete = True
+            else:
+                self._cut = Cut.CLOSED
+        self._wake()
+
+    def on_message_begin(self) -> None:
+        """A second answer on one request belongs to nobody."""
+        if self._complete:
+            self.usable = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header."""
+        if not self._complete:
+            self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Make the head known and tell how the body is framed."""
+        if self._complete:
+            return
+        status = self._parser.get_status_code()
+        if 100 <= status < 200:
+            self._headers = []
+            self._interim = True
+            return
+        self._interim = False
+        names = {name.lower() for name, _ in self._headers}
+        framed = b"content-length" in names or b"transfer-encoding" in names
+        self._until_close = not framed and status not in (204, 304)
+        self._head = AnswerHead(status, self._headers)
+
+    def on_body(self, body: bytes) -> None:
+        """Keep bytes of the body for the reader."""
+        if self._complete:
+            return
+        self._chunks.append(body)
+        self._unread += len(body)
+        if self._unread > MOST_UNREAD_BYTES and self.transport is not None:
+            self.transport.pause_reading()
+
+    def on_message_complete(self) -> None:
+        """Note that the answer is whole; one without a length ends with its connection."""
+        if not self._interim and not self._until_close:
+            self._complete = True
+
+    def _resume_reading(self) -> None:
+        if self._unread > MOST_UNREAD_BYTES and self.transport is not None and not self.closed:
+            self.transport.resume_reading()
+        self._unread = 0
+
+    async def _wait(self) -> None:
+        self._waiter = asyncio.get_running_loop().create_future()
+        try:
+            await self._waiter
+        finally:
+            self._waiter = None
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+
+async def connect(address: str, timeout_s: float = CONNECT_TIMEOUT_S) -> UpstreamConnection:
+    """Open a connection to `host:port`, or raise ConnectFailed."""
+    host, port = address.rsplit(":", 1)
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(timeout_s):
+            _, connection = await loop.create_connection(UpstreamConnection, host, int(port))
+    except (OSError, TimeoutError) as error:
+        raise ConnectFailed(f"{address}: {type(error).__name__}") from error
+    return connection
--- /dev/null
+++ b/src/moledale/gateway/usage.py
@@ -0,0 +1,73 @@
+"""Counting which requests began to run, by window of true time, and agreeing on that time."""
+
+from collections.abc import Iterable
+from statistics import median
+
+from moledale.gateway.peers import NodeState
+
+KEPT_WINDOWS = 6
+"""Windows that a node's counts go back; older ones are reported or lost."""
+
+
+class TrueTime:
+    """True time from several clocks: the store's steady clock plus the middle of all offsets.
+
+    A node's time of day may jump. Each node tells how far its time of day is ahead of the store's
+    clock, and all use the median, so that jumps on fewer than half of the machines change nothing.
+    """
+
+    def __init__(self) -> None:
+        self._store_ahead_s: float | None = None
+        self._others: list[float] = []
+
+    def store_read(self, store_s: float, sent_at: float, answered_at: float) -> None:
+        """Note the store's clock as of a call; the shortest call tells best."""
+        ahead = store_s - (sent_at + answered_at) / 2
+        if self._store_ahead_s is None or abs(ahead - self._store_ahead_s) > (
+            answered_at - sent_at
+        ):
+            self._store_ahead_s = ahead
+
+    def offset_s(self, wall: float, now: float) -> float | None:
+        """Return how far this machine's time of day is ahead of the store's clock."""
+        return None if self._store_ahead_s is None else wall - (now + self._store_ahead_s)
+
+    def others(self, offsets: Iterable[float | None]) -> None:
+        """Note the offsets that other nodes told."""
+        self._others = [offset for offset in offsets if offset is not None]
+
+    def now(self, wall: float, now: float) -> float:
+        """Return true time in seconds since the epoch, as well as it is known."""
+        own = self.offset_s(wall, now)
+        if own is None or self._store_ahead_s is None:
+            return wall
+        return now + self._store_ahead_s + median([own, *self._others])
+
+
+class UsageCounts:
+    """Requests of each account that began to run here, by window number."""
+
+    def __init__(self, window_s: float) -> None:
+        self.window_s = window_s
+        self.started: dict[int, dict[str, int]] = {}
+
+    def window_of(self, true_time: float) -> int:
+        """Return the number of the window that a moment lies in."""
+        return int(true_time // self.window_s)
+
+    def count(self, account: str, true_time: float) -> None:
+        """Count a request that began to run."""
+        window = self.window_of(true_time)
+        counts = self.started.setdefault(window, {})
+        counts[account] = counts.get(account, 0) + 1
+        for old in [number for number in self.started if number < window - KEPT_WINDOWS]:
+            del self.started[old]
+
+
+def total_of(window: int, own: UsageCounts, others: Iterable[NodeState]) -> dict[str, int]:
+    """Return the counts of a window over all nodes and all lives that are remembered."""
+    total = dict(own.started.get(window, {}))
+    for state in others:
+        for account, number in state.started.get(window, {}).items():
+            total[account] = total.get(account, 0) + number
+    return total
--- a/src/moledale/log.py
+++ b/src/moledale/log.py
@@ -1,6 +1,9 @@
 """Numbered log events: every line has a number that docs/EVENTS.md explains."""
 
+import os
 import sys
+import time
+from collections import deque
 from dataclasses import dataclass
 from enum import Enum
 
@@ -9,6 +12,8 @@
 
 _logger = logbook.Logger("moledale")
 
+MOST_WAITING_LINES = 1_000
+
 
 @dataclass(frozen=True, slots=True)
 class EventSpec:
@@ -51,6 +56,16 @@
     LEASE_LOST = EventSpec(501, logbook.WARNING, "This node no longer holds a lease.")
     RENT_DECIDED = EventSpec(502, logbook.INFO, "Instances are rented or returned.")
     RENT_REFUSED = EventSpec(503, logbook.WARNING, "The cloud refused an instance.")
+    REFUSED = EventSpec(410, logbook.INFO, "A request got a final answer of the node's own.")
+    CONNECT_FAILED = EventSpec(411, logbook.WARNING, "A server took no connection.")
+    ATTEMPT_ENDED = EventSpec(412, logbook.WARNING, "A send brought no answer to pass on.")
+    STREAM_BROKEN = EventSpec(413, logbook.WARNING, "A stream that had begun was broken off.")
+    CALLER_GONE = EventSpec(414, logbook.INFO, "A caller left; its request was cancelled.")
+    SERVERS_CHANGED = EventSpec(420, logbook.INFO, "The list of backend servers changed.")
+    USAGE_REPORTED = EventSpec(510, logbook.INFO, "Usage of a window was reported.")
+    USAGE_FAILED = EventSpec(511, logbook.WARNING, "Usage of a window could not be reported.")
+    SERVERS_ORDERED = EventSpec(512, logbook.INFO, "A number of servers was ordered for a hall.")
+    RELOADED = EventSpec(106, logbook.INFO, "The settings were read again.")
     PEER_REFUSED = EventSpec(600, logbook.WARNING, "A peer call without a valid token was refused.")
     PEER_DOWN = EventSpec(601, logbook.INFO, "A peer does not answer.")
 
@@ -71,3 +86,44 @@
     )
     handler.push_application()
     return handler
+
+
+class BoundedJsonHandler(logbook.Handler):  # type: ignore[misc]
+    """Writes one JSON object a line; what a slow reader doesn't take is dropped and counted."""
+
+    def __init__(self, descriptor: int, level: str) -> None:
+        super().__init__(level=level.upper())
+        self.dropped = 0
+        self._descriptor = descriptor
+        self._waiting: deque[bytes] = deque()
+        os.set_blocking(descriptor, False)
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Write a line, or keep it until there is room."""
+        if len(self._waiting) >= MOST_WAITING_LINES:
+            self.dropped += 1
+            return
+        self._waiting.append(f"{time.time():.3f} {record.message}\n".encode())
+        self._flush()
+
+    def _flush(self) -> None:
+        while self._waiting:
+            line = self._waiting[0]
+            try:
+                written = os.write(self._descriptor, line)
+            except BlockingIOError:
+                return
+            except OSError:
+                self._waiting.clear()
+                return
+            if written < len(line):
+                self._waiting[0] = line[written:]
+                return
+            self._waiting.popleft()
+
+
+def log_json_to_stdout(level: str) -> BoundedJsonHandler:
+    """Send events to standard output from `level` up without ever waiting for its reader."""
+    handler = BoundedJsonHandler(sys.stdout.fileno(), level)
+    handler.push_application()
+    return handler
--- /dev/null
+++ b/src/moledale/platform/cloud.py
@@ -0,0 +1,55 @@
+"""The calls to the platform that are the duty of one node at a time."""
+
+from result import Err, Ok, Result
+
+from moledale.gateway.calls import HttpCaller
+from moledale.gateway.messages import Headers
+from moledale.gateway.outside import Trouble
+from moledale.platform.records import encode
+
+CALL_TIMEOUT_S = 1.5
+NONE_TO_BE_HAD = 409
+
+
+class PlatformCloud:
+    """Usage reports and orders of servers."""
+
+    def __init__(self, address: str) -> None:
+        self._calls = HttpCaller(address)
+
+    async def report_usage(
+        self, holder: str, fence: int, window: int, counts: dict[str, int]
+    ) -> Trouble | None:
+        """Report a window's counts."""
+        body = encode({"window": window, "counts": counts})
+        outcome = await self._duty("/usage", holder, fence, body)
+        if isinstance(outcome, Err):
+            return outcome.err_value
+        status = outcome.ok_value
+        return None if status == 200 else Trouble(f"status {status}", uncertain=False)
+
+    async def order_servers(
+        self, holder: str, fence: int, service: str, hall: str, number: int, spot: bool
+    ) -> Result[bool, Trouble]:
+        """Order how many servers a hall shall have."""
+        body: dict[str, object] = {"service": service, "zone": hall, "desired": number}
+        if spot:
+            body["spot"] = True
+        outcome = await self._duty("/scale", holder, fence, encode(body))
+        if isinstance(outcome, Err):
+            return outcome
+        status = outcome.ok_value
+        if status in (200, NONE_TO_BE_HAD):
+            return Ok(status == 200)
+        return Err(Trouble(f"status {status}", uncertain=False))
+
+    async def _duty(self, path: str, holder: str, fence: int, body: bytes) -> Result[int, Trouble]:
+        headers: Headers = [
+            (b"Duty-Holder", holder.encode()),
+            (b"Fence-Token", str(fence).encode()),
+            (b"Content-Type", b"application/json"),
+        ]
+        outcome = await self._calls.call("POST", path, body, headers, CALL_TIMEOUT_S)
+        if isinstance(outcome, Err):
+            return Err(Trouble(outcome.err_value.detail, uncertain=outcome.err_value.sent))
+        return Ok(outcome.ok_value.status)
--- /dev/null
+++ b/src/moledale/platform/headers.py
@@ -0,0 +1,209 @@
+"""Requests and answers as the platform spells them."""
+
+from urllib.parse import parse_qs
+
+import msgspec
+
+from moledale.gateway.entry import Asked, Question
+from moledale.gateway.messages import (
+    AnswerFacts,
+    AnswerHead,
+    AttemptFacts,
+    Headers,
+    PromptPart,
+    RequestFacts,
+    RequestHead,
+)
+
+BEARER = b"bearer "
+ONE_CONNECTION = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    }
+)
+SET_BY_SYSTEM = frozenset(
+    {
+        b"authorization",
+        b"tenant",
+        b"deadline-ms",
+        b"expect-instance",
+        b"request-priority",
+        b"kv-from",
+        b"kv-fetch",
+        b"kv-backup",
+        b"hold",
+        b"pin-ms",
+        b"expect-version",
+    }
+)
+LAST_EVENT = b"last-event-id"
+
+
+class PlatformHeaders:
+    """Reads and writes the headers of callers and servers."""
+
+    def read_request(self, head: RequestHead) -> RequestFacts:
+        """Return what a request says of itself."""
+        found = {name.lower(): value for name, value in head.headers}
+        prompt, answer = _two_numbers(found.get(b"token-count"))
+        deadline = _number(found.get(b"deadline-ms"), "Deadline-Ms")
+        return RequestFacts(
+            _text(found.get(b"request-id")),
+            _key(found.get(b"authorization")),
+            None if deadline is None else deadline / 1000,
+            prompt,
+            answer,
+            _parts(found.get(b"prompt-prefix")),
+            _text(found.get(LAST_EVENT)),
+        )
+
+    def attempt_head(self, head: RequestHead, facts: AttemptFacts, length: int) -> bytes:
+        """Return the first lines of the request as a server gets them."""
+        lines = [b"%b %b HTTP/1.1" % (head.method, head.target)]
+        named = _named_in_connection(head.headers)
+        had_length = False
+        for name, value in head.headers:
+            low = name.lower()
+            had_length = had_length or low in (b"content-length", b"transfer-encoding")
+            if low in ONE_CONNECTION or low in SET_BY_SYSTEM or low in named:
+                continue
+            if low == LAST_EVENT and facts.after_event:
+                continue
+            lines.append(name + b": " + value)
+        if length or had_length:
+            lines.append(b"Content-Length: %d" % length)
+        if facts.left_s is not None:
+            lines.append(b"Deadline-Ms: %d" % max(1, int(facts.left_s * 1000)))
+        lines.append(b"Expect-Instance: " + facts.server_id.encode())
+        if facts.account is not None:
+            lines.append(b"Tenant: " + facts.account.encode())
+        if facts.priority is not None:
+            lines.append(b"Request-Priority: %d" % min(9, max(0, facts.priority)))
+        if facts.after_event:
+            lines.append(b"Last-Event-Id: " + facts.after_event.encode())
+        if facts.continued_from:
+            lines.append(b"Kv-From: " + facts.continued_from.encode())
+        if facts.backup_at:
+            lines.append(b"Kv-Backup: " + facts.backup_at.encode())
+        return b"\r\n".join(lines) + b"\r\n\r\n"
+
+    def read_answer(self, head: AnswerHead) -> AnswerFacts:
+        """Return what a server's answer says of itself."""
+        found = {name.lower(): value for name, value in head.headers}
+        request_id = found.get(b"request-id")
+        return AnswerFacts(
+            None if request_id is None else request_id.decode("latin-1"),
+            b"server-stamp" in found,
+            b"not-executed" in found or head.status == 421,
+            _seconds(found.get(b"retry-after")),
+            _keep_alive(found.get(b"keep-alive")),
+            b"close" in found.get(b"connection", b"").lower(),
+        )
+
+    def answer_headers(self, head: AnswerHead) -> Headers:
+        """Return the headers of an answer that the caller gets."""
+        return [(name, value) for name, value in head.headers if name.lower() not in ONE_CONNECTION]
+
+    def refusal_headers(self, request_id: str, retry_after_s: float | None) -> Headers:
+        """Return the headers of an answer of the system's own."""
+        headers: Headers = [(b"Content-Type", b"application/json")]
+        if request_id:
+            headers.append((b"Request-Id", request_id.encode("latin-1")))
+        if retry_after_s is not None:
+            headers.append((b"Retry-After", b"%.3f" % retry_after_s))
+        return headers
+
+
+class PlatformEntry:
+    """The questions that callers and the platform ask a node."""
+
+    def read_question(self, head: RequestHead) -> Question | None:
+        """Return the question, or None for any other request."""
+        path, _, query = head.target.partition(b"?")
+        if path == b"/v1/ready":
+            return Question(Asked.READY)
+        if path == b"/v1/resolve":
+            zone = parse_qs(query.decode("latin-1")).get("zone", [""])
+            return Question(Asked.ADDRESSES, zone[0])
+        return None
+
+    def addresses(self, addresses: list[str], ttl_s: float) -> tuple[Headers, bytes]:
+        """Return headers and body that tell which addresses to use."""
+        body = msgspec.json.encode({"addresses": addresses, "ttlS": ttl_s})
+        return [(b"Content-Type", b"application/json")], body
+
+
+def _named_in_connection(headers: Headers) -> set[bytes]:
+    """Return the headers that the Connection header names, which end at this hop."""
+    named: set[bytes] = set()
+    for name, value in headers:
+        if name.lower() == b"connection":
+            named.update(item.strip().lower() for item in value.split(b","))
+    return named - {b"close", b"keep-alive"}
+
+
+def _text(value: bytes | None) -> str:
+    return "" if value is None else value.decode("latin-1")
+
+
+def _key(value: bytes | None) -> str:
+    if value is None or not value.lower().startswith(BEARER):
+        return ""
+    return value[len(BEARER) :].strip().decode("latin-1")
+
+
+def _number(value: bytes | None, name: str) -> float | None:
+    if value is None:
+        return None
+    try:
+        return float(value)
+    except ValueError:
+        raise ValueError(f"{name} is not a number") from None
+
+
+def _two_numbers(value: bytes | None) -> tuple[int, int]:
+    if not value:
+        return 0, 0
+    first, _, second = value.partition(b",")
+    try:
+        return int(first), int(second or 0)
+    except ValueError:
+        raise ValueError("Token-Count is not two numbers") from None
+
+
+def _parts(value: bytes | None) -> tuple[PromptPart, ...]:
+    if not value:
+        return ()
+    parts = []
+    for item in value.split(b","):
+        name, _, tokens = item.strip().rpartition(b":")
+        try:
+            parts.append(PromptPart(name.decode("latin-1"), int(tokens)))
+        except ValueError:
+            raise ValueError("Prompt-Prefix is not a list of ID:TOKENS") from None
+    return tuple(parts)
+
+
+def _seconds(value: bytes | None) -> float | None:
+    try:
+        return None if value is None else float(value)
+    except ValueError:
+        return None
+
+
+def _keep_alive(value: bytes | None) -> float | None:
+    if value is None:
+        return None
+    for item in value.split(b","):
+        name, _, number = item.strip().partition(b"=")
+        if name.lower() == b"timeout":
+            return _seconds(number)
+    return None
--- /dev/null
+++ b/src/moledale/platform/records.py
@@ -0,0 +1,228 @@
+"""Records of the platform, and the product's own messages made of them."""
+
+import base64
+from typing import Any
+
+import msgspec
+
+from moledale.gateway import plan
+from moledale.gateway.messages import Server
+
+KINDS = {"safe": plan.Kind.SAFE, "unsafe": plan.Kind.ONCE, "streaming": plan.Kind.STREAM}
+
+
+class Record(msgspec.Struct, frozen=True, rename="camel"):
+    """A record whose unknown fields are passed over."""
+
+
+class SplitRecord(Record, frozen=True):
+    """A part of a route's requests."""
+
+    service: str
+    weight: float = 1.0
+
+
+class RouteRecord(Record, frozen=True):
+    """A route."""
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    slo_ms: float = 0.0
+    priority: int = 5
+    service: str = ""
+    split: tuple[SplitRecord, ...] = ()
+    max_attempts: int = 1
+    public: bool = False
+    sticky: bool = False
+    resumable: bool = False
+    gap_target_ms: float = 0.0
+
+
+class EngineRecord(Record, frozen=True):
+    """The model servers of a service."""
+
+    slots: int = 1
+    kv_capacity: int = 0
+    kv_token_bytes: float = 0.0
+    link_mbps: float = 0.0
+    moves: bool = False
+    backups: bool = False
+    handle_s: float = 5.0
+
+
+class ScalingRecord(Record, frozen=True):
+    """Bounds and prices of a service's servers."""
+
+    min: int = 0
+    max: int = 0
+    boot_s: float = 0.0
+    spot_price: float = 1.0
+    zone_prices: dict[str, float] = {}
+
+
+class ServiceRecord(Record, frozen=True):
+    """A service."""
+
+    name: str
+    max_conns: int = 100
+    engine: EngineRecord | None = None
+    scaling: ScalingRecord | None = None
+
+
+class LimitsRecord(Record, frozen=True):
+    """Bounds on what a client may send."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3_000.0
+    idle_timeout_ms: float = 15_000.0
+
+
+class TenantRecord(Record, frozen=True):
+    """A tenant."""
+
+    name: str
+    api_keys: tuple[str, ...] = ()
+    priority: int | None = None
+    unit: str = ""
+    plain_tokens: float = 1.0
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
+class ConfigRecord(Record, frozen=True):
+    """A configuration."""
+
+    version: int
+    routes: tuple[RouteRecord, ...] = ()
+    services: tuple[ServiceRecord, ...] = ()
+    limits: LimitsRecord = LimitsRecord()
+    tenants: tuple[TenantRecord, ...] = ()
+
+
+class ServerRecord(Record, frozen=True):
+    """An entry of the list of servers."""
+
+    service: str
+    address: str
+    zone: str = ""
+    slots: int = 1
+    state: str = "ready"
+    spot: bool = False
+    leaves_ms: float | None = msgspec.field(default=None, name="leaves_ms")
+
+
+class RowRecord(msgspec.Struct, frozen=True):
+    """A row of the store; its value is base64."""
+
+    table: str
+    key: str
+    value: str = ""
+    ver: int = 0
+    part: str = ""
+    gone: bool = False
+
+    def body(self) -> bytes:
+        """Return the row's bytes."""
+        return base64.b64decode(self.value)
+
+
+class RowsRecord(msgspec.Struct, frozen=True):
+    """An answer about rows."""
+
+    rows: tuple[RowRecord, ...] = ()
+    more: bool = False
+    ver: int = 0
+    now_ms: float = 0.0
+
+
+def read_config(raw: bytes) -> plan.Plan:
+    """Make a plan of a configuration; ValueError if it can't be read."""
+    record = msgspec.json.decode(raw, type=ConfigRecord)
+    return plan.Plan(
+        record.version,
+        tuple(_route(each) for each in record.routes),
+        tuple(_service(each) for each in record.services),
+        tuple(_account(each) for each in record.tenants),
+        plan.Limits(
+            record.limits.max_header_bytes,
+            record.limits.max_body_bytes,
+            record.limits.header_timeout_ms / 1000,
+            record.limits.idle_timeout_ms / 1000,
+        ),
+    )
+
+
+def _route(record: RouteRecord) -> plan.Route:
+    split = tuple(plan.Share(each.service, each.weight) for each in record.split)
+    return plan.Route(
+        name=record.name,
+        host=record.host,
+        prefix=record.path_prefix,
+        kind=KINDS[record.kind],
+        split=split or (plan.Share(record.service),),
+        time_limit_s=record.timeout_ms / 1000,
+        target_s=record.slo_ms / 1000,
+        priority=record.priority,
+        max_servers=record.max_attempts,
+        public=record.public,
+        affinity=record.sticky,
+        resumable=record.resumable,
+        gap_s=record.gap_target_ms / 1000,
+    )
+
+
+def _service(record: ServiceRecord) -> plan.Service:
+    engine = renting = None
+    if record.engine is not None:
+        each = record.engine
+        engine = plan.Engine(
+            each.slots,
+            each.kv_capacity,
+            int(each.kv_token_bytes),
+            each.link_mbps,
+            each.moves,
+            each.backups,
+            each.handle_s,
+        )
+    if record.scaling is not None:
+        scaling = record.scaling
+        renting = plan.Renting(
+            scaling.min, scaling.max, scaling.boot_s, scaling.spot_price, scaling.zone_prices
+        )
+    return plan.Service(record.name, record.max_conns, engine, renting)
+
+
+def _account(record: TenantRecord) -> plan.Account:
+    return plan.Account(
+        record.name,
+        record.api_keys,
+        record.priority,
+        record.unit,
+        record.plain_tokens,
+        record.rate_per_s,
+        record.burst,
+    )
+
+
+def read_server(row: RowRecord) -> Server:
+    """Make a server of an entry of the list."""
+    record = msgspec.json.decode(row.body(), type=ServerRecord)
+    return Server(
+        row.key,
+        record.service,
+        record.address,
+        record.zone,
+        record.slots,
+        record.state != "ready",
+        record.spot,
+        None if record.leaves_ms is None else record.leaves_ms / 1000,
+    )
+
+
+def encode(body: Any) -> bytes:
+    """Encode a body as the platform wants it."""
+    return msgspec.json.encode(body)
--- /dev/null
+++ b/src/moledale/platform/store.py
@@ -0,0 +1,153 @@
+"""The platform's store: its calls, and the rows it gives."""
+
+import base64
+from urllib.parse import quote
+
+import msgspec
+from result import Err, Ok, Result
+
+from moledale.gateway.calls import CallAnswer, CallFailed, HttpCaller
+from moledale.gateway.messages import Headers
+from moledale.gateway.outside import (
+    PlanNews,
+    Reading,
+    ServerList,
+    StateRow,
+    Trouble,
+    Written,
+)
+from moledale.gateway.plan import Plan
+from moledale.platform.records import RowRecord, RowsRecord, encode, read_config, read_server
+
+JSON: Headers = [(b"Content-Type", b"application/json")]
+CONFIG_TABLE = "op"
+CONFIG_KEY = "config"
+SERVER_TABLE = "servers"
+WATCH_MARGIN_S = 0.7
+
+
+class PlatformStore:
+    """Rows, configuration and server list of the platform."""
+
+    def __init__(self, address: str) -> None:
+        self._calls = HttpCaller(address)
+
+    async def read(self, table: str, timeout_s: float) -> Result[Reading, Trouble]:
+        """Return all rows of a table."""
+        outcome = await self._rows(table, timeout_s)
+        if isinstance(outcome, Err):
+            return outcome
+        record = outcome.ok_value
+        rows = tuple(StateRow(row.key, row.body(), row.ver) for row in record.rows)
+        return Ok(Reading(rows, record.ver, record.now_ms / 1000))
+
+    async def write(
+        self, table: str, key: str, value: bytes, expected: int, timeout_s: float
+    ) -> Result[Written, Trouble]:
+        """Put a row if it stands at version `expected`."""
+        name = {"table": table, "part": "", "key": key}
+        body = {
+            "expectedRev": [{**name, "ver": expected}],
+            "put": [{**name, "value": base64.b64encode(value).decode()}],
+            "remove": [],
+        }
+        outcome = await self._call("POST", "/v1/rows-tx", timeout_s, encode(body), (200, 412))
+        if isinstance(outcome, Err):
+            return outcome
+        record = msgspec.json.decode(outcome.ok_value.body, type=RowsRecord)
+        if outcome.ok_value.status == 200:
+            return Ok(Written(record.ver, True))
+        standing = next((row for row in record.rows if row.key == key and not row.gone), None)
+        if standing is None or not standing.ver:
+            return Ok(Written(record.ver, False))
+        return Ok(Written(record.ver, False, StateRow(key, standing.body(), standing.ver)))
+
+    async def put(self, table: str, key: str, value: bytes, timeout_s: float) -> Trouble | None:
+        """Put a row without a condition."""
+        row = {"table": table, "part": "", "key": key, "value": base64.b64encode(value).decode()}
+        return await self._change({"expectedRev": [], "put": [row], "remove": []}, timeout_s)
+
+    async def remove(self, table: str, key: str, timeout_s: float) -> Trouble | None:
+        """Remove a row."""
+        row = {"table": table, "part": "", "key": key}
+        return await self._change({"expectedRev": [], "put": [], "remove": [row]}, timeout_s)
+
+    async def servers(self, timeout_s: float) -> Result[ServerList, Trouble]:
+        """Return the list of backend servers."""
+        outcome = await self._rows(SERVER_TABLE, timeout_s)
+        if isinstance(outcome, Err):
+            return outcome
+        record = outcome.ok_value
+        servers = tuple(read_server(row) for row in record.rows)
+        return Ok(ServerList(servers, record.ver, record.now_ms / 1000))
+
+    async def plan(self, timeout_s: float) -> Result[PlanNews, Trouble]:
+        """Return the newest plan."""
+        outcome = await self._rows(CONFIG_TABLE, timeout_s)
+        return outcome if isinstance(outcome, Err) else Ok(_plan_news(outcome.ok_value))
+
+    async def watch_plan(self, position: int, wait_s: float) -> Result[PlanNews, Trouble]:
+        """Return the newest plan once there is one after `position`, or after `wait_s`."""
+        wait = int(wait_s * 1000)
+        path = f"/v1/rows-feed?table={CONFIG_TABLE}&startAfter={position}&waitMs={wait}"
+        outcome = await self._call("GET", path, wait_s + WATCH_MARGIN_S)
+        if isinstance(outcome, Err):
+            return outcome
+        return Ok(_plan_news(msgspec.json.decode(outcome.ok_value.body, type=RowsRecord)))
+
+    def decode_plan(self, raw: bytes) -> Plan:
+        """Read a configuration that a peer passed on."""
+        return read_config(raw)
+
+    async def _rows(self, table: str, timeout_s: float) -> Result[RowsRecord, Trouble]:
+        """Return all rows of a table, page by page."""
+        rows: list[RowRecord] = []
+        start = ""
+        while True:
+            path = f"/v1/rows-get?table={table}&part=" + (f"&from={quote(start)}" if start else "")
+            outcome = await self._call("GET", path, timeout_s)
+            if isinstance(outcome, Err):
+                return outcome
+            page = msgspec.json.decode(outcome.ok_value.body, type=RowsRecord)
+            rows.extend(page.rows)
+            if not page.more or not page.rows:
+                return Ok(RowsRecord(tuple(rows), False, page.ver, page.now_ms))
+            start = page.rows[-1].key + "\x00"
+
+    async def _change(self, body: dict[str, object], timeout_s: float) -> Trouble | None:
+        outcome = await self._call("POST", "/v1/rows-tx", timeout_s, encode(body))
+        return outcome.err_value if isinstance(outcome, Err) else None
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        timeout_s: float,
+        body: bytes = b"",
+        good: tuple[int, ...] = (200,),
+    ) -> Result[CallAnswer, Trouble]:
+        outcome = await self._calls.call(method, path, body, JSON if body else [], timeout_s)
+        return _checked(outcome, good)
+
+
+def _checked(
+    outcome: Result[CallAnswer, CallFailed], good: tuple[int, ...]
+) -> Result[CallAnswer, Trouble]:
+    """Tell what an answer's status means."""
+    if isinstance(outcome, Err):
+        return Err(Trouble(outcome.err_value.detail, uncertain=outcome.err_value.sent))
+    answer = outcome.ok_value
+    if answer.status in good:
+        return Ok(answer)
+    return Err(
+        Trouble(f"status {answer.status}", uncertain=False, history_gone=answer.status == 410)
+    )
+
+
+def _plan_news(record: RowsRecord) -> PlanNews:
+    newest = b""
+    for row in record.rows:
+        if row.key == CONFIG_KEY and not row.gone:
+            newest = row.body()
+    plan = read_config(newest) if newest else None
+    return PlanNews(plan, newest, record.ver, record.now_ms / 1000)
--- /dev/null
+++ b/src/moledale/ui/gateway.py
@@ -0,0 +1,60 @@
+"""The gateway daemon: settings, logs and signals around one node."""
+
+import asyncio
+import signal
+import sys
+from collections.abc import Callable
+from pathlib import Path
+
+import uvloop
+from result import Err
+
+from moledale.gateway.dialect import Dialect
+from moledale.gateway.entry import EntryDialect
+from moledale.gateway.node import GatewayNode
+from moledale.gateway.outside import Orders, Store
+from moledale.gateway.settings import GatewaySettings, load
+from moledale.log import Event, emit, log_json_to_stdout
+
+EXIT_SETTINGS = 2
+
+
+def run_gateway(
+    path: Path,
+    dialect: Dialect,
+    entry: EntryDialect,
+    store: Callable[[GatewaySettings], Store],
+    orders: Callable[[GatewaySettings], Orders],
+) -> int:
+    """Run a node until SIGTERM; 2 means that the settings are wrong."""
+    settings = load(path)
+    if isinstance(settings, Err):
+        for finding in settings.err_value:
+            print(finding, file=sys.stderr)
+        return EXIT_SETTINGS
+    value = settings.ok_value
+    log_json_to_stdout(value.log_level)
+    node = GatewayNode(value, dialect, entry, store(value), orders(value))
+    code: int = uvloop.run(_run(node, path))
+    return code
+
+
+async def _run(node: GatewayNode, path: Path) -> int:
+    emit(Event.STARTING, node=node.settings.node.id, life=node.life)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload, node, path)
+    return await node.run(stop)
+
+
+def _reload(node: GatewayNode, path: Path) -> None:
+    """Read the settings again; a file with findings changes nothing."""
+    settings = load(path)
+    if isinstance(settings, Err):
+        findings = [str(finding) for finding in settings.err_value]
+        emit(Event.RELOADED, node=node.settings.node.id, findings=findings)
+        return
+    node.reload(settings.ok_value)
+    emit(Event.RELOADED, node=node.settings.node.id, findings=[])
