--- a/src/moledale/gateway/accounts.py
+++ b/src/moledale/gateway/accounts.py
@@ -56,6 +56,12 @@
         self.spent[account.name] = self.spent.get(account.name, 0.0) + amount
         return 0.0
 
+    def level(self, account: Account, now: float) -> float:
+        """Return what is left of an account's limit."""
+        bucket = self._bucket(account, now)
+        bucket.refill(now)
+        return bucket.level
+
     def spent_elsewhere(self, before: dict[str, float], after: dict[str, float]) -> None:
         """Take what another node has spent between two of its states."""
         for name, amount in after.items():
--- a/src/moledale/gateway/balance.py
+++ b/src/moledale/gateway/balance.py
@@ -128,6 +128,7 @@
 
     def __init__(self, hall: str) -> None:
         self.views: dict[str, ServerView] = {}
+        self.work: dict[str, int] = {}
         self._hall = hall
 
     def apply(self, servers: Iterable[Server]) -> list[str]:
@@ -151,10 +152,10 @@
             view.others_prefill = 0
         for state in states:
             for name, (running, prefill) in state.loads.items():
-                view = self.views.get(name)
-                if view is not None:
-                    view.others_running += running
-                    view.others_prefill += prefill
+                known = self.views.get(name)
+                if known is not None:
+                    known.others_running += running
+                    known.others_prefill += prefill
 
     def loads(self) -> dict[str, tuple[int, int]]:
         """Return what this node has running, by server."""
@@ -197,6 +198,7 @@
         )
         uncached = max(0, facts.prompt_tokens - best.covers(facts.parts))
         best.remember(facts.parts, engine.cache_tokens)
+        self.work[service] = self.work.get(service, 0) + uncached
         return self._count(best, uncached, now)
 
     def _count(self, view: ServerView, prefill: int, now: float) -> Placement:
--- a/src/moledale/gateway/duties.py
+++ b/src/moledale/gateway/duties.py
@@ -170,7 +170,9 @@
         sharing: Sharing,
         book: ServerBook,
         index: Callable[[], PlanIndex | None],
+        first_start: bool,
     ) -> None:
+        self._first_start = first_start
         self._node = node
         self._keeper = keeper
         self._store = store
@@ -253,7 +255,8 @@
         for service in index.services.values():
             if service.renting is None:
                 continue
-            planner = self._planners.setdefault(service.name, RentingPlanner(service.name))
+            planner = self._planner(service.name)
+            planner.demand.note(self._work(service.name), now)
             for order in planner.orders(service.renting, servers, now):
                 grant = self._keeper.grant()
                 if grant is None:
@@ -270,3 +273,15 @@
                     number=order.number,
                     accepted=accepted,
                 )
+
+    def _planner(self, service: str) -> RentingPlanner:
+        planner = self._planners.get(service)
+        if planner is None:
+            planner = RentingPlanner(service, self._first_start)
+            self._planners[service] = planner
+        return planner
+
+    def _work(self, service: str) -> float:
+        """Return the prompt tokens that all nodes have placed so far."""
+        states = self._sharing.members.all_states()
+        return self._book.work.get(service, 0) + sum(each.work.get(service, 0) for each in states)
--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -20,7 +20,7 @@
     Refusal,
     RequestFacts,
 )
-from moledale.gateway.plan import Kind, Plan, PlanIndex, Route, chosen_service
+from moledale.gateway.plan import Account, Kind, Plan, PlanIndex, Route, chosen_service
 from moledale.gateway.pool import ConnectionPool
 from moledale.gateway.reply import CHUNKED, Reply
 from moledale.gateway.sharing import Sharing
@@ -173,10 +173,22 @@
             return Caller(None, route.priority)
         wait_s = self.limits.take(account, account.price(facts.tokens), self._now())
         if wait_s > 0:
+            self._tell_limited(account, facts, wait_s)
             return Refusal(429, "the account's limit is reached", self._spread(wait_s))
         priority = route.priority if account.priority is None else account.priority
         return Caller(account.name, priority)
 
+    def _tell_limited(self, account: Account, facts: RequestFacts, wait_s: float) -> None:
+        emit(
+            Event.LIMITED,
+            request=facts.id,
+            account=account.name,
+            price=account.price(facts.tokens),
+            level=round(self.limits.level(account, self._now())),
+            rate_per_s=account.rate_per_s,
+            wait_s=round(wait_s, 3),
+        )
+
     async def _carry(self, job: Job) -> None:
         """Try servers until one answers or no more may be tried."""
         self._sharing.request(job.service, self._now())
--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -95,6 +95,7 @@
             self.sharing,
             self.book,
             lambda: self.forwarder.index,
+            node.first_start,
         )
         self.supervisor = Supervisor("gateway", SystemClock())
         self._addresses = AddressBook(node.peers)
@@ -191,6 +192,7 @@
             self.forwarder.limits.spent,
             self.book.loads(),
             self.sharing.sends(now),
+            self.book.work,
             self.sharing.offset_s(),
             self.keeper.news(),
             self._fleet_digest,
@@ -243,7 +245,7 @@
         node = self.settings.node
         return NodeState(
             node.id, self.life, 0, node.hall, node.callers, node.peers, node.control,
-            int(self.standing), 0, {}, {}, {}, {},
+            int(self.standing), 0, {}, {}, {}, {}, {},
         )  # fmt: skip
 
     async def _register(self) -> None:
@@ -295,7 +297,11 @@
         if not self.forwarder.adopt(plan):
             return
         self._raw_plan = raw
-        emit(Event.BUNDLE_ADOPTED, version=plan.version)
+        emit(
+            Event.BUNDLE_ADOPTED,
+            version=plan.version,
+            limits={each.name: (each.rate_per_s, each.burst) for each in plan.accounts},
+        )
         self._become_ready()
         self._tell_state()
 
--- a/src/moledale/gateway/peers.py
+++ b/src/moledale/gateway/peers.py
@@ -48,6 +48,7 @@
     spent: dict[str, float]
     loads: dict[str, tuple[int, int]]
     sends: dict[str, tuple[int, int]]
+    work: dict[str, int]
     offset_s: float | None = None
     lease: LeaseNews | None = None
     fleet_digest: int = 0
--- a/src/moledale/gateway/renting.py
+++ b/src/moledale/gateway/renting.py
@@ -1,16 +1,36 @@
-"""How many servers each hall shall have: a pure plan from what runs and what is refused."""
+"""How many servers each hall shall have: a pure plan from demand, what runs and what is refused.
 
+Spot servers cost little and go a hall at once, so they are spread evenly, with enough of them that
+any one hall may go. While spot servers are not to be had, servers on demand fill the gap in the
+halls where they cost least; they are given back once spot servers run again.
+"""
+
+from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from math import ceil
 
 from moledale.gateway.messages import Server
 from moledale.gateway.plan import Renting
 
-SPOT_FOR_EACH_HALL = 2
 REFUSED_PAUSE_S = 2.5
+"""Time after which servers that were refused are asked for again."""
+
 LATE_START_S = 3.0
 """Time beyond a server's boot after which an order is taken for lost."""
 
+SERVER_TOKENS_PER_S = 15_000.0
+"""Prompt tokens a second for which one more server is wanted; a third of what it can read."""
+
+LEAST_NEED = 3
+START_NEED = 4
+"""Servers wanted while no demand was seen yet."""
+
+DEMAND_WINDOW_S = 5.0
+PEAK_KEPT_S = 20.0
+RESERVE_SHARE = 0.75
+"""Part of the need that must be there with any one hall gone."""
+
 
 @dataclass(frozen=True, slots=True)
 class Order:
@@ -22,13 +42,44 @@
     number: int
 
 
+class Demand:
+    """Need of servers, from a counter of prompt tokens that all nodes have placed."""
+
+    def __init__(self) -> None:
+        self._totals: deque[tuple[float, float]] = deque()
+        self._needs: deque[tuple[float, int]] = deque()
+
+    def note(self, total: float, now: float) -> None:
+        """Note the counter; one that falls, since a node was forgotten, starts anew."""
+        if self._totals and total < self._totals[-1][1]:
+            self._totals.clear()
+        self._totals.append((now, total))
+        while now - self._totals[0][0] > DEMAND_WINDOW_S:
+            self._totals.popleft()
+        begin, first = self._totals[0]
+        if now - begin >= 1.0 and total > first:
+            rate = (total - first) / (now - begin)
+            self._needs.append((now, max(LEAST_NEED, ceil(rate / SERVER_TOKENS_PER_S))))
+        while self._needs and now - self._needs[0][0] > PEAK_KEPT_S:
+            self._needs.popleft()
+
+    def need(self) -> int:
+        """Return the servers wanted: the peak of late, or the start's number."""
+        return max((need for _, need in self._needs), default=START_NEED)
+
+    @property
+    def idle(self) -> bool:
+        """Say whether no demand was seen."""
+        return not self._needs
+
+
 @dataclass(slots=True)
 class OrderState:
     """What was ordered last for a hall and kind, and when it may be ordered again."""
 
     number: int | None = None
-    at: float = 0.0
-    refused_until: float = 0.0
+    at: float = -1e9
+    refused_until: float = -1e9
 
 
 @dataclass(slots=True)
@@ -36,47 +87,83 @@
     """Plans orders for one service; remembers what this holder ordered."""
 
     service: str
+    first_start: bool = False
+    demand: Demand = field(default_factory=Demand)
     states: dict[tuple[str, bool], OrderState] = field(default_factory=dict)
 
     def orders(self, renting: Renting, servers: Iterable[Server], now: float) -> list[Order]:
         """Return the orders that are due."""
-        own = [server for server in servers if server.service == self.service]
-        due: list[Order] = []
-        for hall in renting.hall_prices:
-            there = [server for server in own if server.hall == hall and not server.leaving]
-            spot = sum(1 for server in there if server.spot)
-            wanted_spot = min(max(SPOT_FOR_EACH_HALL, renting.least), renting.most)
-            wanted_firm = 0 if self._enough(own, wanted_spot * len(renting.hall_prices)) else None
-            self._add(due, renting, hall, True, wanted_spot, spot, now)
-            if wanted_firm is not None:
-                self._add(due, renting, hall, False, wanted_firm, len(there) - spot, now)
+        staying = [each for each in servers if each.service == self.service and not each.leaving]
+        there = {hall: {True: 0, False: 0} for hall in renting.hall_prices}
+        for server in staying:
+            if server.hall in there:
+                there[server.hall][server.spot] += 1
+        need = self.demand.need()
+        each_hall = ceil(need / max(1, len(there) - 1))
+        wanted_spot = max(renting.least, min(each_hall, renting.most))
+        due = []
+        for hall, counts in there.items():
+            due.extend(self._due(renting, hall, True, wanted_spot, counts[True], now))
+        for hall, number in self._firm(renting, there, need, now).items():
+            due.extend(self._due(renting, hall, False, number, there[hall][False], now))
         return due
 
-    def _enough(self, own: list[Server], wanted: int) -> bool:
-        spot = sum(1 for server in own if server.spot and not server.leaving)
-        return spot >= wanted // 2
-
-    def _add(
-        self,
-        due: list[Order],
-        renting: Renting,
-        hall: str,
-        spot: bool,
-        wanted: int,
-        there: int,
-        now: float,
-    ) -> None:
+    def _firm(
+        self, renting: Renting, there: dict[str, dict[bool, int]], need: int, now: float
+    ) -> dict[str, int]:
+        """Return how many servers on demand each hall shall have."""
+        runs = {hall: counts[True] for hall, counts in there.items()}
+        coming = {hall: max(runs[hall], self._coming(renting, hall, now)) for hall in there}
+        least = self._gap(coming, need)
+        most = least if self.first_start and self.demand.idle else self._gap(runs, need)
+        ordered = {hall: self._ordered(hall, there[hall][False]) for hall in there}
+        wanted = max(least, min(sum(ordered.values()), most))
+        return self._spread(renting, wanted, runs, ordered)
+
+    def _gap(self, spot: dict[str, int], need: int) -> int:
+        """Return the servers that are missing once the hall with most spot servers is gone."""
+        left = sum(spot.values()) - max(spot.values())
+        return max(0, ceil(need * RESERVE_SHARE) - left)
+
+    def _spread(
+        self, renting: Renting, wanted: int, spot: dict[str, int], ordered: dict[str, int]
+    ) -> dict[str, int]:
+        """Put servers on demand where they cost least; what is ordered stays while it is wanted."""
+        result = dict.fromkeys(ordered, 0)
+        prices = renting.hall_prices
+        for kept in (True, False):
+            for hall in sorted(prices, key=lambda hall: prices[hall]):
+                room = renting.most - max(spot[hall], 0)
+                limit = min(room, ordered[hall]) if kept else room
+                take = max(0, min(wanted - sum(result.values()), limit - result[hall]))
+                result[hall] += take
+        return result
+
+    def _coming(self, renting: Renting, hall: str, now: float) -> int:
+        """Return the spot servers that an accepted order should bring."""
+        state = self.states.get((hall, True))
+        if state is None or state.number is None or now < state.refused_until:
+            return 0
+        return state.number if now - state.at < renting.boot_s + LATE_START_S else 0
+
+    def _ordered(self, hall: str, there: int) -> int:
+        state = self.states.get((hall, False))
+        return there if state is None or state.number is None else state.number
+
+    def _due(
+        self, renting: Renting, hall: str, spot: bool, wanted: int, there: int, now: float
+    ) -> list[Order]:
+        """Return an order if it would change something."""
         state = self.states.setdefault((hall, spot), OrderState())
         if now < state.refused_until:
-            return
-        same = state.number == wanted
-        starting = now - state.at < renting.boot_s + LATE_START_S
-        if same and (there >= wanted or starting):
-            return
-        if not same and there == wanted and state.number is None and not spot:
+            return []
+        if state.number is None and there == wanted:
             state.number = wanted
-            return
-        due.append(Order(self.service, hall, spot, wanted))
+            return []
+        starting = now - state.at < renting.boot_s + LATE_START_S
+        if state.number == wanted and (there >= wanted or starting):
+            return []
+        return [Order(self.service, hall, spot, wanted)]
 
     def ordered(self, order: Order, accepted: bool, now: float) -> None:
         """Note what the cloud said of an order."""
--- a/src/moledale/gateway/settings.py
+++ b/src/moledale/gateway/settings.py
@@ -14,7 +14,10 @@
 
 
 class Identity(Table, frozen=True):
-    """Who this node is and where it listens (`host:port`)."""
+    """Who this node is and where it listens (`host:port`).
+
+    `first_start` tells that the whole system starts for the first time, so nothing was served yet.
+    """
 
     id: str
     hall: str
@@ -25,6 +28,7 @@
     readiness: str
     peers: str
     seeds: tuple[str, ...] = ()
+    first_start: bool = False
 
 
 class Outside(Table, frozen=True):
