--- a/src/moledale/gateway/duties.py
+++ b/src/moledale/gateway/duties.py
@@ -272,6 +272,8 @@
                     spot=order.spot,
                     number=order.number,
                     accepted=accepted,
+                    need=planner.demand.need(),
+                    tokens_per_s=round(planner.demand.rate),
                 )
 
     def _planner(self, service: str) -> RentingPlanner:
--- a/src/moledale/gateway/renting.py
+++ b/src/moledale/gateway/renting.py
@@ -19,15 +19,18 @@
 LATE_START_S = 3.0
 """Time beyond a server's boot after which an order is taken for lost."""
 
-SERVER_TOKENS_PER_S = 15_000.0
-"""Prompt tokens a second for which one more server is wanted; a third of what it can read."""
+SERVER_TOKENS_PER_S = 28_000.0
+"""Prompt tokens a second for which one more server is wanted; half of what it can read."""
 
-LEAST_NEED = 3
+LEAST_NEED = 2
 START_NEED = 4
 """Servers wanted while no demand was seen yet."""
 
 DEMAND_WINDOW_S = 5.0
 PEAK_KEPT_S = 20.0
+SPOT_X = 1.5
+"""Spot servers wanted for each server needed; they cost little and go often."""
+
 RESERVE_SHARE = 0.75
 """Part of the need that must be there with any one hall gone."""
 
@@ -63,6 +66,14 @@
         while self._needs and now - self._needs[0][0] > PEAK_KEPT_S:
             self._needs.popleft()
 
+    @property
+    def rate(self) -> float:
+        """Return prompt tokens a second of late."""
+        if len(self._totals) < 2:
+            return 0.0
+        (begin, first), (end, last) = self._totals[0], self._totals[-1]
+        return (last - first) / (end - begin)
+
     def need(self) -> int:
         """Return the servers wanted: the peak of late, or the start's number."""
         return max((need for _, need in self._needs), default=START_NEED)
@@ -99,7 +110,7 @@
             if server.hall in there:
                 there[server.hall][server.spot] += 1
         need = self.demand.need()
-        each_hall = ceil(need / max(1, len(there) - 1))
+        each_hall = ceil(need * SPOT_X / max(1, len(there) - 1))
         wanted_spot = max(renting.least, min(each_hall, renting.most))
         due = []
         for hall, counts in there.items():
