Test forwarding by bytes: cut, crossed, surplus and early answers, runs, deadlines, streams, limits

Noticed while writing them: a transport's abort sends an orderly end where nothing is unread, so the scripted servers set linger to reset.

--- /dev/null
+++ b/standins/rows.py
@@ -0,0 +1,232 @@
+"""Stand-in for the users' platform: the store with rows and its duties, as their pages tell them.
+
+It can be silent, slow or busy, lose answers after their effect, do a change late, and forget
+history; what it took is kept for tests to look at.
+"""
+
+import asyncio
+import base64
+import json
+from dataclasses import dataclass, field
+from enum import StrEnum
+from urllib.parse import parse_qs, urlsplit
+
+MOST_ROWS = 500
+
+
+class Mood(StrEnum):
+    """How the store answers."""
+
+    GOOD = "good"
+    BUSY = "busy"
+    SILENT = "silent"
+    RESET = "reset"
+    LOSES = "loses answers of changes"
+
+
+@dataclass(slots=True)
+class Row:
+    """A row of the store."""
+
+    table: str
+    part: str
+    key: str
+    value: str
+    ver: int
+    gone: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class DutyCall:
+    """A call of a duty that was accepted."""
+
+    path: str
+    holder: str
+    fence: int
+    body: dict[str, object]
+
+
+@dataclass(slots=True)
+class RowsPlatform:
+    """The store and the duties behind one address."""
+
+    mood: Mood = Mood.GOOD
+    delay_s: float = 0.0
+    history_from: int = 0
+    version: int = 0
+    rows: dict[tuple[str, str, str], Row] = field(default_factory=dict)
+    duty_calls: list[DutyCall] = field(default_factory=list)
+    refused_spot: set[str] = field(default_factory=set)
+    calls: int = 0
+    address: str = ""
+    _changed: asyncio.Event = field(default_factory=asyncio.Event)
+    _server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen on a free port of loopback."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.close()
+
+    def put(self, table: str, key: str, body: object) -> int:
+        """Write a row as the operator or a server does."""
+        value = base64.b64encode(json.dumps(body).encode()).decode()
+        self.version += 1
+        self.rows[(table, "", key)] = Row(table, "", key, value, self.version)
+        self._changed.set()
+        return self.version
+
+    def drop(self, table: str, key: str) -> None:
+        """Remove a row."""
+        self.version += 1
+        row = self.rows.get((table, "", key))
+        if row is not None:
+            row.gone, row.ver = True, self.version
+        self._changed.set()
+
+    def body(self, table: str, key: str) -> object:
+        """Return what a row holds, or None."""
+        row = self.rows.get((table, "", key))
+        if row is None or row.gone:
+            return None
+        return json.loads(base64.b64decode(row.value))
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                method, target, headers = _parse(head)
+                body = await reader.readexactly(int(headers.get("content-length", "0")))
+                self.calls += 1
+                if self.mood is Mood.RESET:
+                    writer.transport.abort()
+                    return
+                if self.mood is Mood.SILENT:
+                    await asyncio.sleep(3600)
+                if self.delay_s:
+                    await asyncio.sleep(self.delay_s)
+                status: int = 503
+                answer: dict[str, object] = {}
+                if self.mood is not Mood.BUSY:
+                    status, answer = await self._answer(method, target, headers, body)
+                if self.mood is Mood.LOSES and method == "POST":
+                    await asyncio.sleep(3600)
+                data = json.dumps(answer).encode()
+                writer.write(
+                    b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\n"
+                    b"Content-Length: %d\r\n\r\n%b" % (status, len(data), data)
+                )
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+    async def _answer(
+        self, method: str, target: str, headers: dict[str, str], body: bytes
+    ) -> tuple[int, dict[str, object]]:
+        url = urlsplit(target)
+        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        if url.path in ("/usage", "/scale"):
+            return self._duty(url.path, headers, json.loads(body))
+        if url.path == "/v1/rows-tx":
+            return self._transact(json.loads(body))
+        if url.path == "/v1/rows-get":
+            return self._get(query)
+        if url.path == "/v1/rows-feed":
+            return await self._feed(query)
+        return 404, {}
+
+    def _duty(
+        self, path: str, headers: dict[str, str], body: dict[str, object]
+    ) -> tuple[int, dict[str, object]]:
+        if body.get("spot") and body.get("zone") in self.refused_spot:
+            return 409, {}
+        call = DutyCall(path, headers["duty-holder"], int(headers["fence-token"]), body)
+        self.duty_calls.append(call)
+        return 200, {}
+
+    def _transact(self, body: dict[str, list[dict[str, object]]]) -> tuple[int, dict[str, object]]:
+        conditions = [(_name(each), each["ver"]) for each in body["expectedRev"]]
+        standing = []
+        failed = False
+        for name, ver in conditions:
+            row = self.rows.get(name)
+            there = row if row is not None and not row.gone else None
+            failed = failed or (there.ver if there is not None else 0) != ver
+            if there is not None:
+                standing.append(_told(there))
+        if failed:
+            return 412, {"rows": standing, "ver": self.version, "now_ms": self._now_ms()}
+        self.version += 1
+        for each in body["put"]:
+            table, part, key = name = _name(each)
+            self.rows[name] = Row(table, part, key, str(each["value"]), self.version)
+        for each in body["remove"]:
+            found = self.rows.get(_name(each))
+            if found is not None:
+                found.gone, found.ver = True, self.version
+        self._changed.set()
+        return 200, {"ver": self.version, "now_ms": self._now_ms()}
+
+    def _get(self, query: dict[str, str]) -> tuple[int, dict[str, object]]:
+        rows = [
+            row
+            for row in sorted(self.rows.values(), key=lambda row: row.key.encode())
+            if row.table == query["table"] and not row.gone and row.key >= query.get("from", "")
+        ]
+        limit = int(query.get("limit", MOST_ROWS))
+        return 200, {
+            "rows": [_told(row) for row in rows[:limit]],
+            "more": len(rows) > limit,
+            "ver": self.version,
+            "now_ms": self._now_ms(),
+        }
+
+    async def _feed(self, query: dict[str, str]) -> tuple[int, dict[str, object]]:
+        after = int(query["startAfter"])
+        ends = asyncio.get_running_loop().time() + int(query["waitMs"]) / 1000
+        while True:
+            if after < self.history_from:
+                return 410, {}
+            rows = [r for r in self.rows.values() if r.table == query["table"] and r.ver > after]
+            left = ends - asyncio.get_running_loop().time()
+            if rows or left <= 0:
+                told = [_told(row) for row in sorted(rows, key=lambda row: row.ver)]
+                return 200, {"rows": told, "ver": self.version, "now_ms": self._now_ms()}
+            self._changed.clear()
+            try:
+                async with asyncio.timeout(left):
+                    await self._changed.wait()
+            except TimeoutError:
+                continue
+
+    def _now_ms(self) -> int:
+        return int(asyncio.get_running_loop().time() * 1000)
+
+
+def _name(entry: dict[str, object]) -> tuple[str, str, str]:
+    return str(entry["table"]), str(entry.get("part", "")), str(entry["key"])
+
+
+def _told(row: Row) -> dict[str, object]:
+    told: dict[str, object] = {
+        "table": row.table,
+        "part": row.part,
+        "key": row.key,
+        "ver": row.ver,
+    }
+    told.update({"gone": True} if row.gone else {"value": row.value})
+    return told
+
+
+def _parse(head: bytes) -> tuple[str, str, dict[str, str]]:
+    first, *lines = head.decode("latin-1").rstrip("\r\n").split("\r\n")
+    method, target, _ = first.split(" ")
+    pairs = (line.split(":", 1) for line in lines)
+    return method, target, {name.strip().lower(): value.strip() for name, value in pairs}
--- /dev/null
+++ b/tests/gateway_world.py
@@ -0,0 +1,314 @@
+"""A gateway's forwarding over real sockets, with servers and callers that tests script by bytes."""
+
+import asyncio
+import socket
+import struct
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import logbook
+
+from moledale.gateway.balance import ServerBook
+from moledale.gateway.forwarder import Forwarder
+from moledale.gateway.inbound import Listener, listen, sweep_forever
+from moledale.gateway.messages import Server
+from moledale.gateway.peers import Membership
+from moledale.gateway.plan import (
+    TOKENS,
+    Account,
+    Engine,
+    Kind,
+    Limits,
+    Plan,
+    Route,
+    Service,
+    Share,
+)
+from moledale.gateway.pool import ConnectionPool
+from moledale.gateway.settings import Bounds
+from moledale.gateway.sharing import Sharing
+from moledale.platform.headers import PlatformHeaders
+
+HOST = "quotes.example"
+KEY = "key-of-north"
+STAMP = b"Server-Stamp: s1\r\n"
+
+Script = Callable[["Arrival", asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+@dataclass(slots=True)
+class Arrival:
+    """A request as a server got it."""
+
+    line: str
+    headers: list[tuple[str, str]]
+    body: bytes
+    connection: int
+    at: float
+
+    def get(self, name: str) -> str | None:
+        """Return the first header of a lower-case name."""
+        return next((value for key, value in self.headers if key.lower() == name), None)
+
+
+@dataclass(slots=True)
+class ScriptedServer:
+    """A backend server that does with each request what its script says."""
+
+    id: str
+    script: Script
+    arrivals: list[Arrival] = field(default_factory=list)
+    connections: int = 0
+    closed: int = 0
+    address: str = ""
+    arrived: asyncio.Event = field(default_factory=asyncio.Event)
+    _server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen on a free port of loopback."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+
+    def stop(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        number = self.connections
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                line, *rest = head.decode("latin-1").rstrip("\r\n").split("\r\n")
+                headers = [(n.strip(), v.strip()) for n, v in (each.split(":", 1) for each in rest)]
+                length = next((int(v) for n, v in headers if n.lower() == "content-length"), 0)
+                body = await reader.readexactly(length)
+                arrival = Arrival(line, headers, body, number, time.monotonic())
+                self.arrivals.append(arrival)
+                self.arrived.set()
+                await self.script(arrival, reader, writer)
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            self.closed += 1
+            writer.close()
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Close a connection so that the other side sees a reset."""
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+def answer(
+    arrival: Arrival, body: bytes = b"fine", status: int = 200, more: bytes = STAMP
+) -> bytes:
+    """Return a server's whole answer with a length."""
+    request_id = (arrival.get("request-id") or "").encode()
+    return (
+        b"HTTP/1.1 %d X\r\nRequest-Id: %b\r\nContent-Type: text/plain\r\n%b"
+        b"Content-Length: %d\r\n\r\n%b" % (status, request_id, more, len(body), body)
+    )
+
+
+def stream_head(arrival: Arrival, stamp: bytes = STAMP) -> bytes:
+    """Return the first lines of a stream of events in chunks."""
+    request_id = (arrival.get("request-id") or "").encode()
+    return (
+        b"HTTP/1.1 200 X\r\nRequest-Id: %b\r\nContent-Type: text/event-stream\r\n%b"
+        b"Transfer-Encoding: chunked\r\n\r\n" % (request_id, stamp)
+    )
+
+
+def event(number: int) -> bytes:
+    """Return an event of a stream."""
+    return b"id: %d\ndata: piece %d\n\n" % (number, number)
+
+
+def chunk(data: bytes) -> bytes:
+    """Return a chunk of a body."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+async def fine(arrival: Arrival, _: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """A script that answers whole."""
+    writer.write(answer(arrival))
+
+
+def a_plan(version: int = 1, **changes: object) -> Plan:
+    """Return a plan with a route of each kind."""
+    routes = (
+        Route("check", HOST, "/check/", Kind.SAFE, (Share("plain"),), 1.0, 0.2, max_servers=2),
+        Route("order", HOST, "/order/", Kind.ONCE, (Share("plain"),), 1.0, 0.2, max_servers=2),
+        Route("draft", HOST, "/draft/", Kind.STREAM, (Share("model"),), 3.0, 0.5, max_servers=2),
+        Route(
+            "review",
+            HOST,
+            "/review/",
+            Kind.STREAM,
+            (Share("model"),),
+            3.0,
+            0.5,
+            max_servers=2,
+            resumable=True,
+        ),
+        Route("open", HOST, "/open/", Kind.SAFE, (Share("plain"),), 1.0, 0.2, public=True),
+    )
+    services = (Service("plain"), Service("model", engine=Engine(4, 100_000, 1, 1000.0)))
+    accounts = (Account("north", (KEY,), None, TOKENS, 200, 100_000.0, 100_000.0),)
+    plan = Plan(version, routes, services, accounts, Limits())
+    values = {name: getattr(plan, name) for name in Plan.__struct_fields__}
+    return Plan(**{**values, **changes})  # type: ignore[arg-type]
+
+
+@dataclass(slots=True)
+class CallerAnswer:
+    """What a caller read: `whole` says whether the framing says that it is complete."""
+
+    status: int = 0
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+    whole: bool = False
+
+
+class GatewayWorld:
+    """A forwarder behind a real listener, and the servers it knows."""
+
+    def __init__(self, plan: Plan | None = None, bounds: Bounds | None = None) -> None:
+        self.members = Membership("n1", 1)
+        self.bounds = bounds or Bounds()
+        self.sharing = Sharing(self.members, self.bounds)
+        self.book = ServerBook("hall-a")
+        self.pool = ConnectionPool(time.monotonic)
+        self.forwarder = Forwarder(PlatformHeaders(), self.book, self.pool, self.sharing)
+        if plan is not None:
+            self.forwarder.adopt(plan)
+        self.servers: dict[str, ScriptedServer] = {}
+        self._listed: list[Server] = []
+        self.listener = Listener(self.forwarder.handle, self._limits, time.monotonic)
+        self.address = ("127.0.0.1", 0)
+        self._server: asyncio.Server | None = None
+        self._sweeping: asyncio.Task[None] | None = None
+
+    def _limits(self) -> Limits:
+        index = self.forwarder.index
+        return index.limits if index is not None else Limits()
+
+    async def __aenter__(self) -> "GatewayWorld":
+        self._server = await listen("127.0.0.1:0", self.listener)
+        self.address = self._server.sockets[0].getsockname()
+        self._sweeping = asyncio.create_task(sweep_forever(self.listener))
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        assert self._server is not None and self._sweeping is not None
+        self._sweeping.cancel()
+        self._server.close()
+        for server in self.servers.values():
+            server.stop()
+
+    async def server(
+        self, name: str, service: str, script: Script, slots: int = 4
+    ) -> ScriptedServer:
+        """Start a server and list it."""
+        server = ScriptedServer(name, script)
+        await server.start()
+        self.servers[name] = server
+        self._listed.append(Server(name, service, server.address, "hall-a", slots))
+        self.book.apply(self._listed)
+        return server
+
+    def list_as(self, name: str, **changes: object) -> None:
+        """Change what the list says of a server."""
+        self._listed = [
+            Server(**{**{f: getattr(s, f) for f in Server.__struct_fields__}, **changes})  # type: ignore[arg-type]
+            if s.id == name
+            else s
+            for s in self._listed
+        ]
+        self.book.apply(self._listed)
+
+    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Open a caller's connection."""
+        return await asyncio.open_connection(*self.address[:2])
+
+    async def ask(
+        self,
+        path: str,
+        method: str = "POST",
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+        request_id: str = "r1",
+    ) -> CallerAnswer:
+        """Send one request on a new connection and read its answer."""
+        reader, writer = await self.connect()
+        try:
+            writer.write(request_bytes(path, method, body, headers, request_id))
+            return await read_answer(reader)
+        finally:
+            writer.close()
+
+
+def request_bytes(
+    path: str,
+    method: str = "POST",
+    body: bytes = b"",
+    headers: dict[str, str] | None = None,
+    request_id: str = "r1",
+) -> bytes:
+    """Return a caller's request."""
+    lines = {
+        "Host": HOST,
+        "Request-Id": request_id,
+        "Authorization": f"Bearer {KEY}",
+        "Deadline-Ms": "3000",
+        "Content-Length": str(len(body)),
+        **(headers or {}),
+    }
+    text = "".join(f"{name}: {value}\r\n" for name, value in lines.items() if value)
+    return f"{method} {path} HTTP/1.1\r\n{text}\r\n".encode() + body
+
+
+async def read_answer(reader: asyncio.StreamReader) -> CallerAnswer:
+    """Read one answer as far as it comes."""
+    result = CallerAnswer()
+    try:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").rstrip("\r\n")
+        first, *rest = head.split("\r\n")
+        result.status = int(first.split(" ")[1])
+        result.headers = {
+            name.strip().lower(): value.strip()
+            for name, value in (line.split(":", 1) for line in rest)
+        }
+        if result.headers.get("transfer-encoding") == "chunked":
+            while True:
+                size = int((await reader.readline()).strip() or b"x", 16)
+                data = await reader.readexactly(size + 2)
+                result.body += data[:-2]
+                if size == 0:
+                    break
+        else:
+            result.body = await reader.readexactly(int(result.headers["content-length"]))
+        result.whole = True
+    except (asyncio.IncompleteReadError, ConnectionError, ValueError):
+        pass
+    return result
+
+
+def quietly(work: Awaitable[None]) -> None:
+    """Run a test's coroutine without its logs, within 20 s."""
+
+    async def bounded() -> None:
+        async with asyncio.timeout(20):
+            await work
+
+    with logbook.NullHandler().applicationbound():
+        asyncio.run(bounded())
--- /dev/null
+++ b/tests/test_gateway_forwarding.py
@@ -0,0 +1,581 @@
+"""What callers and servers see of the gateway's forwarding, byte by byte, under failure."""
+
+import asyncio
+import time
+import unittest
+
+from moledale.gateway.messages import Server
+from moledale.gateway.plan import Limits
+from tests.gateway_world import (
+    KEY,
+    LAST_CHUNK,
+    STAMP,
+    Arrival,
+    GatewayWorld,
+    a_plan,
+    answer,
+    chunk,
+    event,
+    fine,
+    quietly,
+    read_answer,
+    request_bytes,
+    reset,
+    stream_head,
+)
+
+Reader = asyncio.StreamReader
+Writer = asyncio.StreamWriter
+
+
+async def breaks_off(arrival: Arrival, _: Reader, writer: Writer) -> None:
+    """Send half an answer and reset."""
+    writer.write(answer(arrival, b"x" * 1000)[:-500])
+    await writer.drain()
+    reset(writer)
+
+
+async def resets(_: Arrival, __: Reader, writer: Writer) -> None:
+    """Reset without an answer."""
+    reset(writer)
+
+
+async def fails(arrival: Arrival, _: Reader, writer: Writer) -> None:
+    """Answer with the server's own failure."""
+    writer.write(answer(arrival, b"bad", 500))
+
+
+async def sheds(arrival: Arrival, _: Reader, writer: Writer) -> None:
+    """Say that the request did not run."""
+    writer.write(answer(arrival, b"", 503, b"Not-Executed: 1\r\n"))
+
+
+async def says_busy(arrival: Arrival, _: Reader, writer: Writer) -> None:
+    """Answer 503 without saying that the request did not run."""
+    writer.write(answer(arrival, b"busy", 503))
+
+
+async def hangs(_: Arrival, reader: Reader, __: Writer) -> None:
+    """Say nothing until the other side closes."""
+    await reader.read()
+
+
+async def streams(arrival: Arrival, _: Reader, writer: Writer) -> None:
+    """Send five events and end whole."""
+    after = int(arrival.get("last-event-id") or 0)
+    writer.write(stream_head(arrival))
+    for number in range(after + 1, 6):
+        writer.write(chunk(event(number)))
+        await writer.drain()
+        await asyncio.sleep(0.01)
+    writer.write(LAST_CHUNK)
+
+
+async def streams_torn(arrival: Arrival, _: Reader, writer: Writer) -> None:
+    """Send two events and half of the third, then reset."""
+    writer.write(stream_head(arrival))
+    writer.write(chunk(event(1)) + chunk(event(2)) + chunk(event(3)[:7]))
+    await writer.drain()
+    await asyncio.sleep(0.05)
+    reset(writer)
+
+
+ALL_EVENTS = b"".join(event(number) for number in range(1, 6))
+
+
+class WholeAnswersTest(unittest.TestCase):
+    """Each caller gets its own whole answer, or one that can't be taken for whole."""
+
+    def test_request_and_answer_pass_unchanged(self) -> None:
+        async def work() -> None:
+            async with GatewayWorld(a_plan()) as world:
+                server = await world.server("s1", "plain", fine)
+                body = bytes(range(256)) * 10
+                got = await world.ask(
+                    "/check/a%2Fb?x=1&y=%20", body=body, headers={"X-Own": "v", "Tenant": "fake"}
+                )
+                arrival = server.arrivals[0]
+                self.assertEqual((got.status, got.body, got.whole), (200, b"fine", True))
+                self.assertEqual(got.headers["server-stamp"], "s1")
+                self.assertEqual(arrival.line, "POST /check/a%2Fb?x=1&y=%20 HTTP/1.1")
+                self.assertEqual(arrival.body, body)
+                self.assertEqual(arrival.get("x-own"), "v")
+                self.assertEqual(arrival.get("expect-instance"), "s1")
+                self.assertEqual([v for k, v in arrival.headers if k == "Tenant"], ["north"])
+                self.assertNotIn(KEY, str(arrival.headers))
+
+        quietly(work())
+
+    def test_chunked_body_reaches_the_server_whole(self) -> None:
+        async def work() -> None:
+            async with GatewayWorld(a_plan()) as world:
+                server = await world.server("s1", "plain", fine)
+                reader, writer = await world.connect()
+                head = request_bytes(
+                    "/order/", headers={"Content-Length": "", "Transfer-Encoding": "chunked"}
+                )
+                writer.write(head + chunk(b"one ") + chunk(b"two") + LAST_CHUNK)
+                got = await read_answer(reader)
+                writer.close()
+                self.assertEqual(got.status, 200)
+                self.assertEqual(server.arrivals[0].body, b"one two")
+
+        quietly(work())
+
+    def test_cut_answer_never_looks_whole(self) -> None:
+        async def work() -> None:
+            async with GatewayWorld(a_plan()) as world:
+                await world.server("s1", "plain", breaks_off)
+                got = await world.ask("/order/")
+                self.assertEqual(got.status, 502)
+                self.assertNotIn("server-stamp", got.headers)
+
+        quietly(work())
+
+    def test_answer_without_length_ends_with_its_connection(self) -> None:
+        async def closes(arrival: Arrival, _: Reader, writer: Writer) -> None:
+            request_id = (arrival.get("request-id") or "").encode()
+            writer.write(b"HTTP/1.1 200 X\r\nRequest-Id: %b\r\n%b\r\nall" % (request_id, STAMP))
+            await writer.drain()
+            writer.close()
+
+        async def resets_after(arrival: Arrival, _: Reader, writer: Writer) -> None:
+            request_id = (arrival.get("request-id") or "").encode()
+            writer.write(b"HTTP/1.1 200 X\r\nRequest-Id: %b\r\n%b\r\nhalf" % (request_id, STAMP))
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            reset(writer)
+
+        async def work() -> None:
+            async with GatewayWorld(a_plan()) as world:
+                server = await world.server("s1", "plain", closes)
+                got = await world.ask("/order/")
+                self.assertEqual((got.status, got.body, got.whole), (200, b"all", True))
+                server.script = resets_after
+                got = await world.ask("/order/", request_id="r2")
+                self.assertEqual(got.status, 502)
+
+        quietly(work())
+
+    def test_surplus_bytes_belong_to_no_request(self) -> None:
+        async def answers_twice(arrival: Arrival, _: Reader, writer: Writer) -> None:
+            writer.write(answer(arrival) + answer(arrival, b"not yours"))
+
+        async def answers_late(arrival: Arrival, _: Reader, writer: Writer) -> None:
+            writer.write(answer(arrival))
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            writer.write(answer(arrival, b"not yours"))
+
+        async def work() -> None:
+            for script in (answers_twice, answers_late):
+                async with GatewayWorld(a_plan()) as world:
+                    server = await world.server("s1", "plain", script)
+                    for number in range(4):
+                        got = await world.ask("/order/", request_id=f"r{number}")
+                        self.assertEqual((got.status, got.body), (200, b"fine"))
+                        await asyncio.sleep(0.1)
+                    self.assertEqual(server.connections, 4)
+
+        quietly(work())
+
+    def test_answer_with_another_id_is_not_passed_on(self) -> None:
+        async def crossed(arrival: Arrival, _: Reader, writer: Writer) -> None:
+            arrival.headers = [("Request-Id", "someone-else")]
+            writer.write(answer(arrival, b"not yours"))
+
+        async def work() -> None:
+            async with GatewayWorld(a_plan()) as world:
+                server = await world.server("s1", "plain", crossed)
+                got = await world.ask("/order/")
+                self.assertEqual(got.status, 502)
+                self.assertNotIn(b"not yours", got.body)
+                server.script = fine
+                self.assertEqual((await world.ask("/order/", request_id="r2")).status, 200)
+                self.assertEqual(server.connections, 2)
+
+        quietly(work())
+
+    def test_bytes_that_are_no_answer_give_a_failure(self) -> None:
+        async def garbage(_: Arrival, __: Reader, writer: Writer) -> None:
+            writer.write(b"\x00\x01 this is no answer\r\n\r\n")
+
+        async def work() -> None:
+            async with GatewayWorld(a_plan()) as world:
+                await world.server("s1", "plain", garbage)
+                self.assertEqual((await world.ask("/order/")).status, 502)
+
+        quietly(work())
+
+    def test_early_answer_is_passed_on_and_its_connection_not_used_again(self) -> None:
+        async def early(arrival: Arrival, _: Reader, writer: Writer) -> None:
+            writer.write(answer(arrival, b"too long", 413))
+
+        async def work() -> None:
+            async with GatewayWorld(a_plan()) as world:
+                server = await world.server("s1", "plain", early)
+                got = await world.ask("/order/", body=b"x" * 100)
+                self.assertEqual((got.status, got.body), (413, b"too long"))
+                self.assertEqual(server.arrivals[0].body, b"x" * 100)
+
+        quietly(work())
+
+
+class RunsTest(unittest.TestCase):
+    """What may run once runs once; what the system says of runs is true."""
+
+    def test_not_repeatable_request_is_sent_once_when_its_server_breaks_off(self) -> None:
+        async def work() -> None:
+            for script in (resets, breaks_off, fails):
+                async with GatewayWorld(a_plan()) as world:
+                    first = await world.server("s1", "plain", script)
+                    second = await world.server("s2", "plain", script)
+                    got = await world.ask("/order/")
+                    self.assertIn(got.status, (500, 502))
+                    self.assertEqual(len(first.arrivals) + len(second.arrivals), 1)
+
+        quietly(work())
+
+    def test_not_repeatable_request_goes_on_where_it_did_not_run(self) -> None:
+        async def work() -> None:
+            async with GatewayWorld(a_plan()) as world:
+                servers = [await world.server(f"s{n}", "plain", sheds) for n in (1, 2)]
+                got = await world.ask("/order/")
+                self.assertEqual(got.status, 503)
+                self.assertGreater(float(got.headers["retry-after"]), 0)
+                self.assertEqual([len(server.arrivals) for server in servers], [1, 1])
+                servers[0].script = servers[1].script = fine
+                self.assertEqual((await world.ask("/order/", request_id="r2")).status, 200)
+
+        quietly(work())
+
+    def test_kept_connection_that_is_reset_does_not_send_a_second_time(self) -> None:
+        async def work() -> None:
+            async with GatewayWorld(a_plan()) as world:
+                server = await world.server("s1", "plain", fine)
+                self.assertEqual((await world.ask("/order/")).status, 200)
+                server.script = resets
+                self.assertEqual((await world.ask("/order/", request_id="r2")).status, 502)
+                self.assertEqual(len(server.arrivals), 2)
+
+        quietly(work())
+
+    def test_servers_busy_that_may_have_run_is_not_passed_on_as_a_promise(self) -> None:
+        async def work() -> None:
+            async with GatewayWorld(a_plan()) as world:
+                await world.server("s1", "plain", says_busy)
+                got = await world.ask("/order/")
+                self.assertEqual(got.status, 502)
+                self.assertNotIn("server-stamp", got.headers)
+
+        quietly(work())
+
+    def test_safe_request_is_tried_at_a_second_server_and_no_third(self) -> None:
+        async def work() -> None:
+            async with GatewayWorld(a_plan()) as world:
+                servers = [await world.server(f"s{n}", "plain", fails) for n in (1, 2, 3)]
+                got = await world.ask("/check/")
+                self.assertEqual((got.status, got.body), (500, b"bad"))
+                self.assertEqual(sum(len(server.arrivals) for server in servers), 2)
+
+        quietly(work())
+
+    def test_retry_budget_bounds_repeats(self) -> None:
+        async def work() -> None:
+            async with GatewayWorld(a_plan()) as world:
+                servers = [await world.server(f"s{n}", "plain", fails) for n in (1, 2)]
+                for number in range(100):
+                    await world.ask("/check/", request_id=f"r{number}")
+                arrivals = sum(len(server.arrivals) for server in servers)
+                self.assertGreater(arrivals, 100)
+                allowed = 100 * world.bounds.retry_ratio + world.bounds.retry_slack
+                self.assertLessEqual(arrivals - 100, allowed)
+
+        quietly(work())
+
+    def test_no_connection_counts_as_no_send(self) -> None:
+        async def work() -> None:
+            async with GatewayWorld(a_plan()) as world:
+                gone = await world.server("s1", "plain", fine)
+                gone.stop()
+                await world.server("s2", "plain", fine)
+                for number in range(6):
+                    got = await world.ask("/order/", request_id=f"r{number}")
+                    self.assertEqual(got.status, 200)
+
+        quietly(work())
+
+    def test_leaving_server_gets_no_new_work(self) -> None:
+        async def work() -> None:
+            async with GatewayWorld(a_plan()) as world:
+                leaving = await world.server("s1", "plain", fine)
+                await world.server("s2", "plain", fine)
+                world.list_as("s1", leaving=True)
+                for number in range(6):
+                    await world.ask("/check/", request_id=f"r{number}")
+                self.assertEqual(leaving.arrivals, [])
+
+        quietly(work())
+
+    def test_address_given_to_another_service_is_asked_for_the_right_server(self) -> None:
+        async def another(arrival: Arrival, _: Reader, writer: Writer) -> None:
+            self.assertEqual(arrival.get("expect-instance"), "s1")
+            writer.write(answer(arrival, b"", 421, b"Instance-Id: other\r\n"))
+
+        async def work() -> None:
+            async with GatewayWorld(a_plan()) as world:
+                await world.server("s1", "plain", another)
+                got = await world.ask("/order/")
+                self.assertEqual(got.status, 503)
+
+        quietly(work())
+
+
+class TimeTest(unittest.TestCase):
+    """One deadline is carried through; callers that leave are heeded at once."""
+
+    def test_servers_get_what_is_left_of_the_deadline(self) -> None:
+        async def slow_then_sheds(arrival: Arrival, _: Reader, writer: Writer) -> None:
+            await asyncio.sleep(0.3)
+            await sheds(arrival, _, writer)
+
+        async def work() -> None:
+            async with GatewayWorld(a_plan()) as world:
+                servers = [await world.server(f"s{n}", "plain", slow_then_sheds) for n in (1, 2)]
+                await world.ask("/check/", headers={"Deadline-Ms": "900"})
+                left = sorted(int(s.arrivals[0].get("deadline-ms") or 0) for s in servers)
+                self.assertLessEqual(left[1], 900)
+                self.assertLessEqual(left[0], 600)
+
+        quietly(work())
+
+    def test_time_limit_of_the_route_brings_the_final_answer(self) -> None:
+        async def work() -> None:
+            async with GatewayWorld(a_plan()) as world:
+                server = await world.server("s1", "plain", hangs)
+                began = time.monotonic()
+                got = await world.ask("/order/")
+                took = time.monotonic() - began
+                self.assertEqual(got.status, 504)
+                self.assertTrue(0.9 < took < 1.3, took)
+                await asyncio.sleep(0.05)
+                self.assertEqual(server.closed, 1)
+
+        quietly(work())
+
+    def test_request_that_found_no_server_is_refused_at_once(self) -> None:
+        async def work() -> None:
+            async with GatewayWorld(a_plan()) as world:
+                began = time.monotonic()
+                got = await world.ask("/order/")
+                self.assertLess(time.monotonic() - began, 0.2)
+                self.assertEqual(got.status, 503)
+                self.assertGreater(float(got.headers["retry-after"]), 0)
+
+        quietly(work())
+
+    def test_caller_that_leaves_before_the_answer_stops_the_server(self) -> None:
+        async def work() -> None:
+            async with GatewayWorld(a_plan()) as world:
+                server = await world.server("s1", "plain", hangs)
+                _, writer = await world.connect()
+                writer.write(request_bytes("/order/"))
+                await asyncio.sleep(0.1)
+                self.assertEqual((len(server.arrivals), server.closed), (1, 0))
+                writer.close()
+                await asyncio.sleep(0.1)
+                self.assertEqual(server.closed, 1)
+                self.assertEqual(world.book.views["s1"].running, 0)
+
+        quietly(work())
+
+    def test_caller_that_leaves_in_the_middle_of_a_stream_stops_the_server(self) -> None:
+        async def endless(arrival: Arrival, _: Reader, writer: Writer) -> None:
+            writer.write(stream_head(arrival))
+            for number in range(10_000):
+                writer.write(chunk(event(number)))
+                await writer.drain()
+                await asyncio.sleep(0.01)
+
+        async def work() -> None:
+            async with GatewayWorld(a_plan()) as world:
+                server = await world.server("s1", "model", endless)
+                reader, writer = await world.connect()
+                writer.write(request_bytes("/draft/"))
+                await reader.readuntil(b"piece 3")
+                writer.close()
+                await asyncio.sleep(0.2)
+                self.assertEqual(server.closed, 1)
+
+        quietly(work())
+
+
+class StreamTest(unittest.TestCase):
+    """Streams pass whole events in order, from one run or from runs that continue."""
+
+    def test_events_pass_as_they_come(self) -> None:
+        async def work() -> None:
+            async with GatewayWorld(a_plan()) as world:
+                await world.server("s1", "model", streams)
+                got = await world.ask("/draft/")
+                self.assertEqual((got.body, got.whole), (ALL_EVENTS, True))
+
+        quietly(work())
+
+    def test_resumable_stream_goes_on_elsewhere_within_one_answer(self) -> None:
+        async def other_stamp(arrival: Arrival, reader: Reader, writer: Writer) -> None:
+            self.assertEqual(arrival.get("last-event-id"), "2")
+            await streams(arrival, reader, writer)
+
+        async def work() -> None:
+            async with GatewayWorld(a_plan()) as world:
+                first = await world.server("s1", "model", streams_torn)
+                world.list_as("s1")
+                task = asyncio.create_task(world.ask("/review/"))
+                await first.arrived.wait()
+                await world.server("s2", "model", other_stamp)
+                got = await task
+                self.assertEqual((got.body, got.whole), (ALL_EVENTS, True))
+
+        quietly(work())
+
+    def test_stream_that_may_not_be_resumed_is_cut_visibly(self) -> None:
+        async def work() -> None:
+            async with GatewayWorld(a_plan()) as world:
+                first = await world.server("s1", "model", streams_torn)
+                second = await world.server("s2", "model", streams_torn)
+                got = await world.ask("/draft/")
+                self.assertEqual((got.status, got.whole), (200, False))
+                self.assertEqual(got.body, event(1) + event(2))
+                self.assertEqual(len(first.arrivals) + len(second.arrivals), 1)
+
+        quietly(work())
+
+
+class AdmissionTest(unittest.TestCase):
+    """Bad input gets a clear answer at once, and nothing of it reaches a server."""
+
+    def test_unknown_routes_keys_and_plans(self) -> None:
+        async def work() -> None:
+            async with GatewayWorld() as world:
+                self.assertEqual((await world.ask("/check/")).status, 503)
+                world.forwarder.adopt(a_plan())
+                server = await world.server("s1", "plain", fine)
+                self.assertEqual((await world.ask("/nothing/")).status, 404)
+                self.assertEqual((await world.ask("/checks")).status, 404)
+                bad = {"Authorization": "Bearer wrong"}
+                self.assertEqual((await world.ask("/check/", headers=bad)).status, 401)
+                none = {"Authorization": ""}
+                self.assertEqual((await world.ask("/check/", headers=none)).status, 401)
+                self.assertEqual(server.arrivals, [])
+                self.assertEqual((await world.ask("/open/", headers=none)).status, 200)
+                self.assertIsNone(server.arrivals[0].get("tenant"))
+
+        quietly(work())
+
+    def test_key_taken_away_counts_on_open_connections(self) -> None:
+        async def work() -> None:
+            async with GatewayWorld(a_plan()) as world:
+                await world.server("s1", "plain", fine)
+                reader, writer = await world.connect()
+                writer.write(request_bytes("/check/"))
+                self.assertEqual((await read_answer(reader)).status, 200)
+                plan = a_plan()
+                account = plan.accounts[0]
+                world.forwarder.adopt(
+                    a_plan(2, accounts=(type(account)(account.name, ("other",)),))
+                )
+                writer.write(request_bytes("/check/", request_id="r2"))
+                self.assertEqual((await read_answer(reader)).status, 401)
+                writer.close()
+
+        quietly(work())
+
+    def test_older_plan_is_never_adopted(self) -> None:
+        async def work() -> None:
+            async with GatewayWorld(a_plan(5)) as world:
+                self.assertFalse(world.forwarder.adopt(a_plan(4)))
+                self.assertFalse(world.forwarder.adopt(a_plan(5)))
+                assert world.forwarder.index is not None
+                self.assertEqual(world.forwarder.index.version, 5)
+
+        quietly(work())
+
+    def test_limits_on_heads_and_bodies(self) -> None:
+        async def work() -> None:
+            limits = Limits(header_bytes=2_000, body_bytes=3_000, header_timeout_s=0.4)
+            async with GatewayWorld(a_plan(limits=limits)) as world:
+                server = await world.server("s1", "plain", fine)
+                long_head = {"X-Long": "y" * 3_000}
+                self.assertEqual((await world.ask("/check/", headers=long_head)).status, 431)
+                self.assertEqual((await world.ask("/check/", body=b"z" * 4_000)).status, 413)
+                reader, writer = await world.connect()
+                writer.write(b"GET /check/ HTTP/1.1\r\nHost: quo")
+                self.assertEqual((await read_answer(reader)).status, 408)
+                writer.close()
+                reader, writer = await world.connect()
+                writer.write(b"this is not HTTP\r\n\r\n")
+                self.assertEqual((await read_answer(reader)).status, 400)
+                writer.close()
+                self.assertEqual(server.arrivals, [])
+
+        quietly(work())
+
+    def test_smuggled_requests_are_refused(self) -> None:
+        async def work() -> None:
+            async with GatewayWorld(a_plan()) as world:
+                server = await world.server("s1", "plain", fine)
+                both = {"Content-Length": "4", "Transfer-Encoding": "chunked"}
+                reader, writer = await world.connect()
+                writer.write(request_bytes("/order/", headers=both) + b"0\r\n\r\nGET /x HTTP/1.1")
+                self.assertEqual((await read_answer(reader)).status, 400)
+                writer.close()
+                self.assertEqual(server.arrivals, [])
+
+        quietly(work())
+
+    def test_account_over_its_limit_is_told_when_to_come_back(self) -> None:
+        async def work() -> None:
+            async with GatewayWorld(a_plan()) as world:
+                server = await world.server("s1", "plain", fine)
+                tokens = {"Token-Count": "20000,10000"}
+                answers = [
+                    await world.ask("/check/", headers=tokens, request_id=f"r{n}") for n in range(6)
+                ]
+                statuses = [got.status for got in answers]
+                self.assertEqual(statuses[0], 200)
+                self.assertEqual(statuses[-1], 429)
+                self.assertGreater(float(answers[-1].headers["retry-after"]), 0)
+                self.assertEqual(len(server.arrivals), statuses.count(200))
+
+        quietly(work())
+
+    def test_idle_connections_end_by_the_limit_in_force(self) -> None:
+        async def work() -> None:
+            async with GatewayWorld(a_plan()) as world:
+                await world.server("s1", "plain", fine)
+                reader, writer = await world.connect()
+                writer.write(request_bytes("/check/"))
+                await read_answer(reader)
+                world.forwarder.adopt(a_plan(2, limits=Limits(idle_timeout_s=0.3)))
+                async with asyncio.timeout(1.5):
+                    self.assertEqual(await reader.read(), b"")
+                writer.close()
+
+        quietly(work())
+
+
+class ListTest(unittest.TestCase):
+    def test_server_that_is_gone_from_the_list_gets_nothing(self) -> None:
+        async def work() -> None:
+            async with GatewayWorld(a_plan()) as world:
+                await world.server("s1", "plain", fine)
+                gone = world.book.apply([Server("s9", "other", "127.0.0.1:1", "hall-a", 1)])
+                self.assertEqual(gone, ["s1"])
+                self.assertEqual((await world.ask("/check/")).status, 503)
+
+        quietly(work())
+
+
+if __name__ == "__main__":
+    unittest.main()
