--- /dev/null
+++ b/tests/test_gateway_state.py
@@ -0,0 +1,386 @@
+"""What nodes count and agree on: limits, budgets, true time, usage, membership, renting."""
+
+import unittest
+
+from moledale.gateway.accounts import AccountLimits
+from moledale.gateway.balance import ServerBook, note_silence
+from moledale.gateway.directory import serving_nodes
+from moledale.gateway.events import EventCutter
+from moledale.gateway.messages import PromptPart, RequestFacts, Server
+from moledale.gateway.peers import ALIVE_S, Membership, NodeState, Standing
+from moledale.gateway.plan import (
+    TOKENS,
+    Account,
+    Engine,
+    Kind,
+    Plan,
+    PlanIndex,
+    Renting,
+    Route,
+    Share,
+    chosen_service,
+)
+from moledale.gateway.renting import Demand, Order, RentingPlanner
+from moledale.gateway.retries import RetryBudget
+from moledale.gateway.usage import TrueTime, UsageCounts, total_of
+
+HALLS = ("a", "b", "c", "d")
+
+
+def state(name: str, life: int = 1, sequence: int = 1, **changes: object) -> NodeState:
+    """Return what a node tells."""
+    values: dict[str, object] = {
+        "id": name,
+        "life": life,
+        "sequence": sequence,
+        "hall": "a",
+        "address": f"{name}:1",
+        "peer": f"{name}:2",
+        "control": f"{name}:3",
+        "standing": int(Standing.READY),
+        "plan_version": 1,
+        "started": {},
+        "spent": {},
+        "loads": {},
+        "sends": {},
+        "work": {},
+    }
+    return NodeState(**{**values, **changes})  # type: ignore[arg-type]
+
+
+class AccountLimitsTest(unittest.TestCase):
+    account = Account("north", (), None, TOKENS, 200, 1_000.0, 2_000.0)
+
+    def test_new_node_does_not_start_with_a_full_bucket(self) -> None:
+        limits = AccountLimits()
+        taken = sum(1 for _ in range(50) if limits.take(self.account, 100, 0.0) == 0.0)
+        self.assertLess(taken, 20)
+        self.assertGreater(taken, 4)
+
+    def test_nodes_together_keep_the_limit(self) -> None:
+        nodes = [AccountLimits() for _ in range(4)]
+        admitted = 0.0
+        for step in range(400):
+            now = step * 0.02
+            before = [dict(node.spent) for node in nodes]
+            for node in nodes:
+                if node.take(self.account, 100, now) == 0.0:
+                    admitted += 100
+            for node in nodes:
+                for other, spent in zip(nodes, before, strict=True):
+                    if other is not node:
+                        node.spent_elsewhere(spent, other.spent)
+        self.assertLessEqual(admitted, 8 * 1_000 + 2_000 + 4 * 100)
+        self.assertGreater(admitted, 0.8 * 8 * 1_000)
+
+    def test_one_node_may_use_the_whole_limit(self) -> None:
+        limits = AccountLimits()
+        admitted = sum(
+            100 for step in range(1_000) if limits.take(self.account, 100, step * 0.01) == 0.0
+        )
+        self.assertGreater(admitted, 9_000)
+
+    def test_wait_is_the_time_until_the_amount_is_there(self) -> None:
+        limits = AccountLimits()
+        while (wait := limits.take(self.account, 500, 0.0)) == 0.0:
+            pass
+        self.assertGreater(limits.take(self.account, 500, wait / 2), 0.0)
+        self.assertEqual(limits.take(self.account, 500, wait + 0.001), 0.0)
+
+    def test_lower_limit_counts_at_once(self) -> None:
+        limits = AccountLimits()
+        limits.take(self.account, 1, 0.0)
+        lower = Account("north", (), None, TOKENS, 200, 10.0, 100.0)
+        self.assertGreater(limits.take(lower, 101, 1.0) + limits.take(lower, 100, 1.0), 0.0)
+
+    def test_requests_without_tokens_cost_what_the_account_says(self) -> None:
+        self.assertEqual(self.account.price(0), 200)
+        self.assertEqual(self.account.price(70), 70)
+        self.assertEqual(Account("x", rate_per_s=1.0).price(70), 1.0)
+
+
+class RetryBudgetTest(unittest.TestCase):
+    def test_all_nodes_together_stay_inside(self) -> None:
+        budgets = [RetryBudget(0.2, 20.0, 10.0) for _ in range(9)]
+        requests = repeats = 0
+        for step in range(200):
+            now = step * 0.05
+            counts = [budget.counts(now) for budget in budgets]
+            for number, budget in enumerate(budgets):
+                budget.request(now)
+                requests += 1
+                others = [each for other, each in enumerate(counts) if other != number]
+                if budget.allows(now, others, 9):
+                    budget.repeat(now)
+                    repeats += 1
+        self.assertLessEqual(repeats, 0.2 * requests + 20)
+        self.assertGreater(repeats, 0.05 * requests)
+
+    def test_old_requests_give_no_room(self) -> None:
+        budget = RetryBudget(0.2, 0.0, 10.0)
+        for _ in range(100):
+            budget.request(0.0)
+        self.assertTrue(budget.allows(1.0, [], 1))
+        self.assertFalse(budget.allows(12.0, [], 1))
+
+
+class TrueTimeTest(unittest.TestCase):
+    def test_jumps_on_fewer_than_half_of_the_machines_change_nothing(self) -> None:
+        clock = TrueTime()
+        clock.store_read(100.0, 10.0, 10.0)
+        clock.others([1_000.0, 1_000.01, 1_000.02, 1_000.0])
+        self.assertAlmostEqual(clock.now(1_100.0, 10.0), 1_100.0, delta=0.05)
+        self.assertAlmostEqual(clock.now(1_160.0, 10.0), 1_100.0, delta=0.05)
+        clock.others([1_000.0, 1_000.01, 940.0, 1_000.0])
+        self.assertAlmostEqual(clock.now(1_160.0, 10.0), 1_100.0, delta=0.05)
+
+    def test_slow_call_does_not_move_the_clock(self) -> None:
+        clock = TrueTime()
+        clock.store_read(100.0, 10.0, 10.0)
+        clock.store_read(105.0, 14.0, 15.6)
+        self.assertAlmostEqual(clock.offset_s(0.0, 10.0) or 0.0, -100.0)
+
+
+class UsageTest(unittest.TestCase):
+    def test_counts_outlive_the_node_that_made_them(self) -> None:
+        usage = UsageCounts(5.0)
+        usage.count("north", 12.0)
+        members = Membership("n1", 1)
+        members.heard(state("n2", started={2: {"north": 4}}), 0.0)
+        members.heard(state("n2", life=2, started={2: {"north": 1}}), 1.0)
+        members.heard(state("n1", life=9, started={2: {"north": 7}}), 1.0)
+        self.assertEqual(total_of(2, usage, members.all_states()), {"north": 13})
+
+    def test_doubled_and_late_news_count_once(self) -> None:
+        members = Membership("n1", 1)
+        new = state("n2", sequence=5, started={2: {"north": 4}})
+        members.heard(new, 0.0)
+        self.assertIsNone(members.heard(new, 0.1))
+        self.assertIsNone(members.heard(state("n2", sequence=4), 0.1))
+        members.heard(state("n2", life=2), 0.2)
+        self.assertIsNone(members.heard(state("n2", life=1, sequence=9), 0.3))
+        self.assertEqual(total_of(2, UsageCounts(5.0), members.all_states()), {"north": 4})
+
+
+class MembershipTest(unittest.TestCase):
+    def test_silent_node_is_left_out_and_its_counts_are_kept(self) -> None:
+        members = Membership("n1", 1)
+        members.heard(state("n2"), 0.0)
+        self.assertEqual([each.id for each in members.alive(1.0)], ["n2"])
+        self.assertEqual(members.alive(ALIVE_S + 0.1), [])
+        members.forget_old(ALIVE_S + 0.1)
+        self.assertEqual(len(members.all_states()), 1)
+        members.forget_old(100.0)
+        self.assertEqual(members.all_states(), [])
+
+
+class DirectoryTest(unittest.TestCase):
+    def test_one_node_in_each_hall_and_the_holder_last(self) -> None:
+        nodes = [state(f"n{number}", hall=HALLS[number % 3]) for number in range(9)]
+        chosen = serving_nodes(nodes, "")
+        self.assertEqual(sorted(node.hall for node in chosen), ["a", "b", "c"])
+        without = serving_nodes(nodes, chosen[0].id)
+        self.assertNotIn(chosen[0].id, [node.id for node in without])
+        alone = serving_nodes([chosen[0]], chosen[0].id)
+        self.assertEqual([node.id for node in alone], [chosen[0].id])
+
+    def test_nodes_that_leave_or_start_are_not_told(self) -> None:
+        nodes = [
+            state("n1", standing=int(Standing.LEAVING)),
+            state("n2", standing=int(Standing.STARTING)),
+        ]
+        self.assertEqual(serving_nodes(nodes, ""), [])
+
+
+class RoutesTest(unittest.TestCase):
+    def test_longest_prefix_of_the_host_wins(self) -> None:
+        def route(name: str, host: str, prefix: str) -> Route:
+            return Route(name, host, prefix, Kind.SAFE, (Share(name),), 1.0, 1.0)
+
+        routes = (
+            route("short", "x", "/a/"),
+            route("long", "x", "/a/b/"),
+            route("other", "y", "/"),
+        )
+        index = PlanIndex(Plan(1, routes, ()))
+        names = {
+            ("x", "/a/c"): "short",
+            ("X:80", "/a/b/c/d?e=/a/b/z/"): "long",
+            ("x", "/a/b"): "short",
+            ("x", "/a"): None,
+            ("x", "/a?/a/b/"): None,
+            ("y", "/a/b/"): "other",
+            ("z", "/a/"): None,
+        }
+        for (host, path), name in names.items():
+            found = index.route(host, path)
+            self.assertEqual(found.name if found else None, name, (host, path))
+
+    def test_split_by_weight(self) -> None:
+        shares = (Share("one", 90), Share("two", 10))
+        route = Route("r", "x", "/", Kind.SAFE, shares, 1.0, 1.0)
+        picks = [chosen_service(route, number / 1000) for number in range(1000)]
+        self.assertEqual(picks.count("two"), 100)
+
+
+class BalanceTest(unittest.TestCase):
+    engine = Engine(4, 50_000, 1, 1000.0)
+
+    def book(self, number: int = 4) -> ServerBook:
+        book = ServerBook("a")
+        book.apply(Server(f"s{n}", "model", f"s{n}:1", "a", 4) for n in range(number))
+        return book
+
+    def facts(self, subject: str, own: str) -> RequestFacts:
+        parts = (PromptPart(subject, 8_000), PromptPart(own, 1_000))
+        return RequestFacts(prompt_tokens=9_000, parts=parts)
+
+    def test_requests_of_one_subject_meet_on_one_server_on_all_nodes(self) -> None:
+        places = set()
+        for node in range(3):
+            book = self.book()
+            placement = book.place("model", self.facts("subject", f"own{node}"), self.engine, 0.0)
+            assert placement is not None
+            places.add(placement.view.server.id)
+        self.assertEqual(len(places), 1)
+
+    def test_crowded_server_gives_way(self) -> None:
+        book = self.book()
+        for number in range(12):
+            book.place("model", self.facts("subject", f"own{number}"), self.engine, 0.0)
+        running = sorted(view.running for view in book.views.values())
+        self.assertLess(running[-1], 6)
+
+    def test_load_of_peers_counts_and_ends_with_them(self) -> None:
+        book = self.book(2)
+        home = book.place("model", self.facts("subject", "x"), self.engine, 0.0)
+        assert home is not None
+        home.end()
+        name = home.view.server.id
+        book.others([state("n2", loads={name: (4, 90_000)})])
+        other = book.place("model", self.facts("subject", "y"), self.engine, 0.0)
+        assert other is not None
+        self.assertNotEqual(other.view.server.id, name)
+        other.end()
+        book.others([])
+        again = book.place("model", self.facts("subject", "z"), self.engine, 0.0)
+        assert again is not None
+        self.assertEqual(again.view.server.id, name)
+
+    def test_silent_server_is_paused_unless_it_is_the_only_one(self) -> None:
+        book = self.book(2)
+        note_silence(book.views["s0"], 0.0)
+        ready = book.ready("model", 0.1, frozenset())
+        self.assertEqual([view.server.id for view in ready], ["s1"])
+        note_silence(book.views["s1"], 0.0)
+        self.assertEqual(len(book.ready("model", 0.1, frozenset())), 2)
+
+    def test_ended_placement_ends_once(self) -> None:
+        book = self.book(1)
+        placement = book.place("model", self.facts("s", "o"), self.engine, 0.0)
+        assert placement is not None
+        placement.first_token()
+        placement.end()
+        placement.end()
+        view = book.views["s0"]
+        self.assertEqual((view.running, view.prefill_tokens), (0, 0))
+
+
+class EventCutterTest(unittest.TestCase):
+    def test_whole_events_at_every_cut(self) -> None:
+        text = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\ndata: no id\n\nid: 30\ndata: c\n\n"
+        for first in range(len(text)):
+            cutter = EventCutter()
+            out = cutter.feed(text[:first]) + cutter.feed(text[first:])
+            self.assertEqual((out + cutter.rest(), cutter.last_id), (text, "30"))
+
+    def test_torn_part_is_dropped_before_going_on(self) -> None:
+        cutter = EventCutter()
+        self.assertEqual(cutter.feed(b"id: 1\ndata: a\n\nid: 2\nda"), b"id: 1\ndata: a\n\n")
+        cutter.start_again()
+        self.assertEqual(cutter.feed(b"id: 2\ndata: b\n\n"), b"id: 2\ndata: b\n\n")
+        self.assertEqual((cutter.last_id, cutter.passed), ("2", 2))
+
+
+class RentingTest(unittest.TestCase):
+    renting = Renting(1, 5, 4.0, 0.15, {"a": 1.0, "b": 0.8, "c": 1.25, "d": 0.9})
+
+    def planner(self, need: int, first_start: bool = False) -> RentingPlanner:
+        planner = RentingPlanner("model", first_start)
+        if need:
+            planner.demand._needs.append((0.0, need))
+        return planner
+
+    def servers(self, spot: dict[str, int], firm: dict[str, int] | None = None) -> list[Server]:
+        kinds = ((spot, True), (firm or {}, False))
+        return [
+            Server(f"{hall}{number}{is_spot}", "model", "x:1", hall, 64, spot=is_spot)
+            for counts, is_spot in kinds
+            for hall, count in counts.items()
+            for number in range(count)
+        ]
+
+    def carry_out(self, planner: RentingPlanner, servers: list[Server], now: float) -> list[Order]:
+        orders = planner.orders(self.renting, servers, now)
+        for order in orders:
+            planner.ordered(order, True, now)
+        return orders
+
+    def test_spot_is_spread_and_ordered_once(self) -> None:
+        planner = self.planner(4)
+        firm = {"a": 2, "b": 3, "c": 2, "d": 2}
+        orders = self.carry_out(planner, self.servers({}, firm), 0.0)
+        spot = {order.hall: order.number for order in orders if order.spot}
+        self.assertEqual(spot, dict.fromkeys(HALLS, 2))
+        self.assertEqual(
+            [o for o in self.carry_out(planner, self.servers({}, firm), 1.0) if o.spot], []
+        )
+
+    def test_servers_on_demand_stay_until_spot_runs(self) -> None:
+        planner = self.planner(4)
+        firm = {"a": 2, "b": 3, "c": 2, "d": 2}
+        self.carry_out(planner, self.servers({}, firm), 0.0)
+        kept = sum(planner.states[hall, False].number or 0 for hall in HALLS)
+        self.assertGreaterEqual(kept, 3)
+        self.carry_out(planner, self.servers(dict.fromkeys(HALLS, 2), {"b": 3}), 5.0)
+        self.assertEqual(sum(planner.states[hall, False].number or 0 for hall in HALLS), 0)
+
+    def test_reclaimed_halls_are_made_up_where_it_costs_least(self) -> None:
+        planner = self.planner(4)
+        full = self.servers(dict.fromkeys(HALLS, 2))
+        self.carry_out(planner, full, 0.0)
+        two_left = self.servers({"a": 2, "b": 0, "c": 2, "d": 0})
+        for hall in ("b", "d"):
+            planner.ordered(Order("model", hall, True, 2), False, 10.0)
+        firm = [o for o in self.carry_out(planner, two_left, 10.0) if not o.spot]
+        self.assertEqual([(order.hall, order.number) for order in firm], [("b", 1)])
+
+    def test_refused_hall_is_asked_again_later(self) -> None:
+        planner = self.planner(4)
+        servers = self.servers({"a": 2, "b": 2, "c": 2})
+        first = [o for o in planner.orders(self.renting, servers, 0.0) if o.hall == "d"]
+        self.assertEqual(len(first), 1)
+        planner.ordered(first[0], False, 0.0)
+        self.assertEqual([o for o in planner.orders(self.renting, servers, 1.0) if o.spot], [])
+        again = [o for o in planner.orders(self.renting, servers, 3.0) if o.spot]
+        self.assertEqual([order.hall for order in again], ["d"])
+
+    def test_nothing_served_yet_gives_servers_back_before_spot_runs(self) -> None:
+        planner = self.planner(0, first_start=True)
+        firm = {"a": 2, "b": 3, "c": 2, "d": 2}
+        self.carry_out(planner, self.servers({}, firm), 0.0)
+        self.carry_out(planner, self.servers({}, firm), 0.5)
+        self.assertEqual(sum(planner.states[hall, False].number or 0 for hall in HALLS), 0)
+
+    def test_demand_follows_its_peak(self) -> None:
+        demand = Demand()
+        for second in range(10):
+            demand.note(second * 100_000.0, float(second))
+        self.assertEqual(demand.need(), 4)
+        for second in range(10, 40):
+            demand.note(1_000_000.0 + second, float(second))
+        self.assertLess(demand.need(), 4)
+
+
+if __name__ == "__main__":
+    unittest.main()
