--- /dev/null
+++ b/tests/test_gateway_nodes.py
@@ -0,0 +1,434 @@
+"""Whole gateway nodes in one process, over real sockets, with a store that fails as told."""
+
+import asyncio
+import socket
+import time
+import unittest
+from collections.abc import Awaitable, Callable
+
+import msgspec
+
+from moledale.gateway.node import GatewayNode
+from moledale.gateway.outside import ABSENT
+from moledale.gateway.peers import Standing
+from moledale.gateway.settings import Bounds, GatewaySettings, Identity, Outside, parse
+from moledale.platform.cloud import PlatformCloud
+from moledale.platform.headers import PlatformEntry, PlatformHeaders
+from moledale.platform.store import PlatformStore
+from standins.rows import Mood, RowsPlatform
+from tests.gateway_world import (
+    HOST,
+    KEY,
+    CallerAnswer,
+    ScriptedServer,
+    fine,
+    quietly,
+    read_answer,
+    request_bytes,
+)
+
+BOUNDS = Bounds(stop_s=3.0, lease_s=0.6, usage_window_s=1.0)
+
+
+def config(version: int, prefix: str = "/check/", keys: tuple[str, ...] = (KEY,)) -> object:
+    """Return a configuration as the operator writes it."""
+    return {
+        "version": version,
+        "routes": [
+            {
+                "name": "r1",
+                "host": HOST,
+                "pathPrefix": prefix,
+                "kind": "safe",
+                "timeoutMs": 1000,
+                "sloMs": 200,
+                "priority": 1,
+                "service": "plain",
+                "maxAttempts": 2,
+            }
+        ],
+        "services": [{"name": "plain", "healthPath": "/health", "maxConns": 10}],
+        "limits": {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 100000,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        },
+        "tenants": [{"name": "north", "apiKeys": list(keys)}],
+    }
+
+
+def free_ports(number: int) -> list[int]:
+    """Return ports that are free now."""
+    sockets = [socket.socket() for _ in range(number)]
+    for each in sockets:
+        each.bind(("127.0.0.1", 0))
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
+class Cluster:
+    """Nodes, a store and one backend server."""
+
+    def __init__(self, bounds: Bounds = BOUNDS) -> None:
+        self.platform = RowsPlatform()
+        self.backend = ScriptedServer("s1", fine)
+        self.nodes: dict[str, GatewayNode] = {}
+        self.bounds = bounds
+        self._stops: dict[str, asyncio.Event] = {}
+        self._tasks: dict[str, asyncio.Task[int]] = {}
+
+    async def __aenter__(self) -> "Cluster":
+        await self.platform.start()
+        await self.backend.start()
+        self.platform.put("op", "config", config(1))
+        self.list_backend("ready")
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for name in list(self._tasks):
+            self.kill(name)
+        await asyncio.sleep(0)
+        await self.platform.stop()
+        self.backend.stop()
+
+    def list_backend(self, state: str) -> None:
+        """Write the server's entry of the list."""
+        entry = {
+            "service": "plain",
+            "address": self.backend.address,
+            "zone": "hall-a",
+            "slots": 4,
+            "state": state,
+            "seq": 1,
+        }
+        self.platform.put("servers", self.backend.id, entry)
+
+    async def start(self, name: str, seeds: tuple[str, ...] = ()) -> GatewayNode:
+        """Start a node."""
+        callers, control, directory, readiness, peers = (
+            f"127.0.0.1:{port}" for port in free_ports(5)
+        )
+        identity = Identity(
+            name, "hall-a", "r", callers, control, directory, readiness, peers, seeds
+        )
+        address = self.platform.address
+        settings = GatewaySettings(identity, Outside(address, address), self.bounds)
+        node = GatewayNode(
+            settings,
+            PlatformHeaders(),
+            PlatformEntry(),
+            PlatformStore(address),
+            PlatformCloud(address),
+        )
+        self.nodes[name] = node
+        self._stops[name] = asyncio.Event()
+        self._tasks[name] = asyncio.create_task(node.run(self._stops[name]))
+        return node
+
+    def stop(self, name: str) -> asyncio.Task[int]:
+        """Begin a planned stop."""
+        self._stops[name].set()
+        return self._tasks[name]
+
+    def kill(self, name: str) -> None:
+        """End a node without any word."""
+        node = self.nodes[name]
+        if node._gossip is not None:
+            node._gossip.close()
+            node._gossip = None
+        for server in node._servers:
+            server.close()
+        for connection in list(node._callers.connections):
+            connection.close()
+        self._tasks.pop(name).cancel()
+        for child in node.supervisor._children:
+            if child.task is not None:
+                child.task.cancel()
+
+    async def ask(self, name: str, path: str = "/check/", key: str = KEY) -> CallerAnswer:
+        """Send a request to a node."""
+        return await ask(
+            self.nodes[name].settings.node.callers,
+            request_bytes(path, headers={"Authorization": f"Bearer {key}"}),
+        )
+
+    async def addresses(self, name: str) -> list[str]:
+        """Ask a node's directory."""
+        data = b"GET /v1/resolve?name=x&region=r&zone=hall-a HTTP/1.1\r\nHost: d\r\n\r\n"
+        got = await ask(self.nodes[name].settings.node.directory, data)
+        if got.status != 200:
+            return []
+        found: list[str] = msgspec.json.decode(got.body)["addresses"]
+        return found
+
+
+async def ask(address: str, data: bytes) -> CallerAnswer:
+    """Send bytes to an address and read one answer."""
+    host, port = address.split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(data)
+    got = await read_answer(reader)
+    writer.close()
+    return got
+
+
+async def until(condition: Callable[[], bool], within_s: float = 5.0) -> None:
+    """Wait until something holds."""
+    ends = time.monotonic() + within_s
+    while not condition():
+        if time.monotonic() > ends:
+            raise AssertionError("it never came true")
+        await asyncio.sleep(0.02)
+
+
+def ready(node: GatewayNode) -> Callable[[], bool]:
+    """Return a condition: the node is ready."""
+    return lambda: node.standing is Standing.READY
+
+
+def version_of(node: GatewayNode) -> int:
+    """Return the plan version in force at a node."""
+    return node.forwarder.index.version if node.forwarder.index is not None else 0
+
+
+def on_cluster(work: Callable[[Cluster], Awaitable[None]], bounds: Bounds = BOUNDS) -> None:
+    """Run a test on a cluster."""
+
+    async def run() -> None:
+        async with Cluster(bounds) as cluster:
+            await work(cluster)
+
+    quietly(run())
+
+
+class PlanTest(unittest.TestCase):
+    def test_new_version_is_in_force_at_once_and_stays(self) -> None:
+        async def work(cluster: Cluster) -> None:
+            node = await cluster.start("n1")
+            await until(ready(node))
+            self.assertEqual((await cluster.ask("n1")).status, 200)
+            cluster.platform.put("op", "config", config(3, "/new/"))
+            await until(lambda: version_of(node) == 3, 1.0)
+            self.assertEqual((await cluster.ask("n1", "/new/")).status, 200)
+            self.assertEqual((await cluster.ask("n1", "/check/")).status, 404)
+            cluster.platform.put("op", "config", config(2))
+            await asyncio.sleep(0.3)
+            self.assertEqual(version_of(node), 3)
+
+        on_cluster(work)
+
+    def test_node_without_a_plan_answers_503_and_is_not_ready(self) -> None:
+        async def work(cluster: Cluster) -> None:
+            cluster.platform.drop("op", "config")
+            node = await cluster.start("n1")
+            await until(lambda: node._fleet_version >= 0)
+            self.assertEqual((await cluster.ask("n1")).status, 503)
+            self.assertIs(node.standing, Standing.STARTING)
+            cluster.platform.put("op", "config", config(1))
+            await until(ready(node), 1.0)
+
+        on_cluster(work)
+
+    def test_forgotten_history_does_not_hide_a_version(self) -> None:
+        async def work(cluster: Cluster) -> None:
+            node = await cluster.start("n1")
+            await until(ready(node))
+            cluster.platform.history_from = cluster.platform.version + 10
+            cluster.platform.put("op", "config", config(4))
+            await until(lambda: version_of(node) == 4, 2.0)
+
+        on_cluster(work)
+
+    def test_node_that_the_store_turns_away_learns_of_a_version_from_its_peers(self) -> None:
+        async def work(cluster: Cluster) -> None:
+            first, second = await cluster.start("n1"), await cluster.start("n2")
+            await until(lambda: ready(first)() and ready(second)())
+            silent = RowsPlatform(mood=Mood.SILENT)
+            await silent.start()
+            second._store = PlatformStore(silent.address)
+            cluster.platform.put("op", "config", config(4))
+            await until(lambda: version_of(second) == 4, 2.0)
+            await silent.stop()
+
+        on_cluster(work)
+
+    def test_store_that_is_down_changes_nothing_for_callers(self) -> None:
+        async def work(cluster: Cluster) -> None:
+            node = await cluster.start("n1")
+            await until(ready(node))
+            for mood in (Mood.BUSY, Mood.SILENT, Mood.RESET):
+                cluster.platform.mood = mood
+                await asyncio.sleep(0.4)
+                self.assertEqual((await cluster.ask("n1")).status, 200)
+
+        on_cluster(work)
+
+
+class FleetTest(unittest.TestCase):
+    def test_leaving_server_is_known_to_all_nodes_while_one_reads_the_list(self) -> None:
+        async def work(cluster: Cluster) -> None:
+            nodes = [await cluster.start(f"n{number}") for number in range(3)]
+            for node in nodes:
+                await until(ready(node))
+            await asyncio.sleep(1.0)
+            calls = cluster.platform.calls
+            await asyncio.sleep(2.0)
+            reads = cluster.platform.calls - calls
+            self.assertLess(reads, 2.0 / 0.8 * 3 + 8)
+            cluster.list_backend("draining")
+            for node in nodes:
+                await until(lambda node=node: node.book.views["s1"].server.leaving, 1.5)  # type: ignore[misc]
+
+        on_cluster(work)
+
+    def test_silence_of_the_reader_is_made_up_for(self) -> None:
+        async def work(cluster: Cluster) -> None:
+            nodes = [await cluster.start(f"n{number}") for number in range(3)]
+            for node in nodes:
+                await until(ready(node))
+            cluster.kill("n0")
+            cluster.list_backend("draining")
+            for node in nodes[1:]:
+                await until(lambda node=node: node.book.views["s1"].server.leaving, 1.8)  # type: ignore[misc]
+
+        on_cluster(work)
+
+
+class DutyTest(unittest.TestCase):
+    def reports(self, cluster: Cluster) -> dict[int, list[dict[str, int]]]:
+        """Return the counts that were reported of each window."""
+        found: dict[int, list[dict[str, int]]] = {}
+        for call in cluster.platform.duty_calls:
+            if call.path == "/usage":
+                window = int(str(call.body["window"]))
+                found.setdefault(window, []).append(call.body["counts"])  # type: ignore[arg-type]
+        return found
+
+    def test_each_request_is_reported_once_whoever_served_it(self) -> None:
+        async def work(cluster: Cluster) -> None:
+            nodes = [await cluster.start(f"n{number}") for number in range(3)]
+            for node in nodes:
+                await until(ready(node))
+            for number in range(30):
+                self.assertEqual((await cluster.ask(f"n{number % 3}")).status, 200)
+            await until(
+                lambda: sum(c[0]["north"] for c in self.reports(cluster).values()) == 30, 6.0
+            )
+            for counts in self.reports(cluster).values():
+                self.assertTrue(all(each == counts[0] for each in counts))
+
+        on_cluster(work)
+
+    def test_successor_of_a_killed_holder_has_a_higher_fence_and_the_same_counts(self) -> None:
+        async def work(cluster: Cluster) -> None:
+            nodes = {f"n{number}": await cluster.start(f"n{number}") for number in range(3)}
+            for node in nodes.values():
+                await until(ready(node))
+            await until(lambda: any(node.keeper.grant() for node in nodes.values()))
+            holder = next(name for name, node in nodes.items() if node.keeper.grant())
+            other = next(name for name in nodes if name != holder)
+            for _ in range(5):
+                await cluster.ask(holder)
+            await asyncio.sleep(0.5)
+            cluster.kill(holder)
+            await until(
+                lambda: any(n.keeper.grant() for name, n in nodes.items() if name != holder), 8.0
+            )
+            await cluster.ask(other)
+            await until(
+                lambda: sum(c[0].get("north", 0) for c in self.reports(cluster).values()) >= 6, 6.0
+            )
+            fences: dict[str, set[int]] = {}
+            for call in cluster.platform.duty_calls:
+                fences.setdefault(call.holder, set()).add(call.fence)
+            holders = list(fences)
+            for one in holders:
+                for two in holders:
+                    if one != two:
+                        self.assertFalse(fences[one] & fences[two])
+            order = [call.fence for call in cluster.platform.duty_calls]
+            self.assertEqual(order, sorted(order))
+
+        on_cluster(work)
+
+    def test_lost_answers_of_the_store_give_no_second_holder(self) -> None:
+        async def work(cluster: Cluster) -> None:
+            nodes = [await cluster.start(f"n{number}") for number in range(2)]
+            for node in nodes:
+                await until(ready(node))
+            await until(lambda: any(node.keeper.grant() for node in nodes))
+            cluster.platform.mood = Mood.LOSES
+            ends = time.monotonic() + 4.0
+            while time.monotonic() < ends:
+                held = [node for node in nodes if node.keeper.grant() is not None]
+                self.assertLessEqual(len(held), 1)
+                await asyncio.sleep(0.02)
+            cluster.platform.mood = Mood.GOOD
+            await until(lambda: any(node.keeper.grant() for node in nodes), 6.0)
+
+        on_cluster(work)
+
+    def test_frozen_counts_are_what_a_successor_sends(self) -> None:
+        async def work(cluster: Cluster) -> None:
+            store = PlatformStore(cluster.platform.address)
+            row = msgspec.json.encode({"window": 7, "counts": {"north": 3}})
+            first = (await store.write("usage", "7", row, ABSENT, 1.0)).unwrap()
+            self.assertTrue(first.committed)
+            second = (await store.write("usage", "7", b"{}", ABSENT, 1.0)).unwrap()
+            self.assertFalse(second.committed)
+            assert second.standing is not None
+            self.assertEqual((second.standing.value, second.standing.version), (row, first.version))
+
+        on_cluster(work)
+
+
+class StopTest(unittest.TestCase):
+    def test_planned_stop_cuts_nothing_and_leaves_the_directory(self) -> None:
+        async def slow(arrival, reader, writer) -> None:  # type: ignore[no-untyped-def]
+            await asyncio.sleep(0.7)
+            await fine(arrival, reader, writer)
+
+        async def work(cluster: Cluster) -> None:
+            cluster.backend.script = slow
+            nodes = {name: await cluster.start(name) for name in ("n1", "n2")}
+            for node in nodes.values():
+                await until(ready(node))
+                await until(lambda node=node: bool(node.members.alive(time.monotonic())))  # type: ignore[misc]
+            await until(lambda: len(nodes["n1"]._serving()) == 1)
+            told = (await cluster.addresses("n1"))[0]
+            first = next(n for n, node in nodes.items() if node.settings.node.callers == told)
+            second = next(name for name in nodes if name != first)
+            host, port = told.split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(request_bytes("/check/"))
+            await asyncio.sleep(0.1)
+            stopping = cluster.stop(first)
+            await asyncio.sleep(0.4)
+            self.assertNotIn(told, await cluster.addresses(second))
+            got = await read_answer(reader)
+            self.assertEqual((got.status, got.whole), (200, True))
+            writer.close()
+            late = await ask(told, request_bytes("/check/", request_id="r2"))
+            self.assertEqual((late.status, late.headers["connection"]), (200, "close"))
+            self.assertEqual(await stopping, 0)
+
+        on_cluster(work)
+
+
+class SettingsTest(unittest.TestCase):
+    def test_findings_have_their_place(self) -> None:
+        text = '[node]\nid = "n1"\nhall = "h"\nregion = "r"\ncallers = "x"\ncontrol = "a:1"\n'
+        text += (
+            'directory = "a:2"\nreadiness = "a:3"\npeers = "a:99999"\n[outside]\nstore = "a:1"\n'
+        )
+        findings = parse("node.toml", text).unwrap_err()
+        self.assertEqual([each.path for each in findings], ["node.callers", "node.peers"])
+        wrong = parse("node.toml", text + "[bounds]\nstop = 3\n").unwrap_err()
+        self.assertIn("bounds", str(wrong[0]))
+
+
+if __name__ == "__main__":
+    unittest.main()
