--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -370,6 +370,7 @@
                 Event.SERVERS_CHANGED,
                 version=version,
                 there=len(servers),
+                spot=sum(1 for server in servers if server.spot),
                 leaving=[server.id for server in servers if server.leaving],
             )
 
--- a/src/moledale/gateway/renting.py
+++ b/src/moledale/gateway/renting.py
@@ -172,7 +172,7 @@
             state.number = wanted
             return []
         starting = now - state.at < renting.boot_s + LATE_START_S
-        if state.number == wanted and (there >= wanted or starting):
+        if state.number == wanted and (there == wanted or starting):
             return []
         return [Order(self.service, hall, spot, wanted)]
 
--- a/standins/rows.py
+++ b/standins/rows.py
@@ -122,7 +122,7 @@
                     b"Content-Length: %d\r\n\r\n%b" % (status, len(data), data)
                 )
                 await writer.drain()
-        except (asyncio.IncompleteReadError, ConnectionError):
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass
         finally:
             writer.close()
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -372,6 +372,15 @@
         self.carry_out(planner, self.servers({}, firm), 0.5)
         self.assertEqual(sum(planner.states[hall, False].number or 0 for hall in HALLS), 0)
 
+    def test_servers_that_the_list_tells_late_are_given_back(self) -> None:
+        planner = self.planner(0, first_start=True)
+        self.carry_out(planner, [], 0.0)
+        self.carry_out(planner, [], 0.5)
+        late = self.servers(dict.fromkeys(HALLS, 2), {"a": 2, "c": 1})
+        orders = self.carry_out(planner, late, 12.0)
+        firm = {order.hall: order.number for order in orders if not order.spot}
+        self.assertEqual(firm, {"a": 0, "c": 0})
+
     def test_demand_follows_its_peak(self) -> None:
         demand = Demand()
         for second in range(10):
