Give no server back in the first moments of demand; one line for each request served

Cause: the first second's demand looks small, so the holder gave half of the spot servers back just before they could not be had again.

--- a/src/moledale/gateway/balance.py
+++ b/src/moledale/gateway/balance.py
@@ -76,11 +76,18 @@
 
 @dataclass(slots=True)
 class Placement:
-    """A request counted on a server until it ends."""
+    """A request counted on a server until it ends.
+
+    `uncached`, `ahead` (prompt tokens) and `beside` (requests) are what the choice believed.
+    """
 
     view: ServerView
     prefill: int
     sent_at: float
+    uncached: int = 0
+    ahead: int = 0
+    beside: int = 0
+    first_at: float = 0.0
     ended: bool = False
 
     def first_token(self) -> None:
@@ -202,9 +209,10 @@
         return self._count(best, uncached, now)
 
     def _count(self, view: ServerView, prefill: int, now: float) -> Placement:
+        placement = Placement(view, prefill, now, prefill, view.all_prefill, view.all_running)
         view.running += 1
         view.prefill_tokens += prefill
-        return Placement(view, prefill, now)
+        return placement
 
 
 def note_answer(view: ServerView, failed: bool, took_s: float) -> None:
--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -178,6 +178,25 @@
         priority = route.priority if account.priority is None else account.priority
         return Caller(account.name, priority)
 
+    def _tell_served(self, job: Job, placement: Placement) -> None:
+        now = self._now()
+        first = placement.first_at or now
+        emit(
+            Event.SERVED,
+            request=job.facts.id,
+            route=job.route.name,
+            account=job.caller.account,
+            server=placement.view.server.id,
+            sends=job.sends,
+            status=job.reply.status,
+            tokens=job.facts.prompt_tokens,
+            uncached=placement.uncached,
+            ahead=placement.ahead,
+            beside=placement.beside,
+            first_ms=round((first - job.request.arrived_at) * 1000),
+            ms=round((now - job.request.arrived_at) * 1000),
+        )
+
     def _tell_limited(self, account: Account, facts: RequestFacts, wait_s: float) -> None:
         emit(
             Event.LIMITED,
@@ -199,6 +218,7 @@
                 break
             attempt = await self._attempt(job, placement)
             if attempt.ending is Ending.ANSWERED:
+                self._tell_served(job, placement)
                 return
             last = attempt
             if not self._may_repeat(job, attempt):
@@ -338,6 +358,7 @@
             if first:
                 first = False
                 placement.first_token()
+                placement.first_at = self._now()
                 job.may_have_run = True
                 self._count(job)
                 note_answer(placement.view, False, self._now() - placement.sent_at)
--- a/src/moledale/gateway/renting.py
+++ b/src/moledale/gateway/renting.py
@@ -24,7 +24,7 @@
 
 LEAST_NEED = 2
 START_NEED = 4
-"""Servers wanted while no demand was seen yet."""
+"""Servers wanted at least until demand was watched for a while."""
 
 DEMAND_WINDOW_S = 5.0
 PEAK_KEPT_S = 20.0
@@ -51,6 +51,8 @@
     def __init__(self) -> None:
         self._totals: deque[tuple[float, float]] = deque()
         self._needs: deque[tuple[float, int]] = deque()
+        self._first_at: float | None = None
+        self._watched = False
 
     def note(self, total: float, now: float) -> None:
         """Note the counter; one that falls, since a node was forgotten, starts anew."""
@@ -63,6 +65,9 @@
         if now - begin >= 1.0 and total > first:
             rate = (total - first) / (now - begin)
             self._needs.append((now, max(LEAST_NEED, ceil(rate / SERVER_TOKENS_PER_S))))
+            if self._first_at is None:
+                self._first_at = now
+            self._watched = now - self._first_at > PEAK_KEPT_S
         while self._needs and now - self._needs[0][0] > PEAK_KEPT_S:
             self._needs.popleft()
 
@@ -75,8 +80,9 @@
         return (last - first) / (end - begin)
 
     def need(self) -> int:
-        """Return the servers wanted: the peak of late, or the start's number."""
-        return max((need for _, need in self._needs), default=START_NEED)
+        """Return the servers wanted: the peak of late, and the start's number at first."""
+        least = LEAST_NEED if self._watched else START_NEED
+        return max([least, *(need for _, need in self._needs)])
 
     @property
     def idle(self) -> bool:
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -390,6 +390,12 @@
             demand.note(1_000_000.0 + second, float(second))
         self.assertLess(demand.need(), 4)
 
+    def test_first_moments_of_demand_give_no_server_back(self) -> None:
+        demand = Demand()
+        for step in range(10):
+            demand.note(step * 1_000.0, step * 0.5)
+            self.assertEqual(demand.need(), 4)
+
 
 if __name__ == "__main__":
     unittest.main()
