Each node decides itself whether it serves; news grow with halls, not with nodes

Cause (design): the directory needed every node's state at every node, which 390 nodes can't carry. Now a node serves unless enough of its hall that rank before it say that they do; those in reserve tell a few others each second. Up to 16 others nothing changes: all tell all each round. Strong nodes come first.

--- a/src/moledale/gateway/directory.py
+++ b/src/moledale/gateway/directory.py
@@ -1,30 +1,55 @@
-"""Which nodes callers are told to use: one in each hall, others in reserve.
+"""Which nodes callers are told to use: a few in each hall, the others in reserve.
 
 Few nodes see more of the traffic each, so their views of the servers are better and connections
-to servers are used again more often. The node that holds the duties takes traffic last.
+to servers are used again more often. Each node decides for itself whether it serves, from what it
+hears: it does unless enough nodes of its hall that rank before it say that they do. So no node has
+to know all others, and a hall whose serving nodes fall silent has others in their place at once.
 """
 
 from collections.abc import Iterable
 
-from moledale.core.hashing import ranked
+from moledale.core.hashing import weight
 from moledale.gateway.peers import NodeState, Standing
 
 FOR_EACH_HALL = 1
 HASH_KEY = "callers"
 
+STRONG = 20.0
+"""Power (see `power_of`) beyond which more of it makes no difference."""
 
-def serving_nodes(
-    nodes: Iterable[NodeState], duty_holder: str, for_each_hall: int = FOR_EACH_HALL
-) -> list[NodeState]:
-    """Return the nodes that callers should use, the same on each node that knows the same."""
-    halls: dict[str, dict[str, NodeState]] = {}
-    for node in nodes:
-        if node.standing == Standing.READY:
-            halls.setdefault(node.hall, {})[node.id] = node
-    chosen: list[NodeState] = []
-    for hall in sorted(halls):
-        there = halls[hall]
-        order = ranked(HASH_KEY, there)
-        order.sort(key=lambda name: name == duty_holder)
-        chosen.extend(there[name] for name in order[:for_each_hall])
-    return chosen
+LINK_MBPS_FOR_A_CORE = 50.0
+
+
+def power_of(cores: float, link_mbps: float) -> float:
+    """Return what a node can carry, in tenths of a core; a thin link counts as few cores."""
+    return min(10.0 * cores, 10.0 * link_mbps / LINK_MBPS_FOR_A_CORE, STRONG)
+
+
+def rank_of(node: NodeState) -> tuple[bool, int, int]:
+    """Return a node's place in its hall, the first to serve being the least.
+
+    The holder of the duties comes last, since what strikes it should strike few callers.
+    """
+    return node.lease is not None, -int(node.power), -weight(HASH_KEY, node.id)
+
+
+def should_serve(own: NodeState, heard: Iterable[NodeState], most: int = FOR_EACH_HALL) -> bool:
+    """Say whether a node serves, from the live nodes that it hears."""
+    if own.standing != Standing.READY:
+        return False
+    place = rank_of(own)
+    before = [
+        node
+        for node in heard
+        if node.hall == own.hall
+        and node.serving
+        and node.standing == Standing.READY
+        and rank_of(node) < place
+    ]
+    return len(before) < most
+
+
+def serving_nodes(nodes: Iterable[NodeState]) -> list[NodeState]:
+    """Return the nodes that callers should use; all that are ready where none says it serves."""
+    ready = [node for node in nodes if node.standing == Standing.READY]
+    return [node for node in ready if node.serving] or ready
--- a/src/moledale/gateway/gossip.py
+++ b/src/moledale/gateway/gossip.py
@@ -5,20 +5,13 @@
 """
 
 import asyncio
-import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 import msgspec
 
 from moledale.gateway.messages import Server
 from moledale.gateway.peers import NodeState
 
-ROUND_S = 0.2
-MOST_TARGETS = 16
-MOST_ADDRESSES = 12
-ADDRESS_KEPT_S = 60.0
-
 
 class StateNews(msgspec.Struct, array_like=True, tag="state"):
     """A node's own state and some addresses of nodes it has heard of."""
@@ -41,34 +34,6 @@
 _decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
 
 
-@dataclass(slots=True)
-class AddressBook:
-    """Addresses to send news to, and until when one that is silent is still tried."""
-
-    own: str
-    until: dict[str, float] = field(default_factory=dict)
-
-    def add(self, address: str, now: float) -> None:
-        """Note an address that was told or heard from."""
-        if address and address != self.own:
-            self.until[address] = now + ADDRESS_KEPT_S
-
-    def hint(self, address: str, now: float) -> None:
-        """Note an address that a peer knows; its time is not made longer."""
-        if address and address != self.own and address not in self.until:
-            self.until[address] = now + ADDRESS_KEPT_S
-
-    def targets(self, preferred: list[str], now: float, choice: random.Random) -> list[str]:
-        """Return whom to tell this round: all while they are few, else the preferred and some."""
-        for address in [each for each, until in self.until.items() if until < now]:
-            del self.until[address]
-        if len(self.until) <= MOST_TARGETS:
-            return list(self.until)
-        first = [address for address in preferred if address in self.until][: MOST_TARGETS // 2]
-        rest = [address for address in self.until if address not in first]
-        return first + choice.sample(rest, MOST_TARGETS - len(first))
-
-
 class GossipSocket(asyncio.DatagramProtocol):
     """The socket that news go through."""
 
--- /dev/null
+++ b/src/moledale/gateway/neighbours.py
@@ -0,0 +1,145 @@
+"""Whom a node tells its news, and whether it serves callers.
+
+While nodes are few, each tells all others each round. When they are many, those that serve tell
+each other each round and all others now and then; those in reserve tell the serving ones of their
+hall now and then. What a node in reserve hears grows with the halls, not with the nodes.
+"""
+
+import random
+from dataclasses import dataclass, field
+
+from moledale.gateway.directory import serving_nodes, should_serve
+from moledale.gateway.peers import Membership, NodeState, Standing
+
+ROUND_S = 0.2
+FEW = 16
+"""Up to this many other nodes, all tell all each round."""
+
+SLOW_ROUNDS = 5
+"""Rounds between two tellings to nodes in reserve."""
+
+LISTEN_S = 0.8
+"""A node that starts listens for this long before it serves."""
+
+STEP_UP_S = 0.5
+"""Nodes in reserve wait up to this long, by chance, before they take a silent one's place."""
+
+BUSY_S = 3.0
+ADDRESS_KEPT_S = 60.0
+MOST_HINTS = 8
+STRANGERS = 2
+
+
+@dataclass(slots=True)
+class AddressBook:
+    """Addresses to send news to, and until when one that is silent is still tried."""
+
+    own: str
+    until: dict[str, float] = field(default_factory=dict)
+
+    def add(self, address: str, now: float) -> None:
+        """Note an address that was told or heard from."""
+        if address and address != self.own:
+            self.until[address] = now + ADDRESS_KEPT_S
+
+    def hint(self, address: str, now: float) -> None:
+        """Note an address that a peer knows; its time is not made longer."""
+        if address and address != self.own and address not in self.until:
+            self.until[address] = now + ADDRESS_KEPT_S
+
+    def known(self, now: float) -> list[str]:
+        """Return the addresses that are still tried."""
+        for address in [each for each, until in self.until.items() if until < now]:
+            del self.until[address]
+        return list(self.until)
+
+
+class Neighbours:
+    """A node's own place among the others."""
+
+    def __init__(self, members: Membership, own_address: str, now: float) -> None:
+        self.members = members
+        self.addresses = AddressBook(own_address)
+        self.serving = False
+        self._started_at = now
+        self._alone_since = now
+        self._wait_s = 0.0
+        self._busy_at = -1e9
+        self._round = 0
+        self._random = random.Random()
+
+    def decide(self, own: NodeState, now: float) -> bool:
+        """Decide whether this node serves; say whether that changed."""
+        before = self.serving
+        wanted = should_serve(own, self.members.alive(now))
+        if not wanted:
+            self._alone_since = now
+            self._wait_s = STEP_UP_S * self._random.random() if self._many(now) else 0.0
+            self.serving = False
+        elif now - self._started_at >= LISTEN_S and now - self._alone_since >= self._wait_s:
+            self.serving = True
+        return self.serving != before
+
+    def note_busy(self, now: float) -> None:
+        """Note that requests are served here, whether callers were told to come or not."""
+        self._busy_at = now
+
+    def targets(self, own: NodeState, now: float) -> list[str]:
+        """Return whom to tell in this round."""
+        self._round += 1
+        known = self.addresses.known(now)
+        if len(known) <= FEW:
+            return known
+        slow = self._round % SLOW_ROUNDS == 0
+        alive = self.members.alive(now)
+        busy = self.serving or own.lease is not None or now - self._busy_at < BUSY_S
+        chosen: set[str] = set()
+        if busy:
+            if slow:
+                return known
+            chosen.update(each.peer for each in alive if each.serving or each.lease)
+            return list(chosen)
+        if slow or now - self._started_at < LISTEN_S:
+            chosen.update(
+                each.peer
+                for each in alive
+                if each.lease or (each.serving and each.hall == own.hall)
+            )
+            chosen.update(self._random.sample(known, STRANGERS))
+        return list(chosen)
+
+    def everyone(self, now: float) -> list[str]:
+        """Return whom to tell news that can't wait."""
+        return self.addresses.known(now)
+
+    def hints(self, now: float) -> list[str]:
+        """Return some addresses that others may not know."""
+        known = [state.peer for state in self.members.alive(now)]
+        return self._random.sample(known, MOST_HINTS) if len(known) > MOST_HINTS else known
+
+    def serving_nodes(self, own: NodeState, now: float) -> list[NodeState]:
+        """Return the nodes that callers should use, as this one knows them."""
+        return serving_nodes([own, *self.members.alive(now)])
+
+    def rank(self, own: NodeState, now: float, reserve_first: bool) -> int:
+        """Return this node's turn among those that may do something for all.
+
+        Nodes in reserve do not hear each other where nodes are many; there those that serve go
+        first in any case.
+        """
+        alive = self.members.alive(now)
+        if self._many(now) and not self.serving:
+            return sum(1 for each in alive if each.serving)
+        order = [(each.serving == reserve_first, each.id) for each in (own, *alive)]
+        return sorted(order).index((own.serving == reserve_first, own.id))
+
+    def knows_enough(self, own: NodeState, now: float) -> bool:
+        """Say whether this node may tell callers where to go."""
+        if own.standing == Standing.READY and self.serving:
+            return True
+        return now - self._started_at >= LISTEN_S or any(
+            each.serving for each in self.members.alive(now)
+        )
+
+    def _many(self, now: float) -> bool:
+        return len(self.addresses.until) > FEW
--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -4,7 +4,6 @@
 import os
 import random
 import time
-from collections.abc import Callable
 
 import msgspec
 import xxhash
@@ -14,21 +13,14 @@
 from moledale.gateway.balance import ServerBook
 from moledale.gateway.calls import HttpCaller
 from moledale.gateway.dialect import Dialect
-from moledale.gateway.directory import serving_nodes
+from moledale.gateway.directory import power_of
 from moledale.gateway.duties import TICK_S, Duties, LeaseKeeper
 from moledale.gateway.entry import Asked, EntryDialect
 from moledale.gateway.forwarder import Forwarder
-from moledale.gateway.gossip import (
-    ROUND_S,
-    AddressBook,
-    FleetNews,
-    GossipSocket,
-    Message,
-    StateNews,
-    open_gossip,
-)
+from moledale.gateway.gossip import FleetNews, GossipSocket, Message, StateNews, open_gossip
 from moledale.gateway.inbound import Listener, listen, sweep_forever
 from moledale.gateway.messages import InboundRequest, Server
+from moledale.gateway.neighbours import ROUND_S, Neighbours
 from moledale.gateway.outside import Orders, PlanNews, Store
 from moledale.gateway.peers import Membership, NodeState, Standing
 from moledale.gateway.plan import Limits, Plan
@@ -52,9 +44,6 @@
 AGAIN_MOST_S = 1.0
 POOL_SWEEP_S = 0.5
 
-ALONE_S = 0.6
-"""A node that starts and has heard of nobody names itself in the directory only after this."""
-
 LEAST_STOP_S = 3.2
 """A stop takes this long at least, since callers keep addresses that they were told."""
 
@@ -98,7 +87,7 @@
             node.first_start,
         )
         self.supervisor = Supervisor("gateway", SystemClock())
-        self._addresses = AddressBook(node.peers)
+        self.neighbours = Neighbours(self.members, node.peers, time.monotonic())
         self._gossip: GossipSocket | None = None
         self._random = random.Random()
         self._sequence = 0
@@ -108,7 +97,6 @@
         self._fleet_digest = 0
         self._fleet_fresh_at = -1e9
         self._fleet_told = 0
-        self._started_at = time.monotonic()
         self._callers = Listener(self.forwarder.handle, self._limits, time.monotonic)
         self._others = Listener(self._answer_question, self._limits, time.monotonic)
         self._servers: list[asyncio.Server] = []
@@ -128,7 +116,7 @@
         now = time.monotonic()
         port = node.peers.rpartition(":")[2]
         for seed in node.seeds:
-            self._addresses.add(f"{seed.rpartition(':')[0]}:{port}", now)
+            self.neighbours.addresses.add(f"{seed.rpartition(':')[0]}:{port}", now)
         start = self.supervisor.start
         start("gossip", self._gossip_forever)
         start("plan", self._watch_plan_forever)
@@ -193,30 +181,29 @@
             self.book.loads(),
             self.sharing.sends(now),
             self.book.work,
+            self.neighbours.serving,
+            power_of(node.cores, node.link_mbps),
             self.sharing.offset_s(),
             self.keeper.news(),
-            self._fleet_digest,
-            now - self._fleet_fresh_at,
         )
 
-    def _tell_state(self) -> None:
-        self._tell(lambda addresses: StateNews(self._state(), addresses))
-
-    def _tell(self, make: Callable[[list[str]], Message]) -> None:
+    def _tell_state(self, everyone: bool = True) -> None:
         if self._gossip is None:
             return
         now = time.monotonic()
-        preferred = [each.peer for each in self._serving()]
-        targets = self._addresses.targets(preferred, now, self._random)
-        known = [state.peer for state in self.members.alive(now)]
-        if len(known) > 8:
-            known = self._random.sample(known, 8)
-        self._gossip.tell(make(known), targets)
+        own = self._state()
+        if self._callers.busy():
+            self.neighbours.note_busy(now)
+        targets = self.neighbours.everyone(now) if everyone else self.neighbours.targets(own, now)
+        self._gossip.tell(StateNews(own, self.neighbours.hints(now)), targets)
 
     async def _gossip_forever(self) -> None:
         while True:
-            self._tell_state()
-            self.members.forget_old(time.monotonic())
+            now = time.monotonic()
+            changed = self.neighbours.decide(self._state(), now)
+            self._tell_state(everyone=changed)
+            self.sharing.take_over(self.book)
+            self.members.forget_old(now)
             await asyncio.sleep(ROUND_S)
 
     def _heard(self, message: Message) -> None:
@@ -225,28 +212,23 @@
             self._heard_fleet(message, now)
             return
         state = message.state
-        if not self.sharing.heard(state, self.forwarder.limits, self.book):
+        stranger = state.id not in self.members.members
+        if not self.sharing.heard(state, self.forwarder.limits):
             return
-        self._addresses.add(state.peer, now)
+        if stranger and self._gossip is not None:
+            self._gossip.tell(StateNews(self._state(), self.neighbours.hints(now)), [state.peer])
+        self.neighbours.addresses.add(state.peer, now)
         for address in message.addresses:
-            self._addresses.hint(address, now)
+            self.neighbours.addresses.hint(address, now)
         if state.lease is not None:
             self.keeper.heard(state.id, state.lease, now)
         index = self.forwarder.index
         if state.plan_version > (index.version if index is not None else -1):
             self._plan_peer = state.control
 
-    def _serving(self) -> list[NodeState]:
-        alive = self.members.alive(time.monotonic())
-        holder = self.settings.node.id if self.keeper.grant() else self.keeper.holder
-        return serving_nodes([self._own_brief(), *alive], holder)
-
-    def _own_brief(self) -> NodeState:
-        node = self.settings.node
-        return NodeState(
-            node.id, self.life, 0, node.hall, node.callers, node.peers, node.control,
-            int(self.standing), 0, {}, {}, {}, {}, {},
-        )  # fmt: skip
+    def serving_nodes(self) -> list[NodeState]:
+        """Return the nodes that callers should use."""
+        return self.neighbours.serving_nodes(self._state(), time.monotonic())
 
     async def _register(self) -> None:
         """Tell the store of this node, and learn of others that it was told of."""
@@ -264,7 +246,7 @@
                 read = True
                 now = time.monotonic()
                 for row in outcome.ok_value.rows:
-                    self._addresses.add(row.value.decode(), now)
+                    self.neighbours.addresses.add(row.value.decode(), now)
             await asyncio.sleep(pause * (0.5 + self._random.random()))
             pause = min(2 * pause, AGAIN_MOST_S)
 
@@ -333,7 +315,7 @@
         pause = AGAIN_S
         while True:
             now = time.monotonic()
-            rank = min(self._rank(now), MOST_READ_RANK)
+            rank = min(self.neighbours.rank(self._state(), now, False), MOST_READ_RANK)
             due = self._fleet_fresh_at + READ_EVERY_S + rank * READ_RANK_S
             if self._plan_peer is not None:
                 await self._fetch_plan()
@@ -351,10 +333,6 @@
             self._take_fleet(list(listed.servers), listed.version, now)
             self._tell_fleet(now)
 
-    def _rank(self, now: float) -> int:
-        own = self.settings.node.id
-        return sorted([own, *(state.id for state in self.members.alive(now))]).index(own)
-
     def _take_fleet(self, servers: list[Server], version: int, read_at: float) -> None:
         self._fleet_fresh_at = max(self._fleet_fresh_at, read_at)
         if version < self._fleet_version:
@@ -384,7 +362,8 @@
         servers = None if same else [view.server for view in self.book.views.values()]
         age = time.monotonic() - read_at
         news = FleetNews(self._fleet_version, self._fleet_digest, age, servers)
-        self._tell(lambda _: news)
+        if self._gossip is not None:
+            self._gossip.tell(news, self.neighbours.everyone(time.monotonic()))
 
     def _heard_fleet(self, news: FleetNews, now: float) -> None:
         read_at = now - news.age_s
@@ -401,7 +380,8 @@
     async def _duties_forever(self) -> None:
         while True:
             if self.standing is not Standing.LEAVING:
-                await self.keeper.step(self._rank(time.monotonic()))
+                now = time.monotonic()
+                await self.keeper.step(self.neighbours.rank(self._state(), now, True))
                 await self.duties.step()
             await asyncio.sleep(TICK_S)
 
@@ -429,10 +409,10 @@
             self._answer_addresses(reply)
 
     def _answer_addresses(self, reply: Reply) -> None:
-        addresses = [state.address for state in self._serving()]
         now = time.monotonic()
-        alone = not self.members.alive(now) and now - self._started_at < ALONE_S
-        if not addresses or alone:
+        own = self._state()
+        addresses = [each.address for each in self.neighbours.serving_nodes(own, now)]
+        if not addresses or not self.neighbours.knows_enough(own, now):
             reply.whole(503, [], b"")
             return
         headers, body = self._entry.addresses(addresses, self.settings.bounds.address_ttl_s)
--- a/src/moledale/gateway/peers.py
+++ b/src/moledale/gateway/peers.py
@@ -10,7 +10,12 @@
 import msgspec
 
 ALIVE_S = 1.5
-"""A node not heard of for this long takes no part in choices."""
+"""A node not heard of for this long takes no part in choices, while all hear all each round."""
+
+ALIVE_MANY_S = 2.5
+"""The same where nodes are many, and those in reserve hear of others each second."""
+
+FEW_MEMBERS = 16
 
 REMEMBERED_S = 40.0
 """A node's last counts are kept this long after it was last heard of."""
@@ -49,10 +54,10 @@
     loads: dict[str, tuple[int, int]]
     sends: dict[str, tuple[int, int]]
     work: dict[str, int]
+    serving: bool = False
+    power: float = 0.0
     offset_s: float | None = None
     lease: LeaseNews | None = None
-    fleet_digest: int = 0
-    fleet_age_s: float = 1e9
 
 
 @dataclass(slots=True)
@@ -105,7 +110,8 @@
 
     def alive(self, now: float) -> list[NodeState]:
         """Return the nodes heard of lately."""
-        return [each.state for each in self.members.values() if now - each.heard_at < ALIVE_S]
+        limit = ALIVE_S if len(self.members) <= FEW_MEMBERS else ALIVE_MANY_S
+        return [each.state for each in self.members.values() if now - each.heard_at < limit]
 
     def all_states(self) -> list[NodeState]:
         """Return the last state of each life of each node still remembered."""
--- a/src/moledale/gateway/settings.py
+++ b/src/moledale/gateway/settings.py
@@ -17,6 +17,7 @@
     """Who this node is and where it listens (`host:port`).
 
     `first_start` tells that the whole system starts for the first time, so nothing was served yet.
+    `cores` and `link_mbps` are what the instance has.
     """
 
     id: str
@@ -29,6 +30,8 @@
     peers: str
     seeds: tuple[str, ...] = ()
     first_start: bool = False
+    cores: float = 1.0
+    link_mbps: float = 1000.0
 
 
 class Outside(Table, frozen=True):
--- a/src/moledale/gateway/sharing.py
+++ b/src/moledale/gateway/sharing.py
@@ -59,7 +59,7 @@
         """Return how far this machine's time of day is ahead of the store's clock."""
         return self.true_time.offset_s(self._wall(), self._now())
 
-    def heard(self, state: NodeState, limits: AccountLimits, book: ServerBook) -> bool:
+    def heard(self, state: NodeState, limits: AccountLimits) -> bool:
         """Take over a peer's state; say whether it was news."""
         now = self._now()
         before = self.members.heard(state, now)
@@ -67,10 +67,13 @@
             return False
         if before is not state:
             limits.spent_elsewhere(before.spent, state.spent)
-        alive = self.members.alive(now)
+        return True
+
+    def take_over(self, book: ServerBook) -> None:
+        """Take over what live peers tell of clocks and servers; once a round is enough."""
+        alive = self.members.alive(self._now())
         self.true_time.others(each.offset_s for each in alive)
         book.others(alive)
-        return True
 
     def _budget(self, service: str) -> RetryBudget:
         budget = self._budgets.get(service)
--- a/tests/test_gateway_nodes.py
+++ b/tests/test_gateway_nodes.py
@@ -397,7 +397,8 @@
             for node in nodes.values():
                 await until(ready(node))
                 await until(lambda node=node: bool(node.members.alive(time.monotonic())))  # type: ignore[misc]
-            await until(lambda: len(nodes["n1"]._serving()) == 1)
+            for node in nodes.values():
+                await until(lambda node=node: len(node.serving_nodes()) == 1)  # type: ignore[misc]
             told = (await cluster.addresses("n1"))[0]
             first = next(n for n, node in nodes.items() if node.settings.node.callers == told)
             second = next(name for name in nodes if name != first)
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -2,12 +2,15 @@
 
 import unittest
 
+import msgspec
+
 from moledale.gateway.accounts import AccountLimits
 from moledale.gateway.balance import ServerBook, note_silence
-from moledale.gateway.directory import serving_nodes
+from moledale.gateway.directory import power_of, rank_of, serving_nodes, should_serve
 from moledale.gateway.events import EventCutter
 from moledale.gateway.messages import PromptPart, RequestFacts, Server
-from moledale.gateway.peers import ALIVE_S, Membership, NodeState, Standing
+from moledale.gateway.neighbours import ROUND_S, Neighbours
+from moledale.gateway.peers import ALIVE_S, LeaseNews, Membership, NodeState, Standing
 from moledale.gateway.plan import (
     TOKENS,
     Account,
@@ -175,21 +178,86 @@
 
 
 class DirectoryTest(unittest.TestCase):
-    def test_one_node_in_each_hall_and_the_holder_last(self) -> None:
-        nodes = [state(f"n{number}", hall=HALLS[number % 3]) for number in range(9)]
-        chosen = serving_nodes(nodes, "")
+    def settle(self, nodes: list[NodeState]) -> list[NodeState]:
+        """Let each node decide from what all others say, round by round."""
+        for _ in range(4):
+            nodes = [
+                msgspec.structs.replace(
+                    node, serving=should_serve(node, [each for each in nodes if each is not node])
+                )
+                for node in nodes
+            ]
+        return nodes
+
+    def test_one_node_in_each_hall_serves_and_the_holder_last(self) -> None:
+        nodes = self.settle([state(f"n{n}", hall=HALLS[n % 3]) for n in range(9)])
+        chosen = serving_nodes(nodes)
         self.assertEqual(sorted(node.hall for node in chosen), ["a", "b", "c"])
-        without = serving_nodes(nodes, chosen[0].id)
+        lease = LeaseNews(1, 1, 0.0)
+        nodes = [
+            msgspec.structs.replace(node, lease=lease if node.id == chosen[0].id else None)
+            for node in nodes
+        ]
+        without = serving_nodes(self.settle(nodes))
+        self.assertEqual(len(without), 3)
         self.assertNotIn(chosen[0].id, [node.id for node in without])
-        alone = serving_nodes([chosen[0]], chosen[0].id)
-        self.assertEqual([node.id for node in alone], [chosen[0].id])
+
+    def test_holder_serves_where_it_is_alone(self) -> None:
+        alone = self.settle([state("n1", lease=LeaseNews(1, 1, 0.0))])
+        self.assertTrue(alone[0].serving)
+
+    def test_strong_nodes_serve_first(self) -> None:
+        nodes = [state(f"n{n}", power=power_of(1.0, 5.0 if n else 100.0)) for n in range(6)]
+        self.assertEqual([node.id for node in serving_nodes(self.settle(nodes))], ["n0"])
 
     def test_nodes_that_leave_or_start_are_not_told(self) -> None:
         nodes = [
-            state("n1", standing=int(Standing.LEAVING)),
-            state("n2", standing=int(Standing.STARTING)),
+            state("n1", standing=int(Standing.LEAVING), serving=True),
+            state("n2", standing=int(Standing.STARTING), serving=True),
         ]
-        self.assertEqual(serving_nodes(nodes, ""), [])
+        self.assertEqual(serving_nodes(nodes), [])
+        self.assertFalse(should_serve(nodes[0], []))
+
+    def test_place_of_a_silent_node_is_taken(self) -> None:
+        members = Membership("n1", 1)
+        neighbours = Neighbours(members, "n1:2", 0.0)
+        own = state("n1")
+        better = next(name for name in map(str, range(99)) if rank_of(state(name)) < rank_of(own))
+        members.heard(state(better, serving=True), 1.0)
+        self.assertFalse(neighbours.decide(own, 1.0))
+        self.assertFalse(neighbours.serving)
+        self.assertTrue(neighbours.decide(own, 1.0 + ALIVE_S + 0.1))
+        self.assertTrue(neighbours.serving)
+
+
+class NeighboursTest(unittest.TestCase):
+    def crowd(self, serving: bool) -> tuple[Neighbours, NodeState]:
+        members = Membership("n0", 1)
+        neighbours = Neighbours(members, "n0:2", 0.0)
+        for number in range(1, 390):
+            other = state(f"n{number}", hall=HALLS[number % 4], serving=number <= 8)
+            members.heard(other, 10.0)
+            neighbours.addresses.add(other.peer, 10.0)
+        neighbours.serving = serving
+        return neighbours, state("n0")
+
+    def test_few_nodes_all_tell_all(self) -> None:
+        neighbours = Neighbours(Membership("n0", 1), "n0:2", 0.0)
+        for number in range(8):
+            neighbours.addresses.add(f"n{number}:2", 0.0)
+        self.assertEqual(len(neighbours.targets(state("n0"), 1.0)), 7)
+
+    def test_node_in_reserve_tells_few_and_seldom(self) -> None:
+        neighbours, own = self.crowd(serving=False)
+        told = [len(neighbours.targets(own, 10.0 + n * ROUND_S)) for n in range(50)]
+        self.assertLessEqual(sum(told) / (50 * ROUND_S), 5.0)
+
+    def test_serving_nodes_tell_each_other_each_round(self) -> None:
+        neighbours, own = self.crowd(serving=True)
+        told = [neighbours.targets(own, 10.0 + n * ROUND_S) for n in range(5)]
+        for targets in told:
+            self.assertLessEqual({f"n{number}:2" for number in range(1, 9)}, set(targets))
+        self.assertEqual(max(len(targets) for targets in told), 389)
 
 
 class RoutesTest(unittest.TestCase):
