--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -120,7 +120,7 @@
         """Answer one request."""
         job = self._admit(request, reply)
         if isinstance(job, Refusal):
-            self._refuse(reply, request, job)
+            self.refuse(reply, request, job)
             return
         try:
             async with asyncio.timeout(max(0.0, job.left_s(self._now()))):
@@ -345,7 +345,7 @@
     def _pass(self, job: Job, head: AnswerHead, body: bytes) -> None:
         """Pass a server's whole answer on; its promises are not ours to repeat."""
         if head.status in PROMISES:
-            self._refuse(job.reply, job.request, Refusal(502, "the server's answer is unclear"))
+            self.refuse(job.reply, job.request, Refusal(502, "the server's answer is unclear"))
             return
         job.reply.whole(head.status, self._dialect.answer_headers(head), body)
 
@@ -411,11 +411,12 @@
             return
         if not job.offered and refusal.status == 504:
             refusal = Refusal(503, refusal.reason, NOT_RUN_AGAIN_S)
-        self._refuse(job.reply, job.request, refusal, job.facts.id)
+        self.refuse(job.reply, job.request, refusal, job.facts.id)
 
-    def _refuse(
+    def refuse(
         self, reply: Reply, request: InboundRequest, refusal: Refusal, name: str = ""
     ) -> None:
+        """Give a final answer of the node's own."""
         emit(
             Event.REFUSED,
             request=name,
--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -19,7 +19,7 @@
 from moledale.gateway.forwarder import Forwarder
 from moledale.gateway.gossip import FleetNews, GossipSocket, Message, StateNews, open_gossip
 from moledale.gateway.inbound import Listener, listen, sweep_forever
-from moledale.gateway.messages import InboundRequest, Server
+from moledale.gateway.messages import InboundRequest, Refusal, Server
 from moledale.gateway.neighbours import ROUND_S, Neighbours
 from moledale.gateway.outside import Orders, PlanNews, Store
 from moledale.gateway.peers import Membership, NodeState, Standing
@@ -48,6 +48,11 @@
 """A stop takes this long at least, since callers keep addresses that they were told."""
 
 STOP_MARGIN_S = 0.9
+
+TAKEN_SHARE = 0.35
+"""Part of a stop's time in which new requests are taken; later ones could be cut at its end."""
+
+ELSEWHERE_S = 0.05
 QUIET_S = 0.3
 EXIT_OK = 0
 
@@ -97,7 +102,8 @@
         self._fleet_digest = 0
         self._fleet_fresh_at = -1e9
         self._fleet_told = 0
-        self._callers = Listener(self.forwarder.handle, self._limits, time.monotonic)
+        self._leaving_since: float | None = None
+        self._callers = Listener(self._handle, self._limits, time.monotonic)
         self._others = Listener(self._answer_question, self._limits, time.monotonic)
         self._servers: list[asyncio.Server] = []
 
@@ -105,6 +111,19 @@
         index = self.forwarder.index
         return index.limits if index is not None else Limits()
 
+    async def _handle(self, request: InboundRequest, reply: Reply) -> None:
+        """Forward a request, or send it elsewhere where too little of a stop's time is left."""
+        since = self._leaving_since
+        if since is not None and time.monotonic() - since > self._last_taken_s:
+            self.forwarder.refuse(reply, request, Refusal(503, "the node stops", ELSEWHERE_S))
+            return
+        await self.forwarder.handle(request, reply)
+
+    @property
+    def _last_taken_s(self) -> float:
+        """Return how long after a stop began requests are still taken."""
+        return self.settings.bounds.stop_s * TAKEN_SHARE
+
     async def run(self, stop: asyncio.Event) -> int:
         """Serve until told to stop; return the exit code."""
         node = self.settings.node
@@ -140,6 +159,7 @@
         """Stop in order: no cut request, out of the directory at once, gone in time."""
         began = time.monotonic()
         self.standing = Standing.LEAVING
+        self._leaving_since = began
         emit(Event.DRAINING, node=self.settings.node.id)
         self._callers.closing = True
         self._tell_state()
--- a/tests/test_gateway_nodes.py
+++ b/tests/test_gateway_nodes.py
@@ -418,6 +418,28 @@
 
         on_cluster(work)
 
+    def test_request_that_could_be_cut_at_the_end_of_a_stop_is_not_taken(self) -> None:
+        async def hangs(arrival, reader, writer) -> None:  # type: ignore[no-untyped-def]
+            await reader.read()
+
+        async def work(cluster: Cluster) -> None:
+            node = await cluster.start("n1")
+            await until(ready(node))
+            cluster.backend.script = hangs
+            host, port = node.settings.node.callers.split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            stopping = cluster.stop("n1")
+            await asyncio.sleep(1.3)
+            writer.write(request_bytes("/check/"))
+            got = await read_answer(reader)
+            self.assertEqual((got.status, got.headers.get("connection")), (503, "close"))
+            self.assertGreater(float(got.headers["retry-after"]), 0)
+            self.assertEqual(cluster.backend.arrivals, [])
+            writer.close()
+            self.assertEqual(await stopping, 0)
+
+        on_cluster(work)
+
 
 class SettingsTest(unittest.TestCase):
     def test_findings_have_their_place(self) -> None:
