--- a/src/moledale/gateway/duties.py
+++ b/src/moledale/gateway/duties.py
@@ -272,7 +272,7 @@
                     spot=order.spot,
                     number=order.number,
                     accepted=accepted,
-                    need=planner.demand.need(),
+                    need=planner.need,
                     tokens_per_s=round(planner.demand.rate),
                 )
 
--- a/src/moledale/gateway/renting.py
+++ b/src/moledale/gateway/renting.py
@@ -24,9 +24,14 @@
 
 LEAST_NEED = 2
 START_NEED = 4
-"""Servers wanted at least until demand was watched for a while."""
+START_SHARE = 0.45
+"""Until demand was watched for a while, this part of the start's servers is wanted at least."""
 
 DEMAND_WINDOW_S = 5.0
+LEAST_WINDOW_S = 1.0
+GIVE_BACK_S = 4.0
+"""Servers on demand are given back when they were too many for this long."""
+
 PEAK_KEPT_S = 20.0
 SPOT_X = 1.5
 """Spot servers wanted for each server needed; they cost little and go often."""
@@ -52,22 +57,20 @@
         self._totals: deque[tuple[float, float]] = deque()
         self._needs: deque[tuple[float, int]] = deque()
         self._first_at: float | None = None
-        self._watched = False
+        self._last_at = 0.0
 
     def note(self, total: float, now: float) -> None:
         """Note the counter; one that falls, since a node was forgotten, starts anew."""
         if self._totals and total < self._totals[-1][1]:
             self._totals.clear()
         self._totals.append((now, total))
+        self._last_at = now
         while now - self._totals[0][0] > DEMAND_WINDOW_S:
             self._totals.popleft()
-        begin, first = self._totals[0]
-        if now - begin >= 1.0 and total > first:
-            rate = (total - first) / (now - begin)
-            self._needs.append((now, max(LEAST_NEED, ceil(rate / SERVER_TOKENS_PER_S))))
-            if self._first_at is None:
-                self._first_at = now
-            self._watched = now - self._first_at > PEAK_KEPT_S
+        if self._first_at is None and total > 0:
+            self._first_at = now
+        if now - self._totals[0][0] >= LEAST_WINDOW_S and self.rate > 0:
+            self._needs.append((now, max(LEAST_NEED, ceil(self.rate / SERVER_TOKENS_PER_S))))
         while self._needs and now - self._needs[0][0] > PEAK_KEPT_S:
             self._needs.popleft()
 
@@ -79,15 +82,20 @@
         (begin, first), (end, last) = self._totals[0], self._totals[-1]
         return (last - first) / (end - begin)
 
-    def need(self) -> int:
-        """Return the servers wanted: the peak of late, and the start's number at first."""
-        least = LEAST_NEED if self._watched else START_NEED
-        return max([least, *(need for _, need in self._needs)])
+    @property
+    def watched_s(self) -> float:
+        """Return for how long demand was watched."""
+        return 0.0 if self._first_at is None else self._last_at - self._first_at
 
     @property
     def idle(self) -> bool:
-        """Say whether no demand was seen."""
-        return not self._needs
+        """Say whether no node has placed anything yet."""
+        return self._first_at is None
+
+    def need(self, start: int) -> int:
+        """Return the servers wanted: the peak of late, and the start's number at first."""
+        least = LEAST_NEED if self.watched_s > PEAK_KEPT_S else start
+        return max([least, *(need for _, need in self._needs)])
 
 
 @dataclass(slots=True)
@@ -107,6 +115,8 @@
     first_start: bool = False
     demand: Demand = field(default_factory=Demand)
     states: dict[tuple[str, bool], OrderState] = field(default_factory=dict)
+    _start: set[str] = field(default_factory=set)
+    _most: deque[tuple[float, int]] = field(default_factory=deque)
 
     def orders(self, renting: Renting, servers: Iterable[Server], now: float) -> list[Order]:
         """Return the orders that are due."""
@@ -115,16 +125,26 @@
         for server in staying:
             if server.hall in there:
                 there[server.hall][server.spot] += 1
-        need = self.demand.need()
+        if self.demand.idle:
+            self._start.update(each.id for each in staying if not each.spot)
+        need = self.need
         each_hall = ceil(need * SPOT_X / max(1, len(there) - 1))
         wanted_spot = max(renting.least, min(each_hall, renting.most))
+        may_lower = self.demand.idle or self.demand.watched_s >= DEMAND_WINDOW_S
         due = []
         for hall, counts in there.items():
-            due.extend(self._due(renting, hall, True, wanted_spot, counts[True], now))
+            number = wanted_spot if may_lower else max(wanted_spot, counts[True])
+            due.extend(self._due(renting, hall, True, number, counts[True], now))
         for hall, number in self._firm(renting, there, need, now).items():
+            number = number if may_lower else max(number, there[hall][False])
             due.extend(self._due(renting, hall, False, number, there[hall][False], now))
         return due
 
+    @property
+    def need(self) -> int:
+        """Return the servers wanted."""
+        return self.demand.need(max(START_NEED, ceil(START_SHARE * len(self._start))))
+
     def _firm(
         self, renting: Renting, there: dict[str, dict[bool, int]], need: int, now: float
     ) -> dict[str, int]:
@@ -132,11 +152,19 @@
         runs = {hall: counts[True] for hall, counts in there.items()}
         coming = {hall: max(runs[hall], self._coming(renting, hall, now)) for hall in there}
         least = self._gap(coming, need)
-        most = least if self.first_start and self.demand.idle else self._gap(runs, need)
+        most = least
+        if not (self.first_start and self.demand.idle):
+            most = self._lately_most(self._gap(runs, need), now)
         ordered = {hall: self._ordered(hall, there[hall][False]) for hall in there}
         wanted = max(least, min(sum(ordered.values()), most))
         return self._spread(renting, wanted, runs, ordered)
 
+    def _lately_most(self, most: int, now: float) -> int:
+        self._most.append((now, most))
+        while now - self._most[0][0] > GIVE_BACK_S:
+            self._most.popleft()
+        return max(number for _, number in self._most)
+
     def _gap(self, spot: dict[str, int], need: int) -> int:
         """Return the servers that are missing once the hall with most spot servers is gone."""
         left = sum(spot.values()) - max(spot.values())
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -23,7 +23,7 @@
     Share,
     chosen_service,
 )
-from moledale.gateway.renting import Demand, Order, RentingPlanner
+from moledale.gateway.renting import SERVER_TOKENS_PER_S, Demand, Order, RentingPlanner
 from moledale.gateway.retries import RetryBudget
 from moledale.gateway.usage import TrueTime, UsageCounts, total_of
 
@@ -376,7 +376,8 @@
     def planner(self, need: int, first_start: bool = False) -> RentingPlanner:
         planner = RentingPlanner("model", first_start)
         if need:
-            planner.demand._needs.append((0.0, need))
+            for step in range(12):
+                planner.demand.note(step * need * SERVER_TOKENS_PER_S * 0.99 / 2, step / 2 - 6.0)
         return planner
 
     def servers(self, spot: dict[str, int], firm: dict[str, int] | None = None) -> list[Server]:
@@ -411,6 +412,7 @@
         kept = sum(planner.states[hall, False].number or 0 for hall in HALLS)
         self.assertGreaterEqual(kept, 3)
         self.carry_out(planner, self.servers(dict.fromkeys(HALLS, 2), {"b": 3}), 5.0)
+        self.carry_out(planner, self.servers(dict.fromkeys(HALLS, 2), {"b": 3}), 10.0)
         self.assertEqual(sum(planner.states[hall, False].number or 0 for hall in HALLS), 0)
 
     def test_reclaimed_halls_are_made_up_where_it_costs_least(self) -> None:
@@ -453,16 +455,30 @@
         demand = Demand()
         for second in range(10):
             demand.note(second * 100_000.0, float(second))
-        self.assertEqual(demand.need(), 4)
+        self.assertEqual(demand.need(2), 4)
         for second in range(10, 40):
             demand.note(1_000_000.0 + second, float(second))
-        self.assertLess(demand.need(), 4)
+        self.assertLess(demand.need(2), 4)
 
     def test_first_moments_of_demand_give_no_server_back(self) -> None:
         demand = Demand()
         for step in range(10):
             demand.note(step * 1_000.0, step * 0.5)
-            self.assertEqual(demand.need(), 4)
+            self.assertEqual(demand.need(4), 4)
+
+    def test_new_holder_gives_nothing_back_before_it_has_watched_demand(self) -> None:
+        planner = RentingPlanner("model", first_start=True)
+        many = self.servers(dict.fromkeys(HALLS, 5), {"b": 3})
+        for step in range(9):
+            planner.demand.note(5e6 + step * 50_000.0, step * 0.5)
+            self.assertEqual(planner.orders(self.renting, many, step * 0.5), [])
+
+    def test_size_of_the_start_tells_what_to_begin_with(self) -> None:
+        planner = RentingPlanner("model", first_start=True)
+        start = self.servers({}, dict.fromkeys(HALLS, 7))
+        planner.orders(self.renting, start, 0.0)
+        self.assertEqual(planner.need, 13)
+        self.assertEqual(RentingPlanner("model").need, 4)
 
 
 if __name__ == "__main__":
