Move live streams away from servers that leave, with what they have in memory

The list says that a server leaves but not when, so 2.0 s are counted; a first copy runs beside the stream, then the run stops and goes on elsewhere within the same answer.

--- a/src/moledale/gateway/balance.py
+++ b/src/moledale/gateway/balance.py
@@ -138,12 +138,12 @@
         self.work: dict[str, int] = {}
         self._hall = hall
 
-    def apply(self, servers: Iterable[Server]) -> list[str]:
-        """Take over the list of servers; return the ids that are there no more."""
+    def apply(self, servers: Iterable[Server]) -> list[Server]:
+        """Take over the list of servers; return those that are there no more."""
         listed = {server.id: server for server in servers}
-        gone = [name for name in self.views if name not in listed]
-        for name in gone:
-            del self.views[name]
+        gone = [view.server for name, view in self.views.items() if name not in listed]
+        for server in gone:
+            del self.views[server.id]
         for name, server in listed.items():
             known = self.views.get(name)
             if known is None:
--- /dev/null
+++ b/src/moledale/gateway/evacuation.py
@@ -0,0 +1,259 @@
+"""Moving live streams from servers that leave: each node plans for its own.
+
+A stream that should end before its server does is left alone. Any other is moved with what its
+server has in memory: first a copy while it runs, then, with the run stopped, what is new, so that
+the caller sees a short pause; then the same run goes on at the other server within one answer.
+"""
+
+import asyncio
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+import msgspec
+from result import Err, Result
+
+from moledale.gateway.balance import Placement, ServerBook
+from moledale.gateway.messages import RequestFacts, Server
+from moledale.gateway.plan import Engine, PlanIndex
+from moledale.log import Event, emit
+
+USUAL_NOTICE_S = 2.0
+"""Time that a server has left where the list doesn't tell."""
+
+LIST_AGE_S = 0.5
+"""The list's word of a server's time is about this old when it is read."""
+
+END_MARGIN_S = 0.3
+TWO_COPIES_X = 3.0
+"""A copy is made ahead if at least this many times the copy's time is left."""
+
+MOST_AT_ONCE = 3
+CALL_MARGIN_S = 1.0
+FIRST_TOKEN_S = 0.3
+EVENT_S = 0.03
+"""Time between two events where none was seen yet."""
+
+OTHER_HALL_X = 2.0
+
+
+class Moved(msgspec.Struct, frozen=True):
+    """A copy that a run may go on from; `handle` names it at its source."""
+
+    handle: str
+    events: int = 0
+
+
+class MoveRefused(msgspec.Struct, frozen=True):
+    """No copy was made; with `handle` the run was stopped and its source still has the memory."""
+
+    detail: str
+    handle: str = ""
+
+
+class Engines(Protocol):
+    """Orders to model servers."""
+
+    async def move(
+        self, source: str, run: str, target: str, last: bool, timeout_s: float
+    ) -> Result[Moved, MoveRefused]:
+        """Copy a run's memory between two addresses; with `last` the run stops first."""
+        ...
+
+    async def release(self, source: str, handle: str) -> None:
+        """Free a copy that nobody will use."""
+        ...
+
+
+@dataclass(slots=True)
+class Continuation:
+    """Where a run goes on: a server it is already counted on, and what it goes on from."""
+
+    placement: Placement
+    source: str
+    handle: str
+
+
+@dataclass(eq=False, slots=True)
+class StreamRun:
+    """A stream under way; `next` is known once it was stopped to be moved."""
+
+    facts: RequestFacts
+    service: str
+    placement: Placement
+    stride: int = 3
+    events: int = 0
+    stopping: bool = False
+    done: bool = False
+    first_event_at: float = 0.0
+    last_event_at: float = 0.0
+    next: asyncio.Future[Continuation | None] = field(
+        default_factory=lambda: asyncio.get_running_loop().create_future()
+    )
+
+    def note_events(self, number: int, now: float) -> None:
+        """Note that events came."""
+        if not self.events:
+            self.first_event_at = now
+        self.events += number
+        self.last_event_at = now
+
+    def left_s(self, now: float) -> float:
+        """Estimate the time until the stream ends."""
+        most = max(1, self.facts.answer_tokens // self.stride)
+        if self.events < 2:
+            return FIRST_TOKEN_S + most * EVENT_S
+        pace = (self.last_event_at - self.first_event_at) / (self.events - 1)
+        return max(0, most - self.events) * pace - (now - self.last_event_at)
+
+    def tokens(self) -> int:
+        """Return the tokens in the server's memory."""
+        return self.facts.prompt_tokens + self.events * self.stride
+
+
+class Evacuation:
+    """Watches for servers that leave, and moves this node's streams away from them."""
+
+    def __init__(
+        self,
+        engines: Engines,
+        book: ServerBook,
+        index: Callable[[], PlanIndex | None],
+        now: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.runs: set[StreamRun] = set()
+        self._engines = engines
+        self._book = book
+        self._index = index
+        self._now = now
+        self._ends: dict[str, float] = {}
+        self._planned: set[StreamRun] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def servers_changed(self, gone: Iterable[Server] = ()) -> None:
+        """Begin to empty servers that leave; some just go from the list and serve on for a while.
+
+        Servers that crashed go from the list as well; moves from them fail at once.
+        """
+        now = self._now()
+        leaving = {
+            view.server.id: view.server for view in self._book.views.values() if view.server.leaving
+        }
+        self._ends = {name: end for name, end in self._ends.items() if name in leaving or end > now}
+        leaving.update({server.id: server for server in gone})
+        for name, server in leaving.items():
+            engine = self._engine(server.service)
+            if engine is None or not engine.moves or name in self._ends:
+                continue
+            told = server.leaves_s
+            left = USUAL_NOTICE_S if told is None else max(0.0, told - LIST_AGE_S)
+            self._ends[name] = now + left
+            if any(run.placement.view.server.id == name for run in self.runs):
+                task = asyncio.get_running_loop().create_task(self._empty(server, engine))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+
+    def end(self, run: StreamRun) -> None:
+        """Forget a stream that has ended here."""
+        run.done = True
+        self.runs.discard(run)
+        self._planned.discard(run)
+        if run.next.done() and not run.next.cancelled():
+            unused = run.next.result()
+            if unused is not None and not unused.placement.ended:
+                self._free(unused)
+
+    def _free(self, unused: Continuation) -> None:
+        """Give back the place of a copy that is not used, since its caller left."""
+        unused.placement.end()
+        task = asyncio.get_running_loop().create_task(
+            self._engines.release(unused.source, unused.handle)
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _empty(self, server: Server, engine: Engine) -> None:
+        """Move what would not end in time, the most urgent and the smallest first."""
+        limit = asyncio.Semaphore(MOST_AT_ONCE)
+        staying = [run for run in self.runs if run.placement.view.server.id == server.id]
+        ends = self._ends[server.id]
+        now = self._now()
+        late = [run for run in staying if now + run.left_s(now) > ends - END_MARGIN_S]
+        late.sort(key=StreamRun.tokens)
+        emit(
+            Event.EVACUATION,
+            server=server.id,
+            streams=len(staying),
+            to_move=len(late),
+            left_s=round(ends - now, 2),
+        )
+        await asyncio.gather(*(self._move(run, server, engine, limit) for run in late))
+
+    async def _move(
+        self, run: StreamRun, server: Server, engine: Engine, limit: asyncio.Semaphore
+    ) -> None:
+        async with limit:
+            if run.done or run in self._planned:
+                return
+            self._planned.add(run)
+            target = self._book.place(
+                run.service, run.facts, engine, self._now(), frozenset({server.id})
+            )
+            if target is None:
+                return
+            target.first_token()
+            used = await self._copy(run, server, engine, target)
+            if not used:
+                target.end()
+
+    async def _copy(
+        self, run: StreamRun, server: Server, engine: Engine, target: Placement
+    ) -> bool:
+        """Copy ahead if there is time, then stop the run and copy the rest; say if it moved."""
+        address = target.view.server.address
+        copy_s = run.tokens() * engine.token_bytes * 8e-6 / max(1.0, engine.link_mbps)
+        if target.view.server.hall != server.hall:
+            copy_s *= OTHER_HALL_X
+        left = self._ends.get(server.id, self._now()) - self._now()
+        timeout_s = max(left, copy_s) + CALL_MARGIN_S
+        if left > TWO_COPIES_X * copy_s:
+            ahead = await self._engines.move(
+                server.address, run.facts.id, address, False, timeout_s
+            )
+            if isinstance(ahead, Err) or run.done:
+                self._tell(run, server, target, "no copy")
+                return False
+        run.stopping = True
+        outcome = await self._engines.move(server.address, run.facts.id, address, True, timeout_s)
+        if isinstance(outcome, Err):
+            self._settle(run, None)
+            self._tell(run, server, target, outcome.err_value.detail)
+            return False
+        moved = Continuation(target, server.address, outcome.ok_value.handle)
+        self._tell(run, server, target, "moved")
+        if run.done:
+            self._free(moved)
+            return True
+        self._settle(run, moved)
+        return True
+
+    def _settle(self, run: StreamRun, result: Continuation | None) -> None:
+        if not run.next.done():
+            run.next.set_result(result)
+
+    def _tell(self, run: StreamRun, server: Server, target: Placement, outcome: str) -> None:
+        emit(
+            Event.STREAM_SENT_ON,
+            request=run.facts.id,
+            source=server.id,
+            target=target.view.server.id,
+            tokens=run.tokens(),
+            events=run.events,
+            outcome=outcome,
+        )
+
+    def _engine(self, service: str) -> Engine | None:
+        index = self._index()
+        found = index.services.get(service) if index is not None else None
+        return found.engine if found is not None else None
--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -10,6 +10,7 @@
 from moledale.gateway.accounts import AccountLimits
 from moledale.gateway.balance import Placement, ServerBook, note_answer, note_silence
 from moledale.gateway.dialect import Dialect
+from moledale.gateway.evacuation import Continuation, Engines, Evacuation, StreamRun
 from moledale.gateway.events import EventCutter
 from moledale.gateway.messages import (
     AnswerFacts,
@@ -40,6 +41,9 @@
 SPREAD = 0.5
 """Times to come back are spread by this part, so that callers don't come together."""
 
+NO_EVENT = "0"
+"""Id before a stream's first event."""
+
 PROMISES = frozenset({408, 421, 429, 503})
 """Statuses that tell a caller that its request has not run and never will."""
 
@@ -52,6 +56,7 @@
     NOT_RUN = "not run"
     FAILED = "failed"
     BROKEN = "broken"
+    MOVED = "moved"
 
 
 @dataclass(slots=True)
@@ -63,6 +68,7 @@
     body: bytes = b""
     retry_after_s: float | None = None
     why: str = ""
+    next: Continuation | None = None
 
 
 @dataclass(slots=True)
@@ -98,6 +104,7 @@
         book: ServerBook,
         pool: ConnectionPool,
         sharing: Sharing,
+        engines: Engines,
         now: Callable[[], float] = time.monotonic,
     ) -> None:
         self.index: PlanIndex | None = None
@@ -106,6 +113,7 @@
         self._book = book
         self._pool = pool
         self._sharing = sharing
+        self.evacuation = Evacuation(engines, book, lambda: self.index, now)
         self._now = now
         self._random = random.Random()
 
@@ -212,14 +220,18 @@
         """Try servers until one answers or no more may be tried."""
         self._sharing.request(job.service, self._now())
         last = Attempt(Ending.NOT_SENT, why="no server is there")
+        moved: Continuation | None = None
         while True:
-            placement = self._place(job)
+            placement = self._place(job) if moved is None else moved.placement
             if placement is None:
                 break
-            attempt = await self._attempt(job, placement)
+            attempt = await self._attempt(job, placement, moved)
+            moved = attempt.next
             if attempt.ending is Ending.ANSWERED:
                 self._tell_served(job, placement)
                 return
+            if attempt.ending is Ending.MOVED:
+                continue
             last = attempt
             if not self._may_repeat(job, attempt):
                 break
@@ -241,8 +253,16 @@
             return False
         return self._sharing.may_repeat(job.service, self._now())
 
-    async def _attempt(self, job: Job, placement: Placement) -> Attempt:
+    async def _attempt(self, job: Job, placement: Placement, moved: Continuation | None) -> Attempt:
         """Send the request to one server and pass its answer on."""
+        run = StreamRun(job.facts, job.service, placement, events=job.cutter.passed)
+        try:
+            return await self._send_and_read(job, run, moved)
+        finally:
+            self.evacuation.end(run)
+
+    async def _send_and_read(self, job: Job, run: StreamRun, moved: Continuation | None) -> Attempt:
+        placement = run.placement
         view = placement.view
         server = view.server
         job.tried |= {server.id}
@@ -254,11 +274,13 @@
                 note_silence(view, self._now())
                 emit(Event.CONNECT_FAILED, request=job.facts.id, server=server.id, why=str(error))
                 return Attempt(Ending.NOT_SENT, why="no connection")
-            self._send(job, connection, server.id)
+            self._send(job, connection, server.id, moved)
+            if job.route.kind is Kind.STREAM:
+                self.evacuation.runs.add(run)
             try:
-                attempt = await self._read(job, connection, placement)
+                attempt = await self._read(job, connection, run)
             except AnswerCut as error:
-                attempt = self._cut(job, placement, error.cut)
+                attempt = await self._moved(job, run) or self._cut(job, placement, error.cut)
             if attempt.ending is not Ending.ANSWERED:
                 emit(
                     Event.ATTEMPT_ENDED,
@@ -276,27 +298,47 @@
                 connection.abort()
             placement.end()
 
-    def _send(self, job: Job, connection: UpstreamConnection, server_id: str) -> None:
+    async def _moved(self, job: Job, run: StreamRun) -> Attempt | None:
+        """Return where a stream goes on that was stopped to be moved, or None."""
+        if not run.stopping:
+            return None
+        found = await run.next
+        if found is None:
+            return None
+        run.next = asyncio.get_running_loop().create_future()
+        job.cutter.start_again()
+        job.may_have_run = True
+        return Attempt(Ending.MOVED, why="moved", next=found)
+
+    def _send(
+        self,
+        job: Job,
+        connection: UpstreamConnection,
+        server_id: str,
+        moved: Continuation | None,
+    ) -> None:
         now = self._now()
         if job.sends:
             self._sharing.repeat(job.service, now)
         job.sends += 1
         job.offered = True
         after = job.cutter.last_id if job.cutter.passed else ""
+        if moved is not None:
+            after = job.cutter.last_id or NO_EVENT
         facts = AttemptFacts(
             server_id,
             job.caller.account,
             job.left_s(now),
             job.caller.priority,
             after_event=after,
+            continued_from=f"{moved.source}/{moved.handle}" if moved is not None else "",
         )
         body = job.request.body
         connection.send(self._dialect.attempt_head(job.request.head, facts, len(body)) + body)
 
-    async def _read(
-        self, job: Job, connection: UpstreamConnection, placement: Placement
-    ) -> Attempt:
+    async def _read(self, job: Job, connection: UpstreamConnection, run: StreamRun) -> Attempt:
         """Read an answer's head, decide what it means, and read or pass on the rest."""
+        placement = run.placement
         head = await connection.head()
         facts = self._dialect.read_answer(head)
         if facts.closes:
@@ -312,7 +354,7 @@
             connection.usable = False
             return self._cut(job, placement, Cut.GARBLED)
         if job.route.kind is Kind.STREAM and head.status < 300:
-            return await self._pass_stream(job, connection, placement, head)
+            return await self._pass_stream(job, connection, run, head)
         return await self._pass_whole(job, connection, placement, head, facts)
 
     async def _read_whole(self, connection: UpstreamConnection) -> bytes:
@@ -350,9 +392,10 @@
         job.reply.whole(head.status, self._dialect.answer_headers(head), body)
 
     async def _pass_stream(
-        self, job: Job, connection: UpstreamConnection, placement: Placement, head: AnswerHead
+        self, job: Job, connection: UpstreamConnection, run: StreamRun, head: AnswerHead
     ) -> Attempt:
         """Pass events on as they come, whole ones only."""
+        placement = run.placement
         first = True
         while (data := await connection.chunk()) is not None:
             if first:
@@ -362,11 +405,15 @@
                 job.may_have_run = True
                 self._count(job)
                 note_answer(placement.view, False, self._now() - placement.sent_at)
+            passed = job.cutter.passed
             whole = job.cutter.feed(data)
             if whole:
+                run.note_events(job.cutter.passed - passed, self._now())
                 self._begin_stream(job, head)
                 job.reply.send(whole)
                 await job.reply.drained()
+        if run.stopping and connection.ends_by_closing:
+            raise AnswerCut(Cut.CLOSED)
         self._begin_stream(job, head)
         job.reply.send(job.cutter.rest())
         job.reply.finish()
--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -16,6 +16,7 @@
 from moledale.gateway.directory import power_of
 from moledale.gateway.duties import TICK_S, Duties
 from moledale.gateway.entry import Asked, EntryDialect
+from moledale.gateway.evacuation import Engines
 from moledale.gateway.forwarder import Forwarder
 from moledale.gateway.gossip import FleetNews, GossipSocket, Message, StateNews, open_gossip
 from moledale.gateway.inbound import Listener, listen, sweep_forever
@@ -68,6 +69,7 @@
         entry: EntryDialect,
         store: Store,
         orders: Orders,
+        engines: Engines,
     ) -> None:
         node = settings.node
         self.settings = settings
@@ -77,7 +79,7 @@
         self.sharing = Sharing(self.members, settings.bounds)
         self.book = ServerBook(node.hall)
         self.pool = ConnectionPool(time.monotonic)
-        self.forwarder = Forwarder(dialect, self.book, self.pool, self.sharing)
+        self.forwarder = Forwarder(dialect, self.book, self.pool, self.sharing, engines)
         self._entry = entry
         self._store = store
         nonce = f"{node.id}/{self.life:x}"
@@ -370,8 +372,10 @@
         self._fleet_version = version
         digest = xxhash.xxh3_64_intdigest(msgspec.msgpack.encode(_lasting(servers)))
         self._become_ready_with_fleet()
-        for name in self.book.apply(servers):
-            self.pool.forget(name)
+        gone = self.book.apply(servers)
+        for server in gone:
+            self.pool.forget(server.id)
+        self.forwarder.evacuation.servers_changed(gone)
         if digest != self._fleet_digest:
             self._fleet_digest = digest
             emit(
--- a/src/moledale/gateway/upstream.py
+++ b/src/moledale/gateway/upstream.py
@@ -95,6 +95,11 @@
         self._resume_reading()
         return data
 
+    @property
+    def ends_by_closing(self) -> bool:
+        """Say whether only the end of the connection tells the end of the answer."""
+        return self._until_close
+
     def finish(self, now: float) -> bool:
         """End an exchange; say whether the connection may carry another request."""
         whole = self._complete and self.usable and not self.closed
--- a/src/moledale/log.py
+++ b/src/moledale/log.py
@@ -63,6 +63,8 @@
     CALLER_GONE = EventSpec(414, logbook.INFO, "A caller left; its request was cancelled.")
     LIMITED = EventSpec(415, logbook.INFO, "A request was refused by its account's limit.")
     SERVED = EventSpec(416, logbook.INFO, "A request got a server's whole answer.")
+    EVACUATION = EventSpec(417, logbook.INFO, "A server leaves; what must be moved was planned.")
+    STREAM_SENT_ON = EventSpec(418, logbook.INFO, "A stream was to move to another server.")
     SERVERS_CHANGED = EventSpec(420, logbook.INFO, "The list of backend servers changed.")
     USAGE_REPORTED = EventSpec(510, logbook.INFO, "Usage of a window was reported.")
     USAGE_FAILED = EventSpec(511, logbook.WARNING, "Usage of a window could not be reported.")
--- /dev/null
+++ b/src/moledale/platform/engines.py
@@ -0,0 +1,62 @@
+"""Orders to model servers as the platform spells them."""
+
+from urllib.parse import quote
+
+import msgspec
+from result import Err, Ok, Result
+
+from moledale.gateway.calls import HttpCaller
+from moledale.gateway.evacuation import Moved, MoveRefused
+from moledale.gateway.messages import Headers
+from moledale.platform.records import encode
+
+JSON: Headers = [(b"Content-Type", b"application/json")]
+RELEASE_TIMEOUT_S = 1.0
+MOST_CALLERS = 200
+
+
+class MoveRecord(msgspec.Struct, frozen=True):
+    """The answer to a move."""
+
+    handle: str = ""
+    made: int = 0
+
+
+class PlatformEngines:
+    """Moves of runs between model servers."""
+
+    def __init__(self) -> None:
+        self._callers: dict[str, HttpCaller] = {}
+
+    async def move(
+        self, source: str, run: str, target: str, last: bool, timeout_s: float
+    ) -> Result[Moved, MoveRefused]:
+        """Copy a run's memory between two addresses; with `last` the run stops first."""
+        body: dict[str, object] = {"id": run, "targetVersion": target}
+        if last:
+            body["last"] = True
+        outcome = await self._caller(source).call(
+            "POST", "/v1/kv-move", encode(body), JSON, timeout_s
+        )
+        if isinstance(outcome, Err):
+            return Err(MoveRefused(outcome.err_value.detail))
+        answer = outcome.ok_value
+        try:
+            record = msgspec.json.decode(answer.body or b"{}", type=MoveRecord)
+        except msgspec.DecodeError:
+            record = MoveRecord()
+        if answer.status == 200:
+            return Ok(Moved(record.handle, record.made))
+        return Err(MoveRefused(f"status {answer.status}", record.handle))
+
+    async def release(self, source: str, handle: str) -> None:
+        """Free a copy that nobody will use."""
+        path = f"/v1/kv-handle/{quote(handle)}"
+        await self._caller(source).call("DELETE", path, timeout_s=RELEASE_TIMEOUT_S)
+
+    def _caller(self, address: str) -> HttpCaller:
+        if len(self._callers) > MOST_CALLERS:
+            for caller in self._callers.values():
+                caller.close()
+            self._callers.clear()
+        return self._callers.setdefault(address, HttpCaller(address))
--- a/src/moledale/platform/start.py
+++ b/src/moledale/platform/start.py
@@ -7,6 +7,7 @@
 from moledale.gateway.outside import Orders, Store
 from moledale.gateway.settings import GatewaySettings
 from moledale.platform.cloud import PlatformCloud
+from moledale.platform.engines import PlatformEngines
 from moledale.platform.headers import PlatformEntry, PlatformHeaders
 from moledale.platform.store import PlatformStore
 from moledale.ui.gateway import run_gateway
@@ -25,7 +26,7 @@
 def main() -> int:
     """Run a node with the settings that the platform names."""
     path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
-    return run_gateway(path, PlatformHeaders(), PlatformEntry(), _store, _orders)
+    return run_gateway(path, PlatformHeaders(), PlatformEntry(), _store, _orders, PlatformEngines())
 
 
 if __name__ == "__main__":
--- a/src/moledale/ui/gateway.py
+++ b/src/moledale/ui/gateway.py
@@ -11,6 +11,7 @@
 
 from moledale.gateway.dialect import Dialect
 from moledale.gateway.entry import EntryDialect
+from moledale.gateway.evacuation import Engines
 from moledale.gateway.node import GatewayNode
 from moledale.gateway.outside import Orders, Store
 from moledale.gateway.settings import GatewaySettings, load
@@ -25,6 +26,7 @@
     entry: EntryDialect,
     store: Callable[[GatewaySettings], Store],
     orders: Callable[[GatewaySettings], Orders],
+    engines: Engines,
 ) -> int:
     """Run a node until SIGTERM; 2 means that the settings are wrong."""
     settings = load(path)
@@ -34,7 +36,7 @@
         return EXIT_SETTINGS
     value = settings.ok_value
     log_json_to_stdout(value.log_level)
-    node = GatewayNode(value, dialect, entry, store(value), orders(value))
+    node = GatewayNode(value, dialect, entry, store(value), orders(value), engines)
     code: int = uvloop.run(_run(node, path))
     return code
 
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -28,6 +28,7 @@
 from moledale.gateway.pool import ConnectionPool
 from moledale.gateway.settings import Bounds
 from moledale.gateway.sharing import Sharing
+from moledale.platform.engines import PlatformEngines
 from moledale.platform.headers import PlatformHeaders
 
 HOST = "quotes.example"
@@ -162,7 +163,10 @@
         ),
         Route("open", HOST, "/open/", Kind.SAFE, (Share("plain"),), 1.0, 0.2, public=True),
     )
-    services = (Service("plain"), Service("model", engine=Engine(4, 100_000, 1, 1000.0)))
+    services = (
+        Service("plain"),
+        Service("model", engine=Engine(4, 100_000, 1, 1000.0, moves=True)),
+    )
     accounts = (Account("north", (KEY,), None, TOKENS, 200, 100_000.0, 100_000.0),)
     plan = Plan(version, routes, services, accounts, Limits())
     values = {name: getattr(plan, name) for name in Plan.__struct_fields__}
@@ -188,7 +192,9 @@
         self.sharing = Sharing(self.members, self.bounds)
         self.book = ServerBook("hall-a")
         self.pool = ConnectionPool(time.monotonic)
-        self.forwarder = Forwarder(PlatformHeaders(), self.book, self.pool, self.sharing)
+        self.forwarder = Forwarder(
+            PlatformHeaders(), self.book, self.pool, self.sharing, PlatformEngines()
+        )
         if plan is not None:
             self.forwarder.adopt(plan)
         self.servers: dict[str, ScriptedServer] = {}
@@ -234,7 +240,12 @@
             else s
             for s in self._listed
         ]
-        self.book.apply(self._listed)
+        self.forwarder.evacuation.servers_changed(self.book.apply(self._listed))
+
+    def unlist(self, name: str) -> None:
+        """Take a server off the list."""
+        self._listed = [server for server in self._listed if server.id != name]
+        self.forwarder.evacuation.servers_changed(self.book.apply(self._listed))
 
     async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         """Open a caller's connection."""
--- /dev/null
+++ b/tests/test_gateway_evacuation.py
@@ -0,0 +1,157 @@
+"""Live streams survive the announced reclaim of their server, within one answer."""
+
+import asyncio
+import json
+import unittest
+from dataclasses import dataclass, field
+
+from tests.gateway_world import (
+    LAST_CHUNK,
+    Arrival,
+    GatewayWorld,
+    ScriptedServer,
+    a_plan,
+    chunk,
+    event,
+    quietly,
+    read_answer,
+    request_bytes,
+    stream_head,
+)
+
+LENGTH = 40
+TOKENS = {"Token-Count": "100,600"}
+ALL = b"".join(event(number) for number in range(1, LENGTH + 1))
+
+
+@dataclass
+class EnginePair:
+    """Two scripted model servers that move runs as told; `refuses` makes moves fail."""
+
+    refuses: bool = False
+    copies: list[dict[str, object]] = field(default_factory=list)
+    released: list[str] = field(default_factory=list)
+    continued: list[Arrival] = field(default_factory=list)
+    stopped: asyncio.Event = field(default_factory=asyncio.Event)
+    pause_s: float = 0.02
+
+    async def script(
+        self, arrival: Arrival, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serve a stream, a move or a release."""
+        if "/v1/kv-move" in arrival.line:
+            await self._move(arrival, writer)
+        elif "/v1/kv-handle" in arrival.line:
+            self.released.append(arrival.line.split()[1].rsplit("/", 1)[1])
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        else:
+            await self._stream(arrival, writer)
+
+    async def _move(self, arrival: Arrival, writer: asyncio.StreamWriter) -> None:
+        body = json.loads(arrival.body)
+        self.copies.append(body)
+        status, answer = (503, {}) if self.refuses else (200, {"handle": "h1", "made": 3})
+        if body.get("last") and not self.refuses:
+            self.stopped.set()
+            await asyncio.sleep(0.05)
+        data = json.dumps(answer).encode()
+        head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(data)}\r\n\r\n"
+        writer.write(head.encode() + data)
+
+    async def _stream(self, arrival: Arrival, writer: asyncio.StreamWriter) -> None:
+        begin = 0
+        if arrival.get("kv-from"):
+            self.continued.append(arrival)
+            begin = int(arrival.get("last-event-id") or 0)
+        writer.write(stream_head(arrival))
+        for number in range(begin + 1, LENGTH + 1):
+            if self.stopped.is_set() and not begin:
+                writer.write(chunk(event(number)[:5]))
+                await writer.drain()
+                writer.close()
+                return
+            writer.write(chunk(event(number)))
+            await writer.drain()
+            await asyncio.sleep(self.pause_s)
+        writer.write(LAST_CHUNK)
+
+
+class EvacuationTest(unittest.TestCase):
+    async def begin(
+        self, world: GatewayWorld, pair: EnginePair
+    ) -> tuple[ScriptedServer, asyncio.StreamReader, asyncio.StreamWriter]:
+        """Start a stream that may not be resumed, and a second server."""
+        first = await world.server("s1", "model", pair.script)
+        reader, writer = await world.connect()
+        writer.write(request_bytes("/draft/", headers=TOKENS))
+        await first.arrived.wait()
+        await asyncio.sleep(0.1)
+        await world.server("s2", "model", pair.script)
+        return first, reader, writer
+
+    def test_stream_goes_on_at_another_server_and_counts_as_the_same_run(self) -> None:
+        async def work() -> None:
+            for leave in (True, False):
+                pair = EnginePair()
+                async with GatewayWorld(a_plan()) as world:
+                    first, reader, writer = await self.begin(world, pair)
+                    if leave:
+                        world.list_as("s1", leaving=True)
+                    else:
+                        world.unlist("s1")
+                    got = await read_answer(reader)
+                    writer.close()
+                    self.assertEqual((got.status, got.whole), (200, True))
+                    self.assertEqual(got.body, ALL)
+                    self.assertEqual(len(pair.continued), 1)
+                    self.assertEqual(pair.continued[0].get("kv-from"), f"{first.address}/h1")
+                    self.assertEqual(pair.continued[0].get("expect-instance"), "s2")
+                    self.assertEqual([c.get("last", False) for c in pair.copies], [False, True])
+                    self.assertEqual(pair.released, [])
+                    self.assertEqual(world.book.views["s2"].running, 0)
+
+        quietly(work())
+
+    def test_stream_that_ends_in_time_is_left_alone(self) -> None:
+        async def work() -> None:
+            pair = EnginePair(pause_s=0.005)
+            async with GatewayWorld(a_plan()) as world:
+                _, reader, writer = await self.begin(world, pair)
+                world.list_as("s1", leaving=True)
+                got = await read_answer(reader)
+                writer.close()
+                self.assertEqual((got.body, got.whole, pair.copies), (ALL, True, []))
+
+        quietly(work())
+
+    def test_refused_move_leaves_the_stream_where_it_is(self) -> None:
+        async def work() -> None:
+            pair = EnginePair(refuses=True)
+            async with GatewayWorld(a_plan()) as world:
+                _, reader, writer = await self.begin(world, pair)
+                world.list_as("s1", leaving=True)
+                got = await read_answer(reader)
+                writer.close()
+                self.assertEqual((got.body, got.whole), (ALL, True))
+                self.assertEqual(world.book.views["s2"].running, 0)
+
+        quietly(work())
+
+    def test_copy_whose_caller_left_is_released(self) -> None:
+        async def work() -> None:
+            pair = EnginePair()
+            async with GatewayWorld(a_plan()) as world:
+                _, _, writer = await self.begin(world, pair)
+                world.list_as("s1", leaving=True)
+                await pair.stopped.wait()
+                writer.close()
+                await asyncio.sleep(0.3)
+                self.assertEqual(pair.released, ["h1"])
+                self.assertEqual(pair.continued, [])
+                self.assertEqual(world.book.views["s2"].running, 0)
+
+        quietly(work())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -571,7 +571,7 @@
             async with GatewayWorld(a_plan()) as world:
                 await world.server("s1", "plain", fine)
                 gone = world.book.apply([Server("s9", "other", "127.0.0.1:1", "hall-a", 1)])
-                self.assertEqual(gone, ["s1"])
+                self.assertEqual([server.id for server in gone], ["s1"])
                 self.assertEqual((await world.ask("/check/")).status, 503)
 
         quietly(work())
--- a/tests/test_gateway_nodes.py
+++ b/tests/test_gateway_nodes.py
@@ -13,6 +13,7 @@
 from moledale.gateway.peers import Standing
 from moledale.gateway.settings import Bounds, GatewaySettings, Identity, Outside, parse
 from moledale.platform.cloud import PlatformCloud
+from moledale.platform.engines import PlatformEngines
 from moledale.platform.headers import PlatformEntry, PlatformHeaders
 from moledale.platform.store import PlatformStore
 from standins.rows import Mood, RowsPlatform
@@ -122,6 +123,7 @@
             PlatformEntry(),
             PlatformStore(address),
             PlatformCloud(address),
+            PlatformEngines(),
         )
         self.nodes[name] = node
         self._stops[name] = asyncio.Event()
