--- /dev/null
+++ b/tests/test_platform_names.py
@@ -0,0 +1,53 @@
+"""The platform's names stand in its folder only, and that folder is small and decides nothing."""
+
+import ast
+import re
+import unittest
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+SOURCE = ROOT / "src" / "moledale"
+FOLDER = SOURCE / "platform"
+
+NAMES = re.compile(
+    r"rows-tx|rows-get|rows-feed|rows-parts|blob-put|/v1/ready|/v1/resolve|/v1/report|/v1/hold|Fence-Token|Duty-Holder|Server-Stamp"
+    r"|Not-Executed|Expect-Instance|Request-Priority|Kv-From|Kv-Backup|kv-move|kv-handle"
+    r"|Prompt-Prefix|Token-Count|Deadline-Ms|Request-Id|MOLEDALE_NODE_FILE|expectedRev"
+    r"|pathPrefix|apiKeys|ratePerS|maxAttempts|sloMs|timeoutMs|zonePrices|spotPrice"
+    r"|kvTokenBytes|kvCapacity|ttlS|leaves_ms|coldRemainingMs",
+    re.IGNORECASE,
+)
+OWN = {"src/moledale/edge/requests.py: deadline-ms"}
+"""Names that the product's own interface had before and spells the same."""
+
+MOST_LINES = 1_000
+WAITS = {"sleep", "timeout", "timeout_at", "wait_for", "create_task", "random", "monotonic"}
+
+
+class PlatformNamesTest(unittest.TestCase):
+    def test_names_stand_in_the_folder_only(self) -> None:
+        found = [
+            f"{path.relative_to(ROOT)}: {match.group()}"
+            for path in SOURCE.rglob("*.py")
+            if FOLDER not in path.parents and "pb" not in path.parts
+            for match in NAMES.finditer(path.read_text("utf-8"))
+        ]
+        self.assertEqual([line for line in found if line not in OWN], [])
+
+    def test_folder_is_small(self) -> None:
+        lines = sum(len(path.read_text("utf-8").splitlines()) for path in FOLDER.glob("*.py"))
+        self.assertLess(lines, MOST_LINES)
+
+    def test_folder_waits_for_nothing_and_draws_no_lots(self) -> None:
+        for path in FOLDER.glob("*.py"):
+            tree = ast.parse(path.read_text("utf-8"))
+            used = {
+                node.attr if isinstance(node, ast.Attribute) else node.id
+                for node in ast.walk(tree)
+                if isinstance(node, ast.Attribute | ast.Name)
+            }
+            self.assertFalse(used & WAITS, path.name)
+
+
+if __name__ == "__main__":
+    unittest.main()
