Split node and forwarder by job; pass long answers on while they come

A plain answer is held back up to 1 MB so that a cut one can be tried again; a longer one was held whole in memory before, and is passed on in chunks now.

--- /dev/null
+++ b/src/moledale/gateway/admission.py
@@ -0,0 +1,102 @@
+"""Who may send what: the plan in force, routes, keys and limits of accounts."""
+
+import random
+from collections.abc import Callable
+
+from moledale.gateway.accounts import AccountLimits
+from moledale.gateway.dialect import Dialect
+from moledale.gateway.events import EventCutter
+from moledale.gateway.job import Job
+from moledale.gateway.messages import Caller, InboundRequest, Refusal, RequestFacts
+from moledale.gateway.plan import Account, Plan, PlanIndex, Route, chosen_service
+from moledale.gateway.reply import Reply
+from moledale.log import Event, emit
+
+ANSWER_MARGIN_S = 0.03
+"""A final answer leaves this long before the caller's deadline, so that it arrives in time."""
+
+NO_PLAN_AGAIN_S = 0.5
+LEAST_AGAIN_S = 0.05
+SPREAD = 0.5
+"""Times to come back are spread by this part, so that callers don't come together."""
+
+
+def spread(chance: random.Random, seconds: float) -> float:
+    """Return a time to come back, a little later than `seconds` by chance."""
+    return max(LEAST_AGAIN_S, seconds * (1.0 + SPREAD * chance.random()))
+
+
+class Admission:
+    """Checks each request against the newest plan."""
+
+    def __init__(self, dialect: Dialect, now: Callable[[], float]) -> None:
+        self.index: PlanIndex | None = None
+        self.limits = AccountLimits()
+        self._dialect = dialect
+        self._now = now
+        self._random = random.Random()
+
+    def adopt(self, plan: Plan) -> bool:
+        """Put a plan in force unless a newer one is; say whether it is in force now."""
+        if self.index is not None and plan.version <= self.index.version:
+            return False
+        self.index = PlanIndex(plan)
+        return True
+
+    def admit(self, request: InboundRequest, reply: Reply) -> Job | Refusal:
+        """Find route and account, and take from the account's limit."""
+        try:
+            facts = self._dialect.read_request(request.head)
+        except ValueError as error:
+            return Refusal(400, str(error))
+        index = self.index
+        if index is None:
+            return Refusal(503, "no plan is known yet", NO_PLAN_AGAIN_S)
+        host = request.head.get(b"host")
+        if host is None:
+            return Refusal(400, "the Host header is missing")
+        route = index.route(host.decode("latin-1"), request.head.target.decode("latin-1"))
+        if route is None:
+            return Refusal(404, "there is no such route")
+        caller = self._caller(index, route, facts)
+        if isinstance(caller, Refusal):
+            return caller
+        limit = route.time_limit_s
+        if facts.deadline_s is not None:
+            limit = min(limit, facts.deadline_s - ANSWER_MARGIN_S)
+        if limit <= 0:
+            return Refusal(503, "no time is left", LEAST_AGAIN_S)
+        return Job(
+            request,
+            facts,
+            route,
+            caller,
+            chosen_service(route, self._random.random()),
+            request.arrived_at + limit,
+            reply,
+            EventCutter(facts.resumed_after),
+        )
+
+    def _caller(self, index: PlanIndex, route: Route, facts: RequestFacts) -> Caller | Refusal:
+        account = index.account(facts.key) if facts.key else None
+        if account is None:
+            if index.has_accounts and not route.public:
+                return Refusal(401, "the key is not known")
+            return Caller(None, route.priority)
+        wait_s = self.limits.take(account, account.price(facts.tokens), self._now())
+        if wait_s > 0:
+            self._tell_limited(account, facts, wait_s)
+            return Refusal(429, "the account's limit is reached", spread(self._random, wait_s))
+        priority = route.priority if account.priority is None else account.priority
+        return Caller(account.name, priority)
+
+    def _tell_limited(self, account: Account, facts: RequestFacts, wait_s: float) -> None:
+        emit(
+            Event.LIMITED,
+            request=facts.id,
+            account=account.name,
+            price=account.price(facts.tokens),
+            level=round(self.limits.level(account, self._now())),
+            rate_per_s=account.rate_per_s,
+            wait_s=round(wait_s, 3),
+        )
--- /dev/null
+++ b/src/moledale/gateway/fleet_watch.py
@@ -0,0 +1,124 @@
+"""Keeping the list of backend servers: one node reads it and tells all others.
+
+There is no election: each node waits a little longer than the one before it, so the first reads
+while it can, and another does as soon as its news stay away.
+"""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+
+import msgspec
+import xxhash
+from result import Err
+
+from moledale.gateway.gossip import FleetNews
+from moledale.gateway.messages import Server
+from moledale.gateway.outside import Store
+from moledale.gateway.usage import TrueTime
+from moledale.log import Event, emit
+
+READ_EVERY_S = 0.8
+READ_RANK_S = 0.12
+MOST_READ_RANK = 4
+READ_TIMEOUT_S = 0.8
+AGAIN_S = 0.2
+AGAIN_MOST_S = 1.0
+LOOK_S = 0.1
+
+
+class FleetWatch:
+    """Reads or hears the list and hands it on.
+
+    `rank` is this node's turn, `took` gets each list, and `tell` sends news to all other nodes.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        true_time: TrueTime,
+        rank: Callable[[], int],
+        took: Callable[[list[Server]], None],
+        tell: Callable[[FleetNews], None],
+    ) -> None:
+        self.version = -1
+        self._store = store
+        self._true_time = true_time
+        self._rank = rank
+        self._took = took
+        self._tell = tell
+        self._servers: list[Server] = []
+        self._digest = 0
+        self._told = 0
+        self._fresh_at = -1e9
+        self._random = random.Random()
+
+    async def watch(self) -> None:
+        """Read the list whenever it is this node's turn, for ever."""
+        pause = AGAIN_S
+        while True:
+            now = time.monotonic()
+            turn = min(self._rank(), MOST_READ_RANK)
+            due = self._fresh_at + READ_EVERY_S + turn * READ_RANK_S
+            if now < due:
+                await asyncio.sleep(min(LOOK_S, due - now))
+            elif await self._read(now):
+                pause = AGAIN_S
+            else:
+                await asyncio.sleep(pause * (0.5 + self._random.random()))
+                pause = min(2 * pause, AGAIN_MOST_S)
+
+    def heard(self, news: FleetNews) -> None:
+        """Take over a peer's reading."""
+        now = time.monotonic()
+        read_at = now - news.age_s
+        if news.servers is not None:
+            self._take(news.servers, news.version, read_at)
+        elif news.digest == self._digest:
+            self._fresh_at = max(self._fresh_at, read_at)
+            self.version = max(self.version, news.version)
+        if news.digest == self._digest:
+            self._told = self._digest
+
+    async def _read(self, now: float) -> bool:
+        outcome = await self._store.servers(READ_TIMEOUT_S)
+        if isinstance(outcome, Err):
+            return False
+        listed = outcome.ok_value
+        self._true_time.store_read(listed.store_s, now, time.monotonic())
+        self._take(list(listed.servers), listed.version, now)
+        same = self._told == self._digest
+        self._told = self._digest
+        age = time.monotonic() - now
+        servers = None if same else self._servers
+        self._tell(FleetNews(self.version, self._digest, age, servers))
+        return True
+
+    def _take(self, servers: list[Server], version: int, read_at: float) -> None:
+        """Take a list that is not older than the one at hand."""
+        if version < self.version:
+            return
+        self._fresh_at = max(self._fresh_at, read_at)
+        self.version = version
+        self._servers = servers
+        digest = xxhash.xxh3_64_intdigest(msgspec.msgpack.encode(_lasting(servers)))
+        changed = digest != self._digest
+        self._digest = digest
+        self._took(servers)
+        if changed:
+            emit(
+                Event.SERVERS_CHANGED,
+                version=version,
+                there=len(servers),
+                spot=sum(1 for server in servers if server.spot),
+                leaving=[server.id for server in servers if server.leaving],
+            )
+
+
+def _lasting(servers: list[Server]) -> list[Server]:
+    """Return servers without what changes with each heartbeat."""
+    return [
+        msgspec.structs.replace(server, leaves_s=None)
+        for server in sorted(servers, key=lambda server: server.id)
+    ]
--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -1,27 +1,24 @@
-"""One request from its caller to a server and back: admission, attempts, whole answers."""
+"""One request from its caller to a server and back: attempts, whole answers, final answers."""
 
 import asyncio
 import random
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
-from enum import StrEnum
 
 from moledale.gateway.accounts import AccountLimits
+from moledale.gateway.admission import Admission, spread
 from moledale.gateway.balance import Placement, ServerBook, note_answer, note_silence
 from moledale.gateway.dialect import Dialect
 from moledale.gateway.evacuation import Continuation, Engines, Evacuation, StreamRun
-from moledale.gateway.events import EventCutter
+from moledale.gateway.job import Attempt, Ending, Job
 from moledale.gateway.messages import (
     AnswerFacts,
     AnswerHead,
     AttemptFacts,
-    Caller,
     InboundRequest,
     Refusal,
-    RequestFacts,
 )
-from moledale.gateway.plan import Account, Kind, Plan, PlanIndex, Route, chosen_service
+from moledale.gateway.plan import Kind, Plan, PlanIndex
 from moledale.gateway.pool import ConnectionPool
 from moledale.gateway.reply import CHUNKED, Reply
 from moledale.gateway.sharing import Sharing
@@ -31,15 +28,8 @@
 MOST_BUFFERED_BYTES = 1_048_576
 """Plain answers up to this size are read whole before the caller gets a byte of them."""
 
-ANSWER_MARGIN_S = 0.03
-"""A final answer leaves this long before the caller's deadline, so that it arrives in time."""
-
-NO_PLAN_AGAIN_S = 0.5
 NO_SERVER_AGAIN_S = 0.6
 NOT_RUN_AGAIN_S = 0.3
-LEAST_AGAIN_S = 0.05
-SPREAD = 0.5
-"""Times to come back are spread by this part, so that callers don't come together."""
 
 NO_EVENT = "0"
 """Id before a stream's first event."""
@@ -48,53 +38,6 @@
 """Statuses that tell a caller that its request has not run and never will."""
 
 
-class Ending(StrEnum):
-    """How an attempt ended."""
-
-    ANSWERED = "answered"
-    NOT_SENT = "not sent"
-    NOT_RUN = "not run"
-    FAILED = "failed"
-    BROKEN = "broken"
-    MOVED = "moved"
-
-
-@dataclass(slots=True)
-class Attempt:
-    """Outcome of one send; the answer of a server, if there is one to pass on."""
-
-    ending: Ending
-    head: AnswerHead | None = None
-    body: bytes = b""
-    retry_after_s: float | None = None
-    why: str = ""
-    next: Continuation | None = None
-
-
-@dataclass(slots=True)
-class Job:
-    """A request under way: who asks for what, until when, and what was tried."""
-
-    request: InboundRequest
-    facts: RequestFacts
-    route: Route
-    caller: Caller
-    service: str
-    ends_at: float
-    reply: Reply
-    cutter: EventCutter
-    tried: frozenset[str] = frozenset()
-    sends: int = 0
-    may_have_run: bool = False
-    counted: bool = False
-    offered: bool = False
-    taken: float = 0.0
-
-    def left_s(self, now: float) -> float:
-        """Return the time left."""
-        return self.ends_at - now
-
-
 class Forwarder:
     """Carries requests to servers; all nodes' news come in through `sharing`."""
 
@@ -107,8 +50,7 @@
         engines: Engines,
         now: Callable[[], float] = time.monotonic,
     ) -> None:
-        self.index: PlanIndex | None = None
-        self.limits = AccountLimits()
+        self.admission = Admission(dialect, now)
         self._dialect = dialect
         self._book = book
         self._pool = pool
@@ -117,16 +59,23 @@
         self._now = now
         self._random = random.Random()
 
+    @property
+    def index(self) -> PlanIndex | None:
+        """Return the plan in force."""
+        return self.admission.index
+
+    @property
+    def limits(self) -> AccountLimits:
+        """Return the limits of accounts."""
+        return self.admission.limits
+
     def adopt(self, plan: Plan) -> bool:
         """Put a plan in force unless a newer one is; say whether it is in force now."""
-        if self.index is not None and plan.version <= self.index.version:
-            return False
-        self.index = PlanIndex(plan)
-        return True
+        return self.admission.adopt(plan)
 
     async def handle(self, request: InboundRequest, reply: Reply) -> None:
         """Answer one request."""
-        job = self._admit(request, reply)
+        job = self.admission.admit(request, reply)
         if isinstance(job, Refusal):
             self.refuse(reply, request, job)
             return
@@ -139,53 +88,6 @@
             emit(Event.CALLER_GONE, request=job.facts.id, sends=job.sends)
             raise
 
-    def _admit(self, request: InboundRequest, reply: Reply) -> Job | Refusal:
-        """Find route and account, and take from the account's limit."""
-        try:
-            facts = self._dialect.read_request(request.head)
-        except ValueError as error:
-            return Refusal(400, str(error))
-        index = self.index
-        if index is None:
-            return Refusal(503, "no plan is known yet", NO_PLAN_AGAIN_S)
-        host = request.head.get(b"host")
-        if host is None:
-            return Refusal(400, "the Host header is missing")
-        route = index.route(host.decode("latin-1"), request.head.target.decode("latin-1"))
-        if route is None:
-            return Refusal(404, "there is no such route")
-        caller = self._caller(index, route, facts)
-        if isinstance(caller, Refusal):
-            return caller
-        limit = route.time_limit_s
-        if facts.deadline_s is not None:
-            limit = min(limit, facts.deadline_s - ANSWER_MARGIN_S)
-        if limit <= 0:
-            return Refusal(503, "no time is left", LEAST_AGAIN_S)
-        return Job(
-            request,
-            facts,
-            route,
-            caller,
-            chosen_service(route, self._random.random()),
-            request.arrived_at + limit,
-            reply,
-            EventCutter(facts.resumed_after),
-        )
-
-    def _caller(self, index: PlanIndex, route: Route, facts: RequestFacts) -> Caller | Refusal:
-        account = index.account(facts.key) if facts.key else None
-        if account is None:
-            if index.has_accounts and not route.public:
-                return Refusal(401, "the key is not known")
-            return Caller(None, route.priority)
-        wait_s = self.limits.take(account, account.price(facts.tokens), self._now())
-        if wait_s > 0:
-            self._tell_limited(account, facts, wait_s)
-            return Refusal(429, "the account's limit is reached", self._spread(wait_s))
-        priority = route.priority if account.priority is None else account.priority
-        return Caller(account.name, priority)
-
     def _tell_served(self, job: Job, placement: Placement) -> None:
         now = self._now()
         first = placement.first_at or now
@@ -205,17 +107,6 @@
             ms=round((now - job.request.arrived_at) * 1000),
         )
 
-    def _tell_limited(self, account: Account, facts: RequestFacts, wait_s: float) -> None:
-        emit(
-            Event.LIMITED,
-            request=facts.id,
-            account=account.name,
-            price=account.price(facts.tokens),
-            level=round(self.limits.level(account, self._now())),
-            rate_per_s=account.rate_per_s,
-            wait_s=round(wait_s, 3),
-        )
-
     async def _carry(self, job: Job) -> None:
         """Try servers until one answers or no more may be tried."""
         self._sharing.request(job.service, self._now())
@@ -371,7 +262,7 @@
         head: AnswerHead,
         facts: AnswerFacts,
     ) -> Attempt:
-        body = await self._read_whole(connection)
+        body, whole = await self._read_some(connection)
         now = self._now()
         failed = head.status >= 500
         note_answer(placement.view, failed, now - placement.sent_at)
@@ -379,11 +270,37 @@
         self._count(job)
         if failed and job.reply.begun:
             return Attempt(Ending.FAILED, head, body, why=str(head.status))
-        if failed and job.route.repeatable and job.sends < job.route.max_servers:
+        if failed and whole and job.route.repeatable and job.sends < job.route.max_servers:
             return Attempt(Ending.FAILED, head, body, why=str(head.status))
-        self._pass(job, head, body)
+        if whole:
+            self._pass(job, head, body)
+        else:
+            await self._pass_long(job, connection, head, body)
         return Attempt(Ending.ANSWERED)
 
+    async def _read_some(self, connection: UpstreamConnection) -> tuple[bytes, bool]:
+        """Read a body up to the bound; say whether that is all of it."""
+        parts: list[bytes] = []
+        size = 0
+        while size <= MOST_BUFFERED_BYTES:
+            data = await connection.chunk()
+            if data is None:
+                return b"".join(parts), True
+            parts.append(data)
+            size += len(data)
+        return b"".join(parts), False
+
+    async def _pass_long(
+        self, job: Job, connection: UpstreamConnection, head: AnswerHead, begin: bytes
+    ) -> None:
+        """Pass a long answer on while it comes; what is cut then can't look whole."""
+        job.reply.start(head.status, self._dialect.answer_headers(head), CHUNKED)
+        job.reply.send(begin)
+        while (data := await connection.chunk()) is not None:
+            job.reply.send(data)
+            await job.reply.drained()
+        job.reply.finish()
+
     def _pass(self, job: Job, head: AnswerHead, body: bytes) -> None:
         """Pass a server's whole answer on; its promises are not ours to repeat."""
         if head.status in PROMISES:
@@ -448,7 +365,7 @@
             again = last.retry_after_s if last.retry_after_s is not None else NOT_RUN_AGAIN_S
             if last.ending is Ending.NOT_SENT:
                 again = NO_SERVER_AGAIN_S
-            self._give_up(job, Refusal(503, last.why, self._spread(again)))
+            self._give_up(job, Refusal(503, last.why, spread(self._random, again)))
 
     def _give_up(self, job: Job, refusal: Refusal) -> None:
         if job.reply.begun:
@@ -475,6 +392,3 @@
         body = b'{"error":"%s"}' % refusal.reason.encode()
         headers = self._dialect.refusal_headers(name, refusal.retry_after_s)
         reply.whole(refusal.status, headers, body)
-
-    def _spread(self, seconds: float) -> float:
-        return max(LEAST_AGAIN_S, seconds * (1.0 + SPREAD * self._random.random()))
--- /dev/null
+++ b/src/moledale/gateway/job.py
@@ -0,0 +1,56 @@
+"""A request under way, and how each send of it ended."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from moledale.gateway.evacuation import Continuation
+from moledale.gateway.events import EventCutter
+from moledale.gateway.messages import AnswerHead, Caller, InboundRequest, RequestFacts
+from moledale.gateway.plan import Route
+from moledale.gateway.reply import Reply
+
+
+class Ending(StrEnum):
+    """How an attempt ended."""
+
+    ANSWERED = "answered"
+    NOT_SENT = "not sent"
+    NOT_RUN = "not run"
+    FAILED = "failed"
+    BROKEN = "broken"
+    MOVED = "moved"
+
+
+@dataclass(slots=True)
+class Attempt:
+    """Outcome of one send; the answer of a server, if there is one to pass on."""
+
+    ending: Ending
+    head: AnswerHead | None = None
+    body: bytes = b""
+    retry_after_s: float | None = None
+    why: str = ""
+    next: Continuation | None = None
+
+
+@dataclass(slots=True)
+class Job:
+    """A request under way: who asks for what, until when, and what was tried."""
+
+    request: InboundRequest
+    facts: RequestFacts
+    route: Route
+    caller: Caller
+    service: str
+    ends_at: float
+    reply: Reply
+    cutter: EventCutter
+    tried: frozenset[str] = frozenset()
+    sends: int = 0
+    may_have_run: bool = False
+    counted: bool = False
+    offered: bool = False
+
+    def left_s(self, now: float) -> float:
+        """Return the time left."""
+        return self.ends_at - now
--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -6,27 +6,28 @@
 import time
 
 import msgspec
-import xxhash
-from result import Err, Ok
+from result import Ok
 
 from moledale.clock import SystemClock
 from moledale.gateway.balance import ServerBook
-from moledale.gateway.calls import HttpCaller
 from moledale.gateway.dialect import Dialect
 from moledale.gateway.directory import power_of
 from moledale.gateway.duties import TICK_S, Duties
-from moledale.gateway.entry import Asked, EntryDialect
+from moledale.gateway.entry import EntryDialect
 from moledale.gateway.evacuation import Engines
+from moledale.gateway.fleet_watch import FleetWatch
 from moledale.gateway.forwarder import Forwarder
 from moledale.gateway.gossip import FleetNews, GossipSocket, Message, StateNews, open_gossip
 from moledale.gateway.inbound import Listener, listen, sweep_forever
 from moledale.gateway.lease_keeper import LeaseKeeper
 from moledale.gateway.messages import InboundRequest, Refusal, Server
 from moledale.gateway.neighbours import ROUND_S, Neighbours
-from moledale.gateway.outside import Orders, PlanNews, Store
+from moledale.gateway.outside import Orders, Store
 from moledale.gateway.peers import Membership, NodeState, Standing
 from moledale.gateway.plan import Limits, Plan
+from moledale.gateway.plan_watch import PlanWatch
 from moledale.gateway.pool import ConnectionPool
+from moledale.gateway.questions import Questions
 from moledale.gateway.reply import Reply
 from moledale.gateway.settings import GatewaySettings
 from moledale.gateway.sharing import Sharing
@@ -34,14 +35,7 @@
 from moledale.node.supervisor import Supervisor
 
 MEMBER_TABLE = "members"
-PLAN_PATH = b"/peer/plan"
-METRICS_PATH = b"/metrics"
-
-READ_EVERY_S = 0.8
-READ_RANK_S = 0.12
-MOST_READ_RANK = 4
-READ_TIMEOUT_S = 0.8
-WATCH_S = 3.0
+STORE_TIMEOUT_S = 0.8
 AGAIN_S = 0.2
 AGAIN_MOST_S = 1.0
 POOL_SWEEP_S = 0.5
@@ -80,7 +74,6 @@
         self.book = ServerBook(node.hall)
         self.pool = ConnectionPool(time.monotonic)
         self.forwarder = Forwarder(dialect, self.book, self.pool, self.sharing, engines)
-        self._entry = entry
         self._store = store
         nonce = f"{node.id}/{self.life:x}"
         self.keeper = LeaseKeeper(node.id, store, settings.bounds, nonce)
@@ -99,12 +92,13 @@
         self._gossip: GossipSocket | None = None
         self._random = random.Random()
         self._sequence = 0
-        self._raw_plan = b""
-        self._plan_peer: str | None = None
-        self._fleet_version = -1
-        self._fleet_digest = 0
-        self._fleet_fresh_at = -1e9
-        self._fleet_told = 0
+        self.plans = PlanWatch(store, self.sharing.true_time, self._adopt)
+        self.fleet = FleetWatch(
+            store, self.sharing.true_time, self._reading_turn, self._took_fleet, self._tell_fleet
+        )
+        self._questions = Questions(
+            entry, self.neighbours, self.plans, self.pool, settings.bounds.address_ttl_s
+        )
         self._leaving_since: float | None = None
         self._callers = Listener(self._handle, self._limits, time.monotonic)
         self._others = Listener(self._answer_question, self._limits, time.monotonic)
@@ -141,8 +135,9 @@
             self.neighbours.addresses.add(f"{seed.rpartition(':')[0]}:{port}", now)
         start = self.supervisor.start
         start("gossip", self._gossip_forever)
-        start("plan", self._watch_plan_forever)
-        start("fleet", self._read_fleet_forever)
+        start("plan", self.plans.watch)
+        start("plan of peers", self.plans.fetch)
+        start("fleet", self.fleet.watch)
         start("members", self._register)
         start("duties", self._duties_forever)
         start("pool", self._sweep_pool_forever)
@@ -239,7 +234,7 @@
     def _heard(self, message: Message) -> None:
         now = time.monotonic()
         if isinstance(message, FleetNews):
-            self._heard_fleet(message, now)
+            self.fleet.heard(message)
             return
         state = message.state
         stranger = state.id not in self.members.members
@@ -256,7 +251,7 @@
             self.keeper.gave_up(state.id, now)
         index = self.forwarder.index
         if state.plan_version > (index.version if index is not None else -1):
-            self._plan_peer = state.control
+            self.plans.peer_has_newer(state.control)
 
     def serving_nodes(self) -> list[NodeState]:
         """Return the nodes that callers should use."""
@@ -271,9 +266,9 @@
             if not registered:
                 value = node.peers.encode()
                 registered = (
-                    await self._store.put(MEMBER_TABLE, node.id, value, READ_TIMEOUT_S) is None
+                    await self._store.put(MEMBER_TABLE, node.id, value, STORE_TIMEOUT_S) is None
                 )
-            outcome = await self._store.read(MEMBER_TABLE, READ_TIMEOUT_S)
+            outcome = await self._store.read(MEMBER_TABLE, STORE_TIMEOUT_S)
             if isinstance(outcome, Ok):
                 read = True
                 now = time.monotonic()
@@ -282,132 +277,34 @@
             await asyncio.sleep(pause * (0.5 + self._random.random()))
             pause = min(2 * pause, AGAIN_MOST_S)
 
-    # The plan
+    # The plan and the list of backend servers
 
-    async def _watch_plan_forever(self) -> None:
-        position: int | None = None
-        while True:
-            sent_at = time.monotonic()
-            if position is None:
-                outcome = await self._store.plan(READ_TIMEOUT_S)
-            else:
-                outcome = await self._store.watch_plan(position, WATCH_S)
-            if isinstance(outcome, Ok):
-                news = outcome.ok_value
-                if position is None:
-                    now = time.monotonic()
-                    self.sharing.true_time.store_read(news.store_s, sent_at, now)
-                position = news.position
-                self._adopt(news)
-                continue
-            position = None
-            await asyncio.sleep(AGAIN_S * (0.5 + self._random.random()))
-
-    def _adopt(self, news: PlanNews) -> None:
-        if news.plan is not None:
-            self._adopt_plan(news.plan, news.raw)
-
-    def _adopt_plan(self, plan: Plan, raw: bytes) -> None:
+    def _adopt(self, plan: Plan) -> bool:
         if not self.forwarder.adopt(plan):
-            return
-        self._raw_plan = raw
-        emit(
-            Event.BUNDLE_ADOPTED,
-            version=plan.version,
-            limits={each.name: (each.rate_per_s, each.burst) for each in plan.accounts},
-        )
+            return False
         self._become_ready()
         self._tell_state()
+        return True
 
-    def _become_ready(self) -> None:
-        if self.standing is Standing.STARTING and self._fleet_version >= 0:
-            self.standing = Standing.READY
-            emit(Event.READY, node=self.settings.node.id)
+    def _reading_turn(self) -> int:
+        return self.neighbours.rank(self._state(), time.monotonic(), reserve_first=False)
 
-    async def _fetch_plan(self) -> None:
-        """Take a newer plan from a peer that told of it."""
-        peer, self._plan_peer = self._plan_peer, None
-        if peer is None:
-            return
-        caller = HttpCaller(peer)
-        outcome = await caller.call("GET", PLAN_PATH.decode(), timeout_s=READ_TIMEOUT_S)
-        caller.close()
-        if isinstance(outcome, Err) or outcome.ok_value.status != 200:
-            return
-        try:
-            plan = self._store.decode_plan(outcome.ok_value.body)
-        except ValueError as error:
-            emit(Event.BUNDLE_REFUSED, why=str(error))
-            return
-        self._adopt_plan(plan, outcome.ok_value.body)
-
-    # The list of backend servers
-
-    async def _read_fleet_forever(self) -> None:
-        pause = AGAIN_S
-        while True:
-            now = time.monotonic()
-            rank = min(self.neighbours.rank(self._state(), now, False), MOST_READ_RANK)
-            due = self._fleet_fresh_at + READ_EVERY_S + rank * READ_RANK_S
-            if self._plan_peer is not None:
-                await self._fetch_plan()
-            if now < due:
-                await asyncio.sleep(min(0.1, due - now))
-                continue
-            outcome = await self._store.servers(READ_TIMEOUT_S)
-            if isinstance(outcome, Err):
-                await asyncio.sleep(pause * (0.5 + self._random.random()))
-                pause = min(2 * pause, AGAIN_MOST_S)
-                continue
-            pause = AGAIN_S
-            listed = outcome.ok_value
-            self.sharing.true_time.store_read(listed.store_s, now, time.monotonic())
-            self._take_fleet(list(listed.servers), listed.version, now)
-            self._tell_fleet(now)
-
-    def _take_fleet(self, servers: list[Server], version: int, read_at: float) -> None:
-        self._fleet_fresh_at = max(self._fleet_fresh_at, read_at)
-        if version < self._fleet_version:
-            return
-        self._fleet_version = version
-        digest = xxhash.xxh3_64_intdigest(msgspec.msgpack.encode(_lasting(servers)))
-        self._become_ready_with_fleet()
+    def _took_fleet(self, servers: list[Server]) -> None:
         gone = self.book.apply(servers)
         for server in gone:
             self.pool.forget(server.id)
         self.forwarder.evacuation.servers_changed(gone)
-        if digest != self._fleet_digest:
-            self._fleet_digest = digest
-            emit(
-                Event.SERVERS_CHANGED,
-                version=version,
-                there=len(servers),
-                spot=sum(1 for server in servers if server.spot),
-                leaving=[server.id for server in servers if server.leaving],
-            )
-
-    def _become_ready_with_fleet(self) -> None:
-        if self.forwarder.index is not None:
-            self._become_ready()
-
-    def _tell_fleet(self, read_at: float) -> None:
-        same = self._fleet_told == self._fleet_digest
-        self._fleet_told = self._fleet_digest
-        servers = None if same else [view.server for view in self.book.views.values()]
-        age = time.monotonic() - read_at
-        news = FleetNews(self._fleet_version, self._fleet_digest, age, servers)
+        self._become_ready()
+
+    def _tell_fleet(self, news: FleetNews) -> None:
         if self._gossip is not None:
             self._gossip.tell(news, self.neighbours.everyone(time.monotonic()))
 
-    def _heard_fleet(self, news: FleetNews, now: float) -> None:
-        read_at = now - news.age_s
-        if news.servers is not None:
-            self._take_fleet(news.servers, news.version, read_at)
-        elif news.digest == self._fleet_digest:
-            self._fleet_fresh_at = max(self._fleet_fresh_at, read_at)
-            self._fleet_version = max(self._fleet_version, news.version)
-        if news.digest == self._fleet_digest:
-            self._fleet_told = self._fleet_digest
+    def _become_ready(self) -> None:
+        known = self.forwarder.index is not None and self.fleet.version >= 0
+        if self.standing is Standing.STARTING and known:
+            self.standing = Standing.READY
+            emit(Event.READY, node=self.settings.node.id)
 
     # Duties and upkeep
 
@@ -424,51 +321,5 @@
             await asyncio.sleep(POOL_SWEEP_S)
             self.pool.sweep()
 
-    # Questions
-
     async def _answer_question(self, request: InboundRequest, reply: Reply) -> None:
-        if request.head.target == PLAN_PATH:
-            status = 200 if self._raw_plan else 503
-            reply.whole(status, [], self._raw_plan)
-            return
-        if request.head.target == METRICS_PATH:
-            reply.whole(200, [(b"Content-Type", b"text/plain")], self._metrics().encode())
-            return
-        question = self._entry.read_question(request.head)
-        if question is None:
-            reply.whole(404, [], b"")
-        elif question.about is Asked.READY:
-            reply.whole(200 if self.standing is Standing.READY else 503, [], b"")
-        else:
-            self._answer_addresses(reply)
-
-    def _answer_addresses(self, reply: Reply) -> None:
-        now = time.monotonic()
-        own = self._state()
-        addresses = [each.address for each in self.neighbours.serving_nodes(own, now)]
-        if not addresses or not self.neighbours.knows_enough(own, now):
-            reply.whole(503, [], b"")
-            return
-        headers, body = self._entry.addresses(addresses, self.settings.bounds.address_ttl_s)
-        reply.whole(200, headers, body)
-
-    def _metrics(self) -> str:
-        index = self.forwarder.index
-        figures = {
-            "plan_version": index.version if index is not None else -1,
-            "standing": int(self.standing),
-            "connections": len(self._callers.connections),
-            "busy": self._callers.busy(),
-            "upstream_opened_total": self.pool.opened,
-            "servers": len(self.book.views),
-            "peers": len(self.members.alive(time.monotonic())),
-        }
-        return "".join(f"moledale_{name} {value}\n" for name, value in figures.items())
-
-
-def _lasting(servers: list[Server]) -> list[Server]:
-    """Return servers without what changes with each heartbeat."""
-    return [
-        msgspec.structs.replace(server, leaves_s=None)
-        for server in sorted(servers, key=lambda server: server.id)
-    ]
+        self._questions.answer(request, reply, self._state(), self._callers)
--- /dev/null
+++ b/src/moledale/gateway/questions.py
@@ -0,0 +1,71 @@
+"""Answers to what callers and the platform ask a node: where to go, and whether it is ready."""
+
+import time
+
+from moledale.gateway.entry import Asked, EntryDialect
+from moledale.gateway.inbound import Listener
+from moledale.gateway.messages import InboundRequest
+from moledale.gateway.neighbours import Neighbours
+from moledale.gateway.peers import NodeState, Standing
+from moledale.gateway.plan_watch import PLAN_PATH, PlanWatch
+from moledale.gateway.pool import ConnectionPool
+from moledale.gateway.reply import Reply
+
+METRICS_PATH = b"/metrics"
+
+
+class Questions:
+    """Answers one request at a time from what the node knows."""
+
+    def __init__(
+        self,
+        entry: EntryDialect,
+        neighbours: Neighbours,
+        plans: PlanWatch,
+        pool: ConnectionPool,
+        address_ttl_s: float,
+    ) -> None:
+        self._entry = entry
+        self._neighbours = neighbours
+        self._plans = plans
+        self._pool = pool
+        self._address_ttl_s = address_ttl_s
+
+    def answer(
+        self, request: InboundRequest, reply: Reply, own: NodeState, callers: Listener
+    ) -> None:
+        """Answer a question."""
+        if request.head.target == PLAN_PATH:
+            reply.whole(200 if self._plans.raw else 503, [], self._plans.raw)
+            return
+        if request.head.target == METRICS_PATH:
+            reply.whole(200, [(b"Content-Type", b"text/plain")], self._metrics(own, callers))
+            return
+        question = self._entry.read_question(request.head)
+        if question is None:
+            reply.whole(404, [], b"")
+        elif question.about is Asked.READY:
+            reply.whole(200 if own.standing == Standing.READY else 503, [], b"")
+        else:
+            self._tell_addresses(reply, own)
+
+    def _tell_addresses(self, reply: Reply, own: NodeState) -> None:
+        now = time.monotonic()
+        addresses = [each.address for each in self._neighbours.serving_nodes(own, now)]
+        if not addresses or not self._neighbours.knows_enough(own, now):
+            reply.whole(503, [], b"")
+            return
+        headers, body = self._entry.addresses(addresses, self._address_ttl_s)
+        reply.whole(200, headers, body)
+
+    def _metrics(self, own: NodeState, callers: Listener) -> bytes:
+        figures = {
+            "plan_version": own.plan_version,
+            "standing": own.standing,
+            "serving": int(own.serving),
+            "connections": len(callers.connections),
+            "busy": callers.busy(),
+            "upstream_opened_total": self._pool.opened,
+            "peers": len(self._neighbours.members.alive(time.monotonic())),
+        }
+        return "".join(f"moledale_{name} {value}\n" for name, value in figures.items()).encode()
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -157,6 +157,28 @@
 
         quietly(work())
 
+    def test_long_answer_is_passed_on_while_it_comes(self) -> None:
+        body = bytes(3_000_000)
+
+        async def long(arrival: Arrival, _: Reader, writer: Writer) -> None:
+            writer.write(answer(arrival, body))
+
+        async def long_and_cut(arrival: Arrival, _: Reader, writer: Writer) -> None:
+            writer.write(answer(arrival, body)[:2_500_000])
+            await writer.drain()
+            writer.close()
+
+        async def work() -> None:
+            async with GatewayWorld(a_plan()) as world:
+                server = await world.server("s1", "plain", long)
+                got = await world.ask("/order/")
+                self.assertEqual((got.status, got.whole, len(got.body)), (200, True, len(body)))
+                server.script = long_and_cut
+                got = await world.ask("/order/", request_id="r2")
+                self.assertEqual((got.status, got.whole), (200, False))
+
+        quietly(work())
+
     def test_surplus_bytes_belong_to_no_request(self) -> None:
         async def answers_twice(arrival: Arrival, _: Reader, writer: Writer) -> None:
             writer.write(answer(arrival) + answer(arrival, b"not yours"))
--- a/tests/test_gateway_nodes.py
+++ b/tests/test_gateway_nodes.py
@@ -226,7 +226,7 @@
         async def work(cluster: Cluster) -> None:
             cluster.platform.drop("op", "config")
             node = await cluster.start("n1")
-            await until(lambda: node._fleet_version >= 0)
+            await until(lambda: node.fleet.version >= 0)
             self.assertEqual((await cluster.ask("n1")).status, 503)
             self.assertIs(node.standing, Standing.STARTING)
             cluster.platform.put("op", "config", config(1))
@@ -250,7 +250,7 @@
             await until(lambda: ready(first)() and ready(second)())
             silent = RowsPlatform(mood=Mood.SILENT)
             await silent.start()
-            second._store = PlatformStore(silent.address)
+            second.plans._store = PlatformStore(silent.address)
             cluster.platform.put("op", "config", config(4))
             await until(lambda: version_of(second) == 4, 2.0)
             await silent.stop()
