moledale explain: a request's story from logs; full buckets at the first start of all

Cause of the second: requests inside their limit were refused in the first second, since a bucket began with 0.4 of its burst though nothing had been spent.

--- a/src/moledale/gateway/accounts.py
+++ b/src/moledale/gateway/accounts.py
@@ -11,7 +11,10 @@
 from moledale.gateway.plan import Account
 
 START_SHARE = 0.4
-"""Part of the burst that a bucket holds when its node starts and can't know what was spent."""
+"""Part of the burst that a bucket holds when its node starts and can't know what was spent.
+
+When the whole system starts for the first time nothing was, so buckets are full.
+"""
 
 MOST_DEBT_S = 4.0
 """What others spent beyond the limit holds requests back for at most this long."""
@@ -39,7 +42,8 @@
 class AccountLimits:
     """Buckets of all accounts, and how much this life of the node has spent of each."""
 
-    def __init__(self) -> None:
+    def __init__(self, start_share: float = START_SHARE) -> None:
+        self._start_share = start_share
         self.spent: dict[str, float] = {}
         self._buckets: dict[str, Bucket] = {}
 
@@ -74,7 +78,7 @@
         burst = account.burst or account.rate_per_s
         bucket = self._buckets.get(account.name)
         if bucket is None:
-            bucket = Bucket(account.rate_per_s, burst, burst * START_SHARE, now)
+            bucket = Bucket(account.rate_per_s, burst, burst * self._start_share, now)
             self._buckets[account.name] = bucket
         elif bucket.rate != account.rate_per_s or bucket.burst != burst:
             bucket.refill(now)
--- a/src/moledale/gateway/admission.py
+++ b/src/moledale/gateway/admission.py
@@ -2,8 +2,9 @@
 
 import random
 from collections.abc import Callable
+from dataclasses import replace
 
-from moledale.gateway.accounts import AccountLimits
+from moledale.gateway.accounts import START_SHARE, AccountLimits
 from moledale.gateway.dialect import Dialect
 from moledale.gateway.events import EventCutter
 from moledale.gateway.job import Job
@@ -29,9 +30,11 @@
 class Admission:
     """Checks each request against the newest plan."""
 
-    def __init__(self, dialect: Dialect, now: Callable[[], float]) -> None:
+    def __init__(
+        self, dialect: Dialect, now: Callable[[], float], first_start: bool = False
+    ) -> None:
         self.index: PlanIndex | None = None
-        self.limits = AccountLimits()
+        self.limits = AccountLimits(1.0 if first_start else START_SHARE)
         self._dialect = dialect
         self._now = now
         self._random = random.Random()
@@ -49,6 +52,12 @@
             facts = self._dialect.read_request(request.head)
         except ValueError as error:
             return Refusal(400, str(error))
+        checked = self._check(request, reply, facts)
+        if isinstance(checked, Refusal):
+            return replace(checked, request=facts.id)
+        return checked
+
+    def _check(self, request: InboundRequest, reply: Reply, facts: RequestFacts) -> Job | Refusal:
         index = self.index
         if index is None:
             return Refusal(503, "no plan is known yet", NO_PLAN_AGAIN_S)
--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -49,8 +49,9 @@
         sharing: Sharing,
         engines: Engines,
         now: Callable[[], float] = time.monotonic,
+        first_start: bool = False,
     ) -> None:
-        self.admission = Admission(dialect, now)
+        self.admission = Admission(dialect, now, first_start)
         self._dialect = dialect
         self._book = book
         self._pool = pool
@@ -77,7 +78,7 @@
         """Answer one request."""
         job = self.admission.admit(request, reply)
         if isinstance(job, Refusal):
-            self.refuse(reply, request, job)
+            self.refuse(reply, request, job, job.request)
             return
         try:
             async with asyncio.timeout(max(0.0, job.left_s(self._now()))):
--- a/src/moledale/gateway/messages.py
+++ b/src/moledale/gateway/messages.py
@@ -110,6 +110,7 @@
     status: int
     reason: str
     retry_after_s: float | None = None
+    request: str = ""
 
 
 @dataclass(slots=True)
--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -73,7 +73,9 @@
         self.sharing = Sharing(self.members, settings.bounds)
         self.book = ServerBook(node.hall)
         self.pool = ConnectionPool(time.monotonic)
-        self.forwarder = Forwarder(dialect, self.book, self.pool, self.sharing, engines)
+        self.forwarder = Forwarder(
+            dialect, self.book, self.pool, self.sharing, engines, first_start=node.first_start
+        )
         self._store = store
         nonce = f"{node.id}/{self.life:x}"
         self.keeper = LeaseKeeper(node.id, store, settings.bounds, nonce)
--- a/src/moledale/ui/cli.py
+++ b/src/moledale/ui/cli.py
@@ -9,8 +9,9 @@
 from result import Err
 
 from moledale import __version__
+from moledale.gateway.settings import load as load_gateway
 from moledale.settings import load, read_secrets
-from moledale.ui import bundle_commands, fleet_commands
+from moledale.ui import bundle_commands, explain_command, fleet_commands
 from moledale.ui.client import NodeClient
 from moledale.ui.output import Exit, print_json, report_findings
 
@@ -81,11 +82,15 @@
     commands = settings.add_subparsers(required=True, metavar="COMMAND")
     check = _add(commands, "check", _check_settings, "validate a settings file")
     check.add_argument("file", metavar="FILE", type=Path)
+    check.add_argument("--gateway", action="store_true", help="the file is a gateway node's")
     check.add_argument("--secrets", action="store_true", help="read the secrets too")
     report = groups.add_parser("report", help="reports over all nodes")
     commands = report.add_subparsers(required=True, metavar="COMMAND")
     burn = _add_remote(commands, "burn", fleet_commands.report_burn, "error-budget burn")
     burn.add_argument("--plot", metavar="FILE", help="draw it too: .svg, .png or .pdf")
+    explain = _add(groups, "explain", explain_command.explain, "tell a request's story from logs")
+    explain.add_argument("request", metavar="REQUEST-ID")
+    explain.add_argument("files", metavar="FILE", nargs="+", help="logs of nodes, or -")
     key = groups.add_parser("key", help="operators' keys")
     commands = key.add_subparsers(required=True, metavar="COMMAND")
     new = _add(commands, "new", bundle_commands.new_key, "make a key pair")
@@ -118,6 +123,8 @@
 
 def _check_settings(options: argparse.Namespace) -> Exit:
     """Validate a settings file, and with --secrets that each secret can be read."""
+    if options.gateway:
+        return _check_gateway(options)
     settings = load(options.file)
     if isinstance(settings, Err):
         return report_findings(settings.err_value, options.json)
@@ -132,5 +139,16 @@
     return Exit.OK
 
 
+def _check_gateway(options: argparse.Namespace) -> Exit:
+    settings = load_gateway(options.file)
+    if isinstance(settings, Err):
+        return report_findings(settings.err_value, options.json)
+    if options.json:
+        print_json({"node": settings.ok_value.node.id, "findings": []})
+    else:
+        print(f"{options.file}: no findings")
+    return Exit.OK
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- /dev/null
+++ b/src/moledale/ui/explain_command.py
@@ -0,0 +1,142 @@
+"""`moledale explain`: the story of one request from the logs of several nodes."""
+
+import argparse
+import re
+import sys
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+
+import msgspec
+
+from moledale.log import Event
+from moledale.ui.output import Exit, print_json
+
+LINE = re.compile(r"(?P<time>\d+\.\d+) E(?P<number>\d+) (?P<name>\w+) (?P<fields>\{.*\})\s*$")
+NODE = re.compile(r"^\s*-?\d+\.\d+ (?P<node>\S+) ")
+MEANINGS = {event.value.number: event.value.meaning for event in Event}
+
+AROUND_S = 1.0
+"""What a node believed this long before a request counts as its surroundings."""
+
+SURROUNDINGS = frozenset(
+    event.value.number
+    for event in (
+        Event.STARTING,
+        Event.READY,
+        Event.DRAINING,
+        Event.STOPPED,
+        Event.BUNDLE_ADOPTED,
+        Event.LEASE_WON,
+        Event.LEASE_LOST,
+        Event.EVACUATION,
+        Event.TASK_FAILED,
+    )
+)
+
+
+class LogLine(msgspec.Struct, frozen=True):
+    """One event as a node logged it; `time` is the node's time of day in seconds."""
+
+    time: float
+    node: str
+    number: int
+    name: str
+    fields: dict[str, object]
+
+    def about(self, request: str) -> bool:
+        """Say whether the event is about a request."""
+        return self.fields.get("request") == request
+
+
+def read_lines(source: str, lines: Iterable[str]) -> Iterator[LogLine]:
+    """Read events; other lines are passed over. A leading time and name tell the node."""
+    node = source
+    for line in lines:
+        match = LINE.search(line)
+        if match is None:
+            continue
+        named = NODE.match(line)
+        try:
+            fields = msgspec.json.decode(match["fields"], type=dict[str, object])
+        except msgspec.DecodeError:
+            continue
+        if match["name"] == "starting" and isinstance(fields.get("node"), str):
+            node = str(fields["node"])
+        yield LogLine(
+            float(match["time"]),
+            named["node"] if named is not None else node,
+            int(match["number"]),
+            match["name"],
+            fields,
+        )
+
+
+def story(lines: Iterable[LogLine], request: str) -> list[LogLine]:
+    """Return what was logged of a request, with what its nodes and servers were in meanwhile."""
+    everything = sorted(lines, key=lambda line: line.time)
+    own = [line for line in everything if line.about(request)]
+    if not own:
+        return []
+    held_s = max(_held_s(line) for line in own)
+    begin = own[0].time - held_s - AROUND_S
+    nodes = {line.node for line in own}
+    servers = {str(line.fields["server"]) for line in own if "server" in line.fields}
+    chosen = [line for line in everything if line.time <= own[-1].time]
+    return [
+        line
+        for line in chosen
+        if line.about(request)
+        or (line.node in nodes and line.time >= begin and _surrounds(line, servers))
+        or line is _last_list(chosen, nodes, own[0].time)
+    ]
+
+
+def _surrounds(line: LogLine, servers: set[str]) -> bool:
+    if line.fields.get("request") is not None:
+        return False
+    return line.number in SURROUNDINGS or str(line.fields.get("server")) in servers
+
+
+def _last_list(lines: list[LogLine], nodes: set[str], time: float) -> LogLine | None:
+    """Return the list of servers that the first node believed when the request was tried."""
+    number = Event.SERVERS_CHANGED.value.number
+    known = [
+        line for line in lines if line.number == number and line.node in nodes and line.time <= time
+    ]
+    return known[-1] if known else None
+
+
+def _held_s(line: LogLine) -> float:
+    for name in ("ms", "held_ms"):
+        value = line.fields.get(name)
+        if isinstance(value, int | float):
+            return float(value) / 1000
+    return 0.0
+
+
+def explain(options: argparse.Namespace) -> Exit:
+    """Print the story of a request; 1 if no file tells of it."""
+    lines: list[LogLine] = []
+    for name in options.files:
+        try:
+            text = sys.stdin.read() if name == "-" else Path(name).read_text("utf-8", "replace")
+        except OSError as error:
+            print(f"{name}: can't be read: {type(error).__name__}", file=sys.stderr)
+            return Exit.FAILED
+        lines.extend(read_lines(Path(name).stem, text.splitlines()))
+    told = story(lines, options.request)
+    if not told:
+        print(f"no event of request {options.request}", file=sys.stderr)
+        return Exit.FAILED
+    if options.json:
+        print_json(msgspec.to_builtins(told))
+        return Exit.OK
+    last = told[-1].time
+    for line in told:
+        mark = "*" if line.about(options.request) else " "
+        fields = " ".join(
+            f"{name}={value}" for name, value in line.fields.items() if name != "request"
+        )
+        print(f"{line.time - last:9.3f} s {mark} {line.node} E{line.number}: {line.name} {fields}")
+        print(f"{'':16}{MEANINGS.get(line.number, '')}")
+    return Exit.OK
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -567,6 +567,7 @@
                 statuses = [got.status for got in answers]
                 self.assertEqual(statuses[0], 200)
                 self.assertEqual(statuses[-1], 429)
+                self.assertEqual(answers[-1].headers["request-id"], "r5")
                 self.assertGreater(float(answers[-1].headers["retry-after"]), 0)
                 self.assertEqual(len(server.arrivals), statuses.count(200))
 
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -60,6 +60,11 @@
         self.assertLess(taken, 20)
         self.assertGreater(taken, 4)
 
+    def test_first_start_of_all_begins_with_a_full_bucket(self) -> None:
+        limits = AccountLimits(1.0)
+        taken = sum(1 for _ in range(50) if limits.take(self.account, 100, 0.0) == 0.0)
+        self.assertEqual(taken, 20)
+
     def test_nodes_together_keep_the_limit(self) -> None:
         nodes = [AccountLimits() for _ in range(4)]
         admitted = 0.0
