--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -28,6 +28,9 @@
 MOST_BUFFERED_BYTES = 1_048_576
 """Plain answers up to this size are read whole before the caller gets a byte of them."""
 
+MOST_UNREACHED = 6
+"""Servers that may take no connection before a request is given up; nothing was sent to them."""
+
 NO_SERVER_AGAIN_S = 0.6
 NOT_RUN_AGAIN_S = 0.3
 
@@ -140,7 +143,7 @@
         """Say whether another server may be tried."""
         server_left = job.sends < job.route.max_servers
         if attempt.ending is Ending.NOT_SENT:
-            return len(job.tried) < job.route.max_servers + 2
+            return len(job.tried) - job.sends < MOST_UNREACHED
         if not server_left or (job.may_have_run and not job.route.repeatable):
             return False
         return self._sharing.may_repeat(job.service, self._now())
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -327,6 +327,16 @@
 
         quietly(work())
 
+    def test_several_servers_that_are_down_do_not_end_a_request(self) -> None:
+        async def work() -> None:
+            async with GatewayWorld(a_plan()) as world:
+                for number in range(5):
+                    (await world.server(f"a{number}", "plain", fine)).stop()
+                await world.server("b", "plain", fine)
+                self.assertEqual((await world.ask("/order/")).status, 200)
+
+        quietly(work())
+
     def test_leaving_server_gets_no_new_work(self) -> None:
         async def work() -> None:
             async with GatewayWorld(a_plan()) as world:
