--- a/src/moledale/ui/explain_command.py
+++ b/src/moledale/ui/explain_command.py
@@ -12,7 +12,7 @@
 from moledale.ui.output import Exit, print_json
 
 LINE = re.compile(r"(?P<time>\d+\.\d+) E(?P<number>\d+) (?P<name>\w+) (?P<fields>\{.*\})\s*$")
-NODE = re.compile(r"^\s*-?\d+\.\d+ (?P<node>\S+) ")
+NODE = re.compile(r"^\s*-?\d+\.\d+ (?P<node>\S+) \d+\.\d+ E\d+ ")
 MEANINGS = {event.value.number: event.value.meaning for event in Event}
 
 AROUND_S = 1.0
