A few nodes watch the store for plans, the others hear of them

Now three nodes that reach the store watch, and all hear of a version at once; others step in when these fall silent or the store turns them away. Tests for both.

--- a/src/moledale/gateway/neighbours.py
+++ b/src/moledale/gateway/neighbours.py
@@ -25,6 +25,9 @@
 STEP_UP_S = 0.5
 """Nodes in reserve wait up to this long, by chance, before they take a silent one's place."""
 
+REACHES_S = 5.0
+"""A node reaches the store if its watch was answered within this time."""
+
 BUSY_S = 3.0
 ADDRESS_KEPT_S = 60.0
 MOST_HINTS = 8
@@ -134,6 +137,16 @@
         order = [(each.serving == reserve_first, each.id) for each in (own, *alive)]
         return sorted(order).index((own.serving == reserve_first, own.id))
 
+    def watch_turn(self, own: NodeState, now: float) -> int:
+        """Return how many live nodes that reach the store watch it before this one."""
+        before = [
+            each
+            for each in self.members.alive(now)
+            if each.store_age_s < REACHES_S
+            and (not each.serving, each.id) < (not own.serving, own.id)
+        ]
+        return len(before)
+
     def knows_enough(self, own: NodeState, now: float) -> bool:
         """Say whether this node may tell callers where to go."""
         if own.standing == Standing.READY and self.serving:
--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -94,7 +94,7 @@
         self._gossip: GossipSocket | None = None
         self._random = random.Random()
         self._sequence = 0
-        self.plans = PlanWatch(store, self.sharing.true_time, self._adopt)
+        self.plans = PlanWatch(store, self.sharing.true_time, self._watching_turn, self._adopt)
         self.fleet = FleetWatch(
             store, self.sharing.true_time, self._reading_turn, self._took_fleet, self._tell_fleet
         )
@@ -210,6 +210,7 @@
             self.book.work,
             self.neighbours.serving,
             power_of(node.cores, node.link_mbps),
+            now - self.plans.reached_at,
             self.sharing.offset_s(),
             self.keeper.news(),
         )
@@ -288,6 +289,9 @@
         self._tell_state()
         return True
 
+    def _watching_turn(self) -> int:
+        return self.neighbours.watch_turn(self._state(), time.monotonic())
+
     def _reading_turn(self) -> int:
         return self.neighbours.rank(self._state(), time.monotonic(), reserve_first=False)
 
--- a/src/moledale/gateway/peers.py
+++ b/src/moledale/gateway/peers.py
@@ -38,7 +38,10 @@
 
 
 class NodeState(msgspec.Struct, array_like=True):
-    """All that a node tells of itself; `life` is new at each start of its process."""
+    """All that a node tells of itself; `life` is new at each start of its process.
+
+    `store_age_s` is the time since the store answered its watch, endless while it does not.
+    """
 
     id: str
     life: int
@@ -56,6 +59,7 @@
     work: dict[str, int]
     serving: bool = False
     power: float = 0.0
+    store_age_s: float = 1e9
     offset_s: float | None = None
     lease: LeaseNews | None = None
 
--- a/src/moledale/gateway/plan_watch.py
+++ b/src/moledale/gateway/plan_watch.py
@@ -1,4 +1,8 @@
-"""Keeping the newest plan: a watch on the store, and peers that tell of a newer one."""
+"""Keeping the newest plan: a few nodes watch the store, the others hear of it from them.
+
+A node watches unless enough nodes before it do that reach the store. What a watching node learns it
+tells all others at once, and each fetches the plan from it.
+"""
 
 import asyncio
 import random
@@ -17,6 +21,8 @@
 WATCH_S = 3.0
 """Longest wait of one watch; a watch that the store forgot is noticed after this time."""
 
+WATCHERS = 3
+LOOK_S = 0.2
 AGAIN_S = 0.2
 CALL_TIMEOUT_S = 0.8
 FETCH_EVERY_S = 0.1
@@ -25,8 +31,16 @@
 class PlanWatch:
     """Brings each newer plan to `adopt`, which says whether it is in force now."""
 
-    def __init__(self, store: Store, true_time: TrueTime, adopt: Callable[[Plan], bool]) -> None:
+    def __init__(
+        self,
+        store: Store,
+        true_time: TrueTime,
+        turn: Callable[[], int],
+        adopt: Callable[[Plan], bool],
+    ) -> None:
         self.raw = b""
+        self.reached_at = -1e9
+        self._turn = turn
         self._store = store
         self._true_time = true_time
         self._adopt = adopt
@@ -34,9 +48,13 @@
         self._random = random.Random()
 
     async def watch(self) -> None:
-        """Watch the store for ever."""
+        """Watch the store while it is this node's turn, for ever."""
         position: int | None = None
         while True:
+            if self.raw and self._turn() >= WATCHERS:
+                position = None
+                await asyncio.sleep(LOOK_S)
+                continue
             sent_at = time.monotonic()
             if position is None:
                 outcome = await self._store.plan(CALL_TIMEOUT_S)
@@ -44,8 +62,10 @@
                 outcome = await self._store.watch_plan(position, WATCH_S)
             if isinstance(outcome, Err):
                 position = None
+                self.reached_at = -1e9
                 await asyncio.sleep(AGAIN_S * (0.5 + self._random.random()))
                 continue
+            self.reached_at = time.monotonic()
             news = outcome.ok_value
             if position is None:
                 self._true_time.store_read(news.store_s, sent_at, time.monotonic())
--- a/tests/test_gateway_nodes.py
+++ b/tests/test_gateway_nodes.py
@@ -1,7 +1,7 @@
 """Whole gateway nodes in one process, over real sockets, with a store that fails as told."""
 
 import asyncio
-import socket
+import random
 import time
 import unittest
 from collections.abc import Awaitable, Callable
@@ -59,15 +59,12 @@
     }
 
 
-def free_ports(number: int) -> list[int]:
-    """Return ports that are free now."""
-    sockets = [socket.socket() for _ in range(number)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
+FIRST_PORT = 7100
+
+
+def own_address() -> str:
+    """Return an address of loopback that no other node of this machine is likely to have."""
+    return f"127.{random.randint(1, 254)}.{random.randint(0, 254)}.{random.randint(1, 254)}"
 
 
 class Cluster:
@@ -109,25 +106,28 @@
 
     async def start(self, name: str, seeds: tuple[str, ...] = ()) -> GatewayNode:
         """Start a node."""
+        address = own_address()
         callers, control, directory, readiness, peers = (
-            f"127.0.0.1:{port}" for port in free_ports(5)
+            f"{address}:{FIRST_PORT + number}" for number in range(5)
         )
         identity = Identity(
             name, "hall-a", "r", callers, control, directory, readiness, peers, seeds
         )
-        address = self.platform.address
-        settings = GatewaySettings(identity, Outside(address, address), self.bounds)
+        store = self.platform.address
+        settings = GatewaySettings(identity, Outside(store, store), self.bounds)
         node = GatewayNode(
             settings,
             PlatformHeaders(),
             PlatformEntry(),
-            PlatformStore(address),
-            PlatformCloud(address),
+            PlatformStore(store),
+            PlatformCloud(store),
             PlatformEngines(),
         )
         self.nodes[name] = node
         self._stops[name] = asyncio.Event()
-        self._tasks[name] = asyncio.create_task(node.run(self._stops[name]))
+        task = asyncio.create_task(node.run(self._stops[name]))
+        task.add_done_callback(_note_failure)
+        self._tasks[name] = task
         return node
 
     def stop(self, name: str) -> asyncio.Task[int]:
@@ -167,6 +167,15 @@
         return found
 
 
+FAILED: list[str] = []
+"""What ended nodes by itself, over all tests of this module."""
+
+
+def _note_failure(task: "asyncio.Task[int]") -> None:
+    if not task.cancelled() and task.exception() is not None:
+        FAILED.append(repr(task.exception()))
+
+
 async def ask(address: str, data: bytes) -> CallerAnswer:
     """Send bytes to an address and read one answer."""
     host, port = address.split(":")
@@ -178,11 +187,11 @@
 
 
 async def until(condition: Callable[[], bool], within_s: float = 5.0) -> None:
-    """Wait until something holds."""
+    """Wait until something holds; a node that ended by itself is told as the cause."""
     ends = time.monotonic() + within_s
     while not condition():
         if time.monotonic() > ends:
-            raise AssertionError("it never came true")
+            raise AssertionError(f"it never came true; nodes that ended: {FAILED}")
         await asyncio.sleep(0.02)
 
 
@@ -257,6 +266,38 @@
 
         on_cluster(work)
 
+    def test_few_nodes_watch_and_all_have_a_version_at_once(self) -> None:
+        async def work(cluster: Cluster) -> None:
+            nodes = [await cluster.start(f"n{number}") for number in range(7)]
+            for node in nodes:
+                await until(ready(node))
+            await asyncio.sleep(7.5)
+            watching = [node for node in nodes if time.monotonic() - node.plans.reached_at < 3.5]
+            self.assertEqual(len(watching), 3)
+            cluster.platform.put("op", "config", config(4))
+            await until(lambda: all(version_of(node) == 4 for node in nodes), 0.8)
+
+        on_cluster(work)
+
+    def test_others_watch_when_those_that_did_are_killed(self) -> None:
+        async def work(cluster: Cluster) -> None:
+            nodes = {f"n{number}": await cluster.start(f"n{number}") for number in range(6)}
+            for node in nodes.values():
+                await until(ready(node))
+            await asyncio.sleep(7.5)
+            watching = [
+                name
+                for name, node in nodes.items()
+                if time.monotonic() - node.plans.reached_at < 3.5
+            ]
+            for name in watching:
+                cluster.kill(name)
+                del nodes[name]
+            cluster.platform.put("op", "config", config(4))
+            await until(lambda: all(version_of(node) == 4 for node in nodes.values()), 1.9)
+
+        on_cluster(work)
+
     def test_store_that_is_down_changes_nothing_for_callers(self) -> None:
         async def work(cluster: Cluster) -> None:
             node = await cluster.start("n1")
