--- a/src/moledale/gateway/accounts.py
+++ b/src/moledale/gateway/accounts.py
@@ -6,6 +6,7 @@
 full bucket.
 """
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from moledale.gateway.plan import Account
@@ -47,6 +48,12 @@
         self.spent: dict[str, float] = {}
         self._buckets: dict[str, Bucket] = {}
 
+    def configure(self, accounts: Iterable[Account], now: float) -> None:
+        """Have a bucket for each account, so that what others spend counts from now on."""
+        for account in accounts:
+            if account.rate_per_s > 0:
+                self._bucket(account, now)
+
     def take(self, account: Account, amount: float, now: float) -> float:
         """Take an amount; return 0.0, or the seconds until it is free."""
         if account.rate_per_s <= 0:
--- a/src/moledale/gateway/admission.py
+++ b/src/moledale/gateway/admission.py
@@ -44,6 +44,7 @@
         if self.index is not None and plan.version <= self.index.version:
             return False
         self.index = PlanIndex(plan)
+        self.limits.configure(plan.accounts, self._now())
         return True
 
     def admit(self, request: InboundRequest, reply: Reply) -> Job | Refusal:
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -65,6 +65,12 @@
         taken = sum(1 for _ in range(50) if limits.take(self.account, 100, 0.0) == 0.0)
         self.assertEqual(taken, 20)
 
+    def test_what_others_spent_before_a_nodes_first_request_counts(self) -> None:
+        limits = AccountLimits(1.0)
+        limits.configure([self.account], 0.0)
+        limits.spent_elsewhere({}, {"north": 1_900.0})
+        self.assertGreater(limits.take(self.account, 500, 0.1), 0.0)
+
     def test_nodes_together_keep_the_limit(self) -> None:
         nodes = [AccountLimits() for _ in range(4)]
         admitted = 0.0
