Pause silent servers, send safe requests elsewhere in time, give a connection 0.3 s

Cause: a dark server shows on a kept connection by its silence only; requests were held for a second at a connection, or until their limit.

--- a/src/moledale/gateway/balance.py
+++ b/src/moledale/gateway/balance.py
@@ -23,6 +23,15 @@
 
 OTHER_HALL_S = 0.001
 SMOOTHING = 0.2
+SILENT_ENGINE_S = 0.8
+SILENT_ALONE_S = 2.5
+SILENT_PLAIN_S = 0.3
+SILENT_X = 6.0
+"""A plain server is silent after this many of its usual answer times."""
+
+ENGINE_SLOTS = 16
+"""Servers with as many slots run batches, whose tokens come all the time."""
+
 FIRST_PAUSE_S = 0.5
 LONGEST_PAUSE_S = 3.0
 
@@ -40,6 +49,8 @@
     answer_s: float = 0.02
     failures: int = 0
     paused_until: float = 0.0
+    heard_at: float = 0.0
+    busy_since: float = 0.0
     cached: OrderedDict[str, int] = field(default_factory=OrderedDict)
     cached_tokens: int = 0
 
@@ -53,6 +64,10 @@
         """Return the prompt tokens that all nodes have waiting there."""
         return self.prefill_tokens + self.others_prefill
 
+    def silent_s(self, now: float) -> float:
+        """Return for how long nothing came while requests were waiting there."""
+        return now - max(self.heard_at, self.busy_since) if self.running else 0.0
+
     def remember(self, parts: tuple[PromptPart, ...], capacity: int) -> None:
         """Note that a prompt's parts lie in the server's memory now."""
         for part in parts:
@@ -208,7 +223,22 @@
         self.work[service] = self.work.get(service, 0) + uncached
         return self._count(best, uncached, now)
 
+    def pause_silent(self, now: float) -> None:
+        """Pause servers that say nothing though they should; a kept connection hides a dark one.
+
+        One request alone may be a long prompt, so an engine with one is given more time.
+        """
+        for view in self.views.values():
+            if view.server.slots >= ENGINE_SLOTS:
+                limit = SILENT_ENGINE_S if view.running > 1 else SILENT_ALONE_S
+            else:
+                limit = max(SILENT_PLAIN_S, SILENT_X * view.answer_s)
+            if view.silent_s(now) > limit:
+                view.paused_until = max(view.paused_until, now + FIRST_PAUSE_S)
+
     def _count(self, view: ServerView, prefill: int, now: float) -> Placement:
+        if not view.running:
+            view.busy_since = now
         placement = Placement(view, prefill, now, prefill, view.all_prefill, view.all_running)
         view.running += 1
         view.prefill_tokens += prefill
--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -28,6 +28,10 @@
 MOST_BUFFERED_BYTES = 1_048_576
 """Plain answers up to this size are read whole before the caller gets a byte of them."""
 
+SLOW_SHARE = 0.5
+SLOW_X = 4.0
+"""A safe request is tried elsewhere after half its target or four usual answers without one."""
+
 MOST_UNREACHED = 6
 """Servers that may take no connection before a request is given up; nothing was sent to them."""
 
@@ -234,7 +238,8 @@
     async def _read(self, job: Job, connection: UpstreamConnection, run: StreamRun) -> Attempt:
         """Read an answer's head, decide what it means, and read or pass on the rest."""
         placement = run.placement
-        head = await connection.head()
+        head = await self._head(job, connection, placement)
+        placement.view.heard_at = self._now()
         facts = self._dialect.read_answer(head)
         if facts.closes:
             connection.usable = False
@@ -252,6 +257,21 @@
             return await self._pass_stream(job, connection, run, head)
         return await self._pass_whole(job, connection, placement, head, facts)
 
+    async def _head(
+        self, job: Job, connection: UpstreamConnection, placement: Placement
+    ) -> AnswerHead:
+        """Wait for an answer; a safe request is tried elsewhere if none comes for long."""
+        again = job.route.kind is Kind.SAFE and job.sends < job.route.max_servers
+        if again:
+            usual = SLOW_X * placement.view.answer_s
+            try:
+                async with asyncio.timeout(max(SLOW_SHARE * job.route.target_s, usual)):
+                    return await connection.head()
+            except TimeoutError:
+                if self._sharing.may_repeat(job.service, self._now()):
+                    raise AnswerCut(Cut.SLOW) from None
+        return await connection.head()
+
     async def _read_whole(self, connection: UpstreamConnection) -> bytes:
         parts = []
         while (data := await connection.chunk()) is not None:
@@ -319,6 +339,7 @@
         placement = run.placement
         first = True
         while (data := await connection.chunk()) is not None:
+            placement.view.heard_at = self._now()
             if first:
                 first = False
                 placement.first_token()
--- a/src/moledale/gateway/upstream.py
+++ b/src/moledale/gateway/upstream.py
@@ -12,7 +12,9 @@
 
 from moledale.gateway.messages import AnswerHead
 
-CONNECT_TIMEOUT_S = 1.0
+CONNECT_TIMEOUT_S = 0.3
+"""Backend servers are in the same region; a dark one must not hold a request for long."""
+
 MOST_UNREAD_BYTES = 262_144
 
 
@@ -22,6 +24,7 @@
     RESET = "reset"
     CLOSED = "closed"
     GARBLED = "garbled"
+    SLOW = "slow"
 
 
 class ConnectFailed(Exception):
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -354,6 +354,20 @@
         note_silence(book.views["s1"], 0.0)
         self.assertEqual(len(book.ready("model", 0.1, frozenset())), 2)
 
+    def test_server_that_says_nothing_gets_no_more(self) -> None:
+        book = ServerBook("a")
+        book.apply(Server(f"s{n}", "plain", f"s{n}:1", "a", 4) for n in range(2))
+        first = book.place("plain", RequestFacts(), None, 10.0)
+        assert first is not None
+        book.pause_silent(10.1)
+        self.assertEqual(len(book.ready("plain", 10.1, frozenset())), 2)
+        book.pause_silent(10.5)
+        left = [view.server.id for view in book.ready("plain", 10.5, frozenset())]
+        self.assertEqual(len(left), 1)
+        self.assertNotIn(first.view.server.id, left)
+        first.view.heard_at = 10.6
+        self.assertEqual(first.view.silent_s(10.6), 0.0)
+
     def test_ended_placement_ends_once(self) -> None:
         book = self.book(1)
         placement = book.place("model", self.facts("s", "o"), self.engine, 0.0)
