Begin with a fifth of the servers that operators allow at most

Cause: on grown sites the need before any demand was 4 where 30 servers stood: servers of the start were given back before the list had told them, so counting them told nothing. On the small sites the number is 4 as before.

--- a/src/moledale/gateway/duties.py
+++ b/src/moledale/gateway/duties.py
@@ -154,7 +154,7 @@
                     spot=order.spot,
                     number=order.number,
                     accepted=accepted,
-                    need=planner.need,
+                    need=planner.need(service.renting),
                     tokens_per_s=round(planner.demand.rate),
                 )
 
--- a/src/moledale/gateway/renting.py
+++ b/src/moledale/gateway/renting.py
@@ -24,8 +24,8 @@
 
 LEAST_NEED = 2
 START_NEED = 4
-START_SHARE = 0.45
-"""Until demand was watched for a while, this part of the start's servers is wanted at least."""
+START_SHARE = 0.2
+"""Until demand was watched for a while, this part of what is allowed at most is wanted."""
 
 DEMAND_WINDOW_S = 5.0
 LEAST_WINDOW_S = 1.0
@@ -115,7 +115,6 @@
     first_start: bool = False
     demand: Demand = field(default_factory=Demand)
     states: dict[tuple[str, bool], OrderState] = field(default_factory=dict)
-    _start: set[str] = field(default_factory=set)
     _most: deque[tuple[float, int]] = field(default_factory=deque)
 
     def orders(self, renting: Renting, servers: Iterable[Server], now: float) -> list[Order]:
@@ -125,9 +124,7 @@
         for server in staying:
             if server.hall in there:
                 there[server.hall][server.spot] += 1
-        if self.demand.idle:
-            self._start.update(each.id for each in staying if not each.spot)
-        need = self.need
+        need = self.need(renting)
         each_hall = ceil(need * SPOT_X / max(1, len(there) - 1))
         wanted_spot = max(renting.least, min(each_hall, renting.most))
         may_lower = self.demand.idle or self.demand.watched_s >= DEMAND_WINDOW_S
@@ -140,10 +137,10 @@
             due.extend(self._due(renting, hall, False, number, there[hall][False], now))
         return due
 
-    @property
-    def need(self) -> int:
-        """Return the servers wanted."""
-        return self.demand.need(max(START_NEED, ceil(START_SHARE * len(self._start))))
+    def need(self, renting: Renting) -> int:
+        """Return the servers wanted; what operators allow at most tells the size before demand."""
+        allowed = renting.most * len(renting.hall_prices)
+        return self.demand.need(max(START_NEED, ceil(START_SHARE * allowed)))
 
     def _firm(
         self, renting: Renting, there: dict[str, dict[bool, int]], need: int, now: float
