Tell nodes in reserve in short that one is there; leave a safe request where no other server is

(2) The planned-stop test failed with 502: a safe request left its slow server though no other was there. Now it leaves only for a server that was not tried and is not paused. Tests for both.

--- a/src/moledale/gateway/balance.py
+++ b/src/moledale/gateway/balance.py
@@ -198,6 +198,11 @@
         ]
         return [view for view in staying if view.paused_until <= now] or staying
 
+    def has_other(self, service: str, now: float, tried: frozenset[str]) -> bool:
+        """Say whether a server is there that was not tried and is not paused."""
+        ready = self.ready(service, now, tried)
+        return any(view.paused_until <= now for view in ready)
+
     def place(
         self,
         service: str,
--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -268,7 +268,9 @@
                 async with asyncio.timeout(max(SLOW_SHARE * job.route.target_s, usual)):
                     return await connection.head()
             except TimeoutError:
-                if self._sharing.may_repeat(job.service, self._now()):
+                now = self._now()
+                other = self._book.has_other(job.service, now, job.tried)
+                if other and self._sharing.may_repeat(job.service, now):
                     raise AnswerCut(Cut.SLOW) from None
         return await connection.head()
 
--- a/src/moledale/gateway/neighbours.py
+++ b/src/moledale/gateway/neighbours.py
@@ -89,7 +89,7 @@
         self._busy_at = now
 
     def targets(self, own: NodeState, now: float) -> list[str]:
-        """Return whom to tell in this round."""
+        """Return whom to tell the whole state in this round."""
         self._round += 1
         known = self.addresses.known(now)
         if len(known) <= FEW:
@@ -99,8 +99,6 @@
         busy = self.serving or own.lease is not None or now - self._busy_at < BUSY_S
         chosen: set[str] = set()
         if busy:
-            if slow:
-                return known
             chosen.update(each.peer for each in alive if each.serving or each.lease)
             return list(chosen)
         if slow or not self._listened(now):
@@ -112,6 +110,13 @@
             chosen.update(self._random.sample(known, STRANGERS))
         return list(chosen)
 
+    def reserves(self, told: list[str], now: float) -> list[str]:
+        """Return whom to tell in this round just that this node is there."""
+        slow = self._round % SLOW_ROUNDS == 0
+        if not (slow and self.serving and self._many(now)):
+            return []
+        return [address for address in self.addresses.known(now) if address not in set(told)]
+
     def everyone(self, now: float) -> list[str]:
         """Return whom to tell news that can't wait."""
         return self.addresses.known(now)
--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -222,8 +222,15 @@
         own = self._state()
         if self._callers.busy():
             self.neighbours.note_busy(now)
-        targets = self.neighbours.everyone(now) if everyone else self.neighbours.targets(own, now)
-        self._gossip.tell(StateNews(own, self.neighbours.hints(now)), targets)
+        hints = self.neighbours.hints(now)
+        targets = self.neighbours.targets(own, now)
+        self._gossip.tell(StateNews(own, hints), targets)
+        others = self.neighbours.reserves(targets, now)
+        if everyone:
+            told = set(targets)
+            others = [each for each in self.neighbours.everyone(now) if each not in told]
+        if others:
+            self._gossip.tell(StateNews(own.shortened(), []), others)
 
     async def _gossip_forever(self) -> None:
         while True:
--- a/src/moledale/gateway/peers.py
+++ b/src/moledale/gateway/peers.py
@@ -62,6 +62,25 @@
     store_age_s: float = 1e9
     offset_s: float | None = None
     lease: LeaseNews | None = None
+    brief: bool = False
+
+    def shortened(self) -> "NodeState":
+        """Return the state without its counts, for nodes that only need to know who is there."""
+        return msgspec.structs.replace(
+            self, started={}, spent={}, loads={}, sends={}, work={}, brief=True
+        )
+
+    def with_counts_of(self, earlier: "NodeState") -> "NodeState":
+        """Return a shortened state with the counts that were told before in the same life."""
+        return msgspec.structs.replace(
+            self,
+            started=earlier.started,
+            spent=earlier.spent,
+            loads=earlier.loads,
+            sends=earlier.sends,
+            work=earlier.work,
+            brief=earlier.brief,
+        )
 
 
 @dataclass(slots=True)
@@ -98,6 +117,8 @@
         if before.life == state.life:
             if state.sequence <= before.sequence:
                 return None
+            if state.brief:
+                state = state.with_counts_of(before)
             self.members[state.id] = Member(state, now)
             return before
         if any(each.state.life == state.life for each in self.former):
--- a/src/moledale/gateway/sharing.py
+++ b/src/moledale/gateway/sharing.py
@@ -65,7 +65,7 @@
         before = self.members.heard(state, now)
         if before is None:
             return False
-        if before is not state:
+        if before is not state and not before.brief and not state.brief:
             limits.spent_elsewhere(before.spent, state.spent)
         return True
 
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -397,6 +397,19 @@
 
         quietly(work())
 
+    def test_safe_request_stays_where_it_is_if_there_is_no_other_server(self) -> None:
+        async def slow(arrival: Arrival, reader: Reader, writer: Writer) -> None:
+            await asyncio.sleep(0.4)
+            await fine(arrival, reader, writer)
+
+        async def work() -> None:
+            async with GatewayWorld(a_plan()) as world:
+                server = await world.server("s1", "plain", slow)
+                self.assertEqual((await world.ask("/check/")).status, 200)
+                self.assertEqual(len(server.arrivals), 1)
+
+        quietly(work())
+
     def test_time_limit_of_the_route_brings_the_final_answer(self) -> None:
         async def work() -> None:
             async with GatewayWorld(a_plan()) as world:
--- /dev/null
+++ b/tools/gateway_news.py
@@ -0,0 +1,122 @@
+"""Prints what news between gateway nodes cost at several sizes: the real choice and encoding.
+
+Nodes, halls and servers are made up; nothing is sent. Bytes are those of datagrams without the
+headers of UDP and IP (28 bytes each).
+"""
+
+import argparse
+import time
+
+import msgspec
+
+from moledale.gateway.directory import should_serve
+from moledale.gateway.gossip import FleetNews, StateNews
+from moledale.gateway.neighbours import ROUND_S, Neighbours
+from moledale.gateway.peers import LeaseNews, Membership, NodeState, Standing
+
+SIZES = ((9, 4), (91, 4), (390, 7))
+ROUNDS = 50
+ACCOUNTS = 16
+SERVERS_FOLLOWED = 32
+READ_EVERY_S = 0.8
+
+
+def a_state(number: int, halls: int, busy: bool) -> NodeState:
+    """Return what a node tells, with counts and loads where it serves."""
+    accounts = {f"account{n}": 1_000 + n for n in range(ACCOUNTS)} if busy else {}
+    return NodeState(
+        f"front-hall-{number % halls}-{number}",
+        7 * 10**13 + number,
+        1_000,
+        f"hall-{number % halls}",
+        "10.1.0.14:8221",
+        f"10.1.{number // 250}.{number % 250}:7600",
+        "10.1.0.14:8229",
+        int(Standing.READY),
+        7,
+        {353445120 + n: accounts for n in range(6)} if busy else {},
+        {name: float(value) for name, value in accounts.items()},
+        {f"i-{n:010x}": (3, 9_000) for n in range(SERVERS_FOLLOWED)} if busy else {},
+        {"model": (400, 3), "plain": (200, 9)} if busy else {},
+        {"model": 10**8} if busy else {},
+        False,
+        10.0,
+        0.5,
+        1e9,
+        None,
+    )
+
+
+def serving_among(states: list[NodeState]) -> list[NodeState]:
+    """Return the states once each node has decided whether it serves."""
+    for _ in range(3):
+        states = [
+            msgspec.structs.replace(
+                state,
+                serving=should_serve(
+                    state, [each for each in states if each.hall == state.hall and each != state]
+                ),
+            )
+            for state in states
+        ]
+    return states
+
+
+def cost_of(own: NodeState, states: list[NodeState]) -> tuple[float, float]:
+    """Return datagrams and bytes a second that a node sends."""
+    members = Membership(own.id, own.life)
+    neighbours = Neighbours(members, own.peer, 0.0)
+    for state in states:
+        members.heard(state, 10.0)
+        neighbours.addresses.add(state.peer, 10.0)
+    neighbours.serving = own.serving
+    news = StateNews(own, neighbours.hints(10.0))
+    size = len(msgspec.msgpack.encode(news))
+    short = len(msgspec.msgpack.encode(StateNews(own.shortened(), [])))
+    whole = brief = 0
+    for number in range(ROUNDS):
+        now = 10.0 + number * ROUND_S / 100
+        targets = neighbours.targets(own, now)
+        whole += len(targets)
+        brief += len(neighbours.reserves(targets, now))
+    seconds = ROUNDS * ROUND_S
+    return (whole + brief) / seconds, (whole * size + brief * short) / seconds
+
+
+def main() -> None:
+    """Print the table."""
+    argparse.ArgumentParser(description=__doc__).parse_args()
+    print("| nodes, halls | role | sent/s | bytes/s | a state | received bytes/s of a reserve |")
+    print("|---|---|---|---|---|---|")
+    for nodes, halls in SIZES:
+        states = serving_among([a_state(n, halls, False) for n in range(nodes)])
+        serving = [state for state in states if state.serving]
+        busy = [
+            msgspec.structs.replace(a_state(states.index(state), halls, True), serving=True)
+            for state in serving
+        ]
+        reserve = next(state for state in states if not state.serving)
+        sizes = [len(msgspec.msgpack.encode(StateNews(state, []))) for state in (busy[0], reserve)]
+        few = nodes <= 17
+        short = len(msgspec.msgpack.encode(StateNews(busy[0].shortened(), [])))
+        heard = len(serving) * (sizes[0] / ROUND_S if few else short)
+        for name, own, size in (("serving", busy[0], sizes[0]), ("reserve", reserve, sizes[1])):
+            rate, volume = cost_of(own, states)
+            print(
+                f"| {nodes}, {halls} | {name} | {rate:.1f} | {volume:.0f} | {size} | {heard:.0f} |"
+            )
+        same = len(msgspec.msgpack.encode(FleetNews(1, 2**63, 0.1, None)))
+        print(f"| {nodes}, {halls} | reader, list unchanged | {nodes / READ_EVERY_S:.0f} |"
+              f" {nodes * same / READ_EVERY_S:.0f} | {same} | |")  # fmt: skip
+    began = time.perf_counter()
+    data = msgspec.msgpack.encode(StateNews(a_state(1, 4, True), []))
+    for _ in range(2_000):
+        msgspec.msgpack.decode(data, type=StateNews)
+    took = (time.perf_counter() - began) / 2_000
+    lease = LeaseNews(1, 1, 0.0)
+    print(f"\nreading one state: {took * 1e6:.0f} us; a lease's news: "
+          f"{len(msgspec.msgpack.encode(lease))} bytes")  # fmt: skip
+
+
+if __name__ == "__main__":
+    main()
