--- a/tests/test_gateway_nodes.py
+++ b/tests/test_gateway_nodes.py
@@ -5,13 +5,14 @@
 import time
 import unittest
 from collections.abc import Awaitable, Callable
+from pathlib import Path
 
 import msgspec
 
 from moledale.gateway.node import GatewayNode
 from moledale.gateway.outside import ABSENT
 from moledale.gateway.peers import Standing
-from moledale.gateway.settings import Bounds, GatewaySettings, Identity, Outside, parse
+from moledale.gateway.settings import Bounds, GatewaySettings, Identity, Outside, load, parse
 from moledale.platform.cloud import PlatformCloud
 from moledale.platform.engines import PlatformEngines
 from moledale.platform.headers import PlatformEntry, PlatformHeaders
@@ -496,6 +497,13 @@
 
 
 class SettingsTest(unittest.TestCase):
+    def test_example_has_no_findings(self) -> None:
+        root = Path(__file__).resolve().parent.parent
+        settings = load(root / "examples" / "gateway.toml").unwrap()
+        self.assertEqual((settings.node.hall, settings.bounds.lease_s), ("hall-a", 3.0))
+        missing = load(root / "examples" / "no-such-file.toml").unwrap_err()
+        self.assertIn("can't be read", str(missing[0]))
+
     def test_findings_have_their_place(self) -> None:
         text = '[node]\nid = "n1"\nhall = "h"\nregion = "r"\ncallers = "x"\ncontrol = "a:1"\n'
         text += (
