--- a/src/moledale/ui/cli.py
+++ b/src/moledale/ui/cli.py
@@ -89,7 +89,7 @@
     burn = _add_remote(commands, "burn", fleet_commands.report_burn, "error-budget burn")
     burn.add_argument("--plot", metavar="FILE", help="draw it too: .svg, .png or .pdf")
     explain = _add(groups, "explain", explain_command.explain, "tell a request's story from logs")
-    explain.add_argument("request", metavar="REQUEST-ID")
+    explain.add_argument("request", metavar="ID")
     explain.add_argument("files", metavar="FILE", nargs="+", help="logs of nodes, or -")
     key = groups.add_parser("key", help="operators' keys")
     commands = key.add_subparsers(required=True, metavar="COMMAND")
