Grant an account's burst anew in each window

The limit told by the platform is rate x window + burst in each window; the bucket filled at the bare rate, so it granted the burst once and then the rate only. Logs: an account at 22,897 tokens/s and a burst of 112,296 was refused 6,924 tokens at a level of -17,658, while its window held room.

Change: the bucket fills by the burst in each window as well, and what all nodes admitted within the window is held against the limit.

Tests: test_each_window_has_the_burst_anew, test_window_counts_what_others_admitted (both failed before).

--- a/src/moledale/gateway/accounts.py
+++ b/src/moledale/gateway/accounts.py
@@ -4,10 +4,15 @@
 others admitted when they tell of it. So a limit is exceeded by what is admitted within one round
 of news at most, unused share needs no moving, and a node that starts anew does not begin with a
 full bucket.
+
+An account may have rate times window plus burst in each window. A bucket that fills at the bare rate
+would grant the burst once only, however long it goes on; so it fills faster, by the burst in each
+window, and what was admitted within the window is held against the limit as well.
 """
 
+from collections import deque
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from moledale.gateway.plan import Account
 
@@ -17,34 +22,99 @@
 When the whole system starts for the first time nothing was, so buckets are full.
 """
 
+SLICE_S = 0.25
+"""Grain of what is remembered of a window; it is kept this much too long rather than too short."""
+
 MOST_DEBT_S = 4.0
 """What others spent beyond the limit holds requests back for at most this long."""
 
 
+@dataclass(slots=True)
+class RecentSpending:
+    """What all nodes admitted within the window, as far as it is known here, in slices of time."""
+
+    window_s: float
+    total: float = 0.0
+    _slices: deque[tuple[float, float]] = field(default_factory=deque)
+
+    def add(self, amount: float, now: float) -> None:
+        """Note what was admitted."""
+        self._forget(now)
+        if self._slices and now - self._slices[-1][0] < SLICE_S:
+            begins, before = self._slices.pop()
+            self._slices.append((begins, before + amount))
+        else:
+            self._slices.append((now, amount))
+        self.total += amount
+
+    def wait_s(self, wanted: float, limit: float, now: float) -> float:
+        """Return the seconds until `wanted` more stays below the limit; 0.0 if it does now."""
+        self._forget(now)
+        over = self.total + min(wanted, limit) - limit
+        for begins, amount in self._slices:
+            if over <= 0:
+                break
+            over -= amount
+            if over <= 0:
+                return max(0.0, begins + SLICE_S + self.window_s - now)
+        return 0.0
+
+    def _forget(self, now: float) -> None:
+        while self._slices and self._slices[0][0] + SLICE_S + self.window_s <= now:
+            self.total -= self._slices.popleft()[1]
+
+
 @dataclass(slots=True)
 class Bucket:
-    """A bucket that others may draw below zero."""
+    """A bucket that others may draw below zero; `window_s` is 0.0 where no window counts."""
 
     rate: float
     burst: float
     level: float
     at: float
+    recent: RecentSpending
+
+    @property
+    def fill_per_s(self) -> float:
+        """Return what comes in each second."""
+        window_s = self.recent.window_s
+        return self.rate + self.burst / window_s if window_s > 0 else self.rate
 
     def refill(self, now: float) -> None:
         """Add what has come since the last time."""
-        self.level = min(self.burst, self.level + (now - self.at) * self.rate)
+        self.level = min(self.burst, self.level + (now - self.at) * self.fill_per_s)
         self.at = now
 
     def draw(self, amount: float) -> None:
         """Take what was spent elsewhere."""
         self.level = max(self.level - amount, -MOST_DEBT_S * self.rate)
+        self.recent.add(amount, self.at)
+
+    def take(self, amount: float, now: float) -> float:
+        """Take an amount; return 0.0, or the seconds until it is free."""
+        self.refill(now)
+        missing = min(amount, self.burst) - self.level
+        wait_s = max(0.0, missing) / self.fill_per_s
+        window_s = self.recent.window_s
+        if window_s > 0:
+            limit = self.rate * window_s + self.burst
+            wait_s = max(wait_s, self.recent.wait_s(amount, limit, now))
+        if wait_s > 0:
+            return wait_s
+        self.level -= amount
+        self.recent.add(amount, now)
+        return 0.0
 
 
 class AccountLimits:
-    """Buckets of all accounts, and how much this life of the node has spent of each."""
+    """Buckets of all accounts, and how much this life of the node has spent of each.
+
+    `window_s` is the span in which an account may have its burst anew; 0.0 leaves it at the rate.
+    """
 
-    def __init__(self, start_share: float = START_SHARE) -> None:
+    def __init__(self, start_share: float = START_SHARE, window_s: float = 0.0) -> None:
         self._start_share = start_share
+        self._window_s = window_s
         self.spent: dict[str, float] = {}
         self._buckets: dict[str, Bucket] = {}
 
@@ -58,14 +128,10 @@
         """Take an amount; return 0.0, or the seconds until it is free."""
         if account.rate_per_s <= 0:
             return 0.0
-        bucket = self._bucket(account, now)
-        bucket.refill(now)
-        wanted = min(amount, account.burst or amount)
-        if bucket.level < wanted:
-            return (wanted - bucket.level) / account.rate_per_s
-        bucket.level -= amount
-        self.spent[account.name] = self.spent.get(account.name, 0.0) + amount
-        return 0.0
+        wait_s = self._bucket(account, now).take(amount, now)
+        if wait_s == 0.0:
+            self.spent[account.name] = self.spent.get(account.name, 0.0) + amount
+        return wait_s
 
     def level(self, account: Account, now: float) -> float:
         """Return what is left of an account's limit."""
@@ -73,19 +139,23 @@
         bucket.refill(now)
         return bucket.level
 
-    def spent_elsewhere(self, before: dict[str, float], after: dict[str, float]) -> None:
+    def spent_elsewhere(
+        self, before: dict[str, float], after: dict[str, float], now: float
+    ) -> None:
         """Take what another node has spent between two of its states."""
         for name, amount in after.items():
             more = amount - before.get(name, 0.0)
             bucket = self._buckets.get(name)
             if bucket is not None and more > 0:
+                bucket.refill(now)
                 bucket.draw(more)
 
     def _bucket(self, account: Account, now: float) -> Bucket:
         burst = account.burst or account.rate_per_s
         bucket = self._buckets.get(account.name)
         if bucket is None:
-            bucket = Bucket(account.rate_per_s, burst, burst * self._start_share, now)
+            recent = RecentSpending(self._window_s)
+            bucket = Bucket(account.rate_per_s, burst, burst * self._start_share, now, recent)
             self._buckets[account.name] = bucket
         elif bucket.rate != account.rate_per_s or bucket.burst != burst:
             bucket.refill(now)
--- a/src/moledale/gateway/admission.py
+++ b/src/moledale/gateway/admission.py
@@ -31,10 +31,14 @@
     """Checks each request against the newest plan."""
 
     def __init__(
-        self, dialect: Dialect, now: Callable[[], float], first_start: bool = False
+        self,
+        dialect: Dialect,
+        now: Callable[[], float],
+        first_start: bool = False,
+        limit_window_s: float = 0.0,
     ) -> None:
         self.index: PlanIndex | None = None
-        self.limits = AccountLimits(1.0 if first_start else START_SHARE)
+        self.limits = AccountLimits(1.0 if first_start else START_SHARE, limit_window_s)
         self._dialect = dialect
         self._now = now
         self._random = random.Random()
--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -58,7 +58,7 @@
         now: Callable[[], float] = time.monotonic,
         first_start: bool = False,
     ) -> None:
-        self.admission = Admission(dialect, now, first_start)
+        self.admission = Admission(dialect, now, first_start, sharing.limit_window_s)
         self._dialect = dialect
         self._book = book
         self._pool = pool
--- a/src/moledale/gateway/sharing.py
+++ b/src/moledale/gateway/sharing.py
@@ -29,6 +29,11 @@
         self._now = now
         self._wall = wall
 
+    @property
+    def limit_window_s(self) -> float:
+        """Return the span that limits of accounts are told for."""
+        return self._bounds.limit_window_s
+
     def started(self, account: str) -> None:
         """Count a request that began to run."""
         self.usage.count(account, self.time())
@@ -66,7 +71,7 @@
         if before is None:
             return False
         if before is not state and not before.brief and not state.brief:
-            limits.spent_elsewhere(before.spent, state.spent)
+            limits.spent_elsewhere(before.spent, state.spent, now)
         return True
 
     def take_over(self, book: ServerBook) -> None:
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -71,7 +71,7 @@
     def test_what_others_spent_before_a_nodes_first_request_counts(self) -> None:
         limits = AccountLimits(1.0)
         limits.configure([self.account], 0.0)
-        limits.spent_elsewhere({}, {"north": 1_900.0})
+        limits.spent_elsewhere({}, {"north": 1_900.0}, 0.1)
         self.assertGreater(limits.take(self.account, 500, 0.1), 0.0)
 
     def test_nodes_together_keep_the_limit(self) -> None:
@@ -86,7 +86,7 @@
             for node in nodes:
                 for other, spent in zip(nodes, before, strict=True):
                     if other is not node:
-                        node.spent_elsewhere(spent, other.spent)
+                        node.spent_elsewhere(spent, other.spent, now)
         self.assertLessEqual(admitted, 8 * 1_000 + 2_000 + 4 * 100)
         self.assertGreater(admitted, 0.8 * 8 * 1_000)
 
@@ -97,6 +97,32 @@
         )
         self.assertGreater(admitted, 9_000)
 
+    def admitted_in(self, limits: AccountLimits, times: list[float]) -> list[float]:
+        return [now for now in times if limits.take(self.account, 100, now) == 0.0]
+
+    def test_each_window_has_the_burst_anew(self) -> None:
+        window_s = 8.0
+        times = [step * 0.01 for step in range(4_000)]
+        admitted = self.admitted_in(AccountLimits(1.0, window_s), times)
+        for begin in range(0, 32):
+            inside = 100 * sum(1 for now in admitted if begin <= now < begin + window_s)
+            self.assertLessEqual(inside, 8 * 1_000 + 2_000)
+        self.assertGreater(100 * len(admitted), 0.95 * 5 * (8 * 1_000 + 2_000))
+
+    def test_window_counts_what_others_admitted(self) -> None:
+        limits = AccountLimits(1.0, 8.0)
+        limits.configure([self.account], 0.0)
+        limits.spent_elsewhere({}, {"north": 10_000.0}, 0.1)
+        self.assertEqual(self.admitted_in(limits, [0.1 + step * 0.1 for step in range(79)]), [])
+        self.assertEqual(limits.take(self.account, 100, 8.5), 0.0)
+
+    def test_wait_for_the_window_is_long_enough(self) -> None:
+        limits = AccountLimits(1.0, 8.0)
+        now = 0.0
+        while (wait := limits.take(self.account, 500, now)) == 0.0:
+            now += 0.35
+        self.assertEqual(limits.take(self.account, 500, now + wait + 0.001), 0.0)
+
     def test_wait_is_the_time_until_the_amount_is_there(self) -> None:
         limits = AccountLimits()
         while (wait := limits.take(self.account, 500, 0.0)) == 0.0:
