Tell other serving nodes at once what is placed, with its prompt's parts

Prompts of 40,000 tokens took 1.35 s (median) against 0.39 s for 15,000: reading costs by the square as well.

Change: placements are told to the other serving nodes within 20 ms, with parts and absolute loads; the cost of a prompt has a term by its square.

--- a/src/moledale/gateway/balance.py
+++ b/src/moledale/gateway/balance.py
@@ -1,17 +1,20 @@
 """Which server gets a request: views of servers, and a pure choice over them."""
 
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from moledale.core.hashing import ranked
-from moledale.gateway.messages import PromptPart, RequestFacts, Server
+from moledale.gateway.messages import Placed, PromptPart, RequestFacts, Server
 from moledale.gateway.peers import NodeState
 from moledale.gateway.plan import Engine
 
 PREFILL_TOKENS_PER_S = 40_000.0
 """Prompt tokens that a model server reads in a second beside what it decodes."""
 
+LONG_PROMPT_X = 9.3e-6
+"""Work that a prompt adds by its square, in tokens: each token attends to all those before it."""
+
 SLOT_WAIT_S = 0.15
 """Wait that a full batch adds; it is shared out by the part of slots taken."""
 
@@ -71,9 +74,11 @@
     def remember(self, parts: tuple[PromptPart, ...], capacity: int) -> None:
         """Note that a prompt's parts lie in the server's memory now."""
         for part in parts:
+            if part.tokens <= 0:
+                continue
             if part.id not in self.cached:
                 self.cached_tokens += part.tokens
-            self.cached[part.id] = part.tokens
+                self.cached[part.id] = part.tokens
             self.cached.move_to_end(part.id)
         while self.cached_tokens > capacity and self.cached:
             _, tokens = self.cached.popitem(last=False)
@@ -83,6 +88,8 @@
         """Return the tokens at the front of a prompt that lie in the server's memory."""
         tokens = 0
         for part in parts:
+            if part.tokens <= 0:
+                continue
             if part.id not in self.cached:
                 break
             tokens += part.tokens
@@ -126,12 +133,18 @@
     return parts[-2].id if len(parts) > 1 else parts[0].id
 
 
+def prefill_work(prompt: int, cached: int) -> int:
+    """Return what reading a prompt costs beyond its cached front, in tokens of a short prompt."""
+    cached = min(cached, prompt)
+    return prompt - cached + int(LONG_PROMPT_X * (prompt * prompt - cached * cached))
+
+
 def engine_cost(view: ServerView, facts: RequestFacts, home: bool, engine: Engine) -> float:
     """Estimate the seconds until the first token if the request went to a server."""
     cached = view.covers(facts.parts)
     if home and not cached:
         cached = sum(part.tokens for part in facts.parts[:-1]) // 2
-    work = view.all_prefill + max(0, facts.prompt_tokens - cached)
+    work = view.all_prefill + prefill_work(facts.prompt_tokens, cached)
     cost = work / PREFILL_TOKENS_PER_S + SLOT_WAIT_S * view.all_running / engine.slots
     if view.all_running >= engine.slots:
         cost += FULL_WAIT_S * view.all_running / engine.slots
@@ -145,13 +158,19 @@
     return view.answer_s * waiting + away + FAILED_WAIT_S * view.failed_share
 
 
+def _nobody_asks() -> None:
+    """Nobody wants to know of placements."""
+
+
 class ServerBook:
     """The servers of all services, with what this node and its peers have running there."""
 
     def __init__(self, hall: str) -> None:
         self.views: dict[str, ServerView] = {}
         self.work: dict[str, int] = {}
+        self.on_placed: Callable[[], None] = _nobody_asks
         self._hall = hall
+        self._placed: list[tuple[ServerView, tuple[PromptPart, ...]]] = []
 
     def apply(self, servers: Iterable[Server]) -> list[Server]:
         """Take over the list of servers; return those that are there no more."""
@@ -223,10 +242,34 @@
             views,
             key=lambda view: engine_cost(view, facts, view.server.id == home, engine),
         )
-        uncached = max(0, facts.prompt_tokens - best.covers(facts.parts))
+        cached = best.covers(facts.parts)
+        uncached = max(0, facts.prompt_tokens - cached)
         best.remember(facts.parts, engine.cache_tokens)
         self.work[service] = self.work.get(service, 0) + uncached
-        return self._count(best, uncached, now)
+        placement = self._count(best, prefill_work(facts.prompt_tokens, cached), now)
+        placement.uncached = uncached
+        self._placed.append((best, facts.parts))
+        self.on_placed()
+        return placement
+
+    def take_placed(self) -> list[Placed]:
+        """Return what was placed on engines since the last call, for other nodes."""
+        placed = [
+            Placed(view.server.id, view.running, view.prefill_tokens, parts)
+            for view, parts in self._placed
+        ]
+        self._placed.clear()
+        return placed
+
+    def heard_placed(self, news: Placed, before: tuple[int, int], engine: Engine | None) -> None:
+        """Count what another node placed, which had `before` there until now."""
+        view = self.views.get(news.server)
+        if view is None:
+            return
+        view.others_running += news.running - before[0]
+        view.others_prefill += news.prefill - before[1]
+        if engine is not None:
+            view.remember(news.parts, engine.cache_tokens)
 
     def pause_silent(self, now: float) -> None:
         """Pause servers that say nothing though they should; a kept connection hides a dark one.
--- a/src/moledale/gateway/gossip.py
+++ b/src/moledale/gateway/gossip.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from moledale.gateway.messages import Server
+from moledale.gateway.messages import Placed, Server
 from moledale.gateway.peers import NodeState
 
 
@@ -29,7 +29,16 @@
     servers: list[Server] | None
 
 
-Message = StateNews | FleetNews
+class PlacementNews(msgspec.Struct, array_like=True, tag="placed"):
+    """What a node placed since it last told; `sequence` is that of its last state."""
+
+    id: str
+    life: int
+    sequence: int
+    placed: list[Placed]
+
+
+Message = StateNews | FleetNews | PlacementNews
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
 
--- a/src/moledale/gateway/messages.py
+++ b/src/moledale/gateway/messages.py
@@ -40,13 +40,22 @@
     return None
 
 
-class PromptPart(msgspec.Struct, frozen=True):
+class PromptPart(msgspec.Struct, frozen=True, array_like=True):
     """A part of a prompt that other requests may share; `tokens` is its length."""
 
     id: str
     tokens: int
 
 
+class Placed(msgspec.Struct, frozen=True, array_like=True):
+    """A prompt that a node placed on a server, and what it has there with it."""
+
+    server: str
+    running: int
+    prefill: int
+    parts: tuple[PromptPart, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class RequestFacts:
     """What a request says of itself, whatever its headers are called."""
--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -17,14 +17,21 @@
 from moledale.gateway.evacuation import Engines
 from moledale.gateway.fleet_watch import FleetWatch
 from moledale.gateway.forwarder import Forwarder
-from moledale.gateway.gossip import FleetNews, GossipSocket, Message, StateNews, open_gossip
+from moledale.gateway.gossip import (
+    FleetNews,
+    GossipSocket,
+    Message,
+    PlacementNews,
+    StateNews,
+    open_gossip,
+)
 from moledale.gateway.inbound import Listener, listen, sweep_forever
 from moledale.gateway.lease_keeper import LeaseKeeper
 from moledale.gateway.messages import InboundRequest, Refusal, Server
 from moledale.gateway.neighbours import ROUND_S, Neighbours
 from moledale.gateway.outside import Orders, Store
 from moledale.gateway.peers import Membership, NodeState, Standing
-from moledale.gateway.plan import Limits, Plan
+from moledale.gateway.plan import Engine, Limits, Plan
 from moledale.gateway.plan_watch import PlanWatch
 from moledale.gateway.pool import ConnectionPool
 from moledale.gateway.questions import Questions
@@ -48,6 +55,9 @@
 TAKEN_SHARE = 0.35
 """Part of a stop's time in which new requests are taken; later ones could be cut at its end."""
 
+PLACEMENTS_S = 0.02
+"""Placements are collected for this long before other nodes hear of them."""
+
 ELSEWHERE_S = 0.05
 QUIET_S = 0.3
 EXIT_OK = 0
@@ -92,6 +102,8 @@
         self.supervisor = Supervisor("gateway", SystemClock())
         self.neighbours = Neighbours(self.members, node.peers, time.monotonic())
         self._gossip: GossipSocket | None = None
+        self._telling_placements: asyncio.TimerHandle | None = None
+        self.book.on_placed = self._placed
         self._random = random.Random()
         self._sequence = 0
         self.plans = PlanWatch(store, self.sharing.true_time, self._watching_turn, self._adopt)
@@ -232,6 +244,30 @@
         if others:
             self._gossip.tell(StateNews(own.shortened(), []), others)
 
+    def _placed(self) -> None:
+        """Tell of placements soon; some that come together are told together."""
+        if self._telling_placements is None:
+            loop = asyncio.get_running_loop()
+            self._telling_placements = loop.call_later(PLACEMENTS_S, self._tell_placements)
+
+    def _tell_placements(self) -> None:
+        self._telling_placements = None
+        placed = self.book.take_placed()
+        if self._gossip is None or not placed:
+            return
+        alive = self.members.alive(time.monotonic())
+        targets = [each.peer for each in alive if each.serving]
+        name = self.settings.node.id
+        self._gossip.tell(PlacementNews(name, self.life, self._sequence, placed), targets)
+
+    def _engine_of(self, server: str) -> Engine | None:
+        view = self.book.views.get(server)
+        index = self.forwarder.index
+        if view is None or index is None:
+            return None
+        service = index.services.get(view.server.service)
+        return service.engine if service is not None else None
+
     async def _gossip_forever(self) -> None:
         while True:
             now = time.monotonic()
@@ -247,6 +283,9 @@
         if isinstance(message, FleetNews):
             self.fleet.heard(message)
             return
+        if isinstance(message, PlacementNews):
+            self.sharing.heard_placed(message, self.book, self._engine_of)
+            return
         state = message.state
         stranger = state.id not in self.members.members
         if not self.sharing.heard(state, self.forwarder.limits):
--- a/src/moledale/gateway/peers.py
+++ b/src/moledale/gateway/peers.py
@@ -127,6 +127,13 @@
         self.members[state.id] = Member(state, now)
         return state
 
+    def life_of(self, node: str, life: int, sequence: int) -> NodeState | None:
+        """Return a node's state if it is of this life and not newer than `sequence`."""
+        known = self.members.get(node)
+        if known is None or known.state.life != life or known.state.sequence > sequence:
+            return None
+        return known.state
+
     def _keep_former(self, state: NodeState, now: float) -> None:
         for each in self.former:
             if each.state.id == state.id and each.state.life == state.life:
--- a/src/moledale/gateway/sharing.py
+++ b/src/moledale/gateway/sharing.py
@@ -5,11 +5,16 @@
 
 from moledale.gateway.accounts import AccountLimits
 from moledale.gateway.balance import ServerBook
+from moledale.gateway.gossip import PlacementNews
 from moledale.gateway.peers import Membership, NodeState
+from moledale.gateway.plan import Engine
 from moledale.gateway.retries import RetryBudget
 from moledale.gateway.settings import Bounds
 from moledale.gateway.usage import TrueTime, UsageCounts
 
+EngineOf = Callable[[str], Engine | None]
+"""Tells the engine that a server runs, or None for a plain server."""
+
 
 class Sharing:
     """Usage, retry budgets and true time of this node, with the news of its peers."""
@@ -80,6 +85,16 @@
         self.true_time.others(each.offset_s for each in alive)
         book.others(alive)
 
+    def heard_placed(self, news: PlacementNews, book: ServerBook, engine: EngineOf) -> None:
+        """Take over what a peer placed since it last told its whole state."""
+        state = self.members.life_of(news.id, news.life, news.sequence)
+        if state is None:
+            return
+        for each in news.placed:
+            before = state.loads.get(each.server, (0, 0))
+            state.loads[each.server] = (each.running, each.prefill)
+            book.heard_placed(each, before, engine(each.server))
+
     def _budget(self, service: str) -> RetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
