--- a/tests/test_gateway_placements.py
+++ b/tests/test_gateway_placements.py
@@ -74,6 +74,10 @@
         elsewhere = self.one.book.place("model", prompt("a", "y"), ENGINE, 1.0, away)
         assert elsewhere is not None
         self.two.hear(self.one.news())
+        home.first_token()
+        elsewhere.first_token()
+        self.two.members.heard(self.one.state(), 1.0)
+        self.two.sharing.take_over(self.two.book)
         found = self.two.book.place("model", prompt("a", "z"), ENGINE, 1.0)
         assert found is not None
         self.assertLess(found.uncached, 1_000)
