Soak real gateway processes under faults drawn from a seed

tests/soak runs the product's own start as separate processes behind loopback links that are slowed, silenced, cut one way or reset; processes are killed, frozen, stopped in order and reloaded, clocks step, the store fails in five ways, servers crash, drain, spoil answers and hand their addresses on. Thirteen checks and two of limits and duties read only what callers, servers, the operator and the platform saw; each has a test that makes it find something.

--- a/standins/rows.py
+++ b/standins/rows.py
@@ -44,6 +44,7 @@
     holder: str
     fence: int
     body: dict[str, object]
+    at: float = 0.0
 
 
 @dataclass(slots=True)
@@ -148,7 +149,8 @@
     ) -> tuple[int, dict[str, object]]:
         if body.get("spot") and body.get("zone") in self.refused_spot:
             return 409, {}
-        call = DutyCall(path, headers["duty-holder"], int(headers["fence-token"]), body)
+        now = asyncio.get_running_loop().time()
+        call = DutyCall(path, headers["duty-holder"], int(headers["fence-token"]), body, now)
         self.duty_calls.append(call)
         return 200, {}
 
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized fault soak over real gateway processes on loopback."""
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,41 @@
+"""Play soaks by hand: `python -m tests.soak --seeds 10 [--first 1] [--nodes 5] [--rounds 2]`."""
+
+import argparse
+import secrets
+import shutil
+import sys
+
+from tests.soak.soak import SoakPlan, play
+
+MOST_SHOWN = 12
+
+
+def main() -> int:
+    """Play seeds one after another; 1 means that something was found."""
+    parser = argparse.ArgumentParser(prog="tests.soak")
+    parser.add_argument("--seeds", type=int, default=5, help="how many seeds")
+    parser.add_argument("--first", type=int, help="the first seed; drawn if left out")
+    parser.add_argument("--nodes", type=int, default=5)
+    parser.add_argument("--rounds", type=int, default=2)
+    asked = parser.parse_args()
+    first = asked.first if asked.first is not None else secrets.randbelow(1_000_000)
+    failed = 0
+    for seed in range(first, first + asked.seeds):
+        result = play(SoakPlan(seed, nodes=asked.nodes, rounds=asked.rounds))
+        print(
+            f"seed {seed}: {len(result.findings)} findings, {result.attempts} attempts, "
+            f"{result.served} served, {len(result.faults)} events",
+            flush=True,
+        )
+        if result.findings:
+            failed += 1
+            for finding in result.findings[:MOST_SHOWN]:
+                print(f"  {finding}")
+            print(f"  logs kept in {result.folder.name} of the temporary folder", flush=True)
+        else:
+            shutil.rmtree(result.folder, ignore_errors=True)
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/soak/backend.py
@@ -0,0 +1,181 @@
+"""Backend servers that fail as told: plain ones, and model servers that answer in events."""
+
+import asyncio
+import random
+import time
+from enum import StrEnum
+
+from tests.gateway_world import LAST_CHUNK, Arrival, chunk, reset
+from tests.soak.link import Link
+from tests.soak.records import Ledger, Run
+
+EVENTS = 12
+EVENT_S = 0.03
+PLAIN_S = 0.01
+SLOW_X = 6.0
+
+
+class Mood(StrEnum):
+    """What a server does wrong with part of its requests."""
+
+    GOOD = "good"
+    GREY = "failures while healthy"
+    SHED = "rejects"
+    LOST = "runs and resets"
+    CUT = "breaks off answers"
+    EXTRA = "second answers"
+    SLOW = "slow"
+    MUTE = "takes requests and says nothing"
+
+
+def plain_body(request: str, server: str) -> bytes:
+    """Return the only whole body that a server gives for a request."""
+    return f"answer to {request} by {server}".encode()
+
+
+def event_of(request: str, server: str, number: int) -> bytes:
+    """Return an event of a request's stream."""
+    return f"id: {number}\ndata: {request} {server} piece {number}\n\n".encode()
+
+
+class Backend:
+    """One incarnation of a server."""
+
+    def __init__(self, name: str, service: str, ledger: Ledger, chance: random.Random) -> None:
+        self.id = name
+        self.service = service
+        self.mood = Mood.GOOD
+        self.share = 0.4
+        self.down = False
+        self.link = Link("")
+        self._ledger = ledger
+        self._chance = chance
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self.address = ""
+
+    async def start(self, link: Link | None = None) -> None:
+        """Listen, behind a new link or at an address that another server had."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+        if link is None:
+            self.link.target = self.address
+            await self.link.start()
+        else:
+            self.link = link
+            link.target = self.address
+
+    def crash(self) -> None:
+        """End at once, with all connections."""
+        self.down = True
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
+        try:
+            while not self.down:
+                head = await reader.readuntil(b"\r\n\r\n")
+                line, *rest = head.decode("latin-1").rstrip("\r\n").split("\r\n")
+                headers = [(n.strip(), v.strip()) for n, v in (each.split(":", 1) for each in rest)]
+                length = next((int(v) for n, v in headers if n.lower() == "content-length"), 0)
+                body = await reader.readexactly(length)
+                arrival = Arrival(line, headers, body, 0, time.monotonic())
+                await self._answer(arrival, writer)
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _answer(self, arrival: Arrival, writer: asyncio.StreamWriter) -> None:
+        expected = arrival.get("expect-instance")
+        strikes = self._chance.random() < self.share
+        if expected is not None and expected != self.id:
+            self._reject(arrival, writer, 421)
+        elif self.mood is Mood.SHED and strikes:
+            self._reject(arrival, writer, 503)
+        elif self.service == "model":
+            await self._stream(arrival, writer, strikes)
+        else:
+            await self._plain(arrival, writer, strikes)
+
+    def _note(self, arrival: Arrival) -> None:
+        tokens = arrival.get("token-count") or "5,5"
+        self._ledger.runs.append(
+            Run(
+                arrival.get("request-id") or "",
+                self.id,
+                self.service,
+                time.monotonic(),
+                arrival.line,
+                arrival.body,
+                arrival.get("tenant"),
+                arrival.get("authorization") is not None,
+                int(arrival.get("last-event-id") or 0),
+                sum(int(each) for each in tokens.split(",")),
+            )
+        )
+
+    def _head(self, arrival: Arrival, status: int, more: str) -> bytes:
+        return (
+            f"HTTP/1.1 {status} X\r\nRequest-Id: {arrival.get('request-id')}\r\n{more}\r\n"
+        ).encode()
+
+    def _reject(self, arrival: Arrival, writer: asyncio.StreamWriter, status: int) -> None:
+        more = "Not-Executed: 1\r\nContent-Length: 0\r\n"
+        writer.write(self._head(arrival, status, more))
+
+    async def _plain(self, arrival: Arrival, writer: asyncio.StreamWriter, strikes: bool) -> None:
+        self._note(arrival)
+        slow = self.mood is Mood.SLOW
+        await asyncio.sleep(PLAIN_S * (SLOW_X if slow else 1.0))
+        if self.mood is Mood.MUTE:
+            await asyncio.sleep(3_600)
+        if self.mood is Mood.LOST and strikes:
+            reset(writer)
+            raise ConnectionResetError
+        failed = self.mood is Mood.GREY and strikes
+        request = arrival.get("request-id") or ""
+        body = b"failed" if failed else plain_body(request, self.id)
+        more = f"Server-Stamp: {self.id}\r\nContent-Length: {len(body)}\r\n"
+        data = self._head(arrival, 500 if failed else 200, more) + body
+        if self.mood is Mood.CUT and strikes:
+            writer.write(data[: -len(body) // 2])
+            await writer.drain()
+            writer.close()
+            raise ConnectionResetError
+        writer.write(data)
+        if self.mood is Mood.EXTRA and strikes:
+            writer.write(self._head(arrival, 200, more) + body)
+
+    async def _stream(self, arrival: Arrival, writer: asyncio.StreamWriter, strikes: bool) -> None:
+        self._note(arrival)
+        if self.mood is Mood.MUTE:
+            await asyncio.sleep(3_600)
+        if self.mood is Mood.LOST and strikes:
+            reset(writer)
+            raise ConnectionResetError
+        request = arrival.get("request-id") or ""
+        more = (
+            f"Server-Stamp: {self.id}\r\nContent-Type: text/event-stream\r\n"
+            "Transfer-Encoding: chunked\r\n"
+        )
+        writer.write(self._head(arrival, 200, more))
+        breaks_at = EVENTS // 2 if self.mood in (Mood.CUT, Mood.GREY) and strikes else None
+        for number in range(int(arrival.get("last-event-id") or 0) + 1, EVENTS + 1):
+            await asyncio.sleep(EVENT_S * (SLOW_X if self.mood is Mood.SLOW else 1.0))
+            data = event_of(request, self.id, number)
+            if number == breaks_at:
+                writer.write(chunk(data)[:-9])
+                await writer.drain()
+                reset(writer)
+                raise ConnectionResetError
+            writer.write(chunk(data))
+            await writer.drain()
+        writer.write(LAST_CHUNK)
+        if self.mood is Mood.EXTRA and strikes:
+            writer.write(self._head(arrival, 200, "Content-Length: 0\r\n"))
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,186 @@
+"""Callers that keep their connections until the process behind them is gone, and remember all."""
+
+import asyncio
+import json
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from tests.gateway_world import HOST, read_answer
+from tests.soak.process import NodeProcess
+from tests.soak.records import Attempt, Ledger
+
+DEADLINE_S = 3.0
+PATIENCE_S = 0.6
+"""Callers wait this long beyond the deadline, so that late answers are seen."""
+
+DIRECTORY_EVERY_S = 2.0
+THINK_S = 0.12
+CONNECT_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Account:
+    """A client account as its callers know it."""
+
+    name: str
+    key: str
+
+
+def request_of(
+    request: str, route: str, account: Account, tokens: int, after_event: int
+) -> tuple[str, bytes, bytes]:
+    """Return a request's first line, its body and all its bytes."""
+    method = "GET" if route.startswith(("check", "only")) else "POST"
+    line = f"{method} /{route}/x HTTP/1.1"
+    body = b"" if method == "GET" else f"body of {request}".encode()
+    headers = [
+        f"Host: {HOST}",
+        f"Request-Id: {request}",
+        f"Authorization: Bearer {account.key}",
+        f"Deadline-Ms: {int(DEADLINE_S * 1000)}",
+        f"Token-Count: {tokens},5",
+        "Prompt-Prefix: aa:3,bb:2",
+    ]
+    if after_event:
+        headers.append(f"Last-Event-Id: {after_event}")
+    if method == "POST":
+        headers.append(f"Content-Length: {len(body)}")
+    return line, body, ("\r\n".join([line, *headers]) + "\r\n\r\n").encode() + body
+
+
+async def ask_directory(node: NodeProcess) -> list[str]:
+    """Return the addresses that a node tells, or none."""
+    host, _, port = node.directory.rpartition(":")
+    try:
+        async with asyncio.timeout(CONNECT_S):
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(
+                b"GET /v1/resolve?name=x&region=north&zone=hall-a HTTP/1.1\r\nHost: d\r\n\r\n"
+            )
+            got = await read_answer(reader)
+            writer.close()
+    except (OSError, TimeoutError):
+        return []
+    if got.status != 200:
+        return []
+    found: list[str] = json.loads(got.body)["addresses"]
+    return found
+
+
+class CallerFailed(Exception):
+    """No connection came about."""
+
+
+class SoakCaller:
+    """One caller of one account; every attempt has an id of its own."""
+
+    def __init__(
+        self,
+        name: str,
+        account: Account,
+        nodes: list[NodeProcess],
+        ledger: Ledger,
+        chance: random.Random,
+        routes: Callable[[], tuple[str, ...]],
+    ) -> None:
+        self._name = name
+        self._account = account
+        self._nodes = nodes
+        self._ledger = ledger
+        self._chance = chance
+        self._routes = routes
+        self._number = 0
+        self._addresses: list[str] = []
+        self._asked_at = -1e9
+        self._node: NodeProcess | None = None
+        self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+
+    async def run(self, until: Callable[[], bool]) -> None:
+        """Send one request after another."""
+        while not until():
+            await asyncio.sleep(THINK_S * (0.5 + self._chance.random()))
+            try:
+                await self._connect()
+            except CallerFailed:
+                await asyncio.sleep(0.1)
+                continue
+            route = self._chance.choice(self._routes())
+            await self.send(route)
+        self._drop()
+
+    async def _connect(self) -> None:
+        """Keep the open connection, whatever the directory says; else take a new one."""
+        now = time.monotonic()
+        if now - self._asked_at > DIRECTORY_EVERY_S:
+            found = await ask_directory(self._chance.choice(self._nodes))
+            if found:
+                self._addresses, self._asked_at = found, now
+        if self._streams is not None:
+            return
+        by_front = {node.front: node for node in self._nodes}
+        known = [by_front[each] for each in self._addresses if each in by_front]
+        if not known:
+            raise CallerFailed
+        self._node = self._chance.choice(known)
+        host, _, port = self._node.callers.address.rpartition(":")
+        try:
+            async with asyncio.timeout(CONNECT_S):
+                self._streams = await asyncio.open_connection(host, int(port))
+        except (OSError, TimeoutError) as error:
+            raise CallerFailed from error
+
+    async def send(self, route: str, after_event: int = 0) -> None:
+        """Send a request on the open connection and note how it ended."""
+        assert self._streams is not None and self._node is not None
+        reader, writer = self._streams
+        self._number += 1
+        request = f"{self._name}-{self._number}"
+        tokens = self._chance.choice((5, 5, 20, 60))
+        line, body, data = request_of(request, route, self._account, tokens, after_event)
+        attempt = Attempt(
+            request, route, line, body, self._account.name, self._node.name, time.monotonic(),
+            tokens + 5, after_event,
+        )  # fmt: skip
+        self._ledger.attempts.append(attempt)
+        try:
+            writer.write(data)
+            async with asyncio.timeout(DEADLINE_S + PATIENCE_S):
+                answer = await read_answer(reader)
+            attempt.status, attempt.whole = answer.status, answer.whole
+            attempt.answer, attempt.headers = answer.body, answer.headers
+        except (OSError, TimeoutError):
+            pass
+        attempt.ended_at = time.monotonic()
+        ends = not attempt.whole or "close" in attempt.headers.get("connection", "")
+        if ends:
+            self._drop()
+
+    def _drop(self) -> None:
+        if self._streams is not None:
+            self._streams[1].close()
+        self._streams = None
+
+
+async def probe(
+    node: NodeProcess, route: str, account: Account, request: str, ledger: Ledger
+) -> None:
+    """Ask a node directly, past the directory, what it makes of a route and a key."""
+    line, body, data = request_of(request, route, account, 5, 0)
+    attempt = Attempt(
+        request, route, line, body, account.name, node.name, time.monotonic(), 10, probe=True
+    )
+    try:
+        async with asyncio.timeout(CONNECT_S):
+            host, _, port = node.front.rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            ledger.attempts.append(attempt)
+            writer.write(data)
+            answer = await read_answer(reader)
+            writer.close()
+        attempt.status, attempt.whole = answer.status, answer.whole
+        attempt.answer, attempt.headers = answer.body, answer.headers
+    except (OSError, TimeoutError):
+        pass
+    attempt.ended_at = time.monotonic()
--- /dev/null
+++ b/tests/soak/checks.py
@@ -0,0 +1,288 @@
+"""The promises, checked from what was seen outside the product; each check returns findings."""
+
+import re
+from collections import defaultdict
+from collections.abc import Callable, Iterable
+
+from standins.rows import DutyCall
+from tests.soak.backend import EVENTS, event_of, plain_body
+from tests.soak.records import Attempt, Ledger, Run
+
+CONTACT_S = 3.0
+"""Bounds hold once nothing unplanned happened for this long."""
+
+APPLY_S = 2.0
+LEAVE_S = 2.0
+LEASE_S = 1.5
+STOP_S = 5.0
+STOP_SLACK_S = 1.0
+ANSWER_SLACK_S = 0.5
+CROSSING_S = 0.2
+RECOVERY_S = 8.0
+RECOVERED_SHARE = 0.9
+WINDOW_S = 8.0
+OVERAGE = 1.1
+PROMISES = frozenset({408, 421, 429, 503})
+STREAM_ROUTES = frozenset({"draft", "review"})
+REPEATABLE_ROUTES = frozenset({"check", "review"})
+PIECE = re.compile(rb"id: (\d+)\ndata: (\S+) (\S+) piece (\d+)\n\n")
+
+
+def runs_by_request(ledger: Ledger) -> dict[str, list[Run]]:
+    """Return the runs of each request."""
+    found: dict[str, list[Run]] = defaultdict(list)
+    for run in ledger.runs:
+        found[run.request].append(run)
+    return found
+
+
+def own_whole_answers(ledger: Ledger) -> Iterable[str]:
+    """Each success is the whole answer of a server that ran this very request."""
+    runs = runs_by_request(ledger)
+    for attempt in ledger.attempts:
+        if not attempt.whole or not 200 <= attempt.status < 300:
+            continue
+        servers = {run.server for run in runs[attempt.request]}
+        stamp = attempt.headers.get("server-stamp", "")
+        if attempt.headers.get("request-id") != attempt.request or stamp not in servers:
+            yield f"{attempt.request}: answered with the head of {attempt.headers}"
+        elif attempt.route in STREAM_ROUTES:
+            yield from _whole_stream(attempt, servers, stamp)
+        elif attempt.answer != plain_body(attempt.request, stamp):
+            yield f"{attempt.request}: body {attempt.answer[:80]!r} is not the server's"
+
+
+def _whole_stream(attempt: Attempt, servers: set[str], stamp: str) -> Iterable[str]:
+    pieces = PIECE.findall(attempt.answer)
+    numbers = [int(piece[0]) for piece in pieces]
+    if numbers != list(range(attempt.after_event + 1, EVENTS + 1)):
+        yield f"{attempt.request}: a whole stream has the events {numbers}"
+    rebuilt = b"".join(event_of(attempt.request, p[2].decode(), int(p[0])) for p in pieces)
+    if rebuilt != attempt.answer:
+        yield f"{attempt.request}: a stream has bytes of no event"
+    makers = {piece[2].decode() for piece in pieces}
+    if not makers <= servers:
+        yield f"{attempt.request}: pieces of {makers - servers}, which did not run it"
+    if attempt.route == "draft" and makers != {stamp}:
+        yield f"{attempt.request}: a stream that may not be resumed has pieces of {makers}"
+
+
+def cut_streams_are_in_order(ledger: Ledger) -> Iterable[str]:
+    """A stream that broke off has whole events in order as far as it came."""
+    for attempt in ledger.attempts:
+        if attempt.whole or attempt.route not in STREAM_ROUTES or attempt.status != 200:
+            continue
+        numbers = [int(piece[0]) for piece in PIECE.findall(attempt.answer)]
+        first = attempt.after_event + 1
+        if numbers != list(range(first, first + len(numbers))):
+            yield f"{attempt.request}: a cut stream has the events {numbers}"
+
+
+def at_most_once(ledger: Ledger) -> Iterable[str]:
+    """What may not be repeated runs once at most."""
+    routes = {attempt.request: attempt.route for attempt in ledger.attempts}
+    for request, runs in runs_by_request(ledger).items():
+        if routes.get(request) in ("order", "draft") and len(runs) > 1:
+            yield f"{request} ({routes[request]}): ran on {[run.server for run in runs]}"
+
+
+def promises_kept(ledger: Ledger) -> Iterable[str]:
+    """What was answered as not run has not run and never does."""
+    runs = runs_by_request(ledger)
+    for attempt in ledger.attempts:
+        if attempt.status in PROMISES and runs[attempt.request]:
+            yield f"{attempt.request}: answered {attempt.status}, ran on " + ", ".join(
+                run.server for run in runs[attempt.request]
+            )
+
+
+def nothing_unasked(ledger: Ledger) -> Iterable[str]:
+    """Servers run what callers sent, unchanged, under the account's name, without its key."""
+    sent = {attempt.request: attempt for attempt in ledger.attempts}
+    for run in ledger.runs:
+        attempt = sent.get(run.request)
+        if attempt is None:
+            yield f"{run.server} ran {run.request!r}, which no caller sent"
+        elif run.line != attempt.line or run.body != attempt.body:
+            yield f"{run.request}: line or body were changed"
+        elif run.account != attempt.account or run.key_seen:
+            yield f"{run.request}: ran for {run.account}, key passed on: {run.key_seen}"
+
+
+def attempts_bounded(ledger: Ledger) -> Iterable[str]:
+    """No request runs on more servers than its route allows."""
+    for request, runs in runs_by_request(ledger).items():
+        if len({run.server for run in runs}) > 2:
+            yield f"{request}: ran on {len(runs)} servers"
+
+
+def leaving_servers_rest(ledger: Ledger) -> Iterable[str]:
+    """A server that leaves gets no new work after a while, in calm times."""
+    for leaving in ledger.leaving:
+        for run in ledger.runs:
+            late = run.at - leaving.acked_at - LEAVE_S
+            if run.server != leaving.server or late < 0:
+                continue
+            if not ledger.unplanned_in(leaving.acked_at - CONTACT_S, run.at):
+                yield f"{run.request} reached {run.server} {late:.2f} s too late"
+
+
+def planned_work_cuts_nothing(ledger: Ledger) -> Iterable[str]:
+    """In calm times every request that was read is answered whole."""
+    runs = runs_by_request(ledger)
+    for attempt in ledger.attempts:
+        if attempt.whole or attempt.probe or not attempt.ended_at:
+            continue
+        if ledger.unplanned_in(attempt.sent_at - CONTACT_S, attempt.ended_at):
+            continue
+        if runs[attempt.request] or attempt.ended_at - attempt.sent_at > CROSSING_S:
+            yield f"{attempt.request} at {attempt.node}: cut after " + (
+                f"{attempt.ended_at - attempt.sent_at:.2f} s, status {attempt.status}"
+            )
+
+
+def answers_in_time(ledger: Ledger) -> Iterable[str]:
+    """In calm times a request has its final answer soon after its route's time limit."""
+    limits = {"check": 1.0, "order": 1.0}
+    for attempt in ledger.attempts:
+        limit = limits.get(attempt.route)
+        took = attempt.ended_at - attempt.sent_at
+        if limit is None or attempt.probe or not attempt.ended_at or took < limit + ANSWER_SLACK_S:
+            continue
+        if not ledger.unplanned_in(attempt.sent_at - CONTACT_S, attempt.ended_at):
+            yield f"{attempt.request}: {took:.2f} s for a limit of {limit} s"
+
+
+def versions_in_force(ledger: Ledger) -> Iterable[str]:
+    """In calm times every node handles by the newest version soon after its acknowledgement."""
+    for attempt in ledger.attempts:
+        if not attempt.probe or not attempt.whole or attempt.status == 503:
+            continue
+        number = int(attempt.route.removeprefix("only-"))
+        acked = [v for v in ledger.versions if v.acked_at + APPLY_S < attempt.sent_at]
+        begun = [v for v in ledger.versions if v.acked_at <= attempt.ended_at]
+        if not acked or ledger.unplanned_in(acked[-1].acked_at - CONTACT_S, attempt.ended_at):
+            continue
+        allowed = {v.number for v in begun if v.number >= acked[-1].number}
+        if attempt.status == 404 and allowed == {number}:
+            yield f"{attempt.request}: {attempt.node} did not know version {number}"
+        if attempt.status != 404 and number not in allowed:
+            yield f"{attempt.request}: {attempt.node} still had version {number}, not {allowed}"
+
+
+def versions_never_revert(ledger: Ledger) -> Iterable[str]:
+    """Within one life of a process, versions only rise."""
+    probes = [a for a in ledger.attempts if a.probe and a.whole and a.status == 200]
+    for attempt in probes:
+        number = int(attempt.route.removeprefix("only-"))
+        life = max(
+            (at for name, at in ledger.starts if name == attempt.node and at < attempt.sent_at),
+            default=0.0,
+        )
+        for earlier in probes:
+            same = earlier.node == attempt.node and life < earlier.sent_at
+            newer = int(earlier.route.removeprefix("only-")) > number
+            if same and newer and earlier.ended_at < attempt.sent_at:
+                yield f"{attempt.request}: {attempt.node} went back to version {number}"
+                break
+
+
+def limits_hold(ledger: Ledger, limit: dict[str, tuple[float, float]], slack: float) -> list[str]:
+    """No account runs more in a window than its rate, its burst and what news may hide."""
+    findings = []
+    for account, (rate, burst) in limit.items():
+        runs = [run for run in ledger.runs if run.account == account]
+        most = (rate * WINDOW_S + burst) * OVERAGE + slack
+        for index, first in enumerate(runs):
+            total = sum(r.tokens for r in runs[index:] if r.at < first.at + WINDOW_S)
+            if total > most:
+                findings.append(f"{account}: {total} tokens in a window, at most {most:.0f}")
+                break
+    return findings
+
+
+def duties_by_one(calls: list[DutyCall], thawed: list[float], thaw_s: float) -> Iterable[str]:
+    """Usage of a window is told once; fences rise; holders don't take turns within a lease."""
+    windows: dict[int, dict[str, int]] = {}
+    holders: dict[tuple[str, str], dict[int, str]] = defaultdict(dict)
+    newest: dict[str, int] = {}
+    turns: dict[str, list[tuple[float, str]]] = defaultdict(list)
+    for call in calls:
+        subject = _subject(call)
+        if call.path == "/usage":
+            window = int(str(call.body["window"]))
+            counts = call.body["counts"]
+            assert isinstance(counts, dict)
+            if windows.setdefault(window, counts) != counts:
+                yield f"window {window} was told as {windows[window]} and as {counts}"
+        known = holders[(subject, "")].setdefault(call.fence, call.holder)
+        if known != call.holder:
+            yield f"{subject}: fence {call.fence} of {known} and {call.holder}"
+        if any(0 <= call.at - at < thaw_s for at in thawed):
+            continue
+        if call.fence < newest.get(subject, 0):
+            yield f"{subject}: fence {call.fence} after {newest[subject]}"
+        newest[subject] = max(call.fence, newest.get(subject, 0))
+        turns[subject].append((call.at, call.holder))
+    for subject, sequence in turns.items():
+        yield from _turns(subject, sequence)
+
+
+def _turns(subject: str, sequence: list[tuple[float, str]]) -> Iterable[str]:
+    for index, (at, holder) in enumerate(sequence):
+        others = False
+        for later, other in sequence[index + 1 :]:
+            if later - at >= LEASE_S:
+                break
+            if other != holder:
+                others = True
+            elif others:
+                yield f"{subject}: {holder} acted before and after another within a lease"
+                break
+
+
+def _subject(call: DutyCall) -> str:
+    if call.path == "/usage":
+        return "usage"
+    return f"{call.body.get('service')} in {call.body.get('zone')}"
+
+
+def ends_as_asked(ledger: Ledger) -> Iterable[str]:
+    """Processes end by the soak's signals only, and a planned stop in time and with code 0."""
+    for end in ledger.exits:
+        if not end.asked:
+            yield f"{end.node} ended by itself with code {end.code}"
+        elif end.took_s is not None and end.code == 0 and end.took_s > STOP_S + STOP_SLACK_S:
+            yield f"{end.node}: a planned stop took {end.took_s:.1f} s"
+        elif end.code not in (0, -9):
+            yield f"{end.node}: ended with code {end.code}"
+
+
+def served_after_healing(ledger: Ledger) -> Iterable[str]:
+    """After the last trouble is over, requests are served again."""
+    late = [
+        attempt
+        for attempt in ledger.attempts
+        if not attempt.probe and attempt.sent_at > ledger.healed_at + RECOVERY_S
+        if attempt.ended_at and attempt.account != "small"
+    ]
+    good = [attempt for attempt in late if attempt.whole and attempt.status == 200]
+    if len(good) < RECOVERED_SHARE * len(late) or not late:
+        yield f"{len(good)} of {len(late)} requests were served after all was healed"
+
+
+CHECKS: tuple[Callable[[Ledger], Iterable[str]], ...] = (
+    own_whole_answers,
+    cut_streams_are_in_order,
+    at_most_once,
+    promises_kept,
+    nothing_unasked,
+    attempts_bounded,
+    leaving_servers_rest,
+    planned_work_cuts_nothing,
+    answers_in_time,
+    versions_in_force,
+    versions_never_revert,
+    ends_as_asked,
+    served_after_healing,
+)
--- /dev/null
+++ b/tests/soak/process.py
@@ -0,0 +1,174 @@
+"""Gateway nodes as real processes, and the signals that the soak sends them."""
+
+import asyncio
+import os
+import random
+import signal
+import sys
+import time
+from pathlib import Path
+
+from tests.soak.link import Link
+from tests.soak.records import Exit, Ledger
+
+ROOT = Path(__file__).resolve().parents[2]
+FIRST_PORT = 7100
+STOP_S = 5.0
+
+SETTINGS = """
+[node]
+id = "{name}"
+hall = "{hall}"
+region = "north"
+callers = "{host}:{callers}"
+control = "{host}:{control}"
+directory = "{host}:{directory}"
+readiness = "{host}:{readiness}"
+peers = "{host}:{peers}"
+first_start = {first}
+seeds = [{seeds}]
+[outside]
+store = "{store}"
+cloud = "{store}"
+[bounds]
+stop_s = {stop_s}
+leave_s = 2.0
+apply_s = 2.0
+lease_s = 1.5
+retry_ratio = 0.2
+retry_slack = 30
+retry_window_s = 10
+usage_window_s = 2
+usage_late_s = 6
+address_ttl_s = 2
+limit_window_s = 8
+"""
+
+
+class NodeProcess:
+    """One instance's process, with links for its callers and to the store."""
+
+    def __init__(self, name: str, hall: str, folder: Path, store: str, ledger: Ledger) -> None:
+        self.name = name
+        self.host = f"127.{os.getpid() % 200 + 20}.{random.SystemRandom().randint(0, 254)}.1"
+        self.hall = hall
+        self.callers = Link(f"{self.host}:{FIRST_PORT}")
+        self.store = Link(store)
+        self.ready_address = f"{self.host}:{FIRST_PORT + 3}"
+        self.directory = f"{self.host}:{FIRST_PORT + 2}"
+        self.process: asyncio.subprocess.Process | None = None
+        self.paused = False
+        self.stopping_since: float | None = None
+        self._folder = folder
+        self._ledger = ledger
+        self._asked = False
+        self._watch: asyncio.Task[None] | None = None
+
+    @property
+    def front(self) -> str:
+        """Return the address that the directory tells for this node."""
+        return f"{self.host}:{FIRST_PORT}"
+
+    @property
+    def seed(self) -> str:
+        """Return the address that other nodes have as a seed."""
+        return f"{self.host}:{FIRST_PORT + 1}"
+
+    @property
+    def running(self) -> bool:
+        """Say whether the process is there."""
+        return self.process is not None and self.process.returncode is None
+
+    async def prepare(self, seeds: list[str], first: bool) -> None:
+        """Open the links and write the settings."""
+        await self.callers.start()
+        await self.store.start()
+        text = SETTINGS.format(
+            name=self.name,
+            hall=self.hall,
+            host=self.host,
+            callers=FIRST_PORT,
+            control=FIRST_PORT + 1,
+            directory=FIRST_PORT + 2,
+            readiness=FIRST_PORT + 3,
+            peers=FIRST_PORT + 4,
+            first="true" if first else "false",
+            seeds=", ".join(f'"{seed}"' for seed in seeds),
+            store=self.store.address,
+            stop_s=STOP_S,
+        )
+        (self._folder / f"{self.name}.toml").write_text(text, "utf-8")
+        (self._folder / f"{self.name}.step").write_text("0.0", "ascii")
+
+    async def start(self) -> None:
+        """Start the process; its log goes on in one file over all its lives."""
+        environment = {
+            "PATH": os.environ.get("PATH", ""),
+            "PYTHONPATH": f"{ROOT / 'src'}",
+            "MOLEDALE_NODE_FILE": str(self._folder / f"{self.name}.toml"),
+            "SOAK_STEP_FILE": str(self._folder / f"{self.name}.step"),
+        }
+        with (self._folder / f"{self.name}.log").open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(ROOT / "tests" / "soak" / "node_main.py"),
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+        self._asked = False
+        self.paused = False
+        self.stopping_since = None
+        self._ledger.starts.append((self.name, time.monotonic()))
+        self._watch = asyncio.create_task(self._wait(self.process))
+
+    async def _wait(self, process: asyncio.subprocess.Process) -> None:
+        code = await process.wait()
+        now = time.monotonic()
+        took = None if self.stopping_since is None else now - self.stopping_since
+        self._ledger.exits.append(Exit(self.name, now, code, self._asked, took))
+
+    def _send(self, number: signal.Signals) -> None:
+        if self.process is not None and self.running:
+            self.process.send_signal(number)
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self._asked = True
+        self._send(signal.SIGKILL)
+
+    def stop(self) -> None:
+        """Begin a planned stop."""
+        self._asked = True
+        self.stopping_since = time.monotonic()
+        self._send(signal.SIGTERM)
+
+    def pause(self) -> None:
+        """Freeze the process."""
+        self.paused = True
+        self._send(signal.SIGSTOP)
+
+    def wake(self) -> None:
+        """Let a frozen process go on."""
+        self.paused = False
+        self._send(signal.SIGCONT)
+
+    def reload(self) -> None:
+        """Tell the process that its settings changed."""
+        self._send(signal.SIGHUP)
+
+    def step_clock(self, seconds: float) -> None:
+        """Let the process's time of day jump."""
+        (self._folder / f"{self.name}.step").write_text(str(seconds), "ascii")
+        self._send(signal.SIGUSR1)
+
+    async def gone(self, within_s: float) -> bool:
+        """Wait until the process has ended."""
+        if self.process is None:
+            return True
+        try:
+            async with asyncio.timeout(within_s):
+                await self.process.wait()
+        except TimeoutError:
+            return False
+        return True
--- /dev/null
+++ b/tests/soak/records.py
@@ -0,0 +1,109 @@
+"""What callers, backend servers and the operator saw; the checks read nothing else."""
+
+import time
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True)
+class Run:
+    """A request that a backend server began to work on."""
+
+    request: str
+    server: str
+    service: str
+    at: float
+    line: str
+    body: bytes
+    account: str | None
+    key_seen: bool
+    after_event: int
+    tokens: int
+
+
+@dataclass(slots=True)
+class Attempt:
+    """A request as its caller saw it; times are monotonic seconds."""
+
+    request: str
+    route: str
+    line: str
+    body: bytes
+    account: str
+    node: str
+    sent_at: float
+    tokens: int
+    after_event: int = 0
+    ended_at: float = 0.0
+    status: int = 0
+    whole: bool = False
+    answer: bytes = b""
+    headers: dict[str, str] = field(default_factory=dict)
+    probe: bool = False
+
+
+@dataclass(slots=True)
+class Fault:
+    """A disruption; planned work is what operators do on purpose."""
+
+    kind: str
+    what: str
+    planned: bool
+    begins: float
+    ends: float = float("inf")
+
+
+@dataclass(slots=True)
+class Version:
+    """A configuration that the store acknowledged."""
+
+    number: int
+    acked_at: float
+    keys: frozenset[str]
+
+
+@dataclass(slots=True)
+class Leaving:
+    """A server that the list told as leaving or dropped in order."""
+
+    server: str
+    acked_at: float
+
+
+@dataclass(slots=True)
+class Exit:
+    """The end of a process; `asked` tells whether the soak's signal ended it."""
+
+    node: str
+    at: float
+    code: int
+    asked: bool
+    took_s: float | None = None
+
+
+@dataclass(slots=True)
+class Ledger:
+    """Everything that was seen in one soak."""
+
+    began: float = field(default_factory=time.monotonic)
+    runs: list[Run] = field(default_factory=list)
+    attempts: list[Attempt] = field(default_factory=list)
+    faults: list[Fault] = field(default_factory=list)
+    versions: list[Version] = field(default_factory=list)
+    leaving: list[Leaving] = field(default_factory=list)
+    exits: list[Exit] = field(default_factory=list)
+    starts: list[tuple[str, float]] = field(default_factory=list)
+    healed_at: float = float("inf")
+
+    def fault(self, kind: str, what: str, planned: bool = False, for_s: float = 0.0) -> Fault:
+        """Note a disruption that begins now."""
+        now = time.monotonic()
+        fault = Fault(kind, what, planned, now, now + for_s if for_s else float("inf"))
+        self.faults.append(fault)
+        return fault
+
+    def unplanned_in(self, begin: float, end: float) -> bool:
+        """Say whether anything unplanned went on within a span."""
+        return any(
+            not fault.planned and fault.begins <= end and fault.ends >= begin
+            for fault in self.faults
+        )
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,186 @@
+"""The soak's checks find what they are for, and a short soak with a fixed seed finds nothing."""
+
+import shutil
+import unittest
+
+from standins.rows import DutyCall
+from tests.soak import checks
+from tests.soak.backend import EVENTS, event_of, plain_body
+from tests.soak.records import Attempt, Exit, Leaving, Ledger, Run, Version
+from tests.soak.soak import SoakPlan, play
+
+SEED = 7
+
+
+def run_of(request: str, server: str, at: float = 0.0, **changes: object) -> Run:
+    values: dict[str, object] = {
+        "request": request, "server": server, "service": "plain", "at": at, "line": "GET /x",
+        "body": b"", "account": "north", "key_seen": False, "after_event": 0, "tokens": 10,
+    }  # fmt: skip
+    return Run(**{**values, **changes})  # type: ignore[arg-type]
+
+
+def attempt_of(request: str, route: str = "check", **changes: object) -> Attempt:
+    values: dict[str, object] = {
+        "request": request, "route": route, "line": "GET /x", "body": b"", "account": "north",
+        "node": "n1", "sent_at": 100.0, "tokens": 10, "ended_at": 100.1,
+    }  # fmt: skip
+    return Attempt(**{**values, **changes})  # type: ignore[arg-type]
+
+
+def stream(request: str, server: str, numbers: list[int]) -> bytes:
+    return b"".join(event_of(request, server, number) for number in numbers)
+
+
+class ChecksTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.ledger = Ledger()
+
+    def answered(self, route: str, answer: bytes, stamp: str = "s1", runs: str = "s1") -> None:
+        """Add a request that got a success with an answer."""
+        headers = {"request-id": "r1", "server-stamp": stamp}
+        self.ledger.attempts.append(
+            attempt_of("r1", route, status=200, whole=True, answer=answer, headers=headers)
+        )
+        self.ledger.runs += [run_of("r1", server) for server in runs.split()]
+
+    def assert_found(self, check: object, times: int = 1) -> None:
+        found = list(check(self.ledger))  # type: ignore[operator]
+        self.assertEqual(len(found), times, found)
+
+    def test_whole_answer_is_fine(self) -> None:
+        self.answered("check", plain_body("r1", "s1"))
+        for check in checks.CHECKS:
+            if check is not checks.served_after_healing:
+                self.assert_found(check, 0)
+
+    def test_wrong_or_cut_body(self) -> None:
+        self.answered("check", plain_body("r1", "s1")[:-1])
+        self.assert_found(checks.own_whole_answers)
+
+    def test_answer_of_a_server_that_did_not_run_it(self) -> None:
+        self.answered("check", plain_body("r1", "s2"), stamp="s2")
+        self.assert_found(checks.own_whole_answers)
+
+    def test_stream_without_a_piece(self) -> None:
+        numbers = [number for number in range(1, EVENTS + 1) if number != 3]
+        self.answered("review", stream("r1", "s1", numbers))
+        self.assert_found(checks.own_whole_answers)
+
+    def test_stream_that_may_not_be_resumed_joined_from_two(self) -> None:
+        first = stream("r1", "s1", list(range(1, 4)))
+        second = stream("r1", "s2", list(range(4, EVENTS + 1)))
+        self.answered("draft", first + second, runs="s1 s2")
+        self.assert_found(checks.own_whole_answers)
+        self.assert_found(checks.at_most_once)
+
+    def test_cut_stream_with_a_gap(self) -> None:
+        answer = stream("r1", "s1", [1, 2, 4])
+        self.ledger.attempts.append(attempt_of("r1", "review", status=200, answer=answer))
+        self.assert_found(checks.cut_streams_are_in_order)
+
+    def test_unsafe_request_run_twice(self) -> None:
+        self.ledger.attempts.append(attempt_of("r1", "order", status=502, whole=True))
+        self.ledger.runs += [run_of("r1", "s1"), run_of("r1", "s2")]
+        self.assert_found(checks.at_most_once)
+
+    def test_refused_request_that_ran(self) -> None:
+        self.ledger.attempts.append(attempt_of("r1", "order", status=503, whole=True))
+        self.ledger.runs.append(run_of("r1", "s1"))
+        self.assert_found(checks.promises_kept)
+
+    def test_request_nobody_sent_changed_one_and_a_key_passed_on(self) -> None:
+        self.ledger.attempts += [attempt_of("r1"), attempt_of("r2"), attempt_of("r3")]
+        self.ledger.runs += [
+            run_of("r0", "s1"),
+            run_of("r1", "s1", line="GET /y"),
+            run_of("r2", "s1", key_seen=True),
+            run_of("r3", "s1", account="south"),
+        ]
+        self.assert_found(checks.nothing_unasked, 4)
+
+    def test_too_many_servers(self) -> None:
+        self.ledger.runs += [run_of("r1", server) for server in ("s1", "s2", "s3")]
+        self.assert_found(checks.attempts_bounded)
+
+    def test_work_for_a_server_that_left(self) -> None:
+        self.ledger.leaving.append(Leaving("s1", 100.0))
+        self.ledger.runs += [run_of("r1", "s1", at=101.0), run_of("r2", "s1", at=102.5)]
+        self.assert_found(checks.leaving_servers_rest)
+        self.ledger.fault("cut", "").begins = 101.0
+        self.assert_found(checks.leaving_servers_rest, 0)
+
+    def test_cut_request_in_calm_times(self) -> None:
+        self.ledger.attempts.append(attempt_of("r1"))
+        self.ledger.runs.append(run_of("r1", "s1"))
+        self.assert_found(checks.planned_work_cuts_nothing)
+        self.ledger.fault("kill", "").begins = 98.0
+        self.assert_found(checks.planned_work_cuts_nothing, 0)
+
+    def test_late_final_answer(self) -> None:
+        self.ledger.attempts.append(attempt_of("r1", ended_at=101.6, whole=True, status=200))
+        self.assert_found(checks.answers_in_time)
+
+    def test_version_not_in_force_and_old_one_still_there(self) -> None:
+        keys = frozenset({"k"})
+        self.ledger.versions += [Version(3, 50.0, keys), Version(5, 90.0, keys)]
+        self.ledger.attempts += [
+            attempt_of("r1", "only-5", probe=True, whole=True, status=404),
+            attempt_of("r2", "only-3", probe=True, whole=True, status=200),
+        ]
+        self.assert_found(checks.versions_in_force, 2)
+
+    def test_version_that_reverts(self) -> None:
+        self.ledger.attempts += [
+            attempt_of("r1", "only-5", probe=True, whole=True, status=200),
+            attempt_of("r2", "only-3", probe=True, whole=True, status=200, sent_at=101.0),
+        ]
+        self.assert_found(checks.versions_never_revert)
+        self.ledger.starts.append(("n1", 100.5))
+        self.assert_found(checks.versions_never_revert, 0)
+
+    def test_ends_of_processes(self) -> None:
+        self.ledger.exits += [
+            Exit("n1", 1.0, 0, asked=False),
+            Exit("n1", 1.0, 0, asked=True, took_s=9.0),
+            Exit("n1", 1.0, 1, asked=True, took_s=1.0),
+            Exit("n1", 1.0, -9, asked=True),
+        ]
+        self.assert_found(checks.ends_as_asked, 3)
+
+    def test_nothing_served_after_healing(self) -> None:
+        self.ledger.healed_at = 50.0
+        self.ledger.attempts.append(attempt_of("r1", status=503, whole=True))
+        self.assert_found(checks.served_after_healing)
+
+    def test_limit_passed_in_a_window(self) -> None:
+        self.ledger.runs += [run_of(f"r{n}", "s1", at=n / 10, tokens=100) for n in range(10)]
+        found = checks.limits_hold(self.ledger, {"north": (50.0, 100.0)}, 100.0)
+        self.assertEqual(len(found), 1)
+        self.assertEqual(checks.limits_hold(self.ledger, {"north": (100.0, 100.0)}, 100.0), [])
+
+    def test_duties_of_two_holders(self) -> None:
+        def call(holder: str, fence: int, at: float, requests: int, window: int) -> DutyCall:
+            body: dict[str, object] = {"window": window, "counts": {"north": requests}}
+            return DutyCall("/usage", holder, fence, body, at)
+
+        twice = [call("n1", 1, 0.0, 5, 1), call("n1", 1, 9.0, 6, 1)]
+        same_fence = [call("n1", 1, 0.0, 5, 1), call("n2", 1, 9.0, 5, 2)]
+        back = [call("n1", 2, 0.0, 5, 1), call("n2", 1, 9.0, 5, 2)]
+        turns = [call("n1", 1, 0.0, 5, 1), call("n2", 2, 0.5, 5, 2), call("n1", 3, 1.0, 5, 3)]
+        for calls in (twice, same_fence, back, turns):
+            self.assertEqual(len(list(checks.duties_by_one(calls, [], 0.5))), 1, calls)
+        fine = [call("n1", 1, 0.0, 5, 1), call("n1", 1, 1.0, 5, 1), call("n2", 2, 4.0, 6, 2)]
+        self.assertEqual(list(checks.duties_by_one(fine, [], 0.5)), [])
+
+
+class ShortSoakTest(unittest.TestCase):
+    def test_short_soak_with_a_fixed_seed_finds_nothing(self) -> None:
+        result = play(SoakPlan(SEED, nodes=4, planned_s=4.0, chaos_s=5.0, rounds=1))
+        self.assertEqual(result.findings, [], result.faults)
+        self.assertGreater(result.served, 300)
+        shutil.rmtree(result.folder, ignore_errors=True)
+
+
+if __name__ == "__main__":
+    unittest.main()
