--- a/src/moledale/gateway/renting.py
+++ b/src/moledale/gateway/renting.py
@@ -24,7 +24,7 @@
 
 LEAST_NEED = 2
 START_NEED = 4
-START_SHARE = 0.2
+START_SHARE = 0.3
 """Until demand was watched for a while, this part of what is allowed at most is wanted."""
 
 DEMAND_WINDOW_S = 5.0
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -2,6 +2,7 @@
 
 import time
 import unittest
+from unittest import mock
 
 import msgspec
 
@@ -24,6 +25,7 @@
     Share,
     chosen_service,
 )
+from moledale.gateway.plan_watch import WATCHERS
 from moledale.gateway.renting import SERVER_TOKENS_PER_S, Demand, Order, RentingPlanner
 from moledale.gateway.retries import RetryBudget
 from moledale.gateway.settings import Bounds
@@ -104,7 +106,7 @@
         window_s = 8.0
         times = [step * 0.01 for step in range(4_000)]
         admitted = self.admitted_in(AccountLimits(1.0, window_s), times)
-        for begin in range(0, 32):
+        for begin in range(32):
             inside = 100 * sum(1 for now in admitted if begin <= now < begin + window_s)
             self.assertLessEqual(inside, 8 * 1_000 + 2_000)
         self.assertGreater(100 * len(admitted), 0.95 * 5 * (8 * 1_000 + 2_000))
@@ -301,6 +303,18 @@
             brief += len(neighbours.reserves(targets, 10.0))
         self.assertEqual(brief, 389 - 8)
 
+    def test_one_serving_node_that_reaches_the_store_is_enough_for_those_in_reserve(self) -> None:
+        members = Membership("n0", 1)
+        neighbours = Neighbours(members, "n0:2", 0.0)
+        for number in range(1, 40):
+            neighbours.addresses.add(f"n{number}:2", 10.0)
+        own = state("n0")
+        self.assertEqual(neighbours.watch_turn(own, 10.0), 0)
+        members.heard(state("n1", serving=True, store_age_s=0.2), 10.0)
+        self.assertGreaterEqual(neighbours.watch_turn(own, 10.0), WATCHERS)
+        members.heard(state("n1", serving=True, sequence=2, store_age_s=60.0), 10.0)
+        self.assertEqual(neighbours.watch_turn(own, 10.0), 0)
+
     def test_shortened_state_changes_no_counts(self) -> None:
         members = Membership("n1", 1)
         full = state("n2", sequence=1, started={2: {"north": 4}}, spent={"north": 900.0})
@@ -454,6 +468,12 @@
 class RentingTest(unittest.TestCase):
     renting = Renting(1, 5, 4.0, 0.15, {"a": 1.0, "b": 0.8, "c": 1.25, "d": 0.9})
 
+    def setUp(self) -> None:
+        """Begin with four of the twenty servers allowed, whatever the share is tuned to."""
+        share = mock.patch("moledale.gateway.renting.START_SHARE", 4 / 20)
+        share.start()
+        self.addCleanup(share.stop)
+
     def planner(self, need: int, first_start: bool = False) -> RentingPlanner:
         planner = RentingPlanner("model", first_start)
         if need:
