--- a/tests/soak/link.py
+++ b/tests/soak/link.py
@@ -1,10 +1,9 @@
-"""A loopback proxy for one address; its connections can be slowed, reset, silenced or cut one way."""
+"""A loopback proxy for one address: slow, reset, silent or cut one way."""
 
 import asyncio
 from enum import StrEnum
 
 SLOW_S = 0.15
-HOLD_POLL_S = 0.02
 CHUNK = 65_536
 
 
@@ -19,7 +18,7 @@
 
 
 class Link:
-    """Carries connections to a target, which may be changed; bytes that are held back come later."""
+    """Carries connections to a target, which may change; bytes that are held back come later."""
 
     def __init__(self, target: str) -> None:
         self.target = target
@@ -27,6 +26,7 @@
         self.address = ""
         self._server: asyncio.Server | None = None
         self._open: set[asyncio.StreamWriter] = set()
+        self._turned = asyncio.Event()
 
     async def start(self) -> None:
         """Listen on a free port."""
@@ -42,6 +42,7 @@
     def turn(self, weather: Weather) -> None:
         """Change how bytes are carried from now on."""
         self.weather = weather
+        self._turned.set()
         if weather is Weather.RESET:
             self.reset_all()
 
@@ -83,14 +84,16 @@
             while data := await reader.read(CHUNK):
                 if self.weather is Weather.SLOW:
                     await asyncio.sleep(SLOW_S)
-                while self._holds(back):
-                    await asyncio.sleep(HOLD_POLL_S)
+                await self._released(back)
                 writer.write(data)
                 await writer.drain()
-            while self._holds(back):
-                await asyncio.sleep(HOLD_POLL_S)
+            await self._released(back)
         except ConnectionError:
             writer.transport.abort()
 
-    def _holds(self, back: bool) -> bool:
-        return self.weather is Weather.SILENT or (back and self.weather is Weather.ONE_WAY)
+    async def _released(self, back: bool) -> None:
+        """Wait until bytes of a direction may go on."""
+        holding = {Weather.SILENT, Weather.ONE_WAY} if back else {Weather.SILENT}
+        while self.weather in holding:
+            self._turned.clear()
+            await self._turned.wait()
--- a/tests/soak/process.py
+++ b/tests/soak/process.py
@@ -61,6 +61,7 @@
         self.stopping_since: float | None = None
         self._folder = folder
         self._ledger = ledger
+        self._seeds: list[str] = []
         self._asked = False
         self._watch: asyncio.Task[None] | None = None
 
@@ -83,6 +84,11 @@
         """Open the links and write the settings."""
         await self.callers.start()
         await self.store.start()
+        self._seeds = seeds
+        self._write_settings(first)
+        (self._folder / f"{self.name}.step").write_text("0.0", "ascii")
+
+    def _write_settings(self, first: bool) -> None:
         text = SETTINGS.format(
             name=self.name,
             hall=self.hall,
@@ -93,15 +99,19 @@
             readiness=FIRST_PORT + 3,
             peers=FIRST_PORT + 4,
             first="true" if first else "false",
-            seeds=", ".join(f'"{seed}"' for seed in seeds),
+            seeds=", ".join(f'"{seed}"' for seed in self._seeds),
             store=self.store.address,
             stop_s=STOP_S,
         )
         (self._folder / f"{self.name}.toml").write_text(text, "utf-8")
-        (self._folder / f"{self.name}.step").write_text("0.0", "ascii")
 
     async def start(self) -> None:
-        """Start the process; its log goes on in one file over all its lives."""
+        """Start the process; its log goes on in one file over all its lives.
+
+        Only the first start of all is told as such, as on the platform.
+        """
+        if self.process is not None:
+            self._write_settings(first=False)
         environment = {
             "PATH": os.environ.get("PATH", ""),
             "PYTHONPATH": f"{ROOT / 'src'}",
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -16,7 +16,7 @@
 from tests.soak.checks import CHECKS, RECOVERY_S, duties_by_one, limits_hold
 from tests.soak.link import Link, Weather
 from tests.soak.process import NodeProcess
-from tests.soak.records import Ledger, Leaving, Version
+from tests.soak.records import Leaving, Ledger, Version
 
 HALLS = ("hall-a", "hall-b")
 ACCOUNTS = (Account("north", "key-n"), Account("south", "key-s"), Account("small", "key-t"))
