--- a/tests/test_gateway_nodes.py
+++ b/tests/test_gateway_nodes.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import random
+import subprocess
+import sys
 import time
 import unittest
 from collections.abc import Awaitable, Callable
@@ -497,6 +499,20 @@
         on_cluster(work)
 
 
+class LauncherTest(unittest.TestCase):
+    def test_reload_during_imports_does_not_end_the_process(self) -> None:
+        code = (
+            "import runpy, signal\n"
+            "import moledale.platform.start as start\n"
+            "ignored = signal.SIG_IGN\n"
+            "start.main = lambda: 0 if signal.getsignal(signal.SIGHUP) == ignored else 5\n"
+            "runpy.run_path('deploy/launch.py', run_name='__main__')\n"
+        )
+        root = Path(__file__).resolve().parent.parent
+        done = subprocess.run([sys.executable, "-c", code], cwd=root, timeout=30, check=False)
+        self.assertEqual(done.returncode, 0)
+
+
 class SettingsTest(unittest.TestCase):
     def test_example_has_no_findings(self) -> None:
         root = Path(__file__).resolve().parent.parent
