Take the past of a node first heard now for no demand

It had heard the other nodes' counters for the first time, all their past at once; the peak is kept for 20 s. So each change of the holder in a rolling stop or a kill bought servers on demand.

Change: the work of each life counts from when it is first heard. A restarted holder that sees no demand yet gives nothing back either (only a first start of all does).

Tests: WorkMeterTest, test_restarted_holder_that_sees_no_demand_yet_gives_nothing_back.

--- a/src/moledale/gateway/duties.py
+++ b/src/moledale/gateway/duties.py
@@ -14,6 +14,7 @@
 from moledale.gateway.renting import Demand, RentingPlanner
 from moledale.gateway.sharing import Sharing
 from moledale.gateway.usage import total_of
+from moledale.gateway.work import OWN_LIFE, WorkMeter
 from moledale.log import Event, emit
 
 USAGE_TABLE = "usage"
@@ -63,6 +64,8 @@
         self._first_window: int | None = None
         self._planners: dict[str, RentingPlanner] = {}
         self._demands: dict[str, Demand] = {}
+        self._work = WorkMeter()
+        self._work.note(OWN_LIFE, {})
         self._planned_at = -1e9
         self._watched_at = -1e9
         self._epoch = 0
@@ -170,12 +173,9 @@
         if index is None or now - self._watched_at < PLAN_S:
             return
         self._watched_at = now
+        self._work.note(OWN_LIFE, self._book.work)
+        self._work.note_all(self._sharing.members.all_states())
         for service in index.services.values():
             if service.renting is not None:
                 demand = self._demands.setdefault(service.name, Demand())
-                demand.note(self._work(service.name), now)
-
-    def _work(self, service: str) -> float:
-        """Return the prompt tokens that all nodes have placed so far."""
-        states = self._sharing.members.all_states()
-        return self._book.work.get(service, 0) + sum(each.work.get(service, 0) for each in states)
+                demand.note(self._work.total.get(service.name, 0), now)
--- a/src/moledale/gateway/renting.py
+++ b/src/moledale/gateway/renting.py
@@ -56,6 +56,7 @@
     def __init__(self) -> None:
         self._totals: deque[tuple[float, float]] = deque()
         self._needs: deque[tuple[float, int]] = deque()
+        self._began_at: float | None = None
         self._first_at: float | None = None
         self._last_at = 0.0
 
@@ -64,6 +65,8 @@
         if self._totals and total < self._totals[-1][1]:
             self._totals.clear()
         self._totals.append((now, total))
+        if self._began_at is None:
+            self._began_at = now
         self._last_at = now
         while now - self._totals[0][0] > DEMAND_WINDOW_S:
             self._totals.popleft()
@@ -87,6 +90,11 @@
         """Return for how long demand was watched."""
         return 0.0 if self._first_at is None else self._last_at - self._first_at
 
+    @property
+    def noted_s(self) -> float:
+        """Return for how long the counter was noted, whether it rose or not."""
+        return 0.0 if self._began_at is None else self._last_at - self._began_at
+
     @property
     def idle(self) -> bool:
         """Say whether no node has placed anything yet."""
@@ -127,7 +135,8 @@
         need = self.need(renting)
         each_hall = ceil(need * SPOT_X / max(1, len(there) - 1))
         wanted_spot = max(renting.least, min(each_hall, renting.most))
-        may_lower = self.demand.idle or self.demand.watched_s >= DEMAND_WINDOW_S
+        unused = self.first_start and self.demand.idle
+        may_lower = unused or self.demand.noted_s >= DEMAND_WINDOW_S
         due = []
         for hall, counts in there.items():
             number = wanted_spot if may_lower else max(wanted_spot, counts[True])
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -31,6 +31,7 @@
 from moledale.gateway.settings import Bounds
 from moledale.gateway.sharing import Sharing
 from moledale.gateway.usage import TrueTime, UsageCounts, total_of
+from moledale.gateway.work import OWN_LIFE, WorkMeter
 
 HALLS = ("a", "b", "c", "d")
 
@@ -465,6 +466,42 @@
         self.assertEqual((cutter.last_id, cutter.passed), ("2", 2))
 
 
+class WorkMeterTest(unittest.TestCase):
+    def test_past_of_a_node_first_heard_now_is_no_demand(self) -> None:
+        meter = WorkMeter()
+        meter.note(OWN_LIFE, {})
+        meter.note_all([state("n1", work={"model": 3_000_000})])
+        meter.note(OWN_LIFE, {"model": 700})
+        meter.note_all([state("n1", sequence=2, work={"model": 3_000_500})])
+        self.assertEqual(meter.total, {"model": 1_200})
+
+    def test_each_life_counts_for_itself(self) -> None:
+        meter = WorkMeter()
+        meter.note_all([state("n1", life=1, work={"model": 100})])
+        meter.note_all([state("n1", life=1, work={"model": 150}), state("n1", life=2)])
+        meter.note_all(
+            [state("n1", life=1, work={"model": 160}), state("n1", life=2, work={"model": 40})]
+        )
+        self.assertEqual(meter.total, {"model": 100})
+
+    def test_life_that_was_forgotten_begins_anew(self) -> None:
+        meter = WorkMeter()
+        meter.note_all([state("n1", work={"model": 100})])
+        meter.note_all([])
+        meter.note_all([state("n1", work={"model": 900})])
+        self.assertEqual(meter.total, {})
+
+    def test_demand_of_a_holder_that_just_started_is_that_of_the_moment(self) -> None:
+        meter = WorkMeter()
+        demand = Demand()
+        for step in range(12):
+            placed = 5_000_000 + step * 50_000 if step >= 2 else 0
+            states = [state("n1", sequence=step + 1, work={"model": placed})] if placed else []
+            meter.note_all(states)
+            demand.note(meter.total.get("model", 0), step * 0.5)
+        self.assertLess(demand.rate, 1.1 * 100_000)
+
+
 class RentingTest(unittest.TestCase):
     renting = Renting(1, 5, 4.0, 0.15, {"a": 1.0, "b": 0.8, "c": 1.25, "d": 0.9})
 
@@ -574,6 +611,13 @@
             planner.demand.note(5e6 + step * 50_000.0, step * 0.5)
             self.assertEqual(planner.orders(self.renting, many, step * 0.5), [])
 
+    def test_restarted_holder_that_sees_no_demand_yet_gives_nothing_back(self) -> None:
+        planner = RentingPlanner("model")
+        many = self.servers(dict.fromkeys(HALLS, 5), {"b": 3})
+        for step in range(9):
+            planner.demand.note(0.0, step * 0.5)
+            self.assertEqual(planner.orders(self.renting, many, step * 0.5), [])
+
     def test_what_is_allowed_tells_what_to_begin_with(self) -> None:
         planner = RentingPlanner("model", first_start=True)
         self.assertEqual(planner.need(self.renting), 4)
