End answers to HEAD with their first lines, both ways

A server's answer to HEAD tells a length and sends no body: the gateway waited for it until the route's time limit. The gateway's own refusals of a HEAD had a body, which a caller takes for the begin of its next answer.

Test: test_answers_to_head_end_with_their_first_lines, which failed before.

--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -233,7 +233,9 @@
             continued_from=f"{moved.source}/{moved.handle}" if moved is not None else "",
         )
         body = job.request.body
-        connection.send(self._dialect.attempt_head(job.request.head, facts, len(body)) + body)
+        head = job.request.head
+        data = self._dialect.attempt_head(head, facts, len(body)) + body
+        connection.send(data, bodiless=head.bodiless)
 
     async def _read(self, job: Job, connection: UpstreamConnection, run: StreamRun) -> Attempt:
         """Read an answer's head, decide what it means, and read or pass on the rest."""
--- a/src/moledale/gateway/inbound.py
+++ b/src/moledale/gateway/inbound.py
@@ -177,7 +177,8 @@
         request = self._waiting.popleft()
         if self._transport is None:
             return
-        self._reply = Reply(self._transport, request.closing or self._listener.closing)
+        close = request.closing or self._listener.closing
+        self._reply = Reply(self._transport, close, request.head.bodiless)
         self._task = asyncio.get_running_loop().create_task(self._run(request, self._reply))
 
     async def _run(self, request: InboundRequest, reply: Reply) -> None:
--- a/src/moledale/gateway/messages.py
+++ b/src/moledale/gateway/messages.py
@@ -15,6 +15,11 @@
     target: bytes
     headers: Headers
 
+    @property
+    def bodiless(self) -> bool:
+        """Say whether the answer has first lines only."""
+        return self.method == b"HEAD"
+
     def get(self, name: bytes) -> bytes | None:
         """Return the first header of a lower-case name."""
         return first_header(self.headers, name)
--- a/src/moledale/gateway/reply.py
+++ b/src/moledale/gateway/reply.py
@@ -14,10 +14,11 @@
 
 
 class Reply:
-    """Writes one answer to a transport."""
+    """Writes one answer to a transport; with `bodiless` only its first lines, as HEAD wants."""
 
-    def __init__(self, transport: asyncio.Transport, close: bool) -> None:
+    def __init__(self, transport: asyncio.Transport, close: bool, bodiless: bool = False) -> None:
         self._transport = transport
+        self._bodiless = bodiless
         self.close = close
         self.status = 0
         self.complete = False
@@ -35,7 +36,10 @@
         self.status = status
         lines = [f"HTTP/1.1 {status} {_phrase(status)}".encode()]
         lines.extend(name + b": " + value for name, value in headers)
-        if length is None:
+        if self._bodiless:
+            # The length that GET would have is not at hand; it may be left out.
+            pass
+        elif length is None:
             self._chunked = True
             lines.append(b"Transfer-Encoding: chunked")
         else:
@@ -46,7 +50,7 @@
 
     def send(self, data: bytes) -> None:
         """Send a part of the body."""
-        if not data:
+        if not data or self._bodiless:
             return
         if self._chunked:
             data = b"%x\r\n%b\r\n" % (len(data), data)
@@ -61,8 +65,7 @@
     def whole(self, status: int, headers: Headers, body: bytes) -> None:
         """Send an answer that is at hand."""
         self.start(status, headers, len(body))
-        if body:
-            self._transport.write(body)
+        self.send(body)
         self.complete = True
 
     def break_off(self) -> None:
--- a/src/moledale/gateway/upstream.py
+++ b/src/moledale/gateway/upstream.py
@@ -63,16 +63,21 @@
         self._until_close = False
         self._asked = False
         self._interim = False
+        self._bodiless = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
         self.transport = transport  # type: ignore[assignment]
 
-    def send(self, data: bytes) -> None:
-        """Send one whole request; its answer is read with `head` and `chunk`."""
+    def send(self, data: bytes, bodiless: bool = False) -> None:
+        """Send one whole request; its answer is read with `head` and `chunk`.
+
+        With `bodiless` the answer ends with its first lines, whatever length they tell (HEAD).
+        """
         assert self.transport is not None
         if self.used:
             self._begin()
+        self._bodiless = bodiless
         self.used += 1
         self._asked = True
         self.transport.write(data)
@@ -183,7 +188,8 @@
         self._interim = False
         names = {name.lower() for name, _ in self._headers}
         framed = b"content-length" in names or b"transfer-encoding" in names
-        self._until_close = not framed and status not in (204, 304)
+        self._until_close = not (framed or self._bodiless) and status not in (204, 304)
+        self._complete = self._bodiless
         self._head = AnswerHead(status, self._headers)
 
     def on_body(self, body: bytes) -> None:
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -106,6 +106,26 @@
 
         quietly(work())
 
+    def test_answers_to_head_end_with_their_first_lines(self) -> None:
+        async def lengthy(arrival: Arrival, _: Reader, writer: Writer) -> None:
+            writer.write(answer(arrival, b"x" * 70)[:-70])
+
+        async def work() -> None:
+            async with GatewayWorld(a_plan()) as world:
+                server = await world.server("s1", "plain", lengthy)
+                reader, writer = await world.connect()
+                for number, key in ((1, KEY), (2, "unknown"), (3, KEY)):
+                    headers = {"Authorization": f"Bearer {key}", "Content-Length": ""}
+                    writer.write(request_bytes("/check/", "HEAD", b"", headers, f"r{number}"))
+                    async with asyncio.timeout(0.5):
+                        head = await reader.readuntil(b"\r\n\r\n")
+                    expected = b"HTTP/1.1 200 " if key == KEY else b"HTTP/1.1 401 "
+                    self.assertTrue(head.startswith(expected), head)
+                writer.close()
+                self.assertEqual([each.connection for each in server.arrivals], [1, 1])
+
+        quietly(work())
+
     def test_chunked_body_reaches_the_server_whole(self) -> None:
         async def work() -> None:
             async with GatewayWorld(a_plan()) as world:
