Start the gateway with the libraries that its deployment installs

Cause: found by timing the start's imports. The page of findings imported pydantic, which the deployment does not list; it started only where the machine's Python has it by chance. On a machine without it no node would have started at all.

Tests: the start may import only what deploy/requirements.txt names (failed before: pydantic, pydantic_core, typing_inspection), and that list has the versions that tests run with.

--- a/src/moledale/findings.py
+++ b/src/moledale/findings.py
@@ -1,8 +1,13 @@
 """Findings: what is wrong with something a person wrote, each with its place."""
 
+from __future__ import annotations
+
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
-from pydantic import ValidationError
+if TYPE_CHECKING:
+    # The gateway reports findings too and is deployed without this library.
+    from pydantic import ValidationError
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_gateway_nodes.py
+++ b/tests/test_gateway_nodes.py
@@ -499,6 +499,34 @@
         on_cluster(work)
 
 
+class DeployedLibrariesTest(unittest.TestCase):
+    def test_start_imports_only_what_the_deployment_installs(self) -> None:
+        code = (
+            "import sys\n"
+            "before = set(sys.modules)\n"
+            "import moledale.platform.start\n"
+            "names = {name.partition('.')[0] for name in set(sys.modules) - before}\n"
+            "print(*sorted(names - set(sys.stdlib_module_names)))\n"
+        )
+        root = Path(__file__).resolve().parent.parent
+        run = subprocess.run(
+            [sys.executable, "-c", code],
+            cwd=root, timeout=30, check=True, capture_output=True, text=True,
+        )  # fmt: skip
+        lines = (root / "deploy" / "requirements.txt").read_text("ascii").splitlines()
+        installed = {line.partition("==")[0].lower() for line in lines}
+        made_by_cython = "cython_runtime"
+        found = {name.lower() for name in run.stdout.split()} - {"moledale", made_by_cython}
+        self.assertEqual({name for name in found if not name.startswith("_")} - installed, set())
+        self.assertIn("msgspec", found)
+
+    def test_requirements_are_the_versions_that_tests_run_with(self) -> None:
+        root = Path(__file__).resolve().parent.parent
+        pinned = (root / "constraints.txt").read_text("ascii").lower().split()
+        for line in (root / "deploy" / "requirements.txt").read_text("ascii").split():
+            self.assertIn(line.lower(), pinned)
+
+
 class LauncherTest(unittest.TestCase):
     def test_reload_during_imports_does_not_end_the_process(self) -> None:
         code = (
