Keep servers whose entries lapsed while the store was away

Change: for 1.8 s after the list is read again after 2 s without, servers that are missing and were not leaving are kept; what is still missing then is gone. That is shorter than the time in which a server that left may still get work.

--- a/src/moledale/gateway/fleet_watch.py
+++ b/src/moledale/gateway/fleet_watch.py
@@ -2,6 +2,10 @@
 
 There is no election: each node waits a little longer than the one before it, so the first reads
 while it can, and another does as soon as its news stay away.
+
+Servers renew their entries in the same store. While it is away entries may lapse though their
+servers live, and these are back soon after it is; so a server that is missing from the first lists
+after an outage is kept for that long.
 """
 
 import asyncio
@@ -27,6 +31,12 @@
 AGAIN_MOST_S = 1.0
 LOOK_S = 0.1
 
+OUTAGE_S = 2.0
+"""Without a list for this long the store counts as having been away."""
+
+RETURN_S = 1.8
+"""Entries that lapsed meanwhile are back within about two seconds of the store's return."""
+
 
 class FleetWatch:
     """Reads or hears the list and hands it on.
@@ -52,6 +62,8 @@
         self._digest = 0
         self._told = 0
         self._fresh_at = -1e9
+        self._returned_at = -1e9
+        self._kept: list[Server] = []
         self._random = random.Random()
 
     async def watch(self) -> None:
@@ -76,8 +88,10 @@
         if news.servers is not None:
             self._take(news.servers, news.version, read_at)
         elif news.digest == self._digest:
-            self._fresh_at = max(self._fresh_at, read_at)
+            self._note_fresh(read_at)
             self.version = max(self.version, news.version)
+            if self._kept:
+                self._believe(self._servers, read_at)
         if news.digest == self._digest:
             self._told = self._digest
 
@@ -99,13 +113,13 @@
         """Take a list that is not older than the one at hand."""
         if version < self.version:
             return
-        self._fresh_at = max(self._fresh_at, read_at)
+        self._note_fresh(read_at)
         self.version = version
+        self._believe(servers, read_at)
         self._servers = servers
         digest = xxhash.xxh3_64_intdigest(msgspec.msgpack.encode(_lasting(servers)))
         changed = digest != self._digest
         self._digest = digest
-        self._took(servers)
         if changed:
             emit(
                 Event.SERVERS_CHANGED,
@@ -113,8 +127,25 @@
                 there=len(servers),
                 spot=sum(1 for server in servers if server.spot),
                 leaving=[server.id for server in servers if server.leaving],
+                kept=[server.id for server in self._kept],
             )
 
+    def _note_fresh(self, read_at: float) -> None:
+        """Note that the list was read; after a long time without, the store has returned."""
+        if self._servers and read_at - self._fresh_at > OUTAGE_S:
+            self._returned_at = read_at
+        self._fresh_at = max(self._fresh_at, read_at)
+
+    def _believe(self, servers: list[Server], read_at: float) -> None:
+        """Hand a list on, with the servers that only lapsed while the store was away."""
+        before = [*self._servers, *self._kept]
+        self._kept = []
+        if read_at - self._returned_at < RETURN_S:
+            listed = {server.id for server in servers}
+            missing = {each.id: each for each in before if each.id not in listed}
+            self._kept = [server for server in missing.values() if not server.leaving]
+        self._took([*servers, *self._kept])
+
 
 def _lasting(servers: list[Server]) -> list[Server]:
     """Return servers without what changes with each heartbeat."""
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -32,6 +32,7 @@
 """A leaving server serves on for this long after the list said so."""
 
 LAPSE_S = 2.0
+AWAY_S = 3.8
 THAW_S = 0.6
 PROBE_EVERY_S = 0.25
 STEADY_S = 4.0
@@ -335,6 +336,7 @@
             Trouble(self._cut_callers),
             Trouble(self._store_mood),
             Trouble(self._forget_history),
+            Trouble(self._lapse_entries),
             Trouble(self._server_link),
             Trouble(self._server_mood),
             Trouble(self._server_mood),
@@ -439,6 +441,26 @@
         fault.ends = time.monotonic()
         self._busy.discard("store")
 
+    async def _lapse_entries(self) -> None:
+        """The store is away so long that entries lapse; they are back a second after it is."""
+        if "store" in self._busy:
+            return
+        self._busy.add("store")
+        fault = self.ledger.fault("store", "silent, entries lapse")
+        self.platform.mood = StoreMood.SILENT
+        await asyncio.sleep(AWAY_S)
+        lapsed = list(self.backends)
+        for backend in lapsed:
+            self.platform.drop("servers", backend.id)
+        self.platform.mood = StoreMood.GOOD
+        await asyncio.sleep(1.0)
+        for backend in lapsed:
+            if backend in self.backends:
+                self.list_backend(backend, "ready")
+        self.thawed.append(asyncio.get_running_loop().time())
+        fault.ends = time.monotonic()
+        self._busy.discard("store")
+
     async def _forget_history(self) -> None:
         self.ledger.fault("history gone", "", for_s=1.0)
         self.platform.history_from = self.platform.version
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -10,6 +10,8 @@
 from moledale.gateway.balance import ServerBook, note_silence
 from moledale.gateway.directory import power_of, rank_of, serving_nodes, should_serve
 from moledale.gateway.events import EventCutter
+from moledale.gateway.fleet_watch import FleetWatch
+from moledale.gateway.gossip import FleetNews
 from moledale.gateway.messages import PromptPart, RequestFacts, Server
 from moledale.gateway.neighbours import ROUND_S, Neighbours
 from moledale.gateway.peers import ALIVE_S, LeaseNews, Membership, NodeState, Standing
@@ -466,6 +468,57 @@
         self.assertEqual((cutter.last_id, cutter.passed), ("2", 2))
 
 
+class LapsedServersTest(unittest.TestCase):
+    """Entries that lapse while the store is away belong to servers that may well live."""
+
+    def setUp(self) -> None:
+        self.taken: list[set[str]] = []
+        self.watch = FleetWatch(
+            None,  # type: ignore[arg-type]
+            TrueTime(),
+            lambda: 0,
+            lambda servers: self.taken.append({server.id for server in servers}),
+            lambda _: None,
+        )
+        self.version = 0
+        self.now = 1_000.0
+        clock = mock.patch("moledale.gateway.fleet_watch.time.monotonic", lambda: self.now)
+        clock.start()
+        self.addCleanup(clock.stop)
+
+    def list_at(self, now: float, *names: str, leaving: str = "") -> set[str]:
+        """Hear a list and return the servers that are believed then."""
+        self.now = now
+        self.version += 1
+        servers = [
+            Server(name, "model", f"{name}:1", "a", 64, leaving=name == leaving) for name in names
+        ]
+        self.watch.heard(FleetNews(self.version, self.version, 0.0, servers))
+        return self.taken[-1]
+
+    def test_server_missing_in_calm_times_is_gone_at_once(self) -> None:
+        self.list_at(1_000.0, "s1", "s2")
+        self.assertEqual(self.list_at(1_000.8, "s1"), {"s1"})
+
+    def test_servers_that_lapsed_during_an_outage_are_kept_until_they_are_back(self) -> None:
+        self.list_at(1_000.0, "s1", "s2", "s3")
+        self.assertEqual(self.list_at(1_006.0, "s1"), {"s1", "s2", "s3"})
+        self.assertEqual(self.list_at(1_006.8, "s1", "s2"), {"s1", "s2", "s3"})
+        self.assertEqual(self.list_at(1_008.0, "s1", "s2"), {"s1", "s2"})
+
+    def test_server_still_missing_is_dropped_though_the_list_does_not_change(self) -> None:
+        self.list_at(1_000.0, "s1", "s2")
+        self.list_at(1_006.0, "s1")
+        self.now = 1_008.0
+        digest = self.watch._digest
+        self.watch.heard(FleetNews(self.version, digest, 0.0, None))
+        self.assertEqual(self.taken[-1], {"s1"})
+
+    def test_server_that_was_leaving_is_not_kept(self) -> None:
+        self.list_at(1_000.0, "s1", "s2", leaving="s2")
+        self.assertEqual(self.list_at(1_006.0, "s1"), {"s1"})
+
+
 class WorkMeterTest(unittest.TestCase):
     def test_past_of_a_node_first_heard_now_is_no_demand(self) -> None:
         meter = WorkMeter()
