Have as many nodes serve in a hall as its requests need

Cause: one node a hall served whatever was asked.

Change: nodes tell their request rate; a hall has another one serve once its requests would take more than 0.35 of the processors of those that serve, and one fewer below 0.6 of that. Where more than 16 serve, those of other halls are told each second only. Rejected: a number from the plan (operators would have to follow demand), a share by queue length (late, and no signal before it is too late).

--- a/src/moledale/gateway/directory.py
+++ b/src/moledale/gateway/directory.py
@@ -7,11 +7,24 @@
 """
 
 from collections.abc import Iterable
+from math import ceil
+from statistics import fmean
 
 from moledale.core.hashing import weight
 from moledale.gateway.peers import NodeState, Standing
 
 FOR_EACH_HALL = 1
+"""Nodes that serve in a hall at least; more do as requests need them."""
+
+REQUEST_CORE_S = 0.0017
+"""Processor time of a request with its events, measured on played days (docs/CAPACITY.md)."""
+
+LOAD_SHARE = 0.35
+"""Part of its processor that a node's requests may take before the hall has another one serve."""
+
+FEWER_SHARE = 0.6
+"""One fewer serves once the others would be this far below that, so that nodes don't take turns."""
+
 HASH_KEY = "callers"
 
 STRONG = 20.0
@@ -33,6 +46,23 @@
     return node.lease is not None, -int(node.power), -weight(HASH_KEY, node.id)
 
 
+def wanted_nodes(own: NodeState, heard: Iterable[NodeState]) -> int:
+    """Return how many nodes of its hall should serve, from what those that serve have to do."""
+    there = [
+        node
+        for node in (own, *heard)
+        if node.hall == own.hall and node.serving and node.standing == Standing.READY
+    ]
+    if not there:
+        return FOR_EACH_HALL
+    load = sum(node.requests_per_s for node in there) * REQUEST_CORE_S
+    room = fmean(max(1.0, node.power) for node in there) / 10 * LOAD_SHARE
+    wanted = ceil(load / room)
+    if wanted < len(there):
+        wanted = min(len(there), ceil(load / (room * FEWER_SHARE)))
+    return max(FOR_EACH_HALL, wanted)
+
+
 def should_serve(own: NodeState, heard: Iterable[NodeState], most: int = FOR_EACH_HALL) -> bool:
     """Say whether a node serves, from the live nodes that it hears."""
     if own.standing != Standing.READY:
--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -64,6 +64,7 @@
         self._pool = pool
         self._sharing = sharing
         self.evacuation = Evacuation(engines, book, lambda: self.index, now)
+        self.handled = 0
         self._now = now
         self._random = random.Random()
 
@@ -83,6 +84,7 @@
 
     async def handle(self, request: InboundRequest, reply: Reply) -> None:
         """Answer one request."""
+        self.handled += 1
         job = self.admission.admit(request, reply)
         if isinstance(job, Refusal):
             self.refuse(reply, request, job, job.request)
--- a/src/moledale/gateway/neighbours.py
+++ b/src/moledale/gateway/neighbours.py
@@ -1,14 +1,15 @@
 """Whom a node tells its news, and whether it serves callers.
 
 While nodes are few, each tells all others each round. When they are many, those that serve tell
-each other each round and all others now and then; those in reserve tell the serving ones of their
-hall now and then. What a node in reserve hears grows with the halls, not with the nodes.
+each other each round (where many serve, those of other halls now and then) and all others seldom;
+those in reserve tell the serving ones of their hall now and then. What a node in reserve hears
+grows with the halls, not with the nodes.
 """
 
 import random
 from dataclasses import dataclass, field
 
-from moledale.gateway.directory import serving_nodes, should_serve
+from moledale.gateway.directory import serving_nodes, should_serve, wanted_nodes
 from moledale.gateway.peers import Membership, NodeState, Standing
 
 ROUND_S = 0.2
@@ -78,7 +79,8 @@
     def decide(self, own: NodeState, now: float) -> bool:
         """Decide whether this node serves; say whether that changed."""
         before = self.serving
-        wanted = should_serve(own, self.members.alive(now))
+        alive = self.members.alive(now)
+        wanted = should_serve(own, alive, wanted_nodes(own, alive))
         if not wanted:
             self._alone_since = now
             self._wait_s = STEP_UP_S * self._random.random() if self._many(now) else 0.0
@@ -102,8 +104,10 @@
         busy = self.serving or own.lease is not None or now - self._busy_at < BUSY_S
         chosen: set[str] = set()
         if busy:
-            chosen.update(each.peer for each in alive if each.serving or each.lease)
-            return list(chosen)
+            others = [each for each in alive if each.serving or each.lease]
+            if len(others) > FEW and not slow:
+                others = [each for each in others if each.hall == own.hall or each.lease]
+            return [each.peer for each in others]
         if slow or not self._listened(now):
             chosen.update(
                 each.peer
--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -35,6 +35,7 @@
 from moledale.gateway.plan_watch import PlanWatch
 from moledale.gateway.pool import ConnectionPool
 from moledale.gateway.questions import Questions
+from moledale.gateway.rate import Rate
 from moledale.gateway.reply import Reply
 from moledale.gateway.settings import GatewaySettings
 from moledale.gateway.sharing import Sharing
@@ -105,6 +106,7 @@
         self._telling_placements: asyncio.TimerHandle | None = None
         self.book.on_placed = self._placed
         self._random = random.Random()
+        self._request_rate = Rate()
         self._sequence = 0
         self.plans = PlanWatch(store, self.sharing.true_time, self._watching_turn, self._adopt)
         self.fleet = FleetWatch(
@@ -226,6 +228,7 @@
             self.sharing.offset_s(),
             self.keeper.news(),
             lease_heard=self.keeper.lease_heard(now),
+            requests_per_s=self._request_rate.per_s,
         )
 
     def _tell_state(self, everyone: bool = True) -> None:
@@ -272,6 +275,7 @@
     async def _gossip_forever(self) -> None:
         while True:
             now = time.monotonic()
+            self._request_rate.note(self.forwarder.handled, now)
             changed = self.neighbours.decide(self._state(), now)
             self._tell_state(everyone=changed)
             self.sharing.take_over(self.book)
--- a/src/moledale/gateway/peers.py
+++ b/src/moledale/gateway/peers.py
@@ -72,6 +72,7 @@
     lease: LeaseNews | None = None
     brief: bool = False
     lease_heard: HeldLease | None = None
+    requests_per_s: float = 0.0
 
     def shortened(self) -> "NodeState":
         """Return the state without its counts, for nodes that only need to know who is there."""
--- a/src/moledale/ui/gateway.py
+++ b/src/moledale/ui/gateway.py
@@ -42,12 +42,13 @@
 
 
 async def _run(node: GatewayNode, path: Path) -> int:
-    emit(Event.STARTING, node=node.settings.node.id, life=node.life)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, _reload, node, path)
+    # The first line tells that the process takes signals.
+    emit(Event.STARTING, node=node.settings.node.id, life=node.life)
     return await node.run(stop)
 
 
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -2,13 +2,22 @@
 
 import time
 import unittest
+from math import ceil
 from unittest import mock
 
 import msgspec
 
 from moledale.gateway.accounts import AccountLimits
 from moledale.gateway.balance import ServerBook, note_silence
-from moledale.gateway.directory import power_of, rank_of, serving_nodes, should_serve
+from moledale.gateway.directory import (
+    LOAD_SHARE,
+    REQUEST_CORE_S,
+    power_of,
+    rank_of,
+    serving_nodes,
+    should_serve,
+    wanted_nodes,
+)
 from moledale.gateway.events import EventCutter
 from moledale.gateway.fleet_watch import FleetWatch
 from moledale.gateway.gossip import FleetNews
@@ -28,6 +37,7 @@
     chosen_service,
 )
 from moledale.gateway.plan_watch import WATCHERS
+from moledale.gateway.rate import Rate
 from moledale.gateway.renting import SERVER_TOKENS_PER_S, Demand, Order, RentingPlanner
 from moledale.gateway.retries import RetryBudget
 from moledale.gateway.settings import Bounds
@@ -275,6 +285,69 @@
         self.assertTrue(neighbours.serving)
 
 
+class ServingByDemandTest(unittest.TestCase):
+    def serving(self, number: int, per_s: float, power: float = 10.0) -> list[NodeState]:
+        """Return a hall's serving nodes that have `per_s` requests a second together."""
+        return [
+            state(f"s{n}", serving=True, power=power, requests_per_s=per_s / number)
+            for n in range(number)
+        ]
+
+    def test_played_days_need_one_node_a_hall(self) -> None:
+        own = state("n1", power=5.0)
+        self.assertEqual(wanted_nodes(own, self.serving(1, 40.0, power=5.0)), 1)
+        self.assertEqual(wanted_nodes(own, []), 1)
+
+    def test_target_has_as_many_serve_as_its_requests_need(self) -> None:
+        own = state("n1", power=10.0)
+        wanted = wanted_nodes(own, self.serving(1, 7_400 / 7))
+        self.assertGreaterEqual(wanted * LOAD_SHARE / REQUEST_CORE_S, 7_400 / 7)
+        self.assertLessEqual(wanted, 7)
+
+    def test_other_halls_and_nodes_in_reserve_do_not_count(self) -> None:
+        own = state("n1", power=10.0)
+        others = [
+            state("x", hall="b", serving=True, power=10.0, requests_per_s=5_000.0),
+            state("y", serving=False, power=10.0, requests_per_s=5_000.0),
+        ]
+        self.assertEqual(wanted_nodes(own, [*others, *self.serving(1, 10.0)]), 1)
+
+    def test_small_changes_of_load_change_nothing(self) -> None:
+        own = state("n1", power=10.0)
+        most_of_two = 2 * LOAD_SHARE / REQUEST_CORE_S
+        for share in (1.0, 0.9, 0.8, 0.7):
+            self.assertEqual(wanted_nodes(own, self.serving(2, share * most_of_two)), 2)
+        self.assertEqual(wanted_nodes(own, self.serving(2, 0.2 * most_of_two)), 1)
+
+    def test_hall_settles_on_the_number_that_its_requests_need(self) -> None:
+        total = 700.0
+        nodes = [state(f"n{n}", power=10.0) for n in range(12)]
+        settled: list[int] = []
+        for _ in range(40):
+            number = max(1, sum(node.serving for node in nodes))
+            nodes = [
+                msgspec.structs.replace(
+                    node, requests_per_s=total / number if node.serving else 0.0
+                )
+                for node in nodes
+            ]
+            for index, node in enumerate(nodes):
+                heard = nodes[:index] + nodes[index + 1 :]
+                serves = should_serve(node, heard, wanted_nodes(node, heard))
+                nodes[index] = msgspec.structs.replace(node, serving=serves)
+                settled.append(sum(node.serving for node in nodes))
+        needed = ceil(total * REQUEST_CORE_S / LOAD_SHARE)
+        self.assertGreaterEqual(settled[-1], needed)
+        self.assertLessEqual(settled[-1], needed + 1)
+        self.assertEqual(len(set(settled[-10 * len(nodes) :])), 1, "they take turns")
+
+    def test_rate_follows_a_counter(self) -> None:
+        rate = Rate()
+        for step in range(100):
+            rate.note(step * 20, step * 0.2)
+        self.assertAlmostEqual(rate.per_s, 100.0, delta=1.0)
+
+
 class NeighboursTest(unittest.TestCase):
     def crowd(self, serving: bool) -> tuple[Neighbours, NodeState]:
         members = Membership("n0", 1)
