--- a/src/moledale/gateway/neighbours.py
+++ b/src/moledale/gateway/neighbours.py
@@ -117,6 +117,13 @@
             chosen.update(self._random.sample(known, STRANGERS))
         return list(chosen)
 
+    def sharers(self, hall: str, now: float) -> list[str]:
+        """Return whom to tell at once what is placed: nodes that serve, or its hall's of many."""
+        serving = [each for each in self.members.alive(now) if each.serving]
+        if len(serving) > FEW:
+            serving = [each for each in serving if each.hall == hall]
+        return [each.peer for each in serving]
+
     def reserves(self, told: list[str], now: float) -> list[str]:
         """Return whom to tell in this round just that this node is there."""
         slow = self._round % SLOW_ROUNDS == 0
--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -259,10 +259,9 @@
         placed = self.book.take_placed()
         if self._gossip is None or not placed:
             return
-        alive = self.members.alive(time.monotonic())
-        targets = [each.peer for each in alive if each.serving]
-        name = self.settings.node.id
-        self._gossip.tell(PlacementNews(name, self.life, self._sequence, placed), targets)
+        node = self.settings.node
+        targets = self.neighbours.sharers(node.hall, time.monotonic())
+        self._gossip.tell(PlacementNews(node.id, self.life, self._sequence, placed), targets)
 
     def _engine_of(self, server: str) -> Engine | None:
         view = self.book.views.get(server)
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -379,6 +379,18 @@
             brief += len(neighbours.reserves(targets, 10.0))
         self.assertEqual(brief, 389 - 8)
 
+    def test_placements_go_to_all_that_serve_or_to_the_halls_own_of_many(self) -> None:
+        members = Membership("n0", 1)
+        neighbours = Neighbours(members, "n0:2", 0.0)
+        for number in range(1, 41):
+            members.heard(state(f"n{number}", hall=HALLS[number % 4], serving=number <= 8), 10.0)
+        self.assertEqual(len(neighbours.sharers("a", 10.0)), 8)
+        for number in range(1, 41):
+            members.heard(
+                state(f"n{number}", sequence=2, hall=HALLS[number % 4], serving=True), 10.0
+            )
+        self.assertEqual(len(neighbours.sharers("a", 10.0)), 10)
+
     def test_one_serving_node_that_reaches_the_store_is_enough_for_those_in_reserve(self) -> None:
         members = Membership("n0", 1)
         neighbours = Neighbours(members, "n0:2", 0.0)
