--- /dev/null
+++ b/tests/gateway_states.py
@@ -0,0 +1,26 @@
+"""States of nodes as tests make them up."""
+
+from moledale.gateway.peers import NodeState, Standing
+
+HALLS = ("a", "b", "c", "d")
+
+
+def state(name: str, life: int = 1, sequence: int = 1, **changes: object) -> NodeState:
+    """Return what a node tells."""
+    values: dict[str, object] = {
+        "id": name,
+        "life": life,
+        "sequence": sequence,
+        "hall": "a",
+        "address": f"{name}:1",
+        "peer": f"{name}:2",
+        "control": f"{name}:3",
+        "standing": int(Standing.READY),
+        "plan_version": 1,
+        "started": {},
+        "spent": {},
+        "loads": {},
+        "sends": {},
+        "work": {},
+    }
+    return NodeState(**{**values, **changes})  # type: ignore[arg-type]
--- /dev/null
+++ b/tests/test_gateway_membership.py
@@ -0,0 +1,242 @@
+"""Who is there, who serves, and whom a node tells what."""
+
+import time
+import unittest
+from math import ceil
+
+import msgspec
+
+from moledale.gateway.accounts import AccountLimits
+from moledale.gateway.directory import (
+    LOAD_SHARE,
+    REQUEST_CORE_S,
+    power_of,
+    rank_of,
+    serving_nodes,
+    should_serve,
+    wanted_nodes,
+)
+from moledale.gateway.neighbours import ROUND_S, Neighbours
+from moledale.gateway.peers import ALIVE_S, LeaseNews, Membership, NodeState, Standing
+from moledale.gateway.plan import (
+    TOKENS,
+    Account,
+)
+from moledale.gateway.plan_watch import WATCHERS
+from moledale.gateway.rate import Rate
+from moledale.gateway.settings import Bounds
+from moledale.gateway.sharing import Sharing
+from tests.gateway_states import HALLS, state
+
+
+class MembershipTest(unittest.TestCase):
+    def test_silent_node_is_left_out_and_its_counts_are_kept(self) -> None:
+        members = Membership("n1", 1)
+        members.heard(state("n2"), 0.0)
+        self.assertEqual([each.id for each in members.alive(0.9)], ["n2"])
+        self.assertEqual(members.alive(ALIVE_S + 0.1), [])
+        members.forget_old(ALIVE_S + 0.1)
+        self.assertEqual(len(members.all_states()), 1)
+        members.forget_old(100.0)
+        self.assertEqual(members.all_states(), [])
+
+
+class DirectoryTest(unittest.TestCase):
+    def settle(self, nodes: list[NodeState]) -> list[NodeState]:
+        """Let each node decide from what all others say, round by round."""
+        for _ in range(4):
+            nodes = [
+                msgspec.structs.replace(
+                    node, serving=should_serve(node, [each for each in nodes if each is not node])
+                )
+                for node in nodes
+            ]
+        return nodes
+
+    def test_one_node_in_each_hall_serves_and_the_holder_last(self) -> None:
+        nodes = self.settle([state(f"n{n}", hall=HALLS[n % 3]) for n in range(9)])
+        chosen = serving_nodes(nodes)
+        self.assertEqual(sorted(node.hall for node in chosen), ["a", "b", "c"])
+        lease = LeaseNews(1, 1, 0.0)
+        nodes = [
+            msgspec.structs.replace(node, lease=lease if node.id == chosen[0].id else None)
+            for node in nodes
+        ]
+        without = serving_nodes(self.settle(nodes))
+        self.assertEqual(len(without), 3)
+        self.assertNotIn(chosen[0].id, [node.id for node in without])
+
+    def test_holder_serves_where_it_is_alone(self) -> None:
+        alone = self.settle([state("n1", lease=LeaseNews(1, 1, 0.0))])
+        self.assertTrue(alone[0].serving)
+
+    def test_strong_nodes_serve_first(self) -> None:
+        nodes = [state(f"n{n}", power=power_of(1.0, 5.0 if n else 100.0)) for n in range(6)]
+        self.assertEqual([node.id for node in serving_nodes(self.settle(nodes))], ["n0"])
+
+    def test_nodes_that_leave_or_start_are_not_told(self) -> None:
+        nodes = [
+            state("n1", standing=int(Standing.LEAVING), serving=True),
+            state("n2", standing=int(Standing.STARTING), serving=True),
+        ]
+        self.assertEqual(serving_nodes(nodes), [])
+        self.assertFalse(should_serve(nodes[0], []))
+
+    def test_place_of_a_silent_node_is_taken(self) -> None:
+        members = Membership("n1", 1)
+        neighbours = Neighbours(members, "n1:2", 0.0)
+        own = state("n1")
+        better = next(name for name in map(str, range(99)) if rank_of(state(name)) < rank_of(own))
+        members.heard(state(better, serving=True), 1.0)
+        self.assertFalse(neighbours.decide(own, 1.0))
+        self.assertFalse(neighbours.serving)
+        self.assertTrue(neighbours.decide(own, 1.0 + ALIVE_S + 0.1))
+        self.assertTrue(neighbours.serving)
+
+
+class ServingByDemandTest(unittest.TestCase):
+    def serving(self, number: int, per_s: float, power: float = 10.0) -> list[NodeState]:
+        """Return a hall's serving nodes that have `per_s` requests a second together."""
+        return [
+            state(f"s{n}", serving=True, power=power, requests_per_s=per_s / number)
+            for n in range(number)
+        ]
+
+    def test_played_days_need_one_node_a_hall(self) -> None:
+        own = state("n1", power=5.0)
+        self.assertEqual(wanted_nodes(own, self.serving(1, 40.0, power=5.0)), 1)
+        self.assertEqual(wanted_nodes(own, []), 1)
+
+    def test_target_has_as_many_serve_as_its_requests_need(self) -> None:
+        own = state("n1", power=10.0)
+        wanted = wanted_nodes(own, self.serving(1, 7_400 / 7))
+        self.assertGreaterEqual(wanted * LOAD_SHARE / REQUEST_CORE_S, 7_400 / 7)
+        self.assertLessEqual(wanted, 7)
+
+    def test_other_halls_and_nodes_in_reserve_do_not_count(self) -> None:
+        own = state("n1", power=10.0)
+        others = [
+            state("x", hall="b", serving=True, power=10.0, requests_per_s=5_000.0),
+            state("y", serving=False, power=10.0, requests_per_s=5_000.0),
+        ]
+        self.assertEqual(wanted_nodes(own, [*others, *self.serving(1, 10.0)]), 1)
+
+    def test_small_changes_of_load_change_nothing(self) -> None:
+        own = state("n1", power=10.0)
+        most_of_two = 2 * LOAD_SHARE / REQUEST_CORE_S
+        for share in (1.0, 0.9, 0.8, 0.7):
+            self.assertEqual(wanted_nodes(own, self.serving(2, share * most_of_two)), 2)
+        self.assertEqual(wanted_nodes(own, self.serving(2, 0.2 * most_of_two)), 1)
+
+    def test_hall_settles_on_the_number_that_its_requests_need(self) -> None:
+        total = 700.0
+        nodes = [state(f"n{n}", power=10.0) for n in range(12)]
+        settled: list[int] = []
+        for _ in range(40):
+            number = max(1, sum(node.serving for node in nodes))
+            nodes = [
+                msgspec.structs.replace(
+                    node, requests_per_s=total / number if node.serving else 0.0
+                )
+                for node in nodes
+            ]
+            for index, node in enumerate(nodes):
+                heard = nodes[:index] + nodes[index + 1 :]
+                serves = should_serve(node, heard, wanted_nodes(node, heard))
+                nodes[index] = msgspec.structs.replace(node, serving=serves)
+                settled.append(sum(node.serving for node in nodes))
+        needed = ceil(total * REQUEST_CORE_S / LOAD_SHARE)
+        self.assertGreaterEqual(settled[-1], needed)
+        self.assertLessEqual(settled[-1], needed + 1)
+        self.assertEqual(len(set(settled[-10 * len(nodes) :])), 1, "they take turns")
+
+    def test_rate_follows_a_counter(self) -> None:
+        rate = Rate()
+        for step in range(100):
+            rate.note(step * 20, step * 0.2)
+        self.assertAlmostEqual(rate.per_s, 100.0, delta=1.0)
+
+
+class NeighboursTest(unittest.TestCase):
+    def crowd(self, serving: bool) -> tuple[Neighbours, NodeState]:
+        members = Membership("n0", 1)
+        neighbours = Neighbours(members, "n0:2", 0.0)
+        for number in range(1, 390):
+            other = state(f"n{number}", hall=HALLS[number % 4], serving=number <= 8)
+            members.heard(other, 10.0)
+            neighbours.addresses.add(other.peer, 10.0)
+        neighbours.serving = serving
+        return neighbours, state("n0")
+
+    def test_few_nodes_all_tell_all(self) -> None:
+        neighbours = Neighbours(Membership("n0", 1), "n0:2", 0.0)
+        for number in range(8):
+            neighbours.addresses.add(f"n{number}:2", 0.0)
+        self.assertEqual(len(neighbours.targets(state("n0"), 1.0)), 7)
+
+    def test_node_in_reserve_tells_few_and_seldom(self) -> None:
+        neighbours, own = self.crowd(serving=False)
+        told = [len(neighbours.targets(own, 10.0 + n * ROUND_S)) for n in range(50)]
+        self.assertLessEqual(sum(told) / (50 * ROUND_S), 5.0)
+
+    def test_serving_nodes_tell_each_other_each_round(self) -> None:
+        neighbours, own = self.crowd(serving=True)
+        brief = 0
+        for number in range(5):
+            targets = neighbours.targets(own, 10.0 + number * ROUND_S)
+            self.assertEqual({f"n{number}:2" for number in range(1, 9)}, set(targets))
+            brief += len(neighbours.reserves(targets, 10.0))
+        self.assertEqual(brief, 389 - 8)
+
+    def test_placements_go_to_all_that_serve_or_to_the_halls_own_of_many(self) -> None:
+        members = Membership("n0", 1)
+        neighbours = Neighbours(members, "n0:2", 0.0)
+        for number in range(1, 41):
+            members.heard(state(f"n{number}", hall=HALLS[number % 4], serving=number <= 8), 10.0)
+        self.assertEqual(len(neighbours.sharers("a", 10.0)), 8)
+        for number in range(1, 41):
+            members.heard(
+                state(f"n{number}", sequence=2, hall=HALLS[number % 4], serving=True), 10.0
+            )
+        self.assertEqual(len(neighbours.sharers("a", 10.0)), 10)
+
+    def test_one_serving_node_that_reaches_the_store_is_enough_for_those_in_reserve(self) -> None:
+        members = Membership("n0", 1)
+        neighbours = Neighbours(members, "n0:2", 0.0)
+        for number in range(1, 40):
+            neighbours.addresses.add(f"n{number}:2", 10.0)
+        own = state("n0")
+        self.assertEqual(neighbours.watch_turn(own, 10.0), 0)
+        members.heard(state("n1", serving=True, store_age_s=0.2), 10.0)
+        self.assertGreaterEqual(neighbours.watch_turn(own, 10.0), WATCHERS)
+        members.heard(state("n1", serving=True, sequence=2, store_age_s=60.0), 10.0)
+        self.assertEqual(neighbours.watch_turn(own, 10.0), 0)
+
+    def test_shortened_state_changes_no_counts(self) -> None:
+        members = Membership("n1", 1)
+        full = state("n2", sequence=1, started={2: {"north": 4}}, spent={"north": 900.0})
+        short = msgspec.structs.replace(full, sequence=2).shortened()
+        more = msgspec.structs.replace(full, sequence=3, spent={"north": 950.0})
+        sharing = Sharing(members, Bounds())
+        limits = AccountLimits(1.0)
+        account = Account("north", (), None, TOKENS, 200, 0.001, 2_000.0)
+        limits.configure([account], time.monotonic())
+        for news in (full, short, more):
+            self.assertTrue(sharing.heard(news, limits))
+        self.assertEqual(members.all_states()[0].started, {2: {"north": 4}})
+        self.assertAlmostEqual(limits.level(account, time.monotonic()), 1_950.0, delta=1.0)
+
+    def test_shortened_state_first_draws_nothing(self) -> None:
+        sharing = Sharing(Membership("n1", 1), Bounds())
+        limits = AccountLimits(1.0)
+        account = Account("north", (), None, TOKENS, 200, 0.001, 2_000.0)
+        limits.configure([account], time.monotonic())
+        full = state("n2", sequence=2, spent={"north": 900.0})
+        sharing.heard(msgspec.structs.replace(full, sequence=1).shortened(), limits)
+        sharing.heard(full, limits)
+        sharing.heard(msgspec.structs.replace(full, sequence=3, spent={"north": 950.0}), limits)
+        self.assertAlmostEqual(limits.level(account, time.monotonic()), 1_950.0, delta=1.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_gateway_renting.py
@@ -0,0 +1,175 @@
+"""How many servers are wanted, and what demand is counted."""
+
+import unittest
+from unittest import mock
+
+from moledale.gateway.messages import Server
+from moledale.gateway.plan import (
+    Renting,
+)
+from moledale.gateway.renting import SERVER_TOKENS_PER_S, Demand, Order, RentingPlanner
+from moledale.gateway.work import OWN_LIFE, WorkMeter
+from tests.gateway_states import HALLS, state
+
+
+class WorkMeterTest(unittest.TestCase):
+    def test_past_of_a_node_first_heard_now_is_no_demand(self) -> None:
+        meter = WorkMeter()
+        meter.note(OWN_LIFE, {})
+        meter.note_all([state("n1", work={"model": 3_000_000})])
+        meter.note(OWN_LIFE, {"model": 700})
+        meter.note_all([state("n1", sequence=2, work={"model": 3_000_500})])
+        self.assertEqual(meter.total, {"model": 1_200})
+
+    def test_each_life_counts_for_itself(self) -> None:
+        meter = WorkMeter()
+        meter.note_all([state("n1", life=1, work={"model": 100})])
+        meter.note_all([state("n1", life=1, work={"model": 150}), state("n1", life=2)])
+        meter.note_all(
+            [state("n1", life=1, work={"model": 160}), state("n1", life=2, work={"model": 40})]
+        )
+        self.assertEqual(meter.total, {"model": 100})
+
+    def test_life_that_was_forgotten_begins_anew(self) -> None:
+        meter = WorkMeter()
+        meter.note_all([state("n1", work={"model": 100})])
+        meter.note_all([])
+        meter.note_all([state("n1", work={"model": 900})])
+        self.assertEqual(meter.total, {})
+
+    def test_demand_of_a_holder_that_just_started_is_that_of_the_moment(self) -> None:
+        meter = WorkMeter()
+        demand = Demand()
+        for step in range(12):
+            placed = 5_000_000 + step * 50_000 if step >= 2 else 0
+            states = [state("n1", sequence=step + 1, work={"model": placed})] if placed else []
+            meter.note_all(states)
+            demand.note(meter.total.get("model", 0), step * 0.5)
+        self.assertLess(demand.rate, 1.1 * 100_000)
+
+
+class RentingTest(unittest.TestCase):
+    renting = Renting(1, 5, 4.0, 0.15, {"a": 1.0, "b": 0.8, "c": 1.25, "d": 0.9})
+
+    def setUp(self) -> None:
+        """Begin with four of the twenty servers allowed, whatever the share is tuned to."""
+        share = mock.patch("moledale.gateway.renting.START_SHARE", 4 / 20)
+        share.start()
+        self.addCleanup(share.stop)
+
+    def planner(self, need: int, first_start: bool = False) -> RentingPlanner:
+        planner = RentingPlanner("model", first_start)
+        if need:
+            for step in range(12):
+                planner.demand.note(step * need * SERVER_TOKENS_PER_S * 0.99 / 2, step / 2 - 6.0)
+        return planner
+
+    def servers(self, spot: dict[str, int], firm: dict[str, int] | None = None) -> list[Server]:
+        kinds = ((spot, True), (firm or {}, False))
+        return [
+            Server(f"{hall}{number}{is_spot}", "model", "x:1", hall, 64, spot=is_spot)
+            for counts, is_spot in kinds
+            for hall, count in counts.items()
+            for number in range(count)
+        ]
+
+    def carry_out(self, planner: RentingPlanner, servers: list[Server], now: float) -> list[Order]:
+        orders = planner.orders(self.renting, servers, now)
+        for order in orders:
+            planner.ordered(order, True, now)
+        return orders
+
+    def test_spot_is_spread_and_ordered_once(self) -> None:
+        planner = self.planner(4)
+        firm = {"a": 2, "b": 3, "c": 2, "d": 2}
+        orders = self.carry_out(planner, self.servers({}, firm), 0.0)
+        spot = {order.hall: order.number for order in orders if order.spot}
+        self.assertEqual(spot, dict.fromkeys(HALLS, 2))
+        self.assertEqual(
+            [o for o in self.carry_out(planner, self.servers({}, firm), 1.0) if o.spot], []
+        )
+
+    def test_servers_on_demand_stay_until_spot_runs(self) -> None:
+        planner = self.planner(4)
+        firm = {"a": 2, "b": 3, "c": 2, "d": 2}
+        self.carry_out(planner, self.servers({}, firm), 0.0)
+        kept = sum(planner.states[hall, False].number or 0 for hall in HALLS)
+        self.assertGreaterEqual(kept, 3)
+        self.carry_out(planner, self.servers(dict.fromkeys(HALLS, 2), {"b": 3}), 5.0)
+        self.carry_out(planner, self.servers(dict.fromkeys(HALLS, 2), {"b": 3}), 10.0)
+        self.assertEqual(sum(planner.states[hall, False].number or 0 for hall in HALLS), 0)
+
+    def test_reclaimed_halls_are_made_up_where_it_costs_least(self) -> None:
+        planner = self.planner(4)
+        full = self.servers(dict.fromkeys(HALLS, 2))
+        self.carry_out(planner, full, 0.0)
+        two_left = self.servers({"a": 2, "b": 0, "c": 2, "d": 0})
+        for hall in ("b", "d"):
+            planner.ordered(Order("model", hall, True, 2), False, 10.0)
+        firm = [o for o in self.carry_out(planner, two_left, 10.0) if not o.spot]
+        self.assertEqual([(order.hall, order.number) for order in firm], [("b", 1)])
+
+    def test_refused_hall_is_asked_again_later(self) -> None:
+        planner = self.planner(4)
+        servers = self.servers({"a": 2, "b": 2, "c": 2})
+        first = [o for o in planner.orders(self.renting, servers, 0.0) if o.hall == "d"]
+        self.assertEqual(len(first), 1)
+        planner.ordered(first[0], False, 0.0)
+        self.assertEqual([o for o in planner.orders(self.renting, servers, 1.0) if o.spot], [])
+        again = [o for o in planner.orders(self.renting, servers, 3.0) if o.spot]
+        self.assertEqual([order.hall for order in again], ["d"])
+
+    def test_nothing_served_yet_gives_servers_back_before_spot_runs(self) -> None:
+        planner = self.planner(0, first_start=True)
+        firm = {"a": 2, "b": 3, "c": 2, "d": 2}
+        self.carry_out(planner, self.servers({}, firm), 0.0)
+        self.carry_out(planner, self.servers({}, firm), 0.5)
+        self.assertEqual(sum(planner.states[hall, False].number or 0 for hall in HALLS), 0)
+
+    def test_servers_that_the_list_tells_late_are_given_back(self) -> None:
+        planner = self.planner(0, first_start=True)
+        self.carry_out(planner, [], 0.0)
+        self.carry_out(planner, [], 0.5)
+        late = self.servers(dict.fromkeys(HALLS, 2), {"a": 2, "c": 1})
+        orders = self.carry_out(planner, late, 12.0)
+        firm = {order.hall: order.number for order in orders if not order.spot}
+        self.assertEqual(firm, {"a": 0, "c": 0})
+
+    def test_demand_follows_its_peak(self) -> None:
+        demand = Demand()
+        for second in range(10):
+            demand.note(second * 100_000.0, float(second))
+        self.assertEqual(demand.need(2), 4)
+        for second in range(10, 40):
+            demand.note(1_000_000.0 + second, float(second))
+        self.assertLess(demand.need(2), 4)
+
+    def test_first_moments_of_demand_give_no_server_back(self) -> None:
+        demand = Demand()
+        for step in range(10):
+            demand.note(step * 1_000.0, step * 0.5)
+            self.assertEqual(demand.need(4), 4)
+
+    def test_new_holder_gives_nothing_back_before_it_has_watched_demand(self) -> None:
+        planner = RentingPlanner("model", first_start=True)
+        many = self.servers(dict.fromkeys(HALLS, 5), {"b": 3})
+        for step in range(9):
+            planner.demand.note(5e6 + step * 50_000.0, step * 0.5)
+            self.assertEqual(planner.orders(self.renting, many, step * 0.5), [])
+
+    def test_restarted_holder_that_sees_no_demand_yet_gives_nothing_back(self) -> None:
+        planner = RentingPlanner("model")
+        many = self.servers(dict.fromkeys(HALLS, 5), {"b": 3})
+        for step in range(9):
+            planner.demand.note(0.0, step * 0.5)
+            self.assertEqual(planner.orders(self.renting, many, step * 0.5), [])
+
+    def test_what_is_allowed_tells_what_to_begin_with(self) -> None:
+        planner = RentingPlanner("model", first_start=True)
+        self.assertEqual(planner.need(self.renting), 4)
+        large = Renting(1, 15, 4.0, 0.15, self.renting.hall_prices)
+        self.assertEqual(planner.need(large), 12)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tools/without_gateway.py
+++ b/tools/without_gateway.py
@@ -4,8 +4,8 @@
 from dataclasses import replace
 from typing import Any
 
-from moledale.gateway import lease_keeper
-from moledale.gateway.accounts import AccountLimits
+from moledale.gateway import directory, fleet_watch, lease_keeper
+from moledale.gateway.accounts import AccountLimits, RecentSpending
 from moledale.gateway.admission import Admission
 from moledale.gateway.balance import ServerBook
 from moledale.gateway.evacuation import Evacuation
@@ -13,23 +13,31 @@
 from moledale.gateway.fleet_watch import FleetWatch
 from moledale.gateway.forwarder import Forwarder
 from moledale.gateway.inbound import InboundConnection
+from moledale.gateway.lease_keeper import LeaseKeeper
 from moledale.gateway.messages import AnswerFacts, AnswerHead
 from moledale.gateway.node import GatewayNode
-from moledale.gateway.peers import Membership
+from moledale.gateway.peers import LeaseNews, Membership
 from moledale.gateway.plan import PlanIndex
 from moledale.gateway.plan_watch import PlanWatch
 from moledale.gateway.reply import Reply
 from moledale.gateway.retries import RetryBudget
 from moledale.gateway.upstream import UpstreamConnection
+from moledale.gateway.work import WorkMeter
 from moledale.platform.headers import PlatformHeaders
 
 BYTES = "tests.test_gateway_forwarding"
 NODES = "tests.test_gateway_nodes"
+LEASE = "tests.test_gateway_lease"
 STATE = "tests.test_gateway_state"
+LIMITS = "tests.test_gateway_limits"
+RENTING = "tests.test_gateway_renting"
+MEMBERSHIP = "tests.test_gateway_membership"
 
 _finish = UpstreamConnection.finish
 _read_answer = PlatformHeaders.read_answer
 _data_received = UpstreamConnection.data_received
+_heard = LeaseKeeper.heard
+_note = WorkMeter.note
 
 
 def _keep_any(self: UpstreamConnection, now: float) -> bool:
@@ -86,6 +94,19 @@
     await asyncio.Event().wait()
 
 
+def _heard_as_told(
+    self: LeaseKeeper, holder: str, news: LeaseNews, now: float, passed_on: bool = False
+) -> None:
+    """Take what was passed on for the holder's own word."""
+    _heard(self, holder, news, now)
+
+
+def _note_all_of_it(self: WorkMeter, life: int, work: dict[str, int]) -> None:
+    """Count a life from its beginning, whenever it is first heard."""
+    self._counted.setdefault(life, {})
+    _note(self, life, work)
+
+
 MECHANISMS: list[tuple[str, Any, str, Any, str]] = [
     ("surplus bytes end a connection", UpstreamConnection, "data_received", _ignore_surplus, BYTES),
     ("spoiled connections are not kept", UpstreamConnection, "finish", _keep_any, BYTES),
@@ -94,17 +115,23 @@
     ("a cut answer ends visibly", Reply, "break_off", _end_as_whole, BYTES),
     ("a caller that leaves is heeded", InboundConnection, "connection_lost", _stay, BYTES),
     ("what may have run is not repeated", Forwarder, "_may_repeat", lambda *_: True, BYTES),
-    ("repeats draw on a budget", RetryBudget, "allows", lambda *_: True, f"{BYTES} {STATE}"),
+    ("repeats draw on a budget", RetryBudget, "allows", lambda *_: True, f"{BYTES} {LIMITS}"),
     ("leaving servers get no work", ServerBook, "ready", _all_ready, f"{BYTES} {STATE}"),
     ("older plans are not adopted", Admission, "adopt", _adopt_any, f"{BYTES}.AdmissionTest"),
-    ("others' spending counts", AccountLimits, "spent_elsewhere", lambda *_: None, STATE),
+    ("others' spending counts", AccountLimits, "spent_elsewhere", lambda *_: None, LIMITS),
     ("streams move off leaving servers", Evacuation, "servers_changed", lambda *_: None,
      "tests.test_gateway_evacuation"),
     ("peers pass plans on", PlanWatch, "fetch", _no_fetch, f"{NODES}.PlanTest"),
     ("one reader tells all others", FleetWatch, "heard", lambda *_: None, f"{NODES}.FleetTest"),
     ("a stop waits for requests", GatewayNode, "_leave", _stop_at_once, f"{NODES}.StopTest"),
     ("counts of former lives are kept", Membership, "all_states",
-     lambda self: [each.state for each in self.members.values()], STATE),
-    ("a candidate waits for the time to live", lease_keeper, "TTL_X", 0.0,
-     "tests.test_gateway_lease"),
+     lambda self: [each.state for each in self.members.values()], f"{STATE} {MEMBERSHIP}"),
+    ("a candidate waits for the time to live", lease_keeper, "TTL_X", 0.0, LEASE),
+    ("what was passed on is not passed on again", LeaseKeeper, "heard", _heard_as_told, LEASE),
+    ("others hear of placements at once", ServerBook, "take_placed", lambda _: [],
+     "tests.test_gateway_placements"),
+    ("servers that lapsed are kept", fleet_watch, "RETURN_S", 0.0, STATE),
+    ("a window's spending counts", RecentSpending, "wait_s", lambda *_: 0.0, LIMITS),
+    ("the past of a node is no demand", WorkMeter, "note", _note_all_of_it, RENTING),
+    ("as many serve as requests need", directory, "REQUEST_CORE_S", 1e-9, MEMBERSHIP),
 ]  # fmt: skip
