--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,4 +1,8 @@
-"""Play soaks by hand: `python -m tests.soak --seeds 10 [--first 1] [--nodes 5] [--rounds 2]`."""
+"""Play soaks by hand: `python -m tests.soak --seeds 10 [--first 1] [--nodes 5] [--rounds 2]`.
+
+A seed draws the same troubles in the same order; what they meet depends on the machine's time as
+well, so a seed that found something may need to be played more than once.
+"""
 
 import argparse
 import secrets
--- /dev/null
+++ b/tests/soak/troubles.py
@@ -0,0 +1,253 @@
+"""What happens in a soak: planned work of operators, and troubles that nobody planned."""
+
+import asyncio
+import time
+from collections.abc import Callable, Coroutine
+
+from standins.rows import Mood as StoreMood
+from tests.soak.backend import Mood
+from tests.soak.link import Link, Weather
+from tests.soak.records import Leaving
+from tests.soak.world import SoakWorld
+
+SERVED_ON_S = 3.2
+"""A leaving server serves on for this long after the list said so."""
+
+LAPSE_S = 2.0
+AWAY_S = 3.8
+
+Trouble = Callable[[], Coroutine[None, None, None]]
+
+
+class Troubles:
+    """Each method is something that happens once, and is over when it returns."""
+
+    def __init__(self, world: SoakWorld) -> None:
+        self._world = world
+
+    def planned(self) -> list[Trouble]:
+        """Return what operators do; nothing of it may cut a request."""
+        return [
+            self._roll_node,
+            self._roll_node,
+            self._reload_node,
+            self._change_config,
+            self._release_server,
+        ]
+
+    async def _roll_node(self) -> None:
+        node = self._world.a_node()
+        if node is None or len(self._world.busy) >= 2:
+            return
+        self._world.busy.add(node.name)
+        self._world.ledger.fault("stop", node.name, planned=True)
+        await node.stop()
+        if not await node.gone(10.0):
+            node.kill()
+        await asyncio.sleep(0.2)
+        await node.start()
+        await asyncio.sleep(1.0)
+        self._world.busy.discard(node.name)
+
+    async def _reload_node(self) -> None:
+        node = self._world.a_node()
+        if node is not None:
+            self._world.ledger.fault("reload", node.name, planned=True)
+            await node.reload()
+
+    async def _change_config(self) -> None:
+        self._world.roll_version()
+        self._world.ledger.fault("config", str(self._world.version), planned=True)
+
+    async def _release_server(self) -> None:
+        if "release" in self._world.busy:
+            return
+        self._world.busy.add("release")
+        old = self._world.chance.choice(self._world.backends)
+        await self._world.add_backend(old.service)
+        await asyncio.sleep(1.0)
+        self._world.backends.remove(old)
+        self._world.ledger.fault("drain", old.id, planned=True)
+        self._world.list_backend(old, "draining")
+        self._world.ledger.leaving.append(Leaving(old.id, time.monotonic()))
+        await asyncio.sleep(SERVED_ON_S)
+        self._world.platform.drop("servers", old.id)
+        await asyncio.sleep(0.5)
+        old.crash()
+        old.link.close()
+        self._world.busy.discard("release")
+
+    def unplanned(self) -> list[Trouble]:
+        """Return what may go wrong, with some planned work between."""
+        return [
+            self._kill_node,
+            self._kill_node,
+            self._kill_all,
+            self._freeze_node,
+            self._step_clock,
+            self._cut_store,
+            self._cut_callers,
+            self._store_mood,
+            self._forget_history,
+            self._lapse_entries,
+            self._server_link,
+            self._server_mood,
+            self._server_mood,
+            self._crash_server,
+            self._change_config,
+            self._roll_node,
+            self._reload_node,
+        ]
+
+    def _for_s(self) -> float:
+        return 0.3 + 3.0 * self._world.chance.random()
+
+    async def _kill_node(self) -> None:
+        node = self._world.a_node()
+        if node is None:
+            return
+        self._world.busy.add(node.name)
+        fault = self._world.ledger.fault("kill", node.name)
+        node.kill()
+        await node.gone(5.0)
+        await asyncio.sleep(0.1 + self._world.chance.random())
+        await node.start()
+        await asyncio.sleep(1.0)
+        fault.ends = time.monotonic()
+        self._world.busy.discard(node.name)
+
+    async def _kill_all(self) -> None:
+        if self._world.busy & {"all"}:
+            return
+        self._world.busy.add("all")
+        fault = self._world.ledger.fault("kill all", "")
+        victims = [node for node in self._world.nodes if node.name not in self._world.busy]
+        self._world.busy.update(node.name for node in victims)
+        for node in victims:
+            node.kill()
+        for node in victims:
+            await node.gone(5.0)
+            await node.start()
+        await asyncio.sleep(1.0)
+        fault.ends = time.monotonic()
+        self._world.busy.difference_update(node.name for node in victims)
+        self._world.busy.discard("all")
+
+    async def _freeze_node(self) -> None:
+        node = self._world.a_node()
+        if node is None:
+            return
+        self._world.busy.add(node.name)
+        fault = self._world.ledger.fault("freeze", node.name)
+        node.pause()
+        await asyncio.sleep(self._for_s())
+        self._world.thawed.append(asyncio.get_running_loop().time())
+        node.wake()
+        fault.ends = time.monotonic()
+        self._world.busy.discard(node.name)
+
+    async def _step_clock(self) -> None:
+        node = self._world.a_node()
+        if node is None:
+            return
+        fault = self._world.ledger.fault("clock", node.name)
+        await node.step_clock(self._world.chance.choice((-4.0, 4.0, 30.0)))
+        await asyncio.sleep(self._for_s())
+        await node.step_clock(0.0)
+        fault.ends = time.monotonic()
+
+    async def _turn(self, kind: str, name: str, link: Link) -> None:
+        weather = self._world.chance.choice(
+            (Weather.SLOW, Weather.SILENT, Weather.ONE_WAY, Weather.RESET)
+        )
+        fault = self._world.ledger.fault(kind, f"{name} {weather.value}")
+        link.turn(weather)
+        await asyncio.sleep(self._for_s())
+        link.turn(Weather.GOOD)
+        self._world.thawed.append(asyncio.get_running_loop().time())
+        fault.ends = time.monotonic()
+
+    async def _cut_store(self) -> None:
+        node = self._world.chance.choice(self._world.nodes)
+        await self._turn("store link", node.name, node.store)
+
+    async def _cut_callers(self) -> None:
+        node = self._world.chance.choice(self._world.nodes)
+        await self._turn("callers' link", node.name, node.callers)
+
+    async def _server_link(self) -> None:
+        backend = self._world.chance.choice(self._world.backends)
+        await self._turn("server link", backend.id, backend.link)
+
+    async def _store_mood(self) -> None:
+        if "store" in self._world.busy:
+            return
+        self._world.busy.add("store")
+        mood = self._world.chance.choice(
+            (StoreMood.BUSY, StoreMood.SILENT, StoreMood.RESET, StoreMood.LOSES, None)
+        )
+        fault = self._world.ledger.fault("store", mood.value if mood else "slow")
+        self._world.platform.delay_s = 0.0 if mood else 0.3
+        self._world.platform.mood = mood or StoreMood.GOOD
+        await asyncio.sleep(self._for_s())
+        self._world.platform.mood = StoreMood.GOOD
+        self._world.platform.delay_s = 0.0
+        self._world.thawed.append(asyncio.get_running_loop().time())
+        fault.ends = time.monotonic()
+        self._world.busy.discard("store")
+
+    async def _lapse_entries(self) -> None:
+        """The store is away so long that entries lapse; they are back a second after it is."""
+        if "store" in self._world.busy:
+            return
+        self._world.busy.add("store")
+        fault = self._world.ledger.fault("store", "silent, entries lapse")
+        self._world.platform.mood = StoreMood.SILENT
+        await asyncio.sleep(AWAY_S)
+        lapsed = list(self._world.backends)
+        for backend in lapsed:
+            self._world.platform.drop("servers", backend.id)
+        self._world.platform.mood = StoreMood.GOOD
+        await asyncio.sleep(1.0)
+        for backend in lapsed:
+            if backend in self._world.backends:
+                self._world.list_backend(backend, "ready")
+        self._world.thawed.append(asyncio.get_running_loop().time())
+        fault.ends = time.monotonic()
+        self._world.busy.discard("store")
+
+    async def _forget_history(self) -> None:
+        self._world.ledger.fault("history gone", "", for_s=1.0)
+        self._world.platform.history_from = self._world.platform.version
+
+    async def _server_mood(self) -> None:
+        backend = self._world.chance.choice(self._world.backends)
+        mood = self._world.chance.choice([mood for mood in Mood if mood is not Mood.GOOD])
+        fault = self._world.ledger.fault("server", f"{backend.id} {mood.value}")
+        backend.mood = mood
+        await asyncio.sleep(self._for_s())
+        backend.mood = Mood.GOOD
+        fault.ends = time.monotonic()
+
+    async def _crash_server(self) -> None:
+        """A server is lost; its address may go to one of another service."""
+        same = [each for each in self._world.backends if each.service == "plain"]
+        if "crash" in self._world.busy or len(same) < 2:
+            return
+        self._world.busy.add("crash")
+        old = self._world.chance.choice(same)
+        self._world.backends.remove(old)
+        fault = self._world.ledger.fault("crash", old.id)
+        old.crash()
+        await asyncio.sleep(LAPSE_S)
+        self._world.platform.drop("servers", old.id)
+        await asyncio.sleep(0.5)
+        service = self._world.chance.choice(("plain", "model"))
+        reuse = old.link if self._world.chance.random() < 0.5 else None
+        await self._world.add_backend(service, reuse)
+        if reuse is None:
+            old.link.close()
+        if service == "model":
+            await self._world.add_backend("plain")
+        fault.ends = time.monotonic()
+        self._world.busy.discard("crash")
--- /dev/null
+++ b/tests/soak/world.py
@@ -0,0 +1,171 @@
+"""The world of a soak: its store, its backend servers, its node processes and configurations."""
+
+import asyncio
+import os
+import random
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from standins.rows import Mood as StoreMood
+from standins.rows import RowsPlatform
+from tests.gateway_world import HOST
+from tests.soak.backend import Backend
+from tests.soak.callers import Account
+from tests.soak.link import Link
+from tests.soak.process import NodeProcess
+from tests.soak.records import Ledger, Version
+
+HALLS = ("hall-a", "hall-b")
+ACCOUNTS = (Account("north", "key-n"), Account("south", "key-s"), Account("small", "key-t"))
+LIMITS = {"small": (60.0, 120.0)}
+START_S = 2.5
+SERVERS = {"plain": 3, "model": 3}
+
+
+@dataclass(slots=True)
+class SoakWorld:
+    """What a soak plays with; `busy` names what troubles have in hand."""
+
+    folder: Path
+    chance: random.Random
+    ledger: Ledger = field(default_factory=Ledger)
+    platform: RowsPlatform = field(default_factory=RowsPlatform)
+    nodes: list[NodeProcess] = field(default_factory=list)
+    backends: list[Backend] = field(default_factory=list)
+    thawed: list[float] = field(default_factory=list)
+    busy: set[str] = field(default_factory=set)
+    version: int = 0
+    _number: int = 0
+
+    async def start(self, nodes: int) -> None:
+        """Start the store, the servers and the nodes."""
+        await self.platform.start()
+        self.roll_version()
+        for service, number in SERVERS.items():
+            for _ in range(number):
+                await self.add_backend(service)
+        await self._start_nodes(nodes)
+
+    async def _start_nodes(self, nodes: int) -> None:
+        network = f"127.{os.getpid() % 200 + 20}.{random.SystemRandom().randint(0, 254)}"
+        store = self.platform.address
+        for number in range(nodes):
+            hall = HALLS[number % len(HALLS)]
+            host = f"{network}.{number + 1}"
+            self.nodes.append(
+                NodeProcess(f"n{number}", host, hall, self.folder, store, self.ledger)
+            )
+        seeds = [node.seed for node in self.nodes[:3]]
+        for node in self.nodes:
+            await node.prepare(seeds, first=True)
+        await asyncio.gather(*(node.start() for node in self.nodes))
+        await asyncio.sleep(START_S)
+
+    async def heal(self) -> None:
+        """Make sure that all is well again."""
+        self.platform.mood = StoreMood.GOOD
+        self.platform.delay_s = 0.0
+        for node in self.nodes:
+            if not node.running:
+                await node.start()
+        for service, number in SERVERS.items():
+            there = sum(1 for each in self.backends if each.service == service)
+            for _ in range(number - there):
+                await self.add_backend(service)
+
+    async def end(self) -> None:
+        """End all that was started."""
+        for node in self.nodes:
+            node.wake()
+            node.kill()
+        for node in self.nodes:
+            await node.gone(5.0)
+            node.callers.close()
+            node.store.close()
+        for backend in self.backends:
+            backend.crash()
+            backend.link.close()
+        await self.platform.stop()
+
+    def a_node(self) -> NodeProcess | None:
+        """Return a node that nothing else has in hand."""
+        free = [node for node in self.nodes if node.name not in self.busy and node.running]
+        return self.chance.choice(free) if free else None
+
+    async def add_backend(self, service: str, link: Link | None = None) -> Backend:
+        """Start a server and list it."""
+        self._number += 1
+        backend = Backend(f"s{self._number}", service, self.ledger, self.chance)
+        await backend.start(link)
+        self.backends.append(backend)
+        self.list_backend(backend, "ready")
+        return backend
+
+    def list_backend(self, backend: Backend, state: str) -> None:
+        """Write a server's entry as the server does."""
+        entry = {
+            "service": backend.service,
+            "address": backend.link.address,
+            "zone": HALLS[self._number % len(HALLS)],
+            "slots": 32 if backend.service == "model" else 8,
+            "state": state,
+            "seq": 1,
+        }
+        self.platform.put("servers", backend.id, entry)
+
+    def roll_version(self) -> None:
+        """Let the operator write the next configuration; one route is in this version only."""
+        self.version += 1 + self.chance.randint(0, 3)
+        routes = [
+            _route("check", "safe", "plain", 1_000),
+            _route("order", "unsafe", "plain", 1_000),
+            _route("draft", "streaming", "model", 3_000),
+            {**_route("review", "streaming", "model", 3_000), "resumable": True},
+            _route(f"only-{self.version}", "safe", "plain", 1_000),
+        ]
+        engine = {"slots": 32, "kvCapacity": 100_000, "kvTokenBytes": 1, "linkMbps": 1_000}
+        config = {
+            "version": self.version,
+            "routes": routes,
+            "services": [
+                {"name": "plain", "healthPath": "/health", "maxConns": 200},
+                {"name": "model", "healthPath": "/health", "maxConns": 200, "engine": engine},
+            ],
+            "limits": {
+                "maxHeaderBytes": 16_384,
+                "maxBodyBytes": 100_000,
+                "headerTimeoutMs": 3_000,
+                "idleTimeoutMs": 15_000,
+            },
+            "tenants": [_tenant(account) for account in ACCOUNTS],
+        }
+        self.platform.put("op", "config", config)
+        keys = frozenset(account.key for account in ACCOUNTS)
+        self.ledger.versions.append(Version(self.version, time.monotonic(), keys))
+
+
+def _route(name: str, kind: str, service: str, limit_ms: int) -> dict[str, object]:
+    return {
+        "name": name,
+        "host": HOST,
+        "pathPrefix": f"/{name}/",
+        "kind": kind,
+        "timeoutMs": limit_ms,
+        "sloMs": 200,
+        "priority": 1,
+        "service": service,
+        "maxAttempts": 2,
+    }
+
+
+def _tenant(account: Account) -> dict[str, object]:
+    rate, burst = LIMITS.get(account.name, (0.0, 0.0))
+    return {
+        "name": account.name,
+        "apiKeys": [account.key],
+        "unit": "tokens",
+        "plainTokens": 10,
+        "ratePerS": rate,
+        "burst": burst,
+    }
