Drop servers that are still missing 1.8 s after the store's return, list or no list

Cause: reading the change again: kept servers were dropped with the next list only, up to 0.8 s later, which is more than the time in which a server that left may still get work. Test: test_server_still_missing_is_dropped_in_time_though_no_list_comes.

--- a/src/moledale/gateway/fleet_watch.py
+++ b/src/moledale/gateway/fleet_watch.py
@@ -90,11 +90,15 @@
         elif news.digest == self._digest:
             self._note_fresh(read_at)
             self.version = max(self.version, news.version)
-            if self._kept:
-                self._believe(self._servers, read_at)
         if news.digest == self._digest:
             self._told = self._digest
 
+    def drop_lapsed(self) -> None:
+        """Take servers that are still missing as gone; called often, as lists come seldom."""
+        now = time.monotonic()
+        if self._kept and now - self._returned_at >= RETURN_S:
+            self._believe(self._servers, now)
+
     async def _read(self, now: float) -> bool:
         outcome = await self._store.servers(READ_TIMEOUT_S)
         if isinstance(outcome, Err):
--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -278,6 +278,7 @@
             changed = self.neighbours.decide(self._state(), now)
             self._tell_state(everyone=changed)
             self.sharing.take_over(self.book)
+            self.fleet.drop_lapsed()
             self.book.pause_silent(now)
             self.members.forget_old(now)
             await asyncio.sleep(ROUND_S)
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -222,13 +222,18 @@
         self.assertEqual(self.list_at(1_006.8, "s1", "s2"), {"s1", "s2", "s3"})
         self.assertEqual(self.list_at(1_008.0, "s1", "s2"), {"s1", "s2"})
 
-    def test_server_still_missing_is_dropped_though_the_list_does_not_change(self) -> None:
+    def test_server_still_missing_is_dropped_in_time_though_no_list_comes(self) -> None:
         self.list_at(1_000.0, "s1", "s2")
         self.list_at(1_006.0, "s1")
-        self.now = 1_008.0
-        digest = self.watch._digest
-        self.watch.heard(FleetNews(self.version, digest, 0.0, None))
+        self.now = 1_007.7
+        self.watch.drop_lapsed()
+        self.assertEqual(self.taken[-1], {"s1", "s2"})
+        self.now = 1_007.81
+        self.watch.drop_lapsed()
         self.assertEqual(self.taken[-1], {"s1"})
+        before = len(self.taken)
+        self.watch.drop_lapsed()
+        self.assertEqual(len(self.taken), before)
 
     def test_server_that_was_leaving_is_not_kept(self) -> None:
         self.list_at(1_000.0, "s1", "s2", leaving="s2")
