Begin low where others' spending is not known: after a start, and when a reserve begins to serve

Since limits hold for each window an account may have spent all of it when nodes end; each of the nodes that start held 0.4 of the burst, and a node in reserve, which is told in short only, held all of it when it took the place of one that served.

Change: with windows a node that starts holds a tenth of the burst and fills at the bare rate for one window; so does a node that begins to serve where nodes are many. Tests: test_end_of_all_nodes_under_a_hot_account_stays_within_the_tolerance and test_nodes_that_take_the_place_of_serving_ones_do_not_begin_with_a_full_bucket (both failed before).

--- a/src/moledale/gateway/accounts.py
+++ b/src/moledale/gateway/accounts.py
@@ -22,6 +22,13 @@
 When the whole system starts for the first time nothing was, so buckets are full.
 """
 
+WINDOW_START_SHARE = 0.1
+"""The same where limits hold for a window.
+
+There an account may have spent its whole limit just before, so what all nodes that start hold
+together must stay below what the limit's tolerance allows.
+"""
+
 SLICE_S = 0.25
 """Grain of what is remembered of a window; it is kept this much too long rather than too short."""
 
@@ -66,25 +73,38 @@
 
 @dataclass(slots=True)
 class Bucket:
-    """A bucket that others may draw below zero; `window_s` is 0.0 where no window counts."""
+    """A bucket that others may draw below zero; `window_s` is 0.0 where no window counts.
+
+    Until `blind_until` it is not known what was spent within the window, and it fills at the bare
+    rate.
+    """
 
     rate: float
     burst: float
     level: float
     at: float
     recent: RecentSpending
+    blind_until: float = 0.0
 
     @property
     def fill_per_s(self) -> float:
-        """Return what comes in each second."""
+        """Return what comes in each second once all that was spent is known."""
         window_s = self.recent.window_s
         return self.rate + self.burst / window_s if window_s > 0 else self.rate
 
     def refill(self, now: float) -> None:
         """Add what has come since the last time."""
-        self.level = min(self.burst, self.level + (now - self.at) * self.fill_per_s)
+        blind_s = max(0.0, min(now, self.blind_until) - self.at)
+        came = blind_s * self.rate + (now - self.at - blind_s) * self.fill_per_s
+        self.level = min(self.burst, self.level + came)
         self.at = now
 
+    def begin_anew(self, share: float, now: float) -> None:
+        """Hold no more than a share of the burst, since others' spending of late is not known."""
+        self.refill(now)
+        self.level = min(self.level, share * self.burst)
+        self.blind_until = now + self.recent.window_s
+
     def draw(self, amount: float) -> None:
         """Take what was spent elsewhere."""
         self.level = max(self.level - amount, -MOST_DEBT_S * self.rate)
@@ -94,7 +114,8 @@
         """Take an amount; return 0.0, or the seconds until it is free."""
         self.refill(now)
         missing = min(amount, self.burst) - self.level
-        wait_s = max(0.0, missing) / self.fill_per_s
+        fill_per_s = self.rate if now < self.blind_until else self.fill_per_s
+        wait_s = max(0.0, missing) / fill_per_s
         window_s = self.recent.window_s
         if window_s > 0:
             limit = self.rate * window_s + self.burst
@@ -112,8 +133,9 @@
     `window_s` is the span in which an account may have its burst anew; 0.0 leaves it at the rate.
     """
 
-    def __init__(self, start_share: float = START_SHARE, window_s: float = 0.0) -> None:
-        self._start_share = start_share
+    def __init__(self, first_start: bool = False, window_s: float = 0.0) -> None:
+        self._first_start = first_start
+        self._share = WINDOW_START_SHARE if window_s > 0 else START_SHARE
         self._window_s = window_s
         self.spent: dict[str, float] = {}
         self._buckets: dict[str, Bucket] = {}
@@ -133,6 +155,11 @@
             self.spent[account.name] = self.spent.get(account.name, 0.0) + amount
         return wait_s
 
+    def begin_anew(self, now: float) -> None:
+        """Begin to serve after a time in which others' spending was not heard."""
+        for bucket in self._buckets.values():
+            bucket.begin_anew(self._share, now)
+
     def level(self, account: Account, now: float) -> float:
         """Return what is left of an account's limit."""
         bucket = self._bucket(account, now)
@@ -155,7 +182,9 @@
         bucket = self._buckets.get(account.name)
         if bucket is None:
             recent = RecentSpending(self._window_s)
-            bucket = Bucket(account.rate_per_s, burst, burst * self._start_share, now, recent)
+            bucket = Bucket(account.rate_per_s, burst, burst, now, recent)
+            if not self._first_start:
+                bucket.begin_anew(self._share, now)
             self._buckets[account.name] = bucket
         elif bucket.rate != account.rate_per_s or bucket.burst != burst:
             bucket.refill(now)
--- a/src/moledale/gateway/admission.py
+++ b/src/moledale/gateway/admission.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from moledale.gateway.accounts import START_SHARE, AccountLimits
+from moledale.gateway.accounts import AccountLimits
 from moledale.gateway.dialect import Dialect
 from moledale.gateway.events import EventCutter
 from moledale.gateway.job import Job
@@ -38,7 +38,7 @@
         limit_window_s: float = 0.0,
     ) -> None:
         self.index: PlanIndex | None = None
-        self.limits = AccountLimits(1.0 if first_start else START_SHARE, limit_window_s)
+        self.limits = AccountLimits(first_start, limit_window_s)
         self._dialect = dialect
         self._now = now
         self._random = random.Random()
--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -276,6 +276,8 @@
             now = time.monotonic()
             self._request_rate.note(self.forwarder.handled, now)
             changed = self.neighbours.decide(self._state(), now)
+            if changed and self.neighbours.steps_up_blind(now):
+                self.forwarder.limits.begin_anew(now)
             self._tell_state(everyone=changed)
             self.sharing.take_over(self.book)
             self.fleet.drop_lapsed()
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -20,12 +20,12 @@
         self.assertGreater(taken, 4)
 
     def test_first_start_of_all_begins_with_a_full_bucket(self) -> None:
-        limits = AccountLimits(1.0)
+        limits = AccountLimits(True)
         taken = sum(1 for _ in range(50) if limits.take(self.account, 100, 0.0) == 0.0)
         self.assertEqual(taken, 20)
 
     def test_what_others_spent_before_a_nodes_first_request_counts(self) -> None:
-        limits = AccountLimits(1.0)
+        limits = AccountLimits(True)
         limits.configure([self.account], 0.0)
         limits.spent_elsewhere({}, {"north": 1_900.0}, 0.1)
         self.assertGreater(limits.take(self.account, 500, 0.1), 0.0)
@@ -59,26 +59,68 @@
     def test_each_window_has_the_burst_anew(self) -> None:
         window_s = 8.0
         times = [step * 0.01 for step in range(4_000)]
-        admitted = self.admitted_in(AccountLimits(1.0, window_s), times)
+        admitted = self.admitted_in(AccountLimits(True, window_s), times)
         for begin in range(32):
             inside = 100 * sum(1 for now in admitted if begin <= now < begin + window_s)
             self.assertLessEqual(inside, 8 * 1_000 + 2_000)
         self.assertGreater(100 * len(admitted), 0.95 * 5 * (8 * 1_000 + 2_000))
 
     def test_window_counts_what_others_admitted(self) -> None:
-        limits = AccountLimits(1.0, 8.0)
+        limits = AccountLimits(True, 8.0)
         limits.configure([self.account], 0.0)
         limits.spent_elsewhere({}, {"north": 10_000.0}, 0.1)
         self.assertEqual(self.admitted_in(limits, [0.1 + step * 0.1 for step in range(79)]), [])
         self.assertEqual(limits.take(self.account, 100, 8.5), 0.0)
 
     def test_wait_for_the_window_is_long_enough(self) -> None:
-        limits = AccountLimits(1.0, 8.0)
+        limits = AccountLimits(True, 8.0)
         now = 0.0
         while (wait := limits.take(self.account, 500, now)) == 0.0:
             now += 0.35
         self.assertEqual(limits.take(self.account, 500, now + wait + 0.001), 0.0)
 
+    def spent_by_many(self, limits: list[AccountLimits], times: list[float]) -> list[float]:
+        """Let nodes that hear of each other each 0.2 s admit all they can; return the times."""
+        admitted = []
+        told = [dict(each.spent) for each in limits]
+        for index, now in enumerate(times):
+            admitted += [now for each in limits if each.take(self.account, 100, now) == 0.0]
+            if index % 20 == 0:
+                for one, before in zip(limits, told, strict=True):
+                    for other in limits:
+                        if other is not one:
+                            other.spent_elsewhere(before, one.spent, now)
+                told = [dict(each.spent) for each in limits]
+        return admitted
+
+    def assert_window_holds(self, admitted: list[float], allowed: float) -> None:
+        for first in sorted(set(admitted)):
+            inside = 100 * sum(1 for now in admitted if first <= now < first + 8.0)
+            self.assertLessEqual(inside, allowed, first)
+
+    def test_end_of_all_nodes_under_a_hot_account_stays_within_the_tolerance(self) -> None:
+        """Five serve, an account takes all it can; all end and start again, with no memory."""
+        limit = 8 * 1_000 + 2_000
+        before = [AccountLimits(True, 8.0) for _ in range(5)]
+        admitted = self.spent_by_many(before, [step * 0.01 for step in range(2_000)])
+        after = [AccountLimits(False, 8.0) for _ in range(5)]
+        for each in after:
+            each.configure([self.account], 20.1)
+        admitted += self.spent_by_many(after, [20.1 + step * 0.01 for step in range(1_500)])
+        one_round = 1.5 * 1_000
+        self.assert_window_holds(admitted, 1.1 * limit + one_round)
+        late = [now for now in admitted if now > 28.2]
+        self.assertGreater(100 * len(late), 0.8 * (35.1 - 28.2) * limit / 8.0)
+
+    def test_nodes_that_take_the_place_of_serving_ones_do_not_begin_with_a_full_bucket(
+        self,
+    ) -> None:
+        reserve = AccountLimits(True, 8.0)
+        reserve.configure([self.account], 0.0)
+        reserve.begin_anew(50.0)
+        admitted = self.admitted_in(reserve, [50.0 + step * 0.01 for step in range(100)])
+        self.assertLessEqual(100 * len(admitted), 0.1 * 2_000 + 1_000 + 100)
+
     def test_wait_is_the_time_until_the_amount_is_there(self) -> None:
         limits = AccountLimits()
         while (wait := limits.take(self.account, 500, 0.0)) == 0.0:
--- a/tests/test_gateway_membership.py
+++ b/tests/test_gateway_membership.py
@@ -218,7 +218,7 @@
         short = msgspec.structs.replace(full, sequence=2).shortened()
         more = msgspec.structs.replace(full, sequence=3, spent={"north": 950.0})
         sharing = Sharing(members, Bounds())
-        limits = AccountLimits(1.0)
+        limits = AccountLimits(True)
         account = Account("north", (), None, TOKENS, 200, 0.001, 2_000.0)
         limits.configure([account], time.monotonic())
         for news in (full, short, more):
@@ -228,7 +228,7 @@
 
     def test_shortened_state_first_draws_nothing(self) -> None:
         sharing = Sharing(Membership("n1", 1), Bounds())
-        limits = AccountLimits(1.0)
+        limits = AccountLimits(True)
         account = Account("north", (), None, TOKENS, 200, 0.001, 2_000.0)
         limits.configure([account], time.monotonic())
         full = state("n2", sequence=2, spent={"north": 900.0})
