Learn what servers can do, rent by it, and fetch prompts' fronts from other servers

Cause: renting took 28,000 prompt tokens/s a server and routing 40,000, measured at the first two customers' engines. The third one's read 104,000 (as now learnt), so twice the servers were rented. 1.8 M of 20 M prompt tokens were read again that another server had in memory.

Change: a Theil-Sen fit of first events against prompts gives rate and start, holding times the slots; nodes tell each other what they learnt. Routing and need use these; need is the fewest servers at which requests wait a ninth of the shortest target (Sakasegawa). What is missing of it is filled on demand, the reserve aside. A front that another server has is fetched where that takes half the time of reading. Tokens an event come from the plan.

--- a/src/moledale/gateway/balance.py
+++ b/src/moledale/gateway/balance.py
@@ -3,23 +3,27 @@
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from math import sqrt
 
 from moledale.core.hashing import ranked
 from moledale.gateway.messages import Placed, PromptPart, RequestFacts, Server
 from moledale.gateway.peers import NodeState
 from moledale.gateway.plan import Engine
-
-PREFILL_TOKENS_PER_S = 40_000.0
-"""Prompt tokens that a model server reads in a second beside what it decodes."""
+from moledale.gateway.server_model import FirstEvent, Slowness, Speed, SpeedLearner
 
 LONG_PROMPT_X = 9.3e-6
-"""Work that a prompt adds by its square, in tokens: each token attends to all those before it."""
+"""Work that a prompt adds by its square, in tokens: each token attends to all those before it.
+Measured at the first customers' engines; a third one's have 8.6e-6."""
+
+FETCH_SETUP_S = 0.005
+"""Time until a fetch from another server begins, as the users' engines state it (5.0 to 5.3 ms)."""
 
-SLOT_WAIT_S = 0.15
-"""Wait that a full batch adds; it is shared out by the part of slots taken."""
+FETCH_LOAD_S = 0.04
+"""Wait that a request may have at the server with its front, rather than have it fetched elsewhere:
+a fetch loads the links and the memory of two servers."""
 
-FULL_WAIT_S = 1.0
-"""Wait for a server whose slots are all taken."""
+FETCH_X = 2.0
+"""A fetch has to be this many times as quick as reading, since fetches queue at their source."""
 
 FAILED_WAIT_S = 0.4
 """Extra cost of a server for each part of its answers that failed lately."""
@@ -56,6 +60,7 @@
     busy_since: float = 0.0
     cached: OrderedDict[str, int] = field(default_factory=OrderedDict)
     cached_tokens: int = 0
+    slowness: Slowness = field(default_factory=Slowness)
 
     @property
     def all_running(self) -> int:
@@ -96,19 +101,32 @@
         return tokens
 
 
+@dataclass(frozen=True, slots=True)
+class Front:
+    """The longest front of a prompt that lies in some server's memory, in tokens, and where."""
+
+    tokens: int = 0
+    view: ServerView | None = None
+
+
 @dataclass(slots=True)
 class Placement:
     """A request counted on a server until it ends.
 
-    `uncached`, `ahead` (prompt tokens) and `beside` (requests) are what the choice believed.
+    `work`, `uncached`, `ahead` (prompt tokens) and `beside` (requests) are what the choice
+    believed. From
+    `fetch_from`, the address of another server, it takes `fetched` tokens of the prompt's front.
     """
 
     view: ServerView
     prefill: int
     sent_at: float
+    work: int = 0
     uncached: int = 0
     ahead: int = 0
     beside: int = 0
+    fetch_from: str = ""
+    fetched: int = 0
     first_at: float = 0.0
     ended: bool = False
 
@@ -139,16 +157,56 @@
     return prompt - cached + int(LONG_PROMPT_X * (prompt * prompt - cached * cached))
 
 
-def engine_cost(view: ServerView, facts: RequestFacts, home: bool, engine: Engine) -> float:
-    """Estimate the seconds until the first token if the request went to a server."""
-    cached = view.covers(facts.parts)
-    if home and not cached:
-        cached = sum(part.tokens for part in facts.parts[:-1]) // 2
-    work = view.all_prefill + prefill_work(facts.prompt_tokens, cached)
-    cost = work / PREFILL_TOKENS_PER_S + SLOT_WAIT_S * view.all_running / engine.slots
-    if view.all_running >= engine.slots:
-        cost += FULL_WAIT_S * view.all_running / engine.slots
-    return cost + FAILED_WAIT_S * view.failed_share
+def fetch_s(tokens: int, engine: Engine) -> float:
+    """Return the seconds that a server takes to get a prompt's front from another one."""
+    return FETCH_SETUP_S + tokens * engine.token_bytes * 8e-6 / max(1.0, engine.link_mbps)
+
+
+@dataclass(frozen=True, slots=True)
+class EngineCosts:
+    """Estimates for one prompt at the servers of a service, from what was learnt of them."""
+
+    facts: RequestFacts
+    front: Front
+    engine: Engine
+    speed: Speed
+
+    def fetches(self, cached: int) -> bool:
+        """Say whether getting the front from another server is quicker than reading it."""
+        if not self.engine.moves or self.front.tokens <= cached:
+            return False
+        prompt = self.facts.prompt_tokens
+        saved = prefill_work(prompt, cached) - prefill_work(prompt, self.front.tokens)
+        took_s = fetch_s(self.front.tokens - cached, self.engine)
+        return FETCH_X * took_s < self.speed.reading_s(saved)
+
+    def reading_s(self, cached: int) -> float:
+        """Return the seconds until a server that waits for nothing has the whole prompt."""
+        prompt = self.facts.prompt_tokens
+        if self.fetches(cached):
+            read_s = self.speed.reading_s(prefill_work(prompt, self.front.tokens))
+            return read_s + FETCH_LOAD_S + fetch_s(self.front.tokens - cached, self.engine)
+        return self.speed.reading_s(prefill_work(prompt, cached))
+
+    def first_event_s(self, view: ServerView, home: bool, now: float) -> float:
+        """Return the seconds until the first event if the request went to a server.
+
+        Where a prompt's home has nothing of it, it counts as having half, so that prompts which
+        share a front meet there.
+        """
+        cached = view.covers(self.facts.parts)
+        if home and not cached:
+            cached = sum(part.tokens for part in self.facts.parts[:-1]) // 2
+        took_s = self.speed.reading_s(view.all_prefill) + self.reading_s(cached)
+        return took_s * view.slowness.times(now) + self.slot_s(view)
+
+    def slot_s(self, view: ServerView) -> float:
+        """Return the seconds until a slot is free, little by little as the batch fills."""
+        slots = self.engine.slots
+        each_s = self.speed.hold_s / slots
+        if view.all_running >= slots:
+            return each_s * (view.all_running + 1 - slots)
+        return each_s * float((view.all_running / slots) ** (sqrt(2.0 * (slots + 1)) - 1.0))
 
 
 def plain_cost(view: ServerView, hall: str) -> float:
@@ -168,6 +226,7 @@
     def __init__(self, hall: str) -> None:
         self.views: dict[str, ServerView] = {}
         self.work: dict[str, int] = {}
+        self.learners: dict[str, SpeedLearner] = {}
         self.on_placed: Callable[[], None] = _nobody_asks
         self._hall = hall
         self._placed: list[tuple[ServerView, tuple[PromptPart, ...]]] = []
@@ -188,6 +247,10 @@
 
     def others(self, states: Iterable[NodeState]) -> None:
         """Take over what live peers have running."""
+        states = list(states)
+        for service in {service for state in states for service in state.speeds}:
+            told = (state.speeds.get(service) for state in states)
+            self.learner(service).others(speed for speed in told if speed is not None)
         for view in self.views.values():
             view.others_running = 0
             view.others_prefill = 0
@@ -237,21 +300,90 @@
         if engine is None:
             best = min(views, key=lambda view: (plain_cost(view, self._hall), view.server.id))
             return self._count(best, 0, now)
+        return self._place_on_engine(service, facts, engine, views, now)
+
+    def _place_on_engine(
+        self,
+        service: str,
+        facts: RequestFacts,
+        engine: Engine,
+        views: list[ServerView],
+        now: float,
+    ) -> Placement:
         home = ranked(affinity_key(facts.parts), (view.server.id for view in views))[0]
+        front = self._longest_front(service, facts, now)
+        learner = self.learner(service)
+        costs = EngineCosts(facts, front, engine, learner.speed(now))
         best = min(
             views,
-            key=lambda view: engine_cost(view, facts, view.server.id == home, engine),
+            key=lambda view: (
+                costs.first_event_s(view, view.server.id == home, now)
+                + FAILED_WAIT_S * view.failed_share,
+                view.all_running,
+            ),
         )
         cached = best.covers(facts.parts)
-        uncached = max(0, facts.prompt_tokens - cached)
+        fetched = 0
+        if costs.fetches(cached):
+            fetched = front.tokens - cached
+            cached = front.tokens
         best.remember(facts.parts, engine.cache_tokens)
-        self.work[service] = self.work.get(service, 0) + uncached
-        placement = self._count(best, prefill_work(facts.prompt_tokens, cached), now)
-        placement.uncached = uncached
+        work = prefill_work(facts.prompt_tokens, cached)
+        self.work[service] = self.work.get(service, 0) + work
+        learner.placed(work)
+        placement = self._count(best, work, now)
+        placement.uncached = max(0, facts.prompt_tokens - cached)
+        if fetched and front.view is not None:
+            placement.fetched = fetched
+            placement.fetch_from = front.view.server.address
         self._placed.append((best, facts.parts))
         self.on_placed()
         return placement
 
+    def learner(self, service: str) -> SpeedLearner:
+        """Return what is being learnt of a service's servers."""
+        return self.learners.setdefault(service, SpeedLearner())
+
+    def note_first(self, placement: Placement, now: float) -> None:
+        """Learn from a stream's first event."""
+        placement.first_token()
+        placement.first_at = now
+        took_s = now - placement.sent_at
+        if not placement.work:
+            return
+        learner = self.learner(placement.view.server.service)
+        speed = learner.speed(now)
+        expected_s = speed.start_s + speed.reading_s(placement.work + placement.ahead)
+        placement.view.slowness.note(took_s, expected_s, now)
+        if not placement.fetched:
+            learner.first_event(FirstEvent(placement.work, placement.ahead, took_s, now))
+
+    def note_end(self, placement: Placement, now: float) -> None:
+        """Learn from a stream that ended whole."""
+        if placement.work:
+            self.learner(placement.view.server.service).ended(now - placement.sent_at)
+
+    def speeds(self, now: float) -> dict[str, Speed]:
+        """Return what this node has learnt by itself, by service."""
+        return {service: learner.own(now) for service, learner in self.learners.items()}
+
+    def running(self, service: str) -> int:
+        """Return the requests that all nodes have at a service's servers."""
+        return sum(
+            view.all_running for view in self.views.values() if view.server.service == service
+        )
+
+    def _longest_front(self, service: str, facts: RequestFacts, now: float) -> Front:
+        """Return the longest front of a prompt that a sound server has, leaving ones included."""
+        best = Front()
+        for view in self.views.values():
+            if view.server.service != service or view.paused_until > now or view.failures:
+                continue
+            tokens = view.covers(facts.parts)
+            if tokens > best.tokens:
+                best = Front(tokens, view)
+        return best
+
     def take_placed(self) -> list[Placed]:
         """Return what was placed on engines since the last call, for other nodes."""
         placed = [
@@ -287,7 +419,9 @@
     def _count(self, view: ServerView, prefill: int, now: float) -> Placement:
         if not view.running:
             view.busy_since = now
-        placement = Placement(view, prefill, now, prefill, view.all_prefill, view.all_running)
+        placement = Placement(
+            view, prefill, now, prefill, prefill, view.all_prefill, view.all_running
+        )
         view.running += 1
         view.prefill_tokens += prefill
         return placement
--- a/src/moledale/gateway/evacuation.py
+++ b/src/moledale/gateway/evacuation.py
@@ -82,8 +82,9 @@
     facts: RequestFacts
     service: str
     placement: Placement
-    stride: int = 3
+    event_tokens: int = 1
     events: int = 0
+    events_here: int = 0
     stopping: bool = False
     done: bool = False
     first_event_at: float = 0.0
@@ -93,23 +94,24 @@
     )
 
     def note_events(self, number: int, now: float) -> None:
-        """Note that events came."""
-        if not self.events:
+        """Note that events came; those of an earlier server tell nothing of this one's pace."""
+        if not self.events_here:
             self.first_event_at = now
         self.events += number
+        self.events_here += number
         self.last_event_at = now
 
     def left_s(self, now: float) -> float:
         """Estimate the time until the stream ends."""
-        most = max(1, self.facts.answer_tokens // self.stride)
-        if self.events < 2:
+        most = max(1, self.facts.answer_tokens // self.event_tokens)
+        if self.events_here < 2:
             return FIRST_TOKEN_S + most * EVENT_S
-        pace = (self.last_event_at - self.first_event_at) / (self.events - 1)
+        pace = (self.last_event_at - self.first_event_at) / (self.events_here - 1)
         return max(0, most - self.events) * pace - (now - self.last_event_at)
 
     def tokens(self) -> int:
         """Return the tokens in the server's memory."""
-        return self.facts.prompt_tokens + self.events * self.stride
+        return self.facts.prompt_tokens + self.events * self.event_tokens
 
 
 class Evacuation:
--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -18,7 +18,7 @@
     InboundRequest,
     Refusal,
 )
-from moledale.gateway.plan import Kind, Plan, PlanIndex
+from moledale.gateway.plan import Engine, Kind, Plan, PlanIndex
 from moledale.gateway.pool import ConnectionPool
 from moledale.gateway.reply import CHUNKED, Reply
 from moledale.gateway.sharing import Sharing
@@ -112,9 +112,13 @@
             status=job.reply.status,
             tokens=job.facts.prompt_tokens,
             uncached=placement.uncached,
+            fetched=placement.fetched,
             ahead=placement.ahead,
             beside=placement.beside,
             first_ms=round((first - job.request.arrived_at) * 1000),
+            target_ms=round(job.route.target_s * 1000),
+            pause_ms=round(job.longest_pause_s * 1000),
+            gap_ms=round(job.route.gap_s * 1000),
             ms=round((now - job.request.arrived_at) * 1000),
         )
 
@@ -140,11 +144,14 @@
         self._end_without_answer(job, last)
 
     def _place(self, job: Job) -> Placement | None:
+        engine = self._engine(job.service)
+        return self._book.place(job.service, job.facts, engine, self._now(), job.tried)
+
+    def _engine(self, name: str) -> Engine | None:
         index = self.index
         assert index is not None
-        service = index.services.get(job.service)
-        engine = service.engine if service is not None else None
-        return self._book.place(job.service, job.facts, engine, self._now(), job.tried)
+        service = index.services.get(name)
+        return service.engine if service is not None else None
 
     def _may_repeat(self, job: Job, attempt: Attempt) -> bool:
         """Say whether another server may be tried."""
@@ -157,7 +164,9 @@
 
     async def _attempt(self, job: Job, placement: Placement, moved: Continuation | None) -> Attempt:
         """Send the request to one server and pass its answer on."""
-        run = StreamRun(job.facts, job.service, placement, events=job.cutter.passed)
+        engine = self._engine(job.service)
+        event_tokens = engine.event_tokens if engine is not None else 1
+        run = StreamRun(job.facts, job.service, placement, event_tokens, events=job.cutter.passed)
         try:
             return await self._send_and_read(job, run, moved)
         finally:
@@ -176,7 +185,7 @@
                 note_silence(view, self._now())
                 emit(Event.CONNECT_FAILED, request=job.facts.id, server=server.id, why=str(error))
                 return Attempt(Ending.NOT_SENT, why="no connection")
-            self._send(job, connection, server.id, moved)
+            self._send(job, connection, placement, moved)
             if job.route.kind is Kind.STREAM:
                 self.evacuation.runs.add(run)
             try:
@@ -216,7 +225,7 @@
         self,
         job: Job,
         connection: UpstreamConnection,
-        server_id: str,
+        placement: Placement,
         moved: Continuation | None,
     ) -> None:
         now = self._now()
@@ -228,12 +237,13 @@
         if moved is not None:
             after = job.cutter.last_id or NO_EVENT
         facts = AttemptFacts(
-            server_id,
+            placement.view.server.id,
             job.caller.account,
             job.left_s(now),
             job.caller.priority,
             after_event=after,
             continued_from=f"{moved.source}/{moved.handle}" if moved is not None else "",
+            fetch_from=placement.fetch_from if moved is None else "",
         )
         body = job.request.body
         head = job.request.head
@@ -349,8 +359,7 @@
             placement.view.heard_at = self._now()
             if first:
                 first = False
-                placement.first_token()
-                placement.first_at = self._now()
+                self._book.note_first(placement, self._now())
                 job.may_have_run = True
                 self._count(job)
                 note_answer(placement.view, False, self._now() - placement.sent_at)
@@ -358,6 +367,7 @@
             whole = job.cutter.feed(data)
             if whole:
                 run.note_events(job.cutter.passed - passed, self._now())
+                job.note_event(self._now())
                 self._begin_stream(job, head)
                 job.reply.send(whole)
                 await job.reply.drained()
@@ -366,6 +376,7 @@
         self._begin_stream(job, head)
         job.reply.send(job.cutter.rest())
         job.reply.finish()
+        self._book.note_end(placement, self._now())
         return Attempt(Ending.ANSWERED)
 
     def _begin_stream(self, job: Job, head: AnswerHead) -> None:
--- a/src/moledale/gateway/job.py
+++ b/src/moledale/gateway/job.py
@@ -50,6 +50,14 @@
     may_have_run: bool = False
     counted: bool = False
     offered: bool = False
+    event_at: float | None = None
+    longest_pause_s: float = 0.0
+
+    def note_event(self, now: float) -> None:
+        """Note that events were passed on, for the longest pause between two."""
+        if self.event_at is not None:
+            self.longest_pause_s = max(self.longest_pause_s, now - self.event_at)
+        self.event_at = now
 
     def left_s(self, now: float) -> float:
         """Return the time left."""
--- a/src/moledale/gateway/messages.py
+++ b/src/moledale/gateway/messages.py
@@ -101,6 +101,7 @@
     priority: int | None
     after_event: str = ""
     continued_from: str = ""
+    fetch_from: str = ""
     backup_at: str = ""
 
 
--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -242,6 +242,7 @@
             self.keeper.news(),
             lease_heard=self.keeper.lease_heard(now),
             requests_per_s=self._request_rate.per_s,
+            speeds=self.book.speeds(now),
         )
 
     def _tell_state(self, everyone: bool = True) -> None:
--- a/src/moledale/gateway/peers.py
+++ b/src/moledale/gateway/peers.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from moledale.gateway.server_model import Speed
+
 ALIVE_S = 1.0
 """A node not heard of for this long takes no part in choices, while all hear all each round."""
 
@@ -73,6 +75,7 @@
     brief: bool = False
     lease_heard: HeldLease | None = None
     requests_per_s: float = 0.0
+    speeds: dict[str, Speed] = {}
 
     def shortened(self) -> "NodeState":
         """Return the state without its counts, for nodes that only need to know who is there."""
--- a/src/moledale/gateway/plan.py
+++ b/src/moledale/gateway/plan.py
@@ -52,7 +52,10 @@
 
 
 class Engine(msgspec.Struct, frozen=True):
-    """What the model servers of a service have in common; sizes in tokens and bytes."""
+    """What the model servers of a service have in common; sizes in tokens and bytes.
+
+    `event_tokens` is the number of tokens in one event of a stream.
+    """
 
     slots: int
     cache_tokens: int
@@ -61,6 +64,7 @@
     moves: bool = False
     backups: bool = False
     handle_s: float = 5.0
+    event_tokens: int = 1
 
 
 class Renting(msgspec.Struct, frozen=True):
--- a/src/moledale/gateway/renting.py
+++ b/src/moledale/gateway/renting.py
@@ -11,7 +11,7 @@
 from math import ceil
 
 from moledale.gateway.messages import Server
-from moledale.gateway.plan import Renting
+from moledale.gateway.plan import PlanIndex, Renting
 
 REFUSED_PAUSE_S = 2.5
 """Time after which servers that were refused are asked for again."""
@@ -19,9 +19,11 @@
 LATE_START_S = 3.0
 """Time beyond a server's boot after which an order is taken for lost."""
 
-SERVER_TOKENS_PER_S = 28_000.0
-"""Prompt tokens a second for which one more server is wanted; half of what it can read."""
+WAIT_SHARE = 1 / 9
+"""Part of the shortest target that requests may wait on average. A wait is about exponential, so
+three times its mean is exceeded once in twenty; that leaves two thirds for reading and the way."""
 
+LEAST_WAIT_S = 0.01
 LEAST_NEED = 2
 START_NEED = 4
 START_SHARE = 0.3
@@ -51,7 +53,7 @@
 
 
 class Demand:
-    """Need of servers, from a counter of prompt tokens that all nodes have placed."""
+    """Need of servers, from a counter of reading work that all nodes have placed."""
 
     def __init__(self) -> None:
         self._totals: deque[tuple[float, float]] = deque()
@@ -72,14 +74,17 @@
             self._totals.popleft()
         if self._first_at is None and total > 0:
             self._first_at = now
+
+    def note_need(self, number: int, now: float) -> None:
+        """Note how many servers the work of late needs, once it was watched for a moment."""
         if now - self._totals[0][0] >= LEAST_WINDOW_S and self.rate > 0:
-            self._needs.append((now, max(LEAST_NEED, ceil(self.rate / SERVER_TOKENS_PER_S))))
+            self._needs.append((now, max(LEAST_NEED, number)))
         while self._needs and now - self._needs[0][0] > PEAK_KEPT_S:
             self._needs.popleft()
 
     @property
     def rate(self) -> float:
-        """Return prompt tokens a second of late."""
+        """Return the work of late, in tokens a second."""
         if len(self._totals) < 2:
             return 0.0
         (begin, first), (end, last) = self._totals[0], self._totals[-1]
@@ -106,6 +111,16 @@
         return max([least, *(need for _, need in self._needs)])
 
 
+def longest_wait_s(index: PlanIndex, service: str) -> float:
+    """Return how long requests for a service may wait on average, from its routes' targets."""
+    targets = [
+        route.target_s
+        for route in index.plan.routes
+        if route.target_s > 0 and any(share.service == service for share in route.split)
+    ]
+    return max(LEAST_WAIT_S, WAIT_SHARE * min(targets, default=1.0))
+
+
 @dataclass(slots=True)
 class OrderState:
     """What was ordered last for a hall and kind, and when it may be ordered again."""
@@ -172,9 +187,10 @@
         return max(number for _, number in self._most)
 
     def _gap(self, spot: dict[str, int], need: int) -> int:
-        """Return the servers that are missing once the hall with most spot servers is gone."""
-        left = sum(spot.values()) - max(spot.values())
-        return max(0, ceil(need * RESERVE_SHARE) - left)
+        """Return the servers that are missing now, or for the reserve once a hall goes."""
+        there = sum(spot.values())
+        left = there - max(spot.values())
+        return max(0, need - there, ceil(need * RESERVE_SHARE) - left)
 
     def _spread(
         self, renting: Renting, wanted: int, spot: dict[str, int], ordered: dict[str, int]
--- a/src/moledale/platform/headers.py
+++ b/src/moledale/platform/headers.py
@@ -91,6 +91,8 @@
             lines.append(b"Last-Event-Id: " + facts.after_event.encode())
         if facts.continued_from:
             lines.append(b"Kv-From: " + facts.continued_from.encode())
+        if facts.fetch_from:
+            lines.append(b"Kv-Fetch: " + facts.fetch_from.encode())
         if facts.backup_at:
             lines.append(b"Kv-Backup: " + facts.backup_at.encode())
         return b"\r\n".join(lines) + b"\r\n\r\n"
--- a/src/moledale/platform/records.py
+++ b/src/moledale/platform/records.py
@@ -51,6 +51,7 @@
     moves: bool = False
     backups: bool = False
     handle_s: float = 5.0
+    stride: int = 1
 
 
 class ScalingRecord(Record, frozen=True):
@@ -187,6 +188,7 @@
             each.moves,
             each.backups,
             each.handle_s,
+            each.stride,
         )
     if record.scaling is not None:
         scaling = record.scaling
--- a/tests/test_gateway_placements.py
+++ b/tests/test_gateway_placements.py
@@ -2,13 +2,28 @@
 
 import unittest
 
-from moledale.gateway.balance import ServerBook, prefill_work
+import msgspec
+
+from moledale.gateway.balance import (
+    Placement,
+    ServerBook,
+    note_answer,
+    note_silence,
+    prefill_work,
+)
 from moledale.gateway.gossip import PlacementNews
-from moledale.gateway.messages import PromptPart, RequestFacts, Server
+from moledale.gateway.messages import (
+    AttemptFacts,
+    PromptPart,
+    RequestFacts,
+    RequestHead,
+    Server,
+)
 from moledale.gateway.peers import Membership, NodeState, Standing
 from moledale.gateway.plan import Engine
 from moledale.gateway.settings import Bounds
 from moledale.gateway.sharing import Sharing
+from moledale.platform.headers import PlatformHeaders
 
 ENGINE = Engine(64, 500_000, 1, 1000.0)
 SERVERS = [Server(f"s{number}", "model", f"h:{number}", "hall-a", 64) for number in range(4)]
@@ -98,6 +113,82 @@
         self.assertEqual(self.one.news().placed, [])
 
 
+FAST_LINKS = Engine(64, 500_000, 1_000, 100_000.0, moves=True)
+SLOW_LINKS = Engine(64, 500_000, 1_000, 100.0, moves=True)
+
+
+class FetchTest(unittest.TestCase):
+    """A prompt's front comes from another server where that is quicker than reading it."""
+
+    def place_away(self, engine: Engine) -> tuple[Placement, Placement]:
+        """Place a prompt, then one with the same front where its home may not be chosen."""
+        book = ServerBook("hall-a")
+        book.apply(SERVERS)
+        home = book.place("model", prompt("a", "x"), engine, 1.0)
+        assert home is not None
+        away = frozenset({home.view.server.id})
+        other = book.place("model", prompt("a", "y"), engine, 1.0, away)
+        assert other is not None
+        return home, other
+
+    def test_front_is_fetched_over_a_fast_link(self) -> None:
+        home, other = self.place_away(FAST_LINKS)
+        self.assertEqual(other.fetch_from, home.view.server.address)
+        self.assertEqual(other.fetched, 10_000)
+        self.assertEqual(other.uncached, 100)
+
+    def test_front_is_read_where_links_are_slow_or_servers_move_nothing(self) -> None:
+        for engine in (SLOW_LINKS, ENGINE):
+            with self.subTest(engine=engine):
+                _, other = self.place_away(engine)
+                self.assertEqual((other.fetch_from, other.uncached), ("", 10_100))
+
+    def test_what_the_server_has_itself_is_not_fetched(self) -> None:
+        book = ServerBook("hall-a")
+        book.apply(SERVERS)
+        first = book.place("model", prompt("a", "x"), FAST_LINKS, 1.0)
+        assert first is not None
+        first.first_token()
+        again = book.place("model", prompt("a", "y"), FAST_LINKS, 1.0)
+        assert again is not None
+        self.assertEqual((again.view, again.fetch_from), (first.view, ""))
+
+    def test_nothing_is_fetched_from_a_server_that_is_silent_or_gone(self) -> None:
+        book = ServerBook("hall-a")
+        book.apply(SERVERS)
+        home = book.place("model", prompt("a", "x"), FAST_LINKS, 1.0)
+        assert home is not None
+        away = frozenset({home.view.server.id})
+        note_silence(home.view, 1.0)
+        silent = book.place("model", prompt("a", "y"), FAST_LINKS, 1.0, away)
+        assert silent is not None
+        self.assertEqual(silent.fetch_from, "")
+        note_answer(home.view, False, 0.1)
+        book.apply([server for server in SERVERS if server.id not in away])
+        book.views[silent.view.server.id].cached.clear()
+        gone = book.place("model", prompt("a", "z"), FAST_LINKS, 9.0)
+        assert gone is not None
+        self.assertEqual(gone.fetch_from, "")
+
+    def test_a_server_that_leaves_still_gives_its_fronts(self) -> None:
+        book = ServerBook("hall-a")
+        book.apply(SERVERS)
+        home = book.place("model", prompt("a", "x"), FAST_LINKS, 1.0)
+        assert home is not None
+        name = home.view.server.id
+        book.apply(msgspec.structs.replace(server, leaving=server.id == name) for server in SERVERS)
+        other = book.place("model", prompt("a", "y"), FAST_LINKS, 1.0)
+        assert other is not None
+        self.assertEqual(other.fetch_from, home.view.server.address)
+
+    def test_server_is_told_where_to_fetch_from(self) -> None:
+        facts = AttemptFacts("s1", None, 1.0, None, fetch_from="h:2")
+        head = RequestHead(b"POST", b"/x", [(b"Kv-Fetch", b"from-the-caller:1")])
+        sent = PlatformHeaders().attempt_head(head, facts, 0)
+        self.assertIn(b"Kv-Fetch: h:2\r\n", sent)
+        self.assertNotIn(b"from-the-caller", sent)
+
+
 class PrefillWorkTest(unittest.TestCase):
     def test_cached_front_costs_nothing(self) -> None:
         self.assertEqual(prefill_work(10_000, 10_000), 0)
--- /dev/null
+++ b/tests/test_server_model.py
@@ -0,0 +1,230 @@
+"""What a node learns of servers, over the project's own model of an engine on a virtual clock."""
+
+import heapq
+import random
+import unittest
+from dataclasses import dataclass, field
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from moledale.gateway.server_model import (
+    KEPT_S,
+    PRIOR,
+    PRIOR_READ_PER_S,
+    SLOW_MEMORY_S,
+    FirstEvent,
+    Slowness,
+    Speed,
+    SpeedLearner,
+    combined,
+    servers_needed,
+    wait_s,
+)
+from standins.engine_model import EngineModel, EngineSpec, Sequence
+
+REQUESTS = 200
+TOLERANCE = 0.15
+FULL_STEP_S = 0.001
+"""Time of a step with all slots taken; short, so that reading decides and not what is beside it."""
+
+SERVERS = 4
+ANSWER_TOKENS = 40
+
+
+def spec_of(read_per_s: float, slots: int) -> EngineSpec:
+    return EngineSpec(read_per_s, slots / FULL_STEP_S, slots, cache_tokens=0)
+
+
+def reading_rate(spec: EngineSpec) -> float:
+    """Return the tokens that an engine reads a second beside a tenth of a batch."""
+    took = []
+    for prompt in (2_000, 12_000):
+        engine = EngineModel(spec)
+        for number in range(spec.slots // 10):
+            engine.submit(Sequence(f"d{number}", "", (), 1, 0, 100_000, "normal"))
+        engine.step()
+        engine.submit(Sequence("p", "", (), prompt, 0, 10, "normal"))
+        seconds = 0.0
+        while True:
+            step = engine.step()
+            seconds += step.seconds
+            if any(attempt == "p" for attempt, _ in step.tokens):
+                break
+        took.append(seconds)
+    return 10_000 / (took[1] - took[0])
+
+
+@dataclass(slots=True)
+class Play:
+    """Requests at some engines, as a node that places and learns sees them.
+
+    `load` is the part of the engines' time that reading takes; what the node counts as waiting
+    ahead is `late_s` old. Server 0 takes `slow_x` times as long.
+    """
+
+    spec: EngineSpec
+    load: float = 0.3
+    late_s: float = 0.0
+    slow_x: float = 1.0
+    learner: SpeedLearner = field(default_factory=SpeedLearner)
+    slowness: list[Slowness] = field(default_factory=lambda: [Slowness() for _ in range(SERVERS)])
+    now: float = 0.0
+
+    def run(self, requests: int = REQUESTS) -> None:
+        """Play so many requests."""
+        chance = random.Random(3)
+        rate = reading_rate(self.spec)
+        mean = 5_000.0
+        engines = [EngineModel(self.spec) for _ in range(SERVERS)]
+        clocks = [0.0] * SERVERS
+        ahead: list[list[tuple[float, int]]] = [[(0.0, 0)] for _ in range(SERVERS)]
+        sent: dict[str, tuple[int, float, int, float]] = {}
+        arrivals: list[float] = []
+        at = 0.0
+        for _ in range(requests):
+            at += chance.expovariate(self.load * SERVERS * rate / mean)
+            heapq.heappush(arrivals, at)
+        number = 0
+        while arrivals or any(engine.busy for engine in engines):
+            busy = [each for each in range(SERVERS) if engines[each].busy]
+            first = min(busy, key=lambda each: clocks[each], default=None)
+            if first is None or (arrivals and arrivals[0] <= clocks[first]):
+                at = heapq.heappop(arrivals)
+                chosen = chance.randrange(SERVERS)
+                prompt = int(min(50_000, chance.lognormvariate(8.2, 0.8))) + 1
+                if not engines[chosen].busy:
+                    clocks[chosen] = at
+                known = [work for when, work in ahead[chosen] if when <= at - self.late_s]
+                name = f"r{number}"
+                number += 1
+                sent[name] = (chosen, at, prompt, float(known[-1] if known else 0))
+                engines[chosen].submit(Sequence(name, "", (), prompt, 0, ANSWER_TOKENS, "normal"))
+                ahead[chosen].append((at, engines[chosen].load().pending_prefill_tokens))
+                continue
+            step = engines[first].step()
+            clocks[first] += step.seconds * (self.slow_x if first == 0 else 1.0)
+            ahead[first].append((clocks[first], engines[first].load().pending_prefill_tokens))
+            for attempt, produced in step.tokens:
+                if produced == 0:
+                    self._first(attempt, sent[attempt], clocks[first])
+            for sequence in step.finished:
+                self.learner.ended(clocks[first] - sent[sequence.attempt][1])
+
+    def _first(self, _: str, sent: tuple[int, float, int, float], now: float) -> None:
+        server, at, prompt, ahead = sent
+        self.now = max(self.now, now)
+        self.learner.placed(prompt)
+        self.learner.first_event(FirstEvent(prompt, ahead, now - at, now))
+        speed = self.learner.speed(now)
+        expected_s = speed.start_s + speed.reading_s(prompt + ahead)
+        self.slowness[server].note(now - at, expected_s, now)
+
+
+class LearningTest(unittest.TestCase):
+    def assert_learnt(self, play: Play) -> None:
+        truth = reading_rate(play.spec)
+        learnt = play.learner.speed(play.now + 1.0).read_per_s
+        self.assertAlmostEqual(learnt / truth, 1.0, delta=TOLERANCE)
+
+    def test_rate_is_found_for_slow_and_fast_servers_with_few_and_many_slots(self) -> None:
+        for read_per_s in (10_000.0, 50_000.0, 157_000.0, 300_000.0):
+            for slots in (8, 24, 128):
+                with self.subTest(read_per_s=read_per_s, slots=slots):
+                    play = Play(spec_of(read_per_s, slots))
+                    play.run()
+                    self.assert_learnt(play)
+
+    def test_rate_is_found_though_what_waits_is_told_late(self) -> None:
+        for late_s in (0.1, 0.3, 1.0):
+            with self.subTest(late_s=late_s):
+                play = Play(spec_of(157_000.0, 24), late_s=late_s)
+                play.run()
+                self.assert_learnt(play)
+
+    def test_rate_is_found_under_load(self) -> None:
+        play = Play(spec_of(157_000.0, 24), load=0.6)
+        play.run(2 * REQUESTS)
+        self.assert_learnt(play)
+
+    def test_one_slow_server_is_told_from_the_others(self) -> None:
+        play = Play(spec_of(50_000.0, 24), load=0.1, slow_x=5.0)
+        play.run()
+        self.assert_learnt(play)
+        times = [each.times(play.now) for each in play.slowness]
+        self.assertGreater(times[0], 2.0)
+        self.assertLess(max(times[1:]), 1.5)
+
+    def test_a_server_that_was_slow_is_tried_again(self) -> None:
+        slow = Slowness()
+        for _ in range(20):
+            slow.note(2.0, 0.2, 10.0)
+        self.assertGreater(slow.times(10.0), 4.0)
+        self.assertLess(slow.times(10.0 + 4 * SLOW_MEMORY_S), 1.2)
+
+    def test_nothing_is_known_without_requests(self) -> None:
+        self.assertEqual(SpeedLearner().speed(5.0), PRIOR)
+
+    def test_prompts_of_one_length_tell_no_rate(self) -> None:
+        learner = SpeedLearner()
+        for number in range(100):
+            learner.first_event(FirstEvent(1_000.0, 0.0, 0.05 + number % 3 * 0.01, 1.0))
+        self.assertEqual(learner.speed(2.0).read_per_s, PRIOR_READ_PER_S)
+
+    def test_old_observations_are_forgotten(self) -> None:
+        learner = SpeedLearner()
+        for number in range(100):
+            work = 1_000.0 * (1 + number % 5)
+            learner.first_event(FirstEvent(work, 0.0, work / 20_000, number / 100))
+        self.assertAlmostEqual(learner.speed(2.0).read_per_s, 20_000, delta=3_000)
+        for number in range(100):
+            work = 1_000.0 * (1 + number % 5)
+            at = KEPT_S + 2.0 + number / 100
+            learner.first_event(FirstEvent(work, 0.0, work / 80_000, at))
+        self.assertAlmostEqual(learner.speed(KEPT_S + 4.0).read_per_s, 80_000, delta=12_000)
+
+    def test_a_node_that_starts_takes_over_what_others_learnt(self) -> None:
+        learner = SpeedLearner()
+        learner.others([Speed(100_000.0, 0.02, 0.8, 6_000.0, 150)])
+        self.assertEqual(learner.speed(1.0).read_per_s, 100_000.0)
+
+    def test_one_node_with_odd_views_does_not_sway_the_others(self) -> None:
+        told = [Speed(100_000.0 + number, 0.02, 0.8, 6_000.0, 100) for number in range(5)]
+        odd = Speed(1.0, 9.0, 90.0, 1.0, 160)
+        self.assertAlmostEqual(combined(told[0], [*told[1:], odd]).read_per_s, 100_000, delta=10)
+
+
+class NeedTest(unittest.TestCase):
+    def test_wait_is_exact_for_one_place(self) -> None:
+        self.assertAlmostEqual(wait_s(0.5, 1, 0.2), 0.2)
+        self.assertAlmostEqual(wait_s(0.8, 1, 0.2), 0.8)
+
+    def test_slots_decide_where_answers_are_long(self) -> None:
+        speed = Speed(1e9, 0.02, 2.0, 1_000.0, 100)
+        self.assertGreaterEqual(servers_needed(1_000.0, 100, 24, 0.03, speed), 5)
+
+    def test_reading_decides_where_prompts_are_long(self) -> None:
+        speed = Speed(50_000.0, 0.02, 0.01, 10_000.0, 100)
+        self.assertGreaterEqual(servers_needed(200_000.0, 10, 64, 0.03, speed), 5)
+
+    @settings(derandomize=True, max_examples=200, deadline=None)
+    @given(
+        st.floats(0, 2e6),
+        st.floats(0, 2_000),
+        st.integers(1, 128),
+        st.floats(0.01, 1.0),
+        st.floats(5_000, 400_000),
+    )
+    def test_more_work_never_needs_fewer(
+        self, work: float, running: float, slots: int, most_s: float, rate: float
+    ) -> None:
+        speed = Speed(rate, 0.02, 1.0, 5_000.0, 100)
+        need = servers_needed(work, running, slots, most_s, speed)
+        self.assertGreaterEqual(servers_needed(1.2 * work, running, slots, most_s, speed), need)
+        self.assertGreaterEqual(servers_needed(work, 1.2 * running, slots, most_s, speed), need)
+        self.assertLessEqual(work / rate, need)
+        self.assertLessEqual(running / slots, need)
+
+
+if __name__ == "__main__":
+    unittest.main()
