Let servers on demand follow a peak of need for a shorter time

Hypothesis: need is the peak of 20 s, and a backlog looks like need; on demand that costs four to seven times a spot server, and these boot in 4 s. So on demand the peak of 8 s is enough.

--- /dev/null
+++ b/src/moledale/gateway/backoff.py
@@ -0,0 +1,33 @@
+"""Pauses between calls that fail, longer each time and the more nodes there are.
+
+What the store's outage costs must not grow with the nodes: those that call for all others ask
+often, the others seldom, since they hear from these once the store answers.
+"""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+JITTER = 0.5
+"""A pause is shorter or longer by up to this part, by chance."""
+
+
+@dataclass(slots=True)
+class Backoff:
+    """Pauses from `first_s` to `most_s`, times `crowd`: 1.0 for a node that calls for others."""
+
+    first_s: float
+    most_s: float
+    crowd: Callable[[], float]
+    _pause_s: float = 0.0
+    _random: random.Random = field(default_factory=random.Random)
+
+    def next_s(self) -> float:
+        """Return how long to wait after a call that failed."""
+        longer = 2 * self._pause_s if self._pause_s else self.first_s
+        self._pause_s = min(longer, self.most_s * max(1.0, self.crowd()))
+        return self._pause_s * (1.0 - JITTER + 2 * JITTER * self._random.random())
+
+    def answered(self) -> None:
+        """Begin anew after a call that did not fail."""
+        self._pause_s = 0.0
--- a/src/moledale/gateway/duties.py
+++ b/src/moledale/gateway/duties.py
@@ -10,9 +10,8 @@
 from moledale.gateway.balance import ServerBook
 from moledale.gateway.lease_keeper import LeaseKeeper
 from moledale.gateway.outside import ABSENT, Orders, Store
-from moledale.gateway.plan import Engine, PlanIndex
-from moledale.gateway.renting import Demand, RentingPlanner, longest_wait_s
-from moledale.gateway.server_model import servers_needed
+from moledale.gateway.plan import PlanIndex
+from moledale.gateway.renting import Demand, RentingPlanner, needed
 from moledale.gateway.sharing import Sharing
 from moledale.gateway.usage import total_of
 from moledale.gateway.work import OWN_LIFE, WorkMeter
@@ -184,14 +183,12 @@
             demand = self._demands.setdefault(service.name, Demand())
             demand.note(self._work.total.get(service.name, 0), now)
             if service.engine is not None:
-                demand.note_need(self._needed(index, service.name, service.engine, now), now)
-
-    def _needed(self, index: PlanIndex, service: str, engine: Engine, now: float) -> int:
-        """Return the servers that the work of late needs."""
-        return servers_needed(
-            self._demands[service].rate,
-            self._book.running(service),
-            engine.slots,
-            longest_wait_s(index, service),
-            self._book.learner(service).speed(now),
-        )
+                need = needed(
+                    index,
+                    service.name,
+                    service.engine.slots,
+                    demand.rate,
+                    self._book.running(service.name),
+                    self._book.learner(service.name).speed(now),
+                )
+                demand.note_need(need, now)
--- a/src/moledale/gateway/fleet_watch.py
+++ b/src/moledale/gateway/fleet_watch.py
@@ -17,6 +17,7 @@
 import xxhash
 from result import Err
 
+from moledale.gateway.backoff import Backoff
 from moledale.gateway.gossip import FleetNews
 from moledale.gateway.messages import Server
 from moledale.gateway.outside import Store
@@ -31,6 +32,9 @@
 AGAIN_MOST_S = 1.0
 LOOK_S = 0.1
 
+CROWD_SPREAD_S = 0.5
+"""Nodes in reserve read up to this much later, by chance, for each `neighbours.FEW` nodes."""
+
 OUTAGE_S = 2.0
 """Without a list for this long the store counts as having been away."""
 
@@ -51,6 +55,7 @@
         rank: Callable[[], int],
         took: Callable[[list[Server]], None],
         tell: Callable[[FleetNews], None],
+        crowd: Callable[[], float],
     ) -> None:
         self.version = -1
         self._store = store
@@ -64,22 +69,24 @@
         self._fresh_at = -1e9
         self._returned_at = -1e9
         self._kept: list[Server] = []
+        self._crowd = crowd
+        self._backoff = Backoff(AGAIN_S, AGAIN_MOST_S, crowd)
         self._random = random.Random()
+        self._spread_s = 0.0
 
     async def watch(self) -> None:
         """Read the list whenever it is this node's turn, for ever."""
-        pause = AGAIN_S
         while True:
             now = time.monotonic()
             turn = min(self._rank(), MOST_READ_RANK)
-            due = self._fresh_at + READ_EVERY_S + turn * READ_RANK_S
+            due = self._fresh_at + READ_EVERY_S + turn * READ_RANK_S + self._spread_s
             if now < due:
                 await asyncio.sleep(min(LOOK_S, due - now))
             elif await self._read(now):
-                pause = AGAIN_S
+                self._backoff.answered()
+                self._spread_s = 0.0
             else:
-                await asyncio.sleep(pause * (0.5 + self._random.random()))
-                pause = min(2 * pause, AGAIN_MOST_S)
+                await asyncio.sleep(self._backoff.next_s())
 
     def heard(self, news: FleetNews) -> None:
         """Take over a peer's reading."""
@@ -135,7 +142,11 @@
             )
 
     def _note_fresh(self, read_at: float) -> None:
-        """Note that the list was read; after a long time without, the store has returned."""
+        """Note that the list was read; after a long time without, the store has returned.
+
+        Nodes in reserve that find the next reading late must not read all at once.
+        """
+        self._spread_s = CROWD_SPREAD_S * (self._crowd() - 1.0) * self._random.random()
         if self._servers and read_at - self._fresh_at > OUTAGE_S:
             self._returned_at = read_at
         self._fresh_at = max(self._fresh_at, read_at)
--- a/src/moledale/gateway/lease_keeper.py
+++ b/src/moledale/gateway/lease_keeper.py
@@ -6,6 +6,7 @@
 at the version that it counted from.
 """
 
+import random
 import time
 
 import msgspec
@@ -63,7 +64,8 @@
         self._renewed_at = 0.0
         self._news_at = -1e9
         self._told_at = -1e9
-        self._read_at = -1e9
+        self._read_again_at = -1e9
+        self._random = random.Random()
         self._was_held = False
 
     def grant(self) -> Grant | None:
@@ -107,10 +109,13 @@
         self.holder = NOBODY
         self._news_at = now - self._ttl_s
         self._told_at = -1e9
-        self._read_at = -1e9
+        self._read_again_at = -1e9
 
-    async def step(self, rank: int) -> None:
-        """Do what is due; `rank` orders the candidates, so that they don't all try at once."""
+    async def step(self, rank: int, crowd: float = 1.0) -> None:
+        """Do what is due; `rank` orders the candidates, so that they don't all try at once.
+
+        A candidate that finds the row unreadable asks again `crowd` times as seldom as one alone.
+        """
         now = time.monotonic()
         action = self.lease.decide(now)
         self._tell_change(now)
@@ -123,8 +128,8 @@
             return
         if action is LeaseAction.TAKE and self.lease.row is not None:
             await self._write(now)
-        elif now - self._read_at > READ_AGAIN_S:
-            self._read_at = now
+        elif now >= self._read_again_at:
+            self._read_again_at = now + READ_AGAIN_S * crowd * (0.5 + self._random.random())
             await self._read()
 
     async def give_back(self) -> None:
--- a/src/moledale/gateway/neighbours.py
+++ b/src/moledale/gateway/neighbours.py
@@ -186,6 +186,15 @@
             return ENOUGH_WATCHERS
         return len(before)
 
+    def crowd(self, own: NodeState) -> float:
+        """Return how many times as seldom as a node alone this one repeats calls that failed.
+
+        Nodes that serve or hold the lease call for all others, so they do not wait for these.
+        """
+        if self.serving or own.lease is not None:
+            return 1.0
+        return max(1.0, len(self.addresses.until) / FEW)
+
     def knows_enough(self, own: NodeState, now: float) -> bool:
         """Say whether this node may tell callers where to go."""
         if own.standing == Standing.READY and self.serving:
--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import os
-import random
 import time
 
 import msgspec
 from result import Ok
 
 from moledale.clock import SystemClock
+from moledale.gateway.backoff import Backoff
 from moledale.gateway.balance import ServerBook
 from moledale.gateway.dialect import Dialect
 from moledale.gateway.directory import power_of
@@ -111,7 +111,6 @@
         self._gossip: GossipSocket | None = None
         self._telling_placements: asyncio.TimerHandle | None = None
         self.book.on_placed = self._placed
-        self._random = random.Random()
         self._request_rate = Rate()
         self._sequence = 0
         self.plans = PlanWatch(
@@ -120,10 +119,16 @@
             self._watching_turn,
             self._adopt,
             self._tell_of_plan,
+            self._crowd,
             node.link_mbps,
         )
         self.fleet = FleetWatch(
-            store, self.sharing.true_time, self._reading_turn, self._took_fleet, self._tell_fleet
+            store,
+            self.sharing.true_time,
+            self._reading_turn,
+            self._took_fleet,
+            self._tell_fleet,
+            self._crowd,
         )
         self._questions = Questions(
             entry, self.neighbours, self.plans.archive, self.pool, settings.bounds.address_ttl_s
@@ -334,7 +339,7 @@
     async def _register(self) -> None:
         """Tell the store of this node, and learn of others that it was told of."""
         node = self.settings.node
-        pause = AGAIN_S
+        backoff = Backoff(AGAIN_S, AGAIN_MOST_S, self._crowd)
         registered = read = False
         while not (registered and read):
             if not registered:
@@ -348,8 +353,7 @@
                 now = time.monotonic()
                 for row in outcome.ok_value.rows:
                     self.neighbours.addresses.add(row.value.decode(), now)
-            await asyncio.sleep(pause * (0.5 + self._random.random()))
-            pause = min(2 * pause, AGAIN_MOST_S)
+            await asyncio.sleep(backoff.next_s())
 
     # The plan and the list of backend servers
 
@@ -367,6 +371,9 @@
             others = self.neighbours.some(time.monotonic())
             self._gossip.tell(StateNews(self._state().shortened(), []), others)
 
+    def _crowd(self) -> float:
+        return self.neighbours.crowd(self._state())
+
     def _watching_turn(self) -> int:
         return self.neighbours.watch_turn(self._state(), time.monotonic())
 
@@ -396,7 +403,9 @@
         while True:
             if self.standing is not Standing.LEAVING:
                 now = time.monotonic()
-                await self.keeper.step(self.neighbours.rank(self._state(), now, True))
+                state = self._state()
+                rank = self.neighbours.rank(state, now, True)
+                await self.keeper.step(rank, self.neighbours.crowd(state))
                 await self.duties.step()
             await asyncio.sleep(TICK_S)
 
--- a/src/moledale/gateway/plan_watch.py
+++ b/src/moledale/gateway/plan_watch.py
@@ -5,12 +5,13 @@
 """
 
 import asyncio
-import random
 import time
 from collections.abc import Callable
+from contextlib import suppress
 
 from result import Err
 
+from moledale.gateway.backoff import Backoff
 from moledale.gateway.outside import PlanNews, Store
 from moledale.gateway.plan import Plan
 from moledale.gateway.plan_archive import PlanArchive
@@ -24,6 +25,9 @@
 WATCHERS = 3
 LOOK_S = 0.2
 AGAIN_S = 0.2
+AGAIN_MOST_S = 0.4
+"""Nodes that watch for others notice the store's return within about this time."""
+
 CALL_TIMEOUT_S = 0.8
 FALLBACK_TIMEOUT_S = 3.0
 """Time in which a plan of 1,500 routes, 0.5 MB as the store spells it, comes over 5 Mbit/s."""
@@ -42,6 +46,7 @@
         turn: Callable[[], int],
         adopt: Callable[[Plan], bool],
         adopted: Callable[[bool], None],
+        crowd: Callable[[], float],
         link_mbps: float,
     ) -> None:
         self.archive = PlanArchive(link_mbps, time.monotonic)
@@ -55,7 +60,8 @@
         self._true_time = true_time
         self._adopt = adopt
         self._adopted = adopted
-        self._random = random.Random()
+        self._backoff = Backoff(AGAIN_S, AGAIN_MOST_S, crowd)
+        self._brought = asyncio.Event()
 
     async def watch(self) -> None:
         """Watch the store while it is this node's turn, for ever."""
@@ -73,8 +79,9 @@
             if isinstance(outcome, Err):
                 position = None
                 self.reached_at = -1e9
-                await asyncio.sleep(AGAIN_S * (0.5 + self._random.random()))
+                await self._wait_again()
                 continue
+            self._backoff.answered()
             self.reached_at = time.monotonic()
             news = outcome.ok_value
             if position is None:
@@ -82,6 +89,13 @@
             position = news.position
             self._take_news(news)
 
+    async def _wait_again(self) -> None:
+        """Wait after a call that failed; a plan that others brought ends the wait."""
+        self._brought.clear()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(self._backoff.next_s()):
+                await self._brought.wait()
+
     async def _read_for_want_of_peers(self) -> bool:
         """Read the plan from the store, since no peer delivers it; say whether it answered."""
         outcome = await self._store.plan(FALLBACK_TIMEOUT_S)
@@ -107,6 +121,7 @@
         if not self._adopt(plan):
             return
         self._version = plan.version
+        self._brought.set()
         self.archive.keep(plan.version, raw)
         self._adopted(from_store)
         emit(
--- a/src/moledale/gateway/renting.py
+++ b/src/moledale/gateway/renting.py
@@ -12,6 +12,7 @@
 
 from moledale.gateway.messages import Server
 from moledale.gateway.plan import PlanIndex, Renting
+from moledale.gateway.server_model import Speed, servers_needed
 
 REFUSED_PAUSE_S = 2.5
 """Time after which servers that were refused are asked for again."""
@@ -35,6 +36,12 @@
 """Servers on demand are given back when they were too many for this long."""
 
 PEAK_KEPT_S = 20.0
+"""Spot servers follow the peak of need in this time."""
+
+ON_DEMAND_KEPT_S = 8.0
+"""Servers on demand do so in this time: twice the boot of the users' servers, since they cost four
+to seven times as much, and a backlog looks like need until it is worked off."""
+
 SPOT_X = 1.5
 """Spot servers wanted for each server needed; they cost little and go often."""
 
@@ -52,6 +59,14 @@
     number: int
 
 
+@dataclass(frozen=True, slots=True)
+class Need:
+    """Servers wanted: as many spot ones, and on demand what is missing of the lesser number."""
+
+    spot: int
+    on_demand: int
+
+
 class Demand:
     """Need of servers, from a counter of reading work that all nodes have placed."""
 
@@ -105,20 +120,34 @@
         """Say whether no node has placed anything yet."""
         return self._first_at is None
 
-    def need(self, start: int) -> int:
-        """Return the servers wanted: the peak of late, and the start's number at first."""
+    def need(self, start: int) -> Need:
+        """Return the servers wanted: the peaks of late, and the start's number at first."""
         least = LEAST_NEED if self.watched_s > PEAK_KEPT_S else start
-        return max([least, *(need for _, need in self._needs)])
+        lately = [need for at, need in self._needs if self._last_at - at <= ON_DEMAND_KEPT_S]
+        spot = max([least, *(need for _, need in self._needs)])
+        return Need(spot, max([least, *lately]))
+
+
+def needed(
+    index: PlanIndex, service: str, slots: int, rate: float, running: int, speed: Speed
+) -> int:
+    """Return the servers that a service needs for work of `rate` tokens a second.
+
+    `running` requests hold or wait for its `slots` a server; the longest wait follows from the
+    shortest target of its routes.
+    """
+    most_s = max(LEAST_WAIT_S, WAIT_SHARE * shortest_target_s(index, service))
+    return servers_needed(rate, running, slots, most_s, speed)
 
 
-def longest_wait_s(index: PlanIndex, service: str) -> float:
-    """Return how long requests for a service may wait on average, from its routes' targets."""
+def shortest_target_s(index: PlanIndex, service: str) -> float:
+    """Return the shortest target of a service's routes, 1 s where none has one."""
     targets = [
         route.target_s
         for route in index.plan.routes
         if route.target_s > 0 and any(share.service == service for share in route.split)
     ]
-    return max(LEAST_WAIT_S, WAIT_SHARE * min(targets, default=1.0))
+    return min(targets, default=1.0)
 
 
 @dataclass(slots=True)
@@ -148,7 +177,7 @@
             if server.hall in there:
                 there[server.hall][server.spot] += 1
         need = self.need(renting)
-        each_hall = ceil(need * SPOT_X / max(1, len(there) - 1))
+        each_hall = ceil(need.spot * SPOT_X / max(1, len(there) - 1))
         wanted_spot = max(renting.least, min(each_hall, renting.most))
         unused = self.first_start and self.demand.idle
         may_lower = unused or self.demand.noted_s >= DEMAND_WINDOW_S
@@ -156,12 +185,12 @@
         for hall, counts in there.items():
             number = wanted_spot if may_lower else max(wanted_spot, counts[True])
             due.extend(self._due(renting, hall, True, number, counts[True], now))
-        for hall, number in self._firm(renting, there, need, now).items():
+        for hall, number in self._firm(renting, there, need.on_demand, now).items():
             number = number if may_lower else max(number, there[hall][False])
             due.extend(self._due(renting, hall, False, number, there[hall][False], now))
         return due
 
-    def need(self, renting: Renting) -> int:
+    def need(self, renting: Renting) -> Need:
         """Return the servers wanted; what operators allow at most tells the size before demand."""
         allowed = renting.most * len(renting.hall_prices)
         return self.demand.need(max(START_NEED, ceil(START_SHARE * allowed)))
--- /dev/null
+++ b/tests/test_backoff.py
@@ -0,0 +1,125 @@
+"""Calls that fail are repeated more seldom each time, and by many nodes more seldom than by few."""
+
+import asyncio
+import unittest
+
+from result import Err
+
+from moledale.gateway.backoff import JITTER, Backoff
+from moledale.gateway.fleet_watch import CROWD_SPREAD_S, FleetWatch
+from moledale.gateway.gossip import FleetNews
+from moledale.gateway.outside import Trouble
+from moledale.gateway.plan_watch import PlanWatch
+from moledale.gateway.usage import TrueTime
+from moledale.platform.records import read_config
+from tests.gateway_world import quietly
+from tests.plan_world import config_bytes
+
+MANY = 5.0
+
+
+class DeadStore:
+    """A store that answers nothing and counts what it is asked."""
+
+    def __init__(self) -> None:
+        self.calls = 0
+
+    async def plan(self, _: float) -> object:
+        self.calls += 1
+        return Err(Trouble("away"))
+
+    async def servers(self, _: float) -> object:
+        self.calls += 1
+        return Err(Trouble("away"))
+
+    def decode_plan(self, raw: bytes) -> object:
+        return read_config(raw)
+
+
+def plan_watch(store: DeadStore, crowd: float) -> PlanWatch:
+    return PlanWatch(
+        store,  # type: ignore[arg-type]
+        TrueTime(),
+        lambda: 0,
+        lambda plan: True,
+        lambda from_store: None,
+        lambda: crowd,
+        100.0,
+    )
+
+
+def fleet_watch(store: DeadStore, crowd: float) -> FleetWatch:
+    return FleetWatch(
+        store,  # type: ignore[arg-type]
+        TrueTime(),
+        lambda: 4,
+        lambda servers: None,
+        lambda news: None,
+        lambda: crowd,
+    )
+
+
+async def calls_of(watch: PlanWatch | FleetWatch, store: DeadStore, seconds: float) -> int:
+    task = asyncio.create_task(watch.watch())
+    await asyncio.sleep(seconds)
+    task.cancel()
+    return store.calls
+
+
+class BackoffTest(unittest.TestCase):
+    def test_pauses_double_up_to_the_most(self) -> None:
+        backoff = Backoff(0.2, 1.0, lambda: 1.0)
+        pauses = [backoff.next_s() for _ in range(8)]
+        for pause, middle in zip(pauses, (0.2, 0.4, 0.8, 1.0, 1.0, 1.0, 1.0, 1.0), strict=True):
+            self.assertGreaterEqual(pause, middle * (1 - JITTER))
+            self.assertLessEqual(pause, middle * (1 + JITTER))
+        backoff.answered()
+        self.assertLessEqual(backoff.next_s(), 0.2 * (1 + JITTER))
+
+    def test_crowd_stretches_the_longest_pause_only(self) -> None:
+        backoff = Backoff(0.2, 1.0, lambda: MANY)
+        self.assertLessEqual(backoff.next_s(), 0.2 * (1 + JITTER))
+        for _ in range(8):
+            last = backoff.next_s()
+        self.assertGreaterEqual(last, MANY * (1 - JITTER))
+
+    def test_many_nodes_ask_a_store_that_is_away_more_seldom(self) -> None:
+        async def story() -> None:
+            for make in (plan_watch, fleet_watch):
+                few, many = DeadStore(), DeadStore()
+                asked = await asyncio.gather(
+                    calls_of(make(few, 1.0), few, 3.0),
+                    calls_of(make(many, 20.0), many, 3.0),
+                )
+                self.assertGreater(asked[0], 3, make)
+                self.assertLess(asked[1], 7, make)
+                self.assertLess(asked[1], asked[0] + (make is fleet_watch), make)
+
+        quietly(story())
+
+    def test_plan_of_a_peer_ends_the_wait(self) -> None:
+        async def story() -> None:
+            store = DeadStore()
+            watch = plan_watch(store, 100.0)
+            task = asyncio.create_task(watch.watch())
+            await asyncio.sleep(2.0)
+            asked = store.calls
+            watch._fetched(9, config_bytes(9, 5))
+            await asyncio.sleep(0.1)
+            self.assertGreater(store.calls, asked)
+            task.cancel()
+
+        quietly(story())
+
+    def test_nodes_in_reserve_read_a_late_list_one_after_the_other(self) -> None:
+        watches = [fleet_watch(DeadStore(), MANY) for _ in range(40)]
+        due = []
+        for watch in watches:
+            watch.heard(FleetNews(1, 0, 0.0, []))
+            due.append(watch._spread_s)
+        self.assertGreater(max(due) - min(due), CROWD_SPREAD_S * (MANY - 1) / 2)
+        self.assertLess(max(due), CROWD_SPREAD_S * (MANY - 1))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_gateway_renting.py
+++ b/tests/test_gateway_renting.py
@@ -6,16 +6,19 @@
 from moledale.gateway.messages import Server
 from moledale.gateway.plan import PlanIndex, Renting
 from moledale.gateway.renting import (
-    WAIT_SHARE,
     Demand,
+    Need,
     Order,
     RentingPlanner,
-    longest_wait_s,
+    shortest_target_s,
 )
 from moledale.gateway.work import OWN_LIFE, WorkMeter
 from tests.gateway_states import HALLS, state
 from tests.gateway_world import a_plan
 
+THREE = Need(3, 3)
+FOUR = Need(4, 4)
+
 
 class WorkMeterTest(unittest.TestCase):
     def test_past_of_a_node_first_heard_now_is_no_demand(self) -> None:
@@ -146,23 +149,39 @@
         for second in range(10):
             demand.note(second * 100_000.0, float(second))
             demand.note_need(4 if second == 5 else 3, float(second))
-        self.assertEqual(demand.need(2), 4)
+        self.assertEqual(demand.need(2), FOUR)
         for second in range(10, 40):
             demand.note(1_000_000.0 + second, float(second))
             demand.note_need(3, float(second))
-        self.assertEqual(demand.need(2), 3)
+        self.assertEqual(demand.need(2), THREE)
 
     def test_first_moments_of_demand_give_no_server_back(self) -> None:
         demand = Demand()
         for step in range(10):
             demand.note(step * 1_000.0, step * 0.5)
             demand.note_need(1, step * 0.5)
-            self.assertEqual(demand.need(4), 4)
+            self.assertEqual(demand.need(4), FOUR)
 
-    def test_wait_follows_the_shortest_target_of_the_service(self) -> None:
+    def test_shortest_target_of_the_service_counts(self) -> None:
         index = PlanIndex(a_plan())
-        self.assertAlmostEqual(longest_wait_s(index, "model"), 0.5 * WAIT_SHARE)
-        self.assertAlmostEqual(longest_wait_s(index, "plain"), 0.2 * WAIT_SHARE)
+        self.assertEqual(shortest_target_s(index, "model"), 0.5)
+        self.assertEqual(shortest_target_s(index, "plain"), 0.2)
+
+    def test_servers_on_demand_follow_a_peak_for_a_shorter_time(self) -> None:
+        demand = Demand()
+        for second in range(30):
+            demand.note(second * 100_000.0, float(second))
+            demand.note_need(9 if second == 12 else 3, float(second))
+        self.assertEqual(demand.need(2), Need(spot=9, on_demand=3))
+
+    def test_missing_spot_servers_are_made_up_for_whatever_the_reserve(self) -> None:
+        planner = self.planner(4)
+        self.carry_out(planner, self.servers(dict.fromkeys(HALLS, 2)), 0.0)
+        for hall in HALLS:
+            planner.ordered(Order("model", hall, True, 2), False, 10.0)
+        with mock.patch("moledale.gateway.renting.RESERVE_SHARE", 0.0):
+            orders = self.carry_out(planner, self.servers({"a": 2}), 10.0)
+        self.assertEqual(sum(order.number for order in orders if not order.spot), 2)
 
     def test_new_holder_gives_nothing_back_before_it_has_watched_demand(self) -> None:
         planner = RentingPlanner("model", first_start=True)
@@ -180,9 +199,9 @@
 
     def test_what_is_allowed_tells_what_to_begin_with(self) -> None:
         planner = RentingPlanner("model", first_start=True)
-        self.assertEqual(planner.need(self.renting), 4)
+        self.assertEqual(planner.need(self.renting), FOUR)
         large = Renting(1, 15, 4.0, 0.15, self.renting.hall_prices)
-        self.assertEqual(planner.need(large), 12)
+        self.assertEqual(planner.need(large), Need(12, 12))
 
 
 if __name__ == "__main__":
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -195,6 +195,7 @@
             lambda: 0,
             lambda servers: self.taken.append({server.id for server in servers}),
             lambda _: None,
+            lambda: 1.0,
         )
         self.version = 0
         self.now = 1_000.0
--- /dev/null
+++ b/tools/ablation.py
@@ -0,0 +1,157 @@
+"""Takes one mechanism out of a copy of the sources, so that its worth can be played.
+
+`python -m tools.ablation` lists the mechanisms; `python -m tools.ablation NAME FOLDER` takes one
+out of the checkout in FOLDER, which must not be this one. docs/DECISIONS.md has what they were
+worth.
+"""
+
+import argparse
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+GATEWAY = Path("src/moledale/gateway")
+
+
+@dataclass(frozen=True, slots=True)
+class Ablation:
+    """A mechanism, and the text whose replacement takes it out; the text stands once in its
+    file."""
+
+    name: str
+    what: str
+    file: str
+    old: str
+    new: str
+
+    def taken_out(self, text: str) -> str:
+        """Return a file's text without the mechanism; ValueError unless the old text stands
+        once."""
+        if text.count(self.old) != 1:
+            raise ValueError(f"{self.name}: {self.file} has the text {text.count(self.old)} times")
+        return text.replace(self.old, self.new)
+
+
+ABLATIONS = (
+    Ablation(
+        "fetch",
+        "fronts of prompts are fetched from other servers",
+        "balance.py",
+        "if not self.engine.moves or self.front.tokens <= cached:",
+        "if self.front.tokens >= 0:",
+    ),
+    Ablation(
+        "learn",
+        "servers' speed is learnt; without, the prior counts",
+        "server_model.py",
+        "self._speed = combined(self._own, self._others)",
+        "self._speed = PRIOR",
+    ),
+    Ablation(
+        "learn-from-others",
+        "nodes take over what others learnt",
+        "server_model.py",
+        "self._speed = combined(self._own, self._others)",
+        "self._speed = self._own",
+    ),
+    Ablation(
+        "slowness",
+        "a server that turned slow is told from the others",
+        "server_model.py",
+        "return 1.0 + (self._times - 1.0) * exp(-(now - self._at) / SLOW_MEMORY_S)",
+        "return 1.0",
+    ),
+    Ablation(
+        "home",
+        "prompts with the same front meet at a home",
+        "balance.py",
+        "if home and not cached:",
+        "if home and cached < 0:",
+    ),
+    Ablation(
+        "slots",
+        "the wait for a slot counts in the choice",
+        "balance.py",
+        "return took_s * view.slowness.times(now) + self.slot_s(view)",
+        "return took_s * view.slowness.times(now)",
+    ),
+    Ablation(
+        "placements",
+        "placements are told to other nodes at once",
+        "node.py",
+        "if self._gossip is None or not placed:",
+        "if self._gossip is not None or not placed:",
+    ),
+    Ablation(
+        "evacuation",
+        "streams move away from servers that leave",
+        "evacuation.py",
+        "if engine is None or not engine.moves or name in self._ends:",
+        "if engine is None or engine.slots > 0:",
+    ),
+    Ablation(
+        "silence",
+        "silent servers are paused",
+        "node.py",
+        "            self.book.pause_silent(now)\n",
+        "",
+    ),
+    Ablation(
+        "slow-repeat",
+        "safe requests that take long are tried elsewhere",
+        "forwarder.py",
+        "again = job.route.kind is Kind.SAFE and",
+        "again = job.route.kind is None and",
+    ),
+    Ablation(
+        "reserve",
+        "servers are there for the loss of one more hall",
+        "renting.py",
+        "RESERVE_SHARE = 0.75",
+        "RESERVE_SHARE = 0.0",
+    ),
+    Ablation(
+        "spot-surplus",
+        "more spot servers than the need",
+        "renting.py",
+        "SPOT_X = 1.5",
+        "SPOT_X = 1.0",
+    ),
+    Ablation(
+        "on-demand-peak",
+        "servers on demand follow a peak for a shorter time",
+        "renting.py",
+        "ON_DEMAND_KEPT_S = 8.0",
+        "ON_DEMAND_KEPT_S = PEAK_KEPT_S",
+    ),
+)
+
+
+def take_out(ablation: Ablation, root: Path) -> None:
+    """Take a mechanism out of a checkout."""
+    file = root / GATEWAY / ablation.file
+    file.write_text(ablation.taken_out(file.read_text("utf-8")), "utf-8")
+
+
+def main() -> int:
+    """Run the tool."""
+    parser = argparse.ArgumentParser(description=(__doc__ or "").partition("\n")[0])
+    parser.add_argument("name", nargs="?")
+    parser.add_argument("folder", nargs="?", type=Path)
+    options = parser.parse_args()
+    if options.name is None:
+        for each in ABLATIONS:
+            print(f"{each.name:18} {each.what}")
+        return 0
+    found = [each for each in ABLATIONS if each.name == options.name]
+    if not found or options.folder is None:
+        parser.error("name one of the mechanisms and a folder")
+    if options.folder.resolve() == ROOT:
+        parser.error("this is the checkout that the tool runs from; name a copy")
+    take_out(found[0], options.folder)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
