Split the forwarder, the choice of a server and the node by subject

answers.py reads and passes on answers, server_view.py holds what is known of a server, engine_costs.py estimates first events, registration.py tells the store of a node. No behaviour changes but one: a node that could write its row but not read the others reads again until it can, as before, and no longer stops once an earlier reading succeeded.

--- /dev/null
+++ b/src/moledale/gateway/answers.py
@@ -0,0 +1,191 @@
+"""Reading a server's answer, and passing it on to the caller whole or event by event."""
+
+import asyncio
+from collections.abc import Callable
+
+from moledale.gateway.balance import ServerBook
+from moledale.gateway.dialect import Dialect
+from moledale.gateway.evacuation import StreamRun
+from moledale.gateway.job import Attempt, Ending, Job
+from moledale.gateway.messages import AnswerFacts, AnswerHead, InboundRequest, Refusal
+from moledale.gateway.plan import Kind
+from moledale.gateway.reply import CHUNKED, Reply
+from moledale.gateway.server_view import Placement, note_answer, note_silence
+from moledale.gateway.sharing import Sharing
+from moledale.gateway.upstream import AnswerCut, Cut, UpstreamConnection
+
+MOST_BUFFERED_BYTES = 1_048_576
+"""Plain answers up to this size are read whole before the caller gets a byte of them."""
+
+SLOW_SHARE = 0.5
+SLOW_X = 4.0
+"""A safe request is tried elsewhere after half its target or four usual answers without one."""
+
+PROMISES = frozenset({408, 421, 429, 503})
+"""Statuses that tell a caller that its request has not run and never will."""
+
+Refuse = Callable[[Reply, InboundRequest, Refusal], None]
+"""Gives a final answer of the node's own."""
+
+
+class AnswerReader:
+    """Reads answers of servers; `refuse` answers in place of one that must not be passed on."""
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        book: ServerBook,
+        sharing: Sharing,
+        refuse: Refuse,
+        now: Callable[[], float],
+    ) -> None:
+        self._dialect = dialect
+        self._book = book
+        self._sharing = sharing
+        self._refuse = refuse
+        self._now = now
+
+    async def read(self, job: Job, connection: UpstreamConnection, run: StreamRun) -> Attempt:
+        """Read an answer's head, decide what it means, and read or pass on the rest."""
+        placement = run.placement
+        head = await self._head(job, connection, placement)
+        placement.view.heard_at = self._now()
+        facts = self._dialect.read_answer(head)
+        if facts.closes:
+            connection.usable = False
+        connection.keep_alive_s = facts.keep_alive_s
+        if facts.request_id is not None and facts.request_id != job.facts.id:
+            connection.usable = False
+            return self.cut(job, placement, Cut.GARBLED)
+        if facts.not_run:
+            await self._read_whole(connection)
+            return Attempt(Ending.NOT_RUN, retry_after_s=facts.retry_after_s, why=str(head.status))
+        if not facts.signed:
+            connection.usable = False
+            return self.cut(job, placement, Cut.GARBLED)
+        if job.route.kind is Kind.STREAM and head.status < 300:
+            return await self._pass_stream(job, connection, run, head)
+        return await self._pass_whole(job, connection, placement, head, facts)
+
+    async def _head(
+        self, job: Job, connection: UpstreamConnection, placement: Placement
+    ) -> AnswerHead:
+        """Wait for an answer; a safe request is tried elsewhere if none comes for long."""
+        again = job.route.kind is Kind.SAFE and job.sends < job.route.max_servers
+        if again:
+            usual = SLOW_X * placement.view.answer_s
+            try:
+                async with asyncio.timeout(max(SLOW_SHARE * job.route.target_s, usual)):
+                    return await connection.head()
+            except TimeoutError:
+                now = self._now()
+                other = self._book.has_other(job.service, now, job.tried)
+                if other and self._sharing.may_repeat(job.service, now):
+                    raise AnswerCut(Cut.SLOW) from None
+        return await connection.head()
+
+    async def _read_whole(self, connection: UpstreamConnection) -> bytes:
+        parts = []
+        while (data := await connection.chunk()) is not None:
+            parts.append(data)
+        return b"".join(parts)
+
+    async def _pass_whole(
+        self,
+        job: Job,
+        connection: UpstreamConnection,
+        placement: Placement,
+        head: AnswerHead,
+        facts: AnswerFacts,
+    ) -> Attempt:
+        body, whole = await self._read_some(connection)
+        now = self._now()
+        failed = head.status >= 500
+        note_answer(placement.view, failed, now - placement.sent_at)
+        job.may_have_run = True
+        self._count(job)
+        if failed and job.reply.begun:
+            return Attempt(Ending.FAILED, head, body, why=str(head.status))
+        if failed and whole and job.route.repeatable and job.sends < job.route.max_servers:
+            return Attempt(Ending.FAILED, head, body, why=str(head.status))
+        if whole:
+            self.pass_on(job, head, body)
+        else:
+            await self._pass_long(job, connection, head, body)
+        return Attempt(Ending.ANSWERED)
+
+    async def _read_some(self, connection: UpstreamConnection) -> tuple[bytes, bool]:
+        """Read a body up to the bound; say whether that is all of it."""
+        parts: list[bytes] = []
+        size = 0
+        while size <= MOST_BUFFERED_BYTES:
+            data = await connection.chunk()
+            if data is None:
+                return b"".join(parts), True
+            parts.append(data)
+            size += len(data)
+        return b"".join(parts), False
+
+    async def _pass_long(
+        self, job: Job, connection: UpstreamConnection, head: AnswerHead, begin: bytes
+    ) -> None:
+        """Pass a long answer on while it comes; what is cut then can't look whole."""
+        job.reply.start(head.status, self._dialect.answer_headers(head), CHUNKED)
+        job.reply.send(begin)
+        while (data := await connection.chunk()) is not None:
+            job.reply.send(data)
+            await job.reply.drained()
+        job.reply.finish()
+
+    def pass_on(self, job: Job, head: AnswerHead, body: bytes) -> None:
+        """Pass a server's whole answer on; its promises are not ours to repeat."""
+        if head.status in PROMISES:
+            self._refuse(job.reply, job.request, Refusal(502, "the server's answer is unclear"))
+            return
+        job.reply.whole(head.status, self._dialect.answer_headers(head), body)
+
+    async def _pass_stream(
+        self, job: Job, connection: UpstreamConnection, run: StreamRun, head: AnswerHead
+    ) -> Attempt:
+        """Pass events on as they come, whole ones only."""
+        placement = run.placement
+        first = True
+        while (data := await connection.chunk()) is not None:
+            placement.view.heard_at = self._now()
+            if first:
+                first = False
+                self._book.note_first(placement, self._now())
+                job.may_have_run = True
+                self._count(job)
+                note_answer(placement.view, False, self._now() - placement.sent_at)
+            passed = job.cutter.passed
+            whole = job.cutter.feed(data)
+            if whole:
+                run.note_events(job.cutter.passed - passed, self._now())
+                job.note_event(self._now())
+                self._begin_stream(job, head)
+                job.reply.send(whole)
+                await job.reply.drained()
+        if run.stopping and connection.ends_by_closing:
+            raise AnswerCut(Cut.CLOSED)
+        self._begin_stream(job, head)
+        job.reply.send(job.cutter.rest())
+        job.reply.finish()
+        self._book.note_end(placement, self._now())
+        return Attempt(Ending.ANSWERED)
+
+    def _begin_stream(self, job: Job, head: AnswerHead) -> None:
+        if not job.reply.begun:
+            job.reply.start(head.status, self._dialect.answer_headers(head), CHUNKED)
+
+    def cut(self, job: Job, placement: Placement, cut: Cut) -> Attempt:
+        """An answer ended early: the request may have run."""
+        job.may_have_run = True
+        note_silence(placement.view, self._now())
+        job.cutter.start_again()
+        return Attempt(Ending.BROKEN, why=cut.value)
+
+    def _count(self, job: Job) -> None:
+        if not job.counted and job.caller.account is not None:
+            job.counted = True
+            self._sharing.started(job.caller.account)
--- a/src/moledale/gateway/balance.py
+++ b/src/moledale/gateway/balance.py
@@ -1,35 +1,19 @@
-"""Which server gets a request: views of servers, and a pure choice over them."""
+"""Which server gets a request, and what all nodes have placed where."""
 
-from collections import OrderedDict
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
-from math import sqrt
 
 from moledale.core.hashing import ranked
+from moledale.gateway.engine_costs import EngineCosts, Front, prefill_work
 from moledale.gateway.messages import Placed, PromptPart, RequestFacts, Server
 from moledale.gateway.peers import NodeState
 from moledale.gateway.plan import Engine
-from moledale.gateway.server_model import FirstEvent, Slowness, Speed, SpeedLearner
-
-LONG_PROMPT_X = 9.3e-6
-"""Work that a prompt adds by its square, in tokens: each token attends to all those before it.
-Measured at the first customers' engines; a third one's have 8.6e-6."""
-
-FETCH_SETUP_S = 0.005
-"""Time until a fetch from another server begins, as the users' engines state it (5.0 to 5.3 ms)."""
-
-FETCH_LOAD_S = 0.04
-"""Wait that a request may have at the server with its front, rather than have it fetched elsewhere:
-a fetch loads the links and the memory of two servers."""
-
-FETCH_X = 2.0
-"""A fetch has to be this many times as quick as reading, since fetches queue at their source."""
+from moledale.gateway.server_model import FirstEvent, Speed, SpeedLearner
+from moledale.gateway.server_view import FIRST_PAUSE_S, Placement, ServerView
 
 FAILED_WAIT_S = 0.4
 """Extra cost of a server for each part of its answers that failed lately."""
 
 OTHER_HALL_S = 0.001
-SMOOTHING = 0.2
 SILENT_ENGINE_S = 0.8
 SILENT_ALONE_S = 2.5
 SILENT_PLAIN_S = 0.3
@@ -39,110 +23,6 @@
 ENGINE_SLOTS = 16
 """Servers with as many slots run batches, whose tokens come all the time."""
 
-FIRST_PAUSE_S = 0.5
-LONGEST_PAUSE_S = 3.0
-
-
-@dataclass(slots=True)
-class ServerView:
-    """A server as this node sees it."""
-
-    server: Server
-    running: int = 0
-    prefill_tokens: int = 0
-    others_running: int = 0
-    others_prefill: int = 0
-    failed_share: float = 0.0
-    answer_s: float = 0.02
-    failures: int = 0
-    paused_until: float = 0.0
-    heard_at: float = 0.0
-    busy_since: float = 0.0
-    cached: OrderedDict[str, int] = field(default_factory=OrderedDict)
-    cached_tokens: int = 0
-    slowness: Slowness = field(default_factory=Slowness)
-
-    @property
-    def all_running(self) -> int:
-        """Return the requests that all nodes have there."""
-        return self.running + self.others_running
-
-    @property
-    def all_prefill(self) -> int:
-        """Return the prompt tokens that all nodes have waiting there."""
-        return self.prefill_tokens + self.others_prefill
-
-    def silent_s(self, now: float) -> float:
-        """Return for how long nothing came while requests were waiting there."""
-        return now - max(self.heard_at, self.busy_since) if self.running else 0.0
-
-    def remember(self, parts: tuple[PromptPart, ...], capacity: int) -> None:
-        """Note that a prompt's parts lie in the server's memory now."""
-        for part in parts:
-            if part.tokens <= 0:
-                continue
-            if part.id not in self.cached:
-                self.cached_tokens += part.tokens
-                self.cached[part.id] = part.tokens
-            self.cached.move_to_end(part.id)
-        while self.cached_tokens > capacity and self.cached:
-            _, tokens = self.cached.popitem(last=False)
-            self.cached_tokens -= tokens
-
-    def covers(self, parts: tuple[PromptPart, ...]) -> int:
-        """Return the tokens at the front of a prompt that lie in the server's memory."""
-        tokens = 0
-        for part in parts:
-            if part.tokens <= 0:
-                continue
-            if part.id not in self.cached:
-                break
-            tokens += part.tokens
-        return tokens
-
-
-@dataclass(frozen=True, slots=True)
-class Front:
-    """The longest front of a prompt that lies in some server's memory, in tokens, and where."""
-
-    tokens: int = 0
-    view: ServerView | None = None
-
-
-@dataclass(slots=True)
-class Placement:
-    """A request counted on a server until it ends.
-
-    `work`, `uncached`, `ahead` (prompt tokens) and `beside` (requests) are what the choice
-    believed. From
-    `fetch_from`, the address of another server, it takes `fetched` tokens of the prompt's front.
-    """
-
-    view: ServerView
-    prefill: int
-    sent_at: float
-    work: int = 0
-    uncached: int = 0
-    ahead: int = 0
-    beside: int = 0
-    fetch_from: str = ""
-    fetched: int = 0
-    first_at: float = 0.0
-    ended: bool = False
-
-    def first_token(self) -> None:
-        """Note that the prompt was read."""
-        self.view.prefill_tokens -= self.prefill
-        self.prefill = 0
-
-    def end(self) -> None:
-        """Stop counting the request; a second call changes nothing."""
-        if self.ended:
-            return
-        self.ended = True
-        self.first_token()
-        self.view.running -= 1
-
 
 def affinity_key(parts: tuple[PromptPart, ...]) -> str:
     """Return what requests that should meet on one server have in common."""
@@ -151,64 +31,6 @@
     return parts[-2].id if len(parts) > 1 else parts[0].id
 
 
-def prefill_work(prompt: int, cached: int) -> int:
-    """Return what reading a prompt costs beyond its cached front, in tokens of a short prompt."""
-    cached = min(cached, prompt)
-    return prompt - cached + int(LONG_PROMPT_X * (prompt * prompt - cached * cached))
-
-
-def fetch_s(tokens: int, engine: Engine) -> float:
-    """Return the seconds that a server takes to get a prompt's front from another one."""
-    return FETCH_SETUP_S + tokens * engine.token_bytes * 8e-6 / max(1.0, engine.link_mbps)
-
-
-@dataclass(frozen=True, slots=True)
-class EngineCosts:
-    """Estimates for one prompt at the servers of a service, from what was learnt of them."""
-
-    facts: RequestFacts
-    front: Front
-    engine: Engine
-    speed: Speed
-
-    def fetches(self, cached: int) -> bool:
-        """Say whether getting the front from another server is quicker than reading it."""
-        if not self.engine.moves or self.front.tokens <= cached:
-            return False
-        prompt = self.facts.prompt_tokens
-        saved = prefill_work(prompt, cached) - prefill_work(prompt, self.front.tokens)
-        took_s = fetch_s(self.front.tokens - cached, self.engine)
-        return FETCH_X * took_s < self.speed.reading_s(saved)
-
-    def reading_s(self, cached: int) -> float:
-        """Return the seconds until a server that waits for nothing has the whole prompt."""
-        prompt = self.facts.prompt_tokens
-        if self.fetches(cached):
-            read_s = self.speed.reading_s(prefill_work(prompt, self.front.tokens))
-            return read_s + FETCH_LOAD_S + fetch_s(self.front.tokens - cached, self.engine)
-        return self.speed.reading_s(prefill_work(prompt, cached))
-
-    def first_event_s(self, view: ServerView, home: bool, now: float) -> float:
-        """Return the seconds until the first event if the request went to a server.
-
-        Where a prompt's home has nothing of it, it counts as having half, so that prompts which
-        share a front meet there.
-        """
-        cached = view.covers(self.facts.parts)
-        if home and not cached:
-            cached = sum(part.tokens for part in self.facts.parts[:-1]) // 2
-        took_s = self.speed.reading_s(view.all_prefill) + self.reading_s(cached)
-        return took_s * view.slowness.times(now) + self.slot_s(view)
-
-    def slot_s(self, view: ServerView) -> float:
-        """Return the seconds until a slot is free, little by little as the batch fills."""
-        slots = self.engine.slots
-        each_s = self.speed.hold_s / slots
-        if view.all_running >= slots:
-            return each_s * (view.all_running + 1 - slots)
-        return each_s * float((view.all_running / slots) ** (sqrt(2.0 * (slots + 1)) - 1.0))
-
-
 def plain_cost(view: ServerView, hall: str) -> float:
     """Estimate the seconds until an answer of a plain service."""
     waiting = 1 + view.all_running / max(1, view.server.slots)
@@ -425,18 +247,3 @@
         view.running += 1
         view.prefill_tokens += prefill
         return placement
-
-
-def note_answer(view: ServerView, failed: bool, took_s: float) -> None:
-    """Learn from an answer."""
-    view.failures = 0
-    view.failed_share += SMOOTHING * (float(failed) - view.failed_share)
-    view.answer_s += SMOOTHING * (min(took_s, 2.0) - view.answer_s)
-
-
-def note_silence(view: ServerView, now: float) -> None:
-    """Learn from a server that can't be reached or broke off: pause it, longer each time."""
-    view.failures += 1
-    view.failed_share += SMOOTHING * (1.0 - view.failed_share)
-    pause = min(FIRST_PAUSE_S * 2 ** (view.failures - 1), LONGEST_PAUSE_S)
-    view.paused_until = now + pause
--- /dev/null
+++ b/src/moledale/gateway/engine_costs.py
@@ -0,0 +1,89 @@
+"""How long a prompt would take at a model server: reading, fetching, the wait for a slot."""
+
+from dataclasses import dataclass
+from math import sqrt
+
+from moledale.gateway.messages import RequestFacts
+from moledale.gateway.plan import Engine
+from moledale.gateway.server_model import Speed
+from moledale.gateway.server_view import ServerView
+
+LONG_PROMPT_X = 9.3e-6
+"""Work that a prompt adds by its square, in tokens: each token attends to all those before it.
+Measured at the first customers' engines; a third one's have 8.6e-6."""
+
+FETCH_SETUP_S = 0.005
+"""Time until a fetch from another server begins, as the users' engines state it (5.0 to 5.3 ms)."""
+
+FETCH_LOAD_S = 0.04
+"""Wait that a request may have at the server with its front, rather than have it fetched elsewhere:
+a fetch loads the links and the memory of two servers."""
+
+FETCH_X = 2.0
+"""A fetch has to be this many times as quick as reading, since fetches queue at their source."""
+
+
+@dataclass(frozen=True, slots=True)
+class Front:
+    """The longest front of a prompt that lies in some server's memory, in tokens, and where."""
+
+    tokens: int = 0
+    view: ServerView | None = None
+
+
+def prefill_work(prompt: int, cached: int) -> int:
+    """Return what reading a prompt costs beyond its cached front, in tokens of a short prompt."""
+    cached = min(cached, prompt)
+    return prompt - cached + int(LONG_PROMPT_X * (prompt * prompt - cached * cached))
+
+
+def fetch_s(tokens: int, engine: Engine) -> float:
+    """Return the seconds that a server takes to get a prompt's front from another one."""
+    return FETCH_SETUP_S + tokens * engine.token_bytes * 8e-6 / max(1.0, engine.link_mbps)
+
+
+@dataclass(frozen=True, slots=True)
+class EngineCosts:
+    """Estimates for one prompt at the servers of a service, from what was learnt of them."""
+
+    facts: RequestFacts
+    front: Front
+    engine: Engine
+    speed: Speed
+
+    def fetches(self, cached: int) -> bool:
+        """Say whether getting the front from another server is quicker than reading it."""
+        if not self.engine.moves or self.front.tokens <= cached:
+            return False
+        prompt = self.facts.prompt_tokens
+        saved = prefill_work(prompt, cached) - prefill_work(prompt, self.front.tokens)
+        took_s = fetch_s(self.front.tokens - cached, self.engine)
+        return FETCH_X * took_s < self.speed.reading_s(saved)
+
+    def reading_s(self, cached: int) -> float:
+        """Return the seconds until a server that waits for nothing has the whole prompt."""
+        prompt = self.facts.prompt_tokens
+        if self.fetches(cached):
+            read_s = self.speed.reading_s(prefill_work(prompt, self.front.tokens))
+            return read_s + FETCH_LOAD_S + fetch_s(self.front.tokens - cached, self.engine)
+        return self.speed.reading_s(prefill_work(prompt, cached))
+
+    def first_event_s(self, view: ServerView, home: bool, now: float) -> float:
+        """Return the seconds until the first event if the request went to a server.
+
+        Where a prompt's home has nothing of it, it counts as having half, so that prompts which
+        share a front meet there.
+        """
+        cached = view.covers(self.facts.parts)
+        if home and not cached:
+            cached = sum(part.tokens for part in self.facts.parts[:-1]) // 2
+        took_s = self.speed.reading_s(view.all_prefill) + self.reading_s(cached)
+        return took_s * view.slowness.times(now) + self.slot_s(view)
+
+    def slot_s(self, view: ServerView) -> float:
+        """Return the seconds until a slot is free, little by little as the batch fills."""
+        slots = self.engine.slots
+        each_s = self.speed.hold_s / slots
+        if view.all_running >= slots:
+            return each_s * (view.all_running + 1 - slots)
+        return each_s * float((view.all_running / slots) ** (sqrt(2.0 * (slots + 1)) - 1.0))
--- a/src/moledale/gateway/evacuation.py
+++ b/src/moledale/gateway/evacuation.py
@@ -14,9 +14,10 @@
 import msgspec
 from result import Err, Result
 
-from moledale.gateway.balance import Placement, ServerBook
+from moledale.gateway.balance import ServerBook
 from moledale.gateway.messages import RequestFacts, Server
 from moledale.gateway.plan import Engine, PlanIndex
+from moledale.gateway.server_view import Placement
 from moledale.log import Event, emit
 
 USUAL_NOTICE_S = 2.0
--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -7,31 +7,20 @@
 
 from moledale.gateway.accounts import AccountLimits
 from moledale.gateway.admission import Admission, spread
-from moledale.gateway.balance import Placement, ServerBook, note_answer, note_silence
+from moledale.gateway.answers import AnswerReader
+from moledale.gateway.balance import ServerBook
 from moledale.gateway.dialect import Dialect
 from moledale.gateway.evacuation import Continuation, Engines, Evacuation, StreamRun
 from moledale.gateway.job import Attempt, Ending, Job
-from moledale.gateway.messages import (
-    AnswerFacts,
-    AnswerHead,
-    AttemptFacts,
-    InboundRequest,
-    Refusal,
-)
+from moledale.gateway.messages import AttemptFacts, InboundRequest, Refusal
 from moledale.gateway.plan import Engine, Kind, Plan, PlanIndex
 from moledale.gateway.pool import ConnectionPool
-from moledale.gateway.reply import CHUNKED, Reply
+from moledale.gateway.reply import Reply
+from moledale.gateway.server_view import Placement, note_silence
 from moledale.gateway.sharing import Sharing
-from moledale.gateway.upstream import AnswerCut, ConnectFailed, Cut, UpstreamConnection
+from moledale.gateway.upstream import AnswerCut, ConnectFailed, UpstreamConnection
 from moledale.log import Event, emit
 
-MOST_BUFFERED_BYTES = 1_048_576
-"""Plain answers up to this size are read whole before the caller gets a byte of them."""
-
-SLOW_SHARE = 0.5
-SLOW_X = 4.0
-"""A safe request is tried elsewhere after half its target or four usual answers without one."""
-
 MOST_UNREACHED = 6
 """Servers that may take no connection before a request is given up; nothing was sent to them."""
 
@@ -41,9 +30,6 @@
 NO_EVENT = "0"
 """Id before a stream's first event."""
 
-PROMISES = frozenset({408, 421, 429, 503})
-"""Statuses that tell a caller that its request has not run and never will."""
-
 
 class Forwarder:
     """Carries requests to servers; all nodes' news come in through `sharing`."""
@@ -68,6 +54,7 @@
         self.handled = 0
         self._now = now
         self._random = random.Random()
+        self._answers = AnswerReader(dialect, book, sharing, self.refuse, now)
 
     @property
     def index(self) -> PlanIndex | None:
@@ -189,9 +176,11 @@
             if job.route.kind is Kind.STREAM:
                 self.evacuation.runs.add(run)
             try:
-                attempt = await self._read(job, connection, run)
+                attempt = await self._answers.read(job, connection, run)
             except AnswerCut as error:
-                attempt = await self._moved(job, run) or self._cut(job, placement, error.cut)
+                attempt = await self._moved(job, run) or self._answers.cut(
+                    job, placement, error.cut
+                )
             if attempt.ending is not Ending.ANSWERED:
                 emit(
                     Event.ATTEMPT_ENDED,
@@ -250,158 +239,13 @@
         data = self._dialect.attempt_head(head, facts, len(body)) + body
         connection.send(data, bodiless=head.bodiless)
 
-    async def _read(self, job: Job, connection: UpstreamConnection, run: StreamRun) -> Attempt:
-        """Read an answer's head, decide what it means, and read or pass on the rest."""
-        placement = run.placement
-        head = await self._head(job, connection, placement)
-        placement.view.heard_at = self._now()
-        facts = self._dialect.read_answer(head)
-        if facts.closes:
-            connection.usable = False
-        connection.keep_alive_s = facts.keep_alive_s
-        if facts.request_id is not None and facts.request_id != job.facts.id:
-            connection.usable = False
-            return self._cut(job, placement, Cut.GARBLED)
-        if facts.not_run:
-            await self._read_whole(connection)
-            return Attempt(Ending.NOT_RUN, retry_after_s=facts.retry_after_s, why=str(head.status))
-        if not facts.signed:
-            connection.usable = False
-            return self._cut(job, placement, Cut.GARBLED)
-        if job.route.kind is Kind.STREAM and head.status < 300:
-            return await self._pass_stream(job, connection, run, head)
-        return await self._pass_whole(job, connection, placement, head, facts)
-
-    async def _head(
-        self, job: Job, connection: UpstreamConnection, placement: Placement
-    ) -> AnswerHead:
-        """Wait for an answer; a safe request is tried elsewhere if none comes for long."""
-        again = job.route.kind is Kind.SAFE and job.sends < job.route.max_servers
-        if again:
-            usual = SLOW_X * placement.view.answer_s
-            try:
-                async with asyncio.timeout(max(SLOW_SHARE * job.route.target_s, usual)):
-                    return await connection.head()
-            except TimeoutError:
-                now = self._now()
-                other = self._book.has_other(job.service, now, job.tried)
-                if other and self._sharing.may_repeat(job.service, now):
-                    raise AnswerCut(Cut.SLOW) from None
-        return await connection.head()
-
-    async def _read_whole(self, connection: UpstreamConnection) -> bytes:
-        parts = []
-        while (data := await connection.chunk()) is not None:
-            parts.append(data)
-        return b"".join(parts)
-
-    async def _pass_whole(
-        self,
-        job: Job,
-        connection: UpstreamConnection,
-        placement: Placement,
-        head: AnswerHead,
-        facts: AnswerFacts,
-    ) -> Attempt:
-        body, whole = await self._read_some(connection)
-        now = self._now()
-        failed = head.status >= 500
-        note_answer(placement.view, failed, now - placement.sent_at)
-        job.may_have_run = True
-        self._count(job)
-        if failed and job.reply.begun:
-            return Attempt(Ending.FAILED, head, body, why=str(head.status))
-        if failed and whole and job.route.repeatable and job.sends < job.route.max_servers:
-            return Attempt(Ending.FAILED, head, body, why=str(head.status))
-        if whole:
-            self._pass(job, head, body)
-        else:
-            await self._pass_long(job, connection, head, body)
-        return Attempt(Ending.ANSWERED)
-
-    async def _read_some(self, connection: UpstreamConnection) -> tuple[bytes, bool]:
-        """Read a body up to the bound; say whether that is all of it."""
-        parts: list[bytes] = []
-        size = 0
-        while size <= MOST_BUFFERED_BYTES:
-            data = await connection.chunk()
-            if data is None:
-                return b"".join(parts), True
-            parts.append(data)
-            size += len(data)
-        return b"".join(parts), False
-
-    async def _pass_long(
-        self, job: Job, connection: UpstreamConnection, head: AnswerHead, begin: bytes
-    ) -> None:
-        """Pass a long answer on while it comes; what is cut then can't look whole."""
-        job.reply.start(head.status, self._dialect.answer_headers(head), CHUNKED)
-        job.reply.send(begin)
-        while (data := await connection.chunk()) is not None:
-            job.reply.send(data)
-            await job.reply.drained()
-        job.reply.finish()
-
-    def _pass(self, job: Job, head: AnswerHead, body: bytes) -> None:
-        """Pass a server's whole answer on; its promises are not ours to repeat."""
-        if head.status in PROMISES:
-            self.refuse(job.reply, job.request, Refusal(502, "the server's answer is unclear"))
-            return
-        job.reply.whole(head.status, self._dialect.answer_headers(head), body)
-
-    async def _pass_stream(
-        self, job: Job, connection: UpstreamConnection, run: StreamRun, head: AnswerHead
-    ) -> Attempt:
-        """Pass events on as they come, whole ones only."""
-        placement = run.placement
-        first = True
-        while (data := await connection.chunk()) is not None:
-            placement.view.heard_at = self._now()
-            if first:
-                first = False
-                self._book.note_first(placement, self._now())
-                job.may_have_run = True
-                self._count(job)
-                note_answer(placement.view, False, self._now() - placement.sent_at)
-            passed = job.cutter.passed
-            whole = job.cutter.feed(data)
-            if whole:
-                run.note_events(job.cutter.passed - passed, self._now())
-                job.note_event(self._now())
-                self._begin_stream(job, head)
-                job.reply.send(whole)
-                await job.reply.drained()
-        if run.stopping and connection.ends_by_closing:
-            raise AnswerCut(Cut.CLOSED)
-        self._begin_stream(job, head)
-        job.reply.send(job.cutter.rest())
-        job.reply.finish()
-        self._book.note_end(placement, self._now())
-        return Attempt(Ending.ANSWERED)
-
-    def _begin_stream(self, job: Job, head: AnswerHead) -> None:
-        if not job.reply.begun:
-            job.reply.start(head.status, self._dialect.answer_headers(head), CHUNKED)
-
-    def _cut(self, job: Job, placement: Placement, cut: Cut) -> Attempt:
-        """An answer ended early: the request may have run."""
-        job.may_have_run = True
-        note_silence(placement.view, self._now())
-        job.cutter.start_again()
-        return Attempt(Ending.BROKEN, why=cut.value)
-
-    def _count(self, job: Job) -> None:
-        if not job.counted and job.caller.account is not None:
-            job.counted = True
-            self._sharing.started(job.caller.account)
-
     def _end_without_answer(self, job: Job, last: Attempt) -> None:
         """Give the final answer at once: a server's failure, or one of our own."""
         if job.reply.begun:
             job.reply.break_off()
             emit(Event.STREAM_BROKEN, request=job.facts.id, events=job.cutter.passed, why=last.why)
         elif last.head is not None:
-            self._pass(job, last.head, last.body)
+            self._answers.pass_on(job, last.head, last.body)
         elif job.may_have_run:
             self._give_up(job, Refusal(502, "the server broke off"))
         else:
--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -5,10 +5,8 @@
 import time
 
 import msgspec
-from result import Ok
 
 from moledale.clock import SystemClock
-from moledale.gateway.backoff import Backoff
 from moledale.gateway.balance import ServerBook
 from moledale.gateway.dialect import Dialect
 from moledale.gateway.directory import power_of
@@ -36,16 +34,13 @@
 from moledale.gateway.pool import ConnectionPool
 from moledale.gateway.questions import Questions
 from moledale.gateway.rate import Rate
+from moledale.gateway.registration import Registration
 from moledale.gateway.reply import Reply
 from moledale.gateway.settings import GatewaySettings
 from moledale.gateway.sharing import Sharing
 from moledale.log import Event, emit
 from moledale.node.supervisor import Supervisor
 
-MEMBER_TABLE = "members"
-STORE_TIMEOUT_S = 0.8
-AGAIN_S = 0.2
-AGAIN_MOST_S = 1.0
 POOL_SWEEP_S = 0.5
 
 LEAST_STOP_S = 3.2
@@ -167,12 +162,15 @@
         port = node.peers.rpartition(":")[2]
         for seed in node.seeds:
             self.neighbours.addresses.add(f"{seed.rpartition(':')[0]}:{port}", now)
+        registration = Registration(
+            self._store, node.id, node.peers, self.neighbours.addresses, self._crowd
+        )
         start = self.supervisor.start
         start("gossip", self._gossip_forever)
         start("plan", self.plans.watch)
         start("plan of peers", self.plans.fetch.run)
         start("fleet", self.fleet.watch)
-        start("members", self._register)
+        start("members", registration.run)
         start("duties", self._duties_forever)
         start("pool", self._sweep_pool_forever)
         start("callers", lambda: sweep_forever(self._callers))
@@ -336,25 +334,6 @@
         """Return the nodes that callers should use."""
         return self.neighbours.serving_nodes(self._state(), time.monotonic())
 
-    async def _register(self) -> None:
-        """Tell the store of this node, and learn of others that it was told of."""
-        node = self.settings.node
-        backoff = Backoff(AGAIN_S, AGAIN_MOST_S, self._crowd)
-        registered = read = False
-        while not (registered and read):
-            if not registered:
-                value = node.peers.encode()
-                registered = (
-                    await self._store.put(MEMBER_TABLE, node.id, value, STORE_TIMEOUT_S) is None
-                )
-            outcome = await self._store.read(MEMBER_TABLE, STORE_TIMEOUT_S)
-            if isinstance(outcome, Ok):
-                read = True
-                now = time.monotonic()
-                for row in outcome.ok_value.rows:
-                    self.neighbours.addresses.add(row.value.decode(), now)
-            await asyncio.sleep(backoff.next_s())
-
     # The plan and the list of backend servers
 
     def _adopt(self, plan: Plan) -> bool:
--- /dev/null
+++ b/src/moledale/gateway/registration.py
@@ -0,0 +1,56 @@
+"""Telling the store of a node that starts, and learning from it of others to send news to."""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from result import Ok
+
+from moledale.gateway.backoff import Backoff
+from moledale.gateway.neighbours import AddressBook
+from moledale.gateway.outside import Store
+
+MEMBER_TABLE = "members"
+STORE_TIMEOUT_S = 0.8
+AGAIN_S = 0.2
+AGAIN_MOST_S = 1.0
+
+
+class Registration:
+    """Writes one row and reads all; done once both have succeeded."""
+
+    def __init__(
+        self,
+        store: Store,
+        node: str,
+        own_address: str,
+        addresses: AddressBook,
+        crowd: Callable[[], float],
+    ) -> None:
+        self._store = store
+        self._node = node
+        self._own_address = own_address
+        self._addresses = addresses
+        self._backoff = Backoff(AGAIN_S, AGAIN_MOST_S, crowd)
+
+    async def run(self) -> None:
+        """Register, repeating what fails."""
+        registered = read = False
+        while not (registered and read):
+            registered = registered or await self._write()
+            read = await self._read()
+            await asyncio.sleep(self._backoff.next_s())
+
+    async def _write(self) -> bool:
+        value = self._own_address.encode()
+        trouble = await self._store.put(MEMBER_TABLE, self._node, value, STORE_TIMEOUT_S)
+        return trouble is None
+
+    async def _read(self) -> bool:
+        outcome = await self._store.read(MEMBER_TABLE, STORE_TIMEOUT_S)
+        if not isinstance(outcome, Ok):
+            return False
+        now = time.monotonic()
+        for row in outcome.ok_value.rows:
+            self._addresses.add(row.value.decode(), now)
+        return True
--- /dev/null
+++ b/src/moledale/gateway/server_view.py
@@ -0,0 +1,120 @@
+"""A backend server as a node sees it, and what is learnt of it from answers and silence."""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from moledale.gateway.messages import PromptPart, Server
+from moledale.gateway.server_model import Slowness
+
+SMOOTHING = 0.2
+FIRST_PAUSE_S = 0.5
+LONGEST_PAUSE_S = 3.0
+"""A server that is silent gets no work for the first time, and at most for the second."""
+
+
+@dataclass(slots=True)
+class ServerView:
+    """A server as this node sees it."""
+
+    server: Server
+    running: int = 0
+    prefill_tokens: int = 0
+    others_running: int = 0
+    others_prefill: int = 0
+    failed_share: float = 0.0
+    answer_s: float = 0.02
+    failures: int = 0
+    paused_until: float = 0.0
+    heard_at: float = 0.0
+    busy_since: float = 0.0
+    cached: OrderedDict[str, int] = field(default_factory=OrderedDict)
+    cached_tokens: int = 0
+    slowness: Slowness = field(default_factory=Slowness)
+
+    @property
+    def all_running(self) -> int:
+        """Return the requests that all nodes have there."""
+        return self.running + self.others_running
+
+    @property
+    def all_prefill(self) -> int:
+        """Return the prompt tokens that all nodes have waiting there."""
+        return self.prefill_tokens + self.others_prefill
+
+    def silent_s(self, now: float) -> float:
+        """Return for how long nothing came while requests were waiting there."""
+        return now - max(self.heard_at, self.busy_since) if self.running else 0.0
+
+    def remember(self, parts: tuple[PromptPart, ...], capacity: int) -> None:
+        """Note that a prompt's parts lie in the server's memory now."""
+        for part in parts:
+            if part.tokens <= 0:
+                continue
+            if part.id not in self.cached:
+                self.cached_tokens += part.tokens
+                self.cached[part.id] = part.tokens
+            self.cached.move_to_end(part.id)
+        while self.cached_tokens > capacity and self.cached:
+            _, tokens = self.cached.popitem(last=False)
+            self.cached_tokens -= tokens
+
+    def covers(self, parts: tuple[PromptPart, ...]) -> int:
+        """Return the tokens at the front of a prompt that lie in the server's memory."""
+        tokens = 0
+        for part in parts:
+            if part.tokens <= 0:
+                continue
+            if part.id not in self.cached:
+                break
+            tokens += part.tokens
+        return tokens
+
+
+@dataclass(slots=True)
+class Placement:
+    """A request counted on a server until it ends.
+
+    `work`, `uncached`, `ahead` (prompt tokens) and `beside` (requests) are what the choice
+    believed. From
+    `fetch_from`, the address of another server, it takes `fetched` tokens of the prompt's front.
+    """
+
+    view: ServerView
+    prefill: int
+    sent_at: float
+    work: int = 0
+    uncached: int = 0
+    ahead: int = 0
+    beside: int = 0
+    fetch_from: str = ""
+    fetched: int = 0
+    first_at: float = 0.0
+    ended: bool = False
+
+    def first_token(self) -> None:
+        """Note that the prompt was read."""
+        self.view.prefill_tokens -= self.prefill
+        self.prefill = 0
+
+    def end(self) -> None:
+        """Stop counting the request; a second call changes nothing."""
+        if self.ended:
+            return
+        self.ended = True
+        self.first_token()
+        self.view.running -= 1
+
+
+def note_answer(view: ServerView, failed: bool, took_s: float) -> None:
+    """Learn from an answer."""
+    view.failures = 0
+    view.failed_share += SMOOTHING * (float(failed) - view.failed_share)
+    view.answer_s += SMOOTHING * (min(took_s, 2.0) - view.answer_s)
+
+
+def note_silence(view: ServerView, now: float) -> None:
+    """Learn from a server that can't be reached or broke off: pause it, longer each time."""
+    view.failures += 1
+    view.failed_share += SMOOTHING * (1.0 - view.failed_share)
+    pause = min(FIRST_PAUSE_S * 2 ** (view.failures - 1), LONGEST_PAUSE_S)
+    view.paused_until = now + pause
--- a/tests/test_gateway_placements.py
+++ b/tests/test_gateway_placements.py
@@ -4,13 +4,8 @@
 
 import msgspec
 
-from moledale.gateway.balance import (
-    Placement,
-    ServerBook,
-    note_answer,
-    note_silence,
-    prefill_work,
-)
+from moledale.gateway.balance import ServerBook
+from moledale.gateway.engine_costs import prefill_work
 from moledale.gateway.gossip import PlacementNews
 from moledale.gateway.messages import (
     AttemptFacts,
@@ -21,6 +16,7 @@
 )
 from moledale.gateway.peers import Membership, NodeState, Standing
 from moledale.gateway.plan import Engine
+from moledale.gateway.server_view import Placement, note_answer, note_silence
 from moledale.gateway.settings import Bounds
 from moledale.gateway.sharing import Sharing
 from moledale.platform.headers import PlatformHeaders
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -3,7 +3,7 @@
 import unittest
 from unittest import mock
 
-from moledale.gateway.balance import ServerBook, note_silence
+from moledale.gateway.balance import ServerBook
 from moledale.gateway.events import EventCutter
 from moledale.gateway.fleet_watch import FleetWatch
 from moledale.gateway.gossip import FleetNews
@@ -18,6 +18,7 @@
     Share,
     chosen_service,
 )
+from moledale.gateway.server_view import note_silence
 from moledale.gateway.usage import TrueTime, UsageCounts, total_of
 from tests.gateway_states import state
 
--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -37,7 +37,7 @@
     Ablation(
         "fetch",
         "fronts of prompts are fetched from other servers",
-        "balance.py",
+        "engine_costs.py",
         "if not self.engine.moves or self.front.tokens <= cached:",
         "if self.front.tokens >= 0:",
     ),
@@ -65,14 +65,14 @@
     Ablation(
         "home",
         "prompts with the same front meet at a home",
-        "balance.py",
+        "engine_costs.py",
         "if home and not cached:",
         "if home and cached < 0:",
     ),
     Ablation(
         "slots",
         "the wait for a slot counts in the choice",
-        "balance.py",
+        "engine_costs.py",
         "return took_s * view.slowness.times(now) + self.slot_s(view)",
         "return took_s * view.slowness.times(now)",
     ),
@@ -100,7 +100,7 @@
     Ablation(
         "slow-repeat",
         "safe requests that take long are tried elsewhere",
-        "forwarder.py",
+        "answers.py",
         "again = job.route.kind is Kind.SAFE and",
         "again = job.route.kind is None and",
     ),
--- a/tools/without_gateway.py
+++ b/tools/without_gateway.py
@@ -4,10 +4,12 @@
 from dataclasses import replace
 from typing import Any
 
-from moledale.gateway import directory, fleet_watch, lease_keeper
+from moledale.gateway import directory, fleet_watch, lease_keeper, plan_codec, plan_fetch, renting
 from moledale.gateway.accounts import AccountLimits, RecentSpending
 from moledale.gateway.admission import Admission
+from moledale.gateway.backoff import Backoff
 from moledale.gateway.balance import ServerBook
+from moledale.gateway.engine_costs import EngineCosts
 from moledale.gateway.evacuation import Evacuation
 from moledale.gateway.events import EventCutter
 from moledale.gateway.fleet_watch import FleetWatch
@@ -18,9 +20,11 @@
 from moledale.gateway.node import GatewayNode
 from moledale.gateway.peers import LeaseNews, Membership
 from moledale.gateway.plan import PlanIndex
-from moledale.gateway.plan_watch import PlanWatch
+from moledale.gateway.plan_archive import PlanArchive, PlanPiece, UploadBudget
+from moledale.gateway.plan_fetch import PlanFetch, Transfer
 from moledale.gateway.reply import Reply
 from moledale.gateway.retries import RetryBudget
+from moledale.gateway.server_model import Slowness, SpeedLearner
 from moledale.gateway.upstream import UpstreamConnection
 from moledale.gateway.work import WorkMeter
 from moledale.platform.headers import PlatformHeaders
@@ -32,6 +36,9 @@
 LIMITS = "tests.test_gateway_limits"
 RENTING = "tests.test_gateway_renting"
 MEMBERSHIP = "tests.test_gateway_membership"
+SPREAD = "tests.test_plan_spread"
+LEARNING = "tests.test_server_model"
+PLACEMENTS = "tests.test_gateway_placements"
 
 _finish = UpstreamConnection.finish
 _read_answer = PlatformHeaders.read_answer
@@ -90,10 +97,17 @@
     return [view for view in self.views.values() if view.server.service == service]
 
 
-async def _no_fetch(self: PlanWatch) -> None:
+async def _no_fetch(self: PlanFetch) -> None:
     await asyncio.Event().wait()
 
 
+def _begin_anew(self: Transfer, piece: PlanPiece) -> None:
+    """Take no piece that is not the first one."""
+    self.base, self.frame, self.data = piece.base, piece.frame, bytearray()
+    if piece.offset == 0:
+        self.data += piece.data
+
+
 def _heard_as_told(
     self: LeaseKeeper, holder: str, news: LeaseNews, now: float, passed_on: bool = False
 ) -> None:
@@ -121,7 +135,18 @@
     ("others' spending counts", AccountLimits, "spent_elsewhere", lambda *_: None, LIMITS),
     ("streams move off leaving servers", Evacuation, "servers_changed", lambda *_: None,
      "tests.test_gateway_evacuation"),
-    ("peers pass plans on", PlanWatch, "fetch", _no_fetch, f"{NODES}.PlanTest"),
+    ("peers pass plans on", PlanFetch, "run", _no_fetch, f"{NODES}.PlanTest"),
+    ("a transfer goes on where it was", Transfer, "add", _begin_anew, SPREAD),
+    ("fetches take a part of a link", UploadBudget, "take", lambda *_: True, SPREAD),
+    ("a base that is kept is used", PlanArchive, "newest", "", SPREAD),
+    ("a plan's digest is compared", plan_codec, "digest_of", lambda _: "", SPREAD),
+    ("a newer plan is waited for", PlanFetch, "behind", lambda *_: False, SPREAD),
+    ("the store is asked at last", plan_fetch, "STORE_AFTER_S", 1e9, SPREAD),
+    ("many repeat calls more seldom", Backoff, "next_s", lambda _: 0.2, "tests.test_backoff"),
+    ("servers' speed is learnt", SpeedLearner, "_fit", lambda _: (40_000.0, 0.03), LEARNING),
+    ("a slow server is told apart", Slowness, "note", lambda *_: None, LEARNING),
+    ("a front is fetched", EngineCosts, "fetches", lambda *_: False, PLACEMENTS),
+    ("missing spot servers are made up", renting, "RESERVE_SHARE", -1e9, RENTING),
     ("one reader tells all others", FleetWatch, "heard", lambda *_: None, f"{NODES}.FleetTest"),
     ("a stop waits for requests", GatewayNode, "_leave", _stop_at_once, f"{NODES}.StopTest"),
     ("counts of former lives are kept", Membership, "all_states",
