Let resumable streams leave silent servers; tell reserves what accounts spent

Now they go on elsewhere once the server was silent for 0.8 s, seen twice, so that a node which stood still reads first what came meanwhile.

What a new life of a node had spent before others first heard of it counted nowhere, and nodes in reserve heard of no spending at all though callers come to any node. Now a life younger than the window counts from its beginning, and the short states carry what accounts spent.

--- a/src/moledale/gateway/answers.py
+++ b/src/moledale/gateway/answers.py
@@ -1,7 +1,8 @@
 """Reading a server's answer, and passing it on to the caller whole or event by event."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 from moledale.gateway.balance import ServerBook
 from moledale.gateway.dialect import Dialect
@@ -10,7 +11,7 @@
 from moledale.gateway.messages import AnswerFacts, AnswerHead, InboundRequest, Refusal
 from moledale.gateway.plan import Kind
 from moledale.gateway.reply import CHUNKED, Reply
-from moledale.gateway.server_view import Placement, note_answer, note_silence
+from moledale.gateway.server_view import Placement, ServerView, note_answer, note_silence
 from moledale.gateway.sharing import Sharing
 from moledale.gateway.upstream import AnswerCut, Cut, UpstreamConnection
 
@@ -24,6 +25,10 @@
 PROMISES = frozenset({408, 421, 429, 503})
 """Statuses that tell a caller that its request has not run and never will."""
 
+LOOK_S = 0.2
+"""Streams that may be resumed look this often whether their server fell silent."""
+
+Read = TypeVar("Read")
 Refuse = Callable[[Reply, InboundRequest, Refusal], None]
 """Gives a final answer of the node's own."""
 
@@ -71,6 +76,8 @@
         self, job: Job, connection: UpstreamConnection, placement: Placement
     ) -> AnswerHead:
         """Wait for an answer; a safe request is tried elsewhere if none comes for long."""
+        if job.route.kind is Kind.STREAM:
+            return await self._unless_silent(job, placement.view, connection.head)
         again = job.route.kind is Kind.SAFE and job.sends < job.route.max_servers
         if again:
             usual = SLOW_X * placement.view.answer_s
@@ -78,12 +85,35 @@
                 async with asyncio.timeout(max(SLOW_SHARE * job.route.target_s, usual)):
                     return await connection.head()
             except TimeoutError:
-                now = self._now()
-                other = self._book.has_other(job.service, now, job.tried)
-                if other and self._sharing.may_repeat(job.service, now):
+                if self._may_leave(job):
                     raise AnswerCut(Cut.SLOW) from None
         return await connection.head()
 
+    async def _unless_silent(
+        self, job: Job, view: ServerView, wait: Callable[[], Awaitable[Read]]
+    ) -> Read:
+        """Wait for more of a stream; one that may be resumed leaves a server that fell silent.
+
+        Silence has to be seen twice: after this node itself stood still, what came meanwhile is
+        read first.
+        """
+        if not job.route.repeatable or job.sends >= job.route.max_servers:
+            return await wait()
+        seen = 0
+        while True:
+            try:
+                async with asyncio.timeout(LOOK_S):
+                    return await wait()
+            except TimeoutError:
+                seen = seen + 1 if view.is_silent(self._now()) else 0
+            if seen > 1 and self._may_leave(job):
+                raise AnswerCut(Cut.SLOW)
+
+    def _may_leave(self, job: Job) -> bool:
+        now = self._now()
+        other = self._book.has_other(job.service, now, job.tried)
+        return other and self._sharing.may_repeat(job.service, now)
+
     async def _read_whole(self, connection: UpstreamConnection) -> bytes:
         parts = []
         while (data := await connection.chunk()) is not None:
@@ -150,8 +180,9 @@
         """Pass events on as they come, whole ones only."""
         placement = run.placement
         first = True
-        while (data := await connection.chunk()) is not None:
-            placement.view.heard_at = self._now()
+        view = placement.view
+        while (data := await self._unless_silent(job, view, connection.chunk)) is not None:
+            view.heard_at = self._now()
             if first:
                 first = False
                 self._book.note_first(placement, self._now())
--- a/src/moledale/gateway/balance.py
+++ b/src/moledale/gateway/balance.py
@@ -14,14 +14,6 @@
 """Extra cost of a server for each part of its answers that failed lately."""
 
 OTHER_HALL_S = 0.001
-SILENT_ENGINE_S = 0.8
-SILENT_ALONE_S = 2.5
-SILENT_PLAIN_S = 0.3
-SILENT_X = 6.0
-"""A plain server is silent after this many of its usual answer times."""
-
-ENGINE_SLOTS = 16
-"""Servers with as many slots run batches, whose tokens come all the time."""
 
 
 def affinity_key(parts: tuple[PromptPart, ...]) -> str:
@@ -226,16 +218,9 @@
             view.remember(news.parts, engine.cache_tokens)
 
     def pause_silent(self, now: float) -> None:
-        """Pause servers that say nothing though they should; a kept connection hides a dark one.
-
-        One request alone may be a long prompt, so an engine with one is given more time.
-        """
+        """Pause servers that say nothing though they should; a kept connection hides a dark one."""
         for view in self.views.values():
-            if view.server.slots >= ENGINE_SLOTS:
-                limit = SILENT_ENGINE_S if view.running > 1 else SILENT_ALONE_S
-            else:
-                limit = max(SILENT_PLAIN_S, SILENT_X * view.answer_s)
-            if view.silent_s(now) > limit:
+            if view.is_silent(now):
                 view.paused_until = max(view.paused_until, now + FIRST_PAUSE_S)
 
     def _count(self, view: ServerView, prefill: int, now: float) -> Placement:
--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -74,6 +74,7 @@
         node = settings.node
         self.settings = settings
         self.standing = Standing.STARTING
+        self._began_at = time.monotonic()
         self.life = int.from_bytes(os.urandom(6), "big")
         self.members = Membership(node.id, self.life)
         self.sharing = Sharing(self.members, settings.bounds)
@@ -246,6 +247,7 @@
             lease_heard=self.keeper.lease_heard(now),
             requests_per_s=self._request_rate.per_s,
             speeds=self.book.speeds(now),
+            age_s=now - self._began_at,
         )
 
     def _tell_state(self, everyone: bool = True) -> None:
--- a/src/moledale/gateway/peers.py
+++ b/src/moledale/gateway/peers.py
@@ -49,7 +49,8 @@
 class NodeState(msgspec.Struct, array_like=True):
     """All that a node tells of itself; `life` is new at each start of its process.
 
-    `store_age_s` is the time since the store answered its watch, endless while it does not.
+    `age_s` is the time since this life began. `store_age_s` is the time since the store answered
+    its watch, endless while it does not.
     `lease_heard` is the lease that its holder told this node, for nodes that don't hear the holder.
     """
 
@@ -76,19 +77,21 @@
     lease_heard: HeldLease | None = None
     requests_per_s: float = 0.0
     speeds: dict[str, Speed] = {}
+    age_s: float = 1e9
 
     def shortened(self) -> "NodeState":
-        """Return the state without its counts, for nodes that only need to know who is there."""
-        return msgspec.structs.replace(
-            self, started={}, spent={}, loads={}, sends={}, work={}, brief=True
-        )
+        """Return the state without most counts, for nodes that only need to know who is there.
+
+        What accounts spent stays: callers may come to any node at any moment, and one that did not
+        hear of it would grant the limits anew.
+        """
+        return msgspec.structs.replace(self, started={}, loads={}, sends={}, work={}, brief=True)
 
     def with_counts_of(self, earlier: "NodeState") -> "NodeState":
         """Return a shortened state with the counts that were told before in the same life."""
         return msgspec.structs.replace(
             self,
             started=earlier.started,
-            spent=earlier.spent,
             loads=earlier.loads,
             sends=earlier.sends,
             work=earlier.work,
--- a/src/moledale/gateway/server_view.py
+++ b/src/moledale/gateway/server_view.py
@@ -11,6 +11,18 @@
 LONGEST_PAUSE_S = 3.0
 """A server that is silent gets no work for the first time, and at most for the second."""
 
+SILENT_ENGINE_S = 0.8
+SILENT_ALONE_S = 2.5
+"""One request alone may be a long prompt, so an engine with one is given more time, unless another
+request has left it for its silence already."""
+
+SILENT_PLAIN_S = 0.3
+SILENT_X = 6.0
+"""A plain server is silent after this many of its usual answer times."""
+
+ENGINE_SLOTS = 16
+"""Servers with as many slots run batches, whose tokens come all the time."""
+
 
 @dataclass(slots=True)
 class ServerView:
@@ -45,6 +57,15 @@
         """Return for how long nothing came while requests were waiting there."""
         return now - max(self.heard_at, self.busy_since) if self.running else 0.0
 
+    def is_silent(self, now: float) -> bool:
+        """Say whether nothing came for so long that the server may be dark."""
+        if self.server.slots < ENGINE_SLOTS:
+            limit = max(SILENT_PLAIN_S, SILENT_X * self.answer_s)
+        else:
+            known = self.running > 1 or self.failures
+            limit = SILENT_ENGINE_S if known else SILENT_ALONE_S
+        return self.silent_s(now) > limit
+
     def remember(self, parts: tuple[PromptPart, ...], capacity: int) -> None:
         """Note that a prompt's parts lie in the server's memory now."""
         for part in parts:
--- a/src/moledale/gateway/sharing.py
+++ b/src/moledale/gateway/sharing.py
@@ -75,7 +75,11 @@
         before = self.members.heard(state, now)
         if before is None:
             return False
-        if before is not state and not before.brief and not state.brief:
+        if before is state:
+            # A life that began within the window has spent all of it there, heard or not.
+            if state.age_s < self._bounds.limit_window_s:
+                limits.spent_elsewhere({}, state.spent, now)
+        else:
             limits.spent_elsewhere(before.spent, state.spent, now)
         return True
 
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -3,7 +3,9 @@
 import asyncio
 import time
 import unittest
+from unittest import mock
 
+from moledale.gateway.events import END_OF_EVENT
 from moledale.gateway.messages import Server
 from moledale.gateway.plan import Limits
 from tests.gateway_world import (
@@ -491,6 +493,22 @@
         quietly(work())
 
 
+async def one_event_then_silence(arrival: Arrival, reader: Reader, writer: Writer) -> None:
+    """A script of a server that goes dark after its first event."""
+    writer.write(stream_head(arrival) + chunk(event(1)))
+    await writer.drain()
+    await reader.read()
+
+
+async def streams_after(arrival: Arrival, _: Reader, writer: Writer) -> None:
+    """A script that streams the events after the one that the request names."""
+    events = ALL_EVENTS.split(END_OF_EVENT)[int(arrival.get("last-event-id") or 0) : -1]
+    writer.write(stream_head(arrival))
+    for each in events:
+        writer.write(chunk(each + END_OF_EVENT))
+    writer.write(LAST_CHUNK)
+
+
 class StreamTest(unittest.TestCase):
     """Streams pass whole events in order, from one run or from runs that continue."""
 
@@ -520,6 +538,64 @@
 
         quietly(work())
 
+    def test_resumable_streams_leave_a_server_that_fell_silent(self) -> None:
+        async def work() -> None:
+            async with GatewayWorld(a_plan()) as world:
+                silent = await world.server("s1", "model", one_event_then_silence, slots=16)
+                began = time.monotonic()
+                tasks = [asyncio.create_task(world.ask("/review/", request_id=r)) for r in "ab"]
+                await silent.arrived.wait()
+                await asyncio.sleep(0.1)
+                self.assertEqual(len(silent.arrivals), 2)
+                await world.server("s2", "model", streams_after, slots=16)
+                for task in tasks:
+                    got = await task
+                    self.assertEqual((got.body, got.whole), (ALL_EVENTS, True))
+                self.assertLess(time.monotonic() - began, 2.0)
+                await asyncio.sleep(0.05)
+                self.assertEqual(silent.closed, 2)
+
+        quietly(work())
+
+    def test_stream_that_may_not_be_resumed_stays_at_a_silent_server(self) -> None:
+        async def work() -> None:
+            async with GatewayWorld(a_plan()) as world:
+                silent = await world.server("s1", "model", one_event_then_silence, slots=16)
+                tasks = [asyncio.create_task(world.ask("/draft/", request_id=r)) for r in "ab"]
+                await silent.arrived.wait()
+                await asyncio.sleep(0.1)
+                self.assertEqual(len(silent.arrivals), 2)
+                other = await world.server("s2", "model", streams_after, slots=16)
+                for task in tasks:
+                    got = await task
+                    self.assertEqual((got.body, got.whole), (event(1), False))
+                self.assertEqual(other.arrivals, [])
+
+        quietly(work())
+
+    def test_a_node_that_stood_still_reads_first_what_came_meanwhile(self) -> None:
+        async def work() -> None:
+            async with GatewayWorld(a_plan()) as world:
+                await world.server("s1", "model", streams, slots=16)
+                await world.server("s2", "model", streams, slots=16)
+                view = world.book.views["s1"]
+                view.running, view.heard_at, view.busy_since = 2, -100.0, -100.0
+                route = next(each for each in a_plan().routes if each.name == "review")
+                waits = 0
+
+                async def wait() -> bytes:
+                    nonlocal waits
+                    waits += 1
+                    if waits == 1:
+                        await asyncio.sleep(60)
+                    return b"came"
+
+                job = mock.Mock(route=route, sends=1, tried=frozenset({"s1"}), service="model")
+                reader = world.forwarder._answers
+                self.assertEqual(await reader._unless_silent(job, view, wait), b"came")
+
+        quietly(work())
+
     def test_stream_that_may_not_be_resumed_is_cut_visibly(self) -> None:
         async def work() -> None:
             async with GatewayWorld(a_plan()) as world:
