Take no load for less than nothing, and no two prompts of one length for a pair

What others have placed is told in differences; a server that the list dropped and brought back began at nothing, so a difference made it negative for a moment. A prompt with such a load ahead counted below zero in the fit of a server's speed, the least distance of a pair became negative, and two equal prompts were divided by their difference, zero. Each task that asks for the speed failed until the node gave up.

Change: loads are never below zero, and prompts of a pair differ by a token at least. Both tests were seen failing without it.

--- a/src/moledale/gateway/server_model.py
+++ b/src/moledale/gateway/server_model.py
@@ -45,6 +45,7 @@
 """Prompts of a pair differ by this part of the median prompt at least, else noise decides its
 slope."""
 
+LEAST_APART_TOKENS = 1.0
 MOST_AHEAD = 0.3
 """Observations with more than this part of the prompt waiting ahead tell of the queue, not of
 reading."""
@@ -167,7 +168,7 @@
         if len(self._seen) < 2:
             return PRIOR_READ_PER_S, PRIOR_START_S
         works = [seen.work + seen.ahead / 2 for seen in self._seen]
-        apart = LEAST_APART * median(works)
+        apart = max(LEAST_APART_TOKENS, LEAST_APART * median(works))
         slopes = [1.0 / PRIOR_READ_PER_S] * PRIOR_PAIRS
         places = range(len(works))
         for _ in range(MOST_PAIRS):
--- a/src/moledale/gateway/server_view.py
+++ b/src/moledale/gateway/server_view.py
@@ -45,13 +45,16 @@
 
     @property
     def all_running(self) -> int:
-        """Return the requests that all nodes have there."""
-        return self.running + self.others_running
+        """Return the requests that all nodes have there.
+
+        News may overtake each other, so what others have may seem below zero for a moment.
+        """
+        return max(0, self.running + self.others_running)
 
     @property
     def all_prefill(self) -> int:
         """Return the prompt tokens that all nodes have waiting there."""
-        return self.prefill_tokens + self.others_prefill
+        return max(0, self.prefill_tokens + self.others_prefill)
 
     def silent_s(self, now: float) -> float:
         """Return for how long nothing came while requests were waiting there."""
--- a/tests/test_gateway_placements.py
+++ b/tests/test_gateway_placements.py
@@ -94,6 +94,11 @@
         assert found is not None
         self.assertLess(found.uncached, 1_000)
 
+    def test_news_that_overtake_each_other_count_no_less_than_nothing(self) -> None:
+        view = self.one.book.views["s0"]
+        view.others_running, view.others_prefill = -3, -9_000
+        self.assertEqual((view.all_running, view.all_prefill), (0, 0))
+
     def test_news_of_a_former_life_or_older_than_the_state_change_nothing(self) -> None:
         placed = self.one.book.place("model", prompt("a", "x"), ENGINE, 1.0)
         assert placed is not None
--- a/tests/test_server_model.py
+++ b/tests/test_server_model.py
@@ -171,6 +171,13 @@
             learner.first_event(FirstEvent(1_000.0, 0.0, 0.05 + number % 3 * 0.01, 1.0))
         self.assertEqual(learner.speed(2.0).read_per_s, PRIOR_READ_PER_S)
 
+    def test_views_below_zero_and_empty_prompts_do_no_harm(self) -> None:
+        learner = SpeedLearner()
+        for number in range(100):
+            work = 0.0 if number % 2 else 1_000.0
+            learner.first_event(FirstEvent(work, -6_000.0, 0.05, number / 100))
+        self.assertGreater(learner.speed(2.0).read_per_s, 0.0)
+
     def test_old_observations_are_forgotten(self) -> None:
         learner = SpeedLearner()
         for number in range(100):
