--- a/src/moledale/gateway/plan_archive.py
+++ b/src/moledale/gateway/document_archive.py
@@ -1,5 +1,6 @@
-"""The newest plans of a node, as other nodes fetch them: in pieces, and no faster than its link
-bears.
+"""The newest documents of one kind, plans or lists of servers, as other nodes fetch them.
+
+They come in pieces, and no faster than the link of the node bears.
 
 A piece is small enough for a thin link, so that one that does not come is soon asked for elsewhere
 and what came before it is kept.
@@ -13,13 +14,13 @@
 import msgspec
 import xxhash
 
-from moledale.gateway.plan_codec import digest_of, encode
+from moledale.gateway.document_codec import digest_of, encode
 
 PIECE_BYTES = 16_384
 """26 ms on the thinnest link of the users' sheets (5 Mbit/s)."""
 
 MOST_KEPT = 4
-"""Plans that are kept as bases of differences; operators may change several in a second."""
+"""Documents kept as bases of differences; operators may change several plans in a second."""
 
 MOST_FRAMES = 8
 LINK_SHARE = 0.5
@@ -31,10 +32,10 @@
 BYTES_PER_MBIT = 125_000
 
 
-class PlanPiece(msgspec.Struct, frozen=True, array_like=True):
-    """A piece of a frame: of which plan, made from which base, its place and the frame's size.
+class DocumentPiece(msgspec.Struct, frozen=True, array_like=True):
+    """A piece of a frame: of which document, made from which base, its place and the frame's size.
 
-    `base` is "" for a plan that is compressed by itself; `frame` is the digest of the whole frame.
+    `base` is "" for one that is compressed by itself; `frame` is the digest of the whole frame.
     """
 
     version: int
@@ -47,7 +48,7 @@
 
 
 class PieceWanted(msgspec.Struct, frozen=True):
-    """What a node that fetches has: the digest of its plan, and how far it is in which frame."""
+    """What a node that fetches has: its document's digest, and how far it is in which frame."""
 
     have: str = ""
     frame: str = ""
@@ -55,8 +56,8 @@
 
 
 @dataclass(slots=True)
-class KeptPlan:
-    """A plan's bytes and version."""
+class KeptDocument:
+    """A document's bytes and version."""
 
     version: int
     raw: bytes
@@ -82,12 +83,13 @@
 
 
 @dataclass(slots=True)
-class PlanArchive:
-    """Plans by digest, the newest last, and the frames made of the newest one."""
+class DocumentArchive:
+    """Documents by digest, the newest last, and the frames made of the newest one."""
 
     link_mbps: float
     now: Callable[[], float]
-    _kept: OrderedDict[str, KeptPlan] = field(default_factory=OrderedDict)
+    most_kept: int = MOST_KEPT
+    _kept: OrderedDict[str, KeptDocument] = field(default_factory=OrderedDict)
     _frames: OrderedDict[str, tuple[str, bytes]] = field(default_factory=OrderedDict)
     _budget: UploadBudget = field(init=False)
 
@@ -95,26 +97,33 @@
         self._budget = UploadBudget(self.link_mbps * BYTES_PER_MBIT * LINK_SHARE)
 
     def keep(self, version: int, raw: bytes) -> None:
-        """Keep a plan that is newer than all before it."""
-        self._kept[digest_of(raw)] = KeptPlan(version, raw)
+        """Keep a document that is newer than all before it; it may have been there before."""
+        digest = digest_of(raw)
+        self._kept[digest] = KeptDocument(version, raw)
+        self._kept.move_to_end(digest)
         self._frames.clear()
-        while len(self._kept) > MOST_KEPT:
+        while len(self._kept) > self.most_kept:
             self._kept.popitem(last=False)
 
+    def renew(self, version: int) -> None:
+        """Note that the newest document is that of a later version, too."""
+        if self._kept:
+            self._kept[self.newest].version = version
+
     @property
     def newest(self) -> str:
-        """Return the digest of the newest plan, or "" if there is none."""
+        """Return the digest of the newest document, or "" if there is none."""
         return next(reversed(self._kept), "")
 
     def raw(self, digest: str) -> bytes | None:
-        """Return a plan that is kept; b"" for the digest of none."""
+        """Return a document that is kept; b"" for the digest of none."""
         if not digest:
             return b""
         kept = self._kept.get(digest)
         return None if kept is None else kept.raw
 
-    def piece(self, wanted: PieceWanted) -> PlanPiece | None:
-        """Return a piece of the newest plan; None without one, or while the link serves others."""
+    def piece(self, wanted: PieceWanted) -> DocumentPiece | None:
+        """Return a piece of the newest document; None without one, or while others are served."""
         digest = self.newest
         if not digest:
             return None
@@ -125,7 +134,7 @@
         if not self._budget.take(len(data), self.now()):
             return None
         version = self._kept[digest].version
-        return PlanPiece(version, digest, base, name, len(frame), offset, data)
+        return DocumentPiece(version, digest, base, name, len(frame), offset, data)
 
     def _frame(self, digest: str, base: str) -> tuple[str, bytes]:
         found = self._frames.get(base)
--- a/src/moledale/gateway/plan_codec.py
+++ b/src/moledale/gateway/document_codec.py
@@ -1,10 +1,10 @@
-"""Plans as compressed differences from an earlier plan, so that a change of a large one stays
-small.
+"""Plans and lists of servers as compressed differences from an earlier one, so that a change of a
+large document stays small.
 
-The earlier plan is the compressor's dictionary. zstd was chosen for that: its dictionaries may be
-as large as a plan, where those of zlib end at 32 KiB. A frame made from nothing is a plan
-compressed by itself. Frames of the same plan and base are the same bytes on all nodes that run the
-same release, so a transfer that breaks off can be taken up at another node.
+The earlier one is the compressor's dictionary. zstd was chosen for that: its dictionaries may be
+as large as a plan, where those of zlib end at 32 KiB. A frame made from nothing is a document
+compressed by itself. Frames of the same document and base are the same bytes on all nodes that run
+the same release, so a transfer that breaks off can be taken up at another node.
 """
 
 import xxhash
@@ -17,20 +17,20 @@
 """Entries of the match table, as a power of two; 1.3 ms and 2 MB at a plan of 300 KB (measured)."""
 
 SHORTEST_MATCH = 7
-MOST_PLAN_BYTES = 1 << WINDOW_LOG
+MOST_BYTES = 1 << WINDOW_LOG
 
 
-class PlanUnreadable(Exception):
-    """A frame could not be decoded, or its plan is not the one that was announced."""
+class DocumentUnreadable(Exception):
+    """A frame could not be decoded, or its document is not the one that was announced."""
 
 
 def digest_of(raw: bytes) -> str:
-    """Return a short name of a plan's exact bytes; "" for no plan at all."""
+    """Return a short name of a document's exact bytes; "" for none at all."""
     return xxhash.xxh3_128_hexdigest(raw) if raw else ""
 
 
 def encode(raw: bytes, base: bytes = b"") -> bytes:
-    """Return a plan as a frame that is read with the same base."""
+    """Return a document as a frame that is read with the same base."""
     parameters = zstandard.ZstdCompressionParameters(
         window_log=WINDOW_LOG,
         hash_log=HASH_LOG,
@@ -47,19 +47,19 @@
 
 
 def decode(frame: bytes, base: bytes, digest: str) -> bytes:
-    """Return the plan in a frame; PlanUnreadable unless it has the digest that was announced."""
+    """Return the document in a frame; DocumentUnreadable unless its digest is the announced one."""
     decompressor = zstandard.ZstdDecompressor(
-        dict_data=_dictionary(base), max_window_size=MOST_PLAN_BYTES
+        dict_data=_dictionary(base), max_window_size=MOST_BYTES
     )
     try:
         size = zstandard.frame_content_size(frame)
-        if not 0 <= size <= MOST_PLAN_BYTES:
-            raise PlanUnreadable(f"{size} bytes are no plan")
-        raw = decompressor.decompress(frame, max_output_size=MOST_PLAN_BYTES)
+        if not 0 <= size <= MOST_BYTES:
+            raise DocumentUnreadable(f"{size} bytes are no document")
+        raw = decompressor.decompress(frame, max_output_size=MOST_BYTES)
     except zstandard.ZstdError as error:
-        raise PlanUnreadable(str(error)) from error
+        raise DocumentUnreadable(str(error)) from error
     if digest_of(raw) != digest:
-        raise PlanUnreadable("the digest differs")
+        raise DocumentUnreadable("the digest differs")
     return raw
 
 
--- a/src/moledale/gateway/plan_fetch.py
+++ b/src/moledale/gateway/document_fetch.py
@@ -1,9 +1,9 @@
-"""Fetching a newer plan from nodes that have it, piece by piece.
+"""Fetching a newer document, the plan or the list of servers, from nodes that have it.
 
-Each node that has a plan serves it to others, so the number of sources doubles as it spreads. A
-source that is dark, slow or busy is left for another, and what came before is kept. Where no source
-delivers, the plan is read from the store after a time that differs by chance, so that not all come
-at once.
+Documents come piece by piece. Each node that has one serves it to others, so the number of sources
+doubles as it spreads. A source that is dark, slow or busy is left for another, and what came before
+is kept. Where no source delivers, the document is read from the store after a time that differs by
+chance, so that not all come at once.
 """
 
 import asyncio
@@ -17,11 +17,12 @@
 from result import Err, Ok, Result
 
 from moledale.gateway.calls import HttpCaller
-from moledale.gateway.plan_archive import PieceWanted, PlanArchive, PlanPiece
-from moledale.gateway.plan_codec import PlanUnreadable, decode
+from moledale.gateway.document_archive import DocumentArchive, DocumentPiece, PieceWanted
+from moledale.gateway.document_codec import DocumentUnreadable, decode
 from moledale.log import Event, emit
 
 PLAN_PATH = "/peer/plan"
+SERVERS_PATH = "/peer/servers"
 PIECE_TIMEOUT_S = 0.4
 """Time for one piece, with a new connection: 26 ms at 5 Mbit/s, and others before it in the
 queue."""
@@ -38,17 +39,17 @@
 most."""
 
 BEHIND_S = 5.0
-"""Word of a newer plan that nobody delivers within this time is not believed any longer."""
+"""Word of a newer document that nobody delivers within this time is not believed any longer."""
 
 
-def piece_path(wanted: PieceWanted) -> str:
+def piece_path(path: str, wanted: PieceWanted) -> str:
     """Return the path that asks for a piece."""
-    return f"{PLAN_PATH}?{urlencode(msgspec.structs.asdict(wanted))}"
+    return f"{path}?{urlencode(msgspec.structs.asdict(wanted))}"
 
 
 @dataclass(slots=True)
 class Source:
-    """A node that says it has a plan, and what it can carry (see `directory.power_of`)."""
+    """A node that says it has a document, and what it can carry (see `directory.power_of`)."""
 
     version: int
     power: float
@@ -63,7 +64,7 @@
     frame: str = ""
     data: bytearray = field(default_factory=bytearray)
 
-    def add(self, piece: PlanPiece) -> None:
+    def add(self, piece: DocumentPiece) -> None:
         """Add a piece; one of another frame begins anew."""
         if piece.frame != self.frame:
             self.base, self.frame, self.data = piece.base, piece.frame, bytearray()
@@ -71,16 +72,21 @@
             self.data += piece.data
 
 
-class PlanFetch:
-    """Brings the newest plan that other nodes have; `took` gets its version and bytes."""
+class DocumentFetch:
+    """Brings the newest document that other nodes have under `path`.
+
+    `took` gets its version and bytes; `read_store` says whether the store answered.
+    """
 
     def __init__(
         self,
-        archive: PlanArchive,
+        path: str,
+        archive: DocumentArchive,
         own_version: Callable[[], int],
         took: Callable[[int, bytes], None],
         read_store: Callable[[], Awaitable[bool]],
     ) -> None:
+        self._path = path
         self._archive = archive
         self._own_version = own_version
         self._took = took
@@ -93,7 +99,7 @@
         self._random = random.Random()
 
     def heard(self, control: str, version: int, power: float, now: float) -> None:
-        """Note a node's word of the plan that it has."""
+        """Note a node's word of the document that it has."""
         known = self._sources.get(control)
         if known is not None and known.version >= version:
             return
@@ -103,18 +109,18 @@
         self._newer.set()
 
     def behind(self, now: float) -> bool:
-        """Say whether a newer plan is known to be in force that is not here yet."""
+        """Say whether a newer document is known of that is not here yet."""
         return self._newer.is_set() and now - self._heard_at < BEHIND_S
 
     async def run(self) -> None:
-        """Fetch newer plans for ever."""
+        """Fetch newer documents for ever."""
         while True:
             await self._newer.wait()
             await self._fetch()
             self._newer.clear()
 
     async def _fetch(self) -> None:
-        """Ask sources until none of them has a newer plan than this node."""
+        """Ask sources until none of them has a newer document than this node."""
         patience_s = self._patience_s()
         got_at = time.monotonic()
         while True:
@@ -169,7 +175,7 @@
             return False
         return True
 
-    async def _call(self, control: str) -> Result[PlanPiece, float]:
+    async def _call(self, control: str) -> Result[DocumentPiece, float]:
         """Return a piece, or for how long the source should be left alone."""
         transfer = self._transfer
         have = "" if self._whole_only else self._archive.newest
@@ -178,33 +184,43 @@
             have = transfer.base
         wanted = PieceWanted(have, transfer.frame, len(transfer.data))
         caller = HttpCaller(control)
-        outcome = await caller.call("GET", piece_path(wanted), timeout_s=PIECE_TIMEOUT_S)
+        outcome = await caller.call(
+            "GET", piece_path(self._path, wanted), timeout_s=PIECE_TIMEOUT_S
+        )
         caller.close()
         if isinstance(outcome, Err):
-            emit(Event.PLAN_FETCH_FAILED, peer=control, why=outcome.err_value.detail)
+            emit(
+                Event.PEER_FETCH_FAILED, what=self._path, peer=control, why=outcome.err_value.detail
+            )
             return Err(FAILED_PAUSE_S)
         if outcome.ok_value.status != 200:
             return Err(BUSY_PAUSE_S * (1.0 + self._random.random()))
         try:
-            return Ok(msgspec.msgpack.decode(outcome.ok_value.body, type=PlanPiece))
+            return Ok(msgspec.msgpack.decode(outcome.ok_value.body, type=DocumentPiece))
         except msgspec.DecodeError as error:
-            emit(Event.PLAN_FETCH_FAILED, peer=control, why=str(error))
+            emit(Event.PEER_FETCH_FAILED, what=self._path, peer=control, why=str(error))
             return Err(FAILED_PAUSE_S)
 
-    def _finish(self, piece: PlanPiece) -> bool:
+    def _finish(self, piece: DocumentPiece) -> bool:
         """Read a frame that came whole; one that can't be read is fetched without a base.
 
-        Return whether its plan is in force here now.
+        Return whether its document was taken over here.
         """
         transfer, self._transfer = self._transfer, Transfer()
         base = self._archive.raw(transfer.base)
         try:
             if base is None:
-                raise PlanUnreadable("its base is not here")
+                raise DocumentUnreadable("its base is not here")
             raw = decode(bytes(transfer.data), base, piece.digest)
-        except PlanUnreadable as error:
+        except DocumentUnreadable as error:
             self._whole_only = True
-            emit(Event.PLAN_FETCH_FAILED, version=piece.version, base=piece.base, why=str(error))
+            emit(
+                Event.PEER_FETCH_FAILED,
+                what=self._path,
+                version=piece.version,
+                base=piece.base,
+                why=str(error),
+            )
             return False
         self._whole_only = False
         self._took(piece.version, raw)
--- a/src/moledale/gateway/fleet_watch.py
+++ b/src/moledale/gateway/fleet_watch.py
@@ -1,7 +1,12 @@
-"""Keeping the list of backend servers: one node reads it and tells all others.
+"""Keeping the list of backend servers: one node reads it and tells the others what changed.
 
 There is no election: each node waits a little longer than the one before it, so the first reads
-while it can, and another does as soon as its news stay away.
+while it can, and another does as soon as its news stay away. A change is told in packets and passed
+on from node to node; a node that sees by the digest that it misses something fetches it from a node
+that has it (`document_fetch`). The store is the last way, and where nodes are many they don't come
+to it together.
+
+Nothing is sent to a server by a list that is too old: `current` reads the list first if need be.
 
 Servers renew their entries in the same store. While it is away entries may lapse though their
 servers live, and these are back soon after it is; so a server that is missing from the first lists
@@ -14,13 +19,21 @@
 from collections.abc import Callable
 
 import msgspec
-import xxhash
 from result import Err
 
 from moledale.gateway.backoff import Backoff
-from moledale.gateway.gossip import FleetNews
+from moledale.gateway.document_archive import DocumentArchive
+from moledale.gateway.document_fetch import SERVERS_PATH, DocumentFetch
 from moledale.gateway.messages import Server
 from moledale.gateway.outside import Store
+from moledale.gateway.server_list import (
+    ENDLESS_S,
+    Difference,
+    ListHead,
+    ServerChange,
+    ServerList,
+    packets,
+)
 from moledale.gateway.usage import TrueTime
 from moledale.log import Event, emit
 
@@ -32,20 +45,44 @@
 AGAIN_MOST_S = 1.0
 LOOK_S = 0.1
 
+RESERVE_READ_S = 2.0
+"""A node in reserve reads for itself when it heard of no reading for this long. Those that serve
+tell it once a second each, so less would have all of them read now and then."""
+
 CROWD_SPREAD_S = 0.5
 """Nodes in reserve read up to this much later, by chance, for each `neighbours.FEW` nodes."""
 
 OUTAGE_S = 2.0
-"""Without a list for this long the store counts as having been away."""
+"""Without a list for this long, and with readings that failed, the store was away."""
 
 RETURN_S = 1.8
 """Entries that lapsed meanwhile are back within about two seconds of the store's return."""
 
+USABLE_SHARE = 0.6
+"""Requests are sent by a list that is at most this part of `bounds.leave_s` old. A server may get
+no new work once it has been leaving for that long; the rest is for a slow connection."""
+
+CURRENT_WAIT_S = 0.3
+"""A request waits this long for a list that is being read, about the time of a connection that
+gets no answer."""
+
+FAILED_KEPT_S = 3.0
+"""After a reading that failed, requests do not ask for another one for this long: longer than the
+pause and the time of one that this node makes anyway, so that an outage holds up no request."""
+
+LISTS_KEPT = 8
+"""Lists that are kept as bases of differences: some seconds of changes on a day with reclaims."""
+
+TellChanges = Callable[[list[ServerChange], bool], None]
+"""Sends changes; the flag tells that this node read them itself rather than passing them on."""
+
 
 class FleetWatch:
     """Reads or hears the list and hands it on.
 
-    `rank` is this node's turn, `took` gets each list, and `tell` sends news to all other nodes.
+    `rank` is this node's turn, `took` gets the servers after each change, `tell` sends changes, and
+    `confirm` tells the nodes that may read next that nothing changed. `leave_s` is the time after
+    which a leaving server may get no new work.
     """
 
     def __init__(
@@ -54,117 +91,216 @@
         true_time: TrueTime,
         rank: Callable[[], int],
         took: Callable[[list[Server]], None],
-        tell: Callable[[FleetNews], None],
+        tell: TellChanges,
+        confirm: Callable[[ServerChange], None],
         crowd: Callable[[], float],
+        control: str = "",
+        link_mbps: float = 1000.0,
+        leave_s: float = 2.0,
+        now: Callable[[], float] = time.monotonic,
     ) -> None:
-        self.version = -1
+        self.list = ServerList()
+        self.archive = DocumentArchive(link_mbps, now, LISTS_KEPT)
+        self.fetch = DocumentFetch(
+            SERVERS_PATH,
+            self.archive,
+            lambda: self.list.version,
+            self._fetched,
+            self._read_for_want_of_peers,
+        )
         self._store = store
         self._true_time = true_time
         self._rank = rank
         self._took = took
         self._tell = tell
-        self._servers: list[Server] = []
-        self._digest = 0
-        self._told = 0
+        self._confirm = confirm
+        self._crowd = crowd
+        self._control = control
+        self._usable_s = USABLE_SHARE * leave_s
+        self._now = now
         self._fresh_at = -1e9
         self._returned_at = -1e9
-        self._kept: list[Server] = []
-        self._crowd = crowd
+        self._failed_at = -1e9
+        self._believed: list[Server] = []
+        self._keeps_lapsed = False
+        self._reading: asyncio.Task[bool] | None = None
+        self._reading_since = -1e9
         self._backoff = Backoff(AGAIN_S, AGAIN_MOST_S, crowd)
         self._random = random.Random()
         self._spread_s = 0.0
 
+    @property
+    def known(self) -> bool:
+        """Say whether there is a list."""
+        return self.list.version >= 0
+
+    def head(self) -> ListHead | None:
+        """Return which list this node has, for others."""
+        if not self.known:
+            return None
+        now = self._now()
+        returned_s = min(ENDLESS_S, now - self._returned_at)
+        return ListHead(self.list.version, self.list.digest, now - self._fresh_at, returned_s)
+
     async def watch(self) -> None:
         """Read the list whenever it is this node's turn, for ever."""
         while True:
-            now = time.monotonic()
-            turn = min(self._rank(), MOST_READ_RANK)
-            due = self._fresh_at + READ_EVERY_S + turn * READ_RANK_S + self._spread_s
-            if now < due:
-                await asyncio.sleep(min(LOOK_S, due - now))
-            elif await self._read(now):
+            left_s = self.due_at() - self._now()
+            if left_s > 0:
+                await asyncio.sleep(min(LOOK_S, left_s))
+            elif await asyncio.shield(self._start_reading()):
                 self._backoff.answered()
-                self._spread_s = 0.0
             else:
                 await asyncio.sleep(self._backoff.next_s())
 
-    def heard(self, news: FleetNews) -> None:
-        """Take over a peer's reading."""
-        now = time.monotonic()
-        read_at = now - news.age_s
-        if news.servers is not None:
-            self._take(news.servers, news.version, read_at)
-        elif news.digest == self._digest:
-            self._note_fresh(read_at)
-            self.version = max(self.version, news.version)
-        if news.digest == self._digest:
-            self._told = self._digest
+    def due_at(self) -> float:
+        """Return when this node reads the list unless it hears of another reading before."""
+        if self._crowd() > 1.0:
+            return self._fresh_at + RESERVE_READ_S + self._spread_s
+        turn = min(self._rank(), MOST_READ_RANK)
+        return self._fresh_at + READ_EVERY_S + turn * READ_RANK_S
+
+    async def current(self) -> bool:
+        """Make sure that requests may be sent by the list that is here.
+
+        Return False if it is too old and other nodes have a newer one, so that these can serve.
+        Where nobody has one, as the store is away, the last list counts.
+        """
+        if self._is_fresh():
+            return True
+        if self._now() - self._failed_at > FAILED_KEPT_S:
+            reading = self._start_reading()
+            left_s = self._reading_since + CURRENT_WAIT_S - self._now()
+            await asyncio.wait([reading], timeout=max(0.0, left_s))
+        return self._is_fresh() or not self.fetch.behind(self._now())
+
+    def heard_head(self, head: ListHead, control: str, power: float) -> None:
+        """Take over which list another node has; a newer one is fetched from there."""
+        self._note_return(head)
+        if self.list.confirmed(head):
+            self._confirmed(head)
+        elif head.version > self.list.version:
+            self.fetch.heard(control, head.version, power, self._now())
+
+    def heard(self, change: ServerChange) -> None:
+        """Take over a change that another node told, and pass it on the first time."""
+        self._note_return(change.head)
+        heard = self.list.hear(change)
+        if heard.confirmed:
+            self._confirmed(change.head)
+        if heard.differs:
+            self._changed(from_store=False)
+        if heard.new:
+            source = self._control if heard.confirmed else change.source
+            self._tell([msgspec.structs.replace(change, source=source)], False)
+        if heard.missing:
+            self.fetch.heard(change.source, change.head.version, 1.0, self._now())
 
     def drop_lapsed(self) -> None:
         """Take servers that are still missing as gone; called often, as lists come seldom."""
-        now = time.monotonic()
-        if self._kept and now - self._returned_at >= RETURN_S:
-            self._believe(self._servers, now)
+        if self._keeps_lapsed and self._now() - self._returned_at >= RETURN_S:
+            self._believe()
+
+    def _is_fresh(self) -> bool:
+        return self._now() - self._fresh_at <= self._usable_s
 
-    async def _read(self, now: float) -> bool:
+    def _start_reading(self) -> asyncio.Task[bool]:
+        """Return the reading that is under way, or a new one."""
+        if self._reading is None or self._reading.done():
+            self._reading = asyncio.get_running_loop().create_task(self._read())
+            self._reading_since = self._now()
+        return self._reading
+
+    async def _read(self) -> bool:
+        """Read the list and tell the others; say whether the store answered."""
+        sent_at = self._now()
         outcome = await self._store.servers(READ_TIMEOUT_S)
         if isinstance(outcome, Err):
+            self._failed_at = self._now()
             return False
         listed = outcome.ok_value
-        self._true_time.store_read(listed.store_s, now, time.monotonic())
-        self._take(list(listed.servers), listed.version, now)
-        same = self._told == self._digest
-        self._told = self._digest
-        age = time.monotonic() - now
-        servers = None if same else self._servers
-        self._tell(FleetNews(self.version, self._digest, age, servers))
+        self._true_time.store_read(listed.store_s, sent_at, self._now())
+        if self._failed_at > self._fresh_at and sent_at - self._fresh_at > OUTAGE_S:
+            self._returned_at = sent_at
+        base = self.list.digest
+        difference = self.list.read(listed.servers, listed.version)
+        if listed.version >= self.list.version:
+            self._note_fresh(sent_at)
+        if difference is None:
+            self.archive.renew(self.list.version)
+            self.drop_lapsed()
+            self._tell_unchanged()
+        else:
+            self._changed(from_store=True)
+            self._tell_difference(base, difference)
         return True
 
-    def _take(self, servers: list[Server], version: int, read_at: float) -> None:
-        """Take a list that is not older than the one at hand."""
-        if version < self.version:
+    async def _read_for_want_of_peers(self) -> bool:
+        return await asyncio.shield(self._start_reading())
+
+    def _tell_unchanged(self) -> None:
+        head = self.head()
+        if head is not None:
+            self._confirm(ServerChange(head, head.digest, self._control))
+
+    def _tell_difference(self, base: int, difference: Difference) -> None:
+        head = self.head()
+        if head is not None:
+            self._tell(packets(head, base, self._control, difference), True)
+
+    def _fetched(self, version: int, raw: bytes) -> None:
+        """Take over a list that another node passed on whole."""
+        try:
+            differs = self.list.fetched(raw, version)
+        except ValueError as error:
+            emit(Event.PEER_FETCH_FAILED, what="servers", version=version, why=str(error))
             return
-        self._note_fresh(read_at)
-        self.version = version
-        self._believe(servers, read_at)
-        self._servers = servers
-        digest = xxhash.xxh3_64_intdigest(msgspec.msgpack.encode(_lasting(servers)))
-        changed = digest != self._digest
-        self._digest = digest
-        if changed:
-            emit(
-                Event.SERVERS_CHANGED,
-                version=version,
-                there=len(servers),
-                spot=sum(1 for server in servers if server.spot),
-                leaving=[server.id for server in servers if server.leaving],
-                kept=[server.id for server in self._kept],
-            )
+        if differs:
+            self._changed(from_store=False)
+
+    def _confirmed(self, head: ListHead) -> None:
+        self.archive.renew(self.list.version)
+        self._note_fresh(self._now() - head.age_s)
+        self.drop_lapsed()
 
     def _note_fresh(self, read_at: float) -> None:
-        """Note that the list was read; after a long time without, the store has returned.
+        """Note that the list is that of a reading.
 
         Nodes in reserve that find the next reading late must not read all at once.
         """
         self._spread_s = CROWD_SPREAD_S * (self._crowd() - 1.0) * self._random.random()
-        if self._servers and read_at - self._fresh_at > OUTAGE_S:
-            self._returned_at = read_at
         self._fresh_at = max(self._fresh_at, read_at)
 
-    def _believe(self, servers: list[Server], read_at: float) -> None:
-        """Hand a list on, with the servers that only lapsed while the store was away."""
-        before = [*self._servers, *self._kept]
-        self._kept = []
-        if read_at - self._returned_at < RETURN_S:
-            listed = {server.id for server in servers}
-            missing = {each.id: each for each in before if each.id not in listed}
-            self._kept = [server for server in missing.values() if not server.leaving]
-        self._took([*servers, *self._kept])
+    def _note_return(self, head: ListHead) -> None:
+        """Note when the store was back, as the node that reads it knows it.
 
+        A node that had a list all the time knows better.
+        """
+        now = self._now()
+        if now - head.age_s - self._fresh_at > OUTAGE_S:
+            self._returned_at = max(self._returned_at, now - head.returned_s)
+
+    def _changed(self, from_store: bool) -> None:
+        """Hand on a list that differs from the one before."""
+        self.archive.keep(self.list.version, self.list.raw)
+        self._believe()
+        emit(
+            Event.SERVERS_CHANGED,
+            version=self.list.version,
+            from_store=from_store,
+            there=len(self._believed),
+            spot=sum(1 for server in self._believed if server.spot),
+            leaving=[server.id for server in self._believed if server.leaving],
+        )
 
-def _lasting(servers: list[Server]) -> list[Server]:
-    """Return servers without what changes with each heartbeat."""
-    return [
-        msgspec.structs.replace(server, leaves_s=None)
-        for server in sorted(servers, key=lambda server: server.id)
-    ]
+    def _believe(self) -> None:
+        """Hand the list on, with the servers that only lapsed while the store was away."""
+        servers = self.list.usable()
+        kept = []
+        if self._now() - self._returned_at < RETURN_S:
+            listed = {server.id for server in servers}
+            before = (server for server in self._believed if server.id not in listed)
+            kept = [server for server in before if not server.leaving]
+        self._keeps_lapsed = bool(kept)
+        self._believed = [*servers, *kept]
+        self._took(self._believed)
--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from moledale.gateway.accounts import AccountLimits
 from moledale.gateway.admission import Admission, spread
@@ -31,6 +31,11 @@
 """Id before a stream's first event."""
 
 
+async def _always() -> bool:
+    """Take the list of servers for current."""
+    return True
+
+
 class Forwarder:
     """Carries requests to servers; all nodes' news come in through `sharing`."""
 
@@ -43,6 +48,7 @@
         engines: Engines,
         now: Callable[[], float] = time.monotonic,
         newer_plan: Callable[[], bool] = lambda: False,
+        list_is_current: Callable[[], Awaitable[bool]] = _always,
         first_start: bool = False,
     ) -> None:
         self.admission = Admission(dialect, now, newer_plan, first_start, sharing.limit_window_s)
@@ -53,6 +59,7 @@
         self.evacuation = Evacuation(engines, book, lambda: self.index, now)
         self.handled = 0
         self._now = now
+        self._list_is_current = list_is_current
         self._random = random.Random()
         self._answers = AnswerReader(dialect, book, sharing, self.refuse, now)
 
@@ -115,6 +122,9 @@
         last = Attempt(Ending.NOT_SENT, why="no server is there")
         moved: Continuation | None = None
         while True:
+            if moved is None and not await self._list_is_current():
+                last = Attempt(Ending.NOT_SENT, why="the list of servers is out of date")
+                break
             placement = self._place(job) if moved is None else moved.placement
             if placement is None:
                 break
--- a/src/moledale/gateway/gossip.py
+++ b/src/moledale/gateway/gossip.py
@@ -1,4 +1,4 @@
-"""News between nodes by datagrams: own state often, the server list as soon as it is read.
+"""News between nodes by datagrams: own state often, changes of the list of servers at once.
 
 Datagrams fit since a state replaces the one before it: nothing is sent again, a dark peer costs
 no connection, and a node that starts is heard of within one round.
@@ -9,8 +9,9 @@
 
 import msgspec
 
-from moledale.gateway.messages import Placed, Server
+from moledale.gateway.messages import Placed
 from moledale.gateway.peers import NodeState
+from moledale.gateway.server_list import ServerChange
 
 
 class StateNews(msgspec.Struct, array_like=True, tag="state"):
@@ -20,15 +21,6 @@
     addresses: list[str]
 
 
-class FleetNews(msgspec.Struct, array_like=True, tag="fleet"):
-    """The server list as of `version`; without servers it is the same as the last one told."""
-
-    version: int
-    digest: int
-    age_s: float
-    servers: list[Server] | None
-
-
 class PlacementNews(msgspec.Struct, array_like=True, tag="placed"):
     """What a node placed since it last told; `sequence` is that of its last state."""
 
@@ -38,7 +30,7 @@
     placed: list[Placed]
 
 
-Message = StateNews | FleetNews | PlacementNews
+Message = StateNews | ServerChange | PlacementNews
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
 
--- a/src/moledale/gateway/neighbours.py
+++ b/src/moledale/gateway/neighbours.py
@@ -36,6 +36,10 @@
 ADDRESS_KEPT_S = 60.0
 MOST_HINTS = 8
 STRANGERS = 2
+PASSED_ON = 4
+"""Nodes by chance that one passes a change of the servers on to. Each node then hears it from four
+on average, so from none with one in fifty; these see by the next state that they miss something."""
+
 TOLD_ON = 6
 """Nodes that one that fetched a plan tells of it; so sources outnumber nodes that wait at once."""
 
@@ -140,6 +144,37 @@
             return []
         return [address for address in self.addresses.known(now) if address not in set(told)]
 
+    def readers(self, now: float) -> list[str]:
+        """Return the nodes that may read next what one reads for all: those that serve, if many."""
+        if not self._many(now):
+            return self.addresses.known(now)
+        return [each.peer for each in self.members.alive(now) if each.serving]
+
+    def first_told(self, own: NodeState, now: float) -> list[str]:
+        """Return whom the node that read a change tells: all, or of many those that pass it on."""
+        if not self._many(now):
+            return self.addresses.known(now)
+        return list({*self.readers(now), *self._own_hall(own, now), *self._strangers(now)})
+
+    def told_on(self, own: NodeState, now: float) -> list[str]:
+        """Return whom a node that hears a change for the first time passes it on to.
+
+        Where nodes are few, the one that read it has told all. Of many, each that serves tells its
+        hall, and each node some others by chance, so that no cut keeps the news from a node that
+        hears any other.
+        """
+        if not self._many(now):
+            return []
+        hall = self._own_hall(own, now) if self.serving else []
+        return list({*hall, *self._strangers(now)})
+
+    def _own_hall(self, own: NodeState, now: float) -> list[str]:
+        return [each.peer for each in self.members.alive(now) if each.hall == own.hall]
+
+    def _strangers(self, now: float) -> list[str]:
+        known = self.addresses.known(now)
+        return self._random.sample(known, min(PASSED_ON, len(known)))
+
     def everyone(self, now: float) -> list[str]:
         """Return whom to tell news that can't wait."""
         return self.addresses.known(now)
--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -16,7 +16,6 @@
 from moledale.gateway.fleet_watch import FleetWatch
 from moledale.gateway.forwarder import Forwarder
 from moledale.gateway.gossip import (
-    FleetNews,
     GossipSocket,
     Message,
     PlacementNews,
@@ -36,6 +35,7 @@
 from moledale.gateway.rate import Rate
 from moledale.gateway.registration import Registration
 from moledale.gateway.reply import Reply
+from moledale.gateway.server_list import ServerChange
 from moledale.gateway.settings import GatewaySettings
 from moledale.gateway.sharing import Sharing
 from moledale.log import Event, emit
@@ -87,6 +87,7 @@
             self.sharing,
             engines,
             newer_plan=lambda: self.plans.fetch.behind(time.monotonic()),
+            list_is_current=lambda: self.fleet.current(),
             first_start=node.first_start,
         )
         self._store = store
@@ -123,11 +124,20 @@
             self.sharing.true_time,
             self._reading_turn,
             self._took_fleet,
-            self._tell_fleet,
+            self._tell_changes,
+            self._confirm_list,
             self._crowd,
+            node.control,
+            node.link_mbps,
+            settings.bounds.leave_s,
         )
         self._questions = Questions(
-            entry, self.neighbours, self.plans.archive, self.pool, settings.bounds.address_ttl_s
+            entry,
+            self.neighbours,
+            self.plans.archive,
+            self.fleet.archive,
+            self.pool,
+            settings.bounds.address_ttl_s,
         )
         self._leaving_since: float | None = None
         self._callers = Listener(self._handle, self._limits, time.monotonic)
@@ -171,6 +181,7 @@
         start("plan", self.plans.watch)
         start("plan of peers", self.plans.fetch.run)
         start("fleet", self.fleet.watch)
+        start("fleet of peers", self.fleet.fetch.run)
         start("members", registration.run)
         start("duties", self._duties_forever)
         start("pool", self._sweep_pool_forever)
@@ -248,6 +259,7 @@
             requests_per_s=self._request_rate.per_s,
             speeds=self.book.speeds(now),
             age_s=now - self._began_at,
+            servers=self.fleet.head(),
         )
 
     def _tell_state(self, everyone: bool = True) -> None:
@@ -306,7 +318,7 @@
 
     def _heard(self, message: Message) -> None:
         now = time.monotonic()
-        if isinstance(message, FleetNews):
+        if isinstance(message, ServerChange):
             self.fleet.heard(message)
             return
         if isinstance(message, PlacementNews):
@@ -328,6 +340,8 @@
         if state.lease_heard is not None:
             passed_on = state.lease_heard
             self.keeper.heard(passed_on.holder, passed_on.news, now, passed_on=True)
+        if state.servers is not None:
+            self.fleet.heard_head(state.servers, state.control, state.power)
         index = self.forwarder.index
         if state.plan_version > (index.version if index is not None else -1):
             self.plans.fetch.heard(state.control, state.plan_version, state.power, now)
@@ -368,12 +382,22 @@
         self.forwarder.evacuation.servers_changed(gone)
         self._become_ready()
 
-    def _tell_fleet(self, news: FleetNews) -> None:
+    def _tell_changes(self, changes: list[ServerChange], read_here: bool) -> None:
+        """Tell of changes of the servers that this node read, or pass on what it heard."""
+        if self._gossip is None:
+            return
+        now, own = time.monotonic(), self._state()
+        choose = self.neighbours.first_told if read_here else self.neighbours.told_on
+        targets = choose(own, now)
+        for change in changes:
+            self._gossip.tell(change, targets)
+
+    def _confirm_list(self, unchanged: ServerChange) -> None:
         if self._gossip is not None:
-            self._gossip.tell(news, self.neighbours.everyone(time.monotonic()))
+            self._gossip.tell(unchanged, self.neighbours.readers(time.monotonic()))
 
     def _become_ready(self) -> None:
-        known = self.forwarder.index is not None and self.fleet.version >= 0
+        known = self.forwarder.index is not None and self.fleet.known
         if self.standing is Standing.STARTING and known:
             self.standing = Standing.READY
             emit(Event.READY, node=self.settings.node.id)
--- a/src/moledale/gateway/peers.py
+++ b/src/moledale/gateway/peers.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from moledale.gateway.server_list import ListHead
 from moledale.gateway.server_model import Speed
 
 ALIVE_S = 1.0
@@ -52,6 +53,7 @@
     `age_s` is the time since this life began. `store_age_s` is the time since the store answered
     its watch, endless while it does not.
     `lease_heard` is the lease that its holder told this node, for nodes that don't hear the holder.
+    `servers` is the list of backend servers that it has.
     """
 
     id: str
@@ -78,6 +80,7 @@
     requests_per_s: float = 0.0
     speeds: dict[str, Speed] = {}
     age_s: float = 1e9
+    servers: ListHead | None = None
 
     def shortened(self) -> "NodeState":
         """Return the state without most counts, for nodes that only need to know who is there.
--- a/src/moledale/gateway/plan_watch.py
+++ b/src/moledale/gateway/plan_watch.py
@@ -12,10 +12,10 @@
 from result import Err
 
 from moledale.gateway.backoff import Backoff
+from moledale.gateway.document_archive import DocumentArchive
+from moledale.gateway.document_fetch import PLAN_PATH, DocumentFetch
 from moledale.gateway.outside import PlanNews, Store
 from moledale.gateway.plan import Plan
-from moledale.gateway.plan_archive import PlanArchive
-from moledale.gateway.plan_fetch import PlanFetch
 from moledale.gateway.usage import TrueTime
 from moledale.log import Event, emit
 
@@ -49,9 +49,13 @@
         crowd: Callable[[], float],
         link_mbps: float,
     ) -> None:
-        self.archive = PlanArchive(link_mbps, time.monotonic)
-        self.fetch = PlanFetch(
-            self.archive, lambda: self._version, self._fetched, self._read_for_want_of_peers
+        self.archive = DocumentArchive(link_mbps, time.monotonic)
+        self.fetch = DocumentFetch(
+            PLAN_PATH,
+            self.archive,
+            lambda: self._version,
+            self._fetched,
+            self._read_for_want_of_peers,
         )
         self.reached_at = -1e9
         self._version = -1
--- a/src/moledale/gateway/questions.py
+++ b/src/moledale/gateway/questions.py
@@ -5,13 +5,13 @@
 
 import msgspec
 
+from moledale.gateway.document_archive import DocumentArchive, PieceWanted
+from moledale.gateway.document_fetch import PLAN_PATH, SERVERS_PATH
 from moledale.gateway.entry import Asked, EntryDialect
 from moledale.gateway.inbound import Listener
 from moledale.gateway.messages import InboundRequest
 from moledale.gateway.neighbours import Neighbours
 from moledale.gateway.peers import NodeState, Standing
-from moledale.gateway.plan_archive import PieceWanted, PlanArchive
-from moledale.gateway.plan_fetch import PLAN_PATH
 from moledale.gateway.pool import ConnectionPool
 from moledale.gateway.reply import Reply
 
@@ -25,13 +25,14 @@
         self,
         entry: EntryDialect,
         neighbours: Neighbours,
-        plans: PlanArchive,
+        plans: DocumentArchive,
+        servers: DocumentArchive,
         pool: ConnectionPool,
         address_ttl_s: float,
     ) -> None:
         self._entry = entry
         self._neighbours = neighbours
-        self._plans = plans
+        self._archives = {PLAN_PATH: plans, SERVERS_PATH: servers}
         self._pool = pool
         self._address_ttl_s = address_ttl_s
 
@@ -40,8 +41,8 @@
     ) -> None:
         """Answer a question."""
         path, _, query = request.head.target.decode("latin-1").partition("?")
-        if path == PLAN_PATH:
-            self._give_piece(reply, query)
+        if path in self._archives:
+            self._give_piece(reply, self._archives[path], query)
             return
         if request.head.target == METRICS_PATH:
             reply.whole(200, [(b"Content-Type", b"text/plain")], self._metrics(own, callers))
@@ -54,14 +55,14 @@
         else:
             self._tell_addresses(reply, own)
 
-    def _give_piece(self, reply: Reply, query: str) -> None:
-        """Answer a node that fetches the plan; 503 while there is none or others are served."""
+    def _give_piece(self, reply: Reply, archive: DocumentArchive, query: str) -> None:
+        """Answer a node that fetches a document; 503 while there is none or others are served."""
         try:
             wanted = msgspec.convert(dict(parse_qsl(query)), PieceWanted, strict=False)
         except msgspec.ValidationError:
             reply.whole(400, [], b"")
             return
-        piece = self._plans.piece(wanted)
+        piece = archive.piece(wanted)
         if piece is None:
             reply.whole(503, [], b"")
         else:
--- /dev/null
+++ b/src/moledale/gateway/server_list.py
@@ -0,0 +1,308 @@
+"""The list of backend servers as a node holds it, and how it follows the store's.
+
+One node reads the list and tells the others what changed since the one before: servers that leave
+or are gone by their ids, the others whole. A list has a digest over all of it, so a node that
+missed a change knows it, whatever it missed. Servers that leave or are gone count at once, also
+where the rest of a change is missing: they are marked until a list arrives that is as new.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+import msgspec
+import xxhash
+
+from moledale.gateway.messages import Server
+
+PACKET_BYTES = 1_200
+"""Size of a change on the wire, so that it fits one packet of Ethernet (1,500 bytes) with all
+headers: a datagram in pieces is lost with any one of them."""
+
+MOST_PACKETS = 4
+"""A change of more packets is fetched instead; servers that leave or are gone are always told."""
+
+ENDLESS_S = 1e9
+
+
+class ListHead(msgspec.Struct, frozen=True, array_like=True):
+    """Which list a node has: its version and digest, and how long ago it was read.
+
+    `returned_s` is the time since the store was last back from an outage.
+    """
+
+    version: int
+    digest: int
+    age_s: float
+    returned_s: float = ENDLESS_S
+
+
+class Leaving(msgspec.Struct, frozen=True, array_like=True):
+    """A server that leaves, and the time it has left if that is told."""
+
+    id: str
+    leaves_s: float | None = None
+
+
+class ServerChange(msgspec.Struct, frozen=True, array_like=True, tag="servers"):
+    """A part of what makes the list `head` out of the one with the digest `base`.
+
+    `source` is the control address of a node that has the list. A change in several parts numbers
+    them. Without any servers and with the list's own digest as its base it tells that nothing
+    changed.
+    """
+
+    head: ListHead
+    base: int
+    source: str
+    part: int = 0
+    last: bool = True
+    leaving: list[Leaving] = []
+    gone: list[str] = []
+    changed: list[Server] = []
+
+    @property
+    def empty(self) -> bool:
+        """Say whether it tells of no servers."""
+        return not (self.leaving or self.gone or self.changed)
+
+
+@dataclass(slots=True)
+class Difference:
+    """Servers that leave, that are gone, and that are new or changed otherwise."""
+
+    leaving: list[Leaving] = field(default_factory=list)
+    gone: list[str] = field(default_factory=list)
+    changed: list[Server] = field(default_factory=list)
+
+    def add(self, part: ServerChange) -> None:
+        """Add a part of a change."""
+        self.leaving += part.leaving
+        self.gone += part.gone
+        self.changed += part.changed
+
+    def append(self, item: Leaving | str | Server) -> None:
+        """Add a server that leaves, the id of one that is gone, or one that changed."""
+        if isinstance(item, Leaving):
+            self.leaving.append(item)
+        elif isinstance(item, str):
+            self.gone.append(item)
+        else:
+            self.changed.append(item)
+
+    def applied_to(self, servers: dict[str, Server]) -> dict[str, Server]:
+        """Return the list that this makes of another one."""
+        result = {name: server for name, server in servers.items() if name not in self.gone}
+        for each in self.leaving:
+            known = result.get(each.id)
+            if known is not None:
+                result[each.id] = _as_leaving(known, each)
+        result.update((server.id, server) for server in self.changed)
+        return result
+
+
+@dataclass(slots=True)
+class Heard:
+    """What a change meant: `new` if it was not heard before, `confirmed` if this node has the list
+    that it tells of, `differs` if servers are believed to be other than before, `missing` if the
+    list has to be fetched."""
+
+    new: bool = False
+    confirmed: bool = False
+    differs: bool = False
+    missing: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class _Mark:
+    """A server that leaves, or is gone (None), as of a version."""
+
+    version: int
+    leaving: Leaving | None
+
+
+@dataclass(slots=True)
+class ServerList:
+    """The newest list that is known, and what is known beyond it."""
+
+    version: int = -1
+    digest: int = 0
+    raw: bytes = b""
+    servers: dict[str, Server] = field(default_factory=dict)
+    _marks: dict[str, _Mark] = field(default_factory=dict)
+    _parts: dict[int, ServerChange] = field(default_factory=dict)
+    _parts_of: tuple[int, int] = (0, 0)
+    _parts_version: int = -1
+
+    def usable(self) -> list[Server]:
+        """Return the servers that are there, with those that leave marked so."""
+        result = []
+        for name, server in self.servers.items():
+            mark = self._marks.get(name)
+            if mark is None:
+                result.append(server)
+            elif mark.leaving is not None:
+                result.append(_as_leaving(server, mark.leaving))
+        return result
+
+    def read(self, servers: Iterable[Server], version: int) -> Difference | None:
+        """Take the list as this node read it; return the difference from the one before, if any.
+
+        A server's time left is kept as it was first told, since it runs down by itself.
+        """
+        if version < self.version:
+            return None
+        before = self.servers
+        listed = {server.id: self._as_first_told(server) for server in servers}
+        if not self._take(listed, version):
+            return None
+        return _difference(before, listed)
+
+    def fetched(self, raw: bytes, version: int) -> bool:
+        """Take a list as another node has it; say whether it differs. ValueError if unreadable."""
+        servers = msgspec.msgpack.decode(raw, type=list[Server])
+        if version < self.version:
+            return False
+        return self._take({server.id: server for server in servers}, version)
+
+    def confirmed(self, head: ListHead) -> bool:
+        """Say whether a node that told this head has the same list as this one."""
+        if head.digest != self.digest or self.version < 0:
+            return False
+        self._note_version(max(self.version, head.version))
+        return True
+
+    def hear(self, change: ServerChange) -> Heard:
+        """Take over a part of a change."""
+        head = change.head
+        if self.confirmed(head):
+            return Heard(confirmed=True)
+        if head.version <= self.version:
+            return Heard()
+        if change.empty:
+            return Heard(missing=True)
+        if not self._keep_part(change):
+            return Heard()
+        differs = self._mark(change)
+        if change.base == self.digest and self._complete(head):
+            return Heard(new=True, confirmed=True, differs=True)
+        return Heard(new=True, differs=differs, missing=change.last)
+
+    def _keep_part(self, change: ServerChange) -> bool:
+        """Keep a part with the others of its change; False if it is there or older than these."""
+        name = (change.head.digest, change.base)
+        if name != self._parts_of:
+            if change.head.version < self._parts_version:
+                return False
+            self._parts_of, self._parts_version, self._parts = name, change.head.version, {}
+        if change.part in self._parts:
+            return False
+        self._parts[change.part] = change
+        return True
+
+    def _complete(self, head: ListHead) -> bool:
+        """Make the new list out of the parts that came; say whether they are all."""
+        difference = Difference()
+        for part in self._parts.values():
+            difference.add(part)
+        servers = difference.applied_to(self.servers)
+        if digest_of(_encoded(servers)) != head.digest:
+            return False
+        self._take(servers, head.version)
+        return True
+
+    def _mark(self, change: ServerChange) -> bool:
+        """Mark servers that leave or are gone; say whether that is news."""
+        version = change.head.version
+        marks = {each.id: _Mark(version, each) for each in change.leaving}
+        marks.update((name, _Mark(version, None)) for name in change.gone)
+        news = False
+        for name, mark in marks.items():
+            known = self._marks.get(name)
+            if known is None or known.version < version:
+                self._marks[name] = mark
+                news = True
+        return news
+
+    def _as_first_told(self, server: Server) -> Server:
+        known = self.servers.get(server.id)
+        mark = self._marks.get(server.id)
+        if server.leaving and known is not None and known.leaving:
+            return msgspec.structs.replace(server, leaves_s=known.leaves_s)
+        if server.leaving and mark is not None and mark.leaving is not None:
+            return msgspec.structs.replace(server, leaves_s=mark.leaving.leaves_s)
+        return server
+
+    def _take(self, servers: dict[str, Server], version: int) -> bool:
+        raw = _encoded(servers)
+        digest = digest_of(raw)
+        differs = digest != self.digest or self.version < 0 or bool(self._marks)
+        self.servers, self.raw, self.digest = servers, raw, digest
+        self._note_version(version)
+        return differs
+
+    def _note_version(self, version: int) -> None:
+        self.version = version
+        self._marks = {name: mark for name, mark in self._marks.items() if mark.version > version}
+
+
+def digest_of(raw: bytes) -> int:
+    """Return the digest of an encoded list."""
+    return xxhash.xxh3_64_intdigest(raw)
+
+
+def packets(head: ListHead, base: int, source: str, difference: Difference) -> list[ServerChange]:
+    """Return a change in parts that fit a packet each, what matters most first.
+
+    Where the whole change would be more than `MOST_PACKETS`, only servers that leave or are gone
+    are told; nodes see by the digest that they miss the rest.
+    """
+    empty = ServerChange(head, base, source)
+    urgent: list[Leaving | str | Server] = [*difference.leaving, *difference.gone]
+    chosen = _filled(empty, [*urgent, *difference.changed])
+    if len(chosen) > MOST_PACKETS:
+        chosen = _filled(empty, urgent)
+    return [
+        msgspec.structs.replace(part, part=number, last=number == len(chosen) - 1)
+        for number, part in enumerate(chosen)
+    ]
+
+
+def _filled(empty: ServerChange, items: Iterable[Leaving | str | Server]) -> list[ServerChange]:
+    """Fill packets one after the other."""
+    room = PACKET_BYTES - len(msgspec.msgpack.encode(empty))
+    parts = [Difference()]
+    left = room
+    for item in items:
+        size = len(msgspec.msgpack.encode(item))
+        if size > left:
+            parts.append(Difference())
+            left = room
+        parts[-1].append(item)
+        left -= size
+    return [
+        msgspec.structs.replace(empty, leaving=part.leaving, gone=part.gone, changed=part.changed)
+        for part in parts
+    ]
+
+
+def _difference(before: dict[str, Server], after: dict[str, Server]) -> Difference:
+    result = Difference(gone=[name for name in before if name not in after])
+    for name, server in after.items():
+        known = before.get(name)
+        leaving = Leaving(name, server.leaves_s)
+        if known == server:
+            continue
+        if known is not None and not known.leaving and _as_leaving(known, leaving) == server:
+            result.leaving.append(leaving)
+        else:
+            result.changed.append(server)
+    return result
+
+
+def _as_leaving(server: Server, leaving: Leaving) -> Server:
+    return msgspec.structs.replace(server, leaving=True, leaves_s=leaving.leaves_s)
+
+
+def _encoded(servers: dict[str, Server]) -> bytes:
+    """Return a list's bytes, the same for the same servers on all nodes."""
+    return msgspec.msgpack.encode([servers[name] for name in sorted(servers)])
--- a/src/moledale/log.py
+++ b/src/moledale/log.py
@@ -40,7 +40,9 @@
     BUNDLE_REFUSED = EventSpec(201, logbook.ERROR, "A bundle was refused; the old one stays.")
     BUNDLE_ROLLED = EventSpec(202, logbook.INFO, "This node moved the bundle head for operators.")
     BUNDLE_OLDER = EventSpec(203, logbook.WARNING, "A head older than the floor was ignored.")
-    PLAN_FETCH_FAILED = EventSpec(204, logbook.WARNING, "A peer's piece of a plan did not come.")
+    PEER_FETCH_FAILED = EventSpec(
+        204, logbook.WARNING, "A peer's piece of a plan or list of servers did not come."
+    )
     PLATFORM_DOWN = EventSpec(300, logbook.WARNING, "A part of the platform stopped answering.")
     PLATFORM_UP = EventSpec(301, logbook.INFO, "A part of the platform answers again.")
     WRITE_UNCERTAIN = EventSpec(302, logbook.WARNING, "A write's answer was lost; reading back.")
--- /dev/null
+++ b/tests/list_world.py
@@ -0,0 +1,273 @@
+"""Many nodes that keep the list of servers, on a virtual clock and network.
+
+The product's own code decides what is read, told, passed on and believed; only sockets, the store
+and transfers between nodes are made up.
+"""
+
+import heapq
+import random
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from itertools import count
+from typing import Any
+
+import msgspec
+from result import Err, Ok, Result
+
+from moledale.gateway.fleet_watch import FleetWatch
+from moledale.gateway.gossip import StateNews
+from moledale.gateway.messages import Server
+from moledale.gateway.neighbours import ROUND_S, Neighbours
+from moledale.gateway.outside import ServerList as StoredList
+from moledale.gateway.outside import Trouble
+from moledale.gateway.peers import Membership, NodeState
+from moledale.gateway.server_list import ServerChange
+from moledale.gateway.usage import TrueTime
+from tests.gateway_states import state
+
+HALLS = 7
+LINK_BYTES_PER_S = 10 * 125_000
+"""The thinnest link of the users' large site, 10 Mbit/s."""
+
+LATENCY_S = (0.001, 0.004)
+FETCH_S = 0.08
+SEED = 3
+
+
+def finished(work: Coroutine[Any, Any, Any]) -> Any:
+    """Run a coroutine that waits for nothing."""
+    try:
+        work.send(None)
+    except StopIteration as done:
+        return done.value
+    raise AssertionError("it waits")
+
+
+def a_server(number: int, halls: int = HALLS) -> Server:
+    """Return a server as the platform lists it."""
+    hall = f"hall-{number % halls}"
+    return Server(
+        f"i-{number:08x}", "model-abcdef", f"10.{number % 250}.1.7:8000", hall, 64, spot=True
+    )
+
+
+@dataclass
+class VirtualStore:
+    """The store's list; nodes in `cut` get no answer."""
+
+    servers: dict[str, Server] = field(default_factory=dict)
+    version: int = 1
+    away: bool = False
+    reads: int = 0
+
+    def leave(self, name: str, leaves_s: float | None = None) -> None:
+        """Have a server say that it leaves."""
+        self.version += 1
+        self.servers[name] = msgspec.structs.replace(
+            self.servers[name], leaving=True, leaves_s=leaves_s
+        )
+
+    def listed(self) -> StoredList:
+        """Return the list as of now; heartbeats change its version all the time."""
+        self.reads += 1
+        self.version += 1
+        return StoredList(tuple(self.servers.values()), self.version, 0.0)
+
+
+@dataclass
+class StoreOfNode:
+    """The store as one node reaches it."""
+
+    world: "ListWorld"
+    node: str
+
+    async def servers(self, _: float) -> Result[StoredList, Trouble]:
+        """Return the list, or nothing for a node that is cut off."""
+        if self.world.store.away or self.node in self.world.no_store:
+            return Err(Trouble("away"))
+        return Ok(self.world.store.listed())
+
+
+class VirtualFetch:
+    """Copies a list from the node that is said to have it, after the time of a small transfer."""
+
+    def __init__(self, node: "ListNode") -> None:
+        self.node = node
+        self.wanted = -1
+        self.fetched = 0
+
+    def heard(self, control: str, version: int, _power: float, _now: float) -> None:
+        """Fetch a newer list soon."""
+        if version <= self.wanted:
+            return
+        self.wanted = version
+        self.node.world.later(FETCH_S, lambda: self._copy(control))
+
+    def _copy(self, control: str) -> None:
+        world = self.node.world
+        source = world.by_control.get(control)
+        self.wanted = -1
+        if source is None or not source.alive or world.cut(source.name, self.node.name):
+            return
+        self.fetched += 1
+        self.node.watch._fetched(source.watch.list.version, source.watch.list.raw)
+
+    def behind(self, _now: float) -> bool:
+        """Say whether a newer list is on its way."""
+        return self.wanted >= 0
+
+
+class ListNode:
+    """One node's list, membership and news."""
+
+    def __init__(self, world: "ListWorld", number: int) -> None:
+        self.world = world
+        self.name = f"n{number}"
+        self.hall = f"hall-{number % HALLS}"
+        self.alive = True
+        self.sent_bytes = 0
+        self.link_free_at = 0.0
+        self.members = Membership(self.name, 1)
+        self.neighbours = Neighbours(self.members, f"{self.name}:2", -100.0)
+        self.neighbours.serving = number < HALLS
+        self.sequence = 0
+        self.leaves_seen: dict[str, float] = {}
+        self.watch = FleetWatch(
+            StoreOfNode(world, self.name),  # type: ignore[arg-type]
+            TrueTime(),
+            lambda: self.neighbours.rank(self.state(), world.now, reserve_first=False),
+            self._took,
+            self._tell,
+            lambda change: self._send(change, self.neighbours.readers(world.now)),
+            lambda: self.neighbours.crowd(self.state()),
+            control=f"{self.name}:3",
+            leave_s=4.0,
+            now=lambda: world.now,
+        )
+        self.fetch = VirtualFetch(self)
+        self.watch.fetch = self.fetch  # type: ignore[assignment]
+
+    def state(self) -> NodeState:
+        """Return what this node tells of itself."""
+        self.sequence += 1
+        return state(
+            self.name,
+            sequence=self.sequence,
+            hall=self.hall,
+            serving=self.neighbours.serving,
+            power=20.0,
+            servers=self.watch.head(),
+        )
+
+    def _took(self, servers: list[Server]) -> None:
+        for server in servers:
+            if server.leaving:
+                self.leaves_seen.setdefault(server.id, self.world.now)
+
+    def _tell(self, changes: list[ServerChange], read_here: bool) -> None:
+        choose = self.neighbours.first_told if read_here else self.neighbours.told_on
+        targets = choose(self.state(), self.world.now)
+        for change in changes:
+            self._send(change, targets)
+
+    def _send(self, message: StateNews | ServerChange, addresses: list[str]) -> None:
+        size = len(msgspec.msgpack.encode(message)) + 28
+        for address in addresses:
+            self.sent_bytes += size
+            begins = max(self.world.now, self.link_free_at)
+            self.link_free_at = begins + size / LINK_BYTES_PER_S
+            self.world.deliver(self, address, message, self.link_free_at - self.world.now)
+
+    def round(self) -> None:
+        """Tell this node's state, and read the list if it is its turn."""
+        if not self.alive:
+            return
+        now = self.world.now
+        own = self.state()
+        targets = self.neighbours.targets(own, now)
+        self._send(StateNews(own, []), targets)
+        self._send(StateNews(own.shortened(), []), self.neighbours.reserves(targets, now))
+        self.world.later(ROUND_S, self.round)
+
+    def look(self) -> None:
+        """Read the list once it is this node's turn."""
+        if not self.alive:
+            return
+        if self.watch.due_at() <= self.world.now:
+            finished(self.watch._read())
+        self.world.later(0.05, self.look)
+
+    def hear(self, message: StateNews | ServerChange) -> None:
+        """Take over what another node told."""
+        if not self.alive:
+            return
+        if isinstance(message, ServerChange):
+            self.watch.heard(message)
+            return
+        told = message.state
+        if self.members.heard(told, self.world.now) is None:
+            return
+        self.neighbours.addresses.add(told.peer, self.world.now)
+        if told.servers is not None:
+            self.watch.heard_head(told.servers, told.control, told.power)
+
+
+class ListWorld:
+    """All nodes, the store and the network between them."""
+
+    def __init__(self, nodes: int, servers: int, loss: float = 0.0) -> None:
+        self.now = 0.0
+        self.chance = random.Random(SEED)
+        self.loss = loss
+        self.doubled = 0.0
+        self.no_store: set[str] = set()
+        self.cut: Callable[[str, str], bool] = lambda _a, _b: False
+        self.store = VirtualStore({each.id: each for each in map(a_server, range(servers))})
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = count()
+        self.nodes = [ListNode(self, number) for number in range(nodes)]
+        self.by_peer = {f"{node.name}:2": node for node in self.nodes}
+        self.by_control = {f"{node.name}:3": node for node in self.nodes}
+        self._introduce()
+        for node in self.nodes:
+            self.later(self.chance.uniform(0, ROUND_S), node.round)
+            self.later(self.chance.uniform(0, 0.05), node.look)
+
+    def _introduce(self) -> None:
+        """Let all nodes have the list, and know of each other what they would have heard."""
+        finished(self.nodes[0].watch._read())
+        raw, version = self.nodes[0].watch.list.raw, self.nodes[0].watch.list.version
+        for node in self.nodes:
+            node.watch._fetched(version, raw)
+            node.watch._note_fresh(0.0)
+            for other in self.nodes:
+                node.neighbours.addresses.add(f"{other.name}:2", 0.0)
+                if other.neighbours.serving or other.hall == node.hall:
+                    node.members.heard(other.state(), 0.0)
+
+    def later(self, delay_s: float, action: Callable[[], None]) -> None:
+        """Do something after a time."""
+        heapq.heappush(self._events, (self.now + delay_s, next(self._order), action))
+
+    def deliver(
+        self, sender: ListNode, address: str, message: StateNews | ServerChange, delay_s: float
+    ) -> None:
+        """Carry a datagram, if nothing stands in its way."""
+        target = self.by_peer[address]
+        if self.cut(sender.name, target.name):
+            return
+        for _ in range(2 if self.chance.random() < self.doubled else 1):
+            if self.chance.random() >= self.loss:
+                latency_s = self.chance.uniform(*LATENCY_S)
+                self.later(delay_s + latency_s, lambda: target.hear(message))
+
+    def run(self, until: float) -> None:
+        """Let time pass."""
+        while self._events and self._events[0][0] <= until:
+            self.now, _, action = heapq.heappop(self._events)
+            action()
+        self.now = until
+
+    def last_to_see(self, server: str, nodes: list[ListNode] | None = None) -> float:
+        """Return when the last node knew that a server leaves; never is an error."""
+        return max(node.leaves_seen[server] for node in nodes or self.nodes if node.alive)
--- a/tests/plan_world.py
+++ b/tests/plan_world.py
@@ -7,11 +7,11 @@
 from dataclasses import dataclass, field
 
 from moledale.gateway.calls import HttpCaller
+from moledale.gateway.document_archive import BYTES_PER_MBIT, DocumentArchive
+from moledale.gateway.document_fetch import PLAN_PATH, DocumentFetch
 from moledale.gateway.inbound import Listener, listen
 from moledale.gateway.messages import InboundRequest
 from moledale.gateway.plan import Limits
-from moledale.gateway.plan_archive import BYTES_PER_MBIT, PlanArchive
-from moledale.gateway.plan_fetch import PLAN_PATH, PlanFetch
 from moledale.gateway.questions import Questions
 from moledale.gateway.reply import Reply
 from moledale.platform.records import read_config
@@ -64,14 +64,16 @@
     pieces: int = 0
     store_reads: int = 0
     address: str = ""
-    archive: PlanArchive = field(init=False)
-    fetch: PlanFetch = field(init=False)
+    archive: DocumentArchive = field(init=False)
+    fetch: DocumentFetch = field(init=False)
     _server: asyncio.Server | None = None
     _task: asyncio.Task[None] | None = None
 
     def __post_init__(self) -> None:
-        self.archive = PlanArchive(self.link_mbps, time.monotonic)
-        self.fetch = PlanFetch(self.archive, lambda: self.version, self.take, self._read_store)
+        self.archive = DocumentArchive(self.link_mbps, time.monotonic)
+        self.fetch = DocumentFetch(
+            PLAN_PATH, self.archive, lambda: self.version, self.take, self._read_store
+        )
 
     async def start(self) -> None:
         """Listen and begin to fetch."""
@@ -95,7 +97,7 @@
             reply.break_off()
             return
         await asyncio.sleep(self.delay_s)
-        questions = Questions(None, None, self.archive, None, 1.0)  # type: ignore[arg-type]
+        questions = Questions(None, None, self.archive, self.archive, None, 1.0)  # type: ignore[arg-type]
         questions.answer(request, reply, state("n"), None)  # type: ignore[arg-type]
 
     async def _read_store(self) -> bool:
--- a/tests/test_backoff.py
+++ b/tests/test_backoff.py
@@ -7,7 +7,6 @@
 
 from moledale.gateway.backoff import JITTER, Backoff
 from moledale.gateway.fleet_watch import CROWD_SPREAD_S, FleetWatch
-from moledale.gateway.gossip import FleetNews
 from moledale.gateway.outside import Trouble
 from moledale.gateway.plan_watch import PlanWatch
 from moledale.gateway.usage import TrueTime
@@ -54,7 +53,8 @@
         TrueTime(),
         lambda: 4,
         lambda servers: None,
-        lambda news: None,
+        lambda changes, read_here: None,
+        lambda unchanged: None,
         lambda: crowd,
     )
 
@@ -115,7 +115,7 @@
         watches = [fleet_watch(DeadStore(), MANY) for _ in range(40)]
         due = []
         for watch in watches:
-            watch.heard(FleetNews(1, 0, 0.0, []))
+            watch._note_fresh(0.0)
             due.append(watch._spread_s)
         self.assertGreater(max(due) - min(due), CROWD_SPREAD_S * (MANY - 1) / 2)
         self.assertLess(max(due), CROWD_SPREAD_S * (MANY - 1))
--- a/tests/test_gateway_nodes.py
+++ b/tests/test_gateway_nodes.py
@@ -239,7 +239,7 @@
         async def work(cluster: Cluster) -> None:
             cluster.platform.drop("op", "config")
             node = await cluster.start("n1")
-            await until(lambda: node.fleet.version >= 0)
+            await until(lambda: node.fleet.known)
             self.assertEqual((await cluster.ask("n1")).status, 503)
             self.assertIs(node.standing, Standing.STARTING)
             cluster.platform.put("op", "config", config(1))
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -1,13 +1,15 @@
 """State of a gateway node: windows of usage, time, routes, choice of servers, events, lists."""
 
 import unittest
-from unittest import mock
+from collections.abc import Callable
+
+from result import Err, Ok
 
 from moledale.gateway.balance import ServerBook
 from moledale.gateway.events import EventCutter
-from moledale.gateway.fleet_watch import FleetWatch
-from moledale.gateway.gossip import FleetNews
+from moledale.gateway.fleet_watch import OUTAGE_S, FleetWatch
 from moledale.gateway.messages import PromptPart, RequestFacts, Server
+from moledale.gateway.outside import ServerList, Trouble
 from moledale.gateway.peers import Membership
 from moledale.gateway.plan import (
     Engine,
@@ -18,9 +20,11 @@
     Share,
     chosen_service,
 )
+from moledale.gateway.server_list import ServerChange
 from moledale.gateway.server_view import note_silence
 from moledale.gateway.usage import TrueTime, UsageCounts, total_of
 from tests.gateway_states import state
+from tests.list_world import finished
 
 
 class TrueTimeTest(unittest.TestCase):
@@ -185,33 +189,63 @@
         self.assertEqual((cutter.last_id, cutter.passed), ("2", 2))
 
 
+class ListedServers:
+    """A store that lists what a test says, or is away."""
+
+    def __init__(self) -> None:
+        self.servers_now: list[Server] = []
+        self.away = False
+        self.version = 0
+
+    async def servers(self, _: float) -> object:
+        self.version += 1
+        if self.away:
+            return Err(Trouble("away"))
+        return Ok(ServerList(tuple(self.servers_now), self.version, 0.0))
+
+
 class LapsedServersTest(unittest.TestCase):
     """Entries that lapse while the store is away belong to servers that may well live."""
 
     def setUp(self) -> None:
+        self.now = 1_000.0
+        self.store = ListedServers()
         self.taken: list[set[str]] = []
-        self.watch = FleetWatch(
-            None,  # type: ignore[arg-type]
+        self.heard: list[set[str]] = []
+        self.other = self.a_watch(self.heard, lambda *_: None)
+        self.watch = self.a_watch(self.taken, self.tell)
+
+    def a_watch(
+        self, taken: list[set[str]], tell: Callable[[list[ServerChange], bool], None]
+    ) -> FleetWatch:
+        return FleetWatch(
+            self.store,  # type: ignore[arg-type]
             TrueTime(),
             lambda: 0,
-            lambda servers: self.taken.append({server.id for server in servers}),
-            lambda _: None,
+            lambda servers: taken.append({server.id for server in servers}),
+            tell,
+            lambda change: self.other.heard(change),
             lambda: 1.0,
+            now=lambda: self.now,
         )
-        self.version = 0
-        self.now = 1_000.0
-        clock = mock.patch("moledale.gateway.fleet_watch.time.monotonic", lambda: self.now)
-        clock.start()
-        self.addCleanup(clock.stop)
+
+    def tell(self, changes: list[ServerChange], _: bool) -> None:
+        for change in changes:
+            self.other.heard(change)
 
     def list_at(self, now: float, *names: str, leaving: str = "") -> set[str]:
-        """Hear a list and return the servers that are believed then."""
+        """Let one node read a list and return the servers that both nodes believe in then."""
+        if now - self.now > OUTAGE_S:
+            self.now = (self.now + now) / 2
+            self.store.away = True
+            finished(self.watch._read())
+            self.store.away = False
         self.now = now
-        self.version += 1
-        servers = [
+        self.store.servers_now = [
             Server(name, "model", f"{name}:1", "a", 64, leaving=name == leaving) for name in names
         ]
-        self.watch.heard(FleetNews(self.version, self.version, 0.0, servers))
+        finished(self.watch._read())
+        self.assertEqual(self.taken[-1], self.heard[-1])
         return self.taken[-1]
 
     def test_server_missing_in_calm_times_is_gone_at_once(self) -> None:
@@ -236,6 +270,15 @@
         before = len(self.taken)
         self.watch.drop_lapsed()
         self.assertEqual(len(self.taken), before)
+        self.other.drop_lapsed()
+        self.assertEqual(self.heard[-1], {"s1"})
+
+    def test_node_that_heard_nothing_for_a_while_takes_missing_servers_as_gone(self) -> None:
+        self.list_at(1_000.0, "s1", "s2")
+        self.now = 1_006.0
+        self.store.servers_now.pop()
+        finished(self.watch._read())
+        self.assertEqual((self.taken[-1], self.heard[-1]), ({"s1"}, {"s1"}))
 
     def test_server_that_was_leaving_is_not_kept(self) -> None:
         self.list_at(1_000.0, "s1", "s2", leaving="s2")
--- a/tests/test_plan_spread.py
+++ b/tests/test_plan_spread.py
@@ -4,21 +4,21 @@
 import time
 import unittest
 
-from hypothesis import given, settings
+from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
 from moledale.gateway.admission import Admission
-from moledale.gateway.messages import InboundRequest, Refusal, RequestHead
-from moledale.gateway.plan_archive import (
+from moledale.gateway.document_archive import (
     BURST_S,
     BYTES_PER_MBIT,
     LINK_SHARE,
     PIECE_BYTES,
+    DocumentArchive,
     PieceWanted,
-    PlanArchive,
 )
-from moledale.gateway.plan_codec import PlanUnreadable, decode, digest_of, encode
-from moledale.gateway.plan_fetch import BEHIND_S
+from moledale.gateway.document_codec import DocumentUnreadable, decode, digest_of, encode
+from moledale.gateway.document_fetch import BEHIND_S
+from moledale.gateway.messages import InboundRequest, Refusal, RequestHead
 from moledale.platform.headers import PlatformHeaders
 from tests.gateway_world import HOST, a_plan, quietly
 from tests.plan_world import PlanWorld, call, config_bytes
@@ -39,14 +39,20 @@
     def test_another_base_is_noticed(self) -> None:
         frame = encode(CHANGED, LARGE)
         for base in (SMALL, LARGE[:-1], b""):
-            with self.assertRaises(PlanUnreadable):
+            with self.assertRaises(DocumentUnreadable):
                 decode(frame, base, digest_of(CHANGED))
 
     def test_another_plan_than_announced_is_noticed(self) -> None:
-        with self.assertRaises(PlanUnreadable):
+        with self.assertRaises(DocumentUnreadable):
             decode(encode(LARGE), b"", digest_of(CHANGED))
 
-    @settings(derandomize=True, max_examples=100, deadline=None)
+    # `tools.without` runs a test several times in one process, each time in a new TestCase.
+    @settings(
+        derandomize=True,
+        max_examples=100,
+        deadline=None,
+        suppress_health_check=[HealthCheck.differing_executors],
+    )
     @given(st.binary(max_size=4_000), st.binary(max_size=4_000), st.data())
     def test_what_is_damaged_is_refused_or_the_same(
         self, raw: bytes, base: bytes, data: st.DataObject
@@ -58,7 +64,7 @@
         frame[place] ^= data.draw(st.integers(1, 255))
         try:
             read = decode(bytes(frame), base, digest_of(raw))
-        except PlanUnreadable:
+        except DocumentUnreadable:
             return
         self.assertEqual(read, raw)
 
@@ -66,7 +72,7 @@
 class ArchiveTest(unittest.TestCase):
     def setUp(self) -> None:
         self.now = 100.0
-        self.archive = PlanArchive(THIN_MBPS, lambda: self.now)
+        self.archive = DocumentArchive(THIN_MBPS, lambda: self.now)
 
     def test_nothing_is_given_without_a_plan(self) -> None:
         self.assertIsNone(self.archive.piece(PieceWanted()))
@@ -83,7 +89,7 @@
         self.assertGreater(given, share / 2)
 
     def test_a_frame_that_was_begun_goes_on_at_another_node(self) -> None:
-        other = PlanArchive(100.0, lambda: self.now)
+        other = DocumentArchive(100.0, lambda: self.now)
         self.archive.keep(9, LARGE)
         other.keep(9, LARGE)
         first = self.archive.piece(PieceWanted())
--- /dev/null
+++ b/tests/test_server_list.py
@@ -0,0 +1,356 @@
+"""The list of servers follows the store's at every node, whatever is lost on the way."""
+
+import asyncio
+import unittest
+
+import msgspec
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+from result import Err, Ok
+
+from moledale.gateway.fleet_watch import (
+    CURRENT_WAIT_S,
+    RESERVE_READ_S,
+    USABLE_SHARE,
+    FleetWatch,
+)
+from moledale.gateway.messages import Server
+from moledale.gateway.outside import ServerList as StoredList
+from moledale.gateway.outside import Trouble
+from moledale.gateway.server_list import (
+    MOST_PACKETS,
+    PACKET_BYTES,
+    Difference,
+    ListHead,
+    ServerChange,
+    ServerList,
+    packets,
+)
+from moledale.gateway.usage import TrueTime
+from tests.gateway_world import quietly
+from tests.list_world import HALLS, ListWorld, a_server
+
+TARGET_NODES = 390
+TARGET_SERVERS = 1_100
+DATAGRAM_BYTES = 65_507
+SEEN_S = 1.0
+READ_S = 1.0
+"""The store is read once in 0.8 s; a turn of another node and a round more."""
+
+LEAVE_S = 4.0
+PASSED_ON_S = 0.1
+"""Time of a few hops; by the next state of some node it takes a second."""
+
+
+def size_of(change: ServerChange) -> int:
+    return len(msgspec.msgpack.encode(change))
+
+
+def told(before: ServerList, servers: list[Server], version: int) -> list[ServerChange]:
+    """Let a node read a list and return what it tells."""
+    base = before.digest
+    difference = before.read(servers, version)
+    head = ListHead(before.version, before.digest, 0.0)
+    return packets(head, base, "n1:3", difference or Difference())
+
+
+class PacketsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.servers = [a_server(number) for number in range(TARGET_SERVERS)]
+        self.list = ServerList()
+        self.list.read(self.servers, 1)
+
+    def leave(self, gone: bool, hall: str) -> list[Server]:
+        result = []
+        for server in self.servers:
+            if server.hall != hall:
+                result.append(server)
+            elif not gone:
+                result.append(msgspec.structs.replace(server, leaving=True, leaves_s=4.0))
+        return result
+
+    def test_whole_list_of_the_target_is_beyond_a_datagram(self) -> None:
+        self.assertGreater(len(self.list.raw), DATAGRAM_BYTES)
+
+    def test_hall_that_goes_is_told_in_few_packets(self) -> None:
+        for gone in (False, True):
+            with self.subTest(gone=gone):
+                self.setUp()
+                parts = told(self.list, self.leave(gone, "hall-3"), 2)
+                self.assertLessEqual(len(parts), MOST_PACKETS)
+                self.assertLessEqual(max(map(size_of, parts)), PACKET_BYTES)
+                other = ServerList()
+                other.read(self.servers, 1)
+                for part in reversed(parts):
+                    other.hear(part)
+                self.assertEqual(other.raw, self.list.raw)
+
+    def test_servers_that_leave_are_told_though_the_rest_is_too_much(self) -> None:
+        new = [a_server(number) for number in range(5_000, 5_400)]
+        listed = [*self.leave(False, "hall-3"), *new]
+        parts = told(self.list, listed, 2)
+        self.assertLessEqual(max(map(size_of, parts)), PACKET_BYTES)
+        other = ServerList()
+        other.read(self.servers, 1)
+        heard = [other.hear(part) for part in parts]
+        self.assertTrue(heard[-1].missing)
+        left = {server.id for server in listed if server.leaving}
+        self.assertEqual({server.id for server in other.usable() if server.leaving}, left)
+
+
+class ServerListTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.servers = {each.id: each for each in map(a_server, range(8))}
+        self.reader = ServerList()
+        self.reader.read(self.servers.values(), 1)
+        self.other = ServerList()
+        self.other.read(self.servers.values(), 1)
+
+    def leave(self, number: int) -> None:
+        server = a_server(number)
+        self.servers[server.id] = msgspec.structs.replace(server, leaving=True, leaves_s=3.0)
+
+    def test_time_left_stays_as_it_was_first_told(self) -> None:
+        self.leave(1)
+        self.reader.read(self.servers.values(), 2)
+        before = self.reader.digest
+        name = a_server(1).id
+        self.servers[name] = msgspec.structs.replace(self.servers[name], leaves_s=1.0)
+        self.assertIsNone(self.reader.read(self.servers.values(), 3))
+        self.assertEqual((self.reader.digest, self.reader.version), (before, 3))
+
+    def test_marked_server_counts_as_leaving_until_a_list_as_new_comes(self) -> None:
+        lost = told(self.reader, list(self.servers.values())[1:], 2)
+        self.leave(2)
+        heard = self.other.hear(told(self.reader, list(self.servers.values())[1:], 3)[0])
+        self.assertTrue(heard.differs and heard.missing)
+        self.assertIn(a_server(0).id, {server.id for server in self.other.usable()})
+        self.assertTrue(self.other.hear(lost[0]).new is False, "an older change counts no more")
+        leaving = [server.id for server in self.other.usable() if server.leaving]
+        self.assertEqual(leaving, [a_server(2).id])
+        self.assertTrue(self.other.fetched(self.reader.raw, self.reader.version))
+        self.assertEqual(self.other.usable(), self.reader.usable())
+
+    def test_older_list_is_not_taken(self) -> None:
+        raw, version = self.reader.raw, self.reader.version
+        self.leave(1)
+        self.reader.read(self.servers.values(), 5)
+        self.assertFalse(self.reader.fetched(raw, version))
+        self.assertTrue(any(server.leaving for server in self.reader.usable()))
+
+    def test_unreadable_list_is_refused(self) -> None:
+        with self.assertRaises(ValueError):
+            self.other.fetched(b"\x91\x01", 9)
+
+    # `tools.without` runs a test several times in one process, each time in a new TestCase.
+    @settings(
+        derandomize=True,
+        max_examples=200,
+        deadline=None,
+        suppress_health_check=[HealthCheck.differing_executors],
+    )
+    @given(st.data())
+    def test_news_that_are_lost_doubled_or_late_never_take_a_list_back(
+        self, data: st.DataObject
+    ) -> None:
+        servers = {each.id: each for each in map(a_server, range(12))}
+        reader, other = ServerList(), ServerList()
+        reader.read(servers.values(), 1)
+        other.read(servers.values(), 1)
+        waiting: list[ServerChange] = []
+        left: dict[str, int] = {}
+        for version in range(2, 12):
+            for name in data.draw(st.lists(st.sampled_from(sorted(servers)), max_size=3)):
+                if name in servers and servers[name].leaving:
+                    del servers[name]
+                elif name in servers:
+                    servers[name] = msgspec.structs.replace(servers[name], leaving=True)
+                    left[name] = version
+            waiting += told(reader, list(servers.values()), version)
+            order = data.draw(st.permutations(range(len(waiting))))
+            for index in order[: data.draw(st.integers(0, len(waiting)))]:
+                before = other.version
+                change = waiting[index]
+                other.hear(change)
+                self.assertGreaterEqual(other.version, before)
+                for server in other.usable():
+                    known = left.get(server.id, 99)
+                    self.assertFalse(not server.leaving and known <= other.version)
+            if data.draw(st.booleans()):
+                other.fetched(reader.raw, reader.version)
+                self.assertEqual(other.usable(), reader.usable())
+
+
+class SpreadTest(unittest.TestCase):
+    """At the letter's size, on links of 10 Mbit/s."""
+
+    def world(self, loss: float = 0.0, nodes: int = TARGET_NODES) -> ListWorld:
+        world = ListWorld(nodes, TARGET_SERVERS, loss)
+        world.run(1.0)
+        return world
+
+    def test_leaving_server_is_known_everywhere_within_a_second_of_its_reading(self) -> None:
+        for nodes in (9, 77, 195, TARGET_NODES):
+            with self.subTest(nodes=nodes):
+                world = self.world(0.05, nodes)
+                before = [node.sent_bytes for node in world.nodes]
+                name = a_server(5).id
+                world.store.leave(name, 4.0)
+                reads = world.store.reads
+                world.run(1.0 + READ_S + SEEN_S)
+                first = min(node.leaves_seen[name] for node in world.nodes)
+                self.assertLess(world.last_to_see(name) - first, SEEN_S)
+                sent = [
+                    node.sent_bytes - told for node, told in zip(world.nodes, before, strict=True)
+                ]
+                self.assertLess(max(sent) / 2.0, 125_000, "a tenth of the thinnest link")
+                self.assertLess(world.store.reads - reads, 6)
+
+    def test_whole_hall_that_leaves_is_known_everywhere_within_a_second(self) -> None:
+        world = self.world(0.05)
+        names = [server.id for server in world.store.servers.values() if server.hall == "hall-2"]
+        for name in names:
+            world.store.leave(name, 4.0)
+        world.run(1.0 + READ_S + SEEN_S)
+        first = min(node.leaves_seen[names[0]] for node in world.nodes)
+        for name in names:
+            self.assertLess(world.last_to_see(name) - first, SEEN_S)
+
+    def test_reader_that_dies_while_it_tells_is_made_up_for(self) -> None:
+        world = self.world()
+        reader = world.nodes[0]
+        only = {"n11", "n12"}
+        world.cut = lambda a, b: a == reader.name and b not in only
+        name = a_server(5).id
+        world.store.leave(name, 4.0)
+        world.run(2.0)
+        reader.alive = False
+        world.run(4.0)
+        alive = [node for node in world.nodes if node.alive]
+        first = min(node.leaves_seen[name] for node in alive)
+        self.assertLess(world.last_to_see(name, alive) - first, SEEN_S)
+
+    def test_node_cut_from_the_store_and_from_all_that_serve_hears_of_it(self) -> None:
+        world = self.world()
+        lone = world.nodes[200]
+        serving = {node.name for node in world.nodes if node.neighbours.serving}
+        world.no_store = {lone.name}
+        world.cut = lambda a, b: lone.name in (a, b) and bool({a, b} & serving)
+        world.run(2.0)
+        name = a_server(5).id
+        world.store.leave(name, 4.0)
+        world.run(2.0 + READ_S + SEEN_S)
+        first = min(node.leaves_seen[name] for node in world.nodes)
+        self.assertLess(lone.leaves_seen[name] - first, PASSED_ON_S)
+
+    def test_reader_cut_from_the_store_is_made_up_for(self) -> None:
+        world = self.world()
+        world.no_store = {"n0"}
+        name = a_server(5).id
+        world.store.leave(name, 4.0)
+        world.run(1.0 + 2 * READ_S + SEEN_S)
+        self.assertLess(world.last_to_see(name), 1.0 + 2 * READ_S + SEEN_S)
+
+    def test_all_that_serve_end_and_the_others_do_not_come_to_the_store_at_once(self) -> None:
+        world = self.world()
+        for node in world.nodes[:HALLS]:
+            node.alive = False
+        reads = world.store.reads
+        busiest = 0
+        for step in range(60):
+            before = world.store.reads
+            world.run(1.0 + (step + 1) * 0.1)
+            busiest = max(busiest, world.store.reads - before)
+        self.assertGreater(world.store.reads, reads)
+        self.assertLess(busiest, 20)
+
+
+class StoreOnDemand:
+    """A store whose list is read when a test says so."""
+
+    def __init__(self) -> None:
+        self.away = False
+        self.reads = 0
+        self.version = 1
+
+    async def servers(self, _: float) -> object:
+        self.reads += 1
+        if self.away:
+            await asyncio.sleep(0.01)
+            return Err(Trouble("away"))
+        self.version += 1
+        return Ok(StoredList((a_server(1),), self.version, 0.0))
+
+
+class CurrentTest(unittest.TestCase):
+    """No request is sent by a list that is too old while a newer one can be had."""
+
+    def setUp(self) -> None:
+        self.now = 100.0
+        self.store = StoreOnDemand()
+        self.taken: list[list[Server]] = []
+        self.watch = FleetWatch(
+            self.store,  # type: ignore[arg-type]
+            TrueTime(),
+            lambda: 0,
+            self.taken.append,
+            lambda *_: None,
+            lambda _: None,
+            lambda: 12.0,
+            leave_s=LEAVE_S,
+            now=lambda: self.now,
+        )
+
+    def current(self) -> bool:
+        result: list[bool] = []
+
+        async def ask() -> None:
+            result.append(await self.watch.current())
+
+        quietly(ask())
+        return result[0]
+
+    def test_node_in_reserve_that_missed_the_news_reads_before_it_sends(self) -> None:
+        self.assertTrue(self.current())
+        self.now += USABLE_SHARE * LEAVE_S - 0.1
+        self.assertTrue(self.current())
+        self.assertEqual(self.store.reads, 1)
+        self.now += 0.2
+        self.assertTrue(self.current())
+        self.assertEqual(self.store.reads, 2)
+        self.assertLess(USABLE_SHARE * LEAVE_S + CURRENT_WAIT_S, LEAVE_S - 1.0)
+
+    def test_last_list_counts_while_the_store_is_away_for_all(self) -> None:
+        self.assertTrue(self.current())
+        self.store.away = True
+        self.now += 60.0
+        self.assertTrue(self.current())
+        reads = self.store.reads
+        self.assertTrue(self.current())
+        self.assertEqual(self.store.reads, reads, "an outage holds up one request, not each")
+
+    def test_node_that_knows_of_a_newer_list_which_it_can_not_get_sends_nothing(self) -> None:
+        self.assertTrue(self.current())
+        self.store.away = True
+        self.now += 60.0
+        self.watch.heard_head(ListHead(9, 9, 0.1), "n2:3", 1.0)
+        self.assertFalse(self.current())
+
+    def test_requests_that_come_together_share_one_reading(self) -> None:
+        async def ask() -> None:
+            await asyncio.gather(*(self.watch.current() for _ in range(20)))
+
+        quietly(ask())
+        self.assertEqual(self.store.reads, 1)
+
+    def test_nodes_in_reserve_read_for_themselves_late_and_spread(self) -> None:
+        due = []
+        for _ in range(40):
+            self.watch._note_fresh(self.now)
+            due.append(self.watch.due_at() - self.now)
+        self.assertGreaterEqual(min(due), RESERVE_READ_S)
+        self.assertGreater(max(due) - min(due), 2.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tools/gateway_news.py
+++ b/tools/gateway_news.py
@@ -10,15 +10,17 @@
 import msgspec
 
 from moledale.gateway.directory import should_serve
-from moledale.gateway.gossip import FleetNews, StateNews
+from moledale.gateway.gossip import StateNews
 from moledale.gateway.neighbours import ROUND_S, Neighbours
 from moledale.gateway.peers import LeaseNews, Membership, NodeState, Standing
+from moledale.gateway.server_list import ListHead, ServerChange
 
 SIZES = ((9, 4), (91, 4), (390, 7))
 ROUNDS = 50
 ACCOUNTS = 16
 SERVERS_FOLLOWED = 32
 READ_EVERY_S = 0.8
+CONTROL = "10.1.0.14:8229"
 
 
 def a_state(number: int, halls: int, busy: bool) -> NodeState:
@@ -31,7 +33,7 @@
         f"hall-{number % halls}",
         "10.1.0.14:8221",
         f"10.1.{number // 250}.{number % 250}:7600",
-        "10.1.0.14:8229",
+        CONTROL,
         int(Standing.READY),
         7,
         {353445120 + n: accounts for n in range(6)} if busy else {},
@@ -105,9 +107,10 @@
             print(
                 f"| {nodes}, {halls} | {name} | {rate:.1f} | {volume:.0f} | {size} | {heard:.0f} |"
             )
-        same = len(msgspec.msgpack.encode(FleetNews(1, 2**63, 0.1, None)))
-        print(f"| {nodes}, {halls} | reader, list unchanged | {nodes / READ_EVERY_S:.0f} |"
-              f" {nodes * same / READ_EVERY_S:.0f} | {same} | |")  # fmt: skip
+        same = len(msgspec.msgpack.encode(ServerChange(ListHead(1, 2**63, 0.1), 2**63, CONTROL)))
+        told = nodes if few else len(serving)
+        print(f"| {nodes}, {halls} | reader, list unchanged | {told / READ_EVERY_S:.0f} |"
+              f" {told * same / READ_EVERY_S:.0f} | {same} | |")  # fmt: skip
     began = time.perf_counter()
     data = msgspec.msgpack.encode(StateNews(a_state(1, 4, True), []))
     for _ in range(2_000):
--- a/tools/without_gateway.py
+++ b/tools/without_gateway.py
@@ -4,11 +4,20 @@
 from dataclasses import replace
 from typing import Any
 
-from moledale.gateway import directory, fleet_watch, lease_keeper, plan_codec, plan_fetch, renting
+from moledale.gateway import (
+    directory,
+    document_codec,
+    document_fetch,
+    fleet_watch,
+    lease_keeper,
+    renting,
+)
 from moledale.gateway.accounts import AccountLimits, RecentSpending
 from moledale.gateway.admission import Admission
 from moledale.gateway.backoff import Backoff
 from moledale.gateway.balance import ServerBook
+from moledale.gateway.document_archive import DocumentArchive, DocumentPiece, UploadBudget
+from moledale.gateway.document_fetch import DocumentFetch, Transfer
 from moledale.gateway.engine_costs import EngineCosts
 from moledale.gateway.evacuation import Evacuation
 from moledale.gateway.events import EventCutter
@@ -17,13 +26,13 @@
 from moledale.gateway.inbound import InboundConnection
 from moledale.gateway.lease_keeper import LeaseKeeper
 from moledale.gateway.messages import AnswerFacts, AnswerHead
+from moledale.gateway.neighbours import Neighbours
 from moledale.gateway.node import GatewayNode
 from moledale.gateway.peers import LeaseNews, Membership
 from moledale.gateway.plan import PlanIndex
-from moledale.gateway.plan_archive import PlanArchive, PlanPiece, UploadBudget
-from moledale.gateway.plan_fetch import PlanFetch, Transfer
 from moledale.gateway.reply import Reply
 from moledale.gateway.retries import RetryBudget
+from moledale.gateway.server_list import ServerList
 from moledale.gateway.server_model import Slowness, SpeedLearner
 from moledale.gateway.upstream import UpstreamConnection
 from moledale.gateway.work import WorkMeter
@@ -38,6 +47,7 @@
 MEMBERSHIP = "tests.test_gateway_membership"
 SPREAD = "tests.test_plan_spread"
 LEARNING = "tests.test_server_model"
+LISTS = "tests.test_server_list"
 PLACEMENTS = "tests.test_gateway_placements"
 
 _finish = UpstreamConnection.finish
@@ -53,6 +63,11 @@
     return _finish(self, now)
 
 
+async def _always_current(_: FleetWatch) -> bool:
+    """Send by any list."""
+    return True
+
+
 def _ignore_surplus(self: UpstreamConnection, data: bytes) -> None:
     """Take bytes that nobody asked for without closing."""
     if self._asked and not self._complete:
@@ -97,11 +112,11 @@
     return [view for view in self.views.values() if view.server.service == service]
 
 
-async def _no_fetch(self: PlanFetch) -> None:
+async def _no_fetch(self: DocumentFetch) -> None:
     await asyncio.Event().wait()
 
 
-def _begin_anew(self: Transfer, piece: PlanPiece) -> None:
+def _begin_anew(self: Transfer, piece: DocumentPiece) -> None:
     """Take no piece that is not the first one."""
     self.base, self.frame, self.data = piece.base, piece.frame, bytearray()
     if piece.offset == 0:
@@ -135,19 +150,24 @@
     ("others' spending counts", AccountLimits, "spent_elsewhere", lambda *_: None, LIMITS),
     ("streams move off leaving servers", Evacuation, "servers_changed", lambda *_: None,
      "tests.test_gateway_evacuation"),
-    ("peers pass plans on", PlanFetch, "run", _no_fetch, f"{NODES}.PlanTest"),
+    ("peers pass plans on", DocumentFetch, "run", _no_fetch, f"{NODES}.PlanTest"),
     ("a transfer goes on where it was", Transfer, "add", _begin_anew, SPREAD),
     ("fetches take a part of a link", UploadBudget, "take", lambda *_: True, SPREAD),
-    ("a base that is kept is used", PlanArchive, "newest", "", SPREAD),
-    ("a plan's digest is compared", plan_codec, "digest_of", lambda _: "", SPREAD),
-    ("a newer plan is waited for", PlanFetch, "behind", lambda *_: False, SPREAD),
-    ("the store is asked at last", plan_fetch, "STORE_AFTER_S", 1e9, SPREAD),
+    ("a base that is kept is used", DocumentArchive, "newest", "", SPREAD),
+    ("a plan's digest is compared", document_codec, "digest_of", lambda _: "", SPREAD),
+    ("a newer plan is waited for", DocumentFetch, "behind", lambda *_: False, SPREAD),
+    ("the store is asked at last", document_fetch, "STORE_AFTER_S", 1e9, SPREAD),
     ("many repeat calls more seldom", Backoff, "next_s", lambda _: 0.2, "tests.test_backoff"),
     ("servers' speed is learnt", SpeedLearner, "_fit", lambda _: (40_000.0, 0.03), LEARNING),
     ("a slow server is told apart", Slowness, "note", lambda *_: None, LEARNING),
     ("a front is fetched", EngineCosts, "fetches", lambda *_: False, PLACEMENTS),
     ("missing spot servers are made up", renting, "RESERVE_SHARE", -1e9, RENTING),
-    ("one reader tells all others", FleetWatch, "heard", lambda *_: None, f"{NODES}.FleetTest"),
+    ("one reader tells all others", FleetWatch, "heard", lambda *_: None, LISTS),
+    ("others' states show a missed list", FleetWatch, "heard_head", lambda *_: None, LISTS),
+    ("changes of servers are passed on", Neighbours, "told_on", lambda *_: [], LISTS),
+    ("leaving servers are marked at once", ServerList, "_mark", lambda *_: False, LISTS),
+    ("no request goes by an old list", FleetWatch, "current", _always_current, LISTS),
+    ("reserves wait before they read", fleet_watch, "CROWD_SPREAD_S", 0.0, LISTS),
     ("a stop waits for requests", GatewayNode, "_leave", _stop_at_once, f"{NODES}.StopTest"),
     ("counts of former lives are kept", Membership, "all_states",
      lambda self: [each.state for each in self.members.values()], f"{STATE} {MEMBERSHIP}"),
