Leave the lease to those that serve when many start at once

Cause: after the end of all processes each of 195 nodes read the lease, and each wrote its row once the time to live had passed: 390 calls in the test.

Change: nobody tries before it has listened; a node in a crowd counts from its own start until it should have heard of the lease. Nodes in reserve also look more seldom whether it is their turn to read the list.

13 calls after it, in the same test, which was seen failing with 390.

--- a/src/moledale/gateway/fleet_watch.py
+++ b/src/moledale/gateway/fleet_watch.py
@@ -44,6 +44,10 @@
 AGAIN_S = 0.2
 AGAIN_MOST_S = 1.0
 LOOK_S = 0.1
+RESERVE_LOOK_S = 0.5
+"""A node in reserve looks this often whether it is to read; its turn comes after seconds only, and
+a node that wakes up less leaves more of its instance to requests."""
+
 
 RESERVE_READ_S = 2.0
 """A node in reserve reads for itself when it heard of no reading for this long. Those that serve
@@ -147,12 +151,15 @@
         while True:
             left_s = self.due_at() - self._now()
             if left_s > 0:
-                await asyncio.sleep(min(LOOK_S, left_s))
+                await asyncio.sleep(min(self._look_s(), left_s))
             elif await asyncio.shield(self._start_reading()):
                 self._backoff.answered()
             else:
                 await asyncio.sleep(self._backoff.next_s())
 
+    def _look_s(self) -> float:
+        return RESERVE_LOOK_S if self._crowd() > 1.0 else LOOK_S
+
     def due_at(self) -> float:
         """Return when this node reads the list unless it hears of another reading before."""
         if self._crowd() > 1.0:
--- a/src/moledale/gateway/lease_keeper.py
+++ b/src/moledale/gateway/lease_keeper.py
@@ -62,6 +62,7 @@
         self._pending = ""
         self._pending_at = 0.0
         self._renewed_at = 0.0
+        self._began_at = time.monotonic()
         self._news_at = -1e9
         self._told_at = -1e9
         self._read_again_at = -1e9
@@ -115,6 +116,8 @@
         """Do what is due; `rank` orders the candidates, so that they don't all try at once.
 
         A candidate that finds the row unreadable asks again `crowd` times as seldom as one alone.
+        One in a crowd that just started takes the lease for held until it should have heard of it,
+        so of 390 calls of 195 nodes that start at once 13 are left (counted by a test).
         """
         now = time.monotonic()
         action = self.lease.decide(now)
@@ -124,7 +127,8 @@
         if action is LeaseAction.RENEW:
             await self._write(now)
             return
-        if now - self._news_at < self._ttl_s + rank * RANK_DELAY_S:
+        heard_at = max(self._news_at, self._began_at) if crowd > 1.0 else self._news_at
+        if now - heard_at < self._ttl_s + rank * RANK_DELAY_S:
             return
         if action is LeaseAction.TAKE and self.lease.row is not None:
             await self._write(now)
--- a/src/moledale/gateway/neighbours.py
+++ b/src/moledale/gateway/neighbours.py
@@ -91,7 +91,7 @@
             self._alone_since = now
             self._wait_s = STEP_UP_S * self._random.random() if self._many(now) else 0.0
             self.serving = False
-        elif self._listened(now) and now - self._alone_since >= self._wait_s:
+        elif self.listened(now) and now - self._alone_since >= self._wait_s:
             self.serving = True
         return self.serving != before
 
@@ -121,7 +121,7 @@
             if len(others) > FEW and not slow:
                 others = [each for each in others if each.hall == own.hall or each.lease]
             return [each.peer for each in others]
-        if slow or not self._listened(now):
+        if slow or not self.listened(now):
             chosen.update(
                 each.peer
                 for each in alive
@@ -234,9 +234,10 @@
         """Say whether this node may tell callers where to go."""
         if own.standing == Standing.READY and self.serving:
             return True
-        return self._listened(now) or any(each.serving for each in self.members.alive(now))
+        return self.listened(now) or any(each.serving for each in self.members.alive(now))
 
-    def _listened(self, now: float) -> bool:
+    def listened(self, now: float) -> bool:
+        """Say whether this node has listened for long enough to know how many others there are."""
         wait_s = LISTEN_MANY_S if self._many(now) else LISTEN_S
         return now - self._started_at >= wait_s
 
--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -406,8 +406,8 @@
 
     async def _duties_forever(self) -> None:
         while True:
-            if self.standing is not Standing.LEAVING:
-                now = time.monotonic()
+            now = time.monotonic()
+            if self.standing is not Standing.LEAVING and self.neighbours.listened(now):
                 state = self._state()
                 rank = self.neighbours.rank(state, now, True)
                 await self.keeper.step(rank, self.neighbours.crowd(state))
--- a/tests/test_gateway_lease.py
+++ b/tests/test_gateway_lease.py
@@ -1,5 +1,6 @@
 """The lease of the duties: how soon it passes on, and that it never has two holders."""
 
+import asyncio
 import time
 import unittest
 
@@ -26,6 +27,7 @@
         self.loses = False
         self.down = False
         self.reads = 0
+        self.writes = 0
 
     def clock(self) -> float:
         """Return the store's clock, whose start is its own."""
@@ -43,6 +45,7 @@
         self, table: str, key: str, value: bytes, expected: int, timeout_s: float
     ) -> Result[Written, Trouble]:
         """Put the row under its condition."""
+        self.writes += 1
         if self.down:
             return Err(Trouble("down", uncertain=False))
         standing = self.row.version if self.row is not None else 0
@@ -92,6 +95,38 @@
 
         quietly(work())
 
+    def test_many_that_start_at_once_leave_the_lease_to_those_that_serve(self) -> None:
+        async def work() -> None:
+            store = OneRow()
+            row = LeaseRow("gone", 7, "gone/1/1", store.clock() - TTL_S - 1.0)
+            store.row = StateRow(LEASE_KEY, msgspec.json.encode(row), 9)
+            keepers = [keeper(store, f"n{number}") for number in range(195)]
+            for _ in range(3):
+                for number, each in enumerate(keepers):
+                    serving = number < 6
+                    await each.step(number if serving else 6, 1.0 if serving else 12.0)
+                    if (news := keepers[0].news()) is not None:
+                        each.heard("n0", news, time.monotonic())
+            self.assertIsNotNone(keepers[0].grant())
+            self.assertLessEqual(store.reads + store.writes, 13)
+
+        quietly(work())
+
+    def test_one_of_a_crowd_takes_the_lease_of_a_holder_that_nobody_hears(self) -> None:
+        async def work() -> None:
+            store = OneRow()
+            row = LeaseRow("gone", 7, "gone/1/1", store.clock())
+            store.row = StateRow(LEASE_KEY, msgspec.json.encode(row), 9)
+            one = keeper(store, "one")
+            await one.step(1, 12.0)
+            self.assertEqual(store.reads, 0)
+            await asyncio.sleep(TTL_S + 0.3)
+            await one.step(1, 12.0)
+            await one.step(1, 12.0)
+            self.assertIsNotNone(one.grant())
+
+        quietly(work())
+
     def test_told_renewal_counts_until_the_time_to_live_and_no_shorter(self) -> None:
         async def work() -> None:
             store = OneRow()
