--- a/tests/test_gateway_placements.py
+++ b/tests/test_gateway_placements.py
@@ -119,6 +119,40 @@
 SLOW_LINKS = Engine(64, 500_000, 1_000, 100.0, moves=True)
 
 
+class QueuedReadingTest(unittest.TestCase):
+    """Between two first events a server read what any node placed between the prompts."""
+
+    def test_work_of_other_nodes_between_two_prompts_counts(self) -> None:
+        one, other = Node("n1"), Node("n2")
+        for node in (one, other):
+            node.book.apply(SERVERS[:1])
+        one.members.heard(other.state(), 1.0)
+        other.members.heard(one.state(), 1.0)
+        first = one.book.place("model", prompt("a", "1"), ENGINE, 1.0)
+        other.hear(one.news())
+        between = other.book.place("model", prompt("b", "2"), ENGINE, 1.01)
+        one.hear(other.news())
+        second = one.book.place("model", prompt("c", "3"), ENGINE, 1.02)
+        assert first is not None and between is not None and second is not None
+        one.book.note_first(first, 1.2)
+        one.book.note_first(second, 1.8)
+        seen = one.book.learner("model")._seen[-1]
+        self.assertTrue(seen.queued)
+        self.assertAlmostEqual(seen.took_s, 0.6)
+        self.assertEqual(seen.work, between.work + second.work)
+
+    def test_prompt_that_came_after_the_last_first_event_counts_from_its_sending(self) -> None:
+        book = ServerBook("hall-a")
+        book.apply(SERVERS[:1])
+        for number, sent_at in enumerate((1.0, 2.0)):
+            placed = book.place("model", prompt("a", str(number)), ENGINE, sent_at)
+            assert placed is not None
+            book.note_first(placed, sent_at + 0.3)
+        seen = book.learner("model")._seen[-1]
+        self.assertFalse(seen.queued)
+        self.assertAlmostEqual(seen.took_s, 0.3)
+
+
 class FetchTest(unittest.TestCase):
     """A prompt's front comes from another server where that is quicker than reading it."""
 
--- a/tests/test_gateway_renting.py
+++ b/tests/test_gateway_renting.py
@@ -6,12 +6,16 @@
 from moledale.gateway.messages import Server
 from moledale.gateway.plan import PlanIndex, Renting
 from moledale.gateway.renting import (
+    LATE_WORK_S,
     Demand,
+    Load,
     Need,
     Order,
     RentingPlanner,
+    needed,
     shortest_target_s,
 )
+from moledale.gateway.server_model import Speed
 from moledale.gateway.work import OWN_LIFE, WorkMeter
 from tests.gateway_states import HALLS, state
 from tests.gateway_world import a_plan
@@ -56,6 +60,25 @@
         self.assertLess(demand.rate, 1.1 * 100_000)
 
 
+class LateWorkTest(unittest.TestCase):
+    """Work that waits for longer than the target raises the need at once."""
+
+    speed = Speed(50_000.0, 0.02, 0.5, 4_000.0, 100)
+
+    def need(self, work_per_s: float, waiting: float) -> int:
+        return needed(PlanIndex(a_plan()), "model", 64, Load(work_per_s, waiting, 20), self.speed)
+
+    def test_work_that_is_in_time_changes_nothing(self) -> None:
+        target_s = shortest_target_s(PlanIndex(a_plan()), "model")
+        self.assertEqual(self.need(200_000.0, 200_000.0 * target_s), self.need(200_000.0, 0.0))
+
+    def test_late_work_is_worked_off_besides(self) -> None:
+        late = 400_000.0 * LATE_WORK_S
+        target_s = shortest_target_s(PlanIndex(a_plan()), "model")
+        waiting = 200_000.0 * target_s + late
+        self.assertEqual(self.need(200_000.0, waiting), self.need(600_000.0, 0.0))
+
+
 class RentingTest(unittest.TestCase):
     renting = Renting(1, 5, 4.0, 0.15, {"a": 1.0, "b": 0.8, "c": 1.25, "d": 0.9})
 
