Choose among nearly equal servers by rendezvous, not by their order

For half a second half of the first events took 0.3 to 0.4 s and some 2.8 s, with "ahead" 0 and "beside" 0 to 3.

Change: estimates within 2 ms count as equal; then prompts of one front go to the same servers, others elsewhere, plain requests by chance.

--- a/src/moledale/gateway/balance.py
+++ b/src/moledale/gateway/balance.py
@@ -1,5 +1,6 @@
 """Which server gets a request, and what all nodes have placed where."""
 
+import random
 from collections.abc import Callable, Iterable
 
 from moledale.core.hashing import ranked
@@ -15,6 +16,11 @@
 
 OTHER_HALL_S = 0.001
 
+NEAR_S = 0.002
+"""Estimates that differ by less count as equal. Prompts of one front then go to the same servers,
+others elsewhere: nodes that know nothing yet, as after the end of all of them, have equal estimates
+of all servers and would send their first requests to the same ones. Plain requests go by chance."""
+
 
 def affinity_key(parts: tuple[PromptPart, ...]) -> str:
     """Return what requests that should meet on one server have in common."""
@@ -30,6 +36,11 @@
     return view.answer_s * waiting + away + FAILED_WAIT_S * view.failed_share
 
 
+def _steps(cost_s: float) -> int:
+    """Return an estimate as a number that is the same for those that differ by little."""
+    return round(cost_s / NEAR_S)
+
+
 def _nobody_asks() -> None:
     """Nobody wants to know of placements."""
 
@@ -43,6 +54,7 @@
         self.learners: dict[str, SpeedLearner] = {}
         self.on_placed: Callable[[], None] = _nobody_asks
         self._hall = hall
+        self._chance = random.Random()
         self._placed: list[tuple[ServerView, int, tuple[PromptPart, ...]]] = []
 
     def apply(self, servers: Iterable[Server]) -> list[Server]:
@@ -116,7 +128,14 @@
         if not views:
             return None
         if engine is None:
-            best = min(views, key=lambda view: (plain_cost(view, self._hall), view.server.id))
+            best = min(
+                views,
+                key=lambda view: (
+                    _steps(plain_cost(view, self._hall)),
+                    view.all_running,
+                    self._chance.random(),
+                ),
+            )
             return self._count(best, 0, now)
         return self._place_on_engine(service, facts, engine, views, now, moved)
 
@@ -129,16 +148,21 @@
         now: float,
         moved: bool,
     ) -> Placement:
-        home = ranked(affinity_key(facts.parts), (view.server.id for view in views))[0]
+        key = affinity_key(facts.parts) or facts.id
+        order = ranked(key, (view.server.id for view in views))
+        place = {server: number for number, server in enumerate(order)}
         front = self._longest_front(service, facts, now)
         learner = self.learner(service)
         costs = EngineCosts(facts, front, engine, learner.speed(now))
         best = min(
             views,
             key=lambda view: (
-                costs.first_event_s(view, view.server.id == home, now)
-                + FAILED_WAIT_S * view.failed_share,
+                _steps(
+                    costs.first_event_s(view, not place[view.server.id], now)
+                    + FAILED_WAIT_S * view.failed_share
+                ),
                 view.all_running,
+                place[view.server.id],
             ),
         )
         if moved:
