Report usage only once a new holder can have heard the counts

Nodes tell their counts to the holder only; those in reserve, of which one takes the lease first, have none. As states went as differences a newcomer could wait a second longer for a whole one.

Change: a new holder reports after 1.5 s; a state goes by itself as soon as there is an address that missed the last one that did. One test each, the first seen failing with the wait taken out.

--- a/src/moledale/gateway/duties.py
+++ b/src/moledale/gateway/duties.py
@@ -26,6 +26,11 @@
 SETTLE_S = 1.5
 """Counts of a window are complete this long after it ended."""
 
+HEARD_AFTER_S = 1.5
+"""A new holder reports once it has held the lease for this long. Nodes tell their counts to the
+holder only: they hear of it within a round or a second, and tell within a round. Reporting sooner
+froze 103 of 774 requests of a window on a played day of 195 nodes."""
+
 PLAN_S = 0.5
 BACK_WINDOWS = 2
 
@@ -69,6 +74,7 @@
         self._planned_at = -1e9
         self._watched_at = -1e9
         self._epoch = 0
+        self._held_since = -1e9
 
     async def step(self) -> None:
         """Do what is due; demand is watched by all nodes, so that any of them may take over."""
@@ -78,11 +84,14 @@
             return
         if grant.epoch != self._epoch:
             self._epoch = grant.epoch
+            self._held_since = time.monotonic()
             self._planners.clear()
         async with self.acting:
             await asyncio.gather(self._report_usage(), self._rent())
 
     async def _report_usage(self) -> None:
+        if time.monotonic() - self._held_since < HEARD_AFTER_S:
+            return
         usage = self._sharing.usage
         current = usage.window_of(self._sharing.time() - SETTLE_S)
         if self._first_window is None:
--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -278,7 +278,7 @@
         targets = self.neighbours.targets(own, now)
         news = StateNews(own, hints)
         many = self.neighbours.many(now)
-        self._gossip.tell(self._packer.pack(news) if many else news, targets)
+        self._gossip.tell(self._packer.pack(news, targets) if many else news, targets)
         others = self.neighbours.reserves(targets, now)
         if everyone:
             told = set(targets)
--- a/src/moledale/gateway/state_packing.py
+++ b/src/moledale/gateway/state_packing.py
@@ -6,6 +6,7 @@
 """
 
 from collections import OrderedDict
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 import msgspec
@@ -43,14 +44,20 @@
     _key: bytes = b""
     _key_sequence: int = ALONE
     _since_key: int = 0
+    _told: set[str] = field(default_factory=set)
 
-    def pack(self, news: StateNews) -> PackedState:
-        """Return a state as a difference, or by itself if it is time for that."""
+    def pack(self, news: StateNews, targets: Iterable[str]) -> PackedState:
+        """Return a state for some addresses.
+
+        It is a difference, or by itself if it is time for that or one of them missed the last that
+        was, as a node that has just taken the duties.
+        """
         raw = _encoder.encode(news)
         self._since_key += 1
-        if self._key and self._since_key < KEY_EVERY:
+        if self._since_key < KEY_EVERY and self._told.issuperset(targets):
             return _packed(news, raw, self._key_sequence, self._key)
         self._key, self._key_sequence, self._since_key = raw, news.state.sequence, 0
+        self._told = set(targets)
         return _packed(news, raw, ALONE, b"")
 
 
--- a/tests/test_gateway_lease.py
+++ b/tests/test_gateway_lease.py
@@ -7,11 +7,14 @@
 import msgspec
 from result import Err, Ok, Result
 
-from moledale.core.leases import LeaseRow
+from moledale.core.leases import Grant, LeaseRow
+from moledale.gateway.balance import ServerBook
+from moledale.gateway.duties import HEARD_AFTER_S, SETTLE_S, Duties
 from moledale.gateway.lease_keeper import LEASE_KEY, NOBODY, LeaseKeeper, StoreClock
 from moledale.gateway.outside import Reading, StateRow, Trouble, Written
-from moledale.gateway.peers import LeaseNews
+from moledale.gateway.peers import LeaseNews, Membership
 from moledale.gateway.settings import Bounds
+from moledale.gateway.sharing import Sharing
 from tests.gateway_world import quietly
 
 BOUNDS = Bounds(lease_s=0.4)
@@ -259,5 +262,62 @@
         quietly(scenario())
 
 
+class HeldForEver:
+    """A lease that this node holds with a fence."""
+
+    epoch = 3
+
+    def grant(self) -> Grant | None:
+        """Return proof of the lease."""
+        return Grant(LEASE_KEY, self.epoch, 1e18, 0.0)
+
+
+class ReportLog:
+    """The cloud, which notes what is reported."""
+
+    def __init__(self) -> None:
+        self.reported: list[int] = []
+
+    async def report_usage(self, *report: object) -> None:
+        """Note the window."""
+        self.reported.append(int(str(report[2])))
+
+
+class NewHolderTest(unittest.TestCase):
+    def test_new_holder_reports_no_usage_before_it_can_have_heard_of_it(self) -> None:
+        async def work() -> None:
+            log, keeper = ReportLog(), HeldForEver()
+            wall = 1_002.0
+            sharing = Sharing(Membership("n1", 1), Bounds(usage_window_s=5.0), wall=lambda: wall)
+            duties = Duties(
+                "n1",
+                keeper,  # type: ignore[arg-type]
+                OneRow(),  # type: ignore[arg-type]
+                log,  # type: ignore[arg-type]
+                sharing,
+                ServerBook("a"),
+                lambda: None,
+                False,
+            )
+            sharing.started("north")
+            wall = 1_005.1 + SETTLE_S
+            began = time.monotonic()
+            while not log.reported:
+                await duties.step()
+                await asyncio.sleep(0.02)
+            self.assertGreaterEqual(time.monotonic() - began, HEARD_AFTER_S)
+            sharing.started("north")
+            wall += 5.0
+            await duties.step()
+            self.assertEqual(len(log.reported), 2, "a holder of some time reports at once")
+            keeper.epoch += 1
+            sharing.started("north")
+            wall += 5.0
+            await duties.step()
+            self.assertEqual(len(log.reported), 2)
+
+        quietly(work())
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_state_packing.py
+++ b/tests/test_state_packing.py
@@ -13,6 +13,7 @@
 
 ACCOUNTS = [f"account{number}" for number in range(19)]
 SERVERS = [f"i-{number:010x}" for number in range(39)]
+PEERS = ["n3:2", "n4:2"]
 ROUND_BYTES = 700
 """Mean size of a state on the wire; whole it has 2.1 KB."""
 
@@ -43,12 +44,12 @@
         packer, unpacker = StatePacker(), StateUnpacker()
         for sequence in range(1, 3 * KEY_EVERY):
             told = news(sequence)
-            self.assertEqual(unpacker.unpack(packer.pack(told)), told)
+            self.assertEqual(unpacker.unpack(packer.pack(told, PEERS)), told)
 
     def test_differences_are_small(self) -> None:
         packer = StatePacker()
         sizes = [
-            len(msgspec.msgpack.encode(packer.pack(news(sequence))))
+            len(msgspec.msgpack.encode(packer.pack(news(sequence), PEERS)))
             for sequence in range(1, 1 + 4 * KEY_EVERY)
         ]
         self.assertGreater(len(msgspec.msgpack.encode(news(1))), 2_000)
@@ -56,12 +57,16 @@
 
     def test_node_that_missed_the_base_waits_for_the_next_whole_state(self) -> None:
         packer, unpacker = StatePacker(), StateUnpacker()
-        got = [unpacker.unpack(packer.pack(news(number))) for number in range(1, 3 * KEY_EVERY)]
+        got = [
+            unpacker.unpack(packer.pack(news(number), PEERS)) for number in range(1, 3 * KEY_EVERY)
+        ]
         self.assertNotIn(None, got)
         late = StateUnpacker()
         packer = StatePacker()
-        packer.pack(news(1))
-        got = [late.unpack(packer.pack(news(number))) for number in range(2, 2 + 2 * KEY_EVERY)]
+        packer.pack(news(1), PEERS)
+        got = [
+            late.unpack(packer.pack(news(number), PEERS)) for number in range(2, 2 + 2 * KEY_EVERY)
+        ]
         self.assertEqual(got[: KEY_EVERY - 1], [None] * (KEY_EVERY - 1))
         self.assertNotIn(None, got[KEY_EVERY - 1 :])
 
@@ -73,12 +78,19 @@
         self.assertEqual([each.id for each in members.alive(2.5)], ["n2"])
         self.assertEqual(members.alive(2.0 + ALIVE_MANY_S), [])
 
+    def test_address_that_was_not_told_before_gets_a_whole_state_at_once(self) -> None:
+        packer, newcomer = StatePacker(), StateUnpacker()
+        packer.pack(news(1), PEERS)
+        told = news(2)
+        self.assertEqual(newcomer.unpack(packer.pack(told, [*PEERS, "n5:2"])), told)
+        self.assertEqual(newcomer.unpack(packer.pack(news(3), PEERS)), news(3))
+
     def test_short_state_is_no_base(self) -> None:
         packer, unpacker = StatePacker(), StateUnpacker()
-        unpacker.unpack(packer.pack(news(1)))
+        unpacker.unpack(packer.pack(news(1), PEERS))
         short = StateNews(news(2).state.shortened(), [])
         self.assertEqual(unpacker.unpack(pack_alone(short)), short)
-        self.assertEqual(unpacker.unpack(packer.pack(news(3))), news(3))
+        self.assertEqual(unpacker.unpack(packer.pack(news(3), PEERS)), news(3))
 
     @settings(
         derandomize=True,
@@ -96,7 +108,7 @@
             packer = StatePacker()
             for sequence in range(1, 2 * KEY_EVERY):
                 each = news(sequence, life=life)
-                told.append((each, packer.pack(each)))
+                told.append((each, packer.pack(each, PEERS)))
         unpacker = StateUnpacker()
         picked = st.lists(st.sampled_from(range(len(told))), max_size=30)
         for index in data.draw(picked):
