--- a/tools/gateway_news.py
+++ b/tools/gateway_news.py
@@ -5,6 +5,7 @@
 """
 
 import argparse
+import random
 import time
 
 import msgspec
@@ -14,12 +15,16 @@
 from moledale.gateway.neighbours import ROUND_S, Neighbours
 from moledale.gateway.peers import LeaseNews, Membership, NodeState, Standing
 from moledale.gateway.server_list import ListHead, ServerChange
+from moledale.gateway.state_packing import KEY_EVERY, StatePacker, pack_alone
 
 SIZES = ((9, 4), (91, 4), (390, 7))
 ROUNDS = 50
 ACCOUNTS = 16
 SERVERS_FOLLOWED = 32
 READ_EVERY_S = 0.8
+CHANGED_LOADS = 0.5
+"""Part of the servers whose load differs from one state to the next."""
+
 CONTROL = "10.1.0.14:8229"
 
 
@@ -64,6 +69,29 @@
     return states
 
 
+def on_the_wire(own: NodeState, few: bool) -> float:
+    """Return the mean size of a state as sent, with counts that change from round to round."""
+    if few:
+        return len(msgspec.msgpack.encode(StateNews(own, [])))
+    packer = StatePacker()
+    sizes = []
+    for number in range(KEY_EVERY):
+        chance = random.Random(number)
+        changed = msgspec.structs.replace(
+            own,
+            sequence=own.sequence + number,
+            spent={name: value + 97.0 * number for name, value in own.spent.items()},
+            loads={
+                name: (chance.randrange(6), chance.randrange(20_000))
+                if chance.random() < CHANGED_LOADS
+                else load
+                for name, load in own.loads.items()
+            },
+        )
+        sizes.append(len(msgspec.msgpack.encode(packer.pack(StateNews(changed, []), []))))
+    return sum(sizes) / len(sizes)
+
+
 def cost_of(own: NodeState, states: list[NodeState]) -> tuple[float, float]:
     """Return datagrams and bytes a second that a node sends."""
     members = Membership(own.id, own.life)
@@ -72,9 +100,8 @@
         members.heard(state, 10.0)
         neighbours.addresses.add(state.peer, 10.0)
     neighbours.serving = own.serving
-    news = StateNews(own, neighbours.hints(10.0))
-    size = len(msgspec.msgpack.encode(news))
-    short = len(msgspec.msgpack.encode(StateNews(own.shortened(), [])))
+    size = on_the_wire(own, not neighbours.many(10.0))
+    short = len(msgspec.msgpack.encode(pack_alone(StateNews(own.shortened(), []))))
     whole = brief = 0
     for number in range(ROUNDS):
         now = 10.0 + number * ROUND_S / 100
@@ -98,15 +125,14 @@
             for state in serving
         ]
         reserve = next(state for state in states if not state.serving)
-        sizes = [len(msgspec.msgpack.encode(StateNews(state, []))) for state in (busy[0], reserve)]
         few = nodes <= 17
-        short = len(msgspec.msgpack.encode(StateNews(busy[0].shortened(), [])))
+        sizes = [on_the_wire(state, few) for state in (busy[0], reserve)]
+        short = len(msgspec.msgpack.encode(pack_alone(StateNews(busy[0].shortened(), []))))
         heard = len(serving) * (sizes[0] / ROUND_S if few else short)
         for name, own, size in (("serving", busy[0], sizes[0]), ("reserve", reserve, sizes[1])):
             rate, volume = cost_of(own, states)
-            print(
-                f"| {nodes}, {halls} | {name} | {rate:.1f} | {volume:.0f} | {size} | {heard:.0f} |"
-            )
+            sent = f"{rate:.1f} | {volume:.0f} | {size:.0f}"
+            print(f"| {nodes}, {halls} | {name} | {sent} | {heard:.0f} |")
         same = len(msgspec.msgpack.encode(ServerChange(ListHead(1, 2**63, 0.1), 2**63, CONTROL)))
         told = nodes if few else len(serving)
         print(f"| {nodes}, {halls} | reader, list unchanged | {told / READ_EVERY_S:.0f} |"
