Tell when a list was read on the store's clock, not how long ago

Cause, found while reading the change: an age that is told grows younger by the way of each message, since that is counted nowhere. Over links of 0.25 s nine nodes took a list for 0.2 to 0.4 s old five seconds after the last reading, each from the others, so that none read it any more; a slow or thawed node would do the same to its peers.

Change: heads carry the store's steady clock of the reading and of the store's last return; each node knows that clock from its own calls, and one that does not takes no list for fresh by hearsay.

The test of it was run on the code before by a script of the same steps: 0.43 s after five seconds; 5.0 s now.

--- a/src/moledale/gateway/fleet_watch.py
+++ b/src/moledale/gateway/fleet_watch.py
@@ -27,7 +27,7 @@
 from moledale.gateway.messages import Server
 from moledale.gateway.outside import Store
 from moledale.gateway.server_list import (
-    ENDLESS_S,
+    NEVER_S,
     Difference,
     ListHead,
     ServerChange,
@@ -123,6 +123,8 @@
         self._usable_s = USABLE_SHARE * leave_s
         self._now = now
         self._fresh_at = -1e9
+        self._read_s = NEVER_S
+        self._returned_s = NEVER_S
         self._returned_at = -1e9
         self._failed_at = -1e9
         self._believed: list[Server] = []
@@ -142,9 +144,7 @@
         """Return which list this node has, for others."""
         if not self.known:
             return None
-        now = self._now()
-        returned_s = min(ENDLESS_S, now - self._returned_at)
-        return ListHead(self.list.version, self.list.digest, now - self._fresh_at, returned_s)
+        return ListHead(self.list.version, self.list.digest, self._read_s, self._returned_s)
 
     async def watch(self) -> None:
         """Read the list whenever it is this node's turn, for ever."""
@@ -228,11 +228,11 @@
         listed = outcome.ok_value
         self._true_time.store_read(listed.store_s, sent_at, self._now())
         if self._failed_at > self._fresh_at and sent_at - self._fresh_at > OUTAGE_S:
-            self._returned_at = sent_at
+            self._returned_at, self._returned_s = sent_at, listed.store_s
         base = self.list.digest
         difference = self.list.read(listed.servers, listed.version)
         if listed.version >= self.list.version:
-            self._note_fresh(sent_at)
+            self._note_fresh(sent_at, listed.store_s)
         if difference is None:
             self.archive.renew(self.list.version)
             self.drop_lapsed()
@@ -267,25 +267,29 @@
 
     def _confirmed(self, head: ListHead) -> None:
         self.archive.renew(self.list.version)
-        self._note_fresh(self._now() - head.age_s)
+        read_at = self._true_time.local(head.read_s)
+        if read_at is not None:
+            self._note_fresh(min(read_at, self._now()), head.read_s)
         self.drop_lapsed()
 
-    def _note_fresh(self, read_at: float) -> None:
-        """Note that the list is that of a reading.
+    def _note_fresh(self, read_at: float, store_s: float) -> None:
+        """Note that the list is that of a reading, on this node's clock and on the store's.
 
         Nodes in reserve that find the next reading late must not read all at once.
         """
         self._spread_s = CROWD_SPREAD_S * (self._crowd() - 1.0) * self._random.random()
         self._fresh_at = max(self._fresh_at, read_at)
+        self._read_s = max(self._read_s, store_s)
 
     def _note_return(self, head: ListHead) -> None:
         """Note when the store was back, as the node that reads it knows it.
 
         A node that had a list all the time knows better.
         """
-        now = self._now()
-        if now - head.age_s - self._fresh_at > OUTAGE_S:
-            self._returned_at = max(self._returned_at, now - head.returned_s)
+        returned_at = self._true_time.local(head.returned_s)
+        if returned_at is not None and head.read_s - self._read_s > OUTAGE_S:
+            self._returned_at = max(self._returned_at, returned_at)
+            self._returned_s = max(self._returned_s, head.returned_s)
 
     def _changed(self, from_store: bool) -> None:
         """Hand on a list that differs from the one before."""
--- a/src/moledale/gateway/server_list.py
+++ b/src/moledale/gateway/server_list.py
@@ -21,19 +21,21 @@
 MOST_PACKETS = 4
 """A change of more packets is fetched instead; servers that leave or are gone are always told."""
 
-ENDLESS_S = 1e9
+NEVER_S = -1e9
 
 
 class ListHead(msgspec.Struct, frozen=True, array_like=True):
-    """Which list a node has: its version and digest, and how long ago it was read.
+    """Which list a node has: its version and digest, and when it was last read from the store.
 
-    `returned_s` is the time since the store was last back from an outage.
+    `read_s` is that time and `returned_s` when the store was last back from an outage, both on the
+    store's steady clock: an age would grow younger by the way of each message, and a list that
+    nobody reads any more would pass for new among nodes that tell each other of it.
     """
 
     version: int
     digest: int
-    age_s: float
-    returned_s: float = ENDLESS_S
+    read_s: float
+    returned_s: float = NEVER_S
 
 
 class Leaving(msgspec.Struct, frozen=True, array_like=True):
--- a/src/moledale/gateway/usage.py
+++ b/src/moledale/gateway/usage.py
@@ -28,6 +28,10 @@
         ):
             self._store_ahead_s = ahead
 
+    def local(self, store_s: float) -> float | None:
+        """Return when the store's clock showed a time, on this machine's monotonic clock."""
+        return None if self._store_ahead_s is None else store_s - self._store_ahead_s
+
     def offset_s(self, wall: float, now: float) -> float | None:
         """Return how far this machine's time of day is ahead of the store's clock."""
         return None if self._store_ahead_s is None else wall - (now + self._store_ahead_s)
