--- a/tests/list_world.py
+++ b/tests/list_world.py
@@ -128,6 +128,8 @@
         self.name = f"n{number}"
         self.hall = f"hall-{number % HALLS}"
         self.alive = True
+        self.frozen = False
+        self.held: list[StateNews | ServerChange] = []
         self.sent_bytes = 0
         self.link_free_at = 0.0
         self.members = Membership(self.name, 1)
@@ -187,6 +189,9 @@
         """Tell this node's state, and read the list if it is its turn."""
         if not self.alive:
             return
+        if self.frozen:
+            self.world.later(ROUND_S, self.round)
+            return
         now = self.world.now
         own = self.state()
         targets = self.neighbours.targets(own, now)
@@ -198,14 +203,17 @@
         """Read the list once it is this node's turn."""
         if not self.alive:
             return
-        if self.watch.due_at() <= self.world.now:
+        if not self.frozen and self.watch.due_at() <= self.world.now:
             finished(self.watch._read())
         self.world.later(0.05, self.look)
 
     def hear(self, message: StateNews | ServerChange) -> None:
-        """Take over what another node told."""
+        """Take over what another node told; a frozen node does so once it thaws."""
         if not self.alive:
             return
+        if self.frozen:
+            self.held.append(message)
+            return
         if isinstance(message, ServerChange):
             self.watch.heard(message)
             return
@@ -217,6 +225,14 @@
             self.watch.heard_head(told.servers, told.control, told.power)
 
 
+def thaw(node: ListNode) -> None:
+    """Let a frozen node go on with what came meanwhile."""
+    node.frozen = False
+    held, node.held = node.held, []
+    for message in held:
+        node.hear(message)
+
+
 class ListWorld:
     """All nodes, the store and the network between them."""
 
--- a/tests/test_server_list.py
+++ b/tests/test_server_list.py
@@ -29,7 +29,7 @@
 )
 from moledale.gateway.usage import TrueTime
 from tests.gateway_world import quietly
-from tests.list_world import HALLS, ListWorld, a_server
+from tests.list_world import HALLS, ListWorld, a_server, finished, thaw
 
 TARGET_NODES = 390
 TARGET_SERVERS = 1_100
@@ -244,6 +244,38 @@
         first = min(node.leaves_seen[name] for node in world.nodes)
         self.assertLess(lone.leaves_seen[name] - first, PASSED_ON_S)
 
+    def test_two_that_read_at_once_agree_with_all(self) -> None:
+        world = self.world(0.05)
+        world.doubled = 0.3
+        one, two = a_server(5).id, a_server(6).id
+        world.store.leave(one, 4.0)
+        finished(world.nodes[0].watch._read())
+        world.store.leave(two, 4.0)
+        finished(world.nodes[1].watch._read())
+        finished(world.nodes[0].watch._read())
+        world.run(1.0 + SEEN_S)
+        self.assertLess(max(world.last_to_see(one), world.last_to_see(two)), 1.0 + SEEN_S)
+        world.run(1.0 + READ_S + SEEN_S)
+        self.assertEqual(len({node.watch.list.digest for node in world.nodes}), 1)
+
+    def test_reader_that_froze_goes_on_with_the_newest_list(self) -> None:
+        world = self.world(nodes=77)
+        reader = world.nodes[0]
+        reader.frozen = True
+        name = a_server(5).id
+        world.store.leave(name, 4.0)
+        world.run(5.0)
+        others = [node for node in world.nodes if node is not reader]
+        self.assertLess(world.last_to_see(name, others), 1.0 + 2 * READ_S)
+        versions = []
+        thaw(reader)
+        for step in range(20):
+            world.run(5.0 + step * 0.1)
+            versions.append(reader.watch.list.version)
+        self.assertEqual(versions, sorted(versions))
+        self.assertIn(name, reader.leaves_seen)
+        self.assertEqual(len({node.watch.list.digest for node in world.nodes}), 1)
+
     def test_reader_cut_from_the_store_is_made_up_for(self) -> None:
         world = self.world()
         world.no_store = {"n0"}
