Load tests before a mechanism is taken away

A worker that imported the tests while the constant was patched gave them the patched one by name, and they held it against itself.

--- a/tools/without.py
+++ b/tools/without.py
@@ -221,9 +221,9 @@
     # What a test leaves behind when it fails is no news here.
     logging.disable(logging.CRITICAL)
     entry = TABLE[index]
+    # Tests are loaded first: one that imports a constant by name must not get the patched one.
+    suite = unittest.defaultTestLoader.loadTestsFromNames(entry.tests.split())
     with entry.patch():
-        names = entry.tests.split()
-        suite = unittest.defaultTestLoader.loadTestsFromNames(names)
         outcome = unittest.TextTestRunner(stream=io.StringIO()).run(suite)
     bad = [*outcome.failures, *outcome.errors]
     return index, sorted({test.id().split(".", 2)[-1] for test, _ in bad})
