--- a/src/moledale/gateway/fleet_watch.py
+++ b/src/moledale/gateway/fleet_watch.py
@@ -275,10 +275,12 @@
     def _note_fresh(self, read_at: float, store_s: float) -> None:
         """Note that the list is that of a reading, on this node's clock and on the store's.
 
-        Nodes in reserve that find the next reading late must not read all at once.
+        Nodes in reserve that find the next reading late must not read all at once. Word of a known
+        reading changes nothing: each new draw would be another chance to read early.
         """
-        self._spread_s = CROWD_SPREAD_S * (self._crowd() - 1.0) * self._random.random()
-        self._fresh_at = max(self._fresh_at, read_at)
+        if read_at > self._fresh_at:
+            self._spread_s = CROWD_SPREAD_S * (self._crowd() - 1.0) * self._random.random()
+            self._fresh_at = read_at
         self._read_s = max(self._read_s, store_s)
 
     def _note_return(self, head: ListHead) -> None:
--- a/tests/test_server_list.py
+++ b/tests/test_server_list.py
@@ -303,7 +303,7 @@
             world.run(1.0 + (step + 1) * 0.1)
             busiest = max(busiest, world.store.reads - before)
         self.assertGreater(world.store.reads, reads)
-        self.assertLess(busiest, 20)
+        self.assertLess(busiest, 15)
 
 
 class StoreOnDemand:
@@ -388,8 +388,11 @@
     def test_nodes_in_reserve_read_for_themselves_late_and_spread(self) -> None:
         due = []
         for _ in range(40):
+            self.now += 0.8
             self.watch._note_fresh(self.now, 0.0)
             due.append(self.watch.due_at() - self.now)
+            self.watch._note_fresh(self.now, 0.0)
+            self.assertEqual(self.watch.due_at() - self.now, due[-1], "known already")
         self.assertGreaterEqual(min(due), RESERVE_READ_S)
         self.assertGreater(max(due) - min(due), 2.0)
 
