Weigh few candidates for a request, found without a walk over all servers

Cause: a choice hashed, sorted and weighed all servers of a service, and searched all of them for the front of the prompt; each round of states and each plan of renting walked all servers too.

Change: servers of a service stand in a group that keeps them in order as loads change (a heap for each hall), knows which of them hold a part of a prompt, and the home of a front by consistent hashing. A request is weighed against holders, its home, servers with a connection at rest and the least loaded of each hall, 27 at most with four halls. What other nodes have running is counted by differences; sums of a service are kept up to date.

--- a/src/moledale/gateway/balance.py
+++ b/src/moledale/gateway/balance.py
@@ -3,25 +3,20 @@
 import random
 from collections.abc import Callable, Iterable
 
-from moledale.core.hashing import ranked
-from moledale.gateway.engine_costs import EngineCosts, Front, prefill_work
+from moledale.core.hashing import weight
+from moledale.gateway.engine_costs import EngineCosts, Front, load_s, prefill_work
 from moledale.gateway.messages import Placed, PromptPart, RequestFacts, Server
-from moledale.gateway.peers import NodeState
+from moledale.gateway.peers import Loads, NodeState
 from moledale.gateway.plan import Engine
+from moledale.gateway.server_group import ServerGroup, steps
 from moledale.gateway.server_model import FirstEvent, Speed, SpeedLearner
-from moledale.gateway.server_view import FIRST_PAUSE_S, Placement, ServerView
+from moledale.gateway.server_view import ENGINE_SLOTS, FIRST_PAUSE_S, Placement, ServerView
 
 FAILED_WAIT_S = 0.4
 """Extra cost of a server for each part of its answers that failed lately."""
 
 OTHER_HALL_S = 0.001
 
-NEAR_S = 0.002
-"""Estimates that differ by less count as equal. Prompts of one front then go to the same servers,
-others elsewhere: nodes that know nothing yet, as after the end of all of them, have equal estimates
-of all servers and would send their first requests to the same ones. Plain requests go by chance,
-both to a server with a connection at rest first, since a new one takes 1 ms of it."""
-
 
 def affinity_key(parts: tuple[PromptPart, ...]) -> str:
     """Return what requests that should meet on one server have in common."""
@@ -37,22 +32,26 @@
     return view.answer_s * waiting + away + FAILED_WAIT_S * view.failed_share
 
 
-def _steps(cost_s: float) -> int:
-    """Return an estimate as a number that is the same for those that differ by little."""
-    return round(cost_s / NEAR_S)
-
-
 def _not_known(_: str) -> bool:
     """Know of no connection."""
     return False
 
 
+def _none_resting() -> Iterable[str]:
+    """Know of no connection."""
+    return ()
+
+
 def _nobody_asks() -> None:
     """Nobody wants to know of placements."""
 
 
 class ServerBook:
-    """The servers of all services, with what this node and its peers have running there."""
+    """The servers of all services, with what this node and its peers have running there.
+
+    `has_connection` says whether a connection to a server is at rest; `resting` tells all of these,
+    the one used last first.
+    """
 
     def __init__(self, hall: str) -> None:
         self.views: dict[str, ServerView] = {}
@@ -60,63 +59,89 @@
         self.learners: dict[str, SpeedLearner] = {}
         self.on_placed: Callable[[], None] = _nobody_asks
         self.has_connection: Callable[[str], bool] = _not_known
+        self.resting: Callable[[], Iterable[str]] = _none_resting
         self._hall = hall
         self._chance = random.Random()
+        self._groups: dict[str, ServerGroup] = {}
+        self._counted: dict[str, Loads] = {}
         self._placed: list[tuple[ServerView, int, tuple[PromptPart, ...]]] = []
 
     def apply(self, servers: Iterable[Server]) -> list[Server]:
         """Take over the list of servers; return those that are there no more."""
-        listed = {server.id: server for server in servers}
+        by_service: dict[str, dict[str, Server]] = {name: {} for name in self._groups}
+        listed = set()
+        for server in servers:
+            by_service.setdefault(server.service, {})[server.id] = server
+            listed.add(server.id)
         gone = [view.server for name, view in self.views.items() if name not in listed]
         for server in gone:
             del self.views[server.id]
-        for name, server in listed.items():
-            known = self.views.get(name)
-            if known is None:
-                self.views[name] = ServerView(server)
-            else:
-                known.server = server
+        for service, here in by_service.items():
+            for view in self.group(service).apply(here.values()):
+                self.views[view.server.id] = view
+                self._count_others(view)
         return gone
 
+    def group(self, service: str) -> ServerGroup:
+        """Return the servers of a service."""
+        group = self._groups.get(service)
+        if group is None:
+            group = ServerGroup(self._hall, self._load_s, self._chance)
+            self._groups[service] = group
+        return group
+
+    def _load_s(self, view: ServerView, now: float) -> float:
+        """Estimate what keeps a request of usual size waiting, to keep servers in order."""
+        if view.server.slots < ENGINE_SLOTS:
+            return plain_cost(view, self._hall)
+        speed = self.learner(view.server.service).last
+        return load_s(view, speed, now) + FAILED_WAIT_S * view.failed_share
+
+    # What other nodes have running
+
     def others(self, states: Iterable[NodeState]) -> None:
-        """Take over what live peers have running."""
+        """Take over what live peers have running and have learnt."""
         states = list(states)
         for service in {service for state in states for service in state.speeds}:
             told = (state.speeds.get(service) for state in states)
             self.learner(service).others(speed for speed in told if speed is not None)
-        for view in self.views.values():
-            view.others_running = 0
-            view.others_prefill = 0
+        alive = {state.id for state in states}
+        for node in [node for node in self._counted if node not in alive]:
+            self.take_loads(node, {})
+            del self._counted[node]
         for state in states:
-            for name, (running, prefill) in state.loads.items():
-                known = self.views.get(name)
-                if known is not None:
-                    known.others_running += running
-                    known.others_prefill += prefill
+            self.take_loads(state.id, state.loads)
 
-    def loads(self) -> dict[str, tuple[int, int]]:
-        """Return what this node has running, by server."""
-        return {
-            name: (view.running, view.prefill_tokens)
-            for name, view in self.views.items()
-            if view.running
-        }
-
-    def ready(self, service: str, now: float, excluded: frozenset[str]) -> list[ServerView]:
-        """Return the servers that may get new work; paused ones only if there are no others."""
-        staying = [
-            view
-            for view in self.views.values()
-            if view.server.service == service
-            and not view.server.leaving
-            and view.server.id not in excluded
+    def take_loads(self, node: str, loads: Loads) -> None:
+        """Count what a node has running in place of what it had when last counted."""
+        before = self._counted.get(node, {})
+        if before is loads:
+            return
+        self._counted[node] = loads
+        for name in before.keys() | loads.keys():
+            view = self.views.get(name)
+            was, now = before.get(name, (0, 0)), loads.get(name, (0, 0))
+            if view is not None and was != now:
+                view.add_others(now[0] - was[0], now[1] - was[1])
+
+    def _count_others(self, view: ServerView) -> None:
+        """Count what others have at a server that is new here."""
+        told = [
+            loads[view.server.id] for loads in self._counted.values() if view.server.id in loads
         ]
-        return [view for view in staying if view.paused_until <= now] or staying
+        if told:
+            view.add_others(sum(each[0] for each in told), sum(each[1] for each in told))
+
+    def loads(self) -> Loads:
+        """Return what this node has running, by server."""
+        busy = (group.views[name] for group in self._groups.values() for name in group.busy)
+        return {view.server.id: (view.running, view.prefill_tokens) for view in busy}
+
+    # Choosing
 
     def has_other(self, service: str, now: float, tried: frozenset[str]) -> bool:
         """Say whether a server is there that was not tried and is not paused."""
-        ready = self.ready(service, now, tried)
-        return any(view.paused_until <= now for view in ready)
+        return self.group(service).has_other(now, tried)
 
     def place(
         self,
@@ -131,47 +156,55 @@
 
         A request that is `moved` brings its memory along, so it reads nothing there.
         """
-        views = self.ready(service, now, excluded)
+        if engine is None:
+            return self._place_plain(service, now, excluded)
+        return self._place_on_engine(service, facts, engine, now, excluded, moved)
+
+    def _place_plain(self, service: str, now: float, excluded: frozenset[str]) -> Placement | None:
+        views = self.group(service).candidates(now, excluded, resting=self.resting())
         if not views:
             return None
-        if engine is None:
-            best = min(
-                views,
-                key=lambda view: (
-                    _steps(plain_cost(view, self._hall)),
-                    not self.has_connection(view.server.id),
-                    view.all_running,
-                    self._chance.random(),
-                ),
-            )
-            return self._count(best, 0, now)
-        return self._place_on_engine(service, facts, engine, views, now, moved)
+        best = min(
+            views,
+            key=lambda view: (
+                steps(plain_cost(view, self._hall)),
+                not self.has_connection(view.server.id),
+                view.all_running,
+                self._chance.random(),
+            ),
+        )
+        return self._count(best, 0, now)
 
     def _place_on_engine(
         self,
         service: str,
         facts: RequestFacts,
         engine: Engine,
-        views: list[ServerView],
         now: float,
+        excluded: frozenset[str],
         moved: bool,
-    ) -> Placement:
+    ) -> Placement | None:
+        group = self.group(service)
         key = affinity_key(facts.parts) or facts.id
-        order = ranked(key, (view.server.id for view in views))
-        place = {server: number for number, server in enumerate(order)}
-        front = self._longest_front(service, facts, now)
+        home = group.home(key)
+        holders = group.holders(facts.parts)
+        views = group.candidates(now, excluded, holders, home, self.resting())
+        if not views:
+            return None
+        front = self._longest_front(holders, facts, now)
         learner = self.learner(service)
         costs = EngineCosts(facts, front, engine, learner.speed(now))
         best = min(
             views,
             key=lambda view: (
-                _steps(
-                    costs.first_event_s(view, not place[view.server.id], now)
+                steps(
+                    costs.first_event_s(view, view.server.id == home, now)
                     + FAILED_WAIT_S * view.failed_share
                 ),
                 not self.has_connection(view.server.id),
                 view.all_running,
-                place[view.server.id],
+                view.server.id != home,
+                -weight(key, view.server.id),
             ),
         )
         if moved:
@@ -197,13 +230,16 @@
     def _tell(self, placement: Placement, facts: RequestFacts, engine: Engine) -> None:
         """Note a placed prompt's parts, and that other nodes should hear of it."""
         view = placement.view
-        view.remember(facts.parts, engine.cache_tokens)
+        self.group(view.server.service).remember(view, facts.parts, engine.cache_tokens)
         self._placed.append((view, placement.work, facts.parts))
         self.on_placed()
 
     def learner(self, service: str) -> SpeedLearner:
         """Return what is being learnt of a service's servers."""
-        return self.learners.setdefault(service, SpeedLearner())
+        learner = self.learners.get(service)
+        if learner is None:
+            learner = self.learners[service] = SpeedLearner()
+        return learner
 
     def note_first(self, placement: Placement, now: float) -> None:
         """Learn from a stream's first event."""
@@ -236,21 +272,19 @@
 
     def running(self, service: str) -> int:
         """Return the requests that all nodes have at a service's servers."""
-        return sum(
-            view.all_running for view in self.views.values() if view.server.service == service
-        )
+        return self.group(service).running
 
     def waiting(self, service: str) -> int:
         """Return the prompt tokens that all nodes have waiting at a service's servers."""
-        return sum(
-            view.all_prefill for view in self.views.values() if view.server.service == service
-        )
+        return self.group(service).prefill
 
-    def _longest_front(self, service: str, facts: RequestFacts, now: float) -> Front:
+    def _longest_front(
+        self, holders: Iterable[ServerView], facts: RequestFacts, now: float
+    ) -> Front:
         """Return the longest front of a prompt that a sound server has, leaving ones included."""
         best = Front()
-        for view in self.views.values():
-            if view.server.service != service or view.paused_until > now or view.failures:
+        for view in holders:
+            if view.paused_until > now or view.failures:
                 continue
             tokens = view.covers(facts.parts)
             if tokens > best.tokens:
@@ -266,22 +300,29 @@
         self._placed.clear()
         return placed
 
-    def heard_placed(self, news: Placed, before: tuple[int, int], engine: Engine | None) -> None:
-        """Count what another node placed, which had `before` there until now."""
+    def heard_placed(self, node: str, loads: Loads, news: Placed, engine: Engine | None) -> None:
+        """Count what another node placed, which has `loads` until now."""
+        self.take_loads(node, loads)
+        before = loads.get(news.server, (0, 0))
+        loads[news.server] = (news.running, news.prefill)
         view = self.views.get(news.server)
         if view is None:
             return
-        view.others_running += news.running - before[0]
-        view.others_prefill += news.prefill - before[1]
         view.reading.place(news.work)
         if engine is not None:
-            view.remember(news.parts, engine.cache_tokens)
+            self.group(view.server.service).remember(view, news.parts, engine.cache_tokens)
+        view.add_others(news.running - before[0], news.prefill - before[1])
 
-    def pause_silent(self, now: float) -> None:
-        """Pause servers that say nothing though they should; a kept connection hides a dark one."""
-        for view in self.views.values():
-            if view.is_silent(now):
-                view.paused_until = max(view.paused_until, now + FIRST_PAUSE_S)
+    def tick(self, now: float) -> None:
+        """Follow the time: pause servers that say nothing though they should.
+
+        A kept connection hides a dark one.
+        """
+        for group in self._groups.values():
+            for name in list(group.busy):
+                if group.views[name].is_silent(now):
+                    group.views[name].pause(now + FIRST_PAUSE_S)
+            group.tick(now)
 
     def _count(self, view: ServerView, prefill: int, now: float) -> Placement:
         if not view.running:
@@ -292,4 +333,5 @@
         placement.through = view.reading.place(prefill)
         view.running += 1
         view.prefill_tokens += prefill
+        view.changed()
         return placement
--- a/src/moledale/gateway/engine_costs.py
+++ b/src/moledale/gateway/engine_costs.py
@@ -42,6 +42,27 @@
     return FETCH_SETUP_S + tokens * engine.token_bytes * 8e-6 / max(1.0, engine.link_mbps)
 
 
+def slot_s(running: int, slots: int, hold_s: float) -> float:
+    """Return the seconds until a slot is free, little by little as the batch fills."""
+    each_s = hold_s / slots
+    if running >= slots:
+        return each_s * (running + 1 - slots)
+    return each_s * float((running / slots) ** (sqrt(2.0 * (slots + 1)) - 1.0))
+
+
+def load_s(view: ServerView, speed: Speed, now: float) -> float:
+    """Return by how many seconds a prompt of usual size, cached nowhere, is later than alone.
+
+    That a server which is empty and sound has zero keeps servers in order when the speed that is
+    learnt changes: only those with work are estimated anew.
+    """
+    beside = view.all_running
+    work = speed.still_ahead(view.all_prefill) + speed.residual_work
+    took_s = speed.reading_s(work, beside) * view.slowness.times(now)
+    alone_s = speed.reading_s(speed.residual_work)
+    return took_s - alone_s + slot_s(beside, view.server.slots, speed.hold_s)
+
+
 @dataclass(frozen=True, slots=True)
 class EngineCosts:
     """Estimates for one prompt at the servers of a service, from what was learnt of them."""
@@ -80,12 +101,5 @@
         beside = view.all_running
         waiting = self.speed.still_ahead(view.all_prefill)
         took_s = self.speed.reading_s(waiting, beside) + self.reading_s(cached, beside)
-        return took_s * view.slowness.times(now) + self.slot_s(view)
-
-    def slot_s(self, view: ServerView) -> float:
-        """Return the seconds until a slot is free, little by little as the batch fills."""
-        slots = self.engine.slots
-        each_s = self.speed.hold_s / slots
-        if view.all_running >= slots:
-            return each_s * (view.all_running + 1 - slots)
-        return each_s * float((view.all_running / slots) ** (sqrt(2.0 * (slots + 1)) - 1.0))
+        slots_s = slot_s(beside, self.engine.slots, self.speed.hold_s)
+        return took_s * view.slowness.times(now) + slots_s
--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -111,6 +111,7 @@
         self._telling_placements: asyncio.TimerHandle | None = None
         self.book.on_placed = self._placed
         self.book.has_connection = self.pool.has_idle
+        self.book.resting = self.pool.resting
         self._request_rate = Rate()
         self._sequence = 0
         self._packer = StatePacker()
@@ -319,7 +320,7 @@
             self._tell_state(everyone=changed)
             self.sharing.take_over(self.book)
             self.fleet.drop_lapsed()
-            self.book.pause_silent(now)
+            self.book.tick(now)
             self.members.forget_old(now)
             await asyncio.sleep(ROUND_S)
 
--- a/src/moledale/gateway/peers.py
+++ b/src/moledale/gateway/peers.py
@@ -24,6 +24,10 @@
 """A node's last counts are kept this long after it was last heard of."""
 
 
+Loads = dict[str, tuple[int, int]]
+"""Requests that a node has running, and prompt tokens of them still to be read, by server."""
+
+
 class Standing(IntEnum):
     """Life cycle of a node."""
 
@@ -67,7 +71,7 @@
     plan_version: int
     started: dict[int, dict[str, int]]
     spent: dict[str, float]
-    loads: dict[str, tuple[int, int]]
+    loads: Loads
     sends: dict[str, tuple[int, int]]
     work: dict[str, int]
     serving: bool = False
--- a/src/moledale/gateway/pool.py
+++ b/src/moledale/gateway/pool.py
@@ -1,6 +1,6 @@
 """Idle connections to backend servers, kept for the next request."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from moledale.gateway.upstream import UpstreamConnection, connect
 
@@ -12,7 +12,10 @@
 
 
 class ConnectionPool:
-    """Connections by server id: the one used last is used first, so that few are kept."""
+    """Connections by server id: the one used last is used first, so that few are kept.
+
+    Servers stand in the order in which a connection to them was last given back.
+    """
 
     def __init__(self, now: Callable[[], float]) -> None:
         self._now = now
@@ -23,6 +26,10 @@
         """Say whether a connection to a server is at rest."""
         return bool(self._idle.get(server))
 
+    def resting(self) -> Iterator[str]:
+        """Return the servers to which a connection is at rest, the one used last first."""
+        return (server for server, idle in reversed(self._idle.items()) if idle)
+
     async def take(self, server: str, address: str) -> UpstreamConnection:
         """Return a connection at rest, or a new one; ConnectFailed if there is none."""
         idle = self._idle.get(server)
@@ -37,7 +44,9 @@
     def give_back(self, server: str, connection: UpstreamConnection) -> None:
         """Keep a connection whose exchange ended whole, else close it."""
         if connection.finish(self._now()):
-            self._idle.setdefault(server, []).append(connection)
+            idle = self._idle.pop(server, [])
+            idle.append(connection)
+            self._idle[server] = idle
 
     def forget(self, server: str) -> None:
         """Close what is kept of a server."""
--- /dev/null
+++ b/src/moledale/gateway/server_group.py
@@ -0,0 +1,348 @@
+"""The servers of one service, kept so that few of them have to be weighed for a request.
+
+Weighing every server for every request takes time that grows with the servers. A request is weighed
+against few candidates instead, found without a walk: servers that have the front of its prompt, the
+one where prompts with that front meet, servers with a connection at rest, and the least loaded ones
+of each hall. The last are kept in order as loads change, so what a change costs does not grow with
+the servers either.
+"""
+
+import heapq
+import random
+from bisect import bisect_right, insort
+from collections.abc import Callable, Iterable
+
+import xxhash
+
+from moledale.gateway.messages import PromptPart, Server
+from moledale.gateway.server_view import ServerView
+
+NEAR_S = 0.002
+"""Estimates that differ by less count as equal. Prompts of one front then go to the same servers,
+others elsewhere: nodes that know nothing yet, as after the end of all of them, have equal estimates
+of all servers and would send their first requests to the same ones. Plain requests go by chance,
+both to a server with a connection at rest first, since a new one takes 1 ms of it."""
+
+NEAR_LIGHT = 4
+FAR_LIGHT = 2
+"""Least loaded servers of the own and of each other hall that are weighed for a request: enough for
+one that was tried, one that is slower than believed, and a choice between equal ones."""
+
+MOST_HOLDERS = 12
+"""Servers with the front of a prompt that are weighed for a request, drawn by chance if more."""
+
+MOST_RESTING = 4
+"""Servers with a connection at rest that are weighed for a request."""
+
+RING_POINTS = 4
+"""Places of a server on the ring of homes. With four the most loaded of 1,000 servers is the home
+of about three times as many fronts as the average one; the choice weighs its load besides."""
+
+POINT_BITS = 128 // RING_POINTS
+POINT_MASK = (1 << POINT_BITS) - 1
+
+STALE_X = 4
+"""The order is made anew when it holds this many times as many entries as servers."""
+
+MOST_ENTRIES = 64
+"""Fewer entries than these are never worth making the order anew."""
+
+FADING_SHARE = 0.01
+"""A server that failed or was slow counts as sound again below this."""
+
+
+def steps(cost_s: float) -> int:
+    """Return an estimate as a number that is the same for those that differ by little."""
+    return round(cost_s / NEAR_S)
+
+
+class LoadOrder:
+    """Servers of one hall, the least loaded first.
+
+    A heap with an entry for each change; those that a later change made stale are dropped when they
+    come up.
+    """
+
+    def __init__(self, chance: random.Random) -> None:
+        self._chance = chance
+        self._heap: list[tuple[int, float, int, ServerView]] = []
+        self._newest: dict[str, tuple[int, int]] = {}
+        self._serial = 0
+
+    def put(self, view: ServerView, step: int) -> None:
+        """Put a server at a place of the order, equal ones by chance."""
+        name = view.server.id
+        known = self._newest.get(name)
+        if known is not None and known[1] == step:
+            return
+        self._serial += 1
+        self._newest[name] = (self._serial, step)
+        heapq.heappush(self._heap, (step, self._chance.random(), self._serial, view))
+        if len(self._heap) > max(MOST_ENTRIES, STALE_X * len(self._newest)):
+            self._heap = [entry for entry in self._heap if self._is_newest(entry)]
+            heapq.heapify(self._heap)
+
+    def drop(self, view: ServerView) -> None:
+        """Take a server out of the order."""
+        self._newest.pop(view.server.id, None)
+
+    def lightest(self, number: int, excluded: frozenset[str]) -> list[ServerView]:
+        """Return the least loaded servers but for `excluded`."""
+        found: list[ServerView] = []
+        passed = []
+        while self._heap and len(found) < number:
+            entry = heapq.heappop(self._heap)
+            if not self._is_newest(entry):
+                continue
+            passed.append(entry)
+            if entry[3].server.id not in excluded:
+                found.append(entry[3])
+        for entry in passed:
+            heapq.heappush(self._heap, entry)
+        return found
+
+    def _is_newest(self, entry: tuple[int, float, int, ServerView]) -> bool:
+        newest = self._newest.get(entry[3].server.id)
+        return newest is not None and newest[0] == entry[2]
+
+
+class HomeRing:
+    """Which server is the home of a key: the same one on all nodes, for the same servers.
+
+    Consistent hashing (Karger et al., STOC 1997): a server that comes or goes changes the homes of
+    its own share of the keys only.
+    """
+
+    def __init__(self) -> None:
+        self._points: list[int] = []
+        self._owners: dict[int, str] = {}
+
+    def add(self, server: str) -> None:
+        """Put a server on the ring."""
+        for point in self._points_of(server):
+            if point not in self._owners:
+                insort(self._points, point)
+                self._owners[point] = server
+
+    def add_all(self, servers: Iterable[str]) -> None:
+        """Put many servers on the ring at once."""
+        for server in servers:
+            for point in self._points_of(server):
+                self._owners.setdefault(point, server)
+        self._points = sorted(self._owners)
+
+    def drop(self, server: str) -> None:
+        """Take a server off the ring."""
+        for point in self._points_of(server):
+            if self._owners.get(point) == server:
+                del self._owners[point]
+                del self._points[bisect_right(self._points, point) - 1]
+
+    def home(self, key: str) -> str | None:
+        """Return the home of a key, None if there are no servers."""
+        if not self._points:
+            return None
+        point = xxhash.xxh3_64_intdigest(key.encode()) & POINT_MASK
+        place = bisect_right(self._points, point) % len(self._points)
+        return self._owners[self._points[place]]
+
+    def _points_of(self, server: str) -> list[int]:
+        """Return places on the ring, cut from one hash since hashing is most of the work."""
+        whole = xxhash.xxh3_128_intdigest(server.encode())
+        return [whole >> (POINT_BITS * number) & POINT_MASK for number in range(RING_POINTS)]
+
+
+class ServerGroup:
+    """The servers of one service at one node.
+
+    `load_s` estimates the seconds that a request of usual size would wait at a server at some time.
+    It is asked whenever a server's load changes.
+    """
+
+    def __init__(
+        self, hall: str, load_s: Callable[[ServerView, float], float], chance: random.Random
+    ) -> None:
+        self.views: dict[str, ServerView] = {}
+        self.busy: set[str] = set()
+        self.running = 0
+        self.prefill = 0
+        self._hall = hall
+        self._load_s = load_s
+        self._chance = chance
+        self._orders: dict[str, LoadOrder] = {}
+        self._ring = HomeRing()
+        self._holders: dict[str, list[ServerView]] = {}
+        self._counted: dict[str, tuple[int, int]] = {}
+        self._unsound: set[str] = set()
+        self._now = 0.0
+
+    # Servers that come and go
+
+    def apply(self, servers: Iterable[Server]) -> list[ServerView]:
+        """Take over the service's servers; return the views of those that are new."""
+        listed = {server.id: server for server in servers}
+        for name in [name for name in self.views if name not in listed]:
+            self._remove(name)
+        new = [ServerView(server) for name, server in listed.items() if name not in self.views]
+        for view in new:
+            self.views[view.server.id] = view
+            view.on_change = self.changed
+        if new and len(new) * 2 > len(self.views):
+            self._ring.add_all(view.server.id for view in new)
+        else:
+            for view in new:
+                self._ring.add(view.server.id)
+        for view in self.views.values():
+            server = listed[view.server.id]
+            if view.server != server:
+                self._order(view.server.hall).drop(view)
+                view.server = server
+                self.changed(view)
+        for view in new:
+            self.changed(view)
+        return new
+
+    def _remove(self, name: str) -> None:
+        view = self.views.pop(name)
+        self._order(view.server.hall).drop(view)
+        self._ring.drop(name)
+        for part in view.cached:
+            self._drop_holder(part, view)
+        running, prefill = self._counted.pop(name, (0, 0))
+        self.running -= running
+        self.prefill -= prefill
+        self.busy.discard(name)
+        self._unsound.discard(name)
+        view.on_change = None
+
+    # Loads
+
+    def changed(self, view: ServerView) -> None:
+        """Take over that a server's load, or what is known of it, changed."""
+        name = view.server.id
+        running, prefill = self._counted.get(name, (0, 0))
+        self._counted[name] = counted = (view.all_running, view.all_prefill)
+        self.running += counted[0] - running
+        self.prefill += counted[1] - prefill
+        if view.running:
+            self.busy.add(name)
+        else:
+            self.busy.discard(name)
+        self._note_soundness(view)
+        order = self._order(view.server.hall)
+        if view.server.leaving or view.paused_until > self._now:
+            order.drop(view)
+        else:
+            order.put(view, steps(self._load_s(view, self._now)))
+
+    def _note_soundness(self, view: ServerView) -> None:
+        """Remember a server whose estimate changes by time alone."""
+        slow = view.slowness.times(self._now) - 1.0 > FADING_SHARE
+        if slow or view.failed_share > FADING_SHARE or view.paused_until > self._now:
+            self._unsound.add(view.server.id)
+        else:
+            self._unsound.discard(view.server.id)
+
+    def tick(self, now: float) -> None:
+        """Follow the time: pauses end and what was slow fades."""
+        self._now = max(self._now, now)
+        for name in list(self._unsound):
+            self.changed(self.views[name])
+
+    def _order(self, hall: str) -> LoadOrder:
+        order = self._orders.get(hall)
+        if order is None:
+            order = self._orders[hall] = LoadOrder(self._chance)
+        return order
+
+    # Prompts
+
+    def remember(self, view: ServerView, parts: tuple[PromptPart, ...], capacity: int) -> None:
+        """Note that a prompt's parts lie in a server's memory now."""
+        new = [part.id for part in parts if part.tokens > 0 and part.id not in view.cached]
+        evicted = view.remember(parts, capacity)
+        if self.views.get(view.server.id) is not view:
+            return
+        for part in dict.fromkeys(new):
+            self._holders.setdefault(part, []).append(view)
+        for part in evicted:
+            self._drop_holder(part, view)
+
+    def _drop_holder(self, part: str, view: ServerView) -> None:
+        holders = self._holders.get(part)
+        if holders is None:
+            return
+        if view in holders:
+            holders.remove(view)
+        if not holders:
+            del self._holders[part]
+
+    def holders(self, parts: tuple[PromptPart, ...]) -> list[ServerView]:
+        """Return servers that have a front of a prompt, those with more of it first."""
+        found: dict[str, ServerView] = {}
+        for part in reversed(parts):
+            room = MOST_HOLDERS - len(found)
+            if room <= 0:
+                break
+            views = self._holders.get(part.id, [])
+            if len(views) > room:
+                views = self._chance.sample(views, room)
+            found.update((view.server.id, view) for view in views)
+        return list(found.values())
+
+    def home(self, key: str) -> str | None:
+        """Return the server where prompts with a key should meet."""
+        return self._ring.home(key)
+
+    # Candidates
+
+    def may_serve(self, view: ServerView, excluded: frozenset[str]) -> bool:
+        """Say whether a server may get new work."""
+        server = view.server
+        return not server.leaving and server.id not in excluded and view.paused_until <= self._now
+
+    def candidates(
+        self,
+        now: float,
+        excluded: frozenset[str],
+        holders: Iterable[ServerView] = (),
+        home: str | None = None,
+        resting: Iterable[str] = (),
+    ) -> list[ServerView]:
+        """Return the servers to weigh for a request; paused ones only if there are no others."""
+        self._now = max(self._now, now)
+        found = {view.server.id: view for view in holders if self.may_serve(view, excluded)}
+        named = [home] if home is not None else []
+        for name in (*named, *self._resting(resting)):
+            view = self.views.get(name)
+            if view is not None and self.may_serve(view, excluded):
+                found[name] = view
+        for hall, order in self._orders.items():
+            number = NEAR_LIGHT if hall == self._hall else FAR_LIGHT
+            for view in order.lightest(number, excluded):
+                if self.may_serve(view, excluded):
+                    found[view.server.id] = view
+        return list(found.values()) or self._staying_ones(excluded)
+
+    def _resting(self, names: Iterable[str]) -> list[str]:
+        found: list[str] = []
+        for name in names:
+            if name in self.views:
+                found.append(name)
+                if len(found) == MOST_RESTING:
+                    break
+        return found
+
+    def _staying_ones(self, excluded: frozenset[str]) -> list[ServerView]:
+        """Return the servers that stay; those that are not paused, if there are any."""
+        staying = [
+            view
+            for view in self.views.values()
+            if not view.server.leaving and view.server.id not in excluded
+        ]
+        return [view for view in staying if view.paused_until <= self._now] or staying
+
+    def has_other(self, now: float, tried: frozenset[str]) -> bool:
+        """Say whether a server may get work that was not tried and is not paused."""
+        self._now = max(self._now, now)
+        return any(self.may_serve(view, tried) for view in self.views.values())
--- a/src/moledale/gateway/server_model.py
+++ b/src/moledale/gateway/server_model.py
@@ -294,6 +294,11 @@
         self._refit(now)
         return self._speed
 
+    @property
+    def last(self) -> Speed:
+        """Return the best estimate as of when it was last asked for."""
+        return self._speed
+
     def _refit(self, now: float) -> None:
         if now - self._fitted_at < REFIT_S:
             return
--- a/src/moledale/gateway/server_view.py
+++ b/src/moledale/gateway/server_view.py
@@ -1,6 +1,7 @@
 """A backend server as a node sees it, and what is learnt of it from answers and silence."""
 
 from collections import OrderedDict
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from moledale.gateway.messages import PromptPart, Server
@@ -24,9 +25,9 @@
 """Servers with as many slots run batches, whose tokens come all the time."""
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class ServerView:
-    """A server as this node sees it."""
+    """A server as this node sees it; `on_change` hears of each change of its load or standing."""
 
     server: Server
     running: int = 0
@@ -43,6 +44,23 @@
     cached_tokens: int = 0
     slowness: Slowness = field(default_factory=Slowness)
     reading: ReadingTimes = field(default_factory=ReadingTimes)
+    on_change: Callable[["ServerView"], None] | None = None
+
+    def changed(self) -> None:
+        """Tell that the load or the standing of the server changed."""
+        if self.on_change is not None:
+            self.on_change(self)
+
+    def add_others(self, running: int, prefill: int) -> None:
+        """Count more, or less, that other nodes have there."""
+        self.others_running += running
+        self.others_prefill += prefill
+        self.changed()
+
+    def pause(self, until: float) -> None:
+        """Give the server no new work until some time."""
+        self.paused_until = max(self.paused_until, until)
+        self.changed()
 
     @property
     def all_running(self) -> int:
@@ -70,8 +88,8 @@
             limit = SILENT_ENGINE_S if known else SILENT_ALONE_S
         return self.silent_s(now) > limit
 
-    def remember(self, parts: tuple[PromptPart, ...], capacity: int) -> None:
-        """Note that a prompt's parts lie in the server's memory now."""
+    def remember(self, parts: tuple[PromptPart, ...], capacity: int) -> list[str]:
+        """Note that a prompt's parts lie in the server's memory now; return those that gave way."""
         for part in parts:
             if part.tokens <= 0:
                 continue
@@ -79,9 +97,12 @@
                 self.cached_tokens += part.tokens
                 self.cached[part.id] = part.tokens
             self.cached.move_to_end(part.id)
+        evicted = []
         while self.cached_tokens > capacity and self.cached:
-            _, tokens = self.cached.popitem(last=False)
+            name, tokens = self.cached.popitem(last=False)
             self.cached_tokens -= tokens
+            evicted.append(name)
+        return evicted
 
     def covers(self, parts: tuple[PromptPart, ...]) -> int:
         """Return the tokens at the front of a prompt that lie in the server's memory."""
@@ -119,16 +140,20 @@
 
     def first_token(self) -> None:
         """Note that the prompt was read."""
-        self.view.prefill_tokens -= self.prefill
-        self.prefill = 0
+        if self.prefill:
+            self.view.prefill_tokens -= self.prefill
+            self.prefill = 0
+            self.view.changed()
 
     def end(self) -> None:
         """Stop counting the request; a second call changes nothing."""
         if self.ended:
             return
         self.ended = True
-        self.first_token()
+        self.view.prefill_tokens -= self.prefill
+        self.prefill = 0
         self.view.running -= 1
+        self.view.changed()
 
 
 def note_answer(view: ServerView, failed: bool, took_s: float) -> None:
@@ -136,6 +161,7 @@
     view.failures = 0
     view.failed_share += SMOOTHING * (float(failed) - view.failed_share)
     view.answer_s += SMOOTHING * (min(took_s, 2.0) - view.answer_s)
+    view.changed()
 
 
 def note_silence(view: ServerView, now: float) -> None:
@@ -144,3 +170,4 @@
     view.failed_share += SMOOTHING * (1.0 - view.failed_share)
     pause = min(FIRST_PAUSE_S * 2 ** (view.failures - 1), LONGEST_PAUSE_S)
     view.paused_until = now + pause
+    view.changed()
--- a/src/moledale/gateway/sharing.py
+++ b/src/moledale/gateway/sharing.py
@@ -95,9 +95,7 @@
         if state is None:
             return
         for each in news.placed:
-            before = state.loads.get(each.server, (0, 0))
-            state.loads[each.server] = (each.running, each.prefill)
-            book.heard_placed(each, before, engine(each.server))
+            book.heard_placed(state.id, state.loads, each, engine(each.server))
 
     def _budget(self, service: str) -> RetryBudget:
         budget = self._budgets.get(service)
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -143,20 +143,20 @@
     def test_silent_server_is_paused_unless_it_is_the_only_one(self) -> None:
         book = self.book(2)
         note_silence(book.views["s0"], 0.0)
-        ready = book.ready("model", 0.1, frozenset())
+        ready = book.group("model").candidates(0.1, frozenset())
         self.assertEqual([view.server.id for view in ready], ["s1"])
         note_silence(book.views["s1"], 0.0)
-        self.assertEqual(len(book.ready("model", 0.1, frozenset())), 2)
+        self.assertEqual(len(book.group("model").candidates(0.1, frozenset())), 2)
 
     def test_server_that_says_nothing_gets_no_more(self) -> None:
         book = ServerBook("a")
         book.apply(Server(f"s{n}", "plain", f"s{n}:1", "a", 4) for n in range(2))
         first = book.place("plain", RequestFacts(), None, 10.0)
         assert first is not None
-        book.pause_silent(10.1)
-        self.assertEqual(len(book.ready("plain", 10.1, frozenset())), 2)
-        book.pause_silent(10.5)
-        left = [view.server.id for view in book.ready("plain", 10.5, frozenset())]
+        book.tick(10.1)
+        self.assertEqual(len(book.group("plain").candidates(10.1, frozenset())), 2)
+        book.tick(10.5)
+        left = [view.server.id for view in book.group("plain").candidates(10.5, frozenset())]
         self.assertEqual(len(left), 1)
         self.assertNotIn(first.view.server.id, left)
         first.view.heard_at = 10.6
@@ -198,7 +198,7 @@
         self.away = False
         self.version = 0
 
-    async def servers(self, _: float) -> object:
+    async def servers(self, _: float, _before: object = None) -> object:
         self.version += 1
         if self.away:
             return Err(Trouble("away"))
--- /dev/null
+++ b/tests/test_server_group.py
@@ -0,0 +1,251 @@
+"""Few servers are weighed for a request, and these are the ones that matter."""
+
+import random
+import unittest
+from collections.abc import Iterable
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from moledale.core.hashing import weight
+from moledale.gateway.balance import ServerBook, affinity_key
+from moledale.gateway.engine_costs import EngineCosts
+from moledale.gateway.messages import PromptPart, RequestFacts, Server
+from moledale.gateway.plan import Engine
+from moledale.gateway.server_group import (
+    FAR_LIGHT,
+    MOST_HOLDERS,
+    MOST_RESTING,
+    NEAR_LIGHT,
+    HomeRing,
+    steps,
+)
+from moledale.gateway.server_view import Placement, ServerView, note_silence
+from tests.gateway_states import state
+
+ENGINE = Engine(64, 500_000, 327_680, 270_000.0, moves=True)
+HALLS = 4
+MOST_WEIGHED = MOST_HOLDERS + 1 + MOST_RESTING + NEAR_LIGHT + FAR_LIGHT * (HALLS - 1)
+
+
+def servers(number: int, service: str = "model", slots: int = 64) -> list[Server]:
+    return [
+        Server(f"{service}{each}", service, f"h:{each}", f"hall-{each % HALLS}", slots)
+        for each in range(number)
+    ]
+
+
+def prompt(subject: int, own: int) -> RequestFacts:
+    parts = (PromptPart(f"s{subject}", 10_000), PromptPart(f"o{own}", 3_000))
+    return RequestFacts(prompt_tokens=13_000, answer_tokens=100, parts=parts)
+
+
+def a_book(number: int) -> ServerBook:
+    book = ServerBook("hall-0")
+    book.apply(servers(number))
+    return book
+
+
+class CountingViews:
+    """Counts the servers that candidates are weighed from."""
+
+    def __init__(self, book: ServerBook) -> None:
+        group = book.group("model")
+        self.most = 0
+        candidates = group.candidates
+
+        def counted(*args: object, **more: object) -> list[ServerView]:
+            found = candidates(*args, **more)  # type: ignore[arg-type]
+            self.most = max(self.most, len(found))
+            return found
+
+        group.candidates = counted  # type: ignore[method-assign]
+
+
+def traffic(book: ServerBook, number: int, seed: int = 1) -> Iterable[tuple[RequestFacts, float]]:
+    """Place requests on a book, some of which go on running."""
+    chance = random.Random(seed)
+    live: list[Placement] = []
+    now = 1.0
+    for each in range(number):
+        now += 0.001
+        facts = prompt(chance.randrange(40), each)
+        yield facts, now
+        placed = book.place("model", facts, ENGINE, now)
+        assert placed is not None
+        live.append(placed)
+        if len(live) > 60:
+            ended = live.pop(chance.randrange(len(live)))
+            ended.first_token()
+            ended.end()
+
+
+class WeighedServersTest(unittest.TestCase):
+    def test_number_weighed_does_not_grow_with_the_servers(self) -> None:
+        for number in (64, 300, 3_000):
+            with self.subTest(servers=number):
+                book = a_book(number)
+                counting = CountingViews(book)
+                for _ in traffic(book, 300):
+                    pass
+                self.assertLessEqual(counting.most, MOST_WEIGHED)
+                self.assertGreater(counting.most, HALLS)
+
+    def test_choice_is_as_good_as_out_of_all_servers(self) -> None:
+        book = a_book(64)
+        lost = []
+        for facts, now in traffic(book, 600):
+            group = book.group("model")
+            views = [view for view in group.views.values() if not view.server.leaving]
+            home = group.home(affinity_key(facts.parts))
+            front = book._longest_front(views, facts, now)
+            costs = EngineCosts(facts, front, ENGINE, book.learner("model").speed(now))
+
+            def cost(
+                view: ServerView,
+                costs: EngineCosts = costs,
+                home: str | None = home,
+                now: float = now,
+            ) -> float:
+                return costs.first_event_s(view, view.server.id == home, now)
+
+            best = min(map(cost, views))
+            candidates = group.candidates(now, frozenset(), group.holders(facts.parts), home)
+            lost.append(min(map(cost, candidates)) - best)
+        self.assertLess(sum(lost) / len(lost), 0.002)
+
+
+class OrderTest(unittest.TestCase):
+    def test_lightest_servers_of_each_hall_are_candidates(self) -> None:
+        book = a_book(40)
+        for view in book.views.values():
+            view.add_others(20, 200_000)
+        for name in ("model4", "model9", "model38"):
+            book.views[name].add_others(-20, -200_000)
+        found = {view.server.id for view in book.group("model").candidates(1.0, frozenset())}
+        self.assertLessEqual({"model4", "model9", "model38"}, found)
+
+    def test_server_that_leaves_or_is_gone_is_no_candidate(self) -> None:
+        book = a_book(6)
+        listed = servers(6)
+        leaving = Server("model0", "model", "h:0", "hall-0", 64, leaving=True)
+        book.apply([leaving, *listed[2:]])
+        for _ in range(20):
+            found = {view.server.id for view in book.group("model").candidates(1.0, frozenset())}
+            self.assertEqual(found, {"model2", "model3", "model4", "model5"})
+
+    def test_paused_server_is_a_candidate_again_after_its_pause(self) -> None:
+        book = a_book(4)
+        note_silence(book.views["model1"], 1.0)
+        group = book.group("model")
+        self.assertNotIn(book.views["model1"], group.candidates(1.1, frozenset()))
+        book.tick(3.0)
+        self.assertIn(book.views["model1"], group.candidates(3.0, frozenset()))
+
+    def test_slow_server_comes_back_as_its_slowness_fades(self) -> None:
+        book = a_book(80)
+        view = book.views["model0"]
+        for _ in range(20):
+            view.slowness.note(2.0, 0.1, 1.0)
+        view.changed()
+        group = book.group("model")
+        for name, other in book.views.items():
+            if name != "model0":
+                other.add_others(1, 5_000)
+        self.assertNotIn(view, group.candidates(1.1, frozenset()))
+        book.tick(40.0)
+        self.assertIn(view, group.candidates(40.0, frozenset()))
+
+    def test_connection_at_rest_makes_a_server_a_candidate(self) -> None:
+        book = a_book(400)
+        book.resting = lambda: ["gone", "model333"]
+        book.has_connection = lambda name: name == "model333"
+        placed = book.place("model", RequestFacts(id="r", prompt_tokens=50), ENGINE, 1.0)
+        assert placed is not None
+        self.assertEqual(placed.view.server.id, "model333")
+
+
+class CountsTest(unittest.TestCase):
+    """Sums that are kept up to date are the same as sums over all servers."""
+
+    @settings(max_examples=60, derandomize=True, deadline=None)
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(["place", "end", "state", "news", "gone", "back", "silent"]),
+                st.integers(0, 5),
+                st.integers(0, 3),
+            ),
+            max_size=60,
+        )
+    )
+    def test_sums_after_any_order_of_changes(self, changes: list[tuple[str, int, int]]) -> None:
+        listed = servers(6)
+        book = a_book(6)
+        live: list[Placement] = []
+        told: dict[str, dict[str, tuple[int, int]]] = {}
+        for number, (what, server, node) in enumerate(changes):
+            now = float(number)
+            name, peer = f"model{server}", f"n{node}"
+            if what == "place":
+                placed = book.place("model", prompt(server, number), ENGINE, now)
+                live += [placed] if placed is not None else []
+            elif what == "end" and live:
+                live.pop(server % len(live)).end()
+            elif what == "state":
+                told[peer] = {name: (server, server * 100)}
+                book.others([state(each, loads=loads) for each, loads in told.items()])
+            elif what == "silent":
+                told.pop(peer, None)
+                book.others([state(each, loads=loads) for each, loads in told.items()])
+            elif what == "news" and peer in told:
+                loads = told[peer]
+                running, prefill = loads.get(name, (0, 0))
+                book.take_loads(peer, loads)
+                loads[name] = (running + 1, prefill + 50)
+                book.views[name].add_others(1, 50) if name in book.views else None
+            elif what == "gone":
+                book.apply(each for each in listed if each.id != name)
+            else:
+                book.apply(listed)
+            views = list(book.views.values())
+            self.assertEqual(book.running("model"), sum(view.all_running for view in views))
+            self.assertEqual(book.waiting("model"), sum(view.all_prefill for view in views))
+            for view in views:
+                others = [loads.get(view.server.id, (0, 0)) for loads in told.values()]
+                self.assertEqual(view.others_running, sum(each[0] for each in others))
+            busy = {view.server.id for view in views if view.running}
+            self.assertEqual(set(book.loads()), busy)
+
+
+class HomeRingTest(unittest.TestCase):
+    def test_same_homes_whatever_the_order(self) -> None:
+        names = [f"s{number}" for number in range(50)]
+        one, two = HomeRing(), HomeRing()
+        one.add_all(names)
+        for name in reversed(names):
+            two.add(name)
+        keys = [f"k{number}" for number in range(500)]
+        self.assertEqual([one.home(key) for key in keys], [two.home(key) for key in keys])
+
+    def test_server_that_goes_changes_its_own_homes_only(self) -> None:
+        ring = HomeRing()
+        ring.add_all(f"s{number}" for number in range(50))
+        keys = [f"k{number}" for number in range(2_000)]
+        before = {key: ring.home(key) for key in keys}
+        ring.drop("s7")
+        for key in keys:
+            if before[key] != "s7":
+                self.assertEqual(ring.home(key), before[key])
+        ring.add("s7")
+        self.assertEqual({key: ring.home(key) for key in keys}, before)
+
+    def test_ring_without_servers_has_no_home(self) -> None:
+        self.assertIsNone(HomeRing().home("k"))
+
+
+class StepsTest(unittest.TestCase):
+    def test_little_differences_do_not_count(self) -> None:
+        self.assertEqual(steps(0.1001), steps(0.1003))
+        self.assertNotEqual(steps(0.1), steps(0.104))
+        self.assertNotEqual(weight("a", "b"), weight("a", "c"))
--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -73,7 +73,7 @@
         "slots",
         "the wait for a slot counts in the choice",
         "engine_costs.py",
-        "return took_s * view.slowness.times(now) + self.slot_s(view)",
+        "return took_s * view.slowness.times(now) + slots_s",
         "return took_s * view.slowness.times(now)",
     ),
     Ablation(
@@ -93,9 +93,9 @@
     Ablation(
         "silence",
         "silent servers are paused",
-        "node.py",
-        "            self.book.pause_silent(now)\n",
-        "",
+        "balance.py",
+        "                if group.views[name].is_silent(now):\n",
+        "                if now < 0.0:\n",
     ),
     Ablation(
         "slow-repeat",
--- a/tools/without_gateway.py
+++ b/tools/without_gateway.py
@@ -32,6 +32,7 @@
 from moledale.gateway.plan import PlanIndex
 from moledale.gateway.reply import Reply
 from moledale.gateway.retries import RetryBudget
+from moledale.gateway.server_group import ServerGroup
 from moledale.gateway.server_list import ServerList
 from moledale.gateway.server_model import Slowness, SpeedLearner
 from moledale.gateway.upstream import UpstreamConnection
@@ -108,8 +109,8 @@
     await self.supervisor.stop()
 
 
-def _all_ready(self: ServerBook, service: str, now: float, excluded: frozenset[str]) -> Any:
-    return [view for view in self.views.values() if view.server.service == service]
+def _all_ready(self: ServerGroup, *_: Any, **__: Any) -> Any:
+    return list(self.views.values())
 
 
 async def _no_fetch(self: DocumentFetch) -> None:
@@ -145,7 +146,7 @@
     ("a caller that leaves is heeded", InboundConnection, "connection_lost", _stay, BYTES),
     ("what may have run is not repeated", Forwarder, "_may_repeat", lambda *_: True, BYTES),
     ("repeats draw on a budget", RetryBudget, "allows", lambda *_: True, f"{BYTES} {LIMITS}"),
-    ("leaving servers get no work", ServerBook, "ready", _all_ready, f"{BYTES} {STATE}"),
+    ("leaving servers get no work", ServerGroup, "candidates", _all_ready, f"{BYTES} {STATE}"),
     ("older plans are not adopted", Admission, "adopt", _adopt_any, f"{BYTES}.AdmissionTest"),
     ("others' spending counts", AccountLimits, "spent_elsewhere", lambda *_: None, LIMITS),
     ("streams move off leaving servers", Evacuation, "servers_changed", lambda *_: None,
