Take a first list of more than one page for news

Cause: a list of 500 servers and more is brought to one moment by what changed since its first page; when that was nothing, the list counted as unchanged, also at a node that had none.

Change: a list read whole is always news. The test failed before.

--- a/src/moledale/gateway/fleet_watch.py
+++ b/src/moledale/gateway/fleet_watch.py
@@ -234,7 +234,7 @@
         if listed.version >= self.list.version:
             self._note_fresh(sent_at, listed.store_s)
         base = self.list.digest
-        if not listed.changed and base == digest:
+        if before is not None and not listed.changed and base == digest:
             difference = None
             if self.list.unchanged(listed.version):
                 self._believe()
--- a/src/moledale/platform/store.py
+++ b/src/moledale/platform/store.py
@@ -91,7 +91,8 @@
         if isinstance(outcome, Err) or len(outcome.ok_value.servers) < PAGE_ROWS:
             return outcome
         # Pages are each of their own moment; what changed between them comes by the feed.
-        return await self._servers_since(outcome.ok_value, timeout_s)
+        whole = await self._servers_since(outcome.ok_value, timeout_s)
+        return whole.map(lambda listed: msgspec.structs.replace(listed, changed=True))
 
     async def _all_servers(self, timeout_s: float) -> Result[ServerList, Trouble]:
         outcome = await self._rows(SERVER_TABLE, timeout_s)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -67,6 +67,16 @@
 
         on_store(work)
 
+    def test_list_of_many_pages_is_news_to_a_node_that_has_none(self) -> None:
+        async def work(platform: RowsPlatform, store: PlatformStore) -> None:
+            for number in range(700):
+                platform.put("servers", f"s{number:04}", entry())
+            got = await read(store)
+            self.assertTrue(got.changed)
+            self.assertEqual(len(got.servers), 700)
+
+        on_store(work)
+
     def test_list_of_many_pages_is_of_one_moment(self) -> None:
         class Changing(RowsPlatform):
             """A store in which a server of the first page leaves while the next is read."""
