--- /dev/null
+++ b/src/moledale/core/rollout_evidence.py
@@ -0,0 +1,235 @@
+"""What is observed of a new version of a service's servers, and whether it is bad.
+
+Each answer counts under a series (a route, or a route's pace of events) and an arm: the old servers
+or the new ones. Times are kept as a histogram with buckets of equal ratio, so that what many nodes
+saw adds up to one. The old servers are the control: at the same moment and under the same load, so
+that neither a slow hour nor answers that always fail in part speak against the new version.
+
+An answer is bad if it failed, or came much later than the middle of the old ones. Whether there are
+more bad ones than among the old is judged by a sum of log-likelihood ratios that never falls below
+zero (CUSUM; Page, Biometrika 41, 1954): a version that turns bad after a good while is found as
+soon as one that is bad at once. docs/design/rollouts.md has what else was tried.
+"""
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import IntEnum
+from math import floor, log, log2
+
+import msgspec
+
+BUCKETS_PER_DOUBLING = 4
+MOST_BUCKET = 60
+"""Buckets of time: a ratio of 1.19 each, 33,000 times as long at most (and as short)."""
+
+SLOW_BUCKETS = 5
+"""An answer this many buckets above the middle of the old ones is slow: 2.4 times as long. Versions
+that are slow take several times as long, 3 in the model; of answers that spread as those of the
+users' plain service (a standard deviation of half of the mean) 3 in 100 are slow by chance."""
+
+LEAST_CONTROL = 8
+"""Answers of the old servers before the middle of their times is trusted."""
+
+RECENT_CONTROL = 30
+"""The middle is that of about so many answers of late. With all of them, when all servers turned
+three times slower, 49 of 100 good versions were taken for bad in the model."""
+
+PRIOR_BAD = 0.05
+PRIOR_WEIGHT = 4.0
+"""Share of answers of the old servers that is taken to be bad, with the weight of so many."""
+
+LEAST_EXCESS = 0.15
+EXCESS_X = 1.6
+"""What a bad version is taken for: this share of bad answers more than this many times those of the
+old one. A version with less can't be told within the exposure that is allowed."""
+
+MOST_SHARE = 0.95
+LEAST_CHANGED = 3.0
+CHANGED_X = 0.65
+"""Sum that means a bad version, and what is added for each doubling (in natural logarithms) of the
+answers seen, since chance has more goes at a long series. Figures in docs/design/rollouts.md: good
+versions stopped in 2 to 5 of 100 roll-outs at 10 to 600 requests a second; of bad ones half of
+whose answers fail, at 40 requests a second, none missed."""
+
+
+class Arm(IntEnum):
+    """The servers that an answer came from."""
+
+    OLD = 0
+    NEW = 1
+
+
+def bucket_of(took_s: float) -> int:
+    """Return the bucket of a time in seconds."""
+    place = floor(log2(max(took_s, 1e-9)) * BUCKETS_PER_DOUBLING)
+    return max(-MOST_BUCKET, min(MOST_BUCKET, place))
+
+
+class Tally(msgspec.Struct, array_like=True):
+    """Answers counted: how many failed, and the others by bucket of their time."""
+
+    failed: int = 0
+    times: dict[int, int] = {}
+
+    @property
+    def number(self) -> int:
+        """Return the answers counted."""
+        return self.failed + sum(self.times.values())
+
+    def note(self, failed: bool, took_s: float) -> None:
+        """Count an answer."""
+        if failed:
+            self.failed += 1
+            return
+        bucket = bucket_of(took_s)
+        self.times[bucket] = self.times.get(bucket, 0) + 1
+
+    def add(self, other: "Tally") -> None:
+        """Count the answers of another tally."""
+        self.failed += other.failed
+        for bucket, number in other.times.items():
+            self.times[bucket] = self.times.get(bucket, 0) + number
+
+    def copy(self) -> "Tally":
+        """Return the counts as they are, to compare later ones with."""
+        return Tally(self.failed, dict(self.times))
+
+    def since(self, before: "Tally") -> "Tally":
+        """Return what was counted since; nothing of what a forgotten node had counted."""
+        times = {
+            bucket: number - before.times.get(bucket, 0)
+            for bucket, number in self.times.items()
+            if number > before.times.get(bucket, 0)
+        }
+        return Tally(max(0, self.failed - before.failed), times)
+
+    def middle(self) -> int | None:
+        """Return the bucket of the median time, None if too few answers were seen."""
+        number = sum(self.times.values())
+        if number < LEAST_CONTROL:
+            return None
+        left = number / 2
+        for bucket in sorted(self.times):
+            left -= self.times[bucket]
+            if left <= 0:
+                return bucket
+        return None
+
+    def bad(self, slow_from: int | None) -> int:
+        """Return the answers that failed, or lie in a bucket from `slow_from` up."""
+        if slow_from is None:
+            return self.failed
+        slow = sum(number for bucket, number in self.times.items() if bucket >= slow_from)
+        return self.failed + slow
+
+
+class Evidence(msgspec.Struct, array_like=True):
+    """Answers by series, of the old servers and of the new ones."""
+
+    old: dict[str, Tally] = {}
+    new: dict[str, Tally] = {}
+
+    def note(self, arm: Arm, series: str, failed: bool, took_s: float) -> None:
+        """Count an answer."""
+        self.tally(arm, series).note(failed, took_s)
+
+    def tally(self, arm: Arm, series: str) -> Tally:
+        """Return what is counted of a series, to count on."""
+        tallies = self.new if arm is Arm.NEW else self.old
+        return tallies.setdefault(series, Tally())
+
+    def add(self, other: "Evidence") -> None:
+        """Count what another node saw."""
+        for arm, tallies in ((Arm.OLD, other.old), (Arm.NEW, other.new)):
+            for series, tally in tallies.items():
+                self.tally(arm, series).add(tally)
+
+
+def merged(parts: Iterable[Evidence]) -> Evidence:
+    """Return what several nodes saw together."""
+    whole = Evidence()
+    for part in parts:
+        whole.add(part)
+    return whole
+
+
+@dataclass(slots=True)
+class Control:
+    """The old servers' answers of a series: the middle of those of late, the bad ones of all.
+
+    The middle follows within some answers when all servers turn slow; a share of bad ones needs
+    many answers to be known.
+    """
+
+    number: int = 0
+    bad: int = 0
+    slow_from: int | None = None
+    _snapshots: deque[Tally] = field(default_factory=lambda: deque([Tally()]))
+
+    def note(self, now: Tally) -> None:
+        """Take over the counts as they are now."""
+        fresh = now.since(self._snapshots[-1])
+        if fresh.number <= 0:
+            return
+        self._snapshots.append(now.copy())
+        while len(self._snapshots) > 2 and now.since(self._snapshots[1]).number >= RECENT_CONTROL:
+            self._snapshots.popleft()
+        middle = now.since(self._snapshots[0]).middle()
+        if middle is not None:
+            self.slow_from = middle + SLOW_BUCKETS
+        self.number += fresh.number
+        self.bad += fresh.bad(self.slow_from)
+
+    @property
+    def expected(self) -> float:
+        """Return the share of bad answers that a good version has."""
+        return (self.bad + PRIOR_BAD * PRIOR_WEIGHT) / (self.number + PRIOR_WEIGHT)
+
+
+@dataclass(slots=True)
+class SeriesJudge:
+    """Follows one series of the new servers against the old ones."""
+
+    control: Control = field(default_factory=Control)
+    number: int = 0
+    total: float = 0.0
+    _seen: Tally = field(default_factory=Tally)
+
+    def note(self, old: Tally, new: Tally) -> bool:
+        """Take over the counts as they are now; say whether the version is bad."""
+        self.control.note(old)
+        fresh = new.since(self._seen)
+        if fresh.number <= 0:
+            return self.changed
+        self._seen = new.copy()
+        self.number += fresh.number
+        bad = fresh.bad(self.control.slow_from)
+        expected = self.control.expected
+        feared = min(MOST_SHARE, LEAST_EXCESS + EXCESS_X * expected)
+        expected = min(expected, feared / EXCESS_X)
+        step = bad * log(feared / expected)
+        step += (fresh.number - bad) * log((1.0 - feared) / (1.0 - expected))
+        self.total = max(0.0, self.total + step)
+        return self.changed
+
+    @property
+    def changed(self) -> bool:
+        """Say whether chance alone would hardly bring as many bad answers."""
+        return self.total > LEAST_CHANGED + CHANGED_X * log(1 + self.number)
+
+
+@dataclass(slots=True)
+class Judge:
+    """Follows a whole version; what it once found bad stays bad."""
+
+    series: dict[str, SeriesJudge] = field(default_factory=dict)
+    bad: bool = False
+
+    def note(self, evidence: Evidence) -> bool:
+        """Take over what all nodes saw until now; say whether the version is bad."""
+        for name, new in evidence.new.items():
+            judge = self.series.setdefault(name, SeriesJudge())
+            if judge.note(evidence.old.get(name, Tally()), new):
+                self.bad = True
+        return self.bad
--- /dev/null
+++ b/src/moledale/core/rollouts.py
@@ -0,0 +1,169 @@
+"""Roll-outs of a new version of a service's servers: phases, shares of traffic, what comes next.
+
+The new servers start beside the old ones and get a small share of the requests until the version is
+either found bad, which any node may find, or taken over, which only the holder of the duties
+decides. Phases only ever rise, so nodes that hear of them in any order agree, and none goes back.
+"""
+
+from dataclasses import dataclass
+from enum import IntEnum
+
+import msgspec
+
+TRIAL_SHARE = 0.08
+"""Part of a service's requests that the new version gets while it is tried. A bad version may get
+0.1 of all requests between order and deadline; the rest is for repeats and moves."""
+
+TRIAL_FREE = 30
+"""Requests of the new version beyond its share, over all nodes that serve, so that a rate of few
+requests brings evidence too: at 10 a second 19 answers in place of 2 within a trial of 3.2 s. 50
+are allowed."""
+
+FREE_SHARE = 0.5
+"""Part of the requests that the free ones may be at most, so that they don't come all at once."""
+
+RISING_SHARE = 0.35
+"""Part of the requests that the new version gets before it gets all of them, so that more servers
+bear the load of their own before no old one does."""
+
+RISE_AFTER = 0.55
+RISE_LATEST = 0.8
+"""Parts of an order's time before which no version rises, and until which evidence is waited for:
+versions may turn bad only after a while, and streams at old servers need the time that is left."""
+
+RISING_FOR = 0.06
+"""Part of an order's time for which it has the share of the rise: 0.7 s of 12 s."""
+
+LEAST_PER_ROUTE = 6
+"""Answers of the new servers on each route that has traffic before the version rises: of those of a
+version half of whose answers fail there, one in 64 has none."""
+
+LEAST_IN_ALL = 10
+"""With fewer answers in all at the latest moment, nothing speaks for the version."""
+
+
+class Phase(IntEnum):
+    """How far a roll-out is; a higher one is newer whoever tells it."""
+
+    TRIAL = 0
+    RISING = 1
+    MOVING = 2
+    ROLLED_BACK = 3
+    COMPLETED = 4
+
+    @property
+    def ended(self) -> bool:
+        """Say whether nothing comes after it."""
+        return self >= Phase.ROLLED_BACK
+
+
+class RolloutOrder(msgspec.Struct, frozen=True, array_like=True):
+    """An operator's order that a service's requests move to servers of another version.
+
+    `revision` rises with each order. `ordered_s` is when it was first seen, on the store's clock.
+    """
+
+    service: str
+    revision: int
+    target: str
+    duration_s: float
+    ordered_s: float
+
+
+class RolloutNews(msgspec.Struct, frozen=True, array_like=True):
+    """What a node knows of a service's roll-out; `rejected` versions get no work."""
+
+    order: RolloutOrder
+    phase: Phase = Phase.TRIAL
+    rejected: tuple[str, ...] = ()
+
+    def joined(self, other: "RolloutNews") -> "RolloutNews":
+        """Return what two nodes know together; the same whichever is asked first."""
+        if other.order.revision != self.order.revision:
+            return max(self, other, key=lambda news: news.order.revision)
+        earlier = min(self.order, other.order, key=lambda order: order.ordered_s)
+        rejected = tuple(sorted({*self.rejected, *other.rejected}))
+        return RolloutNews(earlier, max(self.phase, other.phase), rejected)
+
+    def followed_by(self, order: RolloutOrder) -> "RolloutNews":
+        """Return the news of an order that takes the place of this one.
+
+        A version that was not taken over stays out of use.
+        """
+        rejected = set(self.rejected)
+        if self.phase is not Phase.COMPLETED:
+            rejected.add(self.order.target)
+        rejected.discard(order.target)
+        return RolloutNews(order, rejected=tuple(sorted(rejected)))
+
+
+@dataclass(frozen=True, slots=True)
+class VersionRule:
+    """Which versions of a service's servers get requests that are not part of a trial."""
+
+    target: str = ""
+    only_target: bool = False
+    rejected: frozenset[str] = frozenset()
+
+    def allows(self, version: str) -> bool:
+        """Say whether servers of a version may get work."""
+        if version in self.rejected:
+            return False
+        return not self.target or (version == self.target) == self.only_target
+
+
+def rule_of(news: RolloutNews) -> VersionRule:
+    """Return which versions get work in a phase."""
+    only_target = news.phase in (Phase.MOVING, Phase.COMPLETED)
+    return VersionRule(news.order.target, only_target, frozenset(news.rejected))
+
+
+def trial_allowed(requests: int, tried: int, free: float) -> bool:
+    """Say whether a node may send one more request to the version on trial.
+
+    `requests` and `tried` are the node's own since the trial began, `free` its part of the requests
+    that are free. Each node keeps within the bound by itself, so all of them do whoever they hear.
+    """
+    allowed = TRIAL_SHARE * requests + min(free, FREE_SHARE * requests)
+    return tried + 1 <= allowed
+
+
+@dataclass(frozen=True, slots=True)
+class Progress:
+    """What the holder of the duties sees of a roll-out.
+
+    `elapsed` is the part of the order's time that has passed. `new_ready` are servers of the new
+    version that may get work, `old_running` requests that all nodes have at the old ones.
+    `lacking` are routes with traffic that were tried too little.
+    """
+
+    phase: Phase
+    elapsed: float
+    risen_for: float
+    new_ready: int
+    old_running: int
+    tried: int
+    lacking: int
+
+
+def next_phase(seen: Progress) -> Phase:
+    """Return the phase that a version which was not found bad is to be in."""
+    if seen.phase is Phase.TRIAL:
+        return _after_trial(seen)
+    if seen.phase is Phase.RISING and seen.risen_for >= RISING_FOR:
+        return Phase.MOVING
+    if seen.phase is Phase.MOVING and seen.old_running == 0:
+        return Phase.COMPLETED
+    return seen.phase
+
+
+def _after_trial(seen: Progress) -> Phase:
+    if seen.elapsed < RISE_AFTER:
+        return Phase.TRIAL
+    if seen.new_ready and seen.tried >= LEAST_IN_ALL and not seen.lacking:
+        return Phase.RISING
+    if seen.elapsed < RISE_LATEST:
+        return Phase.TRIAL
+    if seen.new_ready and seen.tried >= LEAST_IN_ALL:
+        return Phase.RISING
+    return Phase.ROLLED_BACK if seen.elapsed >= 1.0 - RISING_FOR else Phase.TRIAL
--- a/src/moledale/gateway/answers.py
+++ b/src/moledale/gateway/answers.py
@@ -132,6 +132,7 @@
         now = self._now()
         failed = head.status >= 500
         note_answer(placement.view, failed, now - placement.sent_at)
+        self._book.note_outcome(placement, failed, now - placement.sent_at)
         job.may_have_run = True
         self._count(job)
         if failed and job.reply.begun:
@@ -203,6 +204,7 @@
         job.reply.send(job.cutter.rest())
         job.reply.finish()
         self._book.note_end(placement, self._now())
+        self._book.note_pace(placement, run.events_here, self._now())
         return Attempt(Ending.ANSWERED)
 
     def _begin_stream(self, job: Job, head: AnswerHead) -> None:
@@ -213,6 +215,7 @@
         """An answer ended early: the request may have run."""
         job.may_have_run = True
         note_silence(placement.view, self._now())
+        self._book.note_cut(placement, self._now())
         job.cutter.start_again()
         return Attempt(Ending.BROKEN, why=cut.value)
 
--- a/src/moledale/gateway/balance.py
+++ b/src/moledale/gateway/balance.py
@@ -17,6 +17,9 @@
 
 OTHER_HALL_S = 0.001
 
+LEAST_EXPECTED_S = 0.01
+"""First events that are expected sooner count as expected then: a step of an engine takes 6 ms."""
+
 
 def affinity_key(parts: tuple[PromptPart, ...]) -> str:
     """Return what requests that should meet on one server have in common."""
@@ -46,6 +49,17 @@
     """Nobody wants to know of placements."""
 
 
+def _nobody_judges(_: Placement, _series: str, _failed: bool, _took_s: float) -> None:
+    """Nobody compares versions."""
+
+
+Outcome = Callable[[Placement, str, bool, float], None]
+"""Hears of an answer: its series, whether it failed, and its time in seconds or as a ratio."""
+
+PACE = "/pace"
+"""Ending of the name of a series that holds a route's time between events."""
+
+
 class ServerBook:
     """The servers of all services, with what this node and its peers have running there.
 
@@ -60,6 +74,7 @@
         self.on_placed: Callable[[], None] = _nobody_asks
         self.has_connection: Callable[[str], bool] = _not_known
         self.resting: Callable[[], Iterable[str]] = _none_resting
+        self.on_outcome: Outcome = _nobody_judges
         self._hall = hall
         self._chance = random.Random()
         self._groups: dict[str, ServerGroup] = {}
@@ -151,19 +166,30 @@
         now: float,
         excluded: frozenset[str] = frozenset(),
         moved: bool = False,
+        trial_share: float = 0.0,
     ) -> Placement | None:
         """Choose a server and count the request there in one step; None if there is none.
 
-        A request that is `moved` brings its memory along, so it reads nothing there.
+        A request that is `moved` brings its memory along, so it reads nothing there. With a
+        `trial_share` it goes to one of the servers that bear this part of the load for a new
+        version, if there is one.
         """
-        if engine is None:
-            return self._place_plain(service, now, excluded)
-        return self._place_on_engine(service, facts, engine, now, excluded, moved)
-
-    def _place_plain(self, service: str, now: float, excluded: frozenset[str]) -> Placement | None:
-        views = self.group(service).candidates(now, excluded, resting=self.resting())
+        group = self.group(service)
+        home = None
+        holders: list[ServerView] = []
+        if engine is not None:
+            home = group.home(affinity_key(facts.parts) or facts.id)
+            holders = group.holders(facts.parts)
+        views = group.on_trial(trial_share, excluded) if trial_share else []
+        if not views:
+            views = group.candidates(now, excluded, holders, home, self.resting())
         if not views:
             return None
+        if engine is None:
+            return self._place_plain(views, now)
+        return self._place_on_engine(views, holders, home, facts, engine, now, moved)
+
+    def _place_plain(self, views: list[ServerView], now: float) -> Placement:
         best = min(
             views,
             key=lambda view: (
@@ -177,20 +203,16 @@
 
     def _place_on_engine(
         self,
-        service: str,
+        views: list[ServerView],
+        holders: list[ServerView],
+        home: str | None,
         facts: RequestFacts,
         engine: Engine,
         now: float,
-        excluded: frozenset[str],
         moved: bool,
-    ) -> Placement | None:
-        group = self.group(service)
+    ) -> Placement:
+        service = views[0].server.service
         key = affinity_key(facts.parts) or facts.id
-        home = group.home(key)
-        holders = group.holders(facts.parts)
-        views = group.candidates(now, excluded, holders, home, self.resting())
-        if not views:
-            return None
         front = self._longest_front(holders, facts, now)
         learner = self.learner(service)
         costs = EngineCosts(facts, front, engine, learner.speed(now))
@@ -212,9 +234,9 @@
             self._tell(placement, facts, engine)
             return placement
         cached = best.covers(facts.parts)
-        fetched = 0
+        fetched, fetching_s = 0, 0.0
         if costs.fetches(cached, best.all_running):
-            fetched = front.tokens - cached
+            fetched, fetching_s = front.tokens - cached, costs.fetching_s(cached)
             cached = front.tokens
         work = prefill_work(facts.prompt_tokens, cached)
         self.work[service] = self.work.get(service, 0) + work
@@ -223,6 +245,7 @@
         placement.uncached = max(0, facts.prompt_tokens - cached)
         if fetched and front.view is not None:
             placement.fetched = fetched
+            placement.fetching_s = fetching_s
             placement.fetch_from = front.view.server.address
         self._tell(placement, facts, engine)
         return placement
@@ -247,12 +270,15 @@
         placement.first_at = now
         took_s = now - placement.sent_at
         if not placement.work:
+            placement.judged = True
             return
         learner = self.learner(placement.view.server.service)
         speed = learner.speed(now)
         tokens = placement.work + speed.still_ahead(placement.ahead)
         expected_s = speed.start_s + speed.reading_s(tokens, placement.beside)
         placement.view.slowness.note(took_s, expected_s, now)
+        with_fetch_s = max(LEAST_EXPECTED_S, expected_s + placement.fetching_s)
+        self.note_outcome(placement, False, took_s / with_fetch_s)
         waited_for_slot = placement.beside >= placement.view.server.slots
         if not placement.fetched and not waited_for_slot:
             alone = FirstEvent(placement.work, placement.ahead, took_s, now, placement.beside)
@@ -266,6 +292,24 @@
         if placement.work:
             self.learner(placement.view.server.service).ended(now - placement.sent_at)
 
+    def note_pace(self, placement: Placement, events: int, now: float) -> None:
+        """Compare the time between the events of a stream that ended whole."""
+        if events > 1 and placement.first_at:
+            pace_s = (now - placement.first_at) / (events - 1)
+            self.on_outcome(placement, placement.route + PACE, False, pace_s)
+
+    def note_cut(self, placement: Placement, now: float) -> None:
+        """Hold it against a server's version that an answer broke off."""
+        if placement.judged:
+            self.on_outcome(placement, placement.route + PACE, True, 0.0)
+        self.note_outcome(placement, True, now - placement.sent_at)
+
+    def note_outcome(self, placement: Placement, failed: bool, took: float) -> None:
+        """Compare an answer, or that there was none, with those of other versions, once."""
+        if not placement.judged:
+            placement.judged = True
+            self.on_outcome(placement, placement.route, failed, took)
+
     def speeds(self, now: float) -> dict[str, Speed]:
         """Return what this node has learnt by itself, by service."""
         return {service: learner.own(now) for service, learner in self.learners.items()}
--- a/src/moledale/gateway/duties.py
+++ b/src/moledale/gateway/duties.py
@@ -1,4 +1,4 @@
-"""What one node at a time does for all: reporting usage and ordering servers."""
+"""What one node at a time does for all: usage, orders of servers, roll-outs of their versions."""
 
 import asyncio
 import time
@@ -12,6 +12,7 @@
 from moledale.gateway.outside import ABSENT, Orders, Store
 from moledale.gateway.plan import PlanIndex
 from moledale.gateway.renting import Demand, Load, RentingPlanner, needed
+from moledale.gateway.rollout_duty import RolloutDuty
 from moledale.gateway.sharing import Sharing
 from moledale.gateway.usage import total_of
 from moledale.gateway.work import OWN_LIFE, WorkMeter
@@ -55,6 +56,7 @@
         book: ServerBook,
         index: Callable[[], PlanIndex | None],
         first_start: bool,
+        rollouts: RolloutDuty,
     ) -> None:
         self.acting = asyncio.Lock()
         self._first_start = first_start
@@ -65,6 +67,7 @@
         self._sharing = sharing
         self._book = book
         self._index = index
+        self._rollouts = rollouts
         self._done: set[int] = set()
         self._first_window: int | None = None
         self._planners: dict[str, RentingPlanner] = {}
@@ -86,8 +89,13 @@
             self._epoch = grant.epoch
             self._held_since = time.monotonic()
             self._planners.clear()
+            self._rollouts.begin()
         async with self.acting:
-            await asyncio.gather(self._report_usage(), self._rent())
+            await asyncio.gather(
+                self._report_usage(),
+                self._rent(),
+                self._rollouts.step(lambda: self._keeper.grant() is not None),
+            )
 
     async def _report_usage(self) -> None:
         if time.monotonic() - self._held_since < HEARD_AFTER_S:
@@ -146,10 +154,11 @@
         if index is None or now - self._planned_at < PLAN_S:
             return
         self._planned_at = now
-        servers = [view.server for view in self._book.views.values()]
         for service in index.services.values():
             if service.renting is None or service.name not in self._demands:
                 continue
+            # Servers of a version on trial stand beside those that the orders are about.
+            servers = [view.server for view in self._book.group(service.name).allowed()]
             planner = self._planner(service.name)
             for order in planner.orders(service.renting, servers, now):
                 grant = self._keeper.grant()
--- a/src/moledale/gateway/engine_costs.py
+++ b/src/moledale/gateway/engine_costs.py
@@ -86,9 +86,13 @@
         prompt = self.facts.prompt_tokens
         if self.fetches(cached, beside):
             read_s = self.speed.reading_s(prefill_work(prompt, self.front.tokens), beside)
-            return read_s + FETCH_LOAD_S + fetch_s(self.front.tokens - cached, self.engine)
+            return read_s + self.fetching_s(cached)
         return self.speed.reading_s(prefill_work(prompt, cached), beside)
 
+    def fetching_s(self, cached: int) -> float:
+        """Return the seconds that getting the rest of the front from another server takes."""
+        return FETCH_LOAD_S + fetch_s(self.front.tokens - cached, self.engine)
+
     def first_event_s(self, view: ServerView, home: bool, now: float) -> float:
         """Return the seconds until the first event if the request went to a server.
 
--- a/src/moledale/gateway/evacuation.py
+++ b/src/moledale/gateway/evacuation.py
@@ -151,11 +151,21 @@
                 continue
             told = server.leaves_s
             left = USUAL_NOTICE_S if told is None else max(0.0, told - LIST_AGE_S)
-            self._ends[name] = now + left
-            if any(run.placement.view.server.id == name for run in self.runs):
-                task = asyncio.get_running_loop().create_task(self._empty(server, engine))
-                self._tasks.add(task)
-                task.add_done_callback(self._tasks.discard)
+            self._begin(server, engine, now + left)
+
+    def empty_by(self, servers: Iterable[Server], ends: float) -> None:
+        """Begin to empty servers that end at a known time, as those of a former version do."""
+        for server in servers:
+            engine = self._engine(server.service)
+            if engine is not None and engine.moves and server.id not in self._ends:
+                self._begin(server, engine, ends)
+
+    def _begin(self, server: Server, engine: Engine, ends: float) -> None:
+        self._ends[server.id] = ends
+        if any(run.placement.view.server.id == server.id for run in self.runs):
+            task = asyncio.get_running_loop().create_task(self._empty(server, engine))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
 
     def end(self, run: StreamRun) -> None:
         """Forget a stream that has ended here."""
--- a/src/moledale/gateway/fleet_watch.py
+++ b/src/moledale/gateway/fleet_watch.py
@@ -35,6 +35,7 @@
     ServerList,
     packets,
 )
+from moledale.gateway.store_health import StoreHealth
 from moledale.gateway.usage import TrueTime
 from moledale.log import Event, emit
 
@@ -114,6 +115,7 @@
             self._read_for_want_of_peers,
         )
         self._store = store
+        self._health = StoreHealth("list of servers")
         self._true_time = true_time
         self._rank = rank
         self._took = took
@@ -226,7 +228,9 @@
         outcome = await self._store.servers(READ_TIMEOUT_S, before)
         if isinstance(outcome, Err):
             self._failed_at = self._now()
+            self._health.failed(outcome.err_value.detail)
             return False
+        self._health.answered()
         listed = outcome.ok_value
         self._true_time.store_read(listed.store_s, sent_at, self._now())
         if self._failed_at > self._fresh_at and sent_at - self._fresh_at > OUTAGE_S:
--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -45,8 +45,17 @@
     return True
 
 
+def _no_trial(_service: str, _first_send: bool) -> float:
+    """Try no new version."""
+    return 0.0
+
+
 class Forwarder:
-    """Carries requests to servers; all nodes' news come in through `sharing`."""
+    """Carries requests to servers; all nodes' news come in through `sharing`.
+
+    `trial_share` says whether a request goes to servers of a version on trial, and what part of
+    the load these bear; 0 for the usual ones.
+    """
 
     def __init__(
         self,
@@ -59,6 +68,7 @@
         newer_plan: Callable[[], bool] = lambda: False,
         list_is_current: Callable[[], Awaitable[bool]] = _always,
         first_start: bool = False,
+        trial_share: Callable[[str, bool], float] = _no_trial,
     ) -> None:
         self.admission = Admission(dialect, now, newer_plan, first_start, sharing.limit_window_s)
         self._dialect = dialect
@@ -69,6 +79,7 @@
         self.handled = 0
         self._now = now
         self._list_is_current = list_is_current
+        self._trial_share = trial_share
         self._random = random.Random()
         self._answers = AnswerReader(dialect, book, sharing, self.refuse, now)
 
@@ -152,7 +163,13 @@
 
     def _place(self, job: Job) -> Placement | None:
         engine = self._engine(job.service)
-        return self._book.place(job.service, job.facts, engine, self._now(), job.tried)
+        share = self._trial_share(job.service, not job.tried)
+        placement = self._book.place(
+            job.service, job.facts, engine, self._now(), job.tried, trial_share=share
+        )
+        if placement is not None:
+            placement.route = job.route.name
+        return placement
 
     def _engine(self, name: str) -> Engine | None:
         index = self.index
@@ -216,8 +233,15 @@
         finally:
             if connection is not None:
                 connection.abort()
+            self._note_unanswered(job, placement)
             placement.end()
 
+    def _note_unanswered(self, job: Job, placement: Placement) -> None:
+        """Hold it against a server's version if nothing came of it within the target."""
+        waited_s = self._now() - placement.sent_at
+        if job.offered and waited_s >= job.route.target_s:
+            self._book.note_outcome(placement, True, waited_s)
+
     async def _moved(self, job: Job, run: StreamRun) -> Attempt | None:
         """Return where a stream goes on that was stopped to be moved, or None."""
         if not run.stopping:
--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from moledale.clock import SystemClock
+from moledale.core.rollouts import Phase, RolloutNews
 from moledale.gateway.balance import ServerBook
 from moledale.gateway.dialect import Dialect
 from moledale.gateway.directory import power_of
@@ -36,6 +37,8 @@
 from moledale.gateway.rate import Rate
 from moledale.gateway.registration import Registration
 from moledale.gateway.reply import Reply
+from moledale.gateway.rollout_duty import RolloutDuty
+from moledale.gateway.rollouts import Rollouts
 from moledale.gateway.server_list import ServerChange
 from moledale.gateway.settings import GatewaySettings
 from moledale.gateway.sharing import Sharing
@@ -56,6 +59,10 @@
 PLACEMENTS_S = 0.02
 """Placements are collected for this long before other nodes hear of them."""
 
+OLD_END_SHARE = 0.9
+"""Part of a roll-out's time after which old servers are to have nothing left; streams that would
+last longer are moved. The rest is for the last copies and for telling the operator."""
+
 ELSEWHERE_S = 0.05
 QUIET_S = 0.3
 EXIT_OK = 0
@@ -82,6 +89,15 @@
         self.sharing = Sharing(self.members, settings.bounds)
         self.book = ServerBook(node.hall)
         self.pool = ConnectionPool(time.monotonic)
+        self.rollouts = Rollouts(
+            self.book,
+            self.members,
+            self._rollout_changed,
+            self.sharing.true_time.local,
+            self._serving_count,
+            self._began_at,
+        )
+        self.book.on_outcome = self.rollouts.note
         self.forwarder = Forwarder(
             dialect,
             self.book,
@@ -91,6 +107,7 @@
             newer_plan=lambda: self.plans.fetch.behind(time.monotonic()),
             list_is_current=lambda: self.fleet.current(),
             first_start=node.first_start,
+            trial_share=self.rollouts.trial_share,
         )
         self._store = store
         nonce = f"{node.id}/{self.life:x}"
@@ -104,6 +121,9 @@
             self.book,
             lambda: self.forwarder.index,
             node.first_start,
+            RolloutDuty(
+                store, self.rollouts, self.book, self.sharing.true_time.local, time.monotonic
+            ),
         )
         self.supervisor = Supervisor("gateway", SystemClock())
         self.neighbours = Neighbours(self.members, node.peers, time.monotonic())
@@ -124,6 +144,7 @@
             self._tell_of_plan,
             self._crowd,
             node.link_mbps,
+            lambda stored: self.rollouts.ordered(stored.order, stored.phase),
         )
         self.fleet = FleetWatch(
             store,
@@ -146,6 +167,7 @@
             settings.bounds.address_ttl_s,
         )
         self._leaving_since: float | None = None
+        self._rollouts_told: dict[str, RolloutNews] = {}
         self._callers = Listener(self._handle, self._limits, time.monotonic)
         self._others = Listener(self._answer_question, self._limits, time.monotonic)
         self._servers: list[asyncio.Server] = []
@@ -266,6 +288,8 @@
             speeds=self.book.speeds(now),
             age_s=now - self._began_at,
             servers=self.fleet.head(),
+            rollouts=self.rollouts.news(),
+            trials=self.rollouts.counts(),
         )
 
     def _tell_state(self, everyone: bool = True) -> None:
@@ -319,6 +343,7 @@
                 self.forwarder.limits.begin_anew(now)
             self._tell_state(everyone=changed)
             self.sharing.take_over(self.book)
+            self.rollouts.step()
             self.fleet.drop_lapsed()
             self.book.tick(now)
             self.members.forget_old(now)
@@ -348,6 +373,7 @@
             return
         if stranger and self._gossip is not None:
             self._gossip.tell(StateNews(self._state(), self.neighbours.hints(now)), [state.peer])
+        self.rollouts.heard(state.rollouts)
         self.neighbours.addresses.add(state.peer, now)
         for address in message.addresses:
             self.neighbours.addresses.hint(address, now)
@@ -364,6 +390,31 @@
         if state.plan_version > (index.version if index is not None else -1):
             self.plans.fetch.heard(state.control, state.plan_version, state.power, now)
 
+    def _rollout_changed(self, news: RolloutNews) -> None:
+        """Tell all others of a roll-out at once, and empty old servers when requests move."""
+        if news.phase is Phase.MOVING:
+            self._empty_old_servers(news)
+        if self._gossip is not None and self._rollouts_told.get(news.order.service) != news:
+            self._rollouts_told[news.order.service] = news
+            self._tell_state()
+
+    def _empty_old_servers(self, news: RolloutNews) -> None:
+        order = news.order
+        now = time.monotonic()
+        ordered_at = self.sharing.true_time.local(order.ordered_s)
+        began_at = now if ordered_at is None else ordered_at
+        ends = max(now, began_at + OLD_END_SHARE * order.duration_s)
+        views = self.book.group(order.service).views.values()
+        old = [view.server for view in views if view.server.version != order.target]
+        self.forwarder.evacuation.empty_by(old, ends)
+
+    def _serving_count(self) -> int:
+        """Return how many nodes serve, 0 if this one does not."""
+        if not self.neighbours.serving:
+            return 0
+        alive = self.members.alive(time.monotonic())
+        return 1 + sum(1 for each in alive if each.serving)
+
     def serving_nodes(self) -> list[NodeState]:
         """Return the nodes that callers should use."""
         return self.neighbours.serving_nodes(self._state(), time.monotonic())
--- a/src/moledale/gateway/outside.py
+++ b/src/moledale/gateway/outside.py
@@ -5,6 +5,7 @@
 import msgspec
 from result import Result
 
+from moledale.core.rollouts import Phase, RolloutNews, RolloutOrder
 from moledale.gateway.messages import Server
 from moledale.gateway.plan import Plan
 
@@ -60,13 +61,37 @@
     changed: bool = True
 
 
+class StoredRollout(msgspec.Struct, frozen=True):
+    """An order as the store has it, and the phase that its last status tells."""
+
+    order: RolloutOrder
+    phase: Phase = Phase.TRIAL
+
+
+class StatusWritten(msgspec.Struct, frozen=True):
+    """Outcome of writing a roll-out's status, with the version of the row as it stands now.
+
+    Where another status stood in its way, `phase` is what that one tells of the same order.
+    `superseded` tells that a newer order was given.
+    """
+
+    committed: bool
+    version: int
+    phase: Phase | None = None
+    superseded: bool = False
+
+
 class PlanNews(msgspec.Struct, frozen=True):
-    """Answer of a watch: the newest plan if it changed, and where to go on watching."""
+    """Answer of a watch: the newest plan if it changed, and where to go on watching.
+
+    `rollouts` are orders for new versions of servers that are new or were asked for.
+    """
 
     plan: Plan | None
     raw: bytes
     position: int
     store_s: float
+    rollouts: tuple[StoredRollout, ...] = ()
 
 
 class Store(Protocol):
@@ -104,6 +129,19 @@
         """Return the newest plan once there is one after `position`, or after `wait_s`."""
         ...
 
+    async def write_rollout(
+        self, news: RolloutNews, expected: int, timeout_s: float
+    ) -> Result[StatusWritten, Trouble]:
+        """Tell the operator how far a roll-out is, and keep what a later holder needs.
+
+        It holds only if the order still stands, and the status at version `expected`.
+        """
+        ...
+
+    async def kept_rollouts(self, timeout_s: float) -> Result[tuple[RolloutNews, ...], Trouble]:
+        """Return what earlier holders kept of roll-outs."""
+        ...
+
     def decode_plan(self, raw: bytes) -> Plan:
         """Read a plan that a peer passed on; ValueError if it can't be read."""
         ...
--- a/src/moledale/gateway/peers.py
+++ b/src/moledale/gateway/peers.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from moledale.core.rollout_evidence import Evidence
+from moledale.core.rollouts import RolloutNews
 from moledale.gateway.server_list import ListHead
 from moledale.gateway.server_model import Speed
 
@@ -51,13 +53,24 @@
     news: LeaseNews
 
 
+class TrialCounts(msgspec.Struct, array_like=True):
+    """What a node saw of a new version: its requests for the service since the trial began, those
+    that it sent to the new version, and how the answers came."""
+
+    revision: int
+    requests: int = 0
+    tried: int = 0
+    seen: Evidence = msgspec.field(default_factory=Evidence)
+
+
 class NodeState(msgspec.Struct, array_like=True):
     """All that a node tells of itself; `life` is new at each start of its process.
 
     `age_s` is the time since this life began. `store_age_s` is the time since the store answered
     its watch, endless while it does not.
     `lease_heard` is the lease that its holder told this node, for nodes that don't hear the holder.
-    `servers` is the list of backend servers that it has.
+    `servers` is the list of backend servers that it has. `rollouts` are the roll-outs of versions
+    that it knows, and `trials` what it saw of those that are not decided on, by service.
     """
 
     id: str
@@ -85,6 +98,8 @@
     speeds: dict[str, Speed] = {}
     age_s: float = 1e9
     servers: ListHead | None = None
+    rollouts: list[RolloutNews] = []
+    trials: dict[str, TrialCounts] = {}
 
     def shortened(self) -> "NodeState":
         """Return the state without most counts, for nodes that only need to know who is there.
@@ -92,7 +107,9 @@
         What accounts spent stays: callers may come to any node at any moment, and one that did not
         hear of it would grant the limits anew.
         """
-        return msgspec.structs.replace(self, started={}, loads={}, sends={}, work={}, brief=True)
+        return msgspec.structs.replace(
+            self, started={}, loads={}, sends={}, work={}, trials={}, brief=True
+        )
 
     def with_counts_of(self, earlier: "NodeState") -> "NodeState":
         """Return a shortened state with the counts that were told before in the same life."""
@@ -102,6 +119,7 @@
             loads=earlier.loads,
             sends=earlier.sends,
             work=earlier.work,
+            trials=earlier.trials,
             brief=earlier.brief,
         )
 
--- a/src/moledale/gateway/plan_watch.py
+++ b/src/moledale/gateway/plan_watch.py
@@ -14,8 +14,9 @@
 from moledale.gateway.backoff import Backoff
 from moledale.gateway.document_archive import DocumentArchive
 from moledale.gateway.document_fetch import PLAN_PATH, DocumentFetch
-from moledale.gateway.outside import PlanNews, Store
+from moledale.gateway.outside import PlanNews, Store, StoredRollout
 from moledale.gateway.plan import Plan
+from moledale.gateway.store_health import StoreHealth
 from moledale.gateway.usage import TrueTime
 from moledale.log import Event, emit
 
@@ -33,10 +34,15 @@
 """Time in which a plan of 1,500 routes, 0.5 MB as the store spells it, comes over 5 Mbit/s."""
 
 
+def _no_rollout(_: StoredRollout) -> None:
+    """Carry out no roll-out."""
+
+
 class PlanWatch:
     """Brings each newer plan to `adopt`, which says whether it is in force now.
 
     `adopted` is then told whether the plan came from the store, for others to be told of it.
+    `ordered` hears of roll-outs, which operators order at the same place.
     """
 
     def __init__(
@@ -48,6 +54,7 @@
         adopted: Callable[[bool], None],
         crowd: Callable[[], float],
         link_mbps: float,
+        ordered: Callable[[StoredRollout], None] = _no_rollout,
     ) -> None:
         self.archive = DocumentArchive(link_mbps, time.monotonic)
         self.fetch = DocumentFetch(
@@ -61,9 +68,11 @@
         self._version = -1
         self._turn = turn
         self._store = store
+        self._health = StoreHealth("plan")
         self._true_time = true_time
         self._adopt = adopt
         self._adopted = adopted
+        self._ordered = ordered
         self._backoff = Backoff(AGAIN_S, AGAIN_MOST_S, crowd)
         self._brought = asyncio.Event()
 
@@ -83,9 +92,11 @@
             if isinstance(outcome, Err):
                 position = None
                 self.reached_at = -1e9
+                self._health.failed(outcome.err_value.detail)
                 await self._wait_again()
                 continue
             self._backoff.answered()
+            self._health.answered()
             self.reached_at = time.monotonic()
             news = outcome.ok_value
             if position is None:
@@ -104,11 +115,14 @@
         """Read the plan from the store, since no peer delivers it; say whether it answered."""
         outcome = await self._store.plan(FALLBACK_TIMEOUT_S)
         if isinstance(outcome, Err):
+            self._health.failed(outcome.err_value.detail)
             return False
         self._take_news(outcome.ok_value)
         return True
 
     def _take_news(self, news: PlanNews) -> None:
+        for rollout in news.rollouts:
+            self._ordered(rollout)
         if news.plan is not None:
             self._take(news.plan, news.raw, from_store=True)
 
--- /dev/null
+++ b/src/moledale/gateway/rollout_duty.py
@@ -0,0 +1,158 @@
+"""Carrying roll-outs on while the lease is held, and telling the operator how far they are."""
+
+from collections.abc import Callable, Iterable
+
+from result import Err
+
+from moledale.core.rollouts import LEAST_PER_ROUTE, Phase, Progress, next_phase
+from moledale.gateway.balance import PACE, ServerBook
+from moledale.gateway.outside import ABSENT, Store
+from moledale.gateway.rollouts import Rollouts, ServiceRollout
+from moledale.log import Event, emit
+
+CALL_TIMEOUT_S = 1.0
+WRITES = 3
+"""Writes of a status in one step: the first may find another one in its way, and the next the one
+that another holder wrote meanwhile."""
+
+
+class RolloutDuty:
+    """The part of roll-outs that one node does for all."""
+
+    def __init__(
+        self,
+        store: Store,
+        rollouts: Rollouts,
+        book: ServerBook,
+        local: Callable[[float], float | None],
+        now: Callable[[], float],
+    ) -> None:
+        self._store = store
+        self._rollouts = rollouts
+        self._book = book
+        self._local = local
+        self._now = now
+        self._recovered = False
+        self._versions: dict[str, int] = {}
+        self._written: dict[str, tuple[int, Phase]] = {}
+        self._risen_at: dict[tuple[str, int], float] = {}
+
+    def begin(self) -> None:
+        """Start anew as the holder: another one may have written meanwhile."""
+        self._recovered = False
+        self._versions.clear()
+        self._written.clear()
+        self._risen_at.clear()
+
+    async def step(self, held: Callable[[], bool]) -> None:
+        """Carry all roll-outs on; `held` says whether the lease is still held."""
+        if not self._rollouts.services:
+            return
+        if not self._recovered and not await self._recover():
+            return
+        for service, rollout in list(self._rollouts.services.items()):
+            await self._carry_on(service, rollout, held)
+
+    async def _recover(self) -> bool:
+        """Take over what former holders kept; say whether the store answered."""
+        outcome = await self._store.kept_rollouts(CALL_TIMEOUT_S)
+        if isinstance(outcome, Err):
+            return False
+        self._rollouts.heard(outcome.ok_value)
+        self._recovered = True
+        return True
+
+    async def _carry_on(
+        self, service: str, rollout: ServiceRollout, held: Callable[[], bool]
+    ) -> None:
+        if not rollout.phase.ended:
+            phase = next_phase(self._progress(service, rollout))
+            if phase is Phase.COMPLETED:
+                await self._complete(service, rollout, held)
+                return
+            if phase > rollout.phase:
+                self._advance(service, rollout, phase)
+        await self._write(rollout, rollout.phase, held)
+
+    def _advance(self, service: str, rollout: ServiceRollout, phase: Phase) -> None:
+        if phase is Phase.RISING:
+            self._risen_at[service, rollout.order.revision] = self._now()
+        why = "nothing speaks for it in time" if phase.ended else "no answers speak against it"
+        self._rollouts.advance(service, phase, why)
+
+    async def _complete(
+        self, service: str, rollout: ServiceRollout, held: Callable[[], bool]
+    ) -> None:
+        """End the old servers; nodes hear of it once the operator's store has taken it."""
+        if await self._write(rollout, Phase.COMPLETED, held):
+            self._rollouts.advance(service, Phase.COMPLETED, "nothing runs at old servers")
+
+    def _progress(self, service: str, rollout: ServiceRollout) -> Progress:
+        """Return what is known of a roll-out now."""
+        now = self._now()
+        ordered_at = self._local(rollout.order.ordered_s)
+        elapsed_s = 0.0 if ordered_at is None else now - ordered_at
+        risen_at = self._risen_at.setdefault((service, rollout.order.revision), now)
+        views = list(self._book.group(service).views.values())
+        new = [view for view in views if view.server.version == rollout.order.target]
+        old = [view for view in views if view.server.version != rollout.order.target]
+        duration_s = max(1.0, rollout.order.duration_s)
+        return Progress(
+            phase=rollout.phase,
+            elapsed=elapsed_s / duration_s,
+            risen_for=(now - risen_at) / duration_s,
+            new_ready=sum(1 for view in new if not view.server.leaving),
+            old_running=sum(view.all_running for view in old),
+            tried=rollout.tried,
+            lacking=_lacking(rollout),
+        )
+
+    async def _write(self, rollout: ServiceRollout, phase: Phase, held: Callable[[], bool]) -> bool:
+        """Tell the operator a phase unless that was done; say whether it stands in the store."""
+        order = rollout.order
+        told = _as_told(phase)
+        if self._written.get(order.service) == (order.revision, told):
+            return True
+        news = rollout.news_in(phase)
+        for _ in range(WRITES):
+            if not held():
+                return False
+            expected = self._versions.get(order.service, ABSENT)
+            outcome = await self._store.write_rollout(news, expected, CALL_TIMEOUT_S)
+            if isinstance(outcome, Err):
+                emit(Event.ROLLOUT_FAILED, service=order.service, why=outcome.err_value.detail)
+                return False
+            written = outcome.ok_value
+            if written.superseded:
+                return False
+            self._versions[order.service] = written.version
+            if written.committed:
+                self._written[order.service] = (order.revision, told)
+                return True
+            if written.phase is not None and written.phase.ended:
+                if written.phase > rollout.phase:
+                    self._rollouts.advance(order.service, written.phase, "the store tells so")
+                self._written[order.service] = (order.revision, written.phase)
+                return written.phase is phase
+        return False
+
+
+def _as_told(phase: Phase) -> Phase:
+    """Return the phase that stands for one in what the operator is told."""
+    return phase if phase.ended else Phase.TRIAL
+
+
+def _lacking(rollout: ServiceRollout) -> int:
+    """Return the routes with traffic that the new servers answered too seldom on."""
+    return sum(1 for route in _routes(rollout.seen.old) if not _tried_enough(rollout, route))
+
+
+def _routes(series: Iterable[str]) -> list[str]:
+    return [name for name in series if not name.endswith(PACE)]
+
+
+def _tried_enough(rollout: ServiceRollout, route: str) -> bool:
+    old = rollout.seen.old[route].number
+    new = rollout.seen.new.get(route)
+    wanted = min(LEAST_PER_ROUTE, max(1, old // LEAST_PER_ROUTE))
+    return new is not None and new.number >= wanted
--- /dev/null
+++ b/src/moledale/gateway/rollouts.py
@@ -0,0 +1,205 @@
+"""What a node knows of roll-outs: orders, phases, and what it and others saw of the new versions.
+
+Each node keeps within the bound of a trial by itself, and each may find that a version is bad, with
+or without the store and the holder of the duties. A version of which nothing was heard yet gets
+nothing: the servers that a node saw first are used until an order says otherwise.
+"""
+
+import random
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from moledale.core.rollout_evidence import Arm, Evidence, Judge, merged
+from moledale.core.rollouts import (
+    RISING_SHARE,
+    TRIAL_FREE,
+    TRIAL_SHARE,
+    Phase,
+    RolloutNews,
+    RolloutOrder,
+    rule_of,
+    trial_allowed,
+)
+from moledale.gateway.balance import ServerBook
+from moledale.gateway.peers import Membership, TrialCounts
+from moledale.gateway.server_view import Placement
+from moledale.log import Event, emit
+
+
+class ServiceRollout:
+    """A service's roll-out as one node follows it."""
+
+    def __init__(self, news: RolloutNews) -> None:
+        self.news = news
+        self.own = TrialCounts(news.order.revision)
+        self.judge = Judge()
+        self.seen = Evidence()
+        self.tried = 0
+
+    @property
+    def order(self) -> RolloutOrder:
+        """Return the order that is carried out."""
+        return self.news.order
+
+    @property
+    def phase(self) -> Phase:
+        """Return how far it is."""
+        return self.news.phase
+
+    def news_in(self, phase: Phase) -> RolloutNews:
+        """Return the news of it as they would be in a phase."""
+        return msgspec.structs.replace(self.news, phase=phase)
+
+    def arm_of(self, version: str) -> Arm:
+        """Return which side of the comparison a server's version is on."""
+        return Arm.NEW if version == self.order.target else Arm.OLD
+
+
+class Rollouts:
+    """All roll-outs at one node.
+
+    `changed` hears of each change that other nodes should know at once. `local` tells when the
+    store's clock showed a time, `serving` how many nodes serve, 0 if this one does not.
+    """
+
+    def __init__(
+        self,
+        book: ServerBook,
+        members: Membership,
+        changed: Callable[[RolloutNews], None],
+        local: Callable[[float], float | None],
+        serving: Callable[[], int],
+        began_at: float,
+    ) -> None:
+        self.services: dict[str, ServiceRollout] = {}
+        self._book = book
+        self._members = members
+        self._changed = changed
+        self._local = local
+        self._serving = serving
+        self._began_at = began_at
+        self._random = random.Random()
+
+    # What is heard
+
+    def ordered(self, order: RolloutOrder, phase: Phase = Phase.TRIAL) -> None:
+        """Take over an order as the store has it, and how far it is as far as that is known."""
+        known = self.services.get(order.service)
+        if known is None:
+            self._adopt(RolloutNews(order, phase))
+        elif order.revision > known.order.revision:
+            news = known.news.followed_by(order)
+            self._adopt(msgspec.structs.replace(news, phase=phase))
+        elif order.revision == known.order.revision:
+            self._adopt(known.news.joined(RolloutNews(order, phase)))
+
+    def heard(self, told: Iterable[RolloutNews]) -> None:
+        """Take over what another node, or a former holder, knows."""
+        for news in told:
+            known = self.services.get(news.order.service)
+            self._adopt(news if known is None else known.news.joined(news), from_peer=True)
+
+    def advance(self, service: str, phase: Phase, why: str) -> None:
+        """Bring a roll-out to a higher phase."""
+        known = self.services[service]
+        news = known.news.joined(msgspec.structs.replace(known.news, phase=phase))
+        emit(Event.ROLLOUT_DECIDED, service=service, phase=phase.name, why=why, **self._told(known))
+        self._adopt(news)
+
+    def _adopt(self, news: RolloutNews, from_peer: bool = False) -> None:
+        service = news.order.service
+        known = self.services.get(service)
+        if known is not None and known.news == news:
+            return
+        if known is None or known.order.revision != news.order.revision:
+            known = self.services[service] = ServiceRollout(news)
+            emit(
+                Event.ROLLOUT_ORDERED,
+                service=service,
+                target=news.order.target,
+                revision=news.order.revision,
+                duration_s=news.order.duration_s,
+                from_peer=from_peer,
+            )
+        known.news = news
+        self._book.group(service).set_rule(rule_of(news))
+        self._changed(news)
+
+    def _told(self, rollout: ServiceRollout) -> dict[str, object]:
+        new = rollout.seen.new.items()
+        return {
+            "target": rollout.order.target,
+            "revision": rollout.order.revision,
+            "answers": {series: tally.number for series, tally in new},
+            "failed": {series: tally.failed for series, tally in new if tally.failed},
+        }
+
+    # What is told
+
+    def news(self) -> list[RolloutNews]:
+        """Return what other nodes should know, finished roll-outs included."""
+        return [rollout.news for rollout in self.services.values()]
+
+    def counts(self) -> dict[str, TrialCounts]:
+        """Return what this node saw of versions that are not decided on."""
+        return {
+            service: rollout.own
+            for service, rollout in self.services.items()
+            if not rollout.phase.ended
+        }
+
+    # Requests
+
+    def trial_share(self, service: str, first_send: bool) -> float:
+        """Return the part of the load that a version on trial bears if a request is to go there.
+
+        Repeats never do.
+        """
+        rollout = self.services.get(service)
+        if rollout is None or rollout.phase not in (Phase.TRIAL, Phase.RISING):
+            return 0.0
+        if not first_send or not self._book.group(service).has_version(rollout.order.target):
+            return 0.0
+        own = rollout.own
+        own.requests += 1
+        if rollout.phase is Phase.RISING:
+            return RISING_SHARE if self._random.random() < RISING_SHARE else 0.0
+        if not trial_allowed(own.requests, own.tried, self._free(rollout)):
+            return 0.0
+        own.tried += 1
+        return TRIAL_SHARE
+
+    def _free(self, rollout: ServiceRollout) -> float:
+        """Return this node's part of the free requests; a later life may have spent its own."""
+        serving = self._serving()
+        ordered_at = self._local(rollout.order.ordered_s)
+        if not serving or ordered_at is None or ordered_at < self._began_at:
+            return 0.0
+        return TRIAL_FREE / serving
+
+    def note(self, placement: Placement, series: str, failed: bool, took_s: float) -> None:
+        """Note an answer, for the comparison."""
+        server = placement.view.server
+        rollout = self.services.get(server.service)
+        if rollout is not None and not rollout.phase.ended:
+            rollout.own.seen.note(rollout.arm_of(server.version), series, failed, took_s)
+
+    # Judging
+
+    def step(self) -> None:
+        """Look at what all nodes saw until now; a version found bad gets nothing more."""
+        for service, rollout in self.services.items():
+            if rollout.phase.ended:
+                continue
+            told = self._told_counts(service, rollout.order.revision)
+            rollout.seen = merged([rollout.own.seen, *(each.seen for each in told)])
+            rollout.tried = sum(tally.number for tally in rollout.seen.new.values())
+            if rollout.judge.note(rollout.seen):
+                self.advance(service, Phase.ROLLED_BACK, "the new version's answers are worse")
+
+    def _told_counts(self, service: str, revision: int) -> list[TrialCounts]:
+        """Return what other nodes, and those that are gone, saw."""
+        states = self._members.all_states()
+        told = (state.trials.get(service) for state in states)
+        return [each for each in told if each is not None and each.revision == revision]
--- a/src/moledale/gateway/server_group.py
+++ b/src/moledale/gateway/server_group.py
@@ -14,6 +14,8 @@
 
 import xxhash
 
+from moledale.core.hashing import ranked
+from moledale.core.rollouts import VersionRule
 from moledale.gateway.messages import PromptPart, Server
 from moledale.gateway.server_view import ServerView
 
@@ -47,6 +49,8 @@
 MOST_ENTRIES = 64
 """Fewer entries than these are never worth making the order anew."""
 
+NONE_EXCLUDED: frozenset[str] = frozenset()
+
 FADING_SHARE = 0.01
 """A server that failed or was slow counts as sound again below this."""
 
@@ -174,6 +178,8 @@
         self._holders: dict[str, list[ServerView]] = {}
         self._counted: dict[str, tuple[int, int]] = {}
         self._unsound: set[str] = set()
+        self._rule = VersionRule()
+        self._settled: frozenset[str] = frozenset()
         self._now = 0.0
 
     # Servers that come and go
@@ -181,6 +187,8 @@
     def apply(self, servers: Iterable[Server]) -> list[ServerView]:
         """Take over the service's servers; return the views of those that are new."""
         listed = {server.id: server for server in servers}
+        if not self._settled:
+            self._settled = frozenset(server.version for server in listed.values())
         for name in [name for name in self.views if name not in listed]:
             self._remove(name)
         new = [ServerView(server) for name, server in listed.items() if name not in self.views]
@@ -230,7 +238,7 @@
             self.busy.discard(name)
         self._note_soundness(view)
         order = self._order(view.server.hall)
-        if view.server.leaving or view.paused_until > self._now:
+        if not self.may_serve(view, NONE_EXCLUDED):
             order.drop(view)
         else:
             order.put(view, steps(self._load_s(view, self._now)))
@@ -294,12 +302,60 @@
         """Return the server where prompts with a key should meet."""
         return self._ring.home(key)
 
+    # Versions
+
+    def set_rule(self, rule: VersionRule) -> None:
+        """Say which versions get work; servers of others keep what they have."""
+        if rule == self._rule:
+            return
+        self._rule = rule
+        if rule.only_target:
+            self._settled |= {rule.target}
+        for view in self.views.values():
+            self.changed(view)
+
+    def allows(self, version: str) -> bool:
+        """Say whether servers of a version get work.
+
+        One that appears without an order that this node knows gets none: the order may be on its
+        way, and the version bad.
+        """
+        return version in self._settled and self._rule.allows(version)
+
+    def allowed(self) -> list[ServerView]:
+        """Return the servers whose version gets work, leaving ones included."""
+        return [view for view in self.views.values() if self.allows(view.server.version)]
+
+    def has_version(self, version: str) -> bool:
+        """Say whether servers of a version are there that don't leave."""
+        return any(
+            view.server.version == version and not view.server.leaving
+            for view in self.views.values()
+        )
+
+    def on_trial(self, share: float, excluded: frozenset[str]) -> list[ServerView]:
+        """Return the servers of a new version that share its part of the requests.
+
+        They are as many that each gets about as much as an old one does: a version that is bad
+        under load only shows it. All nodes choose the same ones.
+        """
+        target = self._rule.target
+        staying = [view for view in self.views.values() if not view.server.leaving]
+        new = [view for view in staying if view.server.version == target]
+        old = sum(1 for view in staying if self.allows(view.server.version))
+        number = max(1, round(share * old))
+        chosen = ranked(target, (view.server.id for view in new))[:number]
+        ready = (self.views[name] for name in chosen if name not in excluded)
+        return [view for view in ready if view.paused_until <= self._now]
+
     # Candidates
 
     def may_serve(self, view: ServerView, excluded: frozenset[str]) -> bool:
         """Say whether a server may get new work."""
         server = view.server
-        return not server.leaving and server.id not in excluded and view.paused_until <= self._now
+        if server.leaving or view.paused_until > self._now or server.id in excluded:
+            return False
+        return self.allows(server.version)
 
     def candidates(
         self,
@@ -340,7 +396,11 @@
             for view in self.views.values()
             if not view.server.leaving and view.server.id not in excluded
         ]
-        return [view for view in staying if view.paused_until <= self._now] or staying
+        allowed = [view for view in staying if self.allows(view.server.version)]
+        if not allowed and (self._rule.only_target or not self._rule.target):
+            rejected = self._rule.rejected
+            allowed = [view for view in staying if view.server.version not in rejected]
+        return [view for view in allowed if view.paused_until <= self._now] or allowed
 
     def has_other(self, now: float, tried: frozenset[str]) -> bool:
         """Say whether a server may get work that was not tried and is not paused."""
--- a/src/moledale/gateway/server_view.py
+++ b/src/moledale/gateway/server_view.py
@@ -123,6 +123,7 @@
     `work`, `uncached`, `ahead` (prompt tokens) and `beside` (requests) are what the choice
     believed; `through` is all the work that was placed there up to and with it. From
     `fetch_from`, the address of another server, it takes `fetched` tokens of the prompt's front.
+    It is `judged` once its answer, or that there was none, counted for its server's version.
     """
 
     view: ServerView
@@ -135,7 +136,10 @@
     through: float = 0.0
     fetch_from: str = ""
     fetched: int = 0
+    fetching_s: float = 0.0
     first_at: float = 0.0
+    route: str = ""
+    judged: bool = False
     ended: bool = False
 
     def first_token(self) -> None:
--- a/src/moledale/log.py
+++ b/src/moledale/log.py
@@ -72,6 +72,11 @@
     USAGE_REPORTED = EventSpec(510, logbook.INFO, "Usage of a window was reported.")
     USAGE_FAILED = EventSpec(511, logbook.WARNING, "Usage of a window could not be reported.")
     SERVERS_ORDERED = EventSpec(512, logbook.INFO, "A number of servers was ordered for a hall.")
+    ROLLOUT_ORDERED = EventSpec(
+        520, logbook.INFO, "An order for a new version of servers is known."
+    )
+    ROLLOUT_DECIDED = EventSpec(521, logbook.INFO, "A roll-out went on, ended or was rolled back.")
+    ROLLOUT_FAILED = EventSpec(522, logbook.WARNING, "The state of a roll-out was not written.")
     RELOADED = EventSpec(106, logbook.INFO, "The settings were read again.")
     PEER_REFUSED = EventSpec(600, logbook.WARNING, "A peer call without a valid token was refused.")
     PEER_DOWN = EventSpec(601, logbook.INFO, "A peer does not answer.")
--- a/src/moledale/platform/records.py
+++ b/src/moledale/platform/records.py
@@ -5,9 +5,14 @@
 
 import msgspec
 
+from moledale.core.rollouts import Phase, RolloutNews, RolloutOrder
 from moledale.gateway import plan
 from moledale.gateway.messages import Server
 
+RUNNING = "running"
+STATES = {Phase.COMPLETED: "completed", Phase.ROLLED_BACK: "rolled_back"}
+PHASES = {state: phase for phase, state in STATES.items()}
+
 KINDS = {"safe": plan.Kind.SAFE, "unsafe": plan.Kind.ONCE, "streaming": plan.Kind.STREAM}
 
 
@@ -117,6 +122,21 @@
     leaves_ms: float | None = msgspec.field(default=None, name="leaves_ms")
 
 
+class RolloutRecord(Record, frozen=True):
+    """An order to move a service's requests to servers of another version."""
+
+    service: str
+    target_version: str
+    duration_s: float
+
+
+class StatusRecord(Record, frozen=True):
+    """How far a roll-out is."""
+
+    state: str
+    target_version: str
+
+
 class RowRecord(msgspec.Struct, frozen=True):
     """A row of the store; its value is base64."""
 
@@ -227,6 +247,25 @@
     )
 
 
+def read_rollout(row: RowRecord, now_s: float) -> RolloutOrder:
+    """Make an order of its row; ValueError if it can't be read."""
+    record = msgspec.json.decode(row.body(), type=RolloutRecord)
+    return RolloutOrder(record.service, row.ver, record.target_version, record.duration_s, now_s)
+
+
+def read_phase(row: RowRecord, order: RolloutOrder) -> Phase | None:
+    """Return the phase that a status tells of an order, None if it is of another one."""
+    record = msgspec.json.decode(row.body(), type=StatusRecord)
+    if row.ver < order.revision or record.target_version != order.target:
+        return None
+    return PHASES.get(record.state, Phase.TRIAL)
+
+
+def status_body(news: RolloutNews) -> dict[str, object]:
+    """Return the status of a roll-out as the operator reads it."""
+    return {"state": STATES.get(news.phase, RUNNING), "targetVersion": news.order.target}
+
+
 def encode(body: Any) -> bytes:
     """Encode a body as the platform wants it."""
     return msgspec.json.encode(body)
--- a/src/moledale/platform/store.py
+++ b/src/moledale/platform/store.py
@@ -6,6 +6,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from moledale.core.rollouts import RolloutNews, RolloutOrder
 from moledale.gateway.calls import CallAnswer, CallFailed, HttpCaller
 from moledale.gateway.messages import Headers, Server
 from moledale.gateway.outside import (
@@ -13,15 +14,29 @@
     Reading,
     ServerList,
     StateRow,
+    StatusWritten,
+    StoredRollout,
     Trouble,
     Written,
 )
 from moledale.gateway.plan import Plan
-from moledale.platform.records import RowRecord, RowsRecord, encode, read_config, read_server
+from moledale.platform.records import (
+    RowRecord,
+    RowsRecord,
+    encode,
+    read_config,
+    read_phase,
+    read_rollout,
+    read_server,
+    status_body,
+)
 
 JSON: Headers = [(b"Content-Type", b"application/json")]
 CONFIG_TABLE = "op"
 CONFIG_KEY = "config"
+ROLLOUT_PREFIX = "rollout/"
+STATUS_TABLE = "status"
+KEPT_TABLE = "rollouts"
 SERVER_TABLE = "servers"
 WATCH_MARGIN_S = 0.7
 
@@ -54,7 +69,7 @@
         name = {"table": table, "part": "", "key": key}
         body = {
             "expectedRev": [{**name, "ver": expected}],
-            "put": [{**name, "value": base64.b64encode(value).decode()}],
+            "put": [{**name, "value": _in_base64(value)}],
             "remove": [],
         }
         outcome = await self._call("POST", "/v1/rows-tx", timeout_s, encode(body), (200, 412))
@@ -71,7 +86,7 @@
 
     async def put(self, table: str, key: str, value: bytes, timeout_s: float) -> Trouble | None:
         """Put a row without a condition."""
-        row = {"table": table, "part": "", "key": key, "value": base64.b64encode(value).decode()}
+        row = {"table": table, "part": "", "key": key, "value": _in_base64(value)}
         return await self._change({"expectedRev": [], "put": [row], "remove": []}, timeout_s)
 
     async def remove(self, table: str, key: str, timeout_s: float) -> Trouble | None:
@@ -129,7 +144,17 @@
     async def plan(self, timeout_s: float) -> Result[PlanNews, Trouble]:
         """Return the newest plan."""
         outcome = await self._rows(CONFIG_TABLE, timeout_s)
-        return outcome if isinstance(outcome, Err) else Ok(_plan_news(outcome.ok_value))
+        if isinstance(outcome, Err):
+            return outcome
+        news = _plan_news(outcome.ok_value)
+        if not news.rollouts:
+            return Ok(news)
+        statuses = await self._rows(STATUS_TABLE, timeout_s)
+        if isinstance(statuses, Err):
+            return statuses
+        rows = {row.key: row for row in statuses.ok_value.rows}
+        rollouts = tuple(_with_status(each, rows) for each in news.rollouts)
+        return Ok(msgspec.structs.replace(news, rollouts=rollouts))
 
     async def watch_plan(self, position: int, wait_s: float) -> Result[PlanNews, Trouble]:
         """Return the newest plan once there is one after `position`, or after `wait_s`."""
@@ -140,6 +165,39 @@
             return outcome
         return Ok(_plan_news(msgspec.json.decode(outcome.ok_value.body, type=RowsRecord)))
 
+    async def write_rollout(
+        self, news: RolloutNews, expected: int, timeout_s: float
+    ) -> Result[StatusWritten, Trouble]:
+        """Write a roll-out's status, and beside it what a later holder needs."""
+        order = news.order
+        key = ROLLOUT_PREFIX + order.service
+        ordered = {"table": CONFIG_TABLE, "part": "", "key": key, "ver": order.revision}
+        status = {"table": STATUS_TABLE, "part": "", "key": key}
+        kept = {"table": KEPT_TABLE, "part": "", "key": order.service}
+        body = {
+            "expectedRev": [ordered, {**status, "ver": expected}],
+            "put": [
+                {**status, "value": _in_base64(encode(status_body(news)))},
+                {**kept, "value": _in_base64(msgspec.json.encode(news))},
+            ],
+            "remove": [],
+        }
+        outcome = await self._call("POST", "/v1/rows-tx", timeout_s, encode(body), (200, 412))
+        if isinstance(outcome, Err):
+            return outcome
+        record = msgspec.json.decode(outcome.ok_value.body, type=RowsRecord)
+        if outcome.ok_value.status == 200:
+            return Ok(StatusWritten(True, record.ver))
+        return Ok(_status_in_the_way(record, order))
+
+    async def kept_rollouts(self, timeout_s: float) -> Result[tuple[RolloutNews, ...], Trouble]:
+        """Return what earlier holders kept of roll-outs."""
+        outcome = await self._rows(KEPT_TABLE, timeout_s)
+        if isinstance(outcome, Err):
+            return outcome
+        rows = outcome.ok_value.rows
+        return Ok(tuple(msgspec.json.decode(row.body(), type=RolloutNews) for row in rows))
+
     def decode_plan(self, raw: bytes) -> Plan:
         """Read a configuration that a peer passed on."""
         return read_config(raw)
@@ -193,8 +251,37 @@
 
 def _plan_news(record: RowsRecord) -> PlanNews:
     newest = b""
+    now_s = record.now_ms / 1000
+    rollouts = []
     for row in record.rows:
-        if row.key == CONFIG_KEY and not row.gone:
+        if row.gone:
+            continue
+        if row.key == CONFIG_KEY:
             newest = row.body()
+        elif row.key.startswith(ROLLOUT_PREFIX):
+            rollouts.append(StoredRollout(read_rollout(row, now_s)))
     plan = read_config(newest) if newest else None
-    return PlanNews(plan, newest, record.ver, record.now_ms / 1000)
+    return PlanNews(plan, newest, record.ver, now_s, tuple(rollouts))
+
+
+def _with_status(stored: StoredRollout, statuses: dict[str, RowRecord]) -> StoredRollout:
+    """Return an order with the phase that its status tells, if there is one."""
+    row = statuses.get(ROLLOUT_PREFIX + stored.order.service)
+    phase = read_phase(row, stored.order) if row is not None else None
+    return stored if phase is None else StoredRollout(stored.order, phase)
+
+
+def _status_in_the_way(record: RowsRecord, order: RolloutOrder) -> StatusWritten:
+    """Tell from the rows that stand why a status was not written."""
+    standing = {row.table: row for row in record.rows if not row.gone}
+    ordered = standing.get(CONFIG_TABLE)
+    if ordered is None or ordered.ver != order.revision:
+        return StatusWritten(False, 0, superseded=True)
+    status = standing.get(STATUS_TABLE)
+    if status is None:
+        return StatusWritten(False, 0)
+    return StatusWritten(False, status.ver, read_phase(status, order))
+
+
+def _in_base64(value: bytes) -> str:
+    return base64.b64encode(value).decode()
--- /dev/null
+++ b/tests/rollout_world.py
@@ -0,0 +1,251 @@
+"""Whole nodes, and servers of two versions of a service, one of which may be bad.
+
+The stand-in for the platform carries out what a status says: `completed` ends the old servers at
+once, `rolled_back` has the new ones leave.
+"""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from moledale.gateway.node import GatewayNode
+from moledale.gateway.settings import Bounds
+from tests.gateway_world import KEY, Arrival, ScriptedServer, answer, read_answer, request_bytes
+from tests.test_gateway_nodes import HOST, Cluster
+
+SERVICE = "plain"
+OLD, NEW = "v1", "v2"
+TARGET_MS = 200
+ANSWER_S = 0.004
+ROUTES = ("check", "order")
+BOUNDS = Bounds(stop_s=3.0, lease_s=0.6, usage_window_s=1.0)
+
+
+def config(version: int = 1) -> object:
+    """Return a configuration with two routes to one service."""
+    kinds = {"check": "safe", "order": "unsafe"}
+    routes = [
+        {
+            "name": name,
+            "host": HOST,
+            "pathPrefix": f"/{name}/",
+            "kind": kinds[name],
+            "timeoutMs": 2000,
+            "sloMs": TARGET_MS,
+            "priority": 1,
+            "service": SERVICE,
+            "maxAttempts": 2,
+        }
+        for name in ROUTES
+    ]
+    return {
+        "version": version,
+        "routes": routes,
+        "services": [{"name": SERVICE, "healthPath": "/health", "maxConns": 100}],
+        "tenants": [{"name": "north", "apiKeys": [KEY]}],
+    }
+
+
+@dataclass
+class Badness:
+    """How a version is bad: part of its answers fail, or come this many times as slow; on one route
+    only, and from some time after the order on."""
+
+    failing: float = 0.0
+    slower_x: float = 1.0
+    route: str = ""
+    after_s: float = 0.0
+
+
+@dataclass
+class Seen:
+    """What servers and callers saw."""
+
+    requests: int = 0
+    served: int = 0
+    new_arrivals: int = 0
+    bad_answers: int = 0
+    last_new_at: float = 0.0
+    answers: dict[int, int] = field(default_factory=dict)
+    running: dict[str, int] = field(default_factory=dict)
+    running_at_end: int = 0
+
+
+class RolloutWorld:
+    """A cluster in which the operator orders a new version."""
+
+    def __init__(self, badness: Badness | None = None, seed: int = 1) -> None:
+        self.cluster = Cluster(BOUNDS)
+        self.badness = badness or Badness()
+        self.seen = Seen()
+        self.servers: dict[str, tuple[ScriptedServer, str]] = {}
+        self.ordered_at = 0.0
+        self.ended_at = 0.0
+        self._random = random.Random(seed)
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def __aenter__(self) -> "RolloutWorld":
+        await self.cluster.__aenter__()
+        self.platform = self.cluster.platform
+        self.platform.drop("servers", "s1")
+        self.platform.put("op", "config", config())
+        for number in range(4):
+            await self.add_server(f"old{number}", OLD)
+        self._follow(self._carry_out())
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await self.cluster.__aexit__()
+        for server, _version in self.servers.values():
+            server.stop()
+
+    def _follow(self, work: object) -> None:
+        self._tasks.add(asyncio.create_task(work))  # type: ignore[arg-type]
+
+    async def start(self, *names: str) -> list[GatewayNode]:
+        """Start nodes and wait until they are ready."""
+        nodes: list[GatewayNode] = []
+        for name in names:
+            seeds = tuple(node.settings.node.control for node in nodes[:3])
+            nodes.append(await self.cluster.start(name, seeds))
+        ends = time.monotonic() + 5.0
+        while not all(len(node.book.views) >= 4 and node.forwarder.index for node in nodes):
+            if time.monotonic() > ends:
+                raise AssertionError("the nodes are not ready")
+            await asyncio.sleep(0.02)
+        return nodes
+
+    async def add_server(self, name: str, version: str) -> None:
+        """Start a server and list it."""
+
+        async def script(
+            arrival: Arrival, _: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await self._serve(name, version, arrival, writer)
+
+        server = ScriptedServer(name, script)
+        await server.start()
+        self.servers[name] = (server, version)
+        self._list(name)
+
+    def _list(self, name: str, state: str = "ready") -> None:
+        server, version = self.servers[name]
+        entry = {
+            "service": SERVICE,
+            "address": server.address,
+            "zone": "hall-a",
+            "slots": 8,
+            "state": state,
+            "version": version,
+            "seq": 1,
+        }
+        self.platform.put("servers", name, entry)
+
+    async def order(self, duration_s: float, target: str = NEW, servers: int = 4) -> None:
+        """Order a roll-out; its servers start beside the old ones."""
+        order = {"service": SERVICE, "targetVersion": target, "durationS": duration_s}
+        self.platform.put("op", f"rollout/{SERVICE}", order)
+        self.ordered_at = time.monotonic()
+        for number in range(servers):
+            await self.add_server(f"{target}-{number}", target)
+
+    @property
+    def status(self) -> dict[str, str]:
+        """Return the status that the operator reads."""
+        body = self.platform.body("status", f"rollout/{SERVICE}")
+        return body if isinstance(body, dict) else {}
+
+    async def _carry_out(self) -> None:
+        """End or empty servers as a status says."""
+        done = ("", "")
+        while True:
+            await asyncio.sleep(0.01)
+            status = self.status
+            name = (status.get("state", ""), status.get("targetVersion", ""))
+            if name == done or name[0] not in ("completed", "rolled_back"):
+                continue
+            done = name
+            self.ended_at = time.monotonic()
+            self._end_servers(name[0], name[1])
+
+    def _end_servers(self, state: str, target: str) -> None:
+        for name, (server, version) in self.servers.items():
+            if state == "completed" and version != target:
+                self.seen.running_at_end += self.seen.running.get(name, 0)
+                server.stop()
+                self.platform.drop("servers", name)
+            elif state == "rolled_back" and version == target:
+                self._list(name, "draining")
+
+    async def _serve(
+        self, name: str, version: str, arrival: Arrival, writer: asyncio.StreamWriter
+    ) -> None:
+        self.seen.running[name] = self.seen.running.get(name, 0) + 1
+        status, took_s = self._outcome(version, arrival.line.split(" ")[1])
+        await asyncio.sleep(took_s)
+        self.seen.running[name] -= 1
+        writer.write(answer(arrival, status=status))
+
+    def _outcome(self, version: str, path: str) -> tuple[int, float]:
+        """Return status and time of an answer."""
+        took_s = ANSWER_S * self._random.lognormvariate(0.0, 0.3)
+        if version == OLD:
+            return 200, took_s
+        self.seen.new_arrivals += 1
+        self.seen.last_new_at = time.monotonic()
+        bad = self.badness
+        active = time.monotonic() - self.ordered_at >= bad.after_s
+        if not active or (bad.route and not path.startswith(f"/{bad.route}/")):
+            return 200, took_s
+        failed = self._random.random() < bad.failing
+        if failed or bad.slower_x > 1.0:
+            self.seen.bad_answers += 1
+        return (500 if failed else 200), took_s * bad.slower_x
+
+    # Callers
+
+    async def traffic(self, for_s: float, per_s: float) -> None:
+        """Send requests to all nodes by turns."""
+        ends = time.monotonic() + for_s
+        number = 0
+        pending: set[asyncio.Task[None]] = set()
+        while time.monotonic() < ends:
+            number += 1
+            task = asyncio.create_task(self._ask(number))
+            pending.add(task)
+            task.add_done_callback(pending.discard)
+            await asyncio.sleep(1.0 / per_s)
+        if pending:
+            await asyncio.wait(pending, timeout=3.0)
+
+    async def _ask(self, number: int) -> None:
+        names = list(self.cluster._tasks)
+        if not names:
+            return
+        node = self.cluster.nodes[names[number % len(names)]]
+        route = ROUTES[number % 3 == 0]
+        self.seen.requests += 1
+        head = {"Authorization": f"Bearer {KEY}", "Request-Id": f"r{number}"}
+        data = request_bytes(f"/{route}/", headers=head)
+        host, port = node.settings.node.callers.split(":")
+        try:
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(data)
+            got = await read_answer(reader)
+            writer.close()
+        except (OSError, asyncio.IncompleteReadError):
+            return
+        self.seen.answers[got.status] = self.seen.answers.get(got.status, 0) + 1
+        self.seen.served += got.status == 200
+
+    async def until(self, condition: Callable[[], bool], within_s: float) -> None:
+        """Wait until something holds."""
+        ends = time.monotonic() + within_s
+        while not condition():
+            if time.monotonic() > ends:
+                raise AssertionError(f"it never came true; status {self.status}, seen {self.seen}")
+            await asyncio.sleep(0.02)
--- /dev/null
+++ b/tests/test_rollouts.py
@@ -0,0 +1,494 @@
+"""Roll-outs of a new version: what is judged, what is bounded, and both end to end under faults."""
+
+import asyncio
+import random
+import time
+import unittest
+from collections.abc import Awaitable, Callable
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from moledale.core.rollout_evidence import Arm, Evidence, Judge, merged
+from moledale.core.rollouts import (
+    LEAST_IN_ALL,
+    RISE_AFTER,
+    RISE_LATEST,
+    RISING_FOR,
+    TRIAL_FREE,
+    Phase,
+    Progress,
+    RolloutNews,
+    RolloutOrder,
+    VersionRule,
+    next_phase,
+    rule_of,
+    trial_allowed,
+)
+from moledale.gateway.balance import ServerBook
+from moledale.gateway.messages import RequestFacts, Server
+from moledale.gateway.node import GatewayNode
+from moledale.gateway.rollout_duty import RolloutDuty
+from standins.rows import Mood
+from tests.gateway_world import quietly
+from tests.rollout_world import NEW, OLD, SERVICE, Badness, RolloutWorld
+
+EXPOSURE_SHARE = 0.1
+EXPOSURE_FREE = 50
+
+
+def order(revision: int = 5, target: str = NEW, ordered_s: float = 1.0) -> RolloutOrder:
+    return RolloutOrder(SERVICE, revision, target, 12.0, ordered_s)
+
+
+class Trial:
+    """Answers of an old and a new version in a model."""
+
+    def __init__(self, seed: int, spread: float = 0.47) -> None:
+        self.random = random.Random(seed)
+        self.spread = spread
+        self.evidence = Evidence()
+        self.judge = Judge()
+
+    def answers(self, arm: Arm, number: int, failing: float, slower_x: float = 1.0) -> bool:
+        """Note answers; say whether the new version is found bad."""
+        for _ in range(number):
+            failed = self.random.random() < failing
+            took_s = 0.06 * slower_x * self.random.lognormvariate(0.0, self.spread)
+            self.evidence.note(arm, "r", failed, took_s)
+        return self.judge.note(self.evidence)
+
+    def rounds(
+        self, number: int, failing: float, slower_x: float = 1.0, usual: float = 0.02
+    ) -> int:
+        """Play rounds of ten old answers and one new one; return the round that found it bad."""
+        for each in range(1, number + 1):
+            self.answers(Arm.OLD, 10, usual)
+            if self.answers(Arm.NEW, 1, failing, slower_x):
+                return each
+        return 0
+
+
+class JudgeTest(unittest.TestCase):
+    def found(
+        self, rounds: int, failing: float, slower_x: float = 1.0, usual: float = 0.02
+    ) -> float:
+        """Return the share of 200 seeds in which a version is found bad."""
+        plays = (Trial(seed).rounds(rounds, failing, slower_x, usual) for seed in range(200))
+        return sum(1 for each in plays if each) / 200
+
+    def test_bad_versions_are_found(self) -> None:
+        self.assertGreater(self.found(30, 0.5), 0.97)
+        self.assertGreater(self.found(30, 0.02, slower_x=3.0), 0.97)
+        self.assertGreater(self.found(60, 0.3), 0.9)
+
+    def test_good_versions_are_seldom_stopped(self) -> None:
+        self.assertLess(self.found(60, 0.02), 0.06)
+        self.assertLess(self.found(60, 0.14, usual=0.14), 0.08)
+
+    def test_what_always_fails_in_part_counts_for_both(self) -> None:
+        self.assertGreater(self.found(60, 0.5, usual=0.14), 0.9)
+
+    def test_servers_that_are_all_slow_say_nothing_of_the_version(self) -> None:
+        stopped = 0
+        for seed in range(100):
+            trial = Trial(seed)
+            trial.rounds(10, 0.02)
+            for _ in range(40):
+                trial.answers(Arm.OLD, 10, 0.02, slower_x=3.0)
+                trial.answers(Arm.NEW, 1, 0.02, slower_x=3.0)
+            stopped += trial.judge.bad
+        self.assertLess(stopped, 25)
+
+    def test_version_that_turns_bad_later_is_found_as_soon(self) -> None:
+        needed = []
+        for seed in range(100):
+            trial = Trial(seed)
+            trial.rounds(200, 0.02)
+            if not trial.judge.bad:
+                needed.append(trial.rounds(60, 0.6) or 60)
+        self.assertLess(sorted(needed)[len(needed) // 2], 20)
+
+    def test_found_bad_stays_bad(self) -> None:
+        trial = Trial(1)
+        self.assertTrue(trial.rounds(60, 0.9))
+        self.assertTrue(trial.answers(Arm.NEW, 500, 0.0))
+
+    def test_counts_of_many_nodes_add_up(self) -> None:
+        parts = [Evidence() for _ in range(5)]
+        chance = random.Random(1)
+        whole = Evidence()
+        for number in range(200):
+            arm, failed = Arm(number % 2), chance.random() < 0.3
+            took_s = chance.random()
+            parts[number % 5].note(arm, "r", failed, took_s)
+            whole.note(arm, "r", failed, took_s)
+        self.assertEqual(merged(parts).old["r"].number, whole.old["r"].number)
+        self.assertEqual(merged(parts).new["r"].times, whole.new["r"].times)
+        self.assertEqual(merged(reversed(parts)).new["r"].failed, whole.new["r"].failed)
+
+
+NEWS = st.builds(
+    RolloutNews,
+    st.builds(
+        RolloutOrder,
+        st.just(SERVICE),
+        st.integers(1, 3),
+        st.just(NEW),
+        st.just(12.0),
+        st.floats(0.0, 3.0),
+    ),
+    st.sampled_from(Phase),
+    st.sampled_from([(), ("v0",), ("v3",), ("v0", "v3")]),
+)
+
+
+class NewsTest(unittest.TestCase):
+    @settings(max_examples=200, derandomize=True, deadline=None)
+    @given(NEWS, NEWS)
+    def test_what_two_nodes_know_is_the_same_in_any_order(
+        self, one: RolloutNews, two: RolloutNews
+    ) -> None:
+        joined = one.joined(two)
+        self.assertEqual(joined.order.revision, two.joined(one).order.revision)
+        self.assertEqual(joined.phase, two.joined(one).phase)
+        self.assertEqual(joined.joined(joined), joined)
+
+    @settings(max_examples=200, derandomize=True, deadline=None)
+    @given(st.lists(NEWS, min_size=1, max_size=8))
+    def test_no_roll_out_goes_back(self, told: list[RolloutNews]) -> None:
+        known = told[0]
+        for news in told[1:]:
+            after = known.joined(news)
+            self.assertGreaterEqual(
+                (after.order.revision, after.phase), (known.order.revision, known.phase)
+            )
+            known = after
+
+    def test_version_that_a_newer_order_replaced_stays_out_of_use(self) -> None:
+        first = RolloutNews(order(5, "v2"))
+        second = first.followed_by(order(6, "v3"))
+        rule = rule_of(second)
+        self.assertEqual([rule.allows(each) for each in ("v1", "v2", "v3")], [True, False, False])
+        again = second.followed_by(order(7, "v2"))
+        self.assertEqual(again.rejected, ("v3",))
+        done = RolloutNews(order(5, "v2"), Phase.COMPLETED).followed_by(order(6, "v3"))
+        self.assertTrue(rule_of(done).allows("v2"))
+
+
+class TrialShareTest(unittest.TestCase):
+    @settings(max_examples=100, derandomize=True, deadline=None)
+    @given(st.lists(st.integers(0, 400), min_size=1, max_size=20), st.integers(1, 20))
+    def test_all_nodes_together_keep_within_the_bound(
+        self, requests: list[int], serving: int
+    ) -> None:
+        serving = max(serving, len(requests))
+        tried_in_all = 0
+        for number in requests:
+            tried = 0
+            for each in range(1, number + 1):
+                tried += trial_allowed(each, tried, TRIAL_FREE / serving)
+            tried_in_all += tried
+        self.assertLessEqual(tried_in_all, EXPOSURE_SHARE * sum(requests) + EXPOSURE_FREE)
+
+    def test_few_requests_bring_evidence_too(self) -> None:
+        tried = 0
+        for each in range(1, 41):
+            tried += trial_allowed(each, tried, TRIAL_FREE)
+        self.assertGreater(tried, LEAST_IN_ALL)
+
+
+def seen(**changes: object) -> Progress:
+    values: dict[str, object] = {
+        "phase": Phase.TRIAL,
+        "elapsed": RISE_AFTER,
+        "risen_for": 0.0,
+        "new_ready": 3,
+        "old_running": 5,
+        "tried": 40,
+        "lacking": 0,
+    }
+    return Progress(**{**values, **changes})  # type: ignore[arg-type]
+
+
+class NextPhaseTest(unittest.TestCase):
+    def test_version_rises_with_evidence_and_not_before_its_time(self) -> None:
+        self.assertIs(next_phase(seen(elapsed=RISE_AFTER - 0.01)), Phase.TRIAL)
+        self.assertIs(next_phase(seen()), Phase.RISING)
+        self.assertIs(next_phase(seen(lacking=1)), Phase.TRIAL)
+        self.assertIs(next_phase(seen(lacking=1, elapsed=RISE_LATEST)), Phase.RISING)
+
+    def test_version_that_nothing_speaks_for_is_not_taken_over(self) -> None:
+        for lacking in ({"tried": 2}, {"new_ready": 0}):
+            self.assertIs(next_phase(seen(elapsed=RISE_LATEST, **lacking)), Phase.TRIAL)
+            self.assertIs(next_phase(seen(elapsed=0.99, **lacking)), Phase.ROLLED_BACK)
+
+    def test_old_servers_end_only_with_nothing_running(self) -> None:
+        self.assertIs(next_phase(seen(phase=Phase.RISING)), Phase.RISING)
+        risen = seen(phase=Phase.RISING, risen_for=RISING_FOR)
+        self.assertIs(next_phase(risen), Phase.MOVING)
+        self.assertIs(next_phase(seen(phase=Phase.MOVING, elapsed=2.0)), Phase.MOVING)
+        self.assertIs(next_phase(seen(phase=Phase.MOVING, old_running=0)), Phase.COMPLETED)
+
+
+def listed(old: int, new: int) -> list[Server]:
+    versions = [OLD] * old + [NEW] * new
+    return [
+        Server(f"s{number}", SERVICE, f"h:{number}", "hall-a", 4, version=version)
+        for number, version in enumerate(versions)
+    ]
+
+
+class VersionsTest(unittest.TestCase):
+    """Which servers get work in each phase."""
+
+    def book(self, rule: VersionRule | None = None) -> ServerBook:
+        book = ServerBook("hall-a")
+        book.apply(listed(4, 0))
+        book.apply(listed(4, 4))
+        if rule is not None:
+            book.group(SERVICE).set_rule(rule)
+        return book
+
+    def chosen(self, book: ServerBook, number: int = 40, share: float = 0.0) -> set[str]:
+        versions = set()
+        for each in range(number):
+            facts = RequestFacts(id=f"r{each}")
+            placed = book.place(SERVICE, facts, None, 1.0, trial_share=share)
+            assert placed is not None
+            versions.add(placed.view.server.version)
+        return versions
+
+    def test_version_without_an_order_gets_nothing(self) -> None:
+        self.assertEqual(self.chosen(self.book()), {OLD})
+
+    def test_version_without_an_order_serves_once_no_other_is_left(self) -> None:
+        book = self.book()
+        book.apply(listed(4, 4)[4:])
+        self.assertEqual(self.chosen(book), {NEW})
+
+    def test_phases(self) -> None:
+        news = RolloutNews(order())
+        wanted = {
+            Phase.TRIAL: {OLD},
+            Phase.RISING: {OLD},
+            Phase.MOVING: {NEW},
+            Phase.ROLLED_BACK: {OLD},
+            Phase.COMPLETED: {NEW},
+        }
+        for phase, versions in wanted.items():
+            rule = rule_of(RolloutNews(news.order, phase))
+            self.assertEqual(self.chosen(self.book(rule)), versions, phase)
+
+    def test_trial_goes_to_as_many_servers_as_bear_its_share(self) -> None:
+        book = ServerBook("hall-a")
+        book.apply(listed(50, 0))
+        book.apply(listed(50, 50))
+        book.group(SERVICE).set_rule(rule_of(RolloutNews(order())))
+        self.assertEqual(len(book.group(SERVICE).on_trial(0.08, frozenset())), 4)
+        self.assertEqual(self.chosen(book, share=0.08), {NEW})
+
+    def test_request_is_served_by_old_servers_where_none_is_on_trial(self) -> None:
+        rule = rule_of(RolloutNews(order(target="v9")))
+        self.assertEqual(self.chosen(self.book(rule), share=0.08), {OLD, NEW} - {NEW})
+
+    def test_version_rolled_back_gets_nothing_even_if_no_other_is_left(self) -> None:
+        book = self.book(rule_of(RolloutNews(order(), Phase.ROLLED_BACK)))
+        book.apply(listed(4, 4)[4:])
+        self.assertIsNone(book.place(SERVICE, RequestFacts(), None, 1.0))
+
+
+def on_world(
+    work: Callable[[RolloutWorld], Awaitable[None]], badness: Badness | None = None
+) -> RolloutWorld:
+    """Run a test on whole nodes."""
+    world = RolloutWorld(badness)
+
+    async def run() -> None:
+        async with world:
+            await work(world)
+
+    quietly(run())
+    return world
+
+
+def knows_both(node: GatewayNode) -> bool:
+    """Say whether a node knows the order and the servers of both versions."""
+    return SERVICE in node.rollouts.services and len(node.book.views) == 8
+
+
+DURATION_S = 6.0
+RATE = 60.0
+
+
+class EndToEndTest(unittest.TestCase):
+    """Nodes, servers and an operator's order, over real sockets."""
+
+    def assert_bounded(self, world: RolloutWorld) -> None:
+        """Check that a bad version got no more than allowed."""
+        most = EXPOSURE_SHARE * world.seen.requests + EXPOSURE_FREE
+        self.assertLessEqual(world.seen.new_arrivals, most)
+        self.assertLess(world.seen.bad_answers, EXPOSURE_FREE)
+
+    def rolled_back(self, badness: Badness) -> RolloutWorld:
+        """Order a bad version and return the world after the order's time."""
+
+        async def work(world: RolloutWorld) -> None:
+            await world.start("n1", "n2", "n3")
+            traffic = asyncio.create_task(world.traffic(DURATION_S, RATE))
+            await asyncio.sleep(0.3)
+            await world.order(DURATION_S)
+            await world.until(lambda: world.status.get("state") == "rolled_back", DURATION_S)
+            self.assertEqual(world.status["targetVersion"], NEW)
+            stopped_at = time.monotonic()
+            await traffic
+            self.assertLess(world.seen.last_new_at, stopped_at + 0.3)
+
+        world = on_world(work, badness)
+        self.assert_bounded(world)
+        return world
+
+    def test_good_version_is_completed_in_time_and_nothing_is_lost(self) -> None:
+        async def work(world: RolloutWorld) -> None:
+            await world.start("n1", "n2", "n3")
+            traffic = asyncio.create_task(world.traffic(DURATION_S + 1.0, RATE))
+            await asyncio.sleep(0.3)
+            await world.order(DURATION_S)
+            await world.until(lambda: world.status.get("state") == "running", 1.5)
+            await world.until(lambda: world.status.get("state") == "completed", DURATION_S)
+            await traffic
+
+        world = on_world(work)
+        self.assertLess(world.ended_at - world.ordered_at, DURATION_S)
+        self.assertEqual(world.seen.running_at_end, 0)
+        self.assertEqual(world.seen.served, world.seen.requests, world.seen.answers)
+
+    def test_version_whose_answers_fail_is_rolled_back(self) -> None:
+        self.rolled_back(Badness(failing=0.5))
+
+    def test_version_that_is_slow_is_rolled_back(self) -> None:
+        world = self.rolled_back(Badness(slower_x=5.0))
+        self.assertEqual(world.seen.served, world.seen.requests)
+
+    def test_version_that_is_bad_on_one_route_is_rolled_back(self) -> None:
+        self.rolled_back(Badness(failing=0.7, route="order"))
+
+    def test_version_that_turns_bad_later_is_rolled_back(self) -> None:
+        self.rolled_back(Badness(failing=0.7, after_s=1.5))
+
+    def test_holder_that_ends_loses_neither_order_nor_evidence(self) -> None:
+        async def work(world: RolloutWorld) -> None:
+            await world.start("n1", "n2", "n3")
+            traffic = asyncio.create_task(world.traffic(DURATION_S, RATE))
+            await asyncio.sleep(0.3)
+            await world.order(DURATION_S)
+            await world.until(lambda: world.status.get("state") == "running", 1.5)
+            holder = next(name for name, node in world.cluster.nodes.items() if node.keeper.grant())
+            world.cluster.kill(holder)
+            await world.until(lambda: world.status.get("state") == "completed", DURATION_S + 1.0)
+            await traffic
+
+        world = on_world(work)
+        self.assertEqual(world.seen.running_at_end, 0)
+
+    def test_bad_version_gets_nothing_more_while_the_store_is_away(self) -> None:
+        async def work(world: RolloutWorld) -> None:
+            nodes = await world.start("n1", "n2", "n3")
+            traffic = asyncio.create_task(world.traffic(DURATION_S, RATE))
+            await asyncio.sleep(0.3)
+            await world.order(DURATION_S)
+            await world.until(lambda: all(map(knows_both, nodes)), 2.0)
+            world.platform.mood = Mood.SILENT
+            await world.until(
+                lambda: all(
+                    node.rollouts.services[SERVICE].phase is Phase.ROLLED_BACK for node in nodes
+                ),
+                DURATION_S,
+            )
+            stopped_at = time.monotonic()
+            await asyncio.sleep(0.5)
+            self.assertLess(world.seen.last_new_at, stopped_at + 0.3)
+            world.platform.mood = Mood.GOOD
+            await world.until(lambda: world.status.get("state") == "rolled_back", 6.0)
+            await traffic
+
+        self.assert_bounded(on_world(work, Badness(failing=0.6)))
+
+    def test_lost_answers_of_the_store_write_no_other_verdict(self) -> None:
+        async def work(world: RolloutWorld) -> None:
+            await world.start("n1", "n2")
+            traffic = asyncio.create_task(world.traffic(DURATION_S, RATE))
+            await asyncio.sleep(0.3)
+            await world.order(DURATION_S)
+            await world.until(lambda: world.status.get("state") == "running", 1.5)
+            world.platform.mood = Mood.LOSES
+            await asyncio.sleep(1.5)
+            world.platform.mood = Mood.GOOD
+            await world.until(lambda: world.status.get("state") == "rolled_back", DURATION_S)
+            await traffic
+
+        self.assert_bounded(on_world(work, Badness(failing=0.6)))
+
+    def test_second_order_takes_the_place_of_the_first(self) -> None:
+        async def work(world: RolloutWorld) -> None:
+            await world.start("n1", "n2")
+            traffic = asyncio.create_task(world.traffic(DURATION_S + 2.0, RATE))
+            await asyncio.sleep(0.3)
+            await world.order(DURATION_S)
+            await asyncio.sleep(1.0)
+            await world.order(DURATION_S, target="v3")
+            await world.until(
+                lambda: world.status == {"state": "completed", "targetVersion": "v3"},
+                DURATION_S,
+            )
+            await traffic
+
+        world = on_world(work)
+        self.assertEqual(world.seen.served, world.seen.requests, world.seen.answers)
+
+    def test_order_outlives_the_end_of_all_nodes(self) -> None:
+        async def work(world: RolloutWorld) -> None:
+            await world.start("n1", "n2")
+            await world.order(DURATION_S)
+            traffic = asyncio.create_task(world.traffic(DURATION_S, RATE))
+            await world.until(lambda: world.status.get("state") == "running", 1.5)
+            for name in ("n1", "n2"):
+                world.cluster.kill(name)
+            await world.start("n3", "n4")
+            await world.until(lambda: world.status.get("state") == "rolled_back", DURATION_S)
+            await traffic
+
+        self.assert_bounded(on_world(work, Badness(failing=0.7)))
+
+    def test_node_that_starts_after_the_end_knows_the_verdict(self) -> None:
+        async def work(world: RolloutWorld) -> None:
+            await world.start("n1")
+            traffic = asyncio.create_task(world.traffic(2.5, RATE))
+            await world.order(DURATION_S)
+            await world.until(lambda: world.status.get("state") == "rolled_back", DURATION_S)
+            await traffic
+            world.cluster.kill("n1")
+            (node,) = await world.start("n2")
+            await world.until(lambda: SERVICE in node.rollouts.services, 1.0)
+            self.assertIs(node.rollouts.services[SERVICE].phase, Phase.ROLLED_BACK)
+
+        on_world(work, Badness(failing=0.8))
+
+
+class DutyTest(unittest.TestCase):
+    def test_status_of_another_holder_is_taken_over(self) -> None:
+        """A holder that froze and finds the roll-out ended takes that over and writes nothing."""
+
+        async def work(world: RolloutWorld) -> None:
+            (node,) = await world.start("n1")
+            await world.order(60.0)
+            await world.until(lambda: world.status.get("state") == "running", 2.0)
+            ended = {"state": "rolled_back", "targetVersion": NEW}
+            world.platform.put("status", f"rollout/{SERVICE}", ended)
+            duty: RolloutDuty = node.duties._rollouts
+            duty.begin()
+            rollout = node.rollouts.services[SERVICE]
+            await world.until(lambda: rollout.phase is Phase.ROLLED_BACK, 2.0)
+            self.assertEqual(world.status, ended)
+
+        on_world(work)
