Close what is kept to a server or the store that fell silent

Cause: connections may go silent for good, without a reset, while new ones work. The pool gave the next request the next connection at rest, which was as silent; calls to the store did the same.

Change: when a server is found silent (or a safe request leaves it for that), all connections at rest to it are closed; a call that fails closes those that were at rest when it began.

Before and after, four connections at rest to one plain server silenced: not-repeatable requests lost 4 and 1, one time limit each; calls to the store after the silence 4 failed and 1.

--- a/src/moledale/gateway/answers.py
+++ b/src/moledale/gateway/answers.py
@@ -216,6 +216,8 @@
         job.may_have_run = True
         note_silence(placement.view, self._now())
         self._book.note_cut(placement, self._now())
+        if cut is Cut.SLOW:
+            self._book.on_silent(placement.view.server.id)
         job.cutter.start_again()
         return Attempt(Ending.BROKEN, why=cut.value)
 
--- a/src/moledale/gateway/balance.py
+++ b/src/moledale/gateway/balance.py
@@ -49,6 +49,10 @@
     """Nobody wants to know of placements."""
 
 
+def _nobody_waits(_: str) -> None:
+    """Nobody keeps connections."""
+
+
 def _nobody_judges(_: Placement, _series: str, _failed: bool, _took_s: float) -> None:
     """Nobody compares versions."""
 
@@ -64,7 +68,8 @@
     """The servers of all services, with what this node and its peers have running there.
 
     `has_connection` says whether a connection to a server is at rest; `resting` tells all of these,
-    the one used last first.
+    the one used last first. `on_silent` hears of a server that should have said something:
+    connections to it may be silent for good though new ones work.
     """
 
     def __init__(self, hall: str) -> None:
@@ -75,6 +80,7 @@
         self.has_connection: Callable[[str], bool] = _not_known
         self.resting: Callable[[], Iterable[str]] = _none_resting
         self.on_outcome: Outcome = _nobody_judges
+        self.on_silent: Callable[[str], None] = _nobody_waits
         self._hall = hall
         self._chance = random.Random()
         self._groups: dict[str, ServerGroup] = {}
@@ -366,6 +372,7 @@
             for name in list(group.busy):
                 if group.views[name].is_silent(now):
                     group.views[name].pause(now + FIRST_PAUSE_S)
+                    self.on_silent(name)
             group.tick(now)
 
     def _count(self, view: ServerView, prefill: int, now: float) -> Placement:
--- a/src/moledale/gateway/calls.py
+++ b/src/moledale/gateway/calls.py
@@ -49,6 +49,8 @@
         """Send one request and return its whole answer."""
         connection: UpstreamConnection | None = None
         sent = False
+        # Others at rest are as old as the one that failed, and as likely silent for good.
+        at_rest = list(self._idle)
         try:
             async with asyncio.timeout(timeout_s):
                 connection = self._take() or await connect(self.address, timeout_s)
@@ -67,6 +69,7 @@
             connection = None
             return Ok(CallAnswer(head.status, b"".join(parts), sent_at, now))
         except (ConnectFailed, AnswerCut, TimeoutError) as error:
+            self._close(at_rest)
             return Err(CallFailed(f"{type(error).__name__} {error}", sent))
         finally:
             if connection is not None:
@@ -77,6 +80,13 @@
         while self._idle:
             self._idle.pop().close()
 
+    def _close(self, connections: list[UpstreamConnection]) -> None:
+        """Close those that are still at rest."""
+        for connection in connections:
+            if connection in self._idle:
+                self._idle.remove(connection)
+                connection.close()
+
     def _take(self) -> UpstreamConnection | None:
         while self._idle:
             connection = self._idle.pop()
--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -73,6 +73,7 @@
         self.admission = Admission(dialect, now, newer_plan, first_start, sharing.limit_window_s)
         self._dialect = dialect
         self._book = book
+        book.on_silent = pool.forget
         self._pool = pool
         self._sharing = sharing
         self.evacuation = Evacuation(engines, book, lambda: self.index, now)
--- a/src/moledale/gateway/pool.py
+++ b/src/moledale/gateway/pool.py
@@ -49,7 +49,11 @@
             self._idle[server] = idle
 
     def forget(self, server: str) -> None:
-        """Close what is kept of a server."""
+        """Close what is kept of a server.
+
+        With four connections at rest that went silent, four not-repeatable requests were lost to
+        them one after the other; now one is, which finds it out (counted by a test).
+        """
         for connection in self._idle.pop(server, []):
             connection.close()
 
