Roll-outs: bounds from the settings, the control of the same moment, a least time of moving

Cause: the share and number that a trial may use were constants of one sheet; a moment in which everything stood still counted against the version that had more answers in it; a node that missed the first word of the move could still send to old servers when these ended; a version without an order would never have got work.

Change: bounds.exposure_share and exposure_free come from the platform's settings; the expected share of bad answers is the greater of the usual one and that of the same round; requests move for 1.2 s at least before old servers end; versions without an order get work after 30 s; servers on trial are chosen once for a list and not for each request.

--- a/bench/rollouts.py
+++ b/bench/rollouts.py
@@ -16,7 +16,7 @@
 from statistics import median
 
 from moledale.core.rollout_evidence import Arm, Evidence, Judge
-from moledale.core.rollouts import RISE_AFTER, TRIAL_FREE, trial_allowed
+from moledale.core.rollouts import RISE_AFTER, Exposure
 
 DURATION_S = 12.0
 BOOT_S = 4.0
@@ -110,8 +110,8 @@
         """Say whether the node that got a request sends it to the new version."""
         node = self.random.randrange(len(self.requests))
         self.requests[node] += 1
-        free = TRIAL_FREE / len(self.requests)
-        if not trial_allowed(self.requests[node], self.tried[node], free):
+        part = Exposure().part(len(self.requests))
+        if not part.allows(self.requests[node], self.tried[node]):
             return False
         self.tried[node] += 1
         return True
--- a/src/moledale/core/rollout_evidence.py
+++ b/src/moledale/core/rollout_evidence.py
@@ -165,12 +165,14 @@
     number: int = 0
     bad: int = 0
     slow_from: int | None = None
+    lately: float = 0.0
     _snapshots: deque[Tally] = field(default_factory=lambda: deque([Tally()]))
 
     def note(self, now: Tally) -> None:
         """Take over the counts as they are now."""
         fresh = now.since(self._snapshots[-1])
         if fresh.number <= 0:
+            self.lately = 0.0
             return
         self._snapshots.append(now.copy())
         while len(self._snapshots) > 2 and now.since(self._snapshots[1]).number >= RECENT_CONTROL:
@@ -179,13 +181,24 @@
         if middle is not None:
             self.slow_from = middle + SLOW_BUCKETS
         self.number += fresh.number
-        self.bad += fresh.bad(self.slow_from)
+        bad = fresh.bad(self.slow_from)
+        self.bad += bad
+        known = self.usual * PRIOR_WEIGHT
+        self.lately = (bad + known) / (fresh.number + PRIOR_WEIGHT)
 
     @property
-    def expected(self) -> float:
-        """Return the share of bad answers that a good version has."""
+    def usual(self) -> float:
+        """Return the share of bad answers over all that were seen."""
         return (self.bad + PRIOR_BAD * PRIOR_WEIGHT) / (self.number + PRIOR_WEIGHT)
 
+    @property
+    def expected(self) -> float:
+        """Return the share of bad answers that a good version has now.
+
+        A moment in which everything stood still makes answers of both versions late together.
+        """
+        return max(self.usual, self.lately)
+
 
 @dataclass(slots=True)
 class SeriesJudge:
--- a/src/moledale/core/rollouts.py
+++ b/src/moledale/core/rollouts.py
@@ -10,14 +10,13 @@
 
 import msgspec
 
-TRIAL_SHARE = 0.08
-"""Part of a service's requests that the new version gets while it is tried. A bad version may get
-0.1 of all requests between order and deadline; the rest is for repeats and moves."""
+SHARE_USED = 0.8
+"""Part of the share of requests that a bad version may get which a trial uses; the rest is for
+streams that move, and for requests whose count is lost with a node."""
 
-TRIAL_FREE = 30
-"""Requests of the new version beyond its share, over all nodes that serve, so that a rate of few
-requests brings evidence too: at 10 a second 19 answers in place of 2 within a trial of 3.2 s. 50
-are allowed."""
+FREE_USED = 0.6
+"""The same of the requests that it may get beyond that share. Free ones bring evidence where there
+are few requests: at 10 a second 19 answers in place of 2 within a trial of 3.2 s."""
 
 FREE_SHARE = 0.5
 """Part of the requests that the free ones may be at most, so that they don't come all at once."""
@@ -34,6 +33,13 @@
 RISING_FOR = 0.06
 """Part of an order's time for which it has the share of the rise: 0.7 s of 12 s."""
 
+LEAST_MOVING_S = 1.2
+"""All requests go to the new servers for this long at least before the old ones end: a node that
+missed the first word of it hears the next within a second."""
+
+TELLING_S = 0.5
+"""Time for the last requests at old servers and for the store to take the status."""
+
 LEAST_PER_ROUTE = 6
 """Answers of the new servers on each route that has traffic before the version rises: of those of a
 version half of whose answers fail there, one in 64 has none."""
@@ -118,41 +124,65 @@
     return VersionRule(news.order.target, only_target, frozenset(news.rejected))
 
 
-def trial_allowed(requests: int, tried: int, free: float) -> bool:
-    """Say whether a node may send one more request to the version on trial.
+@dataclass(frozen=True, slots=True)
+class Exposure:
+    """What a version may get of a service's requests before it is judged: a share, and a number
+    beyond it."""
 
-    `requests` and `tried` are the node's own since the trial began, `free` its part of the requests
-    that are free. Each node keeps within the bound by itself, so all of them do whoever they hear.
-    """
-    allowed = TRIAL_SHARE * requests + min(free, FREE_SHARE * requests)
-    return tried + 1 <= allowed
+    share: float = 0.1
+    free: float = 50.0
+
+    @property
+    def trial_share(self) -> float:
+        """Return the share that a trial uses."""
+        return SHARE_USED * self.share
+
+    def part(self, nodes: int) -> "Exposure":
+        """Return what is left to one of `nodes` that serve."""
+        return Exposure(self.trial_share, FREE_USED * self.free / nodes if nodes else 0.0)
+
+    def allows(self, requests: int, tried: int) -> bool:
+        """Say whether a node may send one more request to the version on trial.
+
+        `requests` and `tried` are the node's own since the trial began. Each node keeps within its
+        part by itself, so all of them keep within the bound whomever they hear.
+        """
+        return tried + 1 <= self.share * requests + min(self.free, FREE_SHARE * requests)
 
 
 @dataclass(frozen=True, slots=True)
 class Progress:
     """What the holder of the duties sees of a roll-out.
 
-    `elapsed` is the part of the order's time that has passed. `new_ready` are servers of the new
-    version that may get work, `old_running` requests that all nodes have at the old ones.
-    `lacking` are routes with traffic that were tried too little.
+    `elapsed` is the part of the order's `duration_s` that has passed, `moving_s` the time since all
+    requests go to the new servers. `new_ready` are servers of the new version that may get work,
+    `old_running` requests that all nodes have at the old ones, `lacking` routes with traffic that
+    were tried too little.
     """
 
     phase: Phase
+    duration_s: float
     elapsed: float
     risen_for: float
+    moving_s: float
     new_ready: int
     old_running: int
     tried: int
     lacking: int
 
 
+def latest_rise(duration_s: float) -> float:
+    """Return the part of an order's time after which a version can hardly be taken over in it."""
+    return min(RISE_LATEST, 1.0 - RISING_FOR - (LEAST_MOVING_S + TELLING_S) / duration_s)
+
+
 def next_phase(seen: Progress) -> Phase:
     """Return the phase that a version which was not found bad is to be in."""
     if seen.phase is Phase.TRIAL:
         return _after_trial(seen)
     if seen.phase is Phase.RISING and seen.risen_for >= RISING_FOR:
         return Phase.MOVING
-    if seen.phase is Phase.MOVING and seen.old_running == 0:
+    if seen.phase is Phase.MOVING and seen.old_running == 0 and seen.moving_s >= LEAST_MOVING_S:
         return Phase.COMPLETED
     return seen.phase
 
@@ -162,7 +192,7 @@
         return Phase.TRIAL
     if seen.new_ready and seen.tried >= LEAST_IN_ALL and not seen.lacking:
         return Phase.RISING
-    if seen.elapsed < RISE_LATEST:
+    if seen.elapsed < latest_rise(seen.duration_s):
         return Phase.TRIAL
     if seen.new_ready and seen.tried >= LEAST_IN_ALL:
         return Phase.RISING
--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from moledale.clock import SystemClock
-from moledale.core.rollouts import Phase, RolloutNews
+from moledale.core.rollouts import Exposure, Phase, RolloutNews
 from moledale.gateway.balance import ServerBook
 from moledale.gateway.dialect import Dialect
 from moledale.gateway.directory import power_of
@@ -96,6 +96,7 @@
             self.sharing.true_time.local,
             self._serving_count,
             self._began_at,
+            Exposure(settings.bounds.exposure_share, settings.bounds.exposure_free),
         )
         self.book.on_outcome = self.rollouts.note
         self.forwarder = Forwarder(
--- a/src/moledale/gateway/rollout_duty.py
+++ b/src/moledale/gateway/rollout_duty.py
@@ -35,14 +35,14 @@
         self._recovered = False
         self._versions: dict[str, int] = {}
         self._written: dict[str, tuple[int, Phase]] = {}
-        self._risen_at: dict[tuple[str, int], float] = {}
+        self._phase_since: dict[str, tuple[int, Phase, float]] = {}
 
     def begin(self) -> None:
         """Start anew as the holder: another one may have written meanwhile."""
         self._recovered = False
         self._versions.clear()
         self._written.clear()
-        self._risen_at.clear()
+        self._phase_since.clear()
 
     async def step(self, held: Callable[[], bool]) -> None:
         """Carry all roll-outs on; `held` says whether the lease is still held."""
@@ -71,12 +71,10 @@
                 await self._complete(service, rollout, held)
                 return
             if phase > rollout.phase:
-                self._advance(service, rollout, phase)
+                self._advance(service, phase)
         await self._write(rollout, rollout.phase, held)
 
-    def _advance(self, service: str, rollout: ServiceRollout, phase: Phase) -> None:
-        if phase is Phase.RISING:
-            self._risen_at[service, rollout.order.revision] = self._now()
+    def _advance(self, service: str, phase: Phase) -> None:
         why = "nothing speaks for it in time" if phase.ended else "no answers speak against it"
         self._rollouts.advance(service, phase, why)
 
@@ -92,21 +90,31 @@
         now = self._now()
         ordered_at = self._local(rollout.order.ordered_s)
         elapsed_s = 0.0 if ordered_at is None else now - ordered_at
-        risen_at = self._risen_at.setdefault((service, rollout.order.revision), now)
+        in_phase_s = self._in_phase_s(service, rollout)
         views = list(self._book.group(service).views.values())
         new = [view for view in views if view.server.version == rollout.order.target]
         old = [view for view in views if view.server.version != rollout.order.target]
         duration_s = max(1.0, rollout.order.duration_s)
         return Progress(
             phase=rollout.phase,
+            duration_s=duration_s,
             elapsed=elapsed_s / duration_s,
-            risen_for=(now - risen_at) / duration_s,
+            risen_for=in_phase_s / duration_s,
+            moving_s=in_phase_s,
             new_ready=sum(1 for view in new if not view.server.leaving),
             old_running=sum(view.all_running for view in old),
             tried=rollout.tried,
             lacking=_lacking(rollout),
         )
 
+    def _in_phase_s(self, service: str, rollout: ServiceRollout) -> float:
+        """Return for how long this holder has seen a roll-out in the phase that it is in."""
+        seen = (rollout.order.revision, rollout.phase)
+        known = self._phase_since.get(service)
+        if known is None or known[:2] != seen:
+            known = self._phase_since[service] = (*seen, self._now())
+        return self._now() - known[2]
+
     async def _write(self, rollout: ServiceRollout, phase: Phase, held: Callable[[], bool]) -> bool:
         """Tell the operator a phase unless that was done; say whether it stands in the store."""
         order = rollout.order
--- a/src/moledale/gateway/rollouts.py
+++ b/src/moledale/gateway/rollouts.py
@@ -13,13 +13,11 @@
 from moledale.core.rollout_evidence import Arm, Evidence, Judge, merged
 from moledale.core.rollouts import (
     RISING_SHARE,
-    TRIAL_FREE,
-    TRIAL_SHARE,
+    Exposure,
     Phase,
     RolloutNews,
     RolloutOrder,
     rule_of,
-    trial_allowed,
 )
 from moledale.gateway.balance import ServerBook
 from moledale.gateway.peers import Membership, TrialCounts
@@ -71,6 +69,7 @@
         local: Callable[[float], float | None],
         serving: Callable[[], int],
         began_at: float,
+        exposure: Exposure,
     ) -> None:
         self.services: dict[str, ServiceRollout] = {}
         self._book = book
@@ -79,6 +78,7 @@
         self._local = local
         self._serving = serving
         self._began_at = began_at
+        self._exposure = exposure
         self._random = random.Random()
 
     # What is heard
@@ -165,18 +165,20 @@
         own.requests += 1
         if rollout.phase is Phase.RISING:
             return RISING_SHARE if self._random.random() < RISING_SHARE else 0.0
-        if not trial_allowed(own.requests, own.tried, self._free(rollout)):
+        if not self._exposure.part(self._sharers(rollout)).allows(own.requests, own.tried):
             return 0.0
         own.tried += 1
-        return TRIAL_SHARE
+        return self._exposure.trial_share
 
-    def _free(self, rollout: ServiceRollout) -> float:
-        """Return this node's part of the free requests; a later life may have spent its own."""
-        serving = self._serving()
+    def _sharers(self, rollout: ServiceRollout) -> int:
+        """Return how many nodes share the free requests, 0 if this one has no part in them.
+
+        A life that began after the order has none: the one before it may have spent its part.
+        """
         ordered_at = self._local(rollout.order.ordered_s)
-        if not serving or ordered_at is None or ordered_at < self._began_at:
-            return 0.0
-        return TRIAL_FREE / serving
+        if ordered_at is None or ordered_at < self._began_at:
+            return 0
+        return self._serving()
 
     def note(self, placement: Placement, series: str, failed: bool, took_s: float) -> None:
         """Note an answer, for the comparison."""
--- a/src/moledale/gateway/server_group.py
+++ b/src/moledale/gateway/server_group.py
@@ -49,6 +49,10 @@
 MOST_ENTRIES = 64
 """Fewer entries than these are never worth making the order anew."""
 
+UNORDERED_HELD_S = 30.0
+"""A version that appears without an order gets work after this time: longer than the order that it
+may belong to is on its way, so that servers which were replaced in another way are used at last."""
+
 NONE_EXCLUDED: frozenset[str] = frozenset()
 
 FADING_SHARE = 0.01
@@ -180,6 +184,8 @@
         self._unsound: set[str] = set()
         self._rule = VersionRule()
         self._settled: frozenset[str] = frozenset()
+        self._present: dict[str, float] = {}
+        self._on_trial: tuple[float, list[str]] | None = None
         self._now = 0.0
 
     # Servers that come and go
@@ -208,6 +214,7 @@
                 self.changed(view)
         for view in new:
             self.changed(view)
+        self._note_versions()
         return new
 
     def _remove(self, name: str) -> None:
@@ -256,6 +263,7 @@
         self._now = max(self._now, now)
         for name in list(self._unsound):
             self.changed(self.views[name])
+        self._settle_versions()
 
     def _order(self, hall: str) -> LoadOrder:
         order = self._orders.get(hall)
@@ -309,11 +317,30 @@
         if rule == self._rule:
             return
         self._rule = rule
+        self._on_trial = None
         if rule.only_target:
             self._settled |= {rule.target}
         for view in self.views.values():
             self.changed(view)
 
+    def _note_versions(self) -> None:
+        """Remember which versions are there, and since when."""
+        there = {view.server.version for view in self.views.values() if not view.server.leaving}
+        self._present = {version: self._present.get(version, self._now) for version in there}
+        self._on_trial = None
+
+    def _settle_versions(self) -> None:
+        """Give work to versions that have been there for long without any order."""
+        waited = {
+            version
+            for version, since in self._present.items()
+            if self._now - since > UNORDERED_HELD_S and version != self._rule.target
+        }
+        if not waited <= self._settled:
+            self._settled |= waited
+            for view in self.views.values():
+                self.changed(view)
+
     def allows(self, version: str) -> bool:
         """Say whether servers of a version get work.
 
@@ -328,10 +355,7 @@
 
     def has_version(self, version: str) -> bool:
         """Say whether servers of a version are there that don't leave."""
-        return any(
-            view.server.version == version and not view.server.leaving
-            for view in self.views.values()
-        )
+        return version in self._present
 
     def on_trial(self, share: float, excluded: frozenset[str]) -> list[ServerView]:
         """Return the servers of a new version that share its part of the requests.
@@ -339,15 +363,18 @@
         They are as many that each gets about as much as an old one does: a version that is bad
         under load only shows it. All nodes choose the same ones.
         """
-        target = self._rule.target
-        staying = [view for view in self.views.values() if not view.server.leaving]
-        new = [view for view in staying if view.server.version == target]
-        old = sum(1 for view in staying if self.allows(view.server.version))
-        number = max(1, round(share * old))
-        chosen = ranked(target, (view.server.id for view in new))[:number]
-        ready = (self.views[name] for name in chosen if name not in excluded)
+        if self._on_trial is None or self._on_trial[0] != share:
+            self._on_trial = (share, self._choose_on_trial(share))
+        ready = (self.views[name] for name in self._on_trial[1] if name not in excluded)
         return [view for view in ready if view.paused_until <= self._now]
 
+    def _choose_on_trial(self, share: float) -> list[str]:
+        target = self._rule.target
+        staying = [view.server for view in self.views.values() if not view.server.leaving]
+        new = [server.id for server in staying if server.version == target]
+        old = sum(1 for server in staying if self.allows(server.version))
+        return ranked(target, new)[: max(1, round(share * old))]
+
     # Candidates
 
     def may_serve(self, view: ServerView, excluded: frozenset[str]) -> bool:
--- a/src/moledale/gateway/settings.py
+++ b/src/moledale/gateway/settings.py
@@ -46,7 +46,9 @@
 
     `stop_s` is what a planned stop may take, `address_ttl_s` how long callers keep an answer of
     the directory, `lease_s` the least time between two holders of a duty. In each `limit_window_s`
-    an account may have its rate over that span and its burst; 0.0 grants the burst once.
+    an account may have its rate over that span and its burst; 0.0 grants the burst once. A new
+    version of servers that turns out bad may have got `exposure_share` of the requests and
+    `exposure_free` beyond.
     """
 
     stop_s: float = 8.0
@@ -60,6 +62,8 @@
     usage_late_s: float = 10.0
     address_ttl_s: float = 2.0
     limit_window_s: float = 0.0
+    exposure_share: float = 0.1
+    exposure_free: float = 50.0
 
 
 class GatewaySettings(Table, frozen=True):
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -12,10 +12,11 @@
 from moledale.core.rollout_evidence import Arm, Evidence, Judge, merged
 from moledale.core.rollouts import (
     LEAST_IN_ALL,
+    LEAST_MOVING_S,
     RISE_AFTER,
     RISE_LATEST,
     RISING_FOR,
-    TRIAL_FREE,
+    Exposure,
     Phase,
     Progress,
     RolloutNews,
@@ -23,12 +24,12 @@
     VersionRule,
     next_phase,
     rule_of,
-    trial_allowed,
 )
 from moledale.gateway.balance import ServerBook
 from moledale.gateway.messages import RequestFacts, Server
 from moledale.gateway.node import GatewayNode
 from moledale.gateway.rollout_duty import RolloutDuty
+from moledale.gateway.server_group import UNORDERED_HELD_S
 from standins.rows import Mood
 from tests.gateway_world import quietly
 from tests.rollout_world import NEW, OLD, SERVICE, Badness, RolloutWorld
@@ -52,11 +53,15 @@
 
     def answers(self, arm: Arm, number: int, failing: float, slower_x: float = 1.0) -> bool:
         """Note answers; say whether the new version is found bad."""
+        self.note(arm, number, failing, slower_x)
+        return self.judge.note(self.evidence)
+
+    def note(self, arm: Arm, number: int, failing: float, slower_x: float = 1.0) -> None:
+        """Note answers that are judged with those that come next."""
         for _ in range(number):
             failed = self.random.random() < failing
             took_s = 0.06 * slower_x * self.random.lognormvariate(0.0, self.spread)
             self.evidence.note(arm, "r", failed, took_s)
-        return self.judge.note(self.evidence)
 
     def rounds(
         self, number: int, failing: float, slower_x: float = 1.0, usual: float = 0.02
@@ -100,6 +105,18 @@
             stopped += trial.judge.bad
         self.assertLess(stopped, 25)
 
+    def test_moments_that_hold_up_all_answers_say_nothing_of_the_version(self) -> None:
+        stopped = 0
+        for seed in range(100):
+            trial = Trial(seed)
+            trial.rounds(10, 0.02)
+            for number in range(40):
+                slower_x = 6.0 if number % 8 == 0 else 1.0
+                trial.note(Arm.OLD, 10, 0.02, slower_x)
+                trial.answers(Arm.NEW, 3, 0.02, slower_x)
+            stopped += trial.judge.bad
+        self.assertLess(stopped, 3)
+
     def test_version_that_turns_bad_later_is_found_as_soon(self) -> None:
         needed = []
         for seed in range(100):
@@ -182,27 +199,29 @@
     def test_all_nodes_together_keep_within_the_bound(
         self, requests: list[int], serving: int
     ) -> None:
-        serving = max(serving, len(requests))
+        part = Exposure(EXPOSURE_SHARE, EXPOSURE_FREE).part(max(serving, len(requests)))
         tried_in_all = 0
         for number in requests:
             tried = 0
             for each in range(1, number + 1):
-                tried += trial_allowed(each, tried, TRIAL_FREE / serving)
+                tried += part.allows(each, tried)
             tried_in_all += tried
         self.assertLessEqual(tried_in_all, EXPOSURE_SHARE * sum(requests) + EXPOSURE_FREE)
 
     def test_few_requests_bring_evidence_too(self) -> None:
         tried = 0
         for each in range(1, 41):
-            tried += trial_allowed(each, tried, TRIAL_FREE)
+            tried += Exposure().part(1).allows(each, tried)
         self.assertGreater(tried, LEAST_IN_ALL)
 
 
 def seen(**changes: object) -> Progress:
     values: dict[str, object] = {
         "phase": Phase.TRIAL,
+        "duration_s": 12.0,
         "elapsed": RISE_AFTER,
         "risen_for": 0.0,
+        "moving_s": LEAST_MOVING_S,
         "new_ready": 3,
         "old_running": 5,
         "tried": 40,
@@ -229,6 +248,8 @@
         self.assertIs(next_phase(risen), Phase.MOVING)
         self.assertIs(next_phase(seen(phase=Phase.MOVING, elapsed=2.0)), Phase.MOVING)
         self.assertIs(next_phase(seen(phase=Phase.MOVING, old_running=0)), Phase.COMPLETED)
+        soon = seen(phase=Phase.MOVING, old_running=0, moving_s=LEAST_MOVING_S / 2)
+        self.assertIs(next_phase(soon), Phase.MOVING)
 
 
 def listed(old: int, new: int) -> list[Server]:
@@ -262,6 +283,13 @@
     def test_version_without_an_order_gets_nothing(self) -> None:
         self.assertEqual(self.chosen(self.book()), {OLD})
 
+    def test_version_without_an_order_gets_work_after_a_long_while(self) -> None:
+        book = self.book()
+        book.tick(UNORDERED_HELD_S / 2)
+        self.assertEqual(self.chosen(book), {OLD})
+        book.tick(UNORDERED_HELD_S * 1.5)
+        self.assertIn(NEW, self.chosen(book))
+
     def test_version_without_an_order_serves_once_no_other_is_left(self) -> None:
         book = self.book()
         book.apply(listed(4, 4)[4:])
@@ -317,7 +345,7 @@
     return SERVICE in node.rollouts.services and len(node.book.views) == 8
 
 
-DURATION_S = 6.0
+DURATION_S = 8.0
 RATE = 60.0
 
 
