Tests: the duties of a new holder are given no roll-outs

Cause: the constructor takes them since roll-outs are carried out; the test failed with a TypeError in a whole run beside plays. Nothing else changes.

--- a/tests/test_gateway_lease.py
+++ b/tests/test_gateway_lease.py
@@ -283,6 +283,16 @@
         self.reported.append(int(str(report[2])))
 
 
+class NoRollouts:
+    """No roll-out was ordered."""
+
+    def begin(self) -> None:
+        """Forget nothing."""
+
+    async def step(self, _: object) -> None:
+        """Carry nothing on."""
+
+
 class NewHolderTest(unittest.TestCase):
     def test_new_holder_reports_no_usage_before_it_can_have_heard_of_it(self) -> None:
         async def work() -> None:
@@ -298,6 +308,7 @@
                 ServerBook("a"),
                 lambda: None,
                 False,
+                NoRollouts(),  # type: ignore[arg-type]
             )
             sharing.started("north")
             wall = 1_005.1 + SETTLE_S
