--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test lint bench bench-capacity matrix without proto clean
+.PHONY: demo test lint bench matrix without proto clean
 
 $(STAMP): pyproject.toml constraints.txt
 	python3.11 -m venv $(VENV) || python3 -m venv $(VENV)
@@ -20,9 +20,6 @@
 	$(VENV)/bin/ruff check .
 	$(VENV)/bin/mypy
 
-bench-capacity: $(STAMP)
-	$(PY) -m tools.capacity
-
 proto: $(STAMP)
 	$(PY) -m grpc_tools.protoc -I src --python_out=src --grpc_python_out=src src/moledale/peers/pb/peers.proto
 
--- a/src/moledale/gateway/rollout_duty.py
+++ b/src/moledale/gateway/rollout_duty.py
@@ -57,6 +57,7 @@
         """Take over what former holders kept; say whether the store answered."""
         outcome = await self._store.kept_rollouts(CALL_TIMEOUT_S)
         if isinstance(outcome, Err):
+            emit(Event.ROLLOUT_FAILED, what="kept", why=outcome.err_value.detail)
             return False
         self._rollouts.heard(outcome.ok_value)
         self._recovered = True
--- a/src/moledale/log.py
+++ b/src/moledale/log.py
@@ -76,7 +76,9 @@
         520, logbook.INFO, "An order for a new version of servers is known."
     )
     ROLLOUT_DECIDED = EventSpec(521, logbook.INFO, "A roll-out went on, ended or was rolled back.")
-    ROLLOUT_FAILED = EventSpec(522, logbook.WARNING, "The state of a roll-out was not written.")
+    ROLLOUT_FAILED = EventSpec(
+        522, logbook.WARNING, "The state of a roll-out was not read or written."
+    )
     RELOADED = EventSpec(106, logbook.INFO, "The settings were read again.")
     PEER_REFUSED = EventSpec(600, logbook.WARNING, "A peer call without a valid token was refused.")
     PEER_DOWN = EventSpec(601, logbook.INFO, "A peer does not answer.")
