Let what starting nodes hold of a limit follow its tolerance and their number

Cause: after the end of all processes each node began with a tenth of each account's burst. A prompt of a small account is larger than that, so it was refused for up to a second; with many halls the tenths add up to more than the limit's tolerance allows.

Change: operators state by how much a limit may be exceeded in a window. Nodes that start hold half of that together, each its part by the halls or the nodes that serve, and no more than the burst.

Kept: fewer callers are refused, within the limit's own tolerance.

--- a/src/moledale/gateway/accounts.py
+++ b/src/moledale/gateway/accounts.py
@@ -11,10 +11,10 @@
 """
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
-from moledale.gateway.plan import Account
+from moledale.gateway.plan import TOKENS, Account
 
 START_SHARE = 0.4
 """Part of the burst that a bucket holds when its node starts and can't know what was spent.
@@ -23,12 +23,16 @@
 """
 
 WINDOW_START_SHARE = 0.1
-"""The same where limits hold for a window.
+"""The same where limits hold for a window and no tolerance of them is stated.
 
 There an account may have spent its whole limit just before, so what all nodes that start hold
 together must stay below what the limit's tolerance allows.
 """
 
+TOLERANCE_USED = 0.5
+"""Part of a limit's tolerance that all nodes which start hold together; the rest is for what they
+admit before they hear of each other."""
+
 SLICE_S = 0.25
 """Grain of what is remembered of a window; it is kept this much too long rather than too short."""
 
@@ -36,6 +40,25 @@
 """What others spent beyond the limit holds requests back for at most this long."""
 
 
+@dataclass(frozen=True, slots=True)
+class Tolerance:
+    """By how much limits may be exceeded in a window: a share of each, and tokens beyond it."""
+
+    share: float = 0.0
+    tokens: float = 0.0
+
+    def of(self, account: Account, window_s: float) -> float:
+        """Return the tolerance of an account's limit, in the limit's unit."""
+        limit = account.rate_per_s * window_s + burst_of(account)
+        beyond = self.tokens if account.unit == TOKENS else 0.0
+        return self.share * limit + beyond
+
+
+def burst_of(account: Account) -> float:
+    """Return what an account may have beyond its rate, one second's worth if nothing is stated."""
+    return account.burst or account.rate_per_s
+
+
 @dataclass(slots=True)
 class RecentSpending:
     """What all nodes admitted within the window, as far as it is known here, in slices of time."""
@@ -99,10 +122,10 @@
         self.level = min(self.burst, self.level + came)
         self.at = now
 
-    def begin_anew(self, share: float, now: float) -> None:
-        """Hold no more than a share of the burst, since others' spending of late is not known."""
+    def begin_anew(self, most: float, now: float) -> None:
+        """Hold no more than `most`, since others' spending of late is not known."""
         self.refill(now)
-        self.level = min(self.level, share * self.burst)
+        self.level = min(self.level, most)
         self.blind_until = now + self.recent.window_s
 
     def draw(self, amount: float) -> None:
@@ -131,12 +154,21 @@
     """Buckets of all accounts, and how much this life of the node has spent of each.
 
     `window_s` is the span in which an account may have its burst anew; 0.0 leaves it at the rate.
+    `tolerance` is what may be exceeded in it, `starters` tells how many nodes may start to serve at
+    the same time.
     """
 
-    def __init__(self, first_start: bool = False, window_s: float = 0.0) -> None:
+    def __init__(
+        self,
+        first_start: bool = False,
+        window_s: float = 0.0,
+        tolerance: Tolerance | None = None,
+        starters: Callable[[], int] = lambda: 1,
+    ) -> None:
         self._first_start = first_start
-        self._share = WINDOW_START_SHARE if window_s > 0 else START_SHARE
         self._window_s = window_s
+        self._tolerance = tolerance
+        self._starters = starters
         self.spent: dict[str, float] = {}
         self._buckets: dict[str, Bucket] = {}
 
@@ -155,10 +187,26 @@
             self.spent[account.name] = self.spent.get(account.name, 0.0) + amount
         return wait_s
 
-    def begin_anew(self, now: float) -> None:
+    def begin_anew(self, accounts: Iterable[Account], now: float) -> None:
         """Begin to serve after a time in which others' spending was not heard."""
-        for bucket in self._buckets.values():
-            bucket.begin_anew(self._share, now)
+        for account in accounts:
+            bucket = self._buckets.get(account.name)
+            if bucket is not None:
+                bucket.begin_anew(self._at_start(account), now)
+
+    def _at_start(self, account: Account) -> float:
+        """Return what a bucket holds when its node starts and can't know what was spent.
+
+        For accounts whose limit is small against its tolerance that is the whole burst: a single
+        prompt may take that much, and was refused for a second or more after a start.
+        """
+        burst = burst_of(account)
+        if self._window_s <= 0:
+            return START_SHARE * burst
+        if self._tolerance is None:
+            return WINDOW_START_SHARE * burst
+        together = TOLERANCE_USED * self._tolerance.of(account, self._window_s)
+        return min(burst, together / max(1, self._starters()))
 
     def level(self, account: Account, now: float) -> float:
         """Return what is left of an account's limit."""
@@ -178,13 +226,13 @@
                 bucket.draw(more)
 
     def _bucket(self, account: Account, now: float) -> Bucket:
-        burst = account.burst or account.rate_per_s
+        burst = burst_of(account)
         bucket = self._buckets.get(account.name)
         if bucket is None:
             recent = RecentSpending(self._window_s)
             bucket = Bucket(account.rate_per_s, burst, burst, now, recent)
             if not self._first_start:
-                bucket.begin_anew(self._share, now)
+                bucket.begin_anew(self._at_start(account), now)
             self._buckets[account.name] = bucket
         elif bucket.rate != account.rate_per_s or bucket.burst != burst:
             bucket.refill(now)
--- a/src/moledale/gateway/admission.py
+++ b/src/moledale/gateway/admission.py
@@ -42,11 +42,10 @@
         dialect: Dialect,
         now: Callable[[], float],
         newer_plan: Callable[[], bool] = lambda: False,
-        first_start: bool = False,
-        limit_window_s: float = 0.0,
+        limits: AccountLimits | None = None,
     ) -> None:
         self.index: PlanIndex | None = None
-        self.limits = AccountLimits(first_start, limit_window_s)
+        self.limits = limits or AccountLimits()
         self._dialect = dialect
         self._now = now
         self._newer_plan = newer_plan
--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -54,7 +54,8 @@
     """Carries requests to servers; all nodes' news come in through `sharing`.
 
     `trial_share` says whether a request goes to servers of a version on trial, and what part of
-    the load these bear; 0 for the usual ones.
+    the load these bear; 0 for the usual ones. `starters` tells how many nodes may start to serve
+    at the same time.
     """
 
     def __init__(
@@ -69,8 +70,12 @@
         list_is_current: Callable[[], Awaitable[bool]] = _always,
         first_start: bool = False,
         trial_share: Callable[[str, bool], float] = _no_trial,
+        starters: Callable[[], int] = lambda: 1,
     ) -> None:
-        self.admission = Admission(dialect, now, newer_plan, first_start, sharing.limit_window_s)
+        limits = AccountLimits(
+            first_start, sharing.limit_window_s, sharing.limit_tolerance, starters
+        )
+        self.admission = Admission(dialect, now, newer_plan, limits)
         self._dialect = dialect
         self._book = book
         book.on_silent = pool.forget
@@ -94,6 +99,11 @@
         """Return the limits of accounts."""
         return self.admission.limits
 
+    def begin_limits_anew(self) -> None:
+        """Begin to serve after a time in which others' spending was not heard."""
+        if self.index is not None:
+            self.limits.begin_anew(self.index.plan.accounts, self._now())
+
     def adopt(self, plan: Plan) -> bool:
         """Put a plan in force unless a newer one is; say whether it is in force now."""
         return self.admission.adopt(plan)
--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -109,6 +109,7 @@
             list_is_current=lambda: self.fleet.current(),
             first_start=node.first_start,
             trial_share=self.rollouts.trial_share,
+            starters=lambda: max(1, len(node.halls), self._serving_count()),
         )
         self._store = store
         nonce = f"{node.id}/{self.life:x}"
@@ -341,7 +342,7 @@
             self._request_rate.note(self.forwarder.handled, now)
             changed = self.neighbours.decide(self._state(), now)
             if changed and self.neighbours.steps_up_blind(now):
-                self.forwarder.limits.begin_anew(now)
+                self.forwarder.begin_limits_anew()
             self._tell_state(everyone=changed)
             self.sharing.take_over(self.book)
             self.rollouts.step()
--- a/src/moledale/gateway/settings.py
+++ b/src/moledale/gateway/settings.py
@@ -17,7 +17,7 @@
     """Who this node is and where it listens (`host:port`).
 
     `first_start` tells that the whole system starts for the first time, so nothing was served yet.
-    `cores` and `link_mbps` are what the instance has.
+    `cores` and `link_mbps` are what the instance has, `halls` all halls where nodes may serve.
     """
 
     id: str
@@ -32,6 +32,7 @@
     first_start: bool = False
     cores: float = 1.0
     link_mbps: float = 1000.0
+    halls: tuple[str, ...] = ()
 
 
 class Outside(Table, frozen=True):
@@ -46,7 +47,8 @@
 
     `stop_s` is what a planned stop may take, `address_ttl_s` how long callers keep an answer of
     the directory, `lease_s` the least time between two holders of a duty. In each `limit_window_s`
-    an account may have its rate over that span and its burst; 0.0 grants the burst once. A new
+    an account may have its rate over that span and its burst; 0.0 grants the burst once. In a
+    window that may be exceeded by `limit_share` of it and `limit_tokens` beyond. A new
     version of servers that turns out bad may have got `exposure_share` of the requests and
     `exposure_free` beyond.
     """
@@ -62,6 +64,8 @@
     usage_late_s: float = 10.0
     address_ttl_s: float = 2.0
     limit_window_s: float = 0.0
+    limit_share: float = 0.0
+    limit_tokens: float = 0.0
     exposure_share: float = 0.1
     exposure_free: float = 50.0
 
--- a/src/moledale/gateway/sharing.py
+++ b/src/moledale/gateway/sharing.py
@@ -3,7 +3,7 @@
 import time
 from collections.abc import Callable
 
-from moledale.gateway.accounts import AccountLimits
+from moledale.gateway.accounts import AccountLimits, Tolerance
 from moledale.gateway.balance import ServerBook
 from moledale.gateway.gossip import PlacementNews
 from moledale.gateway.peers import Membership, NodeState
@@ -39,6 +39,14 @@
         """Return the span that limits of accounts are told for."""
         return self._bounds.limit_window_s
 
+    @property
+    def limit_tolerance(self) -> Tolerance | None:
+        """Return by how much limits may be exceeded in a window, None if that is not stated."""
+        bounds = self._bounds
+        if not bounds.limit_share and not bounds.limit_tokens:
+            return None
+        return Tolerance(bounds.limit_share, bounds.limit_tokens)
+
     def started(self, account: str) -> None:
         """Count a request that began to run."""
         self.usage.count(account, self.time())
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from moledale.gateway.accounts import AccountLimits
+from moledale.gateway.accounts import AccountLimits, Tolerance
 from moledale.gateway.plan import (
     TOKENS,
     Account,
@@ -112,12 +112,38 @@
         late = [now for now in admitted if now > 28.2]
         self.assertGreater(100 * len(late), 0.8 * (35.1 - 28.2) * limit / 8.0)
 
+    def test_what_starting_nodes_hold_follows_the_tolerance_and_their_number(self) -> None:
+        tolerance = Tolerance(0.1, 1_000.0)
+        limit = 8 * 1_000 + 2_000
+        for nodes in (1, 5, 40):
+            after = [AccountLimits(False, 8.0, tolerance, lambda n=nodes: n) for _ in range(nodes)]
+            admitted = self.spent_by_many(after, [20.0])
+            self.assertLessEqual(100 * len(admitted), 0.1 * limit + 1_000.0)
+
+    def test_single_prompt_of_a_small_account_is_served_at_a_start(self) -> None:
+        small = Account("small", (), None, TOKENS, 200, 13_000.0, 13_000.0)
+        told = AccountLimits(False, 8.0, Tolerance(0.1, 190_000.0), lambda: 5)
+        self.assertEqual(told.take(small, 17_000.0, 0.0), 0.0)
+        self.assertGreater(AccountLimits(False, 8.0).take(small, 17_000.0, 0.0), 0.8)
+
+    def test_end_of_all_nodes_with_a_tolerance_stays_within_it(self) -> None:
+        """As above, where nodes hold what the stated tolerance leaves them."""
+        tolerance = Tolerance(0.1, 1_000.0)
+        before = [AccountLimits(True, 8.0) for _ in range(5)]
+        admitted = self.spent_by_many(before, [step * 0.01 for step in range(2_000)])
+        after = [AccountLimits(False, 8.0, tolerance, lambda: 5) for _ in range(5)]
+        for each in after:
+            each.configure([self.account], 20.1)
+        admitted += self.spent_by_many(after, [20.1 + step * 0.01 for step in range(1_500)])
+        limit = 8 * 1_000 + 2_000
+        self.assert_window_holds(admitted, 1.1 * limit + 1_000.0 + 1.5 * 1_000)
+
     def test_nodes_that_take_the_place_of_serving_ones_do_not_begin_with_a_full_bucket(
         self,
     ) -> None:
         reserve = AccountLimits(True, 8.0)
         reserve.configure([self.account], 0.0)
-        reserve.begin_anew(50.0)
+        reserve.begin_anew([self.account], 50.0)
         admitted = self.admitted_in(reserve, [50.0 + step * 0.01 for step in range(100)])
         self.assertLessEqual(100 * len(admitted), 0.1 * 2_000 + 1_000 + 100)
 
