Take times from what operators state in place of constants

Cause: the notice of a leaving server (2 s), the least time of a planned stop (3.2 s) and two times of renting (4 and 8 s) were written down as measured on the first deployments; other deployments state 3 and 4 s for the first.

Change: they follow from the time that leaving servers serve on, from how long callers keep addresses and from the boot of servers.

--- a/src/moledale/gateway/duties.py
+++ b/src/moledale/gateway/duties.py
@@ -208,5 +208,6 @@
                     self._book.running(service.name),
                 )
                 speed = self._book.learner(service.name).speed(now)
-                need = needed(index, service.name, service.engine.slots, load, speed)
+                boot_s = service.renting.boot_s
+                need = needed(index, service.name, service.engine.slots, boot_s, load, speed)
                 demand.note_need(need, now)
--- a/src/moledale/gateway/evacuation.py
+++ b/src/moledale/gateway/evacuation.py
@@ -20,9 +20,6 @@
 from moledale.gateway.server_view import Placement
 from moledale.log import Event, emit
 
-USUAL_NOTICE_S = 2.0
-"""Time that a server has left where the list doesn't tell."""
-
 LIST_AGE_S = 0.5
 """The list's word of a server's time is about this old when it is read."""
 
@@ -116,19 +113,24 @@
 
 
 class Evacuation:
-    """Watches for servers that leave, and moves this node's streams away from them."""
+    """Watches for servers that leave, and moves this node's streams away from them.
+
+    `notice_s` is the time that a server has left where the list doesn't tell.
+    """
 
     def __init__(
         self,
         engines: Engines,
         book: ServerBook,
         index: Callable[[], PlanIndex | None],
+        notice_s: float,
         now: Callable[[], float] = time.monotonic,
     ) -> None:
         self.runs: set[StreamRun] = set()
         self._engines = engines
         self._book = book
         self._index = index
+        self._notice_s = notice_s
         self._now = now
         self._ends: dict[str, float] = {}
         self._planned: set[StreamRun] = set()
@@ -150,7 +152,7 @@
             if engine is None or not engine.moves or name in self._ends:
                 continue
             told = server.leaves_s
-            left = USUAL_NOTICE_S if told is None else max(0.0, told - LIST_AGE_S)
+            left = self._notice_s if told is None else max(0.0, told - LIST_AGE_S)
             self._begin(server, engine, now + left)
 
     def empty_by(self, servers: Iterable[Server], ends: float) -> None:
--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -81,7 +81,7 @@
         book.on_silent = pool.forget
         self._pool = pool
         self._sharing = sharing
-        self.evacuation = Evacuation(engines, book, lambda: self.index, now)
+        self.evacuation = Evacuation(engines, book, lambda: self.index, sharing.leave_s, now)
         self.handled = 0
         self._now = now
         self._list_is_current = list_is_current
--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -40,7 +40,7 @@
 from moledale.gateway.rollout_duty import RolloutDuty
 from moledale.gateway.rollouts import Rollouts
 from moledale.gateway.server_list import ServerChange
-from moledale.gateway.settings import GatewaySettings
+from moledale.gateway.settings import Bounds, GatewaySettings
 from moledale.gateway.sharing import Sharing
 from moledale.gateway.state_packing import StatePacker, StateUnpacker, pack_alone
 from moledale.log import Event, emit
@@ -48,8 +48,9 @@
 
 POOL_SWEEP_S = 0.5
 
-LEAST_STOP_S = 3.2
-"""A stop takes this long at least, since callers keep addresses that they were told."""
+LEAST_STOP_X = 1.6
+"""A stop takes so many times `bounds.address_ttl_s` at least, since callers keep addresses that
+they were told, some of them for longer than that."""
 
 STOP_MARGIN_S = 0.9
 
@@ -68,6 +69,11 @@
 EXIT_OK = 0
 
 
+def least_stop_s(bounds: Bounds) -> float:
+    """Return the least time of a planned stop."""
+    return min(LEAST_STOP_X * bounds.address_ttl_s, bounds.stop_s / 2)
+
+
 class GatewayNode:
     """Everything that one process runs."""
 
@@ -237,7 +243,7 @@
         self._tell_state()
         giving_back = asyncio.create_task(self._give_lease_back())
         end = began + max(0.5, self.settings.bounds.stop_s - STOP_MARGIN_S)
-        least = began + min(LEAST_STOP_S, self.settings.bounds.stop_s / 2)
+        least = began + least_stop_s(self.settings.bounds)
         quiet_since = time.monotonic()
         while (now := time.monotonic()) < end:
             if self._callers.busy():
--- a/src/moledale/gateway/renting.py
+++ b/src/moledale/gateway/renting.py
@@ -24,9 +24,9 @@
 """Part of the shortest target that requests may wait on average. A wait is about exponential, so
 three times its mean is exceeded once in twenty; that leaves two thirds for reading and the way."""
 
-LATE_WORK_S = 4.0
-"""Work that is late is to be gone within this time of the servers' start: about their boot, so that
-the wait for them is made up for within as long again."""
+LATE_WORK_BOOTS = 1.0
+"""Work that is late is to be gone within this many boots of a server after its start, so that the
+wait for it is made up for within as long again."""
 
 LEAST_WAIT_S = 0.01
 LEAST_NEED = 2
@@ -42,9 +42,9 @@
 PEAK_KEPT_S = 20.0
 """Spot servers follow the peak of need in this time."""
 
-ON_DEMAND_KEPT_S = 8.0
-"""Servers on demand do so in this time: twice the boot of the users' servers, since they cost four
-to seven times as much, and a backlog looks like need until it is worked off."""
+ON_DEMAND_KEPT_BOOTS = 2.0
+"""Servers on demand do so in the time of this many boots, since they cost four to seven times as
+much, and a backlog looks like need until it is worked off."""
 
 SPOT_X = 1.5
 """Spot servers wanted for each server needed; they cost little and go often."""
@@ -124,10 +124,11 @@
         """Say whether no node has placed anything yet."""
         return self._first_at is None
 
-    def need(self, start: int) -> Need:
+    def need(self, start: int, boot_s: float) -> Need:
         """Return the servers wanted: the peaks of late, and the start's number at first."""
         least = LEAST_NEED if self.watched_s > PEAK_KEPT_S else start
-        lately = [need for at, need in self._needs if self._last_at - at <= ON_DEMAND_KEPT_S]
+        kept_s = ON_DEMAND_KEPT_BOOTS * boot_s
+        lately = [need for at, need in self._needs if self._last_at - at <= kept_s]
         spot = max([least, *(need for _, need in self._needs)])
         return Need(spot, max([least, *lately]))
 
@@ -142,8 +143,10 @@
     running: int
 
 
-def needed(index: PlanIndex, service: str, slots: int, load: Load, speed: Speed) -> int:
-    """Return the servers of `slots` each that a service needs.
+def needed(
+    index: PlanIndex, service: str, slots: int, boot_s: float, load: Load, speed: Speed
+) -> int:
+    """Return the servers of `slots` each that a service needs, which take `boot_s` to start.
 
     The longest wait follows from the shortest target of its routes. More work that waits than
     arrives in that time (Little's law) is late already, and has to be worked off besides.
@@ -151,7 +154,7 @@
     target_s = shortest_target_s(index, service)
     most_s = max(LEAST_WAIT_S, WAIT_SHARE * target_s)
     late = max(0.0, load.waiting - load.work_per_s * target_s)
-    work_per_s = load.work_per_s + late / LATE_WORK_S
+    work_per_s = load.work_per_s + late / (LATE_WORK_BOOTS * boot_s)
     return servers_needed(work_per_s, load.running, slots, most_s, speed)
 
 
@@ -208,7 +211,7 @@
     def need(self, renting: Renting) -> Need:
         """Return the servers wanted; what operators allow at most tells the size before demand."""
         allowed = renting.most * len(renting.hall_prices)
-        return self.demand.need(max(START_NEED, ceil(START_SHARE * allowed)))
+        return self.demand.need(max(START_NEED, ceil(START_SHARE * allowed)), renting.boot_s)
 
     def _firm(
         self, renting: Renting, there: dict[str, dict[bool, int]], need: int, now: float
--- a/src/moledale/gateway/sharing.py
+++ b/src/moledale/gateway/sharing.py
@@ -39,6 +39,11 @@
         """Return the span that limits of accounts are told for."""
         return self._bounds.limit_window_s
 
+    @property
+    def leave_s(self) -> float:
+        """Return the time that a server serves on at least once it said that it leaves."""
+        return self._bounds.leave_s
+
     @property
     def limit_tolerance(self) -> Tolerance | None:
         """Return by how much limits may be exceeded in a window, None if that is not stated."""
--- a/tests/test_gateway_renting.py
+++ b/tests/test_gateway_renting.py
@@ -6,7 +6,7 @@
 from moledale.gateway.messages import Server
 from moledale.gateway.plan import PlanIndex, Renting
 from moledale.gateway.renting import (
-    LATE_WORK_S,
+    LATE_WORK_BOOTS,
     Demand,
     Load,
     Need,
@@ -21,6 +21,7 @@
 from tests.gateway_world import a_plan
 
 THREE = Need(3, 3)
+BOOT_S = 4.0
 FOUR = Need(4, 4)
 
 
@@ -66,21 +67,22 @@
     speed = Speed(50_000.0, 0.02, 0.5, 4_000.0, 100)
 
     def need(self, work_per_s: float, waiting: float) -> int:
-        return needed(PlanIndex(a_plan()), "model", 64, Load(work_per_s, waiting, 20), self.speed)
+        load = Load(work_per_s, waiting, 20)
+        return needed(PlanIndex(a_plan()), "model", 64, BOOT_S, load, self.speed)
 
     def test_work_that_is_in_time_changes_nothing(self) -> None:
         target_s = shortest_target_s(PlanIndex(a_plan()), "model")
         self.assertEqual(self.need(200_000.0, 200_000.0 * target_s), self.need(200_000.0, 0.0))
 
     def test_late_work_is_worked_off_besides(self) -> None:
-        late = 400_000.0 * LATE_WORK_S
+        late = 400_000.0 * LATE_WORK_BOOTS * BOOT_S
         target_s = shortest_target_s(PlanIndex(a_plan()), "model")
         waiting = 200_000.0 * target_s + late
         self.assertEqual(self.need(200_000.0, waiting), self.need(600_000.0, 0.0))
 
 
 class RentingTest(unittest.TestCase):
-    renting = Renting(1, 5, 4.0, 0.15, {"a": 1.0, "b": 0.8, "c": 1.25, "d": 0.9})
+    renting = Renting(1, 5, BOOT_S, 0.15, {"a": 1.0, "b": 0.8, "c": 1.25, "d": 0.9})
 
     def setUp(self) -> None:
         """Begin with four of the twenty servers allowed, whatever the share is tuned to."""
@@ -172,18 +174,18 @@
         for second in range(10):
             demand.note(second * 100_000.0, float(second))
             demand.note_need(4 if second == 5 else 3, float(second))
-        self.assertEqual(demand.need(2), FOUR)
+        self.assertEqual(demand.need(2, BOOT_S), FOUR)
         for second in range(10, 40):
             demand.note(1_000_000.0 + second, float(second))
             demand.note_need(3, float(second))
-        self.assertEqual(demand.need(2), THREE)
+        self.assertEqual(demand.need(2, BOOT_S), THREE)
 
     def test_first_moments_of_demand_give_no_server_back(self) -> None:
         demand = Demand()
         for step in range(10):
             demand.note(step * 1_000.0, step * 0.5)
             demand.note_need(1, step * 0.5)
-            self.assertEqual(demand.need(4), FOUR)
+            self.assertEqual(demand.need(4, BOOT_S), FOUR)
 
     def test_shortest_target_of_the_service_counts(self) -> None:
         index = PlanIndex(a_plan())
@@ -195,7 +197,7 @@
         for second in range(30):
             demand.note(second * 100_000.0, float(second))
             demand.note_need(9 if second == 12 else 3, float(second))
-        self.assertEqual(demand.need(2), Need(spot=9, on_demand=3))
+        self.assertEqual(demand.need(2, BOOT_S), Need(spot=9, on_demand=3))
 
     def test_missing_spot_servers_are_made_up_for_whatever_the_reserve(self) -> None:
         planner = self.planner(4)
--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -122,8 +122,8 @@
         "on-demand-peak",
         "servers on demand follow a peak for a shorter time",
         "renting.py",
-        "ON_DEMAND_KEPT_S = 8.0",
-        "ON_DEMAND_KEPT_S = PEAK_KEPT_S",
+        "kept_s = ON_DEMAND_KEPT_BOOTS * boot_s",
+        "kept_s = PEAK_KEPT_S",
     ),
 )
 
