--- a/tools/compare.py
+++ b/tools/compare.py
@@ -186,7 +186,8 @@
     def _play(self, variant: Variant, site: Path, day: str, seed: int) -> Play | None:
         """Play one day; None if it left no entry."""
         folder = self._folder / variant.name
-        why = f"compare {variant.name}: {site.stem} {day} seed {seed}"
+        # Paths are not kept in entries, by which plays are told apart.
+        why = f"compare {variant.name}: {site.stem} {Path(day).stem} seed {seed}"
         command = [str(self._program), "run", str(site), day, "--seed", str(seed), "--why", why]
         command += ["--small"] if self._small else []
         before = set((folder / "journal").glob("*.json"))
