Let a starting node ask its peers before the store

Change: a node waits for the word of its peers, and where nodes are many and nobody answers they ask in turn.

--- a/src/moledale/gateway/fleet_watch.py
+++ b/src/moledale/gateway/fleet_watch.py
@@ -22,6 +22,7 @@
 from result import Err
 
 from moledale.gateway.backoff import Backoff
+from moledale.gateway.cold_start import ColdStart
 from moledale.gateway.document_archive import DocumentArchive
 from moledale.gateway.document_fetch import SERVERS_PATH, DocumentFetch
 from moledale.gateway.messages import Server
@@ -88,7 +89,8 @@
 
     `rank` is this node's turn, `took` gets the servers after each change, `tell` sends changes, and
     `confirm` tells the nodes that may read next that nothing changed. `leave_s` is the time after
-    which a leaving server may get no new work.
+    which a leaving server may get no new work. `start` tells when a starting node is to ask the
+    store, at once if it is None.
     """
 
     def __init__(
@@ -104,6 +106,7 @@
         link_mbps: float = 1000.0,
         leave_s: float = 2.0,
         now: Callable[[], float] = time.monotonic,
+        start: ColdStart | None = None,
     ) -> None:
         self.list = ServerList()
         self.archive = DocumentArchive(link_mbps, now, LISTS_KEPT)
@@ -125,6 +128,8 @@
         self._control = control
         self._usable_s = USABLE_SHARE * leave_s
         self._now = now
+        self._start = start
+        self._newest_head: ListHead | None = None
         self._fresh_at = -1e9
         self._read_s = NEVER_S
         self._returned_s = NEVER_S
@@ -151,6 +156,8 @@
 
     async def watch(self) -> None:
         """Read the list whenever it is this node's turn, for ever."""
+        if self._start is not None:
+            await self._start.wait(lambda: self.known, lambda: self.fetch.behind(self._now()))
         while True:
             left_s = self.due_at() - self._now()
             if left_s > 0:
@@ -187,6 +194,7 @@
     def heard_head(self, head: ListHead, control: str, power: float) -> None:
         """Take over which list another node has; a newer one is fetched from there."""
         self._note_return(head)
+        self._note_head(head)
         if self.list.confirmed(head):
             self._confirmed(head)
         elif head.version > self.list.version:
@@ -195,6 +203,7 @@
     def heard(self, change: ServerChange) -> None:
         """Take over a change that another node told, and pass it on the first time."""
         self._note_return(change.head)
+        self._note_head(change.head)
         heard = self.list.hear(change)
         if heard.confirmed:
             self._confirmed(change.head)
@@ -281,6 +290,13 @@
             return
         if differs:
             self._changed(from_store=False)
+        if self._newest_head is not None and self.list.confirmed(self._newest_head):
+            self._confirmed(self._newest_head)
+
+    def _note_head(self, head: ListHead) -> None:
+        """Remember the newest list that was heard of: it tells how old it is once it is here."""
+        if self._newest_head is None or head.read_s > self._newest_head.read_s:
+            self._newest_head = head
 
     def _confirmed(self, head: ListHead) -> None:
         self.archive.renew(self.list.version)
--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -9,6 +9,7 @@
 from moledale.clock import SystemClock
 from moledale.core.rollouts import Exposure, Phase, RolloutNews
 from moledale.gateway.balance import ServerBook
+from moledale.gateway.cold_start import ColdStart
 from moledale.gateway.dialect import Dialect
 from moledale.gateway.directory import power_of
 from moledale.gateway.duties import TICK_S, Duties
@@ -144,6 +145,7 @@
         self._sequence = 0
         self._packer = StatePacker()
         self._unpacker = StateUnpacker()
+        self._cold_start = ColdStart(self._crowd)
         self.plans = PlanWatch(
             store,
             self.sharing.true_time,
@@ -153,6 +155,7 @@
             self._crowd,
             node.link_mbps,
             lambda stored: self.rollouts.ordered(stored.order, stored.phase),
+            self._cold_start,
         )
         self.fleet = FleetWatch(
             store,
@@ -165,6 +168,7 @@
             node.control,
             node.link_mbps,
             settings.bounds.leave_s,
+            start=self._cold_start,
         )
         self._questions = Questions(
             entry,
@@ -210,7 +214,13 @@
         for seed in node.seeds:
             self.neighbours.addresses.add(f"{seed.rpartition(':')[0]}:{port}", now)
         registration = Registration(
-            self._store, node.id, node.peers, self.neighbours.addresses, self._crowd
+            self._store,
+            node.id,
+            node.peers,
+            self.neighbours.addresses,
+            self._crowd,
+            self.sharing.true_time,
+            self._cold_start.registered,
         )
         start = self.supervisor.start
         start("gossip", self._gossip_forever)
--- a/src/moledale/gateway/plan_watch.py
+++ b/src/moledale/gateway/plan_watch.py
@@ -12,6 +12,7 @@
 from result import Err
 
 from moledale.gateway.backoff import Backoff
+from moledale.gateway.cold_start import ColdStart
 from moledale.gateway.document_archive import DocumentArchive
 from moledale.gateway.document_fetch import PLAN_PATH, DocumentFetch
 from moledale.gateway.outside import PlanNews, Store, StoredRollout
@@ -42,7 +43,8 @@
     """Brings each newer plan to `adopt`, which says whether it is in force now.
 
     `adopted` is then told whether the plan came from the store, for others to be told of it.
-    `ordered` hears of roll-outs, which operators order at the same place.
+    `ordered` hears of roll-outs, which operators order at the same place. `start` tells when a
+    starting node is to ask the store, at once if it is None.
     """
 
     def __init__(
@@ -55,6 +57,7 @@
         crowd: Callable[[], float],
         link_mbps: float,
         ordered: Callable[[StoredRollout], None] = _no_rollout,
+        start: ColdStart | None = None,
     ) -> None:
         self.archive = DocumentArchive(link_mbps, time.monotonic)
         self.fetch = DocumentFetch(
@@ -73,11 +76,16 @@
         self._adopt = adopt
         self._adopted = adopted
         self._ordered = ordered
+        self._start = start
         self._backoff = Backoff(AGAIN_S, AGAIN_MOST_S, crowd)
         self._brought = asyncio.Event()
 
     async def watch(self) -> None:
         """Watch the store while it is this node's turn, for ever."""
+        if self._start is not None:
+            await self._start.wait(
+                lambda: self._version >= 0, lambda: self.fetch.behind(time.monotonic())
+            )
         position: int | None = None
         while True:
             if self._version >= 0 and self._turn() >= WATCHERS:
--- a/src/moledale/gateway/registration.py
+++ b/src/moledale/gateway/registration.py
@@ -9,6 +9,7 @@
 from moledale.gateway.backoff import Backoff
 from moledale.gateway.neighbours import AddressBook
 from moledale.gateway.outside import Store
+from moledale.gateway.usage import TrueTime
 
 MEMBER_TABLE = "members"
 STORE_TIMEOUT_S = 0.8
@@ -17,7 +18,10 @@
 
 
 class Registration:
-    """Writes one row and reads all; done once both have succeeded."""
+    """Writes one row and reads all; done once both have succeeded.
+
+    The answer tells the store's clock, too, by which the age of a list is told.
+    """
 
     def __init__(
         self,
@@ -26,19 +30,25 @@
         own_address: str,
         addresses: AddressBook,
         crowd: Callable[[], float],
+        true_time: TrueTime,
+        registered: asyncio.Event,
     ) -> None:
         self._store = store
         self._node = node
         self._own_address = own_address
         self._addresses = addresses
+        self._true_time = true_time
+        self._registered = registered
         self._backoff = Backoff(AGAIN_S, AGAIN_MOST_S, crowd)
 
     async def run(self) -> None:
         """Register, repeating what fails."""
-        registered = read = False
-        while not (registered and read):
-            registered = registered or await self._write()
+        written = read = False
+        while not (written and read):
+            written = written or await self._write()
             read = await self._read()
+            if read:
+                self._registered.set()
             await asyncio.sleep(self._backoff.next_s())
 
     async def _write(self) -> bool:
@@ -47,10 +57,12 @@
         return trouble is None
 
     async def _read(self) -> bool:
+        sent_at = time.monotonic()
         outcome = await self._store.read(MEMBER_TABLE, STORE_TIMEOUT_S)
         if not isinstance(outcome, Ok):
             return False
         now = time.monotonic()
+        self._true_time.store_read(outcome.ok_value.store_s, sent_at, now)
         for row in outcome.ok_value.rows:
             self._addresses.add(row.value.decode(), now)
         return True
--- /dev/null
+++ b/tests/test_cold_start.py
@@ -0,0 +1,81 @@
+"""Where a starting node gets its first documents."""
+
+import asyncio
+import time
+import unittest
+from collections.abc import Callable
+
+from moledale.gateway.cold_start import ANSWER_S, REGISTERED_S, ColdStart
+from moledale.gateway.neighbours import FEW
+from tests.gateway_world import quietly
+
+STORE_S = 0.02
+FETCH_S = 0.05
+
+
+class StartTogether:
+    """Nodes that start at the same moment; word of the first document ends the others' waiting."""
+
+    def __init__(self, nodes: int, peers_have_it: bool = False) -> None:
+        self.nodes = nodes
+        self.asked = 0
+        self.heard_at = time.monotonic() + 0.005 if peers_have_it else float("inf")
+
+    async def run(self) -> float:
+        """Return how long it took until the last one had the document."""
+        began_at = time.monotonic()
+        await asyncio.gather(*(self._start() for _ in range(self.nodes)))
+        return time.monotonic() - began_at
+
+    async def _start(self) -> None:
+        start = ColdStart(lambda: max(1.0, (self.nodes - 1) / FEW))
+        start.registered.set()
+        await start.wait(self._passed(FETCH_S), self._passed(0.0))
+        if not self._passed(FETCH_S)():
+            self.asked += 1
+            await asyncio.sleep(STORE_S)
+            self.heard_at = min(self.heard_at, time.monotonic())
+
+    def _passed(self, after_s: float) -> Callable[[], bool]:
+        return lambda: time.monotonic() >= self.heard_at + after_s
+
+
+class ColdStartTest(unittest.TestCase):
+    def test_few_nodes_ask_the_store_at_once(self) -> None:
+        async def work() -> None:
+            world = StartTogether(9)
+            self.assertLess(await world.run(), ANSWER_S)
+            self.assertEqual(world.asked, 9)
+
+        quietly(work())
+
+    def test_of_many_that_start_at_once_few_ask_the_store(self) -> None:
+        async def work() -> None:
+            for nodes in (81, 300):
+                world = StartTogether(nodes)
+                self.assertLess(await world.run(), ANSWER_S + 0.4)
+                self.assertLess(world.asked, 25)
+                self.assertGreater(world.asked, 0)
+
+        quietly(work())
+
+    def test_node_that_starts_among_others_does_not_ask(self) -> None:
+        async def work() -> None:
+            world = StartTogether(81, peers_have_it=True)
+            await world.run()
+            self.assertEqual(world.asked, 0)
+
+        quietly(work())
+
+    def test_node_that_does_not_know_the_others_asks_soon(self) -> None:
+        async def work() -> None:
+            start = ColdStart(lambda: 10.0)
+            began_at = time.monotonic()
+            await start.wait(lambda: False, lambda: False)
+            self.assertLess(time.monotonic() - began_at, 2 * REGISTERED_S)
+
+        quietly(work())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_server_list.py
+++ b/tests/test_server_list.py
@@ -331,9 +331,10 @@
         self.now = 100.0
         self.store = StoreOnDemand(lambda: self.now)
         self.taken: list[list[Server]] = []
+        self.true_time = TrueTime()
         self.watch = FleetWatch(
             self.store,  # type: ignore[arg-type]
-            TrueTime(),
+            self.true_time,
             lambda: 0,
             self.taken.append,
             lambda *_: None,
@@ -362,6 +363,19 @@
         self.assertEqual(self.store.reads, 2)
         self.assertLess(USABLE_SHARE * LEAVE_S + CURRENT_WAIT_S, LEAVE_S - 1.0)
 
+    def test_first_list_that_a_peer_passes_on_is_as_old_as_the_peer_told(self) -> None:
+        self.true_time.store_read(self.now, self.now, self.now)
+        self.store.version = 5
+        peer = ServerList()
+        peer.read([a_server(1)], 5)
+        self.watch.heard_head(ListHead(5, peer.digest, self.now - 0.3), "n2:3", 1.0)
+        self.watch._fetched(5, peer.raw)
+        self.assertTrue(self.current())
+        self.assertEqual(self.store.reads, 0)
+        self.now += USABLE_SHARE * LEAVE_S - 0.2
+        self.assertTrue(self.current())
+        self.assertEqual(self.store.reads, 1)
+
     def test_last_list_counts_while_the_store_is_away_for_all(self) -> None:
         self.assertTrue(self.current())
         self.store.away = True
