Tests: wait until a node serves, not until one is known

Cause: the test of a planned stop asked the directory when a node knew one other or itself as ready, which may be before any of them serves; the directory then says 503, as it should. A node knows its peers a little sooner since it reads them first, so the test failed each time. It waits for more now.

--- a/tests/test_gateway_nodes.py
+++ b/tests/test_gateway_nodes.py
@@ -456,7 +456,7 @@
                 await until(ready(node))
                 await until(lambda node=node: bool(node.members.alive(time.monotonic())))  # type: ignore[misc]
             for node in nodes.values():
-                await until(lambda node=node: len(node.serving_nodes()) == 1)  # type: ignore[misc]
+                await until(lambda node=node: [n.serving for n in node.serving_nodes()] == [True])  # type: ignore[misc]
             told = (await cluster.addresses("n1"))[0]
             first = next(n for n, node in nodes.items() if node.settings.node.callers == told)
             second = next(name for name in nodes if name != first)
