--- a/src/moledale/gateway/renting.py
+++ b/src/moledale/gateway/renting.py
@@ -13,7 +13,8 @@
 
 from moledale.gateway.messages import Server
 from moledale.gateway.plan import PlanIndex, Renting
-from moledale.gateway.server_model import Speed, servers_needed
+from moledale.gateway.server_model import Speed
+from moledale.gateway.server_need import servers_needed
 
 REFUSED_PAUSE_S = 2.5
 """Time after which servers that were refused are asked for again."""
--- a/src/moledale/gateway/server_model.py
+++ b/src/moledale/gateway/server_model.py
@@ -17,7 +17,7 @@
 import random
 from collections import deque
 from collections.abc import Iterable
-from math import ceil, exp, log, sqrt
+from math import exp, log
 from statistics import median
 
 import msgspec
@@ -99,7 +99,6 @@
 """First events closer to each other came out of the same few steps of the server (6 ms each at the
 users' engines), so the time between them tells no rate."""
 
-ENDLESS_S = 1e9
 LEAST_TOOK_S = 0.001
 """Times below this are taken for this long, so that a ratio of them means something."""
 
@@ -446,38 +445,3 @@
     def times(self, now: float) -> float:
         """Return the factor as of now."""
         return 1.0 + (self._times - 1.0) * exp(-(now - self._at) / SLOW_MEMORY_S)
-
-
-def wait_s(load: float, places: int, residual_s: float) -> float:
-    """Return the mean wait for one of `places` that are offered the work of `load` of them.
-
-    `residual_s` is what is left on average of the service that a place is busy with. This is
-    Sakasegawa's approximation (Ann. Inst. Stat. Math. 29, 1977); it is exact for one place.
-    """
-    used = load / places
-    if used >= 1.0:
-        return ENDLESS_S
-    return residual_s * float(used ** (sqrt(2.0 * (places + 1)) - 1.0)) / (places * (1.0 - used))
-
-
-def servers_needed(
-    work_per_s: float, running: float, slots: int, most_s: float, speed: Speed
-) -> int:
-    """Return the fewest servers at which requests wait `most_s` on average, for reading or a slot.
-
-    For reading, all servers are taken for one queue, since requests go to the one that is free. A
-    slot has to be free at the server that was chosen, so each has its own queue for these.
-    """
-    number = max(1, ceil(speed.reading_s(work_per_s)))
-    while _reading_wait_s(work_per_s, running, number, speed) > most_s:
-        number += 1
-    while wait_s(running / number, slots, speed.hold_s) > most_s:
-        number += 1
-    return number
-
-
-def _reading_wait_s(work_per_s: float, running: float, number: int, speed: Speed) -> float:
-    """Return the mean wait for reading at `number` servers that share what runs."""
-    beside = running / number
-    residual_s = speed.reading_s(speed.residual_work, beside)
-    return wait_s(speed.reading_s(work_per_s, beside), number, residual_s)
--- a/tests/test_server_model.py
+++ b/tests/test_server_model.py
@@ -19,9 +19,8 @@
     Speed,
     SpeedLearner,
     combined,
-    servers_needed,
-    wait_s,
 )
+from moledale.gateway.server_need import servers_needed, wait_s
 from standins.engine_model import EngineModel, EngineSpec, Sequence
 
 REQUESTS = 200
