Compare times of two versions only while both bear their share of the load

Ruled out: failures (none).

Change: while requests move only failures count. A version that is slow, also under load only, shows it before: in the trial and the rise each new server has as much to do as an old one. Streams that were moved count under their route (they had none: a series of its own, seen in the log).

--- a/src/moledale/core/rollout_evidence.py
+++ b/src/moledale/core/rollout_evidence.py
@@ -211,7 +211,7 @@
     total: float = 0.0
     _seen: Tally = msgspec.field(default_factory=Tally)
 
-    def note(self, old: Tally, new: Tally) -> bool:
+    def note(self, old: Tally, new: Tally, with_times: bool) -> bool:
         """Take over the counts as they are now; say whether the version is bad."""
         self.control.note(old)
         fresh = new.since(self._seen)
@@ -219,7 +219,7 @@
             return self.changed
         self._seen = new.copy()
         self.number += fresh.number
-        bad = fresh.bad(self.control.slow_from)
+        bad = fresh.bad(self.control.slow_from if with_times else None)
         expected = self.control.expected
         feared = min(MOST_SHARE, LEAST_EXCESS + EXCESS_X * expected)
         expected = min(expected, feared / EXCESS_X)
@@ -240,10 +240,14 @@
     series: dict[str, SeriesJudge] = msgspec.field(default_factory=dict)
     bad: bool = False
 
-    def note(self, evidence: Evidence) -> bool:
-        """Take over what all nodes saw until now; say whether the version is bad."""
+    def note(self, evidence: Evidence, with_times: bool = True) -> bool:
+        """Take over what all nodes saw until now; say whether the version is bad.
+
+        Once the old servers bear less load than the new ones they are no control for times, and
+        only failures count.
+        """
         for name, new in evidence.new.items():
             judge = self.series.setdefault(name, SeriesJudge())
-            if judge.note(evidence.old.get(name, Tally()), new):
+            if judge.note(evidence.old.get(name, Tally()), new, with_times):
                 self.bad = True
         return self.bad
--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -160,6 +160,7 @@
             placement = self._place(job) if moved is None else moved.placement
             if placement is None:
                 break
+            placement.route = job.route.name
             attempt = await self._attempt(job, placement, moved)
             moved = attempt.next
             if attempt.ending is Ending.ANSWERED:
@@ -175,12 +176,9 @@
     def _place(self, job: Job) -> Placement | None:
         engine = self._engine(job.service)
         share = self._trial_share(job.service, job.route.name, not job.tried)
-        placement = self._book.place(
+        return self._book.place(
             job.service, job.facts, engine, self._now(), job.tried, trial_share=share
         )
-        if placement is not None:
-            placement.route = job.route.name
-        return placement
 
     def _engine(self, name: str) -> Engine | None:
         index = self.index
--- a/src/moledale/gateway/rollouts.py
+++ b/src/moledale/gateway/rollouts.py
@@ -222,7 +222,7 @@
             told = self._told_counts(service, rollout.order.revision)
             rollout.seen = merged([rollout.own.seen, *(each.seen for each in told)])
             rollout.tried = sum(tally.number for tally in rollout.seen.new.values())
-            if rollout.judge.note(rollout.seen):
+            if rollout.judge.note(rollout.seen, rollout.phase is not Phase.MOVING):
                 self.advance(service, Phase.ROLLED_BACK, "the new version's answers are worse")
 
     def _told_counts(self, service: str, revision: int) -> list[TrialCounts]:
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -128,6 +128,17 @@
                 needed.append(trial.rounds(60, 0.6) or 60)
         self.assertLess(sorted(needed)[len(needed) // 2], 20)
 
+    def test_only_failures_count_once_the_old_servers_have_less_to_do(self) -> None:
+        slow, failing = Trial(1), Trial(2)
+        for trial in (slow, failing):
+            trial.rounds(10, 0.02)
+        for _ in range(60):
+            slow.note(Arm.OLD, 1, 0.02)
+            slow.note(Arm.NEW, 10, 0.02, slower_x=5.0)
+            self.assertFalse(slow.judge.note(slow.evidence, with_times=False))
+        failing.note(Arm.NEW, 30, 0.5)
+        self.assertTrue(failing.judge.note(failing.evidence, with_times=False))
+
     def test_few_milliseconds_more_are_not_slow(self) -> None:
         evidence, judge = Evidence(), Judge()
         for _ in range(40):
