--- a/tools/without_gateway.py
+++ b/tools/without_gateway.py
@@ -1,21 +1,24 @@
 """The gateway's mechanisms, each with a way to take it away and the tests that must notice."""
 
 import asyncio
-from dataclasses import replace
 from typing import Any
 
+import msgspec
+
 from moledale.gateway import (
     directory,
     document_codec,
     document_fetch,
     fleet_watch,
     lease_keeper,
+    neighbours,
     renting,
 )
 from moledale.gateway.accounts import AccountLimits, RecentSpending
 from moledale.gateway.admission import Admission
 from moledale.gateway.backoff import Backoff
 from moledale.gateway.balance import ServerBook
+from moledale.gateway.cold_start import ColdStart
 from moledale.gateway.document_archive import DocumentArchive, DocumentPiece, UploadBudget
 from moledale.gateway.document_fetch import DocumentFetch, Transfer
 from moledale.gateway.engine_costs import EngineCosts
@@ -32,6 +35,7 @@
 from moledale.gateway.plan import PlanIndex
 from moledale.gateway.reply import Reply
 from moledale.gateway.retries import RetryBudget
+from moledale.gateway.rollouts import ServiceRollout
 from moledale.gateway.server_group import ServerGroup
 from moledale.gateway.server_list import ServerList
 from moledale.gateway.server_model import Slowness, SpeedLearner
@@ -50,6 +54,7 @@
 LEARNING = "tests.test_server_model"
 LISTS = "tests.test_server_list"
 PLACEMENTS = "tests.test_gateway_placements"
+VERSIONS = "tests.test_rollouts.VersionsTest"
 
 _finish = UpstreamConnection.finish
 _read_answer = PlatformHeaders.read_answer
@@ -77,7 +82,7 @@
 
 def _no_id(self: PlatformHeaders, head: AnswerHead) -> AnswerFacts:
     """Read an answer as if it told no id."""
-    return replace(_read_answer(self, head), request_id=None)
+    return msgspec.structs.replace(_read_answer(self, head), request_id=None)
 
 
 def _adopt_any(self: Admission, plan: Any) -> bool:
@@ -131,6 +136,10 @@
     _heard(self, holder, news, now)
 
 
+async def _ask_at_once(_: ColdStart, _known: object, _coming: object) -> None:
+    """Wait for nobody's word."""
+
+
 def _note_all_of_it(self: WorkMeter, life: int, work: dict[str, int]) -> None:
     """Count a life from its beginning, whenever it is first heard."""
     self._counted.setdefault(life, {})
@@ -179,5 +188,13 @@
     ("servers that lapsed are kept", fleet_watch, "RETURN_S", 0.0, STATE),
     ("a window's spending counts", RecentSpending, "wait_s", lambda *_: 0.0, LIMITS),
     ("the past of a node is no demand", WorkMeter, "note", _note_all_of_it, RENTING),
+    ("changes go along a ring, too", neighbours, "following", lambda *_: [], MEMBERSHIP),
+    ("starting nodes share a limit's tolerance", AccountLimits, "_at_start",
+     lambda _, account: account.burst, LIMITS),
+    ("starting nodes ask their peers first", ColdStart, "wait", _ask_at_once,
+     "tests.test_cold_start"),
+    ("few new servers get their part only", ServerGroup, "new_share", lambda _: 1.0, VERSIONS),
+    ("routes with few requests are tried sooner", ServiceRollout, "is_scarce", lambda *_: False,
+     VERSIONS),
     ("as many serve as requests need", directory, "REQUEST_CORE_S", 1e-9, MEMBERSHIP),
 ]  # fmt: skip
