Each number of the policy says what it is for; a test collects those that don't

89 numbers of core, gateway and platform had no word beside them, some 20 of these in groups that are explained once. No change of any value. The test failed with the sources before.

--- a/src/moledale/core/hashing.py
+++ b/src/moledale/core/hashing.py
@@ -8,6 +8,8 @@
 
 RING = "ring"
 RING_SIZE = 2**64
+"""Places of the ring: those of a 64-bit hash."""
+
 POSITIONS_KEPT = 4096
 """Names whose places in the ring are kept: more than there are nodes."""
 
--- a/src/moledale/gateway/admission.py
+++ b/src/moledale/gateway/admission.py
@@ -18,10 +18,14 @@
 """A final answer leaves this long before the caller's deadline, so that it arrives in time."""
 
 NO_PLAN_AGAIN_S = 0.5
+"""A node that starts knows a plan within about this time (0.5 to 0.9 s on played days)."""
+
 NEWER_PLAN_AGAIN_S = 0.15
 """A newer plan that is known of is here within about this time."""
 
 LEAST_AGAIN_S = 0.05
+"""Callers are never told to come back sooner: a few round trips, so that they do not spin."""
+
 SPREAD = 0.5
 """Times to come back are spread by this part, so that callers don't come together."""
 
--- a/src/moledale/gateway/balance.py
+++ b/src/moledale/gateway/balance.py
@@ -17,6 +17,8 @@
 """Extra cost of a server for each part of its answers that failed lately."""
 
 OTHER_HALL_S = 0.001
+"""The way to another hall and back, 1 to 3 ms at the users': it decides between equal servers
+only."""
 
 LEAST_EXPECTED_S = 0.01
 """First events that are expected sooner count as expected then: a step of an engine takes 6 ms."""
--- a/src/moledale/gateway/calls.py
+++ b/src/moledale/gateway/calls.py
@@ -10,7 +10,11 @@
 from moledale.gateway.upstream import AnswerCut, ConnectFailed, UpstreamConnection, connect
 
 MOST_IDLE = 4
+"""Connections kept to one address: calls to it seldom overlap more."""
+
 IDLE_S = 20.0
+"""Connections at rest for longer are closed; callees close theirs after about as long. Not
+measured."""
 
 
 class CallAnswer(msgspec.Struct, frozen=True):
--- a/src/moledale/gateway/cold_start.py
+++ b/src/moledale/gateway/cold_start.py
@@ -26,6 +26,7 @@
 of the answer (counted by a test)."""
 
 LOOK_S = 0.02
+"""A document that came is noticed within this time, a third of `ANSWER_S`."""
 
 
 class ColdStart:
--- a/src/moledale/gateway/directory.py
+++ b/src/moledale/gateway/directory.py
@@ -31,6 +31,7 @@
 """Power (see `power_of`) beyond which more of it makes no difference."""
 
 LINK_MBPS_FOR_A_CORE = 50.0
+"""Link that counts as much as one core. Not measured."""
 
 
 def power_of(cores: float, link_mbps: float) -> float:
--- a/src/moledale/gateway/document_archive.py
+++ b/src/moledale/gateway/document_archive.py
@@ -22,6 +22,8 @@
 """Documents kept as bases of differences; operators may change several plans in a second."""
 
 MOST_FRAMES = 8
+"""Frames of the newest document that are kept, one for each base that nodes asked with."""
+
 LINK_SHARE = 0.5
 """Part of a node's link that other nodes' fetches may take; requests go through it too."""
 
@@ -29,6 +31,7 @@
 """Fetches may use this much of that part at once, in seconds of it; one piece always."""
 
 BYTES_PER_MBIT = 125_000
+"""A unit."""
 
 
 class DocumentPiece(msgspec.Struct, frozen=True, array_like=True):
--- a/src/moledale/gateway/document_codec.py
+++ b/src/moledale/gateway/document_codec.py
@@ -17,6 +17,8 @@
 """Entries of the match table, as a power of two; 1.3 ms and 2 MB at a plan of 300 KB (measured)."""
 
 SHORTEST_MATCH = 7
+"""Shortest repetition that is looked for, in bytes. Not measured."""
+
 MOST_BYTES = 1 << WINDOW_LOG
 
 
--- a/src/moledale/gateway/document_fetch.py
+++ b/src/moledale/gateway/document_fetch.py
@@ -27,6 +27,8 @@
 queue."""
 
 BUSY_PAUSE_S = 0.03
+"""A source that is busy is asked again after this time: that of a piece at 5 Mbit/s, 26 ms."""
+
 FAILED_PAUSE_S = 1.0
 """A source that failed is not asked again for this long while there are others."""
 
--- a/src/moledale/gateway/duties.py
+++ b/src/moledale/gateway/duties.py
@@ -23,7 +23,11 @@
 """Rows of reported windows that are kept; a window takes the row of one long past."""
 
 TICK_S = 0.2
+"""Duties look this often what is due, as often as nodes tell each other their states."""
+
 CALL_TIMEOUT_S = 1.0
+"""A call of a duty has this long: a third of the lease, so that one that hangs does not lose it."""
+
 SETTLE_S = 1.5
 """Counts of a window are complete this long after it ended."""
 
@@ -33,7 +37,11 @@
 froze 103 of 774 requests of a window on a played day of 195 nodes."""
 
 PLAN_S = 0.5
+"""Servers are planned this often: eight times in the boot of a server, 4 s at the users'."""
+
 BACK_WINDOWS = 2
+"""A new holder reports so many windows before the current one: 10 s, as long as reports may be
+late."""
 
 
 class WindowRow(msgspec.Struct, frozen=True):
--- a/src/moledale/gateway/evacuation.py
+++ b/src/moledale/gateway/evacuation.py
@@ -23,16 +23,25 @@
 """The list's word of a server's time is about this old when it is read."""
 
 END_MARGIN_S = 0.3
+"""Streams are to have left a server this long before it ends: a few events of 30 ms and the way."""
+
 TWO_COPIES_X = 3.0
 """A copy is made ahead if at least this many times the copy's time is left."""
 
 MOST_AT_ONCE = 3
+"""Moves from one server at once: they queue at its link, so more would not be quicker."""
+
 CALL_MARGIN_S = 1.0
+"""Time of a move beyond what its copy takes, for others that wait at the links."""
+
 FIRST_TOKEN_S = 0.3
+"""Time to a first event that is assumed of a stream without any yet. Not measured."""
+
 EVENT_S = 0.03
 """Time between two events where none was seen yet."""
 
 OTHER_HALL_X = 2.0
+"""A copy to another hall takes twice as long, as the users' engines state it."""
 
 
 class Moved(msgspec.Struct, frozen=True):
--- a/src/moledale/gateway/fleet_watch.py
+++ b/src/moledale/gateway/fleet_watch.py
@@ -41,12 +41,28 @@
 from moledale.log import Event, emit
 
 READ_EVERY_S = 0.8
+"""The list is read this often: 0.4 of the shortest time that a leaving server may get work (2 s),
+so that one reading may fail."""
+
 READ_RANK_S = 0.12
+"""Each next node waits this much longer for the reader before it, several round trips."""
+
 MOST_READ_RANK = 4
+"""Nodes of later turns wait as long as this one: 1.3 s at most in all."""
+
 READ_TIMEOUT_S = 0.8
+"""A reading has this long; a later one would take its place in any case."""
+
 AGAIN_S = 0.2
+"""First pause after a reading that failed, for a node that reads for all."""
+
 AGAIN_MOST_S = 1.0
+"""Longest such pause: the store's return is to be seen within about a second."""
+
 LOOK_S = 0.1
+"""A node that serves looks this often whether it is to read: less than the time between two
+turns."""
+
 RESERVE_LOOK_S = 0.5
 """A node in reserve looks this often whether it is to read; its turn comes after seconds only, and
 a node that wakes up less leaves more of its instance to requests."""
--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -25,7 +25,10 @@
 """Servers that may take no connection before a request is given up; nothing was sent to them."""
 
 NO_SERVER_AGAIN_S = 0.6
+"""Time to come back where no server takes a connection: a pause of silent ones ends after 0.5 s."""
+
 NOT_RUN_AGAIN_S = 0.3
+"""Time to come back where servers were full: a few answers of the users' plain services (90 ms)."""
 
 OTHER_NODE_AGAIN_S = 0.05
 """Time to come back where other nodes are known to be able to serve, so only a little spread."""
--- a/src/moledale/gateway/inbound.py
+++ b/src/moledale/gateway/inbound.py
@@ -16,8 +16,14 @@
 from moledale.gateway.reply import Reply
 
 SWEEP_S = 0.25
+"""Callers that are too slow are looked for this often: limits in force are of seconds."""
+
 MOST_PIPELINED = 4
+"""Requests of a connection that are read ahead of the one that is answered."""
+
 MOST_UNSENT_BYTES = 262_144
+"""Bytes that wait for a caller before its server is read no further: memory for slow readers."""
+
 JSON_TYPE = (b"Content-Type", b"application/json")
 
 Handler = Callable[[InboundRequest, Reply], Awaitable[None]]
--- a/src/moledale/gateway/lease_keeper.py
+++ b/src/moledale/gateway/lease_keeper.py
@@ -21,12 +21,17 @@
 LEASE_TABLE = "leases"
 LEASE_KEY = "duties"
 CALL_TIMEOUT_S = 1.0
+"""A renewal has this long, a third of the lease."""
 
 TTL_X = 1.05
 """Time to live, as a multiple of the least time between two holders that act in turn."""
 
 RANK_DELAY_S = 0.25
+"""Candidates try so long after each other: a write and its news take less."""
+
 READ_AGAIN_S = 1.0
+"""A candidate that does not know the row reads it this often."""
+
 NOBODY = ""
 
 
--- a/src/moledale/gateway/neighbours.py
+++ b/src/moledale/gateway/neighbours.py
@@ -15,6 +15,8 @@
 from moledale.gateway.peers import Membership, NodeState, Standing
 
 ROUND_S = 0.2
+"""Time between two tellings. Views of loads are half as old on average; placements go at once."""
+
 FEW = 16
 """Up to this many other nodes, all tell all each round."""
 
@@ -35,9 +37,18 @@
 """Turn of a node that need not watch the store."""
 
 BUSY_S = 3.0
+"""A node counts as busy this long after a request: callers keep addresses for 2 s and longer."""
+
 ADDRESS_KEPT_S = 60.0
+"""A silent address is still tried for this long, longer than partitions of a played day."""
+
 MOST_HINTS = 8
+"""Addresses told with a state, 20 bytes each; a node that starts hears of all others by and by."""
+
 STRANGERS = 2
+"""Nodes by chance that one in reserve tells: groups that lost each other meet again within
+seconds."""
+
 SUCCESSORS = 2
 """Nodes next in the ring of addresses that one passes a change of the servers on to. So two others
 tell each node, whatever chance does. Of 390 nodes that pass on to four by chance, 1.8 in 100 are
--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -48,12 +48,14 @@
 from moledale.node.supervisor import Supervisor
 
 POOL_SWEEP_S = 0.5
+"""Connections at rest for too long are closed this often."""
 
 LEAST_STOP_X = 1.6
 """A stop takes so many times `bounds.address_ttl_s` at least, since callers keep addresses that
 they were told, some of them for longer than that."""
 
 STOP_MARGIN_S = 0.9
+"""A stop ends this long before the time that is allowed: for closing, at a slow instance."""
 
 TAKEN_SHARE = 0.35
 """Part of a stop's time in which new requests are taken; later ones could be cut at its end."""
@@ -66,8 +68,13 @@
 last longer are moved. The rest is for the last copies and for telling the operator."""
 
 ELSEWHERE_S = 0.05
+"""Time to come back for callers of a node that stops: others serve at once."""
+
 QUIET_S = 0.3
+"""A node that stops ends once nothing came for this long, several round trips of a caller."""
+
 EXIT_OK = 0
+"""Exit code of a planned stop."""
 
 
 def least_stop_s(bounds: Bounds) -> float:
--- a/src/moledale/gateway/peers.py
+++ b/src/moledale/gateway/peers.py
@@ -20,6 +20,7 @@
 """The same where nodes are many, and those in reserve hear of others each second."""
 
 FEW_MEMBERS = 16
+"""Up to so many others, all tell all each round (see `neighbours.FEW`)."""
 
 REMEMBERED_S = 40.0
 """A node's last counts are kept this long after it was last heard of."""
--- a/src/moledale/gateway/plan_watch.py
+++ b/src/moledale/gateway/plan_watch.py
@@ -25,12 +25,18 @@
 """Longest wait of one watch; a watch that the store forgot is noticed after this time."""
 
 WATCHERS = 3
+"""Nodes that watch the store at once: two may be dark or cut off before a plan comes late."""
+
 LOOK_S = 0.2
+"""A node looks this often whether it is to watch."""
+
 AGAIN_S = 0.2
 AGAIN_MOST_S = 0.4
 """Nodes that watch for others notice the store's return within about this time."""
 
 CALL_TIMEOUT_S = 0.8
+"""A reading of the plan has this long while others may watch as well."""
+
 FALLBACK_TIMEOUT_S = 3.0
 """Time in which a plan of 1,500 routes, 0.5 MB as the store spells it, comes over 5 Mbit/s."""
 
--- a/src/moledale/gateway/registration.py
+++ b/src/moledale/gateway/registration.py
@@ -13,8 +13,13 @@
 
 MEMBER_TABLE = "members"
 STORE_TIMEOUT_S = 0.8
+"""A call has this long: 200 times its usual answer."""
+
 AGAIN_S = 0.2
+"""First pause after a call that failed."""
+
 AGAIN_MOST_S = 1.0
+"""Longest pause, for a node alone."""
 
 
 class Registration:
--- a/src/moledale/gateway/renting.py
+++ b/src/moledale/gateway/renting.py
@@ -31,13 +31,23 @@
 wait for it is made up for within as long again."""
 
 LEAST_WAIT_S = 0.01
+"""Requests are allowed to wait this long whatever their target, else the need has no bound."""
+
 LEAST_NEED = 2
+"""Fewer servers are never wanted: one may crash."""
+
 START_NEED = 4
+"""Servers wanted before demand was watched, where a share of what is allowed is less."""
+
 START_SHARE = 0.3
 """Until demand was watched for a while, this part of what is allowed at most is wanted."""
 
 DEMAND_WINDOW_S = 5.0
+"""Demand is that of this time: about a server's boot, so that an order follows what it is for."""
+
 LEAST_WINDOW_S = 1.0
+"""Demand that was watched for less says nothing."""
+
 GIVE_BACK_S = 4.0
 """Servers on demand are given back when they were too many for this long."""
 
--- a/src/moledale/gateway/retries.py
+++ b/src/moledale/gateway/retries.py
@@ -9,6 +9,7 @@
 """Part of the allowed repeats that is used, since news of the others' repeats comes late."""
 
 SLICE_S = 0.5
+"""Grain of what is remembered of a window; it is kept this much too long rather than too short."""
 
 
 class _Slice(msgspec.Struct):
--- a/src/moledale/gateway/rollout_duty.py
+++ b/src/moledale/gateway/rollout_duty.py
@@ -11,6 +11,8 @@
 from moledale.log import Event, emit
 
 CALL_TIMEOUT_S = 1.0
+"""A call has this long: a third of the lease."""
+
 WRITES = 3
 """Writes of a status in one step: the first may find another one in its way, and the next the one
 that another holder wrote meanwhile."""
--- a/src/moledale/gateway/server_list.py
+++ b/src/moledale/gateway/server_list.py
@@ -21,6 +21,7 @@
 """A change of more packets is fetched instead; servers that leave or are gone are always told."""
 
 NEVER_S = -1e9
+"""Before any time that is told."""
 
 
 class ListHead(msgspec.Struct, frozen=True, array_like=True):
--- a/src/moledale/gateway/server_model.py
+++ b/src/moledale/gateway/server_model.py
@@ -39,10 +39,15 @@
 """Pairs of observations that weigh as much as the prior."""
 
 KEPT_SAMPLES = 160
+"""Observations that are kept: a fit of them takes 1 to 2 ms."""
+
 KEPT_S = 30.0
 """Observations older than this are forgotten, since servers are replaced and turn slow."""
 
 MOST_PAIRS = 400
+"""Pairs that are drawn for a slope: its median hardly changes with more, and a fit takes 1 to 2
+ms."""
+
 QUEUED_WEIGHT = 4
 """An observation out of a queue weighs as much as so many pairs of others, of which each has a part
 in about five when there are many."""
@@ -52,6 +57,8 @@
 slope."""
 
 LEAST_APART_TOKENS = 1.0
+"""Prompts of a pair differ by this at least, since their difference divides."""
+
 CLEAN_AHEAD = 0.3
 """Observations with at most this part of the prompt waiting ahead tell the rate best, as what waits
 is told late: with views 0.1 s old all observations together gave 1.3 times the rate of the engine
@@ -103,6 +110,8 @@
 """Times below this are taken for this long, so that a ratio of them means something."""
 
 SLOW_SMOOTHING = 0.2
+"""Weight of a new observation of a server's slowness: about the last five count."""
+
 MOST_SLOW = 8.0
 """A first event may be late for other reasons; it counts as this many times as slow at most."""
 
--- a/src/moledale/gateway/server_view.py
+++ b/src/moledale/gateway/server_view.py
@@ -9,11 +9,17 @@
 from moledale.gateway.server_model import ReadingTimes, Slowness
 
 SMOOTHING = 0.2
+"""Weight of a new answer in a server's answer time and share of failures: about the last five
+count."""
+
 FIRST_PAUSE_S = 0.5
 LONGEST_PAUSE_S = 3.0
 """A server that is silent gets no work for the first time, and at most for the second."""
 
 SILENT_ENGINE_S = 0.8
+"""An engine with several requests is silent after this time: its steps take 3 to 20 ms. Not derived
+from the pauses that routes allow (0.25 to 0.5 s), which are over by then."""
+
 SILENT_ALONE_S = 2.5
 """One request alone may be a long prompt, so an engine with one is given more time, unless another
 request has left it for its silence already."""
--- a/src/moledale/gateway/state_packing.py
+++ b/src/moledale/gateway/state_packing.py
@@ -24,6 +24,8 @@
 """Nodes whose last whole state is kept; only those that serve send differences."""
 
 MOST_BYTES = 65_536
+"""A packed state that would be larger is not unpacked: about what a datagram can hold."""
+
 LEVEL = 1
 """Level 3 makes the difference no smaller."""
 
--- a/src/moledale/gateway/upstream.py
+++ b/src/moledale/gateway/upstream.py
@@ -16,6 +16,8 @@
 """Backend servers are in the same region; a dark one must not hold a request for long."""
 
 MOST_UNREAD_BYTES = 262_144
+"""Bytes of a server's answer that wait for the caller before no more is read: memory for slow
+readers."""
 
 
 class Cut(StrEnum):
--- a/src/moledale/platform/cloud.py
+++ b/src/moledale/platform/cloud.py
@@ -8,7 +8,10 @@
 from moledale.platform.records import encode
 
 CALL_TIMEOUT_S = 1.5
+"""An order has this long: half of the lease."""
+
 NONE_TO_BE_HAD = 409
+"""The answer to an order for servers that are not to be had at present."""
 
 
 class PlatformCloud:
--- a/src/moledale/platform/engines.py
+++ b/src/moledale/platform/engines.py
@@ -12,7 +12,10 @@
 
 JSON: Headers = [(b"Content-Type", b"application/json")]
 RELEASE_TIMEOUT_S = 1.0
+"""Freeing a copy has this long; one that is not freed ends by itself."""
+
 MOST_CALLERS = 200
+"""Engines to which connections are kept for orders."""
 
 
 class MoveRecord(msgspec.Struct, frozen=True):
--- a/src/moledale/platform/store.py
+++ b/src/moledale/platform/store.py
@@ -39,6 +39,7 @@
 KEPT_TABLE = "rollouts"
 SERVER_TABLE = "servers"
 WATCH_MARGIN_S = 0.7
+"""A watch is given up so long after the time that it was to wait."""
 
 PAGE_ROWS = 500
 """Rows of an answer at most, as the platform's pages tell."""
--- a/tests/test_written.py
+++ b/tests/test_written.py
@@ -1,5 +1,6 @@
 """What people and machines write: settings, bundles, signatures, requests, catalogues."""
 
+import ast
 import contextlib
 import re
 import socket
@@ -27,6 +28,47 @@
 BUNDLE = (ROOT / "examples" / "bundle.toml").read_text("utf-8")
 
 
+class ConstantsTest(unittest.TestCase):
+    """Numbers of the policy say what they are for; those that belong together say it once."""
+
+    FOLDERS = ("core", "gateway", "platform")
+
+    def test_each_number_says_what_it_is_for(self) -> None:
+        silent = [
+            f"{path.name}:{name}"
+            for folder in self.FOLDERS
+            for path in sorted((ROOT / "src" / "moledale" / folder).glob("*.py"))
+            for name in self.without_reason(path.read_text("utf-8"))
+        ]
+        self.assertEqual(silent, [])
+
+    def test_numbers_without_a_reason_are_found(self) -> None:
+        text = 'A_S = 1.0\nB_S = 2.0\n"""Both."""\nC_S = 3.0\n\ndef f(): ...\nD = "text"\n'
+        self.assertEqual(self.without_reason(text), ["C_S"])
+
+    def without_reason(self, text: str) -> list[str]:
+        """Return the numbers of a module that no text follows."""
+        found: list[str] = []
+        group: list[str] = []
+        for node in ast.parse(text).body:
+            if isinstance(node, ast.Assign) and self.is_number(node.value):
+                group += [each.id for each in node.targets if isinstance(each, ast.Name)]
+                continue
+            is_text = isinstance(node, ast.Expr) and isinstance(node.value, ast.Constant)
+            found += [] if is_text else [name for name in group if name.isupper()]
+            group = []
+        return found + group
+
+    def is_number(self, value: ast.expr) -> bool:
+        """Say whether an expression is made of numbers only."""
+        kinds = (ast.Constant, ast.BinOp, ast.operator, ast.UnaryOp, ast.unaryop)
+        parts = list(ast.walk(value))
+        numbers = [each.value for each in parts if isinstance(each, ast.Constant)]
+        return all(isinstance(each, kinds) for each in parts) and all(
+            isinstance(each, int | float) and not isinstance(each, bool) for each in numbers
+        )
+
+
 class SettingsTest(unittest.TestCase):
     def paths(self, text: str) -> list[str]:
         found = parse("f.toml", text)
