Let nodes with few requests try a new version, and ask for evidence that a trial can bring

Two routes lacked evidence: their requests, 93 and 36 until then, came to all 87 nodes, one or two to each, of which 8 in 100 are none by any count; and a sixth of a route's requests was wanted, where a trial sends 8 in 100.

Change: nodes without a part in the free requests send each request there with the chance of the trial's share; 4 in 100 of a route's answers are wanted, one to six.

--- a/src/moledale/gateway/rollout_duty.py
+++ b/src/moledale/gateway/rollout_duty.py
@@ -18,6 +18,12 @@
 that another holder wrote meanwhile."""
 
 
+EVIDENCE_SHARE = 0.04
+"""Part of a route's requests that the new servers are to have answered, half of what a trial sends
+them on average: where more was wanted a route with three requests a second kept a good version
+waiting until 0.8 of its time on a played day."""
+
+
 class RolloutDuty:
     """The part of roll-outs that one node does for all."""
 
@@ -165,5 +171,5 @@
 def _tried_enough(rollout: ServiceRollout, route: str) -> bool:
     old = rollout.seen.old[route].number
     new = rollout.seen.new.get(route)
-    wanted = min(LEAST_PER_ROUTE, max(1, old // LEAST_PER_ROUTE))
+    wanted = min(LEAST_PER_ROUTE, max(1, int(EVIDENCE_SHARE * old)))
     return new is not None and new.number >= wanted
--- a/src/moledale/gateway/rollouts.py
+++ b/src/moledale/gateway/rollouts.py
@@ -185,21 +185,33 @@
         group = self._book.group(service)
         if not first_send or not group.has_version(rollout.order.target):
             return 0.0
-        own = rollout.own
-        own.requests += 1
-        wanted = RISING_SHARE if rollout.phase is Phase.RISING else FREE_SHARE
-        most = min(wanted, group.new_share())
-        if self._random.random() >= (FREE_SHARE if rollout.is_scarce(route) else most):
-            return 0.0
+        rollout.own.requests += 1
         if rollout.phase is Phase.RISING:
-            return most
-        part = self._exposure.part(self._sharers(rollout))
-        kept = 0.0 if rollout.is_scarce(route) else KEPT_SHARE * part.free
+            most = min(RISING_SHARE, group.new_share())
+            return most if self._random.random() < most else 0.0
+        share = self._share_on_trial(rollout, route, min(FREE_SHARE, group.new_share()))
+        if share:
+            rollout.note_tried(route)
+        return share
+
+    def _share_on_trial(self, rollout: ServiceRollout, route: str, most: float) -> float:
+        """Return the part of the load that new servers bear with this request, 0 if it goes to old
+        ones; `most` is the part with which they have no more to do than these.
+
+        Nodes without a part in the free requests, most of which get a request now and then, leave
+        it to chance: 8 in 100 of one or two requests are none by any count.
+        """
+        own, part = rollout.own, self._exposure.part(self._sharers(rollout))
+        usual = min(most, part.share)
+        if not part.free:
+            return usual if self._random.random() < usual else 0.0
+        scarce = rollout.is_scarce(route)
+        if self._random.random() >= (FREE_SHARE if scarce else most):
+            return 0.0
+        kept = 0.0 if scarce else KEPT_SHARE * part.free
         if not part.allows(own.requests, own.tried + kept):
             return 0.0
-        usual = part.within_share(own.requests, own.tried)
-        rollout.note_tried(route)
-        return min(most, part.share) if usual else most
+        return usual if part.within_share(own.requests, own.tried) else most
 
     def _sharers(self, rollout: ServiceRollout) -> int:
         """Return how many nodes share the free requests, 0 if this one has no part in them.
