Expect a few bad answers of any version

A good version on servers that the cloud may take back, or whose answers are lost now and then, would not get far.

Change: at least 3 in 100 are expected to be bad. The test failed before.

--- a/src/moledale/core/rollout_evidence.py
+++ b/src/moledale/core/rollout_evidence.py
@@ -42,6 +42,11 @@
 PRIOR_WEIGHT = 4.0
 """Share of answers of the old servers that is taken to be bad, with the weight of so many."""
 
+LEAST_EXPECTED = 0.03
+"""Share of bad answers that any version is expected to have. Where the old servers had none at all,
+a single answer lost to a crash would speak against a version as loudly as thirty good ones for it;
+with this two of two are needed, or about three of ten."""
+
 LEAST_EXCESS = 0.15
 EXCESS_X = 1.6
 """What a bad version is taken for: this share of bad answers more than this many times those of the
@@ -200,7 +205,7 @@
 
         A moment in which everything stood still makes answers of both versions late together.
         """
-        return max(self.usual, self.lately)
+        return max(LEAST_EXPECTED, self.usual, self.lately)
 
 
 class SeriesJudge(msgspec.Struct):
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -139,6 +139,14 @@
         failing.note(Arm.NEW, 30, 0.5)
         self.assertTrue(failing.judge.note(failing.evidence, with_times=False))
 
+    def test_one_lost_answer_says_nothing_where_the_old_servers_lost_none(self) -> None:
+        evidence, judge = Evidence(), Judge()
+        for number in range(60):
+            for _ in range(10):
+                evidence.note(Arm.OLD, "r", False, 0.06)
+            evidence.note(Arm.NEW, "r", number == 20, 0.06)
+            self.assertFalse(judge.note(evidence))
+
     def test_few_milliseconds_more_are_not_slow(self) -> None:
         evidence, judge = Evidence(), Judge()
         for _ in range(40):
