Log what a request asks for where a send of it broke off

Change: E412 has the request's route, account and, where the answer broke off, a digest of who asks for what. Before: two arrivals of one request share nothing in the log.

--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -231,14 +231,7 @@
                     job, placement, error.cut
                 )
             if attempt.ending is not Ending.ANSWERED:
-                emit(
-                    Event.ATTEMPT_ENDED,
-                    request=job.facts.id,
-                    server=server.id,
-                    ending=attempt.ending.value,
-                    why=attempt.why,
-                    ms=round((self._now() - placement.sent_at) * 1000),
-                )
+                self._tell_ended(job, placement, attempt)
             self._pool.give_back(server.id, connection)
             connection = None
             return attempt
@@ -248,6 +241,22 @@
             self._note_unanswered(job, placement)
             placement.end()
 
+    def _tell_ended(self, job: Job, placement: Placement, attempt: Attempt) -> None:
+        """Log a send that brought no answer; one that broke off with what was asked for."""
+        broken = attempt.ending is Ending.BROKEN
+        emit(
+            Event.ATTEMPT_ENDED,
+            request=job.facts.id,
+            fingerprint=job.fingerprint.hex() if broken else "",
+            route=job.route.name,
+            account=job.caller.account,
+            server=placement.view.server.id,
+            sends=job.sends,
+            ending=attempt.ending.value,
+            why=attempt.why,
+            ms=round((self._now() - placement.sent_at) * 1000),
+        )
+
     def _note_unanswered(self, job: Job, placement: Placement) -> None:
         """Hold it against a server's version if nothing came of it within the target."""
         waited_s = self._now() - placement.sent_at
--- a/src/moledale/gateway/job.py
+++ b/src/moledale/gateway/job.py
@@ -6,6 +6,7 @@
 
 from moledale.gateway.evacuation import Continuation
 from moledale.gateway.events import EventCutter
+from moledale.gateway.fingerprint import fingerprint
 from moledale.gateway.messages import AnswerHead, Caller, InboundRequest, RequestFacts
 from moledale.gateway.plan import Route
 from moledale.gateway.reply import Reply
@@ -51,6 +52,14 @@
     offered: bool = False
     event_at: float | None = None
     longest_pause_s: float = 0.0
+    _fingerprint: bytes = b""
+
+    @property
+    def fingerprint(self) -> bytes:
+        """Return the digest of what is asked for; made once, and only for those that want it."""
+        if not self._fingerprint:
+            self._fingerprint = fingerprint(self.request, self.caller.account)
+        return self._fingerprint
 
     def note_event(self, now: float) -> None:
         """Note that events were passed on, for the longest pause between two."""
