One end of a server is one failure of its version, none under a suspected request

Change: what breaks off at a server is looked at together. A server that lives broke off each answer itself; one that ended failed once, or not at all if a request was there that had ended servers before. Before: 4 failures for an end with three others beside, again 4 at the next; after: 1 and 0 (test).

--- a/src/moledale/gateway/answers.py
+++ b/src/moledale/gateway/answers.py
@@ -221,9 +221,10 @@
         """An answer ended early: the request may have run."""
         job.may_have_run = True
         note_silence(placement.view, self._now())
-        self._book.note_cut(placement, self._now())
         if cut in ENDED_BY_SERVER:
-            self._guard.broke_off(job, placement.view.server)
+            self._guard.broke_off(job, placement)
+        else:
+            self._book.note_cut(placement, self._now())
         if cut is Cut.SLOW:
             self._book.on_silent(placement.view.server.id)
         job.cutter.start_again()
--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -79,7 +79,7 @@
         limits = AccountLimits(
             first_start, sharing.limit_window_s, sharing.limit_tolerance, starters
         )
-        self.guard = RequestGuard(pool, now)
+        self.guard = RequestGuard(pool, now, lambda cut: book.note_cut(cut, now()))
         self.admission = Admission(dialect, now, newer_plan, limits, self.guard.wait_s)
         self._dialect = dialect
         self._book = book
--- a/src/moledale/gateway/request_guard.py
+++ b/src/moledale/gateway/request_guard.py
@@ -14,9 +14,10 @@
 from moledale.core.quarantine import TOGETHER_S, Block, Quarantine
 from moledale.gateway.fingerprint import fingerprint
 from moledale.gateway.job import Job
-from moledale.gateway.messages import InboundRequest, Server
+from moledale.gateway.messages import InboundRequest
 from moledale.gateway.pool import ConnectionPool
-from moledale.gateway.server_ends import EndWatch
+from moledale.gateway.server_ends import BrokenOff, EndWatch
+from moledale.gateway.server_view import Placement
 from moledale.log import Event, emit
 
 MOST_LOGGED = 8
@@ -39,15 +40,22 @@
     """What a node knows of requests that end servers, and what it does by that.
 
     `on_end` hears of servers that ended here, `on_cleared` of suspected requests that a server
-    survived, and `on_block` of requests that this node blocked.
+    survived, and `on_block` of requests that this node blocked. `blame` holds it against a server's
+    version that an answer broke off.
     """
 
-    def __init__(self, pool: ConnectionPool, now: Callable[[], float] = time.monotonic) -> None:
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        now: Callable[[], float] = time.monotonic,
+        blame: Callable[[Placement], None] = _nobody_hears,
+    ) -> None:
         self.quarantine = Quarantine()
+        self._blame = blame
         self.on_end: Callable[[EndSeen], None] = _nobody_hears
         self.on_cleared: Callable[[bytes], None] = _nobody_hears
         self.on_block: Callable[[Block], None] = _nobody_hears
-        self._watch = EndWatch(pool, self._saw_end, now)
+        self._watch = EndWatch(pool, self._looked, now)
         self._now = now
         self._seen_here: set[bytes] = set()
 
@@ -63,13 +71,15 @@
             return True
         return self.quarantine.wait_s(job.fingerprint, self._now()) == 0.0
 
-    def suspects(self, job: Job) -> bool:
-        """Say whether a server ended under a request before."""
-        return self.quarantine.watches and self.quarantine.suspects(job.fingerprint)
+    def broke_off(self, job: Job, placement: Placement) -> None:
+        """Note that an answer broke off; whether its server ended is found out.
 
-    def broke_off(self, job: Job, server: Server) -> None:
-        """Note that an answer broke off; whether its server ended is found out."""
-        self._watch.broke_off(server, job.fingerprint)
+        A server that leaves ends for a reason of its own.
+        """
+        if placement.view.server.leaving:
+            self._blame(placement)
+        else:
+            self._watch.broke_off(placement, job.fingerprint)
 
     def served(self, job: Job) -> None:
         """Note that a server survived a request, which is not to blame for ends then."""
@@ -90,6 +100,17 @@
         for block in self.quarantine.decide(self._now()):
             self._tell_blocked(block)
 
+    def _looked(self, broken: BrokenOff, ended: bool) -> None:
+        if not ended:
+            for placement in broken.placements:
+                self._blame(placement)
+            return
+        # One request may end a server of a good version, and breaks all others off with it: an end
+        # is one failure of the version, and none if a request was there that ended servers before.
+        if not any(self.quarantine.suspects(each) for each in broken.requests):
+            self._blame(broken.placements[0])
+        self._saw_end(broken.server.id, broken.requests, broken.at)
+
     def _saw_end(self, server: str, requests: list[bytes], at: float) -> None:
         self._seen_here.update(requests)
         names = [each.hex() for each in requests[:MOST_LOGGED]]
--- a/src/moledale/gateway/server_ends.py
+++ b/src/moledale/gateway/server_ends.py
@@ -2,7 +2,7 @@
 
 An answer may break off though its server lives: a connection was reset, or the answer was spoilt.
 Only a server that takes no connection any more has ended, and only then do the requests that ran
-there count as suspects. What this node had there is told together.
+there count as suspects. What this node had there is looked at together.
 """
 
 import asyncio
@@ -13,6 +13,7 @@
 
 from moledale.gateway.messages import Server
 from moledale.gateway.pool import ConnectionPool
+from moledale.gateway.server_view import Placement
 from moledale.gateway.upstream import ConnectFailed
 from moledale.node.background import Background
 
@@ -20,49 +21,46 @@
 """All answers of a server that ends break off within this time: its connections are reset at the
 same moment (within 2 ms in the logs of 26 ends), and a node may be busy."""
 
-EndFound = Callable[[str, list[bytes], float], None]
-"""Hears of a server that ended, what this node had running there, and when (monotonic seconds)."""
 
-
-class _BrokenOff(msgspec.Struct):
-    """What broke off at a server, and when the first of it did."""
+class BrokenOff(msgspec.Struct):
+    """What broke off at a server, and when the first of it did (monotonic seconds)."""
 
     server: Server
     at: float
-    requests: list[bytes]
+    requests: list[bytes] = []
+    placements: list[Placement] = []
+
+
+Looked = Callable[[BrokenOff, bool], None]
+"""Hears what broke off at a server, and whether the server has ended."""
 
 
 class EndWatch:
-    """Looks after servers whose answers broke off; `found` hears of those that ended."""
+    """Looks after servers whose answers broke off; `looked` hears what was found."""
 
     def __init__(
-        self,
-        pool: ConnectionPool,
-        found: EndFound,
-        now: Callable[[], float] = time.monotonic,
+        self, pool: ConnectionPool, looked: Looked, now: Callable[[], float] = time.monotonic
     ) -> None:
         self._pool = pool
-        self._found = found
+        self._looked = looked
         self._now = now
-        self._broken: dict[str, _BrokenOff] = {}
+        self._broken: dict[str, BrokenOff] = {}
         self._background = Background("server ends")
 
-    def broke_off(self, server: Server, fingerprint: bytes) -> None:
-        """Note that a request broke off; a server that leaves ends for a reason of its own."""
-        if server.leaving:
-            return
-        known = self._broken.get(server.id)
-        if known is not None:
-            known.requests.append(fingerprint)
-            return
-        self._broken[server.id] = _BrokenOff(server, self._now(), [fingerprint])
-        self._background.start(self._look(server.id))
+    def broke_off(self, placement: Placement, fingerprint: bytes) -> None:
+        """Note that a request broke off."""
+        server = placement.view.server
+        broken = self._broken.get(server.id)
+        if broken is None:
+            broken = self._broken[server.id] = BrokenOff(server, self._now())
+            self._background.start(self._look(server.id))
+        broken.requests.append(fingerprint)
+        broken.placements.append(placement)
 
     async def _look(self, server: str) -> None:
         await asyncio.sleep(COLLECT_S)
         broken = self._broken.pop(server)
-        if await self._has_ended(broken.server):
-            self._found(server, broken.requests, broken.at)
+        self._looked(broken, await self._has_ended(broken.server))
 
     async def _has_ended(self, server: Server) -> bool:
         """Ask by a connection, which is kept for the next request if it comes about."""
--- a/tests/test_quarantine_nodes.py
+++ b/tests/test_quarantine_nodes.py
@@ -142,6 +142,53 @@
         )
 
 
+class BlamedVersionTest(unittest.TestCase):
+    """A request that ends servers must not speak against their version as all that it broke off."""
+
+    async def failures_at_end(self, world: GatewayWorld, name: str, others: int) -> int:
+        """Let a server end under the guilty request; return what is held against its version."""
+        failures = 0
+
+        def note(_: object, __: str, failed: bool, ___: float) -> None:
+            nonlocal failures
+            failures += failed
+
+        await world.add(fragile_server(name), "plain")
+        world.book.on_outcome = note
+        bodies = [b"%s beside %d" % (name.encode(), number) for number in range(others)]
+        asked = [asyncio.create_task(world.ask("/order/", body=each)) for each in bodies]
+        await asyncio.sleep(0.1)
+        await world.ask("/order/", body=GUILTY)
+        await asyncio.gather(*asked)
+        await asyncio.sleep(0.1)
+        world.unlist(name)
+        return failures
+
+    def test_end_of_a_server_is_one_failure_and_none_under_a_suspect(self) -> None:
+        async def work() -> None:
+            async with GatewayWorld(a_plan()) as world:
+                self.assertEqual(await self.failures_at_end(world, "s1", 3), 1)
+                self.assertEqual(await self.failures_at_end(world, "s2", 3), 0)
+
+        quietly(work())
+
+    def test_each_answer_that_a_living_server_breaks_off_is_a_failure(self) -> None:
+        async def breaks_off(_: Arrival, __: object, writer: asyncio.StreamWriter) -> None:
+            reset(writer)
+
+        async def work() -> None:
+            async with GatewayWorld(a_plan()) as world:
+                failed: list[bool] = []
+                world.book.on_outcome = lambda _, __, bad, ___: failed.append(bad)
+                await world.server("s1", "plain", breaks_off)
+                for number in range(3):
+                    await world.ask("/order/", body=b"%d" % number)
+                await asyncio.sleep(0.1)
+                self.assertEqual(failed, [True] * 3)
+
+        quietly(work())
+
+
 class Network:
     """Guards of several nodes, whose datagrams are delivered or lost."""
 
