--- a/src/moledale/gateway/calls.py
+++ b/src/moledale/gateway/calls.py
@@ -1,11 +1,11 @@
 """Calls by HTTP to what is given and to peers: one send is one send, nothing is asked again."""
 
 import asyncio
-import time
 
 import msgspec
 from result import Err, Ok, Result
 
+from moledale.clock import monotonic
 from moledale.gateway.messages import Headers
 from moledale.gateway.upstream import AnswerCut, ConnectFailed, UpstreamConnection, connect
 
@@ -56,7 +56,7 @@
         try:
             async with asyncio.timeout(timeout_s):
                 connection = self._take() or await connect(self.address, timeout_s)
-                sent_at = time.monotonic()
+                sent_at = monotonic()
                 connection.send(self._encode(method, path, body, headers or []))
                 sent = True
                 head = await connection.head()
@@ -65,7 +65,7 @@
                     parts.append(data)
             if head.get(b"connection") == b"close":
                 connection.usable = False
-            now = time.monotonic()
+            now = monotonic()
             if connection.finish(now) and len(self._idle) < MOST_IDLE:
                 self._idle.append(connection)
             connection = None
@@ -92,7 +92,7 @@
     def _take(self) -> UpstreamConnection | None:
         while self._idle:
             connection = self._idle.pop()
-            if connection.usable and time.monotonic() - connection.idle_since < IDLE_S:
+            if connection.usable and monotonic() - connection.idle_since < IDLE_S:
                 return connection
             connection.close()
         return None
--- a/src/moledale/gateway/cold_start.py
+++ b/src/moledale/gateway/cold_start.py
@@ -7,9 +7,10 @@
 
 import asyncio
 import random
-import time
 from collections.abc import Callable
 
+from moledale.clock import monotonic
+
 ANSWER_S = 0.06
 """Time in which a peer that lives answers a node's first state: a round trip of a few ms, and a
 busy processor. Where all end at once nobody answers, and callers wait for all that is longer: with
@@ -35,9 +36,7 @@
     `crowd` is 1.0 where nodes are few, and grows with them (see `Neighbours.crowd`).
     """
 
-    def __init__(
-        self, crowd: Callable[[], float], now: Callable[[], float] = time.monotonic
-    ) -> None:
+    def __init__(self, crowd: Callable[[], float], now: Callable[[], float] = monotonic) -> None:
         self._crowd = crowd
         self._now = now
         self._chance = random.Random().random()
--- a/src/moledale/gateway/document_fetch.py
+++ b/src/moledale/gateway/document_fetch.py
@@ -8,13 +8,13 @@
 
 import asyncio
 import random
-import time
 from collections.abc import Awaitable, Callable
 from urllib.parse import urlencode
 
 import msgspec
 from result import Err, Ok, Result
 
+from moledale.clock import monotonic
 from moledale.gateway.calls import HttpCaller
 from moledale.gateway.document_archive import DocumentArchive, DocumentPiece, PieceWanted
 from moledale.gateway.document_codec import DocumentUnreadable, decode
@@ -121,24 +121,24 @@
     async def _fetch(self) -> None:
         """Ask sources until none of them has a newer document than this node."""
         patience_s = self._patience_s()
-        got_at = time.monotonic()
+        got_at = monotonic()
         while True:
             sources = self._newer_sources()
             if not sources:
                 return
-            now = time.monotonic()
+            now = monotonic()
             if now - self._heard_at > BEHIND_S:
                 self._sources.clear()
                 return
             if now - got_at > patience_s:
                 await self._read_store()
-                got_at, patience_s = time.monotonic(), self._patience_s()
+                got_at, patience_s = monotonic(), self._patience_s()
                 continue
             control = self._choose(sources, now)
             if control is None:
                 await asyncio.sleep(BUSY_PAUSE_S)
             elif await self._ask(control):
-                got_at = time.monotonic()
+                got_at = monotonic()
 
     def _patience_s(self) -> float:
         return STORE_AFTER_S + STORE_SPREAD_S * self._random.random()
@@ -160,7 +160,7 @@
         """Ask a source for the next piece; say whether one came."""
         source = self._sources[control]
         outcome = await self._call(control)
-        now = time.monotonic()
+        now = monotonic()
         if isinstance(outcome, Err):
             source.paused_until = now + outcome.err_value
             return False
--- a/src/moledale/gateway/duties.py
+++ b/src/moledale/gateway/duties.py
@@ -1,12 +1,12 @@
 """What one node at a time does for all: usage, orders of servers, roll-outs of their versions."""
 
 import asyncio
-import time
 from collections.abc import Callable
 
 import msgspec
 from result import Err, Ok
 
+from moledale.clock import monotonic
 from moledale.gateway.balance import ServerBook
 from moledale.gateway.lease_keeper import LeaseKeeper
 from moledale.gateway.outside import ABSENT, Orders, Store
@@ -90,13 +90,13 @@
 
     async def step(self) -> None:
         """Do what is due; demand is watched by all nodes, so that any of them may take over."""
-        self._watch_demand(time.monotonic())
+        self._watch_demand(monotonic())
         grant = self._keeper.grant()
         if grant is None:
             return
         if grant.epoch != self._epoch:
             self._epoch = grant.epoch
-            self._held_since = time.monotonic()
+            self._held_since = monotonic()
             self._planners.clear()
             self._rollouts.begin()
         async with self.acting:
@@ -107,7 +107,7 @@
             )
 
     async def _report_usage(self) -> None:
-        if time.monotonic() - self._held_since < HEARD_AFTER_S:
+        if monotonic() - self._held_since < HEARD_AFTER_S:
             return
         usage = self._sharing.usage
         current = usage.window_of(self._sharing.time() - SETTLE_S)
@@ -158,7 +158,7 @@
         return None
 
     async def _rent(self) -> None:
-        now = time.monotonic()
+        now = monotonic()
         index = self._index()
         if index is None or now - self._planned_at < PLAN_S:
             return
@@ -177,7 +177,7 @@
                     self._node, grant.epoch, order.service, order.hall, order.number, order.spot
                 )
                 accepted = isinstance(outcome, Ok) and outcome.ok_value
-                planner.ordered(order, accepted, time.monotonic())
+                planner.ordered(order, accepted, monotonic())
                 emit(
                     Event.SERVERS_ORDERED,
                     hall=order.hall,
--- a/src/moledale/gateway/evacuation.py
+++ b/src/moledale/gateway/evacuation.py
@@ -6,13 +6,13 @@
 """
 
 import asyncio
-import time
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
 import msgspec
 from result import Err, Result
 
+from moledale.clock import monotonic
 from moledale.gateway.balance import ServerBook
 from moledale.gateway.messages import RequestFacts, Server
 from moledale.gateway.plan import Engine, PlanIndex
@@ -130,7 +130,7 @@
         book: ServerBook,
         index: Callable[[], PlanIndex | None],
         notice_s: float,
-        now: Callable[[], float] = time.monotonic,
+        now: Callable[[], float] = monotonic,
     ) -> None:
         self.runs: set[StreamRun] = set()
         self._engines = engines
--- a/src/moledale/gateway/fleet_watch.py
+++ b/src/moledale/gateway/fleet_watch.py
@@ -15,12 +15,12 @@
 
 import asyncio
 import random
-import time
 from collections.abc import Callable
 
 import msgspec
 from result import Err
 
+from moledale.clock import monotonic
 from moledale.gateway.backoff import Backoff
 from moledale.gateway.cold_start import ColdStart
 from moledale.gateway.document_archive import DocumentArchive
@@ -121,7 +121,7 @@
         control: str = "",
         link_mbps: float = 1000.0,
         leave_s: float = 2.0,
-        now: Callable[[], float] = time.monotonic,
+        now: Callable[[], float] = monotonic,
         start: ColdStart | None = None,
     ) -> None:
         self.list = ServerList()
--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -2,9 +2,9 @@
 
 import asyncio
 import random
-import time
 from collections.abc import Awaitable, Callable
 
+from moledale.clock import monotonic
 from moledale.gateway.accounts import AccountLimits
 from moledale.gateway.admission import Admission, spread
 from moledale.gateway.answers import AnswerReader
@@ -69,7 +69,7 @@
         pool: ConnectionPool,
         sharing: Sharing,
         engines: Engines,
-        now: Callable[[], float] = time.monotonic,
+        now: Callable[[], float] = monotonic,
         newer_plan: Callable[[], bool] = lambda: False,
         list_is_current: Callable[[], Awaitable[bool]] = _always,
         first_start: bool = False,
@@ -162,6 +162,9 @@
                 if not job.sends:
                     last = _list_too_old()
                 break
+            # Timers stand still while the machine is suspended, so the timeout may be late.
+            if job.left_s(self._now()) <= 0:
+                raise TimeoutError
             placement = self._place(job) if moved is None else moved.placement
             if placement is None:
                 break
--- a/src/moledale/gateway/lease_keeper.py
+++ b/src/moledale/gateway/lease_keeper.py
@@ -7,11 +7,11 @@
 """
 
 import random
-import time
 
 import msgspec
 from result import Err
 
+from moledale.clock import monotonic
 from moledale.core.leases import Grant, Lease, LeaseAction, LeaseRow
 from moledale.gateway.outside import ABSENT, Store
 from moledale.gateway.peers import HeldLease, LeaseNews
@@ -67,7 +67,7 @@
         self._pending = ""
         self._pending_at = 0.0
         self._renewed_at = 0.0
-        self._began_at = time.monotonic()
+        self._began_at = monotonic()
         self._news_at = -1e9
         self._told_at = -1e9
         self._read_again_at = -1e9
@@ -76,14 +76,14 @@
 
     def grant(self) -> Grant | None:
         """Return proof of the lease if it is held now."""
-        return self.lease.grant(time.monotonic())
+        return self.lease.grant(monotonic())
 
     def news(self) -> LeaseNews | None:
         """Return what this node tells of the lease if it holds it."""
         grant = self.grant()
         if grant is None:
             return None
-        age = time.monotonic() - self._renewed_at
+        age = monotonic() - self._renewed_at
         return LeaseNews(grant.epoch, self.lease.version, age)
 
     def lease_heard(self, now: float) -> HeldLease | None:
@@ -124,7 +124,7 @@
         One in a crowd that just started takes the lease for held until it should have heard of it,
         so of 390 calls of 195 nodes that start at once 13 are left (counted by a test).
         """
-        now = time.monotonic()
+        now = monotonic()
         action = self.lease.decide(now)
         self._tell_change(now)
         if action is LeaseAction.WAIT:
@@ -147,17 +147,17 @@
             return
         row = LeaseRow(NOBODY, self.lease.row.epoch, f"{self._nonce}/end")
         version = self.lease.version
-        self.lease.saw(row, version + 1, time.monotonic())
-        self._tell_change(time.monotonic())
+        self.lease.saw(row, version + 1, monotonic())
+        self._tell_change(monotonic())
         value = msgspec.json.encode(row)
         await self._store.write(LEASE_TABLE, LEASE_KEY, value, version, CALL_TIMEOUT_S)
 
     async def _read(self) -> None:
-        sent_at = time.monotonic()
+        sent_at = monotonic()
         outcome = await self._store.read(LEASE_TABLE, CALL_TIMEOUT_S)
         if isinstance(outcome, Err):
             return
-        now = time.monotonic()
+        now = monotonic()
         reading = outcome.ok_value
         self._clock.answered(reading.store_s, sent_at)
         for row in reading.rows:
@@ -207,9 +207,9 @@
             self._wrote(row, written.version, now)
         elif written.standing is not None:
             standing = msgspec.json.decode(written.standing.value, type=LeaseRow)
-            answered_at = time.monotonic()
+            answered_at = monotonic()
             self._saw(standing, written.standing.version, written.store_s, answered_at)
-        self._tell_change(time.monotonic())
+        self._tell_change(monotonic())
 
     def _tell_change(self, now: float) -> None:
         grant = self.lease.grant(now)
--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -2,11 +2,10 @@
 
 import asyncio
 import os
-import time
 
 import msgspec
 
-from moledale.clock import SystemClock
+from moledale.clock import SystemClock, monotonic
 from moledale.core.rollouts import Exposure, Phase, RolloutNews
 from moledale.gateway.balance import ServerBook
 from moledale.gateway.cold_start import ColdStart
@@ -52,6 +51,7 @@
 from moledale.gateway.settings import Bounds, GatewaySettings
 from moledale.gateway.sharing import Sharing
 from moledale.gateway.state_packing import StatePacker, StateUnpacker, pack_alone
+from moledale.gateway.suspension import SuspensionWatch
 from moledale.log import Event, emit
 from moledale.node.supervisor import Supervisor
 
@@ -105,12 +105,12 @@
         node = settings.node
         self.settings = settings
         self.standing = Standing.STARTING
-        self._began_at = time.monotonic()
+        self._began_at = monotonic()
         self.life = int.from_bytes(os.urandom(6), "big")
         self.members = Membership(node.id, self.life)
         self.sharing = Sharing(self.members, settings.bounds)
         self.book = ServerBook(node.hall)
-        self.pool = ConnectionPool(time.monotonic)
+        self.pool = ConnectionPool(monotonic)
         self.rollouts = Rollouts(
             self.book,
             self.members,
@@ -127,7 +127,7 @@
             self.pool,
             self.sharing,
             engines,
-            newer_plan=lambda: self.plans.fetch.behind(time.monotonic()),
+            newer_plan=lambda: self.plans.fetch.behind(monotonic()),
             list_is_current=lambda: self.fleet.current(),
             first_start=node.first_start,
             trial_share=self.rollouts.trial_share,
@@ -145,9 +145,7 @@
             self.book,
             lambda: self.forwarder.index,
             node.first_start,
-            RolloutDuty(
-                store, self.rollouts, self.book, self.sharing.true_time.local, time.monotonic
-            ),
+            RolloutDuty(store, self.rollouts, self.book, self.sharing.true_time.local, monotonic),
         )
         self.quarantine = QuarantineSharing(self.forwarder.guard, self._tell_quarantine)
         self._blocks = QuarantineStore(
@@ -159,7 +157,7 @@
             self._crowd,
         )
         self.supervisor = Supervisor("gateway", SystemClock())
-        self.neighbours = Neighbours(self.members, node.peers, time.monotonic())
+        self.neighbours = Neighbours(self.members, node.peers, monotonic())
         self._gossip: GossipSocket | None = None
         self._telling_placements: asyncio.TimerHandle | None = None
         self.book.on_placed = self._placed
@@ -204,8 +202,8 @@
         )
         self._leaving_since: float | None = None
         self._rollouts_told: dict[str, RolloutNews] = {}
-        self._callers = Listener(self._handle, self._limits, time.monotonic)
-        self._others = Listener(self._answer_question, self._limits, time.monotonic)
+        self._callers = Listener(self._handle, self._limits, monotonic)
+        self._others = Listener(self._answer_question, self._limits, monotonic)
         self._servers: list[asyncio.Server] = []
 
     def _limits(self) -> Limits:
@@ -215,7 +213,7 @@
     async def _handle(self, request: InboundRequest, reply: Reply) -> None:
         """Forward a request, or send it elsewhere where too little of a stop's time is left."""
         since = self._leaving_since
-        if since is not None and time.monotonic() - since > self._last_taken_s:
+        if since is not None and monotonic() - since > self._last_taken_s:
             self.forwarder.refuse(reply, request, Refusal(503, "the node stops", ELSEWHERE_S))
             return
         await self.forwarder.handle(request, reply)
@@ -233,7 +231,7 @@
             self._servers.append(await listen(address, self._others))
         self._servers.append(await listen(node.callers, self._callers))
         emit(Event.LISTENING, node=node.id, hall=node.hall)
-        now = time.monotonic()
+        now = monotonic()
         port = node.peers.rpartition(":")[2]
         for seed in node.seeds:
             self.neighbours.addresses.add(f"{seed.rpartition(':')[0]}:{port}", now)
@@ -269,7 +267,7 @@
 
     async def _leave(self) -> None:
         """Stop in order: no cut request, out of the directory at once, gone in time."""
-        began = time.monotonic()
+        began = monotonic()
         self.standing = Standing.LEAVING
         self._leaving_since = began
         emit(Event.DRAINING, node=self.settings.node.id)
@@ -278,8 +276,8 @@
         giving_back = asyncio.create_task(self._give_lease_back())
         end = began + max(0.5, self.settings.bounds.stop_s - STOP_MARGIN_S)
         least = began + least_stop_s(self.settings.bounds)
-        quiet_since = time.monotonic()
-        while (now := time.monotonic()) < end:
+        quiet_since = monotonic()
+        while (now := monotonic()) < end:
             if self._callers.busy():
                 quiet_since = now
             elif now >= least and now - quiet_since >= QUIET_S:
@@ -301,7 +299,7 @@
     # News between nodes
 
     def _state(self) -> NodeState:
-        now = time.monotonic()
+        now = monotonic()
         node = self.settings.node
         self._sequence += 1
         index = self.forwarder.index
@@ -338,7 +336,7 @@
     def _tell_state(self, everyone: bool = True) -> None:
         if self._gossip is None:
             return
-        now = time.monotonic()
+        now = monotonic()
         own = self._state()
         if self._callers.busy():
             self.neighbours.note_busy(now)
@@ -366,7 +364,7 @@
         if self._gossip is None or not placed:
             return
         node = self.settings.node
-        targets = self.neighbours.sharers(node.hall, time.monotonic())
+        targets = self.neighbours.sharers(node.hall, monotonic())
         self._gossip.tell(PlacementNews(node.id, self.life, self._sequence, placed), targets)
 
     def _tell_quarantine(
@@ -374,7 +372,7 @@
     ) -> None:
         if self._gossip is None:
             return
-        now = time.monotonic()
+        now = monotonic()
         if peer is not None:
             targets = [peer]
         elif everyone:
@@ -392,8 +390,11 @@
         return service.engine if service is not None else None
 
     async def _gossip_forever(self) -> None:
+        suspension = SuspensionWatch()
         while True:
-            now = time.monotonic()
+            if slept_s := suspension.slept_s():
+                emit(Event.WOKEN, node=self.settings.node.id, slept_s=round(slept_s, 3))
+            now = monotonic()
             self._request_rate.note(self.forwarder.handled, now)
             changed = self.neighbours.decide(self._state(), now)
             if changed and self.neighbours.steps_up_blind(now):
@@ -408,7 +409,7 @@
             await asyncio.sleep(ROUND_S)
 
     def _heard(self, message: Message) -> None:
-        now = time.monotonic()
+        now = monotonic()
         if isinstance(message, ServerChange):
             self.fleet.heard(message)
             return
@@ -462,7 +463,7 @@
 
     def _empty_old_servers(self, news: RolloutNews) -> None:
         order = news.order
-        now = time.monotonic()
+        now = monotonic()
         ordered_at = self.sharing.true_time.local(order.ordered_s)
         began_at = now if ordered_at is None else ordered_at
         ends = max(now, began_at + OLD_END_SHARE * order.duration_s)
@@ -474,12 +475,12 @@
         """Return how many nodes serve, 0 if this one does not."""
         if not self.neighbours.serving:
             return 0
-        alive = self.members.alive(time.monotonic())
+        alive = self.members.alive(monotonic())
         return 1 + sum(1 for each in alive if each.serving)
 
     def serving_nodes(self) -> list[NodeState]:
         """Return the nodes that callers should use."""
-        return self.neighbours.serving_nodes(self._state(), time.monotonic())
+        return self.neighbours.serving_nodes(self._state(), monotonic())
 
     # The plan and the list of backend servers
 
@@ -494,17 +495,17 @@
         if from_store:
             self._tell_state()
         elif self._gossip is not None:
-            others = self.neighbours.some(time.monotonic())
+            others = self.neighbours.some(monotonic())
             self._gossip.tell(StateNews(self._state().shortened(), []), others)
 
     def _crowd(self) -> float:
         return self.neighbours.crowd(self._state())
 
     def _watching_turn(self) -> int:
-        return self.neighbours.watch_turn(self._state(), time.monotonic())
+        return self.neighbours.watch_turn(self._state(), monotonic())
 
     def _reading_turn(self) -> int:
-        return self.neighbours.rank(self._state(), time.monotonic(), reserve_first=False)
+        return self.neighbours.rank(self._state(), monotonic(), reserve_first=False)
 
     def _took_fleet(self, servers: list[Server]) -> None:
         gone = self.book.apply(servers)
@@ -517,7 +518,7 @@
         """Tell of changes of the servers that this node read, or pass on what it heard."""
         if self._gossip is None:
             return
-        now, own = time.monotonic(), self._state()
+        now, own = monotonic(), self._state()
         choose = self.neighbours.first_told if read_here else self.neighbours.told_on
         targets = choose(own, now)
         for change in changes:
@@ -525,7 +526,7 @@
 
     def _confirm_list(self, unchanged: ServerChange) -> None:
         if self._gossip is not None:
-            self._gossip.tell(unchanged, self.neighbours.readers(time.monotonic()))
+            self._gossip.tell(unchanged, self.neighbours.readers(monotonic()))
 
     def _become_ready(self) -> None:
         known = self.forwarder.index is not None and self.fleet.known
@@ -537,7 +538,7 @@
 
     async def _duties_forever(self) -> None:
         while True:
-            now = time.monotonic()
+            now = monotonic()
             if self.standing is not Standing.LEAVING and self.neighbours.listened(now):
                 state = self._state()
                 rank = self.neighbours.rank(state, now, True)
--- a/src/moledale/gateway/plan_watch.py
+++ b/src/moledale/gateway/plan_watch.py
@@ -5,12 +5,12 @@
 """
 
 import asyncio
-import time
 from collections.abc import Callable
 from contextlib import suppress
 
 from result import Err
 
+from moledale.clock import monotonic
 from moledale.gateway.backoff import Backoff
 from moledale.gateway.cold_start import ColdStart
 from moledale.gateway.document_archive import DocumentArchive
@@ -65,7 +65,7 @@
         ordered: Callable[[StoredRollout], None] = _no_rollout,
         start: ColdStart | None = None,
     ) -> None:
-        self.archive = DocumentArchive(link_mbps, time.monotonic)
+        self.archive = DocumentArchive(link_mbps, monotonic)
         self.fetch = DocumentFetch(
             PLAN_PATH,
             self.archive,
@@ -90,7 +90,7 @@
         """Watch the store while it is this node's turn, for ever."""
         if self._start is not None:
             await self._start.wait(
-                lambda: self._version >= 0, lambda: self.fetch.behind(time.monotonic())
+                lambda: self._version >= 0, lambda: self.fetch.behind(monotonic())
             )
         position: int | None = None
         while True:
@@ -98,7 +98,7 @@
                 position = None
                 await asyncio.sleep(LOOK_S)
                 continue
-            sent_at = time.monotonic()
+            sent_at = monotonic()
             if position is None:
                 outcome = await self._store.plan(CALL_TIMEOUT_S)
             else:
@@ -111,10 +111,10 @@
                 continue
             self._backoff.answered()
             self._health.answered()
-            self.reached_at = time.monotonic()
+            self.reached_at = monotonic()
             news = outcome.ok_value
             if position is None:
-                self._true_time.store_read(news.store_s, sent_at, time.monotonic())
+                self._true_time.store_read(news.store_s, sent_at, monotonic())
             position = news.position
             self._take_news(news)
 
--- a/src/moledale/gateway/quarantine_sharing.py
+++ b/src/moledale/gateway/quarantine_sharing.py
@@ -6,12 +6,12 @@
 """
 
 import asyncio
-import time
 from collections.abc import Callable
 from typing import Protocol
 
 import msgspec
 
+from moledale.clock import monotonic
 from moledale.core.quarantine import Block
 from moledale.gateway.request_guard import EndSeen, RequestGuard
 
@@ -72,7 +72,7 @@
     """Tells the other nodes what a guard sees, and the guard what they tell."""
 
     def __init__(
-        self, guard: RequestGuard, tell: Tell, now: Callable[[], float] = time.monotonic
+        self, guard: RequestGuard, tell: Tell, now: Callable[[], float] = monotonic
     ) -> None:
         self.informed = False
         self._guard = guard
--- a/src/moledale/gateway/quarantine_store.py
+++ b/src/moledale/gateway/quarantine_store.py
@@ -1,13 +1,13 @@
 """Keeping blocked requests in the store, so that they are known after all processes ended."""
 
 import asyncio
-import time
 from collections.abc import Callable
 from contextlib import suppress
 
 import msgspec
 from result import Err
 
+from moledale.clock import monotonic
 from moledale.core.quarantine import Block
 from moledale.gateway.backoff import Backoff
 from moledale.gateway.outside import StateRow, Store
@@ -48,7 +48,7 @@
         true_time: TrueTime,
         serves: Callable[[], bool],
         crowd: Callable[[], float],
-        now: Callable[[], float] = time.monotonic,
+        now: Callable[[], float] = monotonic,
     ) -> None:
         self._store = store
         self._guard = guard
--- a/src/moledale/gateway/questions.py
+++ b/src/moledale/gateway/questions.py
@@ -1,10 +1,10 @@
 """Answers to what callers and the platform ask a node: where to go, and whether it is ready."""
 
-import time
 from urllib.parse import parse_qsl
 
 import msgspec
 
+from moledale.clock import monotonic
 from moledale.gateway.document_archive import DocumentArchive, PieceWanted
 from moledale.gateway.document_fetch import PLAN_PATH, SERVERS_PATH
 from moledale.gateway.entry import Asked, EntryDialect
@@ -69,7 +69,7 @@
             reply.whole(200, [], msgspec.msgpack.encode(piece))
 
     def _tell_addresses(self, reply: Reply, own: NodeState) -> None:
-        now = time.monotonic()
+        now = monotonic()
         addresses = [each.address for each in self._neighbours.serving_nodes(own, now)]
         if not addresses or not self._neighbours.knows_enough(own, now):
             reply.whole(503, [], b"")
@@ -85,6 +85,6 @@
             "connections": len(callers.connections),
             "busy": callers.busy(),
             "upstream_opened_total": self._pool.opened,
-            "peers": len(self._neighbours.members.alive(time.monotonic())),
+            "peers": len(self._neighbours.members.alive(monotonic())),
         }
         return "".join(f"moledale_{name} {value}\n" for name, value in figures.items()).encode()
--- a/src/moledale/gateway/registration.py
+++ b/src/moledale/gateway/registration.py
@@ -1,11 +1,11 @@
 """Telling the store of a node that starts, and learning from it of others to send news to."""
 
 import asyncio
-import time
 from collections.abc import Callable
 
 from result import Ok
 
+from moledale.clock import monotonic
 from moledale.gateway.backoff import Backoff
 from moledale.gateway.neighbours import AddressBook
 from moledale.gateway.outside import Store
@@ -58,11 +58,11 @@
         return trouble is None
 
     async def _read(self) -> bool:
-        sent_at = time.monotonic()
+        sent_at = monotonic()
         outcome = await self._store.read(MEMBER_TABLE, STORE_TIMEOUT_S)
         if not isinstance(outcome, Ok):
             return False
-        now = time.monotonic()
+        now = monotonic()
         self._true_time.store_read(outcome.ok_value.store_s, sent_at, now)
         for row in outcome.ok_value.rows:
             self._addresses.add(row.value.decode(), now)
--- a/src/moledale/gateway/request_guard.py
+++ b/src/moledale/gateway/request_guard.py
@@ -6,11 +6,11 @@
 """
 
 import asyncio
-import time
 from collections.abc import Callable
 
 import msgspec
 
+from moledale.clock import monotonic
 from moledale.core.quarantine import TOGETHER_S, Block, Quarantine
 from moledale.gateway.fingerprint import fingerprint
 from moledale.gateway.job import Job
@@ -47,7 +47,7 @@
     def __init__(
         self,
         pool: ConnectionPool,
-        now: Callable[[], float] = time.monotonic,
+        now: Callable[[], float] = monotonic,
         blame: Callable[[Placement], None] = _nobody_hears,
     ) -> None:
         self.quarantine = Quarantine()
--- a/src/moledale/gateway/server_ends.py
+++ b/src/moledale/gateway/server_ends.py
@@ -6,11 +6,11 @@
 """
 
 import asyncio
-import time
 from collections.abc import Callable
 
 import msgspec
 
+from moledale.clock import monotonic
 from moledale.gateway.messages import Server
 from moledale.gateway.pool import ConnectionPool
 from moledale.gateway.server_view import Placement
@@ -39,7 +39,7 @@
     """Looks after servers whose answers broke off; `looked` hears what was found."""
 
     def __init__(
-        self, pool: ConnectionPool, looked: Looked, now: Callable[[], float] = time.monotonic
+        self, pool: ConnectionPool, looked: Looked, now: Callable[[], float] = monotonic
     ) -> None:
         self._pool = pool
         self._looked = looked
--- a/src/moledale/gateway/sharing.py
+++ b/src/moledale/gateway/sharing.py
@@ -3,6 +3,7 @@
 import time
 from collections.abc import Callable
 
+from moledale.clock import monotonic
 from moledale.gateway.accounts import AccountLimits, Tolerance
 from moledale.gateway.balance import ServerBook
 from moledale.gateway.gossip import PlacementNews
@@ -23,7 +24,7 @@
         self,
         members: Membership,
         bounds: Bounds,
-        now: Callable[[], float] = time.monotonic,
+        now: Callable[[], float] = monotonic,
         wall: Callable[[], float] = time.time,
     ) -> None:
         self.members = members
--- a/src/moledale/log.py
+++ b/src/moledale/log.py
@@ -86,6 +86,7 @@
     ROLLOUT_FAILED = EventSpec(
         522, logbook.WARNING, "The state of a roll-out was not read or written."
     )
+    WOKEN = EventSpec(107, logbook.WARNING, "The machine was suspended for so many seconds.")
     RELOADED = EventSpec(106, logbook.INFO, "The settings were read again.")
     PEER_REFUSED = EventSpec(600, logbook.WARNING, "A peer call without a valid token was refused.")
     PEER_DOWN = EventSpec(601, logbook.INFO, "A peer does not answer.")
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -3,12 +3,12 @@
 import asyncio
 import socket
 import struct
-import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 import logbook
 
+from moledale.clock import monotonic
 from moledale.gateway.balance import ServerBook
 from moledale.gateway.forwarder import Forwarder
 from moledale.gateway.inbound import Listener, listen, sweep_forever
@@ -88,7 +88,7 @@
                 headers = [(n.strip(), v.strip()) for n, v in (each.split(":", 1) for each in rest)]
                 length = next((int(v) for n, v in headers if n.lower() == "content-length"), 0)
                 body = await reader.readexactly(length)
-                arrival = Arrival(line, headers, body, number, time.monotonic())
+                arrival = Arrival(line, headers, body, number, monotonic())
                 self.arrivals.append(arrival)
                 self.arrived.set()
                 await self.script(arrival, reader, writer)
@@ -194,7 +194,7 @@
         self.book = ServerBook("hall-a")
         # Nearly equal servers are chosen by chance; tests say what the first choice does.
         self.book.has_connection = lambda server: server == FIRST_CHOICE
-        self.pool = ConnectionPool(time.monotonic)
+        self.pool = ConnectionPool(monotonic)
         self.list_current = True
         self.forwarder = Forwarder(
             PlatformHeaders(),
@@ -208,7 +208,7 @@
             self.forwarder.adopt(plan)
         self.servers: dict[str, ScriptedServer] = {}
         self._listed: list[Server] = []
-        self.listener = Listener(self.forwarder.handle, self._limits, time.monotonic)
+        self.listener = Listener(self.forwarder.handle, self._limits, monotonic)
         self.address = ("127.0.0.1", 0)
         self._server: asyncio.Server | None = None
         self._sweeping: asyncio.Task[None] | None = None
--- a/tests/plan_world.py
+++ b/tests/plan_world.py
@@ -3,9 +3,9 @@
 import asyncio
 import json
 import random
-import time
 from dataclasses import dataclass, field
 
+from moledale.clock import monotonic
 from moledale.gateway.calls import HttpCaller
 from moledale.gateway.document_archive import BYTES_PER_MBIT, DocumentArchive
 from moledale.gateway.document_fetch import PLAN_PATH, DocumentFetch
@@ -70,14 +70,14 @@
     _task: asyncio.Task[None] | None = None
 
     def __post_init__(self) -> None:
-        self.archive = DocumentArchive(self.link_mbps, time.monotonic)
+        self.archive = DocumentArchive(self.link_mbps, monotonic)
         self.fetch = DocumentFetch(
             PLAN_PATH, self.archive, lambda: self.version, self.take, self._read_store
         )
 
     async def start(self) -> None:
         """Listen and begin to fetch."""
-        listener = Listener(self._answer, Limits, time.monotonic)
+        listener = Listener(self._answer, Limits, monotonic)
         self._server = await listen("127.0.0.1:0", listener)
         host, port = self._server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
@@ -115,7 +115,7 @@
         if version <= self.version or self.refuses:
             return
         self.version = version
-        self.adopted_at[version] = time.monotonic()
+        self.adopted_at[version] = monotonic()
         self.archive.keep(version, raw)
         others = [each for each in self.world.nodes if each is not self]
         for each in self.world.chance.sample(others, min(FANOUT, len(others))):
@@ -125,7 +125,7 @@
         """Hear which version another node has."""
         if other.version > self.version:
             power = min(20.0, other.link_mbps / 5)
-            self.fetch.heard(other.address, other.version, power, time.monotonic())
+            self.fetch.heard(other.address, other.version, power, monotonic())
 
 
 class PlanWorld:
@@ -165,13 +165,13 @@
 
     async def wait_for(self, version: int, within_s: float) -> float:
         """Wait until all nodes have a version; return how long the last one took."""
-        began = time.monotonic()
+        began = monotonic()
         while any(node.version < version for node in self.nodes):
-            if time.monotonic() - began > within_s:
+            if monotonic() - began > within_s:
                 late = [node.version for node in self.nodes if node.version < version]
                 raise AssertionError(f"{len(late)} of {len(self.nodes)} nodes have {set(late)}")
             await asyncio.sleep(0.01)
-        return time.monotonic() - began
+        return monotonic() - began
 
 
 async def call(address: str, query: str = "") -> int:
--- a/tests/rollout_world.py
+++ b/tests/rollout_world.py
@@ -6,10 +6,10 @@
 
 import asyncio
 import random
-import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from moledale.clock import monotonic
 from moledale.gateway.node import GatewayNode
 from moledale.gateway.settings import Bounds
 from tests.gateway_world import KEY, Arrival, ScriptedServer, answer, read_answer, request_bytes
@@ -112,9 +112,9 @@
         for name in names:
             seeds = tuple(node.settings.node.control for node in nodes[:3])
             nodes.append(await self.cluster.start(name, seeds))
-        ends = time.monotonic() + 5.0
+        ends = monotonic() + 5.0
         while not all(len(node.book.views) >= 4 and node.forwarder.index for node in nodes):
-            if time.monotonic() > ends:
+            if monotonic() > ends:
                 raise AssertionError("the nodes are not ready")
             await asyncio.sleep(0.02)
         return nodes
@@ -149,7 +149,7 @@
         """Order a roll-out; its servers start beside the old ones."""
         order = {"service": SERVICE, "targetVersion": target, "durationS": duration_s}
         self.platform.put("op", f"rollout/{SERVICE}", order)
-        self.ordered_at = time.monotonic()
+        self.ordered_at = monotonic()
         for number in range(servers):
             await self.add_server(f"{target}-{number}", target)
 
@@ -169,7 +169,7 @@
             if name == done or name[0] not in ("completed", "rolled_back"):
                 continue
             done = name
-            self.ended_at = time.monotonic()
+            self.ended_at = monotonic()
             self._end_servers(name[0], name[1])
 
     def _end_servers(self, state: str, target: str) -> None:
@@ -196,9 +196,9 @@
         if version == OLD:
             return 200, took_s
         self.seen.new_arrivals += 1
-        self.seen.last_new_at = time.monotonic()
+        self.seen.last_new_at = monotonic()
         bad = self.badness
-        active = time.monotonic() - self.ordered_at >= bad.after_s
+        active = monotonic() - self.ordered_at >= bad.after_s
         if not active or (bad.route and not path.startswith(f"/{bad.route}/")):
             return 200, took_s
         failed = self._random.random() < bad.failing
@@ -210,10 +210,10 @@
 
     async def traffic(self, for_s: float, per_s: float) -> None:
         """Send requests to all nodes by turns."""
-        ends = time.monotonic() + for_s
+        ends = monotonic() + for_s
         number = 0
         pending: set[asyncio.Task[None]] = set()
-        while time.monotonic() < ends:
+        while monotonic() < ends:
             number += 1
             task = asyncio.create_task(self._ask(number))
             pending.add(task)
@@ -244,8 +244,8 @@
 
     async def until(self, condition: Callable[[], bool], within_s: float) -> None:
         """Wait until something holds."""
-        ends = time.monotonic() + within_s
+        ends = monotonic() + within_s
         while not condition():
-            if time.monotonic() > ends:
+            if monotonic() > ends:
                 raise AssertionError(f"it never came true; status {self.status}, seen {self.seen}")
             await asyncio.sleep(0.02)
--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -1,10 +1,10 @@
 """Where a starting node gets its first documents."""
 
 import asyncio
-import time
 import unittest
 from collections.abc import Callable
 
+from moledale.clock import monotonic
 from moledale.gateway.cold_start import ANSWER_S, ColdStart
 from moledale.gateway.neighbours import FEW
 from tests.gateway_world import quietly
@@ -19,13 +19,13 @@
     def __init__(self, nodes: int, peers_have_it: bool = False) -> None:
         self.nodes = nodes
         self.asked = 0
-        self.heard_at = time.monotonic() + 0.005 if peers_have_it else float("inf")
+        self.heard_at = monotonic() + 0.005 if peers_have_it else float("inf")
 
     async def run(self) -> float:
         """Return how long it took until the last one had the document."""
-        began_at = time.monotonic()
+        began_at = monotonic()
         await asyncio.gather(*(self._start() for _ in range(self.nodes)))
-        return time.monotonic() - began_at
+        return monotonic() - began_at
 
     async def _start(self) -> None:
         start = ColdStart(lambda: max(1.0, (self.nodes - 1) / FEW))
@@ -33,10 +33,10 @@
         if not self._passed(FETCH_S)():
             self.asked += 1
             await asyncio.sleep(STORE_S)
-            self.heard_at = min(self.heard_at, time.monotonic())
+            self.heard_at = min(self.heard_at, monotonic())
 
     def _passed(self, after_s: float) -> Callable[[], bool]:
-        return lambda: time.monotonic() >= self.heard_at + after_s
+        return lambda: monotonic() >= self.heard_at + after_s
 
 
 class ColdStartTest(unittest.TestCase):
@@ -70,9 +70,9 @@
 
     def test_node_whose_peer_has_a_document_waits_for_it(self) -> None:
         async def work() -> None:
-            known_at = time.monotonic() + 0.3
-            await ColdStart(lambda: 1.0).wait(lambda: time.monotonic() >= known_at, lambda: True)
-            self.assertGreaterEqual(time.monotonic(), known_at)
+            known_at = monotonic() + 0.3
+            await ColdStart(lambda: 1.0).wait(lambda: monotonic() >= known_at, lambda: True)
+            self.assertGreaterEqual(monotonic(), known_at)
 
         quietly(work())
 
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -1,10 +1,10 @@
 """What callers and servers see of the gateway's forwarding, byte by byte, under failure."""
 
 import asyncio
-import time
 import unittest
 from unittest import mock
 
+from moledale.clock import monotonic
 from moledale.gateway.events import END_OF_EVENT
 from moledale.gateway.messages import Server
 from moledale.gateway.plan import Limits
@@ -409,10 +409,10 @@
                 silent = await world.server("s1", "plain", hangs)
                 await world.server("s2", "plain", fine)
                 for number in range(4):
-                    began = time.monotonic()
+                    began = monotonic()
                     got = await world.ask("/check/", request_id=f"r{number}")
                     self.assertEqual(got.status, 200)
-                    self.assertLess(time.monotonic() - began, 0.25)
+                    self.assertLess(monotonic() - began, 0.25)
                 self.assertGreater(len(silent.arrivals), 0)
                 await asyncio.sleep(0.1)
                 self.assertEqual(silent.closed, len(silent.arrivals))
@@ -436,9 +436,9 @@
         async def work() -> None:
             async with GatewayWorld(a_plan()) as world:
                 server = await world.server("s1", "plain", hangs)
-                began = time.monotonic()
+                began = monotonic()
                 got = await world.ask("/order/")
-                took = time.monotonic() - began
+                took = monotonic() - began
                 self.assertEqual(got.status, 504)
                 self.assertTrue(0.9 < took < 1.3, took)
                 await asyncio.sleep(0.05)
@@ -449,9 +449,9 @@
     def test_request_that_found_no_server_is_refused_at_once(self) -> None:
         async def work() -> None:
             async with GatewayWorld(a_plan()) as world:
-                began = time.monotonic()
+                began = monotonic()
                 got = await world.ask("/order/")
-                self.assertLess(time.monotonic() - began, 0.2)
+                self.assertLess(monotonic() - began, 0.2)
                 self.assertEqual(got.status, 503)
                 self.assertGreater(float(got.headers["retry-after"]), 0)
 
@@ -542,7 +542,7 @@
         async def work() -> None:
             async with GatewayWorld(a_plan()) as world:
                 silent = await world.server("s1", "model", one_event_then_silence, slots=16)
-                began = time.monotonic()
+                began = monotonic()
                 tasks = [asyncio.create_task(world.ask("/review/", request_id=r)) for r in "ab"]
                 await silent.arrived.wait()
                 await asyncio.sleep(0.1)
@@ -551,7 +551,7 @@
                 for task in tasks:
                     got = await task
                     self.assertEqual((got.body, got.whole), (ALL_EVENTS, True))
-                self.assertLess(time.monotonic() - began, 2.0)
+                self.assertLess(monotonic() - began, 2.0)
                 await asyncio.sleep(0.05)
                 self.assertEqual(silent.closed, 2)
 
--- a/tests/test_gateway_lease.py
+++ b/tests/test_gateway_lease.py
@@ -1,12 +1,12 @@
 """The lease of the duties: how soon it passes on, and that it never has two holders."""
 
 import asyncio
-import time
 import unittest
 
 import msgspec
 from result import Err, Ok, Result
 
+from moledale.clock import monotonic
 from moledale.core.leases import Grant, LeaseRow
 from moledale.gateway.balance import ServerBook
 from moledale.gateway.duties import HEARD_AFTER_S, SETTLE_S, Duties
@@ -34,7 +34,7 @@
 
     def clock(self) -> float:
         """Return the store's clock, whose start is its own."""
-        return time.monotonic() + 5_000.0
+        return monotonic() + 5_000.0
 
     async def read(self, table: str, timeout_s: float) -> Result[Reading, Trouble]:
         """Return the row."""
@@ -91,7 +91,7 @@
             await one.step(0)
             news = one.news()
             assert news is not None
-            two.heard("one", news, time.monotonic())
+            two.heard("one", news, monotonic())
             for _ in range(5):
                 await two.step(0)
             self.assertEqual(store.reads, 1)
@@ -109,7 +109,7 @@
                     serving = number < 6
                     await each.step(number if serving else 6, 1.0 if serving else 12.0)
                     if (news := keepers[0].news()) is not None:
-                        each.heard("n0", news, time.monotonic())
+                        each.heard("n0", news, monotonic())
             self.assertIsNotNone(keepers[0].grant())
             self.assertLessEqual(store.reads + store.writes, 13)
 
@@ -136,7 +136,7 @@
             one, two = keeper(store, "one"), keeper(store, "two")
             await one.step(0)
             version = store.version
-            now = time.monotonic()
+            now = monotonic()
             two.heard("one", LeaseNews(1, version, 0.1), now)
             two.lease.decide(now)
             self.assertEqual(two.lease.decide(now + TTL_S - 0.15).value, "read")
@@ -202,8 +202,8 @@
             store.down = True
             held = one.grant()
             assert held is not None
-            self.assertLess(held.until, time.monotonic() + TTL_S)
-            self.assertIsNone(one.lease.grant(time.monotonic() + TTL_S))
+            self.assertLess(held.until, monotonic() + TTL_S)
+            self.assertIsNone(one.lease.grant(monotonic() + TTL_S))
 
         quietly(work())
 
@@ -222,7 +222,7 @@
         await self.holder.step(0)
         news = self.holder.news()
         assert news is not None
-        now = time.monotonic()
+        now = monotonic()
         self.serving.heard("holder", news, now)
         return now
 
@@ -312,11 +312,11 @@
             )
             sharing.started("north")
             wall = 1_005.1 + SETTLE_S
-            began = time.monotonic()
+            began = monotonic()
             while not log.reported:
                 await duties.step()
                 await asyncio.sleep(0.02)
-            self.assertGreaterEqual(time.monotonic() - began, HEARD_AFTER_S)
+            self.assertGreaterEqual(monotonic() - began, HEARD_AFTER_S)
             sharing.started("north")
             wall += 5.0
             await duties.step()
--- a/tests/test_gateway_membership.py
+++ b/tests/test_gateway_membership.py
@@ -1,12 +1,12 @@
 """Who is there, who serves, and whom a node tells what."""
 
-import time
 import unittest
 from collections import Counter
 from math import ceil
 
 import msgspec
 
+from moledale.clock import monotonic
 from moledale.gateway.accounts import AccountLimits
 from moledale.gateway.directory import (
     LOAD_SHARE,
@@ -231,41 +231,41 @@
         sharing = Sharing(members, Bounds())
         limits = AccountLimits(True)
         account = Account("north", (), None, TOKENS, 200, 0.001, 2_000.0)
-        limits.configure([account], time.monotonic())
+        limits.configure([account], monotonic())
         for news in (full, short, more):
             self.assertTrue(sharing.heard(news, limits))
         self.assertEqual(members.all_states()[0].started, {2: {"north": 4}})
-        self.assertAlmostEqual(limits.level(account, time.monotonic()), 1_950.0, delta=1.0)
+        self.assertAlmostEqual(limits.level(account, monotonic()), 1_950.0, delta=1.0)
 
     def test_node_that_hears_shortened_states_only_counts_what_others_spend(self) -> None:
         sharing = Sharing(Membership("n1", 1), Bounds())
         limits = AccountLimits(True)
         account = Account("north", (), None, TOKENS, 200, 0.001, 2_000.0)
-        limits.configure([account], time.monotonic())
+        limits.configure([account], monotonic())
         for sequence, spent in enumerate((0.0, 400.0, 900.0), start=1):
             told = state("n2", sequence=sequence, spent={"north": spent}).shortened()
             sharing.heard(told, limits)
-        self.assertAlmostEqual(limits.level(account, time.monotonic()), 1_100.0, delta=1.0)
+        self.assertAlmostEqual(limits.level(account, monotonic()), 1_100.0, delta=1.0)
 
     def test_what_a_new_life_spent_before_it_was_heard_counts(self) -> None:
         account = Account("north", (), None, TOKENS, 200, 0.001, 2_000.0)
         for age_s, level in ((0.5, 1_100.0), (60.0, 2_000.0)):
             sharing = Sharing(Membership("n1", 1), Bounds(limit_window_s=8.0))
             limits = AccountLimits(True)
-            limits.configure([account], time.monotonic())
+            limits.configure([account], monotonic())
             sharing.heard(state("n2", spent={"north": 900.0}, age_s=age_s), limits)
-            self.assertAlmostEqual(limits.level(account, time.monotonic()), level, delta=1.0)
+            self.assertAlmostEqual(limits.level(account, monotonic()), level, delta=1.0)
 
     def test_shortened_state_first_draws_nothing(self) -> None:
         sharing = Sharing(Membership("n1", 1), Bounds())
         limits = AccountLimits(True)
         account = Account("north", (), None, TOKENS, 200, 0.001, 2_000.0)
-        limits.configure([account], time.monotonic())
+        limits.configure([account], monotonic())
         full = state("n2", sequence=2, spent={"north": 900.0})
         sharing.heard(msgspec.structs.replace(full, sequence=1).shortened(), limits)
         sharing.heard(full, limits)
         sharing.heard(msgspec.structs.replace(full, sequence=3, spent={"north": 950.0}), limits)
-        self.assertAlmostEqual(limits.level(account, time.monotonic()), 1_950.0, delta=1.0)
+        self.assertAlmostEqual(limits.level(account, monotonic()), 1_950.0, delta=1.0)
 
 
 if __name__ == "__main__":
--- a/tests/test_gateway_nodes.py
+++ b/tests/test_gateway_nodes.py
@@ -4,13 +4,13 @@
 import random
 import subprocess
 import sys
-import time
 import unittest
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import msgspec
 
+from moledale.clock import monotonic
 from moledale.gateway.node import GatewayNode
 from moledale.gateway.outside import ABSENT
 from moledale.gateway.peers import Standing
@@ -196,9 +196,9 @@
 
 async def until(condition: Callable[[], bool], within_s: float = 5.0) -> None:
     """Wait until something holds; a node that ended by itself is told as the cause."""
-    ends = time.monotonic() + within_s
+    ends = monotonic() + within_s
     while not condition():
-        if time.monotonic() > ends:
+        if monotonic() > ends:
             raise AssertionError(f"it never came true; nodes that ended: {FAILED}")
         await asyncio.sleep(0.02)
 
@@ -281,7 +281,7 @@
             for node in nodes:
                 await until(ready(node))
             await asyncio.sleep(7.5)
-            watching = [node for node in nodes if time.monotonic() - node.plans.reached_at < 3.5]
+            watching = [node for node in nodes if monotonic() - node.plans.reached_at < 3.5]
             self.assertEqual(len(watching), 3)
             cluster.platform.put("op", "config", config(4))
             await until(lambda: all(version_of(node) == 4 for node in nodes), 0.8)
@@ -295,9 +295,7 @@
                 await until(ready(node))
             await asyncio.sleep(7.5)
             watching = [
-                name
-                for name, node in nodes.items()
-                if time.monotonic() - node.plans.reached_at < 3.5
+                name for name, node in nodes.items() if monotonic() - node.plans.reached_at < 3.5
             ]
             for name in watching:
                 cluster.kill(name)
@@ -412,8 +410,8 @@
                 await until(ready(node))
             await until(lambda: any(node.keeper.grant() for node in nodes))
             cluster.platform.mood = Mood.LOSES
-            ends = time.monotonic() + 4.0
-            while time.monotonic() < ends:
+            ends = monotonic() + 4.0
+            while monotonic() < ends:
                 held = [node for node in nodes if node.keeper.grant() is not None]
                 self.assertLessEqual(len(held), 1)
                 await asyncio.sleep(0.02)
@@ -458,7 +456,7 @@
             nodes = {name: await cluster.start(name) for name in ("n1", "n2")}
             for node in nodes.values():
                 await until(ready(node))
-                await until(lambda node=node: bool(node.members.alive(time.monotonic())))  # type: ignore[misc]
+                await until(lambda node=node: bool(node.members.alive(monotonic())))  # type: ignore[misc]
             for node in nodes.values():
                 await until(lambda node=node: [n.serving for n in node.serving_nodes()] == [True])  # type: ignore[misc]
             told = (await cluster.addresses("n1"))[0]
--- a/tests/test_plan_spread.py
+++ b/tests/test_plan_spread.py
@@ -1,12 +1,12 @@
 """Plans travel as differences, in pieces, from many nodes, and never go back."""
 
 import asyncio
-import time
 import unittest
 
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
+from moledale.clock import monotonic
 from moledale.gateway.admission import Admission
 from moledale.gateway.document_archive import (
     BURST_S,
@@ -240,7 +240,7 @@
                 node = await world.add(100.0, SMALL)
                 world.store_answers = False
                 source.version = 9
-                now = time.monotonic()
+                now = monotonic()
                 node.hear(source)
                 self.assertTrue(node.fetch.behind(now))
                 self.assertFalse(node.fetch.behind(now + BEHIND_S + 0.1))
@@ -262,14 +262,14 @@
 
 class BehindTest(unittest.TestCase):
     def _status(self, path: bytes, key: bytes, newer: bool) -> tuple[int, float | None]:
-        admission = Admission(PlatformHeaders(), time.monotonic, lambda: newer)
+        admission = Admission(PlatformHeaders(), monotonic, lambda: newer)
         admission.adopt(a_plan())
         head = RequestHead(
             b"POST",
             path,
             [(b"Host", HOST.encode()), (b"Authorization", b"Bearer " + key)],
         )
-        request = InboundRequest(head, b"", time.monotonic())
+        request = InboundRequest(head, b"", monotonic())
         refusal = admission.admit(request, None)  # type: ignore[arg-type]
         assert isinstance(refusal, Refusal)
         return refusal.status, refusal.retry_after_s
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -2,11 +2,11 @@
 
 import asyncio
 import json
-import time
 import unittest
 
 import logbook
 
+from moledale.clock import monotonic
 from moledale.gateway.fingerprint import fingerprint
 from moledale.gateway.messages import InboundRequest, RequestHead
 from tests.fragile_server import GUILTY, FragileServer, fragile_server
@@ -187,9 +187,7 @@
         for node in nodes:
             await until(ready(node))
             await until(lambda node=node: len(node.book.views) == self.SERVERS)
-            await until(
-                lambda node=node: len(node.members.alive(time.monotonic())) + 1 == len(names)
-            )
+            await until(lambda node=node: len(node.members.alive(monotonic())) + 1 == len(names))
 
     async def ask_guilty(self, cluster: Cluster, name: str) -> CallerAnswer:
         callers = cluster.nodes[name].settings.node.callers
--- a/tests/test_quarantine_nodes.py
+++ b/tests/test_quarantine_nodes.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import json
-import time
 import unittest
 from collections.abc import Awaitable, Callable
 
 import logbook
 
+from moledale.clock import monotonic
 from moledale.gateway.pool import ConnectionPool
 from moledale.gateway.quarantine_sharing import (
     BlockNews,
@@ -197,7 +197,7 @@
         self.guards: dict[str, RequestGuard] = {}
         self.sharing: dict[str, QuarantineSharing] = {}
         for name in names:
-            guard = self.guards[name] = RequestGuard(ConnectionPool(time.monotonic))
+            guard = self.guards[name] = RequestGuard(ConnectionPool(monotonic))
             self.sharing[name] = QuarantineSharing(guard, self.teller(name))
             self.sharing[name].informed = True
             guard.on_block = self.sharing[name].tell_block
@@ -212,7 +212,7 @@
 
     def end(self, node: str, server: str, requests: list[bytes]) -> None:
         """Let a node see the end of a server."""
-        self.guards[node]._saw_end(server, requests, time.monotonic())
+        self.guards[node]._saw_end(server, requests, monotonic())
 
     def tell_states(self) -> None:
         """Let all nodes hear each other's digests."""
@@ -280,7 +280,7 @@
             for server in ("s1", "s2"):
                 network.end("n1", server, [GUILTY])
             await asyncio.sleep(DECIDED_S)
-            guard = network.guards["n4"] = RequestGuard(ConnectionPool(time.monotonic))
+            guard = network.guards["n4"] = RequestGuard(ConnectionPool(monotonic))
             started = network.sharing["n4"] = QuarantineSharing(guard, network.teller("n4"))
             self.assertIsNone(started.digest())
             network.tell_states()
@@ -317,9 +317,9 @@
                 if isinstance(news, EndNews):
                     sizes.append(len(news.requests))
 
-            sharing = QuarantineSharing(RequestGuard(ConnectionPool(time.monotonic)), tell)
+            sharing = QuarantineSharing(RequestGuard(ConnectionPool(monotonic)), tell)
             many = [b"r%d" % number for number in range(150)]
-            sharing._send_end(EndSeen("s1", many, time.monotonic()))
+            sharing._send_end(EndSeen("s1", many, monotonic()))
             self.assertEqual(sizes, [64, 64, 22])
 
         over_network(work)
@@ -364,7 +364,7 @@
         async def work(cluster: Cluster) -> None:
             for key, value in (("zz", {}), ("00ff", {"until_s": "soon"}), ("00fe", [1])):
                 cluster.platform.put(BLOCK_TABLE, key, value)
-            until_s = time.monotonic() + 100.0
+            until_s = monotonic() + 100.0
             cluster.platform.put(BLOCK_TABLE, "ab12", {"until_s": until_s, "times": 1})
             node = await cluster.start("n1")
             await until(lambda: node.quarantine.informed)
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import random
-import time
 import unittest
 from collections.abc import Awaitable, Callable
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from moledale.clock import monotonic
 from moledale.core.rollout_evidence import Arm, Evidence, Judge, merged
 from moledale.core.rollouts import (
     LEAST_IN_ALL,
@@ -459,7 +459,7 @@
             await world.order(DURATION_S)
             await world.until(lambda: world.status.get("state") == "rolled_back", DURATION_S)
             self.assertEqual(world.status["targetVersion"], NEW)
-            stopped_at = time.monotonic()
+            stopped_at = monotonic()
             await traffic
             self.assertLess(world.seen.last_new_at, stopped_at + 0.3)
 
@@ -524,7 +524,7 @@
                 ),
                 DURATION_S,
             )
-            stopped_at = time.monotonic()
+            stopped_at = monotonic()
             await asyncio.sleep(0.5)
             self.assertLess(world.seen.last_new_at, stopped_at + 0.3)
             world.platform.mood = Mood.GOOD
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -1,9 +1,9 @@
 """Open connections that go silent for good, without a reset, while new ones work."""
 
 import asyncio
-import time
 import unittest
 
+from moledale.clock import monotonic
 from moledale.gateway.calls import HttpCaller
 from tests.gateway_world import Arrival, GatewayWorld, ScriptedServer, a_plan, answer, quietly
 
@@ -56,9 +56,9 @@
                     await world.server(f"s{number + 1}", "plain", Silenced())
                     world.book.views[f"s{number + 1}"].answer_s = 0.2
                 for number in range(KEPT + 2):
-                    began = time.monotonic()
+                    began = monotonic()
                     got = await world.ask(path, request_id=f"r{number}")
-                    served.append(time.monotonic() - began)
+                    served.append(monotonic() - began)
                     lost += got.status != 200
                 ticking.cancel()
 
@@ -81,7 +81,7 @@
     """Follow the time as a node does."""
     while True:
         await asyncio.sleep(0.1)
-        world.book.tick(time.monotonic())
+        world.book.tick(monotonic())
 
 
 class CallsTest(unittest.TestCase):
--- /dev/null
+++ b/tests/test_suspension.py
@@ -0,0 +1,77 @@
+"""Machines that are suspended: durations go on, and nothing is done by what is over meanwhile."""
+
+import asyncio
+import time
+import unittest
+
+from moledale.clock import SystemClock, monotonic
+from moledale.core.leases import LeaseRow
+from moledale.gateway.lease_keeper import LeaseKeeper
+from moledale.gateway.settings import Bounds
+from moledale.gateway.suspension import LEAST_S, SuspensionWatch
+from moledale.platform.store import PlatformStore
+from tests.gateway_world import Arrival, GatewayWorld, a_plan, fine, quietly, reset
+
+
+class OwnClock:
+    """A clock that a test moves."""
+
+    def __init__(self) -> None:
+        self.at = 100.0
+
+    def __call__(self) -> float:
+        return self.at
+
+
+class SuspensionWatchTest(unittest.TestCase):
+    def test_each_suspension_is_told_once_and_short_ones_add_up(self) -> None:
+        counting, standing_still = OwnClock(), OwnClock()
+        watch = SuspensionWatch(counting, standing_still)
+        told = []
+        for slept_s in (0.0, 5.0, 0.0, LEAST_S / 2, LEAST_S / 2 + 0.01, 0.0):
+            counting.at += 0.2 + slept_s
+            standing_still.at += 0.2
+            told.append(round(watch.slept_s(), 3))
+        self.assertEqual(told, [0.0, 5.0, 0.0, 0.0, round(LEAST_S + 0.01, 3), 0.0])
+
+    @unittest.skipUnless(hasattr(time, "CLOCK_BOOTTIME"), "the system has no such clock")
+    def test_durations_are_measured_by_the_clock_that_counts_suspended_time(self) -> None:
+        expected = time.clock_gettime(time.CLOCK_BOOTTIME)
+        self.assertAlmostEqual(monotonic(), expected, delta=0.05)
+        self.assertAlmostEqual(SystemClock().monotonic(), expected, delta=0.05)
+
+
+class DeadlineTest(unittest.TestCase):
+    def test_nothing_is_sent_again_after_a_deadline_that_passed_while_suspended(self) -> None:
+        """The timer of the request stood still; the server that broke off is the only one asked."""
+        clock_ahead_s = 0.0
+
+        async def suspends(_: Arrival, __: object, writer: asyncio.StreamWriter) -> None:
+            nonlocal clock_ahead_s
+            clock_ahead_s = 10.0
+            reset(writer)
+
+        async def work() -> None:
+            async with GatewayWorld(a_plan()) as world:
+                world.forwarder._now = lambda: monotonic() + clock_ahead_s
+                first = await world.server("s1", "plain", suspends)
+                second = await world.server("s2", "plain", fine)
+                got = await world.ask("/check/")
+                self.assertEqual((len(first.arrivals), len(second.arrivals)), (1, 0))
+                self.assertEqual(got.status, 504)
+
+        quietly(work())
+
+
+class LeaseTest(unittest.TestCase):
+    def test_lease_that_ran_out_while_suspended_is_not_held(self) -> None:
+        keeper = LeaseKeeper("n1", PlatformStore("127.0.0.1:1"), Bounds(lease_s=3.0), "nonce")
+        slept_since = monotonic() - 5.0
+        keeper.lease.wrote(LeaseRow("n1", 1, "nonce/1"), 1, slept_since)
+        self.assertIsNone(keeper.grant())
+        keeper.lease.wrote(LeaseRow("n1", 1, "nonce/2"), 2, monotonic())
+        self.assertIsNotNone(keeper.grant())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_system.py
+++ b/tests/test_system.py
@@ -13,6 +13,7 @@
 
 from moledale.backing.types import InstanceState, Part
 from moledale.bundle.signing import Signature
+from moledale.clock import monotonic
 from moledale.peers.pb import peers_pb2, peers_pb2_grpc
 from standins.engine import token_text
 from standins.local_fleet import ROOT, LocalFleet
@@ -156,9 +157,9 @@
         """Bring the platform back, and wait until every node's breaker has noticed."""
         for part in Part:
             self.faults(part)
-        until = time.monotonic() + WAIT_S
+        until = monotonic() + WAIT_S
         while not all(self.fleet.status(node).table_reachable for node in self.nodes):
-            self.assertLess(time.monotonic(), until)
+            self.assertLess(monotonic(), until)
             time.sleep(0.05)
 
     def test_streams_and_whole_answers(self) -> None:
@@ -264,17 +265,17 @@
         headers = {"Prefer": "respond-async"}
         job = call(self.address(), "POST", "/v1/chat/completions", body, headers)
         location = job.headers["location"]
-        until = time.monotonic() + WAIT_S
+        until = monotonic() + WAIT_S
         while (result := call(self.address(), "GET", f"{location}/result")).status != 200:
-            self.assertLess(time.monotonic(), until)
+            self.assertLess(monotonic(), until)
             time.sleep(0.1)
         answer = result.json()
         self.assertEqual(answer["object"], "chat.completion")
         self.assertEqual(answer["choices"][0]["message"]["content"], text_of("user: later", 4))
 
     def job_text(self, location: str, node: str = "entry-2") -> str:
-        until = time.monotonic() + WAIT_S
-        while time.monotonic() < until:
+        until = monotonic() + WAIT_S
+        while monotonic() < until:
             result = call(self.address(node), "GET", f"{location}/result")
             if result.status == 200:
                 return str(result.json()["choices"][0]["text"])
@@ -456,8 +457,8 @@
     def test_wrong_settings_stop_the_daemon_with_2(self) -> None:
         proc = self.fleet.launch_node("entry-bad", "Hall A!", "[colour]\nx = 1\n")
         self.assertEqual(proc.process.wait(WAIT_S), 2)
-        until = time.monotonic() + WAIT_S
-        while len(proc.lines) < 2 and time.monotonic() < until:
+        until = monotonic() + WAIT_S
+        while len(proc.lines) < 2 and monotonic() < until:
             time.sleep(0.01)
         text = "\n".join(proc.lines)
         self.assertIn("node.hall", text)
