Generations that end engines wait, at the product's own interface too

Change: generations are counted by what is asked for; ends are found out by asking the server for its load. A generation under which three engines ended waits as blocked ones do, a new one is refused with 503 as not run. What could not be sent is told from what may have run. Three here and not two, since an accepted generation survives two servers that are killed under it: with two, four cells of the fault matrix fail. Others that ran on engines that went together go on.

--- a/src/moledale/node/dispatcher.py
+++ b/src/moledale/node/dispatcher.py
@@ -1,6 +1,7 @@
 """Runs generations: queues them, picks servers, and carries answers over failures."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 from contextlib import aclosing
@@ -14,6 +15,7 @@
 from moledale.core.routing import LoadBook, Reservation, ServerView, Standing, eligible
 from moledale.log import Event, emit
 from moledale.node.background import Background
+from moledale.node.generation_guard import GenerationGuard
 from moledale.node.leaving import LeavingServers
 from moledale.node.messages import ServerGone, ServerLeaving, ServerMessage, ServerReported
 from moledale.node.needs import context_tokens, need_of
@@ -23,6 +25,9 @@
 from moledale.problems import Problem, Ran
 from moledale.servers.types import Done, GenerateCall, ModelServers, Refused, ServerError, Token
 
+BLOCKED = "servers ended under this request"
+"""What callers are told of a generation that is blocked."""
+
 RETRY_PAUSE_S = 0.05
 DEFAULT_NOTICE_S = 30.0
 TICK_S = 0.1
@@ -54,6 +59,7 @@
         self._leaving_servers = LeavingServers(
             hall, servers, book, self._waiting, bundle, self._redirect, clock
         )
+        self._guard = GenerationGuard(servers, clock)
         self._budget = RetryBudget()
         self._background = Background("dispatcher")
         self._tasks: dict[str, asyncio.Task[None]] = {}
@@ -75,6 +81,10 @@
         """Accept a generation, or refuse it at once; refused means that it did not run."""
         if self.streams.full:
             return Err(problems.overloaded("this node holds as many streams as it may", 1))
+        blocked_s = self._guard.wait_s(request)
+        if blocked_s > 0:
+            self._tally.refused(request)
+            return Err(problems.unavailable(BLOCKED, math.ceil(blocked_s)))
         refusal = self._waiting.refusal(request)
         if refusal is not None:
             self._tally.refused(request)
@@ -141,6 +151,7 @@
         """Refuse waiting requests whose deadline has passed, and drop old answers."""
         while True:
             await self._clock.sleep(TICK_S)
+            self._guard.decide()
             self._waiting.refuse_expired()
             self._waiting.fill()
             self.streams.sweep(self._clock.monotonic())
@@ -169,6 +180,10 @@
     async def _serve_attempts(self, record: StreamRecord) -> None:
         excluded: frozenset[str] = frozenset()
         while not record.ended:
+            # Work that waits comes back on its own, whatever it did to servers before.
+            if self._guard.wait_s(record.request) > 0:
+                record.fail(problems.failed(BLOCKED))
+                return
             made = self._moves.pop(record.request.id, None)
             record.wait_for_server()
             if made is None:
@@ -192,6 +207,9 @@
             elif not self._budget.spend():
                 record.fail(problems.failed(f"server failed, retry budget used up: {detail}"))
             else:
+                if len(excluded) > 1:
+                    # One that broke off twice may be what ends servers: that is known first.
+                    await self._guard.looked(made.server)
                 if not self._any_server(record, excluded):
                     excluded = frozenset()
                 await self._clock.sleep(RETRY_PAUSE_S * self._rng.uniform(0.5, 1.5))
@@ -251,6 +269,8 @@
                         return f"refused: {event.detail}"
             return "the answer ended early"
         except ServerError as error:
+            if error.may_have_run:
+                self._guard.broke_off(request, made.server, address)
             return str(error)
         finally:
             if not finished:
@@ -260,6 +280,7 @@
         record.cached_tokens += done.cached_tokens
         record.computed_tokens += done.computed_tokens
         server = record.server
+        self._guard.served(record.request)
         record.finish(attempt, done.reason)
         self.handle(ServerReported(done.load, 0.0))
         if server is not None:
--- /dev/null
+++ b/src/moledale/node/generation_guard.py
@@ -0,0 +1,103 @@
+"""Keeping generations that end servers from servers.
+
+Accepted work is tried again until it is done, by whichever node has it, so one generation that ends
+each server which begins to run it would end them all. What it did is counted by what is asked for,
+and it waits as long as `core.quarantine` says. What other nodes saw is not told here.
+"""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from result import Err
+
+from moledale.clock import Clock
+from moledale.core.fingerprint import digest_of
+from moledale.core.quarantine import Quarantine
+from moledale.log import Event, emit
+from moledale.node.background import Background
+from moledale.node.streams import GenerationRequest
+from moledale.servers.types import ModelServers
+
+LEAST_STRIKES = 2.99
+"""Ends that a generation must explain before it waits: three. An accepted one survives two servers
+that are killed under it, which the fault matrix proves at each step."""
+
+COLLECT_S = 0.03
+"""What a server had in hand breaks off within this time when it ends, and a request that broke off
+is sent again after 0.025 s at the earliest."""
+
+
+@dataclass(slots=True)
+class _BrokenOff:
+    """What broke off at a server; `looked` once it is known whether the server has ended."""
+
+    requests: list[bytes] = field(default_factory=list)
+    looked: asyncio.Event = field(default_factory=asyncio.Event)
+
+
+class GenerationGuard:
+    """Counts the servers that ended under generations at one node."""
+
+    def __init__(self, servers: ModelServers, clock: Clock) -> None:
+        self._servers = servers
+        self._clock = clock
+        self._quarantine = Quarantine(LEAST_STRIKES)
+        self._broken: dict[str, _BrokenOff] = {}
+        self._background = Background("server ends")
+
+    def wait_s(self, request: GenerationRequest) -> float:
+        """Return how long a generation may not run, 0.0 if it may now."""
+        if not self._quarantine.watches:
+            return 0.0
+        self.decide()
+        return self._quarantine.wait_s(_fingerprint(request), self._clock.monotonic())
+
+    def served(self, request: GenerationRequest) -> None:
+        """Note that a server survived a generation."""
+        if self._quarantine.watches:
+            self._quarantine.note_served(_fingerprint(request))
+
+    def broke_off(self, request: GenerationRequest, server: str, address: str) -> None:
+        """Note that a generation broke off; whether its server ended is found out."""
+        broken = self._broken.get(server)
+        if broken is None:
+            broken = self._broken[server] = _BrokenOff()
+            self._background.start(self._look(server, address))
+        broken.requests.append(_fingerprint(request))
+
+    async def looked(self, server: str) -> None:
+        """Wait until it is known whether a server has ended, if that is being found out."""
+        broken = self._broken.get(server)
+        if broken is not None:
+            await broken.looked.wait()
+
+    def decide(self) -> None:
+        """Block the generations that end servers."""
+        now = self._clock.monotonic()
+        for block in self._quarantine.decide(now):
+            emit(
+                Event.REQUEST_BLOCKED,
+                fingerprint=block.fingerprint.hex(),
+                for_s=round(block.until - now),
+                times=block.times,
+                seen_here=True,
+            )
+
+    async def _look(self, server: str, address: str) -> None:
+        at = self._clock.monotonic()
+        await self._clock.sleep(COLLECT_S)
+        answer = await self._servers.load(address)
+        broken = self._broken.pop(server)
+        if isinstance(answer, Err):
+            self._note_end(server, broken.requests, at)
+        broken.looked.set()
+
+    def _note_end(self, server: str, requests: list[bytes], at: float) -> None:
+        names = [each.hex() for each in requests]
+        emit(Event.SERVER_ENDED, server=server, requests=len(requests), fingerprints=names)
+        self._quarantine.note_end(server, requests, at)
+
+
+def _fingerprint(request: GenerationRequest) -> bytes:
+    """Return the digest of who asks for what, the same for each attempt and each time it comes."""
+    return digest_of((request.account.encode(), request.model.encode(), request.prompt.encode()))
--- a/src/moledale/servers/http.py
+++ b/src/moledale/servers/http.py
@@ -78,6 +78,8 @@
                     *events, pending = (pending + chunk).split(_EVENT_END)
                     for event in events:
                         yield _event_decoder.decode(event.removeprefix(_DATA))
+        except (ConnectionRefusedError, ConnectTimeout) as error:
+            raise ServerError(type(error).__name__, may_have_run=False) from error
         except CALL_FAILURES as error:
             raise ServerError(type(error).__name__) from error
 
--- a/src/moledale/servers/types.py
+++ b/src/moledale/servers/types.py
@@ -174,4 +174,8 @@
 
 
 class ServerError(Exception):
-    """A generation's answer broke off; the attempt may have run in part."""
+    """A generation broke off; with `may_have_run` false it never reached the server."""
+
+    def __init__(self, detail: str, may_have_run: bool = True) -> None:
+        super().__init__(detail)
+        self.may_have_run = may_have_run
--- a/tests/world.py
+++ b/tests/world.py
@@ -298,7 +298,7 @@
         engine = self._engine(address)
         if engine is None:
             await clock.sleep(TOKEN_S)
-            raise ServerError("refused")
+            raise ServerError("refused", may_have_run=False)
         if any(call.attempt == name for _, name in engine.starts):
             raise ServerError("this attempt was here before")
         engine.starts.append((clock.now, call.attempt))
@@ -306,6 +306,9 @@
             yield Refused("no such model")
             return
         engine.running[call.attempt] = call
+        if call.prompt == self._world.ends_engines:
+            await clock.sleep(TOKEN_S)
+            engine.alive = False
         await world.step("dispatch", self._gate.name, address)
         cached = call.session in engine.cached
         length = len(call.prompt.split()) + len(call.resume)
@@ -490,6 +493,7 @@
         self.runs: Counter[str] = Counter()
         self.service_down = False
         self.break_service = 0
+        self.ends_engines = ""
         self.digests = 0
         self.boot_s: float | None = None
         self.refused_markets: set[tuple[str, str]] = set()
