The soak sends requests that end servers

Cause: the soak could not have found the incident: no server of it ends because of what it is asked. Change: a trouble that sends one such request 16 times to any nodes while processes, store, links and other servers fail; servers that it ended are back within 2.5 s, half of them under their id with a new start. A check: after the third end and the time of contact, three sends at most.

--- a/tests/soak/backend.py
+++ b/tests/soak/backend.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+from collections.abc import Callable
 from enum import StrEnum
 
 from tests.gateway_world import LAST_CHUNK, Arrival, chunk, reset
@@ -14,6 +15,12 @@
 PLAIN_S = 0.01
 SLOW_X = 6.0
 
+GUILTY = b"the request that ends servers"
+"""Beginning of the bodies that no server survives."""
+
+GUILTY_S = 0.05
+"""A server ends so long after it began to run one of these."""
+
 
 class Mood(StrEnum):
     """What a server does wrong with part of its requests."""
@@ -47,6 +54,8 @@
         self.mood = Mood.GOOD
         self.share = 0.4
         self.down = False
+        self.born = int(time.time() * 1000)
+        self.on_guilty_end: Callable[[Backend], None] = lambda _: None
         self.link = Link("")
         self._ledger = ledger
         self._chance = chance
@@ -73,6 +82,17 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    async def _end_under(self, arrival: Arrival) -> None:
+        """End under a request that no server survives; anything else goes on."""
+        if not arrival.body.startswith(GUILTY):
+            return
+        await asyncio.sleep(GUILTY_S)
+        if not self.down:
+            self.crash()
+            self.link.close()
+            self.on_guilty_end(self)
+        raise ConnectionResetError
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
         try:
@@ -131,6 +151,7 @@
 
     async def _plain(self, arrival: Arrival, writer: asyncio.StreamWriter, strikes: bool) -> None:
         self._note(arrival)
+        await self._end_under(arrival)
         slow = self.mood is Mood.SLOW
         await asyncio.sleep(PLAIN_S * (SLOW_X if slow else 1.0))
         if self.mood is Mood.MUTE:
@@ -154,6 +175,7 @@
 
     async def _stream(self, arrival: Arrival, writer: asyncio.StreamWriter, strikes: bool) -> None:
         self._note(arrival)
+        await self._end_under(arrival)
         if self.mood is Mood.MUTE:
             await asyncio.sleep(3_600)
         if self.mood is Mood.LOST and strikes:
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -29,12 +29,18 @@
 
 
 def request_of(
-    request: str, route: str, account: Account, tokens: int, after_event: int
+    request: str,
+    route: str,
+    account: Account,
+    tokens: int,
+    after_event: int,
+    body: bytes | None = None,
 ) -> tuple[str, bytes, bytes]:
     """Return a request's first line, its body and all its bytes."""
     method = "GET" if route.startswith(("check", "only")) else "POST"
     line = f"{method} /{route}/x HTTP/1.1"
-    body = b"" if method == "GET" else f"body of {request}".encode()
+    if body is None:
+        body = b"" if method == "GET" else f"body of {request}".encode()
     headers = [
         f"Host: {HOST}",
         f"Request-Id: {request}",
@@ -164,12 +170,28 @@
 
 
 async def probe(
-    node: NodeProcess, route: str, account: Account, request: str, ledger: Ledger
+    node: NodeProcess,
+    route: str,
+    account: Account,
+    request: str,
+    ledger: Ledger,
+    guilty: bytes | None = None,
 ) -> None:
-    """Ask a node directly, past the directory, what it makes of a route and a key."""
-    line, body, data = request_of(request, route, account, 5, 0)
+    """Ask a node directly, past the directory, what it makes of a route and a key.
+
+    With `guilty` it is a request with this body that no server survives.
+    """
+    line, body, data = request_of(request, route, account, 5, 0, guilty)
     attempt = Attempt(
-        request, route, line, body, account.name, node.name, time.monotonic(), 10, probe=True
+        request,
+        route,
+        line,
+        body,
+        account.name,
+        node.name,
+        time.monotonic(),
+        10,
+        probe=guilty is None,
     )
     try:
         async with asyncio.timeout(CONNECT_S):
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterable
 
 from standins.rows import DutyCall
-from tests.soak.backend import EVENTS, event_of, plain_body
+from tests.soak.backend import EVENTS, GUILTY, GUILTY_S, event_of, plain_body
 from tests.soak.records import Attempt, Ledger, Run
 
 CONTACT_S = 3.0
@@ -20,6 +20,7 @@
 CROSSING_S = 0.2
 RECOVERY_S = 8.0
 RECOVERED_SHARE = 0.9
+MOST_LATE = 3
 WINDOW_S = 8.0
 OVERAGE = 1.1
 PROMISES = frozenset({408, 421, 429, 503})
@@ -187,6 +188,19 @@
                 break
 
 
+def guilty_requests_are_held(ledger: Ledger) -> Iterable[str]:
+    """A request under which three servers ended reaches servers three times more at most."""
+    began: dict[bytes, list[float]] = defaultdict(list)
+    for run in ledger.runs:
+        if run.body.startswith(GUILTY):
+            began[run.body].append(run.at)
+    for body, times in began.items():
+        times.sort()
+        late = [at for at in times if len(times) > 3 and at > times[2] + GUILTY_S + CONTACT_S]
+        if len(late) > MOST_LATE:
+            yield f"{body.decode()}: {len(late)} late sends, {len(times)} in all"
+
+
 def limits_hold(ledger: Ledger, limit: dict[str, tuple[float, float]], slack: float) -> list[str]:
     """No account runs more in a window than its rate, its burst and what news may hide."""
     findings = []
@@ -284,5 +298,6 @@
     versions_in_force,
     versions_never_revert,
     ends_as_asked,
+    guilty_requests_are_held,
     served_after_healing,
 )
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -5,10 +5,11 @@
 from collections.abc import Callable, Coroutine
 
 from standins.rows import Mood as StoreMood
-from tests.soak.backend import Mood
+from tests.soak.backend import GUILTY, Mood
+from tests.soak.callers import probe
 from tests.soak.link import Link, Weather
 from tests.soak.records import Leaving
-from tests.soak.world import SoakWorld
+from tests.soak.world import ACCOUNTS, SoakWorld
 
 SERVED_ON_S = 3.2
 """A leaving server serves on for this long after the list said so."""
@@ -16,6 +17,11 @@
 LAPSE_S = 2.0
 AWAY_S = 3.8
 
+GUILTY_TIMES = 16
+GUILTY_GAP_S = 0.5
+"""A request that ends servers comes so often, and so far between: for 8 s, more than it takes all
+servers of a service to end and to be back."""
+
 Trouble = Callable[[], Coroutine[None, None, None]]
 
 
@@ -24,6 +30,7 @@
 
     def __init__(self, world: SoakWorld) -> None:
         self._world = world
+        self._guilty = 0
 
     def planned(self) -> list[Trouble]:
         """Return what operators do; nothing of it may cut a request."""
@@ -94,6 +101,7 @@
             self._server_mood,
             self._server_mood,
             self._crash_server,
+            self._guilty_request,
             self._change_config,
             self._roll_node,
             self._reload_node,
@@ -220,6 +228,24 @@
         self._world.ledger.fault("history gone", "", for_s=1.0)
         self._world.platform.history_from = self._world.platform.version
 
+    async def _guilty_request(self) -> None:
+        """A request that ends each server that runs it comes again and again, at any node."""
+        if "guilty" in self._world.busy:
+            return
+        self._world.busy.add("guilty")
+        route = self._world.chance.choice(("order", "draft", "review"))
+        self._guilty += 1
+        body = GUILTY + f" {self._guilty}".encode()
+        fault = self._world.ledger.fault("guilty request", route)
+        for number in range(GUILTY_TIMES):
+            node = self._world.chance.choice(self._world.nodes)
+            name = f"guilty-{self._guilty}-{number}"
+            await probe(node, route, ACCOUNTS[0], name, self._world.ledger, body)
+            await asyncio.sleep(GUILTY_GAP_S * (0.3 + 1.4 * self._world.chance.random()))
+        await self._world.returned()
+        fault.ends = time.monotonic()
+        self._world.busy.discard("guilty")
+
     async def _server_mood(self) -> None:
         backend = self._world.chance.choice(self._world.backends)
         mood = self._world.chance.choice([mood for mood in Mood if mood is not Mood.GOOD])
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -22,6 +22,9 @@
 START_S = 2.5
 SERVERS = {"plain": 3, "model": 3}
 
+BACK_S = 2.5
+"""A server that a request ended is back within this time."""
+
 
 @dataclass(slots=True)
 class SoakWorld:
@@ -36,6 +39,7 @@
     thawed: list[float] = field(default_factory=list)
     busy: set[str] = field(default_factory=set)
     version: int = 0
+    returning: set[asyncio.Task[None]] = field(default_factory=set)
     _number: int = 0
 
     async def start(self, nodes: int) -> None:
@@ -62,8 +66,14 @@
         await asyncio.gather(*(node.start() for node in self.nodes))
         await asyncio.sleep(START_S)
 
+    async def returned(self) -> None:
+        """Wait until the servers that a request ended are back."""
+        while self.returning:
+            await asyncio.wait(set(self.returning))
+
     async def heal(self) -> None:
         """Make sure that all is well again."""
+        await self.returned()
         self.platform.mood = StoreMood.GOOD
         self.platform.delay_s = 0.0
         for node in self.nodes:
@@ -93,15 +103,34 @@
         free = [node for node in self.nodes if node.name not in self.busy and node.running]
         return self.chance.choice(free) if free else None
 
-    async def add_backend(self, service: str, link: Link | None = None) -> Backend:
-        """Start a server and list it."""
+    async def add_backend(self, service: str, link: Link | None = None, name: str = "") -> Backend:
+        """Start a server and list it; with `name` one that was there starts again."""
         self._number += 1
-        backend = Backend(f"s{self._number}", service, self.ledger, self.chance)
+        backend = Backend(name or f"s{self._number}", service, self.ledger, self.chance)
+        backend.on_guilty_end = self._ended_by_request
         await backend.start(link)
         self.backends.append(backend)
         self.list_backend(backend, "ready")
         return backend
 
+    def _ended_by_request(self, old: Backend) -> None:
+        if old not in self.backends:
+            return
+        self.backends.remove(old)
+        task = asyncio.create_task(self._return(old))
+        self.returning.add(task)
+        task.add_done_callback(self.returning.discard)
+
+    async def _return(self, old: Backend) -> None:
+        """Start a server again that a request ended: under its id, or as a new one."""
+        if self.chance.random() < 0.5:
+            await asyncio.sleep(BACK_S * self.chance.random())
+            await self.add_backend(old.service, name=old.id)
+            return
+        await asyncio.sleep(BACK_S)
+        self.platform.drop("servers", old.id)
+        await self.add_backend(old.service)
+
     def list_backend(self, backend: Backend, state: str) -> None:
         """Write a server's entry as the server does."""
         entry = {
@@ -112,6 +141,7 @@
             "state": state,
             "version": "v1",
             "seq": 1,
+            "born": backend.born,
         }
         self.platform.put("servers", backend.id, entry)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,7 +5,7 @@
 
 from standins.rows import DutyCall
 from tests.soak import checks
-from tests.soak.backend import EVENTS, event_of, plain_body
+from tests.soak.backend import EVENTS, GUILTY, event_of, plain_body
 from tests.soak.records import Attempt, Exit, Leaving, Ledger, Run, Version
 from tests.soak.soak import SoakPlan, play
 
@@ -74,6 +74,14 @@
         self.assert_found(checks.own_whole_answers)
         self.assert_found(checks.at_most_once)
 
+    def test_request_that_goes_on_ending_servers(self) -> None:
+        body = GUILTY + b" 1"
+        for number, at in enumerate((1.0, 2.0, 3.0, 4.0, 5.0, 6.5, 7.0, 7.5)):
+            self.ledger.runs.append(run_of(f"g{number}", f"s{number}", at, body=body))
+        self.assert_found(checks.guilty_requests_are_held, 0)
+        self.ledger.runs.append(run_of("g9", "s9", 8.0, body=body))
+        self.assert_found(checks.guilty_requests_are_held)
+
     def test_cut_stream_with_a_gap(self) -> None:
         answer = stream("r1", "s1", [1, 2, 4])
         self.ledger.attempts.append(attempt_of("r1", "review", status=200, answer=answer))
