Twelve mechanisms more whose absence tests must notice

Cause: the new mechanisms were not in the table that takes each away. Change: they are. One was not noticed, the clock that counts suspended time: on a machine that was never suspended both clocks show the same; its test asks by number now.

--- a/tests/test_suspension.py
+++ b/tests/test_suspension.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 import unittest
+from unittest import mock
 
 from moledale.clock import SystemClock, monotonic
 from moledale.core.leases import LeaseRow
@@ -40,6 +41,13 @@
         self.assertAlmostEqual(monotonic(), expected, delta=0.05)
         self.assertAlmostEqual(SystemClock().monotonic(), expected, delta=0.05)
 
+    @unittest.skipUnless(hasattr(time, "CLOCK_BOOTTIME"), "the system has no such clock")
+    def test_clock_of_durations_is_not_the_one_that_stands_still(self) -> None:
+        """Both show the same on a machine that never was, so the clock is asked by its number."""
+        with mock.patch.object(time, "clock_gettime", return_value=123.0) as asked:
+            self.assertEqual(monotonic(), 123.0)
+        asked.assert_called_once_with(time.CLOCK_BOOTTIME)
+
 
 class DeadlineTest(unittest.TestCase):
     def test_nothing_is_sent_again_after_a_deadline_that_passed_while_suspended(self) -> None:
--- a/tools/without_gateway.py
+++ b/tools/without_gateway.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from moledale import clock
+from moledale.core.quarantine import Quarantine
 from moledale.gateway import (
     directory,
     document_codec,
@@ -12,6 +14,7 @@
     fleet_watch,
     lease_keeper,
     neighbours,
+    quarantine_sharing,
     renting,
 )
 from moledale.gateway.accounts import AccountLimits, RecentSpending
@@ -33,14 +36,20 @@
 from moledale.gateway.node import GatewayNode
 from moledale.gateway.peers import LeaseNews, Membership
 from moledale.gateway.plan import PlanIndex
+from moledale.gateway.quarantine_sharing import QuarantineSharing
+from moledale.gateway.quarantine_store import QuarantineStore
 from moledale.gateway.reply import Reply
+from moledale.gateway.request_guard import RequestGuard
 from moledale.gateway.retries import RetryBudget
 from moledale.gateway.rollouts import ServiceRollout
+from moledale.gateway.server_ends import BrokenOff, EndWatch
 from moledale.gateway.server_group import ServerGroup
 from moledale.gateway.server_list import ServerList
 from moledale.gateway.server_model import Slowness, SpeedLearner
 from moledale.gateway.upstream import UpstreamConnection
 from moledale.gateway.work import WorkMeter
+from moledale.platform import entries
+from moledale.platform.entries import Entries
 from moledale.platform.headers import PlatformHeaders
 
 BYTES = "tests.test_gateway_forwarding"
@@ -54,6 +63,8 @@
 LEARNING = "tests.test_server_model"
 LISTS = "tests.test_server_list"
 PLACEMENTS = "tests.test_gateway_placements"
+BLOCKS = "tests.test_quarantine tests.test_quarantine_nodes"
+BLAME = "tests.test_quarantine_core"
 VERSIONS = "tests.test_rollouts.VersionsTest"
 
 _finish = UpstreamConnection.finish
@@ -146,6 +157,22 @@
     _note(self, life, work)
 
 
+async def _always_ended(*_: object) -> bool:
+    """Take each server for ended whose answer broke off."""
+    return True
+
+
+async def _write_nothing(_: QuarantineStore) -> bool:
+    await asyncio.sleep(0.05)
+    return True
+
+
+def _blame_each(self: RequestGuard, broken: BrokenOff, ended: bool) -> None:
+    """Hold each answer that broke off against the version."""
+    for placement in broken.placements:
+        self._blame(placement)
+
+
 MECHANISMS: list[tuple[str, Any, str, Any, str]] = [
     ("surplus bytes end a connection", UpstreamConnection, "data_received", _ignore_surplus, BYTES),
     ("spoiled connections are not kept", UpstreamConnection, "finish", _keep_any, BYTES),
@@ -196,5 +223,20 @@
     ("few new servers get their part only", ServerGroup, "new_share", lambda _: 1.0, VERSIONS),
     ("routes with few requests are tried sooner", ServiceRollout, "is_scarce", lambda *_: False,
      VERSIONS),
+    ("a request is known when it comes again", RequestGuard, "wait_s", lambda *_: 0.0, BLOCKS),
+    ("only servers that ended count", EndWatch, "_has_ended", _always_ended, BLOCKS),
+    ("ends at the same moment are shared out", Quarantine, "_explained", lambda *_: 1.0, BLAME),
+    ("an answer clears its request", Quarantine, "note_served", lambda *_: False, BLAME),
+    ("ends are told between nodes", QuarantineSharing, "_send_end", lambda *_: None, BLOCKS),
+    ("ends are told once more", quarantine_sharing, "TELL_AGAIN_S", 1e6, BLOCKS),
+    ("a node that lacks blocks is told", QuarantineSharing, "heard_digest", lambda *_: None,
+     BLOCKS),
+    ("blocks are kept in the store", QuarantineStore, "_write", _write_nothing, BLOCKS),
+    ("an end is one failure of a version", RequestGuard, "_looked", _blame_each, BLOCKS),
+    ("a server that starts again is another", entries, "LIFE", "",
+     "tests.test_platform_store tests.test_restarted_servers"),
+    ("bad entries hide no other", Entries, "read", lambda _, row: entries.read_server(row),
+     "tests.test_platform_store"),
+    ("durations go on while suspended", clock, "_SUSPENDED_TOO", None, "tests.test_suspension"),
     ("as many serve as requests need", directory, "REQUEST_CORE_S", 1e-9, MEMBERSHIP),
 ]  # fmt: skip
