The soak notes when it stands still itself

Callers, servers and store live in the soak's process and said nothing for 3.2 s, while the timers of three nodes ran on and told of the store's silence. Change: the soak watches its own clock; a stall of more than 0.5 s is noted as unplanned trouble for as long as it lasted, and printed with the others. What held the soak up is open.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -21,6 +21,10 @@
 THAW_S = 0.6
 PROBE_EVERY_S = 0.25
 STEADY_S = 4.0
+HEARTBEAT_S = 0.05
+STALL_S = 0.5
+"""The soak itself stood still if it woke up so much too late: callers give a stop 0.9 s."""
+
 PLANNED_GAP_S = 0.5
 TROUBLE_GAP_S = 0.45
 
@@ -36,6 +40,12 @@
     rounds: int = 2
 
 
+def note_stall(ledger: Ledger, began: float, ended: float) -> None:
+    """Note that callers, servers and store stood still."""
+    fault = ledger.fault("the soak stood still", f"for {ended - began:.2f} s")
+    fault.begins, fault.ends = began, ended
+
+
 @dataclass(slots=True)
 class SoakResult:
     """What the checks found, and how much was seen."""
@@ -100,6 +110,7 @@
         over = self._is_over
         work = [asyncio.create_task(caller.run(over)) for caller in callers]
         work.append(asyncio.create_task(self._probe_forever()))
+        work.append(asyncio.create_task(self._watch_own_stalls()))
         for _ in range(self._plan.rounds):
             await self._phase(self._plan.planned_s, self._troubles.planned(), PLANNED_GAP_S)
             await self._settle()
@@ -111,6 +122,19 @@
         self._over = True
         await asyncio.gather(*work, return_exceptions=True)
 
+    async def _watch_own_stalls(self) -> None:
+        """Note when the soak itself stands still: its callers, servers and store do so with it.
+
+        It is a disruption like any other, which nobody planned.
+        """
+        while not self._over:
+            slept_at = time.monotonic()
+            await asyncio.sleep(HEARTBEAT_S)
+            now = time.monotonic()
+            if now - slept_at > HEARTBEAT_S + STALL_S:
+                note_stall(self._world.ledger, slept_at, now)
+                self._world.thawed.append(asyncio.get_running_loop().time())
+
     def _is_over(self) -> bool:
         return self._over
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,7 +7,7 @@
 from tests.soak import checks
 from tests.soak.backend import EVENTS, GUILTY, event_of, plain_body
 from tests.soak.records import Attempt, Exit, Leaving, Ledger, Run, Version
-from tests.soak.soak import SoakPlan, play
+from tests.soak.soak import SoakPlan, note_stall, play
 
 SEED = 7
 
@@ -74,6 +74,21 @@
         self.assert_found(checks.own_whole_answers)
         self.assert_found(checks.at_most_once)
 
+    def test_stall_of_the_soak_itself_excuses_what_it_overlaps_and_nothing_else(self) -> None:
+        """Three seconds in which callers, servers and store said nothing, while nodes' own timers
+        ran, cut five streams at their deadline; 30 s later a cut stream is found as before."""
+        note_stall(self.ledger, 100.2, 103.4)
+        self.ledger.attempts.append(
+            attempt_of("r1", "review", sent_at=100.0, ended_at=103.1, status=200)
+        )
+        self.ledger.runs.append(run_of("r1", "s1", 100.1))
+        self.assert_found(checks.planned_work_cuts_nothing, 0)
+        self.ledger.attempts.append(
+            attempt_of("r2", "review", sent_at=133.0, ended_at=136.1, status=200)
+        )
+        self.ledger.runs.append(run_of("r2", "s1", 133.1))
+        self.assert_found(checks.planned_work_cuts_nothing)
+
     def test_request_that_goes_on_ending_servers(self) -> None:
         body = GUILTY + b" 1"
         for number, at in enumerate((1.0, 2.0, 3.0, 4.0, 5.0, 6.5, 7.0, 7.5)):
