--- a/src/moledale/node/generation_guard.py
+++ b/src/moledale/node/generation_guard.py
@@ -85,12 +85,14 @@
 
     async def _look(self, server: str, address: str) -> None:
         at = self._clock.monotonic()
-        await self._clock.sleep(COLLECT_S)
-        answer = await self._servers.load(address)
-        broken = self._broken.pop(server)
-        if isinstance(answer, Err):
-            self._note_end(server, broken.requests, at)
-        broken.looked.set()
+        broken = self._broken[server]
+        try:
+            await self._clock.sleep(COLLECT_S)
+            if isinstance(await self._servers.load(address), Err):
+                self._note_end(server, broken.requests, at)
+        finally:
+            del self._broken[server]
+            broken.looked.set()
 
     def _note_end(self, server: str, requests: list[bytes], at: float) -> None:
         names = [each.hex() for each in requests]
