A failing test: an account beyond its limit after all processes ended (known red)

All processes ended 6.6 s into the window; 19 nodes took the account's requests from 0.6 s later on, none refused for 0.7 s, since none heard what the others spent, and what each may have until then is made for as many nodes as there are halls.

--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -191,5 +191,63 @@
         self.assertFalse(budget.allows(12.0, [], 1))
 
 
+class AllStartTest(unittest.TestCase):
+    """An account at its limit must not get more by all processes ending at once.
+
+    What was seen: 2 in 100 beyond the tolerance on a site of 87 nodes, on two plays of a day and on
+    the code of two landings. All processes ended 6.6 s into the window and were back 0.6 s later.
+    Before that three nodes took the account's requests, then 19: callers keep the addresses of
+    nodes that served before. None of the 19 refused anything for 0.7 s (1.5 M tokens a second), as
+    none heard in that time what the others spent. What each may have until then is made for as many
+    nodes as there are halls, and it fills at the whole rate at each.
+    """
+
+    RATE = 288_454.0
+    WINDOW_S = 8.0
+    TOLERANCE = Tolerance(0.1, 140_000.0)
+    HALLS = 4
+    TAKING = 19
+    PRICE = 3_700.0
+    REQUESTS_PER_S = 400
+    ENDED_S = 6.6
+    BACK_S = 0.6
+    FIRST_NEWS_S = 0.7
+
+    def test_account_keeps_its_limit_when_many_nodes_start_at_once(self) -> None:
+        account = Account("hot", (), None, TOKENS, 200, self.RATE, self.RATE)
+        nodes = [
+            AccountLimits(False, self.WINDOW_S, self.TOLERANCE, lambda: self.HALLS)
+            for _ in range(self.TAKING)
+        ]
+        for node in nodes:
+            node.configure([account], 0.0)
+        after = self.admitted(nodes, account, self.WINDOW_S - self.ENDED_S - self.BACK_S)
+        limit = self.RATE * self.WINDOW_S + self.RATE
+        before = self.ENDED_S * limit / self.WINDOW_S
+        allowed = limit + self.TOLERANCE.of(account, self.WINDOW_S)
+        self.assertLessEqual(before + after, allowed)
+
+    def admitted(self, nodes: list[AccountLimits], account: Account, for_s: float) -> float:
+        """Send requests to the nodes in turn, which tell each other as late as was seen."""
+        told: list[dict[str, float]] = [{} for _ in nodes]
+        total, told_at = 0.0, 0.0
+        for number in range(int(for_s * self.REQUESTS_PER_S)):
+            now = number / self.REQUESTS_PER_S
+            if now - told_at >= self.FIRST_NEWS_S:
+                told_at = now
+                self.tell(nodes, told, now)
+            if nodes[number % len(nodes)].take(account, self.PRICE, now) == 0.0:
+                total += self.PRICE
+        return total
+
+    def tell(self, nodes: list[AccountLimits], told: list[dict[str, float]], now: float) -> None:
+        for index, teller in enumerate(nodes):
+            after = dict(teller.spent)
+            for node in nodes:
+                if node is not teller:
+                    node.spent_elsewhere(told[index], after, now)
+            told[index] = after
+
+
 if __name__ == "__main__":
     unittest.main()
