Log what an answer says of its server; read its time to come back with care

E412 and E416 tell both now. Nothing decides by them yet. A time to come back that is no finite number of seconds, negative or unreadable counts as none and is logged (E423); before, 'nan' was passed on to callers. A date counts from the answer's own date, of two headers the longer counts.

--- a/src/moledale/gateway/answers.py
+++ b/src/moledale/gateway/answers.py
@@ -68,15 +68,29 @@
         if facts.request_id is not None and facts.request_id != job.facts.id:
             connection.usable = False
             return self.cut(job, placement, Cut.GARBLED)
+        attempt = await self._read_rest(job, connection, run, head, facts)
+        attempt.leaving = facts.leaving
+        attempt.retry_after_s = facts.retry_after_s
+        return attempt
+
+    async def _read_rest(
+        self,
+        job: Job,
+        connection: UpstreamConnection,
+        run: StreamRun,
+        head: AnswerHead,
+        facts: AnswerFacts,
+    ) -> Attempt:
+        """Read or pass on what follows an answer's head."""
         if facts.not_run:
             await self._read_whole(connection)
-            return Attempt(Ending.NOT_RUN, retry_after_s=facts.retry_after_s, why=str(head.status))
+            return Attempt(Ending.NOT_RUN, why=str(head.status))
         if not facts.signed:
             connection.usable = False
-            return self.cut(job, placement, Cut.GARBLED)
+            return self.cut(job, run.placement, Cut.GARBLED)
         if job.route.kind is Kind.STREAM and head.status < 300:
             return await self._pass_stream(job, connection, run, head)
-        return await self._pass_whole(job, connection, placement, head, facts)
+        return await self._pass_whole(job, connection, run.placement, head)
 
     async def _head(
         self, job: Job, connection: UpstreamConnection, placement: Placement
@@ -132,7 +146,6 @@
         connection: UpstreamConnection,
         placement: Placement,
         head: AnswerHead,
-        facts: AnswerFacts,
     ) -> Attempt:
         body, whole = await self._read_some(connection)
         now = self._now()
--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -129,7 +129,7 @@
             emit(Event.CALLER_GONE, request=job.facts.id, sends=job.sends)
             raise
 
-    def _tell_served(self, job: Job, placement: Placement) -> None:
+    def _tell_served(self, job: Job, placement: Placement, attempt: Attempt) -> None:
         now = self._now()
         first = placement.first_at or now
         emit(
@@ -150,6 +150,7 @@
             pause_ms=round(job.longest_pause_s * 1000),
             gap_ms=round(job.route.gap_s * 1000),
             ms=round((now - job.request.arrived_at) * 1000),
+            leaving=attempt.leaving,
         )
 
     async def _carry(self, job: Job) -> None:
@@ -173,7 +174,7 @@
             moved = attempt.next
             if attempt.ending is Ending.ANSWERED:
                 self.guard.served(job)
-                self._tell_served(job, placement)
+                self._tell_served(job, placement, attempt)
                 return
             if attempt.ending is Ending.MOVED:
                 continue
@@ -263,6 +264,8 @@
             ending=attempt.ending.value,
             why=attempt.why,
             ms=round((self._now() - placement.sent_at) * 1000),
+            leaving=attempt.leaving,
+            server_again_s=attempt.retry_after_s,
         )
 
     def _note_unanswered(self, job: Job, placement: Placement) -> None:
--- a/src/moledale/gateway/job.py
+++ b/src/moledale/gateway/job.py
@@ -24,7 +24,10 @@
 
 
 class Attempt(msgspec.Struct):
-    """Outcome of one send; the answer of a server, if there is one to pass on."""
+    """Outcome of one send; the answer of a server, if there is one to pass on.
+
+    `leaving` and `retry_after_s` are what the answer said of its server.
+    """
 
     ending: Ending
     head: AnswerHead | None = None
@@ -32,6 +35,7 @@
     retry_after_s: float | None = None
     why: str = ""
     next: Continuation | None = None
+    leaving: bool = False
 
 
 class Job(msgspec.Struct):
--- a/src/moledale/gateway/messages.py
+++ b/src/moledale/gateway/messages.py
@@ -77,7 +77,11 @@
 
 
 class AnswerFacts(msgspec.Struct, frozen=True):
-    """What an answer says of itself, whatever its headers are called."""
+    """What an answer says of itself and of its server, whatever its headers are called.
+
+    With `leaving` the server says that it ends soon. `retry_after_s` is None where the answer
+    states no time that can be read.
+    """
 
     request_id: str | None
     signed: bool
@@ -85,6 +89,7 @@
     retry_after_s: float | None
     keep_alive_s: float | None
     closes: bool
+    leaving: bool = False
 
 
 class AttemptFacts(msgspec.Struct, frozen=True):
--- a/src/moledale/log.py
+++ b/src/moledale/log.py
@@ -76,6 +76,9 @@
     REQUEST_BLOCKED = EventSpec(
         422, logbook.WARNING, "A request gets no server, since servers ended under it."
     )
+    HEADER_UNREADABLE = EventSpec(
+        423, logbook.WARNING, "A header of a server's answer can't be read and counts as missing."
+    )
     USAGE_REPORTED = EventSpec(510, logbook.INFO, "Usage of a window was reported.")
     USAGE_FAILED = EventSpec(511, logbook.WARNING, "Usage of a window could not be reported.")
     SERVERS_ORDERED = EventSpec(512, logbook.INFO, "A number of servers was ordered for a hall.")
--- a/src/moledale/platform/headers.py
+++ b/src/moledale/platform/headers.py
@@ -1,5 +1,7 @@
 """Requests and answers as the platform spells them."""
 
+import math
+from email.utils import parsedate_to_datetime
 from urllib.parse import parse_qs
 
 import msgspec
@@ -14,6 +16,7 @@
     RequestFacts,
     RequestHead,
 )
+from moledale.log import Event, emit
 from moledale.platform.entries import platform_id
 
 BEARER = b"bearer "
@@ -46,6 +49,11 @@
     }
 )
 LAST_EVENT = b"last-event-id"
+LEAVING = b"server-leaving"
+SAYS_YES = b"1"
+RETRY_AFTER = b"retry-after"
+MOST_LOGGED_BYTES = 64
+"""A value that can't be read is logged up to this length."""
 
 
 class PlatformHeaders:
@@ -106,9 +114,10 @@
             None if request_id is None else request_id.decode("latin-1"),
             b"server-stamp" in found,
             b"not-executed" in found or head.status == 421,
-            _seconds(found.get(b"retry-after")),
+            _retry_after_s(head.headers),
             _keep_alive(found.get(b"keep-alive")),
             b"close" in found.get(b"connection", b"").lower(),
+            _says_leaving(head.headers),
         )
 
     def answer_headers(self, head: AnswerHead) -> Headers:
@@ -195,6 +204,47 @@
     return tuple(parts)
 
 
+def _says_leaving(headers: Headers) -> bool:
+    """Say whether any of the headers of that name says so."""
+    return any(name.lower() == LEAVING and value.strip() == SAYS_YES for name, value in headers)
+
+
+def _retry_after_s(headers: Headers) -> float | None:
+    """Return the longest time that an answer states, in seconds, or None if it states none.
+
+    A date (RFC 9110) counts from the answer's own date: clocks of two machines differ.
+    """
+    sent = next((value for name, value in headers if name.lower() == b"date"), None)
+    times = [
+        _one_retry_after_s(value, sent) for name, value in headers if name.lower() == RETRY_AFTER
+    ]
+    return max((each for each in times if each is not None), default=None)
+
+
+def _one_retry_after_s(value: bytes, sent: bytes | None) -> float | None:
+    """Return the seconds of one header; one that can't be read states no time and is logged."""
+    text = value.decode("latin-1").strip()
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = _until_date_s(text, sent)
+    if math.isfinite(seconds) and seconds >= 0:
+        return seconds
+    emit(Event.HEADER_UNREADABLE, header="Retry-After", value=text[:MOST_LOGGED_BYTES])
+    return None
+
+
+def _until_date_s(text: str, sent: bytes | None) -> float:
+    """Return the seconds from an answer's date until another one, not a number if unreadable."""
+    if sent is None:
+        return math.nan
+    try:
+        until = parsedate_to_datetime(text)
+        return max(0.0, (until - parsedate_to_datetime(sent.decode("latin-1"))).total_seconds())
+    except (ValueError, TypeError):
+        return math.nan
+
+
 def _seconds(value: bytes | None) -> float | None:
     try:
         return None if value is None else float(value)
