A test's program no longer loses a line where two run at once

Seen failing once in a whole run of the tests (2 != 3 calls). Cause: two plays at once each read the list of calls, then wrote it anew, so that one line could be lost. Each now adds its line to the end, in one write. The check is as it was.

--- a/tests/test_compare.py
+++ b/tests/test_compare.py
@@ -12,8 +12,8 @@
 import json, pathlib, sys, uuid
 why = sys.argv[sys.argv.index("--why") + 1]
 seed = int(sys.argv[sys.argv.index("--seed") + 1])
-calls = pathlib.Path("calls.txt")
-calls.write_text((calls.read_text() if calls.exists() else "") + why + "\\n")
+with open("calls.txt", "a") as calls:
+    calls.write(why + "\\n")
 entry = {"ok": seed != 9, "why": why, "days": [{"G": seed / 10, "name": sys.argv[3]}]}
 pathlib.Path("journal", uuid.uuid4().hex + ".json").write_text(json.dumps(entry))
 """
