Servers that want no work for a time get none, at the product's own interface too

The same cause, sought elsewhere: an engine's or plain service's 503 with a time to come back was kept for the one request, and the next went there at once. Where all rest, callers are refused at once with the time of the first. Leaving was heeded already, by the load report of each answer.

--- a/src/moledale/core/routing.py
+++ b/src/moledale/core/routing.py
@@ -25,6 +25,7 @@
     """Life cycle of a server as this node sees it."""
 
     LIVE = "live"
+    RESTING = "resting"
     LEAVING = "leaving"
     DOWN = "down"
 
@@ -82,6 +83,7 @@
     prefill_tokens: int = 0
     decode_tokens: int = 0
     cached: dict[str, int] = field(default_factory=dict)
+    rests_until: float = 0.0
 
     def cached_for(self, need: Need) -> int:
         """Return how many prompt tokens the session's cache here should cover."""
@@ -100,12 +102,25 @@
     auto_transitions=False,
     transitions=[
         {"trigger": "note_leaving", "source": "*", "dest": Standing.LEAVING},
-        {"trigger": "note_silent", "source": Standing.LIVE, "dest": Standing.DOWN},
+        {
+            "trigger": "note_rest",
+            "source": [Standing.LIVE, Standing.RESTING],
+            "dest": Standing.RESTING,
+        },
+        {"trigger": "note_rested", "source": Standing.RESTING, "dest": Standing.LIVE},
+        {
+            "trigger": "note_silent",
+            "source": [Standing.LIVE, Standing.RESTING],
+            "dest": Standing.DOWN,
+        },
         {"trigger": "note_answer", "source": Standing.DOWN, "dest": Standing.LIVE},
     ],
     ignore_invalid_triggers=True,
 )
-"""Life cycle of a server: one that is leaving never comes back under the same id."""
+"""Life cycle of a server: one that is leaving never comes back under the same id.
+
+A server that turned an attempt away and said for how long it wants no other is resting.
+"""
 
 
 @dataclass(frozen=True, slots=True)
@@ -237,6 +252,25 @@
         known.speeds = view.speeds
         known.hall = view.hall
 
+    def rest(self, server: str, until: float) -> None:
+        """Give a server nothing until some time, since it asked for that."""
+        view = self.views.get(server)
+        if view is not None:
+            view.rests_until = max(view.rests_until, until)
+            view.note_rest()  # type: ignore[attr-defined]
+
+    def end_rests(self, now: float) -> None:
+        """Let servers have work again whose time is over."""
+        for view in self.views.values():
+            if view.standing is Standing.RESTING and view.rests_until <= now:
+                view.note_rested()  # type: ignore[attr-defined]
+
+    def rest_left_s(self, model: str, now: float) -> float | None:
+        """Return when the first server of a model that rests is free again, None if none rests."""
+        resting = (view for view in self.views.values() if view.standing is Standing.RESTING)
+        waits = (view.rests_until - now for view in resting if model in view.models)
+        return min((max(0.0, wait_s) for wait_s in waits), default=None)
+
     def unfollow(self, server: str) -> None:
         """Stop following a server; open reservations may still be released."""
         view = self.views.pop(server, None)
--- a/src/moledale/node/node.py
+++ b/src/moledale/node/node.py
@@ -134,7 +134,7 @@
             self.platform.table, self._commit_interval_s, limits.journal_bytes, clock
         )
         self.accounts = Accounts(self.bundle, lambda: len(self.fleet.nodes), clock)
-        self.services = ServiceRouter(services, self.bundle, rng)
+        self.services = ServiceRouter(services, self.bundle, rng, clock.monotonic)
         self._peers = link
         self.once = OnceKeeper(
             self.id,
--- a/src/moledale/node/services.py
+++ b/src/moledale/node/services.py
@@ -2,11 +2,13 @@
 
 import random
 from collections.abc import Callable
+from math import ceil
 
 from result import Err, Result
 
 from moledale import problems
 from moledale.bundle.schema import Bundle, Service
+from moledale.log import Event, emit
 from moledale.problems import Problem
 from moledale.servers.types import PlainServices, ServiceAnswer, ServiceCall
 
@@ -17,11 +19,17 @@
     """Picks an address of a service and calls it."""
 
     def __init__(
-        self, services: PlainServices, bundle: Callable[[], Bundle | None], rng: random.Random
+        self,
+        services: PlainServices,
+        bundle: Callable[[], Bundle | None],
+        rng: random.Random,
+        now: Callable[[], float],
     ) -> None:
         self._services = services
         self._bundle = bundle
         self._rng = rng
+        self._now = now
+        self._rests_until: dict[str, float] = {}
 
     async def call(self, call: ServiceCall) -> Result[ServiceAnswer, Problem]:
         """Call a service; only what can't have run, or may run again, is tried elsewhere."""
@@ -31,9 +39,13 @@
             return Err(problems.not_found(f"service {call.service!r}"))
         may_repeat = service.repeatable or call.method in SAFE_METHODS
         refusal = problems.unavailable(f"service {call.service!r} refuses connections", 2)
-        for address in self._order(service):
+        free = self._free(service)
+        if not free:
+            return Err(self._all_rest(service))
+        for address in self._order(free):
             outcome = await self._services.call(address, call, service.timeout_s)
             if not isinstance(outcome, Err):
+                self._note_rest(address, outcome.ok_value.wait_s)
                 return outcome
             failure = outcome.err_value
             if not failure.may_have_run:
@@ -43,5 +55,22 @@
             refusal = problems.failed(f"the service failed: {failure.detail}")
         return Err(refusal)
 
-    def _order(self, service: Service) -> list[str]:
-        return self._rng.sample(service.addresses, len(service.addresses))
+    def _order(self, addresses: list[str]) -> list[str]:
+        return self._rng.sample(addresses, len(addresses))
+
+    def _free(self, service: Service) -> list[str]:
+        """Return the addresses that did not ask for no calls until later."""
+        now = self._now()
+        self._rests_until = {name: at for name, at in self._rests_until.items() if at > now}
+        return [each for each in service.addresses if each not in self._rests_until]
+
+    def _note_rest(self, address: str, wait_s: float | None) -> None:
+        if wait_s is not None:
+            self._rests_until[address] = self._now() + wait_s
+            emit(Event.SERVER_RESTS, server=address, wait_s=wait_s)
+
+    def _all_rest(self, service: Service) -> Problem:
+        """Return a refusal with the time after which the first address is free again."""
+        first = min(self._rests_until[each] for each in service.addresses)
+        detail = f"all of service {service.name!r} want no calls for now"
+        return problems.unavailable(detail, ceil(first - self._now()))
--- a/src/moledale/node/waiting.py
+++ b/src/moledale/node/waiting.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from math import ceil
 
 from moledale import problems
 from moledale.bundle.schema import Bundle, Priority
@@ -65,6 +66,9 @@
         """Refuse at once what would wait longer than its deadline allows."""
         need = need_of(request, [], self._hall)
         ready = eligible(self._book.views.values(), need)
+        rest_s = self._book.rest_left_s(need.model, self._clock.monotonic())
+        if not ready and rest_s is not None:
+            return problems.unavailable("all servers want no work for now", ceil(rest_s))
         if not ready:
             return problems.unavailable(f"no server holds model {request.model!r} now", 5)
         slots = sum(view.speeds.slots for view in ready)
--- a/src/moledale/servers/http.py
+++ b/src/moledale/servers/http.py
@@ -13,6 +13,7 @@
 from result import Err, Ok, Result
 
 from moledale.http_failures import CALL_FAILURES
+from moledale.http_fields import RETRY_AFTER, retry_after_s
 from moledale.servers.types import (
     CacheEvent,
     CacheEventPage,
@@ -36,6 +37,9 @@
 CALL_S = 2.0
 STREAM_IDLE_S = 20.0
 MAX_CONNECTIONS = 4_000
+UNAVAILABLE = 503
+"""Status of a server that turns a call away."""
+
 _event_decoder = msgspec.json.Decoder(GenerateEvent)
 _HOP_BY_HOP = {"connection", "transfer-encoding", "keep-alive", "content-length", "host"}
 
@@ -71,7 +75,9 @@
                 stream=True,
             )
             if response.status_code != 200:
-                raise ServerError(f"answered {response.status_code}")
+                detail = f"answered {response.status_code}"
+                wait_s = _wait_s(response)
+                raise ServerError(detail, may_have_run=wait_s is None, wait_s=wait_s)
             pending = b""
             async with aclosing(response.read_chunks()) as chunks:
                 async for chunk in chunks:
@@ -176,4 +182,13 @@
             except CALL_FAILURES as error:
                 return Err(ServerFailure(type(error).__name__, may_have_run=True))
         content_type = response.headers.get("content-type", "application/octet-stream")
-        return Ok(ServiceAnswer(response.status_code, content_type, body))
+        return Ok(ServiceAnswer(response.status_code, content_type, body, _wait_s(response)))
+
+
+def _wait_s(response: aiosonic.HttpResponse) -> float | None:
+    """Return for how long a server that turned a call away wants no other, if it says so."""
+    if response.status_code != UNAVAILABLE:
+        return None
+    fields = [(name.lower(), value) for name, value in response.raw_headers]
+    times = [value for name, value in fields if name == RETRY_AFTER]
+    return retry_after_s(times, next((value for name, value in fields if name == "date"), None))
--- a/src/moledale/servers/types.py
+++ b/src/moledale/servers/types.py
@@ -122,11 +122,12 @@
 
 
 class ServiceAnswer(msgspec.Struct, frozen=True):
-    """A plain service's answer."""
+    """A plain service's answer; with `wait_s` it wants no other call for so many seconds."""
 
     status: int
     content_type: str
     body: bytes
+    wait_s: float | None = None
 
 
 class ModelServers(Protocol):
@@ -174,8 +175,12 @@
 
 
 class ServerError(Exception):
-    """A generation broke off; with `may_have_run` false it never reached the server."""
+    """A generation broke off; with `may_have_run` false it never reached the server.
 
-    def __init__(self, detail: str, may_have_run: bool = True) -> None:
+    With `wait_s` the server turned it away and wants no other for so many seconds.
+    """
+
+    def __init__(self, detail: str, may_have_run: bool = True, wait_s: float | None = None) -> None:
         super().__init__(detail)
         self.may_have_run = may_have_run
+        self.wait_s = wait_s
--- /dev/null
+++ b/tests/test_resting_servers.py
@@ -0,0 +1,169 @@
+"""Servers that want no work for a time, at the product's own interface.
+
+The same cause as with requests that are forwarded: what a server's answer said of it ended with the
+request that it answered, and the next one went to the same server at once.
+"""
+
+import asyncio
+import random
+import unittest
+from itertools import pairwise
+
+from result import Ok, Result
+
+from moledale.bundle.schema import Bundle, Service
+from moledale.core.routing import LoadBook, ServerView, Speeds, Standing
+from moledale.node.services import ServiceRouter
+from moledale.problems import Ran
+from moledale.servers.http import HttpModelServers, HttpPlainServices, make_client
+from moledale.servers.types import (
+    GenerateCall,
+    ServerError,
+    ServerFailure,
+    ServiceAnswer,
+    ServiceCall,
+)
+from tests.gateway_world import quietly
+from tests.world import World, in_world
+
+REST_S = 3.0
+CALL = ServiceCall("quotes", "POST", "/quote", [], b"")
+GENERATE = GenerateCall("a1", "m", "a question", 4, "normal", "s")
+
+
+class RestingEngineTest(unittest.TestCase):
+    @in_world
+    async def test_generations_go_elsewhere_until_the_time_is_over(self, world: World) -> None:
+        await world.up(nodes=1, engines=2)
+        resting = world.engines["e0"]
+        resting.wants_rest_s = REST_S
+        dispatcher = world.nodes["n0"].dispatcher
+        for number in range(30):
+            record = dispatcher.submit(world.request(f"question {number}")).unwrap()
+            await record.wait_ended()
+            self.assertEqual(record.state, "finished")
+        self.assertTrue(resting.starts)
+        times = [at for at, _ in resting.starts]
+        self.assertTrue(all(after - at >= REST_S for at, after in pairwise(times)), times)
+
+    @in_world
+    async def test_all_that_rest_refuse_at_once_with_the_time_of_the_first(
+        self, world: World
+    ) -> None:
+        await world.up(nodes=1, engines=2)
+        dispatcher = world.nodes["n0"].dispatcher
+        now = world.clock.monotonic()
+        dispatcher.book.rest("e0", now + REST_S)
+        dispatcher.book.rest("e1", now + 2 * REST_S)
+        refused = dispatcher.submit(world.request("a question")).unwrap_err()
+        self.assertEqual((refused.status, refused.ran), (503, Ran.NO))
+        self.assertEqual(refused.retry_after, REST_S)
+        await world.clock.sleep(REST_S + 0.2)
+        record = dispatcher.submit(world.request("a question")).unwrap()
+        await record.wait_ended()
+        self.assertEqual(record.state, "finished")
+
+    def test_a_server_that_leaves_while_it_rests_does_not_come_back(self) -> None:
+        book = LoadBook(10)
+        book.follow(ServerView("s1", "a", "h:1", Speeds(1.0, 1.0, 4)))
+        view = book.views["s1"]
+        book.rest("s1", 5.0)
+        self.assertIs(view.standing, Standing.RESTING)
+        view.note_leaving()  # type: ignore[attr-defined]
+        book.end_rests(6.0)
+        self.assertIs(view.standing, Standing.LEAVING)
+        book.rest("s1", 9.0)
+        self.assertIs(view.standing, Standing.LEAVING)
+
+
+class Declining:
+    """Plain services of which some addresses turn calls away."""
+
+    def __init__(self, *declining: str) -> None:
+        self.declining = set(declining)
+        self.called: list[str] = []
+
+    async def call(
+        self, base: str, call: ServiceCall, timeout_s: float
+    ) -> Result[ServiceAnswer, ServerFailure]:
+        """Answer, or turn the call away."""
+        self.called.append(base)
+        if base in self.declining:
+            return Ok(ServiceAnswer(503, "text/plain", b"", REST_S))
+        return Ok(ServiceAnswer(200, "text/plain", b"fine"))
+
+
+class RestingServiceTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.now = 100.0
+        self.addresses = ["http://a:1", "http://b:1"]
+
+    def router(self, services: Declining) -> ServiceRouter:
+        service = Service.model_construct(
+            name="quotes", addresses=self.addresses, timeout_s=1.0, repeatable=False
+        )
+        bundle = Bundle.model_construct(services=[service])
+        return ServiceRouter(services, lambda: bundle, random.Random(1), lambda: self.now)
+
+    def test_address_that_wants_no_calls_gets_none_until_its_time_is_over(self) -> None:
+        async def work() -> None:
+            services = Declining("http://a:1")
+            router = self.router(services)
+            for _ in range(20):
+                await router.call(CALL)
+            self.assertEqual(services.called.count("http://a:1"), 1)
+            self.now += REST_S
+            for _ in range(20):
+                await router.call(CALL)
+            self.assertEqual(services.called.count("http://a:1"), 2)
+
+        quietly(work())
+
+    def test_all_that_want_no_calls_refuse_with_the_time_of_the_first(self) -> None:
+        async def work() -> None:
+            services = Declining(*self.addresses)
+            router = self.router(services)
+            while len(set(services.called)) < 2:
+                await router.call(CALL)
+            self.now += 1.0
+            called = len(services.called)
+            refused = (await router.call(CALL)).unwrap_err()
+            self.assertEqual((refused.status, refused.ran), (503, Ran.NO))
+            self.assertEqual(refused.retry_after, 2)
+            self.assertEqual(len(services.called), called)
+
+        quietly(work())
+
+
+class OnTheWireTest(unittest.TestCase):
+    """Both adapters read the time that a 503 names, and no other answer's."""
+
+    def test_engines_and_plain_services(self) -> None:
+        for status, more, expected in (
+            (503, b"Retry-After: 2.5\r\n", 2.5),
+            (503, b"Retry-After: 1\r\nRetry-After: 4\r\n", 4.0),
+            (503, b"Retry-After: soon\r\n", None),
+            (503, b"", None),
+            (500, b"Retry-After: 2.5\r\n", None),
+        ):
+            with self.subTest(status=status, more=more):
+                quietly(self.read(status, more, expected))
+
+    async def read(self, status: int, more: bytes, expected: float | None) -> None:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 %d X\r\nContent-Length: 0\r\n%b\r\n" % (status, more))
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        try:
+            async with make_client() as client:
+                with self.assertRaises(ServerError) as failed:
+                    async for _ in HttpModelServers(client).generate(address, GENERATE):
+                        pass
+            self.assertEqual(failed.exception.wait_s, expected)
+            got = (await HttpPlainServices().call(f"http://{address}", CALL, 1.0)).unwrap()
+            self.assertEqual((got.status, got.wait_s), (status, expected))
+        finally:
+            server.close()
