Leave time for the holder's looks when a version with late evidence rises

Cause of the flaky test in KNOWN-RED.txt: a version that waited for evidence on one route rose at the latest moment, which left time for rise, move and telling, but not for the holder's looks: each phase ended up to a look late and began a look late in the books. Ruled out before: load (it fails as often alone). It comes off the list. The latest rise of an order of 12 s is at 0.74 of its time now, 0.80 before.

--- a/src/moledale/core/rollouts.py
+++ b/src/moledale/core/rollouts.py
@@ -39,6 +39,14 @@
 TELLING_S = 0.5
 """Time for the last requests at old servers and for the store to take the status."""
 
+STEP_S = 0.25
+"""Time between two looks of the holder: a tick of its duties, 0.2 s, and what the look takes."""
+
+STEPS_AFTER_RISE = 3
+"""Looks by which a version may be taken over later than its phases ask for: each of the rise, the
+move and the end comes up to one look after it is due. Without them 30 of 40 roll-outs with late
+evidence on one route, of 8 to 20 s each, were taken over too late to be told in time."""
+
 LEAST_PER_ROUTE = 6
 """Answers of the new servers on each route that has traffic before the version rises: of those of a
 version half of whose answers fail there, one in 64 has none."""
@@ -173,7 +181,8 @@
 
 def latest_rise(duration_s: float) -> float:
     """Return the part of an order's time after which a version can hardly be taken over in it."""
-    return min(RISE_LATEST, 1.0 - RISING_FOR - (LEAST_MOVING_S + TELLING_S) / duration_s)
+    follows_s = LEAST_MOVING_S + TELLING_S + STEPS_AFTER_RISE * STEP_S
+    return min(RISE_LATEST, 1.0 - RISING_FOR - follows_s / duration_s)
 
 
 def next_phase(seen: Progress) -> Phase:
--- a/src/moledale/gateway/rollout_duty.py
+++ b/src/moledale/gateway/rollout_duty.py
@@ -81,6 +81,8 @@
                 return
             if phase > rollout.phase:
                 self._advance(service, phase)
+                # Its time counts from here, not from the next look.
+                self._in_phase_s(service, rollout)
         await self._write(rollout, rollout.phase, held)
 
     def _advance(self, service: str, phase: Phase) -> None:
--- /dev/null
+++ b/tests/test_rollout_timing.py
@@ -0,0 +1,67 @@
+"""A version that evidence comes late for is still taken over within its order's time.
+
+What was seen: 7 of 164 plays of a roll-out of 8 s took it over after its time. A route had 3 answers
+of the new servers where 6 are wanted, so the version rose at the latest moment, 5.8 s, and was taken
+over at 8.1 s. Cause: that moment left time for what follows it, but not for the holder's steps: it
+looks five times a second, and noted a phase as begun at the first look after it began.
+"""
+
+import asyncio
+import unittest
+from unittest import mock
+
+from result import Ok
+
+from moledale.core.rollout_evidence import Arm
+from moledale.core.rollouts import TELLING_S, Exposure, Phase, RolloutOrder
+from moledale.gateway import duties
+from moledale.gateway.balance import ServerBook
+from moledale.gateway.messages import Server
+from moledale.gateway.peers import Membership
+from moledale.gateway.rollout_duty import RolloutDuty
+from moledale.gateway.rollouts import Rollouts
+from tests.gateway_world import quietly
+
+LATE_S = 0.02
+"""Each look of the holder comes a little late, by what the look before it took."""
+
+
+class LateEvidenceTest(unittest.TestCase):
+    def test_version_is_taken_over_in_time_whenever_the_holder_looks(self) -> None:
+        for duration_s in (8.0, 10.0, 12.0, 20.0):
+            for phase_ms in range(0, 200, 20):
+                with self.subTest(duration_s=duration_s, phase_ms=phase_ms):
+                    quietly(self.take_over(duration_s, phase_ms / 1000))
+
+    async def take_over(self, duration_s: float, first_look_s: float) -> None:
+        self.now = first_look_s
+        book = ServerBook("hall-a")
+        old = [Server("s0", "model", "h:0", "hall-a", 4, version="v1")]
+        book.apply(old)
+        book.apply([*old, Server("s1", "model", "h:1", "hall-a", 4, version="v2")])
+        rollouts = Rollouts(
+            book, Membership("n1", 1), lambda _: None, lambda at: at, lambda: 1, -1.0, Exposure()
+        )
+        rollouts.ordered(RolloutOrder("model", 1, "v2", duration_s, 0.0))
+        self.note_answers(rollouts)
+        store = mock.Mock()
+        store.kept_rollouts = mock.AsyncMock(return_value=Ok([]))
+        store.write_rollout = mock.AsyncMock(
+            return_value=Ok(mock.Mock(superseded=False, committed=True, version=1))
+        )
+        duty = RolloutDuty(store, rollouts, book, lambda at: at, lambda: self.now)
+        while rollouts.services["model"].phase is not Phase.COMPLETED:
+            await duty.step(lambda: True)
+            self.assertLessEqual(self.now, duration_s - TELLING_S)
+            self.now += duties.TICK_S + LATE_S
+            await asyncio.sleep(0)
+
+    def note_answers(self, rollouts: Rollouts) -> None:
+        """Have enough answers in all, but too few on one route."""
+        rollout = rollouts.services["model"]
+        for route, new in (("review", 30), ("order", 3)):
+            for _ in range(200):
+                rollout.own.seen.note(Arm.OLD, route, False, 0.1)
+            for _ in range(new):
+                rollout.own.seen.note(Arm.NEW, route, False, 0.1)
+        rollouts.step()
