--- /dev/null
+++ b/tools/record_formats.py
@@ -0,0 +1,180 @@
+"""Records the formats that builds share: `python -m tools.record_formats BUILD > FILE`.
+
+Nodes of two builds run side by side while machines are replaced, and what one wrote to the store
+outlives it. The record holds the fields of each message and row, and an example as this build
+encodes it. A file of a build that landed is never edited; a test reads it with later code.
+"""
+
+import argparse
+import enum
+import importlib
+import sys
+from typing import Any
+
+import msgspec
+
+MESSAGES = (
+    "moledale.gateway.gossip:StateNews",
+    "moledale.gateway.gossip:PackedState",
+    "moledale.gateway.gossip:PlacementNews",
+    "moledale.gateway.server_list:ServerChange",
+    "moledale.gateway.quarantine_sharing:EndNews",
+    "moledale.gateway.quarantine_sharing:ClearedNews",
+    "moledale.gateway.quarantine_sharing:BlockNews",
+    "moledale.gateway.document_archive:DocumentPiece",
+    "moledale.gateway.messages:Server",
+)
+"""What nodes send each other, as msgpack."""
+
+ROWS = (
+    "moledale.core.leases:LeaseRow",
+    "moledale.core.rollouts:RolloutNews",
+    "moledale.gateway.duties:WindowRow",
+    "moledale.gateway.quarantine_store:StoredBlock",
+)
+"""What lies in the store, as JSON."""
+
+MOST_DEEP = 6
+"""Structs nest less deeply than this."""
+
+
+class FieldRecord(msgspec.Struct, frozen=True):
+    """A field: its name on the wire, its type in words, and whether it has no default."""
+
+    name: str
+    type: str
+    required: bool
+
+
+class StructRecord(msgspec.Struct, frozen=True):
+    """A message, row or part of one."""
+
+    array_like: bool
+    tag: str | None
+    fields: list[FieldRecord]
+
+
+class ExampleRecord(msgspec.Struct, frozen=True):
+    """An encoded example, and what it says in plain values."""
+
+    encoded: bytes
+    value: Any
+
+
+class FormatRecord(msgspec.Struct, frozen=True):
+    """All that a build shares with others."""
+
+    build: str
+    structs: dict[str, StructRecord]
+    examples: dict[str, ExampleRecord]
+
+
+def type_named(name: str) -> type[msgspec.Struct]:
+    """Return the type of a name as in `MESSAGES`."""
+    module, _, attribute = name.partition(":")
+    found: type[msgspec.Struct] = getattr(importlib.import_module(module), attribute)
+    return found
+
+
+def name_of(kind: type) -> str:
+    """Return the name of a type as in `MESSAGES`."""
+    return f"{kind.__module__}:{kind.__qualname__}"
+
+
+def example_of(kind: Any, depth: int = 0) -> Any:
+    """Return a value of a type, with something in every field."""
+    info = kind if isinstance(kind, msgspec.inspect.Type) else msgspec.inspect.type_info(kind)
+    match info:
+        case msgspec.inspect.StructType(cls=cls, fields=fields):
+            if depth > MOST_DEEP:
+                raise ValueError(f"{cls} nests too deeply")
+            return cls(**{field.name: example_of(field.type, depth + 1) for field in fields})
+        case msgspec.inspect.UnionType(types=types):
+            return example_of(
+                next(each for each in types if not isinstance(each, msgspec.inspect.NoneType)),
+                depth,
+            )
+        case msgspec.inspect.DictType(key_type=key, value_type=value):
+            return {example_of(key, depth): example_of(value, depth)}
+        case msgspec.inspect.TupleType(item_types=items):
+            return tuple(example_of(item, depth) for item in items)
+        case msgspec.inspect.VarTupleType(item_type=item):
+            return (example_of(item, depth),)
+        case msgspec.inspect.ListType(item_type=item):
+            return [example_of(item, depth)]
+        case msgspec.inspect.EnumType(cls=cls):
+            return next(iter(cls))
+    plain = {
+        msgspec.inspect.BoolType: True,
+        msgspec.inspect.IntType: 7,
+        msgspec.inspect.FloatType: 1.5,
+        msgspec.inspect.StrType: "text",
+        msgspec.inspect.BytesType: b"bytes",
+    }
+    return plain[type(info)]
+
+
+def structs_in(kind: Any, found: dict[str, StructRecord]) -> None:
+    """Add a type's struct, and those of its fields."""
+    info = kind if isinstance(kind, msgspec.inspect.Type) else msgspec.inspect.type_info(kind)
+    if isinstance(info, msgspec.inspect.StructType):
+        if name_of(info.cls) in found:
+            return
+        tag = None if info.tag is None else str(info.tag)
+        fields = [
+            FieldRecord(field.encode_name, words_of(field.type), field.required)
+            for field in info.fields
+        ]
+        found[name_of(info.cls)] = StructRecord(info.array_like, tag, fields)
+        for field in info.fields:
+            structs_in(field.type, found)
+        return
+    for name in ("types", "item_types"):
+        for part in getattr(info, name, ()):
+            structs_in(part, found)
+    for name in ("item_type", "key_type", "value_type"):
+        if hasattr(info, name):
+            structs_in(getattr(info, name), found)
+
+
+def words_of(info: msgspec.inspect.Type) -> str:
+    """Return a type in words that are the same in each build; those of structs by name only."""
+    if isinstance(info, msgspec.inspect.StructType):
+        return info.cls.__qualname__
+    if isinstance(info, msgspec.inspect.EnumType):
+        members = {each.name: each.value for each in info.cls if isinstance(each, enum.Enum)}
+        return f"{info.cls.__qualname__}{members}"
+    parts = [*getattr(info, "types", ()), *getattr(info, "item_types", ())]
+    parts += [
+        getattr(info, name)
+        for name in ("key_type", "value_type", "item_type")
+        if hasattr(info, name)
+    ]
+    inside = ", ".join(words_of(part) for part in parts)
+    name = type(info).__name__.removesuffix("Type").lower()
+    return f"{name}[{inside}]" if inside else name
+
+
+def record(build: str) -> FormatRecord:
+    """Return the record of the build that runs."""
+    structs: dict[str, StructRecord] = {}
+    examples = {}
+    for names, encode in ((MESSAGES, msgspec.msgpack.encode), (ROWS, msgspec.json.encode)):
+        for name in names:
+            kind = type_named(name)
+            structs_in(kind, structs)
+            example = example_of(kind)
+            examples[name] = ExampleRecord(encode(example), msgspec.to_builtins(example))
+    return FormatRecord(build, structs, examples)
+
+
+def main() -> None:
+    """Print the record."""
+    parser = argparse.ArgumentParser(prog="python -m tools.record_formats", description=__doc__)
+    parser.add_argument("build", help="the commit whose sources run")
+    encoded = msgspec.json.encode(record(parser.parse_args().build))
+    sys.stdout.buffer.write(msgspec.json.format(encoded, indent=1) + b"\n")
+
+
+if __name__ == "__main__":
+    main()
