Notices of servers in a module of their own; what is told is found without a walk over all servers

Cause: each state of a node looked at every server for those that leave by their own word or turned requests away; with 3,000 servers that is a walk several times a round. Both are kept as few names now.

--- a/src/moledale/gateway/balance.py
+++ b/src/moledale/gateway/balance.py
@@ -10,7 +10,7 @@
 from moledale.gateway.plan import Engine
 from moledale.gateway.server_group import ServerGroup
 from moledale.gateway.server_model import FirstEvent, Speed, SpeedLearner
-from moledale.gateway.server_notices import MOST_TOLD, ServerNotices
+from moledale.gateway.server_notices import ServerNotices
 from moledale.gateway.server_order import steps
 from moledale.gateway.server_view import ENGINE_SLOTS, FIRST_PAUSE_S, Placement, ServerView
 
@@ -21,10 +21,6 @@
 """The way to another hall and back, 1 to 3 ms at the users': it decides between equal servers
 only."""
 
-ASKED_LATER_S = 0.5
-"""A server that turned another node's requests away is asked this much later than by that node: two
-rounds of news, in which it tells how the server answered."""
-
 LEAST_EXPECTED_S = 0.01
 """First events that are expected sooner count as expected then: a step of an engine takes 6 ms."""
 
@@ -84,7 +80,6 @@
         self.views: dict[str, ServerView] = {}
         self.work: dict[str, int] = {}
         self.learners: dict[str, SpeedLearner] = {}
-        self.notices = ServerNotices()
         self.on_placed: Callable[[], None] = _nobody_asks
         self.has_connection: Callable[[str], bool] = _not_known
         self.resting: Callable[[], Iterable[str]] = _none_resting
@@ -95,6 +90,7 @@
         self._groups: dict[str, ServerGroup] = {}
         self._counted: dict[str, Loads] = {}
         self._placed: list[tuple[ServerView, int, tuple[PromptPart, ...]]] = []
+        self.notices = ServerNotices(self.views, self.group)
 
     def apply(self, servers: Iterable[Server]) -> list[Server]:
         """Take over the list of servers; return those that are there no more."""
@@ -112,37 +108,9 @@
                 self._count_others(view)
         return gone
 
-    # What servers say of themselves
-
-    def note_leaving(self, name: str) -> Server | None:
-        """Take over a server's word that it leaves; return the server if that is news here."""
-        view = self.views.get(name)
-        if view is None or view.server.leaving:
-            return None
-        self.notices.add(view.server)
-        self.group(view.server.service).mark_leaving(name)
-        return view.server
-
-    def leaving_beyond_the_list(self) -> list[str]:
-        """Return the servers that said that they leave while the list doesn't, for other nodes."""
-        return self.notices.beyond_the_list(self.views)
-
     def declined(self, now: float) -> dict[str, float]:
-        """Return the servers that turned this node's requests away, with the seconds for which they
-        are set aside, for other nodes."""
-        waits = {name: view.declined_until - now for name, view in self.views.items()}
-        declined = [(name, wait_s) for name, wait_s in waits.items() if wait_s > 0]
-        return {name: round(wait_s, 2) for name, wait_s in declined[:MOST_TOLD]}
-
-    def peers_declined(self, declined: dict[str, float], now: float) -> None:
-        """Take over which servers turned another node's requests away.
-
-        That node asks them again first, so that others learn how it went before they do.
-        """
-        for name, wait_s in declined.items():
-            view = self.views.get(name)
-            if view is not None:
-                view.peers_decline(now + wait_s + ASKED_LATER_S)
+        """Return the servers that turned this node's requests away, for other nodes."""
+        return self.notices.declined(self._groups.values(), now)
 
     def group(self, service: str) -> ServerGroup:
         """Return the servers of a service."""
--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -121,7 +121,7 @@
 
     def server_leaves(self, name: str, source: str = "answer") -> None:
         """Give a server that said that it leaves no new work, and move its streams in time."""
-        server = self._book.note_leaving(name)
+        server = self._book.notices.note_leaving(name)
         if server is not None:
             emit(Event.SERVER_LEAVING, server=name, source=source)
             self.evacuation.servers_changed()
--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -331,7 +331,7 @@
             rollouts=self.rollouts.news(),
             trials=self.rollouts.counts(),
             blocks=self.quarantine.digest(),
-            leaving=self.book.leaving_beyond_the_list(),
+            leaving=self.book.notices.leaving_beyond_the_list(),
             declined=self.book.declined(now),
         )
 
@@ -439,7 +439,7 @@
             self._gossip.tell(StateNews(self._state(), self.neighbours.hints(now)), [state.peer])
         for name in state.leaving:
             self.forwarder.server_leaves(name, source=state.id)
-        self.book.peers_declined(state.declined, now)
+        self.book.notices.peers_declined(state.declined, now)
         self.rollouts.heard(state.rollouts)
         self.neighbours.addresses.add(state.peer, now)
         for address in message.addresses:
--- a/src/moledale/gateway/server_group.py
+++ b/src/moledale/gateway/server_group.py
@@ -336,19 +336,25 @@
 
         It is 0 if one may get it now.
         """
-        staying = [view for view in self.views.values() if not view.server.leaving]
-        waits = (view.retry_at - now for view in staying if self.allows(view.server.version))
-        return min((max(0.0, wait_s) for wait_s in waits), default=None)
+        first = None
+        for view in self.views.values():
+            if view.server.leaving or not self.allows(view.server.version):
+                continue
+            wait_s = max(0.0, view.retry_at - now)
+            if wait_s == 0.0:
+                return 0.0
+            first = wait_s if first is None else min(first, wait_s)
+        return first
+
+    def declined(self, now: float) -> list[ServerView]:
+        """Return the servers that stay and are set aside since they turned requests away."""
+        views = (self.views[name] for name in self._unsound)
+        return [view for view in views if view.declined_until > now and not view.server.leaving]
 
     def unavailable(self, now: float, longer_than_s: float) -> int:
-        """Return how many servers that stay have turned requests away for longer than that."""
+        """Return how many servers that stay turn requests away for longer than that."""
         return sum(
-            1
-            for name in self._unsound
-            if (view := self.views[name]).declines
-            and not view.server.leaving
-            and view.declined_until > now
-            and max(view.declined_until, now) - view.declined_since > longer_than_s
+            view.declined_until - view.declined_since > longer_than_s for view in self.declined(now)
         )
 
     def has_other(self, now: float, tried: frozenset[str]) -> bool:
--- a/src/moledale/gateway/server_notices.py
+++ b/src/moledale/gateway/server_notices.py
@@ -6,12 +6,14 @@
 another id or another address.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import msgspec
 from cachetools import LRUCache
 
 from moledale.gateway.messages import Server
+from moledale.gateway.server_group import ServerGroup
+from moledale.gateway.server_view import ServerView
 
 MOST_REMEMBERED = 2_048
 """Servers that said that they leave, about twice as many as a large deployment has: 0.2 MB."""
@@ -19,31 +21,63 @@
 MOST_TOLD = 32
 """Servers that one state tells other nodes of, of each kind: 0.6 KB at most."""
 
+ASKED_LATER_S = 0.5
+"""A server that turned another node's requests away is asked this much later than by that node: two
+rounds of news, in which it tells how the server answered."""
+
 
 class ServerNotices:
-    """Servers that said that they leave, kept apart from the list."""
+    """What servers said of themselves, kept apart from the list.
 
-    def __init__(self) -> None:
-        self._address_of: LRUCache[str, str] = LRUCache(MOST_REMEMBERED)
-        self._listed_as_leaving: set[str] = set()
+    `views` are the servers that are known, `group` tells the servers of a service.
+    """
 
-    def add(self, server: Server) -> None:
-        """Remember that a server leaves."""
-        self._address_of[server.id] = server.address
+    def __init__(self, views: dict[str, ServerView], group: Callable[[str], ServerGroup]) -> None:
+        self._views = views
+        self._group = group
+        self._address_of: LRUCache[str, str] = LRUCache(MOST_REMEMBERED)
+        self._beyond_the_list: set[str] = set()
 
     def applied_to(self, servers: Iterable[Server]) -> list[Server]:
         """Return a list of servers with those marked that said that they leave."""
-        listed = list(servers)
-        self._listed_as_leaving = {server.id for server in listed if server.leaving}
-        return [self._as_said(server) for server in listed]
+        self._beyond_the_list = set()
+        return [self._as_said(server) for server in servers]
 
     def _as_said(self, server: Server) -> Server:
         # A server under the same id at another address is another life of it.
         if server.leaving or self._address_of.get(server.id) != server.address:
             return server
+        self._beyond_the_list.add(server.id)
         return msgspec.structs.replace(server, leaving=True)
 
-    def beyond_the_list(self, there: Iterable[str]) -> list[str]:
-        """Return those of some servers that are known to leave by their own word only."""
-        known = (name for name in there if name in self._address_of)
-        return [name for name in known if name not in self._listed_as_leaving][:MOST_TOLD]
+    def note_leaving(self, name: str) -> Server | None:
+        """Take over a server's word that it leaves; return the server if that is news here."""
+        view = self._views.get(name)
+        if view is None or view.server.leaving:
+            return None
+        self._address_of[name] = view.server.address
+        self._beyond_the_list.add(name)
+        self._group(view.server.service).mark_leaving(name)
+        return view.server
+
+    def leaving_beyond_the_list(self) -> list[str]:
+        """Return the servers that said that they leave while the list doesn't, for other nodes."""
+        return sorted(self._beyond_the_list)[:MOST_TOLD]
+
+    def declined(self, groups: Iterable[ServerGroup], now: float) -> dict[str, float]:
+        """Return the servers that turned this node's requests away, with the seconds for which they
+        are set aside, for other nodes."""
+        declined = [view for group in groups for view in group.declined(now)]
+        return {
+            view.server.id: round(view.declined_until - now, 2) for view in declined[:MOST_TOLD]
+        }
+
+    def peers_declined(self, declined: dict[str, float], now: float) -> None:
+        """Take over which servers turned another node's requests away.
+
+        That node asks them again first, so that others learn how it went before they do.
+        """
+        for name, wait_s in declined.items():
+            view = self._views.get(name)
+            if view is not None:
+                view.peers_decline(now + wait_s + ASKED_LATER_S)
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -216,7 +216,7 @@
                     self.assertEqual((await world.ask("/order/")).status, 200)
                 self.assertEqual(len(first.arrivals), 1)
                 self.assertFalse(world.book.views["s1"].server.leaving)
-                self.assertEqual(world.book.leaving_beyond_the_list(), [])
+                self.assertEqual(world.book.notices.leaving_beyond_the_list(), [])
 
         quietly(work())
 
@@ -425,17 +425,18 @@
         book = ServerBook("a")
         names = [f"s{each}" for each in range(100)]
         book.apply([Server(name, "model", "h:1", "a", 64) for name in names])
-        for name in names:
+        for name in names[:50]:
             book.views[name].decline(1.0, 5.0)
-            book.note_leaving(name)
+        for name in names[50:]:
+            book.notices.note_leaving(name)
         self.assertEqual(len(book.declined(1.0)), MOST_TOLD)
-        self.assertEqual(len(book.leaving_beyond_the_list()), MOST_TOLD)
+        self.assertEqual(len(book.notices.leaving_beyond_the_list()), MOST_TOLD)
 
     def test_what_the_list_says_is_not_told(self) -> None:
         book = ServerBook("a")
         ready = Server("s1", "model", "h:1", "a", 64)
         book.apply([ready])
-        book.note_leaving("s1")
-        self.assertEqual(book.leaving_beyond_the_list(), ["s1"])
+        book.notices.note_leaving("s1")
+        self.assertEqual(book.notices.leaving_beyond_the_list(), ["s1"])
         book.apply([msgspec.structs.replace(ready, leaving=True)])
-        self.assertEqual(book.leaving_beyond_the_list(), [])
+        self.assertEqual(book.notices.leaving_beyond_the_list(), [])
