The soak's servers leave unheard by the store, and ask for rest

Two troubles more: a server that leaves while the store is away, which only its own answers say, and servers that turn requests away and ask for 1.8 s of rest. Two checks: a node that passed on a server's word that it leaves sends it nothing new after 2 s; no more than two requests reach a server from a node between half a second after it asked for rest and the end of it. A restart or freeze of the node, or a cut to the server, excuses both. The checks' own tests find what they are for.

--- a/tests/soak/backend.py
+++ b/tests/soak/backend.py
@@ -8,13 +8,16 @@
 
 from tests.gateway_world import LAST_CHUNK, Arrival, chunk, reset
 from tests.soak.link import Link
-from tests.soak.records import Ledger, Run
+from tests.soak.records import Declined, Ledger, Run
 
 EVENTS = 12
 EVENT_S = 0.03
 PLAIN_S = 0.01
 SLOW_X = 6.0
 
+REST_S = 1.8
+"""A server that asks for rest wants no requests for so long."""
+
 GUILTY = b"the request that ends servers"
 """Beginning of the bodies that no server survives."""
 
@@ -28,6 +31,7 @@
     GOOD = "good"
     GREY = "failures while healthy"
     SHED = "rejects"
+    REST = "rejects and asks for rest"
     LOST = "runs and resets"
     CUT = "breaks off answers"
     EXTRA = "second answers"
@@ -54,6 +58,7 @@
         self.mood = Mood.GOOD
         self.share = 0.4
         self.down = False
+        self.leaving = False
         self.born = int(time.time() * 1000)
         self.on_guilty_end: Callable[[Backend], None] = lambda _: None
         self.link = Link("")
@@ -118,6 +123,10 @@
             self._reject(arrival, writer, 421)
         elif self.mood is Mood.SHED and strikes:
             self._reject(arrival, writer, 503)
+        elif self.mood is Mood.REST and strikes:
+            name = arrival.get("request-id") or ""
+            self._ledger.declined.append(Declined(name, self.id, time.monotonic(), REST_S))
+            self._reject(arrival, writer, 503, f"Retry-After: {REST_S}\r\n")
         elif self.service == "model":
             await self._stream(arrival, writer, strikes)
         else:
@@ -141,12 +150,16 @@
         )
 
     def _head(self, arrival: Arrival, status: int, more: str) -> bytes:
+        if self.leaving:
+            more = f"Server-Leaving: 1\r\n{more}"
         return (
             f"HTTP/1.1 {status} X\r\nRequest-Id: {arrival.get('request-id')}\r\n{more}\r\n"
         ).encode()
 
-    def _reject(self, arrival: Arrival, writer: asyncio.StreamWriter, status: int) -> None:
-        more = "Not-Executed: 1\r\nContent-Length: 0\r\n"
+    def _reject(
+        self, arrival: Arrival, writer: asyncio.StreamWriter, status: int, more: str = ""
+    ) -> None:
+        more += "Not-Executed: 1\r\nContent-Length: 0\r\n"
         writer.write(self._head(arrival, status, more))
 
     async def _plain(self, arrival: Arrival, writer: asyncio.StreamWriter, strikes: bool) -> None:
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -18,6 +18,8 @@
 STOP_SLACK_S = 1.0
 ANSWER_SLACK_S = 0.5
 CROSSING_S = 0.2
+UNDER_WAY_S = 0.5
+MOST_IN_REST = 2
 RECOVERY_S = 8.0
 RECOVERED_SHARE = 0.9
 MOST_LATE = 3
@@ -128,6 +130,40 @@
                 yield f"{run.request} reached {run.server} {late:.2f} s too late"
 
 
+def own_word_of_leaving_counts(ledger: Ledger) -> Iterable[str]:
+    """A node that passed on a server's word that it leaves sends it nothing new after a while."""
+    sent = {attempt.request: attempt for attempt in ledger.attempts}
+    heard: dict[tuple[str, str], float] = {}
+    for attempt in ledger.attempts:
+        if attempt.whole and attempt.headers.get("server-leaving") == "1":
+            key = (attempt.node, attempt.headers.get("server-stamp", ""))
+            heard[key] = min(heard.get(key, attempt.ended_at), attempt.ended_at)
+    for run in ledger.runs:
+        asked = sent.get(run.request)
+        said_at = heard.get((asked.node, run.server)) if asked is not None else None
+        if asked is None or said_at is None or asked.sent_at <= said_at + LEAVE_S:
+            continue
+        if not ledger.disturbed(asked.node, run.server, said_at, run.at):
+            late_s = run.at - said_at - LEAVE_S
+            yield f"{run.request}: {asked.node} sent it to {run.server} {late_s:.2f} s too late"
+
+
+def rest_is_given(ledger: Ledger) -> Iterable[str]:
+    """A node leaves a server that asked for rest alone, but for what was under way."""
+    node_of = {attempt.request: attempt.node for attempt in ledger.attempts}
+    arrived = [(run.request, run.server, run.at) for run in ledger.runs]
+    arrived += [(each.request, each.server, each.at) for each in ledger.declined]
+    by_way: dict[tuple[str, str], list[float]] = defaultdict(list)
+    for request, server, at in arrived:
+        by_way[node_of.get(request, ""), server].append(at)
+    for asked in ledger.declined:
+        node = node_of.get(asked.request, "")
+        begin, end = asked.at + UNDER_WAY_S, asked.at + asked.rest_s
+        late = [at for at in by_way[node, asked.server] if begin < at < end]
+        if len(late) > MOST_IN_REST and not ledger.disturbed(node, asked.server, asked.at, end):
+            yield f"{asked.request}: {node} sent {len(late)} to {asked.server}, which rests"
+
+
 def planned_work_cuts_nothing(ledger: Ledger) -> Iterable[str]:
     """In calm times every request that was read is answered whole."""
     runs = runs_by_request(ledger)
@@ -293,6 +329,8 @@
     nothing_unasked,
     attempts_bounded,
     leaving_servers_rest,
+    own_word_of_leaving_counts,
+    rest_is_given,
     planned_work_cuts_nothing,
     answers_in_time,
     versions_in_force,
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -3,6 +3,12 @@
 import time
 from dataclasses import dataclass, field
 
+STANDS_STILL = frozenset({"kill", "freeze", "server link"})
+"""Disruptions after which a node need not know what a server told it, or heard it late."""
+
+ALL_STAND_STILL = frozenset({"kill all", "the soak stood still"})
+"""The same of all nodes at once."""
+
 
 @dataclass(slots=True)
 class Run:
@@ -20,6 +26,16 @@
     tokens: int
 
 
+@dataclass(slots=True)
+class Declined:
+    """A request that a server turned away, asking for `rest_s` without others."""
+
+    request: str
+    server: str
+    at: float
+    rest_s: float
+
+
 @dataclass(slots=True)
 class Attempt:
     """A request as its caller saw it; times are monotonic seconds."""
@@ -86,6 +102,7 @@
 
     began: float = field(default_factory=time.monotonic)
     runs: list[Run] = field(default_factory=list)
+    declined: list[Declined] = field(default_factory=list)
     attempts: list[Attempt] = field(default_factory=list)
     faults: list[Fault] = field(default_factory=list)
     versions: list[Version] = field(default_factory=list)
@@ -101,6 +118,15 @@
         self.faults.append(fault)
         return fault
 
+    def disturbed(self, node: str, server: str, begin: float, end: float) -> bool:
+        """Say whether a node, its way to a server or the soak itself stood still within a span."""
+        for fault in self.faults:
+            its_own = fault.what.partition(" ")[0] in (node, server)
+            concerned = fault.kind in ALL_STAND_STILL or (fault.kind in STANDS_STILL and its_own)
+            if concerned and fault.begins <= end and fault.ends >= begin:
+                return True
+        return any(name == node and begin <= at <= end for name, at in self.starts)
+
     def unplanned_in(self, begin: float, end: float) -> bool:
         """Say whether anything unplanned went on within a span."""
         return any(
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -97,6 +97,7 @@
             self._store_mood,
             self._forget_history,
             self._lapse_entries,
+            self._leave_unheard,
             self._server_link,
             self._server_mood,
             self._server_mood,
@@ -224,6 +225,33 @@
         fault.ends = time.monotonic()
         self._world.busy.discard("store")
 
+    async def _leave_unheard(self) -> None:
+        """A server leaves while the store is away, so that only its own answers say it."""
+        if self._world.busy & {"store", "release"}:
+            return
+        self._world.busy |= {"store", "release"}
+        old = self._world.chance.choice(self._world.backends)
+        await self._world.add_backend(old.service)
+        await asyncio.sleep(1.0)
+        fault = self._world.ledger.fault("store", f"silent, {old.id} leaves")
+        self._world.platform.mood = StoreMood.SILENT
+        if old in self._world.backends:
+            self._world.backends.remove(old)
+        old.leaving = True
+        await asyncio.sleep(AWAY_S + self._for_s())
+        self._world.platform.mood = StoreMood.GOOD
+        self._world.list_backend(old, "draining")
+        self._world.ledger.leaving.append(Leaving(old.id, time.monotonic()))
+        self._world.thawed.append(asyncio.get_running_loop().time())
+        fault.ends = time.monotonic()
+        self._world.busy.discard("store")
+        await asyncio.sleep(SERVED_ON_S)
+        self._world.platform.drop("servers", old.id)
+        await asyncio.sleep(0.5)
+        old.crash()
+        old.link.close()
+        self._world.busy.discard("release")
+
     async def _forget_history(self) -> None:
         self._world.ledger.fault("history gone", "", for_s=1.0)
         self._world.platform.history_from = self._world.platform.version
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,7 +6,7 @@
 from standins.rows import DutyCall
 from tests.soak import checks
 from tests.soak.backend import EVENTS, GUILTY, event_of, plain_body
-from tests.soak.records import Attempt, Exit, Leaving, Ledger, Run, Version
+from tests.soak.records import Attempt, Declined, Exit, Leaving, Ledger, Run, Version
 from tests.soak.soak import SoakPlan, note_stall, play
 
 SEED = 7
@@ -54,6 +54,31 @@
             if check is not checks.served_after_healing:
                 self.assert_found(check, 0)
 
+    def test_server_that_said_that_it_leaves_gets_more(self) -> None:
+        said = {"server-leaving": "1", "server-stamp": "s1"}
+        self.ledger.attempts += [
+            attempt_of("r1", whole=True, status=200, headers=said),
+            attempt_of("r2", sent_at=102.5),
+            attempt_of("r3", sent_at=102.5, node="n2"),
+            attempt_of("r4", sent_at=101.5),
+        ]
+        self.ledger.runs += [run_of(f"r{number}", "s1", 103.0) for number in (1, 2, 3, 4)]
+        self.assert_found(checks.own_word_of_leaving_counts)
+        self.ledger.starts.append(("n1", 101.0))
+        self.assert_found(checks.own_word_of_leaving_counts, 0)
+
+    def test_server_that_asked_for_rest_gets_more(self) -> None:
+        self.ledger.attempts += [attempt_of(f"r{number}") for number in range(6)]
+        self.ledger.attempts.append(attempt_of("r6", node="n2"))
+        self.ledger.declined.append(Declined("r0", "s1", 100.0, 2.0))
+        times = (100.2, 100.7, 101.0, 101.2, 102.1)
+        self.ledger.runs += [run_of(f"r{n}", "s1", at) for n, at in enumerate(times, 1)]
+        self.ledger.runs.append(run_of("r6", "s1", 101.0))
+        self.assert_found(checks.rest_is_given)
+        fault = self.ledger.fault("freeze", "n1")
+        fault.begins, fault.ends = 100.9, 101.1
+        self.assert_found(checks.rest_is_given, 0)
+
     def test_wrong_or_cut_body(self) -> None:
         self.answered("check", plain_body("r1", "s1")[:-1])
         self.assert_found(checks.own_whole_answers)
