--- a/src/moledale/gateway/server_group.py
+++ b/src/moledale/gateway/server_group.py
@@ -347,15 +347,15 @@
         return first
 
     def declined(self, now: float) -> list[ServerView]:
-        """Return the servers that stay and are set aside since they turned requests away."""
+        """Return the servers that stay and turned requests of this node away."""
         views = (self.views[name] for name in self._unsound)
         return [view for view in views if view.declined_until > now and not view.server.leaving]
 
     def unavailable(self, now: float, longer_than_s: float) -> int:
-        """Return how many servers that stay turn requests away for longer than that."""
-        return sum(
-            view.declined_until - view.declined_since > longer_than_s for view in self.declined(now)
-        )
+        """Return how many servers that stay turn requests of any node away for longer than that."""
+        views = (self.views[name] for name in self._unsound)
+        away = (view for view in views if view.declines_until() > now and not view.server.leaving)
+        return sum(view.declines_until() - view.declined_since > longer_than_s for view in away)
 
     def has_other(self, now: float, tried: frozenset[str]) -> bool:
         """Say whether a server may get work that was not tried and is not set aside."""
--- a/src/moledale/gateway/server_notices.py
+++ b/src/moledale/gateway/server_notices.py
@@ -53,9 +53,11 @@
     def note_leaving(self, name: str) -> Server | None:
         """Take over a server's word that it leaves; return the server if that is news here."""
         view = self._views.get(name)
-        if view is None or view.server.leaving:
+        if view is None:
             return None
         self._address_of[name] = view.server.address
+        if view.server.leaving:
+            return None
         self._beyond_the_list.add(name)
         self._group(view.server.service).mark_leaving(name)
         return view.server
@@ -80,4 +82,4 @@
         for name, wait_s in declined.items():
             view = self._views.get(name)
             if view is not None:
-                view.peers_decline(now + wait_s + ASKED_LATER_S)
+                view.peers_decline(now, now + wait_s + ASKED_LATER_S)
--- a/src/moledale/gateway/server_view.py
+++ b/src/moledale/gateway/server_view.py
@@ -23,6 +23,13 @@
 looks idle, so without this it draws requests: 362 of 809 were turned away on a played day on which
 four of twelve engines did so for 12 s."""
 
+MOST_DOUBLED = 32
+"""Pauses double so many times at most: no pause gets longer after that, whatever its first is."""
+
+DECLINE_GAP_S = 1.0
+"""A server that turned requests away is taken to go on with it until it takes one, or until it was
+not asked for this long: the time between two requests of a node to a service is less."""
+
 SILENT_ENGINE_S = 0.8
 """An engine with several requests is silent after this time: its steps take 3 to 20 ms. Not derived
 from the pauses that routes allow (0.25 to 0.5 s), which are over by then."""
@@ -39,6 +46,12 @@
 """Servers with as many slots run batches, whose tokens come all the time."""
 
 
+def doubled(first_s: float, times: int, most_s: float) -> float:
+    """Return a pause that doubles each time, up to a most; `times` may be any number from 1."""
+    # A power of two beyond a float's range raises an error, and a server may fail for hours.
+    return min(first_s * 2.0 ** min(times - 1, MOST_DOUBLED), most_s)
+
+
 class ServerView(msgspec.Struct, eq=False):
     """A server as this node sees it; `on_change` hears of each change of its load or standing.
 
@@ -94,14 +107,21 @@
         """Say whether the server gets requests only if no other one may."""
         return max(self.paused_until, self.declined_until, self.peers_declined_until) > now
 
+    def declines_until(self) -> float:
+        """Return until when the server is set aside since it turned requests of any node away."""
+        return max(self.declined_until, self.peers_declined_until)
+
+    def _note_decline(self, now: float) -> None:
+        if now - self.declines_until() > DECLINE_GAP_S:
+            self.declined_since = now
+
     def decline(self, now: float, wait_s: float | None) -> None:
         """Learn that the server turned a request away; it may say how long it wants no other."""
-        if not self.declines:
-            self.declined_since = now
+        self._note_decline(now)
         self.declines += 1
         self.declined_at = now
         if wait_s is None:
-            pause_s = min(FIRST_DECLINE_S * 2 ** (self.declines - 1), LONGEST_DECLINE_S)
+            pause_s = doubled(FIRST_DECLINE_S, self.declines, LONGEST_DECLINE_S)
             self.declined_until = max(self.declined_until, now + pause_s)
         else:
             self.retry_at = max(self.retry_at, now + wait_s)
@@ -115,8 +135,9 @@
             self.declined_until = self.peers_declined_until = 0.0
             self.changed()
 
-    def peers_decline(self, until: float) -> None:
+    def peers_decline(self, now: float, until: float) -> None:
         """Learn that the server turned requests of other nodes away."""
+        self._note_decline(now)
         self.peers_declined_until = max(self.peers_declined_until, until)
         self.changed()
 
@@ -229,6 +250,5 @@
     """Learn from a server that can't be reached or broke off: pause it, longer each time."""
     view.failures += 1
     view.failed_share += SMOOTHING * (1.0 - view.failed_share)
-    pause = min(FIRST_PAUSE_S * 2 ** (view.failures - 1), LONGEST_PAUSE_S)
-    view.paused_until = now + pause
+    view.paused_until = now + doubled(FIRST_PAUSE_S, view.failures, LONGEST_PAUSE_S)
     view.changed()
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -13,7 +13,7 @@
 from moledale.gateway.plan import Renting
 from moledale.gateway.renting import RentingPlanner
 from moledale.gateway.server_notices import MOST_TOLD
-from moledale.gateway.server_view import ServerView
+from moledale.gateway.server_view import ServerView, note_silence
 from moledale.gateway.upstream import UpstreamConnection
 from moledale.platform.headers import PlatformHeaders
 from standins.rows import Mood
@@ -185,6 +185,14 @@
         world._listed.append(Server(server.id, "plain", server.address, "hall-a", 4))
         world.book.apply(world._listed)
 
+    def test_word_counts_though_the_list_said_it_before(self) -> None:
+        book = ServerBook("a")
+        ready = Server("s1", "model", "h:1", "a", 64)
+        book.apply([msgspec.structs.replace(ready, leaving=True)])
+        self.assertIsNone(book.notices.note_leaving("s1"))
+        book.apply([ready])
+        self.assertTrue(book.views["s1"].server.leaving)
+
     def test_another_life_of_it_gets_requests(self) -> None:
         for name, same_id in (("another address", True), ("another id", False)):
             with self.subTest(name):
@@ -372,6 +380,25 @@
         self.assertFalse(view.is_open(12.9))
         self.assertTrue(view.is_open(13.0))
 
+    def test_servers_that_fail_for_hours_do_no_harm(self) -> None:
+        view = ServerView(Server("s1", "plain", "h:1", "a", 4))
+        for each in range(5_000):
+            view.decline(float(each), None)
+            note_silence(view, float(each))
+        self.assertEqual(view.declined_until, 4_999.0 + 3.0)
+        self.assertEqual(view.paused_until, 4_999.0 + 3.0)
+
+    def test_node_that_serves_nobody_counts_what_others_were_told(self) -> None:
+        """The holder of the duties is a node in reserve, so it hears of it from others only."""
+        book = ServerBook("a")
+        book.apply([Server("s1", "model", "h:1", "a", 64)])
+        for step in range(20):
+            book.notices.peers_declined({"s1": 1.0}, 10.0 + 0.2 * step)
+        self.assertEqual(book.group("model").unavailable(13.8, 4.0), 1)
+        self.assertEqual(book.declined(13.8), {})
+        book.notices.peers_declined({"s1": 1.0}, 30.0)
+        self.assertEqual(book.group("model").unavailable(30.0, 4.0), 0)
+
     def test_servers_that_turn_away_for_longer_than_a_start_are_made_up_for(self) -> None:
         book = ServerBook("a")
         book.apply([Server(f"s{each}", "model", f"h:{each}", "a", 64) for each in range(4)])
