--- a/tools/without_gateway.py
+++ b/tools/without_gateway.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from moledale import clock
+from moledale.core import rollouts
 from moledale.core.quarantine import Quarantine
 from moledale.gateway import (
     directory,
@@ -254,5 +255,9 @@
     ("others ask a full server later", ServerNotices, "peers_declined", lambda *_: None, NOTICES),
     ("callers come back when any server is free", Forwarder, "_wait_s", lambda *_: None, NOTICES),
     ("servers that turn away are made up for", ServerGroup, "unavailable", lambda *_: 0, NOTICES),
+    ("starting nodes tell all what they admit", Neighbours, "_spends_unheard",
+     lambda *_: False, LIMITS),
+    ("the holder's looks are reckoned with", rollouts, "STEPS_AFTER_RISE", 0,
+     "tests.test_rollout_timing"),
     ("as many serve as requests need", directory, "REQUEST_CORE_S", 1e-9, MEMBERSHIP),
 ]  # fmt: skip
