--- a/src/moledale/core/routing.py
+++ b/src/moledale/core/routing.py
@@ -25,7 +25,7 @@
     """Life cycle of a server as this node sees it."""
 
     LIVE = "live"
-    RESTING = "resting"
+    BACKOFF = "backoff"
     LEAVING = "leaving"
     DOWN = "down"
 
@@ -83,7 +83,7 @@
     prefill_tokens: int = 0
     decode_tokens: int = 0
     cached: dict[str, int] = field(default_factory=dict)
-    rests_until: float = 0.0
+    retry_at: float = 0.0
 
     def cached_for(self, need: Need) -> int:
         """Return how many prompt tokens the session's cache here should cover."""
@@ -103,14 +103,14 @@
     transitions=[
         {"trigger": "note_leaving", "source": "*", "dest": Standing.LEAVING},
         {
-            "trigger": "note_rest",
-            "source": [Standing.LIVE, Standing.RESTING],
-            "dest": Standing.RESTING,
+            "trigger": "note_backoff",
+            "source": [Standing.LIVE, Standing.BACKOFF],
+            "dest": Standing.BACKOFF,
         },
-        {"trigger": "note_rested", "source": Standing.RESTING, "dest": Standing.LIVE},
+        {"trigger": "note_backoff_over", "source": Standing.BACKOFF, "dest": Standing.LIVE},
         {
             "trigger": "note_silent",
-            "source": [Standing.LIVE, Standing.RESTING],
+            "source": [Standing.LIVE, Standing.BACKOFF],
             "dest": Standing.DOWN,
         },
         {"trigger": "note_answer", "source": Standing.DOWN, "dest": Standing.LIVE},
@@ -119,7 +119,7 @@
 )
 """Life cycle of a server: one that is leaving never comes back under the same id.
 
-A server that turned an attempt away and said for how long it wants no other is resting.
+A server that turned an attempt away and stated when to retry is in backoff until then.
 """
 
 
@@ -252,23 +252,23 @@
         known.speeds = view.speeds
         known.hall = view.hall
 
-    def rest(self, server: str, until: float) -> None:
+    def back_off(self, server: str, until: float) -> None:
         """Give a server nothing until some time, since it asked for that."""
         view = self.views.get(server)
         if view is not None:
-            view.rests_until = max(view.rests_until, until)
-            view.note_rest()  # type: ignore[attr-defined]
+            view.retry_at = max(view.retry_at, until)
+            view.note_backoff()  # type: ignore[attr-defined]
 
-    def end_rests(self, now: float) -> None:
+    def end_backoffs(self, now: float) -> None:
         """Let servers have work again whose time is over."""
         for view in self.views.values():
-            if view.standing is Standing.RESTING and view.rests_until <= now:
-                view.note_rested()  # type: ignore[attr-defined]
+            if view.standing is Standing.BACKOFF and view.retry_at <= now:
+                view.note_backoff_over()  # type: ignore[attr-defined]
 
-    def rest_left_s(self, model: str, now: float) -> float | None:
-        """Return when the first server of a model that rests is free again, None if none rests."""
-        resting = (view for view in self.views.values() if view.standing is Standing.RESTING)
-        waits = (view.rests_until - now for view in resting if model in view.models)
+    def retry_in_s(self, model: str, now: float) -> float | None:
+        """Return when the first server of a model may be retried, None if none asked for that."""
+        waiting = (view for view in self.views.values() if view.standing is Standing.BACKOFF)
+        waits = (view.retry_at - now for view in waiting if model in view.models)
         return min((max(0.0, wait_s) for wait_s in waits), default=None)
 
     def unfollow(self, server: str) -> None:
--- a/src/moledale/gateway/answers.py
+++ b/src/moledale/gateway/answers.py
@@ -84,32 +84,32 @@
         if facts.request_id is not None and facts.request_id != job.facts.id:
             connection.usable = False
             return self.cut(job, placement, Cut.GARBLED)
-        self._heed(placement, head.status, facts)
+        self._take_notice(placement, head.status, facts)
         attempt = await self._read_rest(job, connection, run, head, facts)
         attempt.leaving = facts.leaving
         attempt.retry_after_s = facts.retry_after_s
         return attempt
 
-    def _heed(self, placement: Placement, status: int, facts: AnswerFacts) -> None:
+    def _take_notice(self, placement: Placement, status: int, facts: AnswerFacts) -> None:
         """Take over what an answer says of its server, for all requests that come after."""
         now = self._now()
         view = placement.view
         if not (facts.signed or facts.not_run):
             return
         if status == WRONG_SERVER:
-            self._set_aside(view, WRONG_SERVER_S, now)
+            self._back_off(view, WRONG_SERVER_S, now)
         elif status == TURNED_AWAY and (facts.not_run or facts.retry_after_s is not None):
-            self._set_aside(view, facts.retry_after_s, now)
+            self._back_off(view, facts.retry_after_s, now)
         elif not facts.not_run:
             view.accepted(placement.sent_at)
         # Another server at the address says nothing of the one that was meant.
         if facts.leaving and status != WRONG_SERVER:
             self._leaves(view.server.id)
 
-    def _set_aside(self, view: ServerView, wait_s: float | None, now: float) -> None:
-        view.decline(now, wait_s)
-        if wait_s is not None:
-            emit(Event.SERVER_RESTS, server=view.server.id, wait_s=wait_s)
+    def _back_off(self, view: ServerView, retry_after_s: float | None, now: float) -> None:
+        view.decline(now, retry_after_s)
+        if retry_after_s is not None:
+            emit(Event.SERVER_BACKOFF, server=view.server.id, retry_after_s=retry_after_s)
 
     async def _read_rest(
         self,
--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -35,7 +35,7 @@
 """Time to come back where other nodes are known to be able to serve, so only a little spread."""
 
 NO_SERVER = "no server is there"
-ALL_WAIT = "all servers want no requests for now"
+ALL_BACK_OFF = "all servers asked for a later retry"
 """What callers are told where a request could be sent to no server."""
 
 NO_EVENT = "0"
@@ -182,7 +182,7 @@
             placement = self._place(job) if moved is None else moved.placement
             if placement is None:
                 if last.why == NO_SERVER and self._wait_s(job):
-                    last = Attempt(Ending.NOT_SENT, why=ALL_WAIT)
+                    last = Attempt(Ending.NOT_SENT, why=ALL_BACK_OFF)
                 break
             placement.route = job.route.name
             attempt = await self._attempt(job, placement, moved)
@@ -249,7 +249,7 @@
                 # Its word came while the connection was made.
                 self._pool.keep_new(server.id, connection)
                 connection = None
-                return Attempt(Ending.NOT_SENT, why="the server wants no requests now")
+                return Attempt(Ending.NOT_SENT, why="the server leaves or asked for a later retry")
             self._send(job, connection, placement, moved)
             if job.route.kind is Kind.STREAM:
                 self.evacuation.runs.add(run)
--- a/src/moledale/gateway/server_notices.py
+++ b/src/moledale/gateway/server_notices.py
@@ -1,7 +1,7 @@
 """What servers say of themselves in their answers, and how it reaches all later choices.
 
-A server's answer is the newest word of it: it leaves, it wants no requests for a time, or it is not
-the server that was meant. The list of servers may be older by seconds, or by as long as the store
+A server's answer is the newest word of it: it leaves, it asks for a later retry, or it is not the
+server that was meant. The list of servers may be older by seconds, or by as long as the store
 is away, so it never takes back what a server said; only another life of the server does, which has
 another id or another address.
 """
--- a/src/moledale/gateway/server_view.py
+++ b/src/moledale/gateway/server_view.py
@@ -55,7 +55,7 @@
 class ServerView(msgspec.Struct, eq=False):
     """A server as this node sees it; `on_change` hears of each change of its load or standing.
 
-    The server wants no request of this node before `retry_at`. Until `declined_until`, and
+    The server asked this node for no request before `retry_at`. Until `declined_until`, and
     `peers_declined_until` by what other nodes told, it gets requests only if no other server may:
     it turned some away. All times are monotonic seconds.
     """
@@ -115,16 +115,16 @@
         if now - self.declines_until() > DECLINE_GAP_S:
             self.declined_since = now
 
-    def decline(self, now: float, wait_s: float | None) -> None:
-        """Learn that the server turned a request away; it may say how long it wants no other."""
+    def decline(self, now: float, retry_after_s: float | None) -> None:
+        """Learn that the server turned a request away; it may say when to retry."""
         self._note_decline(now)
         self.declines += 1
         self.declined_at = now
-        if wait_s is None:
+        if retry_after_s is None:
             pause_s = doubled(FIRST_DECLINE_S, self.declines, LONGEST_DECLINE_S)
             self.declined_until = max(self.declined_until, now + pause_s)
         else:
-            self.retry_at = max(self.retry_at, now + wait_s)
+            self.retry_at = max(self.retry_at, now + retry_after_s)
             self.declined_until = max(self.declined_until, self.retry_at)
         self.changed()
 
--- a/src/moledale/log.py
+++ b/src/moledale/log.py
@@ -79,8 +79,8 @@
     HEADER_UNREADABLE = EventSpec(
         423, logbook.WARNING, "A header of a server's answer can't be read and counts as missing."
     )
-    SERVER_RESTS = EventSpec(
-        424, logbook.INFO, "A server turned a request away and wants no other for a time."
+    SERVER_BACKOFF = EventSpec(
+        424, logbook.INFO, "A server turned a request away and stated the earliest time of a retry."
     )
     USAGE_REPORTED = EventSpec(510, logbook.INFO, "Usage of a window was reported.")
     USAGE_FAILED = EventSpec(511, logbook.WARNING, "Usage of a window could not be reported.")
--- a/src/moledale/node/dispatcher.py
+++ b/src/moledale/node/dispatcher.py
@@ -152,7 +152,7 @@
         while True:
             await self._clock.sleep(TICK_S)
             self._guard.decide()
-            self.book.end_rests(self._clock.monotonic())
+            self.book.end_backoffs(self._clock.monotonic())
             self._waiting.refuse_expired()
             self._waiting.fill()
             self.streams.sweep(self._clock.monotonic())
@@ -270,10 +270,11 @@
                         return f"refused: {event.detail}"
             return "the answer ended early"
         except ServerError as error:
-            if error.wait_s is not None:
-                # Its word holds for all attempts of this node, not for this one alone.
-                self.book.rest(made.server, self._clock.monotonic() + error.wait_s)
-                emit(Event.SERVER_RESTS, server=made.server, wait_s=error.wait_s)
+            if error.retry_after_s is not None:
+                # It counts for all attempts of this node, not for this one alone.
+                retry_at = self._clock.monotonic() + error.retry_after_s
+                self.book.back_off(made.server, retry_at)
+                emit(Event.SERVER_BACKOFF, server=made.server, retry_after_s=error.retry_after_s)
             if error.may_have_run:
                 self._guard.broke_off(request, made.server, address)
             return str(error)
--- a/src/moledale/node/services.py
+++ b/src/moledale/node/services.py
@@ -29,7 +29,7 @@
         self._bundle = bundle
         self._rng = rng
         self._now = now
-        self._rests_until: dict[str, float] = {}
+        self._retry_at: dict[str, float] = {}
 
     async def call(self, call: ServiceCall) -> Result[ServiceAnswer, Problem]:
         """Call a service; only what can't have run, or may run again, is tried elsewhere."""
@@ -41,11 +41,11 @@
         refusal = problems.unavailable(f"service {call.service!r} refuses connections", 2)
         free = self._free(service)
         if not free:
-            return Err(self._all_rest(service))
+            return Err(self._all_back_off(service))
         for address in self._order(free):
             outcome = await self._services.call(address, call, service.timeout_s)
             if not isinstance(outcome, Err):
-                self._note_rest(address, outcome.ok_value.wait_s)
+                self._note_retry_after(address, outcome.ok_value.retry_after_s)
                 return outcome
             failure = outcome.err_value
             if not failure.may_have_run:
@@ -59,18 +59,18 @@
         return self._rng.sample(addresses, len(addresses))
 
     def _free(self, service: Service) -> list[str]:
-        """Return the addresses that did not ask for no calls until later."""
+        """Return the addresses that may be called now."""
         now = self._now()
-        self._rests_until = {name: at for name, at in self._rests_until.items() if at > now}
-        return [each for each in service.addresses if each not in self._rests_until]
+        self._retry_at = {name: at for name, at in self._retry_at.items() if at > now}
+        return [each for each in service.addresses if each not in self._retry_at]
 
-    def _note_rest(self, address: str, wait_s: float | None) -> None:
-        if wait_s is not None:
-            self._rests_until[address] = self._now() + wait_s
-            emit(Event.SERVER_RESTS, server=address, wait_s=wait_s)
+    def _note_retry_after(self, address: str, retry_after_s: float | None) -> None:
+        if retry_after_s is not None:
+            self._retry_at[address] = self._now() + retry_after_s
+            emit(Event.SERVER_BACKOFF, server=address, retry_after_s=retry_after_s)
 
-    def _all_rest(self, service: Service) -> Problem:
+    def _all_back_off(self, service: Service) -> Problem:
         """Return a refusal with the time after which the first address is free again."""
-        first = min(self._rests_until[each] for each in service.addresses)
-        detail = f"all of service {service.name!r} want no calls for now"
+        first = min(self._retry_at[each] for each in service.addresses)
+        detail = f"all addresses of service {service.name!r} asked for a later retry"
         return problems.unavailable(detail, ceil(first - self._now()))
--- a/src/moledale/node/waiting.py
+++ b/src/moledale/node/waiting.py
@@ -66,9 +66,9 @@
         """Refuse at once what would wait longer than its deadline allows."""
         need = need_of(request, [], self._hall)
         ready = eligible(self._book.views.values(), need)
-        rest_s = self._book.rest_left_s(need.model, self._clock.monotonic())
-        if not ready and rest_s is not None:
-            return problems.unavailable("all servers want no work for now", ceil(rest_s))
+        retry_in_s = self._book.retry_in_s(need.model, self._clock.monotonic())
+        if not ready and retry_in_s is not None:
+            return problems.unavailable("all servers asked for a later retry", ceil(retry_in_s))
         if not ready:
             return problems.unavailable(f"no server holds model {request.model!r} now", 5)
         slots = sum(view.speeds.slots for view in ready)
--- a/src/moledale/servers/http.py
+++ b/src/moledale/servers/http.py
@@ -76,8 +76,10 @@
             )
             if response.status_code != 200:
                 detail = f"answered {response.status_code}"
-                wait_s = _wait_s(response)
-                raise ServerError(detail, may_have_run=wait_s is None, wait_s=wait_s)
+                retry_after = _retry_after_s(response)
+                raise ServerError(
+                    detail, may_have_run=retry_after is None, retry_after_s=retry_after
+                )
             pending = b""
             async with aclosing(response.read_chunks()) as chunks:
                 async for chunk in chunks:
@@ -182,11 +184,11 @@
             except CALL_FAILURES as error:
                 return Err(ServerFailure(type(error).__name__, may_have_run=True))
         content_type = response.headers.get("content-type", "application/octet-stream")
-        return Ok(ServiceAnswer(response.status_code, content_type, body, _wait_s(response)))
+        return Ok(ServiceAnswer(response.status_code, content_type, body, _retry_after_s(response)))
 
 
-def _wait_s(response: aiosonic.HttpResponse) -> float | None:
-    """Return for how long a server that turned a call away wants no other, if it says so."""
+def _retry_after_s(response: aiosonic.HttpResponse) -> float | None:
+    """Return the time that a server which turned a call away asked for, if it did."""
     if response.status_code != UNAVAILABLE:
         return None
     fields = [(name.lower(), value) for name, value in response.raw_headers]
--- a/src/moledale/servers/types.py
+++ b/src/moledale/servers/types.py
@@ -122,12 +122,12 @@
 
 
 class ServiceAnswer(msgspec.Struct, frozen=True):
-    """A plain service's answer; with `wait_s` it wants no other call for so many seconds."""
+    """A plain service's answer; with `retry_after_s` it asked for no other call before."""
 
     status: int
     content_type: str
     body: bytes
-    wait_s: float | None = None
+    retry_after_s: float | None = None
 
 
 class ModelServers(Protocol):
@@ -177,10 +177,12 @@
 class ServerError(Exception):
     """A generation broke off; with `may_have_run` false it never reached the server.
 
-    With `wait_s` the server turned it away and wants no other for so many seconds.
+    With `retry_after_s` the server turned it away and asked for no other before.
     """
 
-    def __init__(self, detail: str, may_have_run: bool = True, wait_s: float | None = None) -> None:
+    def __init__(
+        self, detail: str, may_have_run: bool = True, retry_after_s: float | None = None
+    ) -> None:
         super().__init__(detail)
         self.may_have_run = may_have_run
-        self.wait_s = wait_s
+        self.retry_after_s = retry_after_s
--- a/tests/soak/backend.py
+++ b/tests/soak/backend.py
@@ -15,8 +15,8 @@
 PLAIN_S = 0.01
 SLOW_X = 6.0
 
-REST_S = 1.8
-"""A server that asks for rest wants no requests for so long."""
+RETRY_AFTER_S = 1.8
+"""A server that states a time to retry wants no requests before."""
 
 GUILTY = b"the request that ends servers"
 """Beginning of the bodies that no server survives."""
@@ -31,7 +31,7 @@
     GOOD = "good"
     GREY = "failures while healthy"
     SHED = "rejects"
-    REST = "rejects and asks for rest"
+    RETRY_LATER = "rejects and states when to retry"
     LOST = "runs and resets"
     CUT = "breaks off answers"
     EXTRA = "second answers"
@@ -123,10 +123,10 @@
             self._reject(arrival, writer, 421)
         elif self.mood is Mood.SHED and strikes:
             self._reject(arrival, writer, 503)
-        elif self.mood is Mood.REST and strikes:
+        elif self.mood is Mood.RETRY_LATER and strikes:
             name = arrival.get("request-id") or ""
-            self._ledger.declined.append(Declined(name, self.id, time.monotonic(), REST_S))
-            self._reject(arrival, writer, 503, f"Retry-After: {REST_S}\r\n")
+            self._ledger.declined.append(Declined(name, self.id, time.monotonic(), RETRY_AFTER_S))
+            self._reject(arrival, writer, 503, f"Retry-After: {RETRY_AFTER_S}\r\n")
         elif self.service == "model":
             await self._stream(arrival, writer, strikes)
         else:
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -19,7 +19,7 @@
 ANSWER_SLACK_S = 0.5
 CROSSING_S = 0.2
 UNDER_WAY_S = 0.5
-MOST_IN_REST = 2
+MOST_BEFORE_RETRY = 2
 RECOVERY_S = 8.0
 RECOVERED_SHARE = 0.9
 MOST_LATE = 3
@@ -148,8 +148,8 @@
             yield f"{run.request}: {asked.node} sent it to {run.server} {late_s:.2f} s too late"
 
 
-def rest_is_given(ledger: Ledger) -> Iterable[str]:
-    """A node leaves a server that asked for rest alone, but for what was under way."""
+def stated_retry_times_are_kept(ledger: Ledger) -> Iterable[str]:
+    """A node sends a server nothing before the time it stated, but for what was under way."""
     node_of = {attempt.request: attempt.node for attempt in ledger.attempts}
     arrived = [(run.request, run.server, run.at) for run in ledger.runs]
     arrived += [(each.request, each.server, each.at) for each in ledger.declined]
@@ -158,10 +158,12 @@
         by_way[node_of.get(request, ""), server].append(at)
     for asked in ledger.declined:
         node = node_of.get(asked.request, "")
-        begin, end = asked.at + UNDER_WAY_S, asked.at + asked.rest_s
+        begin, end = asked.at + UNDER_WAY_S, asked.at + asked.retry_after_s
         late = [at for at in by_way[node, asked.server] if begin < at < end]
-        if len(late) > MOST_IN_REST and not ledger.disturbed(node, asked.server, asked.at, end):
-            yield f"{asked.request}: {node} sent {len(late)} to {asked.server}, which rests"
+        if len(late) > MOST_BEFORE_RETRY and not ledger.disturbed(
+            node, asked.server, asked.at, end
+        ):
+            yield f"{asked.request}: {node} sent {len(late)} to {asked.server}, which asked for a later retry"
 
 
 def planned_work_cuts_nothing(ledger: Ledger) -> Iterable[str]:
@@ -330,7 +332,7 @@
     attempts_bounded,
     leaving_servers_rest,
     own_word_of_leaving_counts,
-    rest_is_given,
+    stated_retry_times_are_kept,
     planned_work_cuts_nothing,
     answers_in_time,
     versions_in_force,
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -28,12 +28,12 @@
 
 @dataclass(slots=True)
 class Declined:
-    """A request that a server turned away, asking for `rest_s` without others."""
+    """A request that a server turned away, stating when to retry."""
 
     request: str
     server: str
     at: float
-    rest_s: float
+    retry_after_s: float
 
 
 @dataclass(slots=True)
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Coroutine
 
 from standins.rows import Mood as StoreMood
-from tests.soak.backend import GUILTY, Mood
+from tests.soak.backend import GUILTY, Backend, Mood
 from tests.soak.callers import probe
 from tests.soak.link import Link, Weather
 from tests.soak.records import Leaving
@@ -75,14 +75,21 @@
         await asyncio.sleep(1.0)
         self._world.backends.remove(old)
         self._world.ledger.fault("drain", old.id, planned=True)
+        self._list_as_leaving(old)
+        await self._end(old)
+        self._world.busy.discard("release")
+
+    def _list_as_leaving(self, old: Backend) -> None:
         self._world.list_backend(old, "draining")
         self._world.ledger.leaving.append(Leaving(old.id, time.monotonic()))
+
+    async def _end(self, old: Backend) -> None:
+        """End a server that leaves as it said: it serves on, its entry goes, then it does."""
         await asyncio.sleep(SERVED_ON_S)
         self._world.platform.drop("servers", old.id)
         await asyncio.sleep(0.5)
         old.crash()
         old.link.close()
-        self._world.busy.discard("release")
 
     def unplanned(self) -> list[Trouble]:
         """Return what may go wrong, with some planned work between."""
@@ -240,16 +247,11 @@
         old.leaving = True
         await asyncio.sleep(AWAY_S + self._for_s())
         self._world.platform.mood = StoreMood.GOOD
-        self._world.list_backend(old, "draining")
-        self._world.ledger.leaving.append(Leaving(old.id, time.monotonic()))
+        self._list_as_leaving(old)
         self._world.thawed.append(asyncio.get_running_loop().time())
         fault.ends = time.monotonic()
         self._world.busy.discard("store")
-        await asyncio.sleep(SERVED_ON_S)
-        self._world.platform.drop("servers", old.id)
-        await asyncio.sleep(0.5)
-        old.crash()
-        old.link.close()
+        await self._end(old)
         self._world.busy.discard("release")
 
     async def _forget_history(self) -> None:
--- a/tests/test_resting_servers.py
+++ b/tests/test_retry_after.py
@@ -1,4 +1,4 @@
-"""Servers that want no work for a time, at the product's own interface.
+"""Servers that state when to retry, at the product's own interface.
 
 The same cause as with requests that are forwarded: what a server's answer said of it ended with the
 request that it answered, and the next one went to the same server at once.
@@ -26,53 +26,53 @@
 from tests.gateway_world import quietly
 from tests.world import World, in_world
 
-REST_S = 3.0
+RETRY_AFTER_S = 3.0
 CALL = ServiceCall("quotes", "POST", "/quote", [], b"")
 GENERATE = GenerateCall("a1", "m", "a question", 4, "normal", "s")
 
 
-class RestingEngineTest(unittest.TestCase):
+class EngineTest(unittest.TestCase):
     @in_world
     async def test_generations_go_elsewhere_until_the_time_is_over(self, world: World) -> None:
         await world.up(nodes=1, engines=2)
-        resting = world.engines["e0"]
-        resting.wants_rest_s = REST_S
+        declining = world.engines["e0"]
+        declining.retry_after_s = RETRY_AFTER_S
         dispatcher = world.nodes["n0"].dispatcher
         for number in range(30):
             record = dispatcher.submit(world.request(f"question {number}")).unwrap()
             await record.wait_ended()
             self.assertEqual(record.state, "finished")
-        self.assertTrue(resting.starts)
-        times = [at for at, _ in resting.starts]
-        self.assertTrue(all(after - at >= REST_S for at, after in pairwise(times)), times)
+        self.assertTrue(declining.starts)
+        times = [at for at, _ in declining.starts]
+        self.assertTrue(all(after - at >= RETRY_AFTER_S for at, after in pairwise(times)), times)
 
     @in_world
-    async def test_all_that_rest_refuse_at_once_with_the_time_of_the_first(
+    async def test_all_that_back_off_refuse_at_once_with_the_time_of_the_first(
         self, world: World
     ) -> None:
         await world.up(nodes=1, engines=2)
         dispatcher = world.nodes["n0"].dispatcher
         now = world.clock.monotonic()
-        dispatcher.book.rest("e0", now + REST_S)
-        dispatcher.book.rest("e1", now + 2 * REST_S)
+        dispatcher.book.back_off("e0", now + RETRY_AFTER_S)
+        dispatcher.book.back_off("e1", now + 2 * RETRY_AFTER_S)
         refused = dispatcher.submit(world.request("a question")).unwrap_err()
         self.assertEqual((refused.status, refused.ran), (503, Ran.NO))
-        self.assertEqual(refused.retry_after, REST_S)
-        await world.clock.sleep(REST_S + 0.2)
+        self.assertEqual(refused.retry_after, RETRY_AFTER_S)
+        await world.clock.sleep(RETRY_AFTER_S + 0.2)
         record = dispatcher.submit(world.request("a question")).unwrap()
         await record.wait_ended()
         self.assertEqual(record.state, "finished")
 
-    def test_a_server_that_leaves_while_it_rests_does_not_come_back(self) -> None:
+    def test_a_server_that_leaves_meanwhile_does_not_come_back(self) -> None:
         book = LoadBook(10)
         book.follow(ServerView("s1", "a", "h:1", Speeds(1.0, 1.0, 4)))
         view = book.views["s1"]
-        book.rest("s1", 5.0)
-        self.assertIs(view.standing, Standing.RESTING)
+        book.back_off("s1", 5.0)
+        self.assertIs(view.standing, Standing.BACKOFF)
         view.note_leaving()  # type: ignore[attr-defined]
-        book.end_rests(6.0)
+        book.end_backoffs(6.0)
         self.assertIs(view.standing, Standing.LEAVING)
-        book.rest("s1", 9.0)
+        book.back_off("s1", 9.0)
         self.assertIs(view.standing, Standing.LEAVING)
 
 
@@ -89,11 +89,11 @@
         """Answer, or turn the call away."""
         self.called.append(base)
         if base in self.declining:
-            return Ok(ServiceAnswer(503, "text/plain", b"", REST_S))
+            return Ok(ServiceAnswer(503, "text/plain", b"", RETRY_AFTER_S))
         return Ok(ServiceAnswer(200, "text/plain", b"fine"))
 
 
-class RestingServiceTest(unittest.TestCase):
+class ServiceTest(unittest.TestCase):
     def setUp(self) -> None:
         self.now = 100.0
         self.addresses = ["http://a:1", "http://b:1"]
@@ -112,7 +112,7 @@
             for _ in range(20):
                 await router.call(CALL)
             self.assertEqual(services.called.count("http://a:1"), 1)
-            self.now += REST_S
+            self.now += RETRY_AFTER_S
             for _ in range(20):
                 await router.call(CALL)
             self.assertEqual(services.called.count("http://a:1"), 2)
@@ -162,8 +162,8 @@
                 with self.assertRaises(ServerError) as failed:
                     async for _ in HttpModelServers(client).generate(address, GENERATE):
                         pass
-            self.assertEqual(failed.exception.wait_s, expected)
+            self.assertEqual(failed.exception.retry_after_s, expected)
             got = (await HttpPlainServices().call(f"http://{address}", CALL, 1.0)).unwrap()
-            self.assertEqual((got.status, got.wait_s), (status, expected))
+            self.assertEqual((got.status, got.retry_after_s), (status, expected))
         finally:
             server.close()
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -33,10 +33,10 @@
 from tests.test_gateway_nodes import Cluster, ask, on_cluster, ready, until
 
 LEAVES = b"Server-Leaving: 1\r\n"
-REST_S = 1.2
-"""A server asks for so long without requests, several times the half second in which requests
+RETRY_AFTER_S = 1.2
+"""A server asks for a retry after so long, several times the half second in which requests
 that were under way may still come."""
-WANTS_REST = b"Not-Executed: 1\r\nRetry-After: %.1f\r\n" % REST_S
+RETRY_LATER = b"Not-Executed: 1\r\nRetry-After: %.1f\r\n" % RETRY_AFTER_S
 STAMP = b"Server-Stamp: s1\r\n"
 
 
@@ -52,8 +52,8 @@
 
 
 async def declines(arrival: Arrival, _: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    """A script that turns a request away and asks for rest."""
-    writer.write(answer(arrival, b"", 503, WANTS_REST))
+    """A script that turns a request away and states when to retry."""
+    writer.write(answer(arrival, b"", 503, RETRY_LATER))
 
 
 async def is_full(arrival: Arrival, _: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -98,12 +98,12 @@
 
     Evidence: the log of each send tells what its answer said of the server. Before a send to a
     server that leaves, the same node's line of an earlier answer has `leaving` true; before one to
-    a server that asked for rest, it has the time that was asked for, which had not passed. The
+    a server that stated when to retry, it has that time, which had not come. The
     server was named as ready, had no cached front and was not the last one left.
     """
 
     def test_later_requests_go_by_what_an_answer_said(self) -> None:
-        for name, script in (("leaves", leaves), ("wants rest", declines)):
+        for name, script in (("leaves", leaves), ("states when to retry", declines)):
             with self.subTest(name):
                 quietly(self._ask_after(script))
 
@@ -293,10 +293,10 @@
         quietly(work())
 
 
-class RestTest(unittest.TestCase):
+class RetryAfterTest(unittest.TestCase):
     """A time to come back holds for all requests of a node, and is told to callers."""
 
-    def test_all_that_rest_refuse_at_once_until_the_first_is_free(self) -> None:
+    def test_all_that_back_off_refuse_at_once_until_the_first_is_free(self) -> None:
         async def work() -> None:
             async with GatewayWorld(a_plan()) as world:
                 first = await world.server("s1", "plain", declines)
@@ -306,11 +306,11 @@
                 self.assertEqual(got.status, 503)
                 self.assertLess(monotonic() - began, 0.1)
                 again_s = float(got.headers["retry-after"])
-                self.assertGreater(again_s, REST_S - 0.2)
-                self.assertLess(again_s, REST_S * 1.5 + 0.01)
+                self.assertGreater(again_s, RETRY_AFTER_S - 0.2)
+                self.assertLess(again_s, RETRY_AFTER_S * 1.5 + 0.01)
                 self.assertEqual(len(first.arrivals), 1)
                 first.script = fine
-                await asyncio.sleep(REST_S)
+                await asyncio.sleep(RETRY_AFTER_S)
                 self.assertEqual((await world.ask("/check/")).status, 200)
 
         quietly(work())
@@ -331,7 +331,7 @@
 
         quietly(work())
 
-    def test_no_time_to_come_back_is_no_rest(self) -> None:
+    def test_zero_is_no_backoff(self) -> None:
         async def declines_for_none(
             arrival: Arrival, _: object, writer: asyncio.StreamWriter
         ) -> None:
@@ -371,7 +371,7 @@
         view.accepted(view.declined_at + 0.1)
         self.assertFalse(view.is_set_aside(view.declined_at))
 
-    def test_rest_that_was_asked_for_outlasts_an_answer_to_an_earlier_request(self) -> None:
+    def test_time_that_was_stated_outlasts_an_answer_to_an_earlier_request(self) -> None:
         view = ServerView(Server("s1", "plain", "h:1", "a", 4))
         view.decline(10.0, 3.0)
         view.decline(10.5, 1.0)
@@ -440,8 +440,8 @@
             now = monotonic()
             await until(lambda: second.book.views["s1"].peers_declined_until > now)
             view = second.book.views["s1"]
-            self.assertGreater(view.peers_declined_until, now + REST_S)
-            self.assertLess(view.peers_declined_until, now + REST_S + 1.0)
+            self.assertGreater(view.peers_declined_until, now + RETRY_AFTER_S)
+            self.assertLess(view.peers_declined_until, now + RETRY_AFTER_S + 1.0)
             # It is the only server, and has asked this node for nothing.
             cluster.backend.script = fine
             self.assertEqual((await ask_node(second)).status, 200)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -67,17 +67,17 @@
         self.ledger.starts.append(("n1", 101.0))
         self.assert_found(checks.own_word_of_leaving_counts, 0)
 
-    def test_server_that_asked_for_rest_gets_more(self) -> None:
+    def test_server_that_stated_when_to_retry_gets_more_before(self) -> None:
         self.ledger.attempts += [attempt_of(f"r{number}") for number in range(6)]
         self.ledger.attempts.append(attempt_of("r6", node="n2"))
         self.ledger.declined.append(Declined("r0", "s1", 100.0, 2.0))
         times = (100.2, 100.7, 101.0, 101.2, 102.1)
         self.ledger.runs += [run_of(f"r{n}", "s1", at) for n, at in enumerate(times, 1)]
         self.ledger.runs.append(run_of("r6", "s1", 101.0))
-        self.assert_found(checks.rest_is_given)
+        self.assert_found(checks.stated_retry_times_are_kept)
         fault = self.ledger.fault("freeze", "n1")
         fault.begins, fault.ends = 100.9, 101.1
-        self.assert_found(checks.rest_is_given, 0)
+        self.assert_found(checks.stated_retry_times_are_kept, 0)
 
     def test_wrong_or_cut_body(self) -> None:
         self.answered("check", plain_body("r1", "s1")[:-1])
--- a/tests/world.py
+++ b/tests/world.py
@@ -274,7 +274,7 @@
     orders: list[Order] = field(default_factory=list)
     cached: set[str] = field(default_factory=set)
     repeat_tokens: bool = False
-    wants_rest_s: float | None = None
+    retry_after_s: float | None = None
     recomputed: int = 0
     reports: int = 0
 
@@ -303,8 +303,10 @@
         if any(call.attempt == name for _, name in engine.starts):
             raise ServerError("this attempt was here before")
         engine.starts.append((clock.now, call.attempt))
-        if engine.wants_rest_s is not None:
-            raise ServerError("answered 503", may_have_run=False, wait_s=engine.wants_rest_s)
+        if engine.retry_after_s is not None:
+            raise ServerError(
+                "answered 503", may_have_run=False, retry_after_s=engine.retry_after_s
+            )
         if call.model not in engine.models:
             yield Refused("no such model")
             return
