A server's retry time outlasts a lapse of its entry

Found by a state machine of all that lists, servers and other nodes may say in any order: a server that stated when to retry, whose entry lapsed and was back before that, was a new server to the node and got requests at once. Seen failing (decline, lapse, listed again); the retry time is kept by id and address now.

--- a/src/moledale/gateway/balance.py
+++ b/src/moledale/gateway/balance.py
@@ -101,10 +101,11 @@
             listed.add(server.id)
         gone = [view.server for name, view in self.views.items() if name not in listed]
         for server in gone:
-            del self.views[server.id]
+            self.notices.keep(self.views.pop(server.id))
         for service, here in by_service.items():
             for view in self.group(service).apply(here.values()):
                 self.views[view.server.id] = view
+                self.notices.restore(view)
                 self._count_others(view)
         return gone
 
--- a/src/moledale/gateway/server_notices.py
+++ b/src/moledale/gateway/server_notices.py
@@ -37,6 +37,7 @@
         self._group = group
         self._address_of: LRUCache[str, str] = LRUCache(MOST_REMEMBERED)
         self._beyond_the_list: set[str] = set()
+        self._retry_at: LRUCache[tuple[str, str], float] = LRUCache(MOST_REMEMBERED)
 
     def applied_to(self, servers: Iterable[Server]) -> list[Server]:
         """Return a list of servers with those marked that said that they leave."""
@@ -50,6 +51,18 @@
         self._beyond_the_list.add(server.id)
         return msgspec.structs.replace(server, leaving=True)
 
+    def keep(self, view: ServerView) -> None:
+        """Remember what a server asked for whose entry is gone: it may be back in a moment."""
+        if view.retry_at:
+            self._retry_at[view.server.id, view.server.address] = view.retry_at
+
+    def restore(self, view: ServerView) -> None:
+        """Hold what a server that is listed again asked for before its entry was gone."""
+        retry_at = self._retry_at.pop((view.server.id, view.server.address), None)
+        if retry_at is not None:
+            view.retry_at = view.declined_until = retry_at
+            view.changed()
+
     def note_leaving(self, name: str) -> Server | None:
         """Take over a server's word that it leaves; return the server if that is news here."""
         view = self._views.get(name)
--- /dev/null
+++ b/tests/test_server_beliefs.py
@@ -0,0 +1,140 @@
+"""Whatever servers, lists and other nodes say in any order, choices keep what servers asked for."""
+
+import unittest
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from moledale.gateway.balance import ServerBook
+from moledale.gateway.messages import Server
+from moledale.gateway.server_view import LONGEST_DECLINE_S, LONGEST_PAUSE_S, note_silence
+
+SERVICE = "plain"
+NAMES = st.sampled_from(["s0", "s1", "s2"])
+MOST_TOLD_S = 5.0
+WAITS = st.one_of(st.none(), st.floats(0.0, MOST_TOLD_S))
+
+
+class Beliefs(RuleBasedStateMachine):
+    """One node's book, beside a plain account of what was said and has to be kept."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.book = ServerBook("hall-a")
+        self.now = 100.0
+        self.lives = dict.fromkeys(("s0", "s1", "s2"), 0)
+        self.listed_as_leaving: set[str] = set()
+        self.listed = {"s0", "s1", "s2"}
+        self.said_leaving: set[str] = set()
+        self.retry_at: dict[str, float] = {}
+        self.apply()
+
+    def id_of(self, name: str) -> str:
+        return f"{name}#{self.lives[name]}"
+
+    def apply(self) -> None:
+        """Take over the list as it is."""
+        self.book.apply(
+            Server(self.id_of(name), SERVICE, f"{name}:1", "hall-a", 4, name in leaving)
+            for leaving in [self.listed_as_leaving]
+            for name in sorted(self.listed)
+        )
+
+    @rule(name=NAMES, leaving=st.booleans())
+    def list_says(self, name: str, leaving: bool) -> None:
+        self.listed.add(name)
+        if leaving:
+            self.listed_as_leaving.add(name)
+        else:
+            self.listed_as_leaving.discard(name)
+        self.apply()
+
+    @rule(name=NAMES)
+    def entry_lapses(self, name: str) -> None:
+        self.listed.discard(name)
+        self.apply()
+
+    @rule(name=NAMES)
+    def server_starts_anew(self, name: str) -> None:
+        old = self.id_of(name)
+        self.lives[name] += 1
+        self.said_leaving.discard(old)
+        self.retry_at.pop(old, None)
+        self.listed_as_leaving.discard(name)
+        self.listed.add(name)
+        self.apply()
+
+    @rule(name=NAMES, by_peer=st.booleans())
+    def says_that_it_leaves(self, name: str, by_peer: bool) -> None:
+        if name in self.listed:
+            self.book.notices.note_leaving(self.id_of(name))
+            self.said_leaving.add(self.id_of(name))
+
+    @rule(name=NAMES, wait_s=WAITS)
+    def turns_a_request_away(self, name: str, wait_s: float | None) -> None:
+        view = self.book.views.get(self.id_of(name))
+        if view is not None:
+            view.decline(self.now, wait_s)
+            until = self.now + (wait_s or 0.0)
+            self.retry_at[view.server.id] = max(until, self.retry_at.get(view.server.id, 0.0))
+
+    @rule(name=NAMES, sent_ago_s=st.floats(0.0, 3.0))
+    def takes_a_request(self, name: str, sent_ago_s: float) -> None:
+        view = self.book.views.get(self.id_of(name))
+        if view is not None:
+            view.accepted(self.now - sent_ago_s)
+
+    @rule(name=NAMES)
+    def breaks_off(self, name: str) -> None:
+        view = self.book.views.get(self.id_of(name))
+        if view is not None:
+            note_silence(view, self.now)
+
+    @rule(name=NAMES, wait_s=st.floats(0.0, MOST_TOLD_S))
+    def other_nodes_were_turned_away(self, name: str, wait_s: float) -> None:
+        self.book.notices.peers_declined({self.id_of(name): wait_s}, self.now)
+
+    @rule(seconds=st.floats(0.01, 3.0))
+    def time_passes(self, seconds: float) -> None:
+        self.now += seconds
+        self.book.tick(self.now)
+
+    def open_servers(self) -> set[str]:
+        """Return the servers that may get a request by what was said."""
+        ids = {self.id_of(name) for name in self.listed - self.listed_as_leaving}
+        waits = {name for name, at in self.retry_at.items() if at > self.now}
+        return ids - self.said_leaving - waits
+
+    @invariant()
+    def choice_keeps_what_was_said(self) -> None:
+        chosen = self.book.group(SERVICE).candidates(self.now, frozenset())
+        names = {view.server.id for view in chosen}
+        allowed = self.open_servers()
+        assert names <= allowed, f"{names - allowed} may be chosen"
+        assert bool(names) == bool(allowed), f"nothing to choose from though {allowed} are there"
+
+    @invariant()
+    def none_is_lost_for_good(self) -> None:
+        """What servers asked for ends: later each that stays is as good as any other."""
+        later = self.now + 3 * MOST_TOLD_S + LONGEST_DECLINE_S + LONGEST_PAUSE_S
+        for view in self.book.views.values():
+            if view.server.id not in self.said_leaving and not view.server.leaving:
+                assert view.is_open(later) and not view.is_set_aside(later)
+
+    @invariant()
+    def told_time_is_the_first(self) -> None:
+        wait_s = self.book.group(SERVICE).retry_in_s(self.now)
+        if self.open_servers():
+            assert wait_s == 0.0
+        elif wait_s is not None:
+            assert wait_s > 0.0
+
+
+Beliefs.TestCase.settings = settings(
+    max_examples=300, stateful_step_count=40, deadline=None, derandomize=True
+)
+
+
+class BeliefsTest(Beliefs.TestCase, unittest.TestCase):  # type: ignore[misc, name-defined]
+    """Runs what the machine draws."""
