Refuse counts of tokens below zero, and times that are no numbers

Cause: a caller's counts were taken as they came, so one of -500,000 tokens filled its account's limit in place of using it, for as many requests as it liked; a deadline that is not a number passed every comparison. Both get 400 now. Found by reading while decoders were put under drawn bytes; the test of the five values fails without the mend. New besides: drawn headers, entries, plans, orders, phases and datagrams, none of which found anything.

--- a/src/moledale/platform/headers.py
+++ b/src/moledale/platform/headers.py
@@ -1,5 +1,6 @@
 """Requests and answers as the platform spells them."""
 
+import math
 from urllib.parse import parse_qs
 
 import msgspec
@@ -156,9 +157,20 @@
     if value is None:
         return None
     try:
-        return float(value)
+        number = float(value)
     except ValueError:
-        raise ValueError(f"{name} is not a number") from None
+        number = math.nan
+    if not math.isfinite(number):
+        raise ValueError(f"{name} is not a number")
+    return number
+
+
+def _count(value: bytes) -> int:
+    """Return a number of tokens: one below zero would fill an account's limit, not use it."""
+    number = int(value)
+    if number < 0:
+        raise ValueError("below zero")
+    return number
 
 
 def _two_numbers(value: bytes | None) -> tuple[int, int]:
@@ -166,7 +178,7 @@
         return 0, 0
     first, _, second = value.partition(b",")
     try:
-        return int(first), int(second or 0)
+        return _count(first), _count(second or b"0")
     except ValueError:
         raise ValueError("Token-Count is not two numbers") from None
 
@@ -178,7 +190,7 @@
     for item in value.split(b","):
         name, _, tokens = item.strip().rpartition(b":")
         try:
-            parts.append(PromptPart(name.decode("latin-1"), int(tokens)))
+            parts.append(PromptPart(name.decode("latin-1"), _count(tokens)))
         except ValueError:
             raise ValueError("Prompt-Prefix is not a list of ID:TOKENS") from None
     return tuple(parts)
--- /dev/null
+++ b/tests/test_decoders.py
@@ -0,0 +1,150 @@
+"""Whatever bytes come from outside, a decoder returns what it says or tells that it can't read."""
+
+import base64
+import contextlib
+import math
+import unittest
+
+import logbook
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from moledale.gateway.gossip import GossipSocket, Message, StateNews
+from moledale.gateway.messages import AnswerHead, RequestHead, Server
+from moledale.gateway.state_packing import pack_alone
+from moledale.http_fields import retry_after_s
+from moledale.platform.entries import Entries
+from moledale.platform.headers import PlatformHeaders
+from moledale.platform.records import RowRecord, read_config, read_phase, read_rollout
+from tests.gateway_states import state
+
+FUZZ = settings(max_examples=400, deadline=None, derandomize=True)
+HEADER_NAMES = (
+    "Retry-After", "Server-Leaving", "Request-Id", "Keep-Alive", "Connection", "Date",
+    "Not-Executed", "Server-Stamp", "Token-Count", "Prompt-Prefix", "Deadline-Ms",
+    "Authorization", "Last-Event-Id",
+)  # fmt: skip
+HEADERS = st.lists(
+    st.tuples(
+        st.sampled_from([name.encode() for name in HEADER_NAMES]),
+        st.one_of(
+            st.binary(max_size=40),
+            st.floats().map(lambda number: str(number).encode()),
+            st.integers().map(lambda number: str(number).encode()),
+            st.sampled_from([b"1", b"timeout=5", b"close", b"Wed, 21 Oct 2026 07:28:00 GMT"]),
+        ),
+    ),
+    max_size=8,
+)
+JSON = st.recursive(
+    st.none() | st.booleans() | st.floats(allow_nan=False) | st.integers() | st.text(max_size=20),
+    lambda inner: st.lists(inner, max_size=4) | st.dictionaries(st.text(max_size=10), inner),
+    max_leaves=12,
+)
+ENTRY = {
+    "service": "plain", "address": "10.0.0.1:80", "zone": "a", "version": "v1", "slots": 4,
+    "state": "ready", "seq": 1, "born": 1_700_000_000_000,
+}  # fmt: skip
+
+
+def row(value: bytes) -> RowRecord:
+    """Return a row with some bytes."""
+    return RowRecord("servers", "s1", base64.b64encode(value).decode(), 3)
+
+
+class HeadersTest(unittest.TestCase):
+    @FUZZ
+    @given(HEADERS, st.sampled_from([200, 421, 429, 500, 503]))
+    def test_answers(self, headers: list[tuple[bytes, bytes]], status: int) -> None:
+        with logbook.NullHandler().applicationbound():
+            facts = PlatformHeaders().read_answer(AnswerHead(status, headers))
+        for seconds in (facts.retry_after_s, facts.keep_alive_s):
+            self.assertTrue(seconds is None or math.isfinite(seconds), seconds)
+        self.assertTrue(facts.retry_after_s is None or facts.retry_after_s >= 0)
+
+    @FUZZ
+    @given(HEADERS)
+    def test_requests(self, headers: list[tuple[bytes, bytes]]) -> None:
+        try:
+            facts = PlatformHeaders().read_request(RequestHead(b"POST", b"/x", headers))
+        except ValueError:
+            return
+        self.assertTrue(facts.deadline_s is None or not math.isnan(facts.deadline_s))
+
+    def test_numbers_that_no_caller_may_send(self) -> None:
+        """A prompt of less than nothing would fill an account's limit in place of using it."""
+        for name, value in (
+            ("Deadline-Ms", "nan"),
+            ("Deadline-Ms", "inf"),
+            ("Token-Count", "-500000,10"),
+            ("Token-Count", "10,-500000"),
+            ("Prompt-Prefix", "a1:-5"),
+        ):
+            with self.subTest(name=name, value=value), self.assertRaises(ValueError):
+                head = RequestHead(b"POST", b"/x", [(name.encode(), value.encode())])
+                PlatformHeaders().read_request(head)
+
+    @FUZZ
+    @given(st.lists(st.text(max_size=40), max_size=3), st.one_of(st.none(), st.text(max_size=40)))
+    def test_times_to_retry(self, values: list[str], date: str | None) -> None:
+        with logbook.NullHandler().applicationbound():
+            seconds = retry_after_s(values, date)
+        self.assertTrue(seconds is None or (math.isfinite(seconds) and seconds >= 0))
+
+
+class RowsTest(unittest.TestCase):
+    @FUZZ
+    @given(st.binary(max_size=80))
+    def test_entries_of_any_bytes(self, value: bytes) -> None:
+        self.assert_server_or_none(row(value))
+
+    @FUZZ
+    @given(st.sampled_from(sorted(ENTRY)), JSON)
+    def test_entries_with_a_field_of_any_kind(self, field: str, value: object) -> None:
+        self.assert_server_or_none(row(msgspec.json.encode({**ENTRY, field: value})))
+
+    def assert_server_or_none(self, entry: RowRecord) -> None:
+        with logbook.NullHandler().applicationbound():
+            server = Entries().read(entry)
+        self.assertTrue(server is None or isinstance(server, Server))
+        if server is not None:
+            self.assertGreaterEqual(server.slots, 1)
+            self.assertTrue(server.leaves_s is None or math.isfinite(server.leaves_s))
+
+    @FUZZ
+    @given(JSON)
+    def test_plans_and_orders(self, value: object) -> None:
+        raw = msgspec.json.encode(value)
+        for read in (lambda: read_config(raw), lambda: read_rollout(row(raw), 1.0)):
+            with contextlib.suppress(ValueError):
+                read()
+
+    @FUZZ
+    @given(JSON)
+    def test_phases(self, value: object) -> None:
+        body = {"service": "s", "targetVersion": "v2", "durationS": 8.0}
+        order = read_rollout(row(msgspec.json.encode(body)), 1.0)
+        with contextlib.suppress(ValueError):
+            read_phase(row(msgspec.json.encode(value)), order)
+
+
+class DatagramsTest(unittest.TestCase):
+    """News between nodes: what can't be read is counted and changes nothing."""
+
+    def setUp(self) -> None:
+        self.heard: list[Message] = []
+        self.socket = GossipSocket(self.heard.append)
+
+    def test_whole_ones_are_heard(self) -> None:
+        packed = pack_alone(StateNews(state("n1"), []))
+        self.socket.datagram_received(msgspec.msgpack.encode(packed), ("", 0))
+        self.assertEqual((len(self.heard), self.socket.unreadable), (1, 0))
+
+    @FUZZ
+    @given(st.binary(max_size=120))
+    def test_any_bytes(self, data: bytes) -> None:
+        self.heard.clear()
+        before = self.socket.unreadable
+        self.socket.datagram_received(data, ("", 0))
+        self.assertEqual(len(self.heard) + self.socket.unreadable - before, 1)
