--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,5 +1,8 @@
 """Play soaks by hand: `python -m tests.soak --seeds 10 [--first 1] [--nodes 5] [--rounds 2]`.
 
+With `--from COMMIT` each start of a node runs the sources of that commit or those here, by chance:
+builds serve side by side, and nodes go forth and back between them.
+
 A seed draws the same troubles in the same order; what they meet depends on the machine's time as
 well, so a seed that found something may need to be played more than once.
 """
@@ -7,8 +10,12 @@
 import argparse
 import secrets
 import shutil
+import subprocess
 import sys
+import tempfile
+from pathlib import Path
 
+from tests.soak.process import ROOT
 from tests.soak.soak import SoakPlan, play
 
 MOST_SHOWN = 12
@@ -21,14 +28,32 @@
     parser.add_argument("--first", type=int, help="the first seed; drawn if left out")
     parser.add_argument("--nodes", type=int, default=5)
     parser.add_argument("--rounds", type=int, default=2)
+    parser.add_argument("--from", dest="former", metavar="COMMIT", help="a build beside this one")
     asked = parser.parse_args()
+    with tempfile.TemporaryDirectory(prefix="soak-build-") as folder:
+        former = sources_of(asked.former, Path(folder)) if asked.former else None
+        return play_all(asked, former)
+
+
+def sources_of(commit: str, folder: Path) -> Path:
+    """Put the sources of a commit into a folder; they come out of this repository's history."""
+    archive = subprocess.run(["git", "archive", commit], cwd=ROOT, capture_output=True, check=False)
+    if archive.returncode:
+        raise SystemExit(f"no sources of {commit} here: {archive.stderr.decode().strip()}")
+    subprocess.run(["tar", "-x", "-C", str(folder)], input=archive.stdout, check=True)
+    return folder
+
+
+def play_all(asked: argparse.Namespace, former: Path | None) -> int:
+    """Play all seeds that were asked for."""
     first = asked.first if asked.first is not None else secrets.randbelow(1_000_000)
     failed = 0
     for seed in range(first, first + asked.seeds):
-        result = play(SoakPlan(seed, nodes=asked.nodes, rounds=asked.rounds))
+        result = play(SoakPlan(seed, asked.nodes, rounds=asked.rounds, former_build=former))
         print(
             f"seed {seed}: {len(result.findings)} findings, {result.attempts} attempts, "
-            f"{result.served} served, {len(result.faults)} events",
+            f"{result.served} served, {len(result.faults)} events, "
+            f"{result.former_lives} lives of the former build",
             flush=True,
         )
         if result.findings:
--- a/tests/soak/process.py
+++ b/tests/soak/process.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import os
+import random
 import signal
 import sys
 import time
+from collections.abc import Sequence
 from pathlib import Path
 
 from tests.soak.link import Link
@@ -46,10 +48,21 @@
 
 
 class NodeProcess:
-    """One instance's process, with links for its callers and to the store."""
+    """One instance's process, with links for its callers and to the store.
+
+    Each life runs one of the `builds`, folders of sources of which the first are the tested ones.
+    """
 
     def __init__(
-        self, name: str, host: str, hall: str, folder: Path, store: str, ledger: Ledger
+        self,
+        name: str,
+        host: str,
+        hall: str,
+        folder: Path,
+        store: str,
+        ledger: Ledger,
+        builds: Sequence[Path] = (ROOT,),
+        chance: random.Random | None = None,
     ) -> None:
         self.name = name
         self.host = host
@@ -63,6 +76,8 @@
         self.stopping_since: float | None = None
         self._folder = folder
         self._ledger = ledger
+        self._builds = builds
+        self._chance = chance or random.Random(name)
         self._seeds: list[str] = []
         self._log_begins = 0
         self._asked = False
@@ -115,9 +130,10 @@
         """
         if self.process is not None:
             self._write_settings(first=False)
+        build = self._chance.choice(self._builds) if len(self._builds) > 1 else self._builds[0]
         environment = {
             "PATH": os.environ.get("PATH", ""),
-            "PYTHONPATH": f"{ROOT / 'src'}",
+            "PYTHONPATH": f"{build / 'src'}",
             "MOLEDALE_NODE_FILE": str(self._folder / f"{self.name}.toml"),
             "SOAK_STEP_FILE": str(self._folder / f"{self.name}.step"),
         }
@@ -125,7 +141,7 @@
             self._log_begins = log.tell()
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
-                str(ROOT / "tests" / "soak" / "node_main.py"),
+                str(build / "tests" / "soak" / "node_main.py"),
                 env=environment,
                 stdout=log,
                 stderr=log,
@@ -133,7 +149,10 @@
         self._asked = False
         self.paused = False
         self.stopping_since = None
-        self._ledger.starts.append((self.name, time.monotonic()))
+        began = time.monotonic()
+        self._ledger.starts.append((self.name, began))
+        if build != self._builds[0]:
+            self._ledger.former_builds.add((self.name, began))
         self._watch = asyncio.create_task(self._wait(self.process))
 
     async def _wait(self, process: asyncio.subprocess.Process) -> None:
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -109,6 +109,7 @@
     leaving: list[Leaving] = field(default_factory=list)
     exits: list[Exit] = field(default_factory=list)
     starts: list[tuple[str, float]] = field(default_factory=list)
+    former_builds: set[tuple[str, float]] = field(default_factory=set)
     healed_at: float = float("inf")
 
     def fault(self, kind: str, what: str, planned: bool = False, for_s: float = 0.0) -> Fault:
@@ -119,7 +120,13 @@
         return fault
 
     def disturbed(self, node: str, server: str, begin: float, end: float) -> bool:
-        """Say whether a node, its way to a server or the soak itself stood still within a span."""
+        """Say whether a node, its way to a server or the soak itself stood still within a span.
+
+        A life of a former build counts as that: it does not know what was built since.
+        """
+        lives = [start for start in self.starts if start[0] == node and start[1] <= end]
+        if lives and lives[-1] in self.former_builds:
+            return True
         for fault in self.faults:
             its_own = fault.what.partition(" ")[0] in (node, server)
             concerned = fault.kind in ALL_STAND_STILL or (fault.kind in STANDS_STILL and its_own)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -9,6 +9,7 @@
 
 from tests.soak.callers import SoakCaller, probe
 from tests.soak.checks import CHECKS, RECOVERY_S, duties_by_one, limits_hold
+from tests.soak.process import ROOT
 from tests.soak.records import Ledger
 from tests.soak.troubles import Trouble, Troubles
 from tests.soak.world import ACCOUNTS, LIMITS, SoakWorld
@@ -31,13 +32,22 @@
 
 @dataclass(frozen=True, slots=True)
 class SoakPlan:
-    """How long a soak goes on, with how many nodes; times in seconds."""
+    """How long a soak goes on, with how many nodes; times in seconds.
+
+    With a `former_build`, a folder of sources, each life of a node runs these or the tested ones.
+    """
 
     seed: int
     nodes: int = 5
     planned_s: float = 8.0
     chaos_s: float = 12.0
     rounds: int = 2
+    former_build: Path | None = None
+
+    @property
+    def builds(self) -> tuple[Path, ...]:
+        """Return the folders whose sources nodes run."""
+        return (ROOT,) if self.former_build is None else (ROOT, self.former_build)
 
 
 def note_stall(ledger: Ledger, began: float, ended: float) -> None:
@@ -56,6 +66,7 @@
     runs: int
     faults: list[str]
     folder: Path
+    former_lives: int
 
 
 class Soak:
@@ -64,7 +75,7 @@
     def __init__(self, plan: SoakPlan, folder: Path) -> None:
         self._plan = plan
         self._chance = random.Random(plan.seed)
-        self._world = SoakWorld(folder, self._chance)
+        self._world = SoakWorld(folder, self._chance, builds=plan.builds)
         self._troubles = Troubles(self._world)
         self._probes = 0
         self._over = False
@@ -91,7 +102,13 @@
             for fault in ledger.faults
         ]
         return SoakResult(
-            findings, len(attempts), served, len(ledger.runs), faults, self._world.folder
+            findings,
+            len(attempts),
+            served,
+            len(ledger.runs),
+            faults,
+            self._world.folder,
+            len(ledger.former_builds),
         )
 
     async def _play(self) -> None:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -4,6 +4,7 @@
 import os
 import random
 import time
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -13,7 +14,7 @@
 from tests.soak.backend import Backend
 from tests.soak.callers import Account
 from tests.soak.link import Link
-from tests.soak.process import NodeProcess
+from tests.soak.process import ROOT, NodeProcess
 from tests.soak.records import Ledger, Version
 
 HALLS = ("hall-a", "hall-b")
@@ -39,6 +40,7 @@
     thawed: list[float] = field(default_factory=list)
     busy: set[str] = field(default_factory=set)
     version: int = 0
+    builds: Sequence[Path] = (ROOT,)
     returning: set[asyncio.Task[None]] = field(default_factory=set)
     _number: int = 0
 
@@ -58,7 +60,16 @@
             hall = HALLS[number % len(HALLS)]
             host = f"{network}.{number + 1}"
             self.nodes.append(
-                NodeProcess(f"n{number}", host, hall, self.folder, store, self.ledger)
+                NodeProcess(
+                    f"n{number}",
+                    host,
+                    hall,
+                    self.folder,
+                    store,
+                    self.ledger,
+                    self.builds,
+                    self.chance,
+                )
             )
         seeds = [node.seed for node in self.nodes[:3]]
         for node in self.nodes:
