Plain services: a shorter retry time doesn't take a longer one back; no time below a second

Found by reading the change: of two calls that were turned away the later answer counted, whatever it said.

--- a/src/moledale/node/services.py
+++ b/src/moledale/node/services.py
@@ -66,11 +66,12 @@
 
     def _note_retry_after(self, address: str, retry_after_s: float | None) -> None:
         if retry_after_s is not None:
-            self._retry_at[address] = self._now() + retry_after_s
+            retry_at = self._now() + retry_after_s
+            self._retry_at[address] = max(retry_at, self._retry_at.get(address, retry_at))
             emit(Event.SERVER_BACKOFF, server=address, retry_after_s=retry_after_s)
 
     def _all_back_off(self, service: Service) -> Problem:
         """Return a refusal with the time after which the first address is free again."""
         first = min(self._retry_at[each] for each in service.addresses)
         detail = f"all addresses of service {service.name!r} asked for a later retry"
-        return problems.unavailable(detail, ceil(first - self._now()))
+        return problems.unavailable(detail, max(1, ceil(first - self._now())))
--- a/src/moledale/node/waiting.py
+++ b/src/moledale/node/waiting.py
@@ -68,7 +68,9 @@
         ready = eligible(self._book.views.values(), need)
         retry_in_s = self._book.retry_in_s(need.model, self._clock.monotonic())
         if not ready and retry_in_s is not None:
-            return problems.unavailable("all servers asked for a later retry", ceil(retry_in_s))
+            return problems.unavailable(
+                "all servers asked for a later retry", max(1, ceil(retry_in_s))
+            )
         if not ready:
             return problems.unavailable(f"no server holds model {request.model!r} now", 5)
         slots = sum(view.speeds.slots for view in ready)
