--- /dev/null
+++ b/tests/test_mixed_builds.py
@@ -0,0 +1,39 @@
+"""The tool that puts two builds side by side: which node runs which, and from where."""
+
+import tempfile
+import unittest
+from pathlib import Path
+from unittest import mock
+
+from moledale.platform.start import SETTINGS_VARIABLE
+from tools.mixed_builds import ROOT, mixed_launcher, runs_former
+
+NAMES = [f"front-hall-{hall}-{number}" for hall in "abcd" for number in range(25)]
+
+
+class LauncherTest(unittest.TestCase):
+    def chosen(self, text: str, name: str) -> Path:
+        """Run the part of a launcher that chooses the sources, for a node of a name."""
+        with tempfile.TemporaryDirectory() as folder:
+            settings = Path(folder) / "settings.toml"
+            settings.write_text(f'[node]\nid = "{name}"\nhall = "a"\n', "utf-8")
+            scope: dict[str, object] = {"__file__": str(ROOT / "deploy" / "launch.py")}
+            with mock.patch.dict("os.environ", {SETTINGS_VARIABLE: str(settings)}):
+                exec("from pathlib import Path\n" + text.partition("sys.path.insert")[0], scope)
+                return Path(scope["sources"]())  # type: ignore[operator]
+
+    def test_each_build_runs_on_about_half_of_the_nodes(self) -> None:
+        former = sum(runs_former(name) for name in NAMES)
+        self.assertGreater(former, 30)
+        self.assertLess(former, 70)
+
+    def test_launcher_chooses_by_the_name_in_the_settings(self) -> None:
+        text = mixed_launcher((ROOT / "deploy" / "launch.py").read_text("utf-8"))
+        compile(text, "launch.py", "exec")
+        for name in NAMES[:8]:
+            wanted = ROOT / "former" / "src" if runs_former(name) else ROOT / "src"
+            self.assertEqual(self.chosen(text, name), wanted)
+
+    def test_launcher_that_changed_is_noticed(self) -> None:
+        with self.assertRaises(ValueError):
+            mixed_launcher("import sys\n")
--- /dev/null
+++ b/tools/mixed_builds.py
@@ -0,0 +1,75 @@
+"""Makes a clone in which half of the nodes run an earlier commit: builds side by side.
+
+`python -m tools.mixed_builds FOLDER COMMIT`, then play days in FOLDER and compare them with plays
+of one build alone. Which nodes run which build follows from their names, so each play has the same.
+"""
+
+import argparse
+import subprocess
+import zlib
+from pathlib import Path
+
+from moledale.platform.start import SETTINGS_VARIABLE
+
+ROOT = Path(__file__).resolve().parent.parent
+FORMER = "former"
+"""Folder of the earlier commit's sources in the clone."""
+
+SOURCES = 'str(Path(__file__).resolve().parent.parent / "src")'
+"""What the launcher has for the sources that it runs."""
+
+CHOICE = '''
+import os
+import re
+import zlib
+
+
+def sources() -> str:
+    """Return the sources of this node's build, by the name in its settings."""
+    text = Path(os.environ["VARIABLE"]).read_text("utf-8")
+    name = re.search(r'^id = "([^"]+)"', text, re.MULTILINE).group(1)
+    root = Path(__file__).resolve().parent.parent
+    return str(root / ("former/src" if zlib.crc32(name.encode()) % 2 == 0 else "src"))
+
+
+'''
+
+
+def runs_former(name: str) -> bool:
+    """Say whether a node of this name runs the earlier commit."""
+    return zlib.crc32(name.encode()) % 2 == 0
+
+
+def mixed_launcher(launcher: str) -> str:
+    """Return a launcher that chooses a build; ValueError if this one is not as expected."""
+    line = f"sys.path.insert(0, {SOURCES})"
+    if launcher.count(line) != 1:
+        raise ValueError("the launcher names its sources in another way")
+    choice = CHOICE.replace("VARIABLE", SETTINGS_VARIABLE)
+    return launcher.replace(line, f"{choice}sys.path.insert(0, sources())")
+
+
+def make(folder: Path, commit: str) -> None:
+    """Clone the last commit into a folder, and put the earlier one's sources beside it."""
+    subprocess.run(["git", "clone", "--quiet", str(ROOT), str(folder)], check=True)
+    (folder / FORMER).mkdir()
+    archive = subprocess.run(
+        ["git", "archive", commit, "src"], cwd=ROOT, capture_output=True, check=True
+    )
+    subprocess.run(["tar", "-x", "-C", str(folder / FORMER)], input=archive.stdout, check=True)
+    launcher = folder / "deploy" / "launch.py"
+    launcher.write_text(mixed_launcher(launcher.read_text("utf-8")), "utf-8")
+    subprocess.run(["git", "add", "--all"], cwd=folder, check=True)
+
+
+def main() -> None:
+    """Make the clone that was asked for."""
+    parser = argparse.ArgumentParser(prog="python -m tools.mixed_builds", description=__doc__)
+    parser.add_argument("folder", type=Path, help="where the clone goes; it must not be there")
+    parser.add_argument("commit", help="the earlier commit")
+    asked = parser.parse_args()
+    make(asked.folder, asked.commit)
+
+
+if __name__ == "__main__":
+    main()
