--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -18,6 +18,7 @@
 from moledale.platform.headers import PlatformHeaders
 from standins.rows import Mood
 from tests.gateway_world import (
+    STAMP,
     Arrival,
     CallerAnswer,
     GatewayWorld,
@@ -37,7 +38,6 @@
 """A server asks for a retry after so long, several times the half second in which requests
 that were under way may still come."""
 RETRY_LATER = b"Not-Executed: 1\r\nRetry-After: %.1f\r\n" % RETRY_AFTER_S
-STAMP = b"Server-Stamp: s1\r\n"
 
 
 async def leaves(arrival: Arrival, _: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
