Log which limit a server names in its answers

Cause: the logs couldn't tell whether an answer named a limit, so 'never read' looked like 'read and lost'. No choice changes by it.

--- a/src/moledale/gateway/answers.py
+++ b/src/moledale/gateway/answers.py
@@ -86,8 +86,7 @@
             return self.cut(job, placement, Cut.GARBLED)
         self._take_notice(placement, head.status, facts)
         attempt = await self._read_rest(job, connection, run, head, facts)
-        attempt.leaving = facts.leaving
-        attempt.retry_after_s = facts.retry_after_s
+        attempt.statement = facts.statement
         return attempt
 
     def _take_notice(self, placement: Placement, status: int, facts: AnswerFacts) -> None:
@@ -96,14 +95,15 @@
         view = placement.view
         if not (facts.signed or facts.not_run):
             return
+        stated = facts.statement
         if status == WRONG_SERVER:
             self._back_off(view, WRONG_SERVER_S, now)
-        elif status == TURNED_AWAY and (facts.not_run or facts.retry_after_s is not None):
-            self._back_off(view, facts.retry_after_s, now)
+        elif status == TURNED_AWAY and (facts.not_run or stated.retry_after_s is not None):
+            self._back_off(view, stated.retry_after_s, now)
         elif not facts.not_run:
             view.accepted(placement.sent_at)
         # Another server at the address says nothing of the one that was meant.
-        if facts.leaving and status != WRONG_SERVER:
+        if stated.leaving and status != WRONG_SERVER:
             self._leaves(view.server.id)
 
     def _back_off(self, view: ServerView, retry_after_s: float | None, now: float) -> None:
--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -163,7 +163,8 @@
             pause_ms=round(job.longest_pause_s * 1000),
             gap_ms=round(job.route.gap_s * 1000),
             ms=round((now - job.request.arrived_at) * 1000),
-            leaving=attempt.leaving,
+            leaving=attempt.statement.leaving,
+            server_limit=attempt.statement.limit_per_s,
         )
 
     async def _carry(self, job: Job) -> None:
@@ -284,8 +285,9 @@
             ending=attempt.ending.value,
             why=attempt.why,
             ms=round((self._now() - placement.sent_at) * 1000),
-            leaving=attempt.leaving,
-            server_again_s=attempt.retry_after_s,
+            leaving=attempt.statement.leaving,
+            server_again_s=attempt.statement.retry_after_s,
+            server_limit=attempt.statement.limit_per_s,
         )
 
     def _note_unanswered(self, job: Job, placement: Placement) -> None:
--- a/src/moledale/gateway/job.py
+++ b/src/moledale/gateway/job.py
@@ -7,7 +7,13 @@
 from moledale.gateway.evacuation import Continuation
 from moledale.gateway.events import EventCutter
 from moledale.gateway.fingerprint import fingerprint
-from moledale.gateway.messages import AnswerHead, Caller, InboundRequest, RequestFacts
+from moledale.gateway.messages import (
+    AnswerHead,
+    Caller,
+    InboundRequest,
+    RequestFacts,
+    ServerStatement,
+)
 from moledale.gateway.plan import Route
 from moledale.gateway.reply import Reply
 
@@ -26,17 +32,16 @@
 class Attempt(msgspec.Struct):
     """Outcome of one send; the answer of a server, if there is one to pass on.
 
-    `leaving` and `retry_after_s` are what the answer said of its server; `again_s` is when its
-    caller may come back, where that is known.
+    `statement` is what the answer said of its server; `again_s` is when its caller may come back,
+    where that is known.
     """
 
     ending: Ending
     head: AnswerHead | None = None
     body: bytes = b""
-    retry_after_s: float | None = None
     why: str = ""
     next: Continuation | None = None
-    leaving: bool = False
+    statement: ServerStatement = ServerStatement()
     again_s: float | None = None
 
 
--- a/src/moledale/gateway/messages.py
+++ b/src/moledale/gateway/messages.py
@@ -76,20 +76,29 @@
         return self.prompt_tokens + self.answer_tokens
 
 
-class AnswerFacts(msgspec.Struct, frozen=True):
-    """What an answer says of itself and of its server, whatever its headers are called.
+class ServerStatement(msgspec.Struct, frozen=True):
+    """What an answer says of its server, for all requests that come after.
 
-    With `leaving` the server says that it ends soon. `retry_after_s` is None where the answer
-    states no time that can be read.
+    With `leaving` the server ends soon. `retry_after_s` is None where the answer states no time
+    that can be read. `limit_per_s` are the requests a second that the server takes from all nodes
+    together, None if it names no limit; with `limit_unreadable` it names one that can't be read.
     """
 
+    leaving: bool = False
+    retry_after_s: float | None = None
+    limit_per_s: float | None = None
+    limit_unreadable: bool = False
+
+
+class AnswerFacts(msgspec.Struct, frozen=True):
+    """What an answer says of itself and of its server, whatever its headers are called."""
+
     request_id: str | None
     signed: bool
     not_run: bool
-    retry_after_s: float | None
     keep_alive_s: float | None
     closes: bool
-    leaving: bool = False
+    statement: ServerStatement = ServerStatement()
 
 
 class AttemptFacts(msgspec.Struct, frozen=True):
--- a/src/moledale/http_fields.py
+++ b/src/moledale/http_fields.py
@@ -84,6 +84,21 @@
     return None
 
 
+def limit_per_s(text: str, name: str) -> float | None:
+    """Return a number of requests a second; what is none, or below zero, is logged as unreadable.
+
+    `name` is that of the field.
+    """
+    try:
+        limit = float(text)
+    except ValueError:
+        limit = math.nan
+    if math.isfinite(limit) and limit >= 0:
+        return limit
+    emit(Event.HEADER_UNREADABLE, header=name, value=text[:MOST_LOGGED])
+    return None
+
+
 def _until_date_s(text: str, date: str | None) -> float:
     """Return the seconds from one date to another, not a number if either can't be read."""
     if date is None:
--- a/src/moledale/platform/headers.py
+++ b/src/moledale/platform/headers.py
@@ -14,11 +14,13 @@
     PromptPart,
     RequestFacts,
     RequestHead,
+    ServerStatement,
 )
 from moledale.http_fields import (
     ONE_CONNECTION,
     RETRY_AFTER,
     keep_alive_s,
+    limit_per_s,
     named_in_connection,
     retry_after_s,
     texts_of,
@@ -43,6 +45,7 @@
 )
 LAST_EVENT = b"last-event-id"
 LEAVING = b"server-leaving"
+SERVER_LIMIT = "server-limit"
 SAYS_YES = b"1"
 
 
@@ -104,10 +107,9 @@
             _text_or_none(request_id),
             b"server-stamp" in found,
             b"not-executed" in found or head.status == 421,
-            retry_after_s(texts_of(head.headers, RETRY_AFTER), _text_or_none(found.get(b"date"))),
             keep_alive_s(found.get(b"keep-alive")),
             b"close" in found.get(b"connection", b"").lower(),
-            _says_leaving(head.headers),
+            _statement(head.headers, _text_or_none(found.get(b"date"))),
         )
 
     def answer_headers(self, head: AnswerHead) -> Headers:
@@ -196,6 +198,19 @@
     return tuple(parts)
 
 
+def _statement(headers: Headers, date: str | None) -> ServerStatement:
+    """Return what an answer says of its server; of two limits the lower one counts."""
+    limits = texts_of(headers, SERVER_LIMIT)
+    found = [limit_per_s(text, SERVER_LIMIT) for text in limits]
+    readable = [limit for limit in found if limit is not None]
+    return ServerStatement(
+        _says_leaving(headers),
+        retry_after_s(texts_of(headers, RETRY_AFTER), date),
+        min(readable, default=None),
+        bool(limits) and not readable,
+    )
+
+
 def _says_leaving(headers: Headers) -> bool:
     """Say whether any of the headers of that name says so."""
     return any(name.lower() == LEAVING and value.strip() == SAYS_YES for name, value in headers)
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -23,7 +23,7 @@
 HEADER_NAMES = (
     "Retry-After", "Server-Leaving", "Request-Id", "Keep-Alive", "Connection", "Date",
     "Not-Executed", "Server-Stamp", "Token-Count", "Prompt-Prefix", "Deadline-Ms",
-    "Authorization", "Last-Event-Id",
+    "Authorization", "Last-Event-Id", "Server-Limit",
 )  # fmt: skip
 HEADERS = st.lists(
     st.tuples(
@@ -59,9 +59,11 @@
     def test_answers(self, headers: list[tuple[bytes, bytes]], status: int) -> None:
         with logbook.NullHandler().applicationbound():
             facts = PlatformHeaders().read_answer(AnswerHead(status, headers))
-        for seconds in (facts.retry_after_s, facts.keep_alive_s):
+        stated = facts.statement
+        for seconds in (stated.retry_after_s, stated.limit_per_s, facts.keep_alive_s):
             self.assertTrue(seconds is None or math.isfinite(seconds), seconds)
-        self.assertTrue(facts.retry_after_s is None or facts.retry_after_s >= 0)
+        self.assertTrue(stated.retry_after_s is None or stated.retry_after_s >= 0)
+        self.assertTrue(stated.limit_per_s is None or stated.limit_per_s >= 0)
 
     @FUZZ
     @given(HEADERS)
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -129,7 +129,7 @@
     """Each value that a time to come back may have is read in one way."""
 
     def seconds(self, *values: tuple[str, str]) -> float | None:
-        return PlatformHeaders().read_answer(headers(*values)).retry_after_s
+        return PlatformHeaders().read_answer(headers(*values)).statement.retry_after_s
 
     def test_seconds_whole_and_in_parts(self) -> None:
         for text, seconds in (("3", 3.0), ("0.25", 0.25), ("0", 0.0), ("86400", 86_400.0)):
@@ -156,9 +156,9 @@
     def test_only_one_means_leaving(self) -> None:
         for text, leaving in (("1", True), (" 1 ", True), ("0", False), ("", False), ("11", False)):
             facts = PlatformHeaders().read_answer(headers(("Server-Leaving", text)))
-            self.assertEqual(facts.leaving, leaving, text)
+            self.assertEqual(facts.statement.leaving, leaving, text)
         both = headers(("Server-Leaving", "0"), ("server-leaving", "1"))
-        self.assertTrue(PlatformHeaders().read_answer(both).leaving)
+        self.assertTrue(PlatformHeaders().read_answer(both).statement.leaving)
 
 
 class LeavingTest(unittest.TestCase):
