--- /dev/null
+++ b/tests/limit_world.py
@@ -0,0 +1,109 @@
+"""Callers that ask many nodes, and a count of what a server got that names a limit."""
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+
+from moledale.clock import monotonic
+from moledale.gateway.node import GatewayNode
+from tests.gateway_world import STAMP, Arrival, ScriptedServer, answer, request_bytes
+from tests.test_gateway_nodes import Cluster, ask, ready, until
+
+WINDOW_S = 4.0
+"""Span in which what a server got is counted."""
+
+TOLD_BEFORE_S = 0.5
+"""A request counts if its node had passed on an answer that named the limit this long before."""
+
+
+def allowed(limit_per_s: float) -> float:
+    """Return the most requests that a server may get in a window."""
+    return 1.5 * limit_per_s * WINDOW_S + 5
+
+
+@dataclass(slots=True)
+class LimitedServer(ScriptedServer):
+    """A server that names a limit in its answers while it has one."""
+
+    limit_per_s: float | None = None
+    answer_s: float = 0.01
+
+    async def serve_one(
+        self, arrival: Arrival, _: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer a request."""
+        limit = self.limit_per_s
+        await asyncio.sleep(self.answer_s)
+        named = b"" if limit is None else b"Server-Limit: %.3f\r\n" % limit
+        writer.write(answer(arrival, more=STAMP + named))
+
+
+def limited_server(name: str, limit_per_s: float | None) -> LimitedServer:
+    """Return a server that is not started yet."""
+
+    async def unset(_: Arrival, __: asyncio.StreamReader, ___: asyncio.StreamWriter) -> None:
+        """Stand in for the script until the server is made."""
+
+    server = LimitedServer(name, unset, limit_per_s=limit_per_s)
+    server.script = server.serve_one
+    return server
+
+
+@dataclass(slots=True)
+class Callers:
+    """Callers that ask nodes by chance, and what they saw.
+
+    `asked` tells the node of each request, `told` when each node first passed on an answer that
+    named a limit.
+    """
+
+    cluster: Cluster
+    chance: random.Random
+    asked: dict[str, str] = field(default_factory=dict)
+    told: dict[str, float] = field(default_factory=dict)
+    statuses: list[int] = field(default_factory=list)
+    again_s: list[float] = field(default_factory=list)
+    _tasks: list[asyncio.Task[None]] = field(default_factory=list)
+
+    async def ask_for(self, seconds: float, per_s: float) -> None:
+        """Ask at a steady rate, and wait for the answers."""
+        ends = monotonic() + seconds
+        while monotonic() < ends:
+            self._tasks.append(asyncio.create_task(self._ask_one()))
+            await asyncio.sleep(1.0 / per_s)
+        await asyncio.gather(*self._tasks)
+        self._tasks.clear()
+
+    async def _ask_one(self) -> None:
+        name = self.chance.choice(sorted(self.cluster.nodes))
+        request = f"r{len(self.asked)}"
+        self.asked[request] = name
+        data = request_bytes("/check/", request_id=request)
+        got = await ask(self.cluster.nodes[name].settings.node.callers, data)
+        self.statuses.append(got.status)
+        if "server-limit" in got.headers:
+            self.told.setdefault(name, monotonic())
+        if "retry-after" in got.headers:
+            self.again_s.append(float(got.headers["retry-after"]))
+
+    def most_in_a_window(self, server: ScriptedServer) -> int:
+        """Return the most requests that a server got in a window from nodes that were told."""
+        counted = [each.at for each in server.arrivals if self._counts(each)]
+        return max(
+            (sum(at <= each < at + WINDOW_S for each in counted) for at in counted), default=0
+        )
+
+    def _counts(self, arrival: Arrival) -> bool:
+        told_at = self.told.get(self.asked[arrival.get("request-id") or ""])
+        return told_at is not None and told_at + TOLD_BEFORE_S <= arrival.at
+
+
+async def start_nodes(cluster: Cluster, number: int) -> list[GatewayNode]:
+    """Start nodes and wait until all know each other."""
+    nodes = [await cluster.start("n0")]
+    seed = (nodes[0].settings.node.control,)
+    nodes += [await cluster.start(f"n{each}", seed) for each in range(1, number)]
+    for node in nodes:
+        await until(ready(node))
+        await until(lambda node=node: len(node.members.members) == number - 1)  # type: ignore[misc]
+    return nodes
