--- a/src/moledale/http_fields.py
+++ b/src/moledale/http_fields.py
@@ -84,11 +84,16 @@
     return None
 
 
-def limit_per_s(text: str, name: str) -> float | None:
-    """Return a number of requests a second; what is none, or below zero, is logged as unreadable.
+def lowest_limit(values: Iterable[str], name: str) -> float | None:
+    """Return the lowest number that an answer states in the fields of a name, None if it has none.
 
-    `name` is that of the field.
+    What is no number, or below zero, is logged and counts as missing.
     """
+    limits = [_one_limit(value.strip(), name) for value in values]
+    return min((each for each in limits if each is not None), default=None)
+
+
+def _one_limit(text: str, name: str) -> float | None:
     try:
         limit = float(text)
     except ValueError:
--- a/src/moledale/platform/headers.py
+++ b/src/moledale/platform/headers.py
@@ -20,7 +20,7 @@
     ONE_CONNECTION,
     RETRY_AFTER,
     keep_alive_s,
-    limit_per_s,
+    lowest_limit,
     named_in_connection,
     retry_after_s,
     texts_of,
@@ -44,9 +44,9 @@
     }
 )
 LAST_EVENT = b"last-event-id"
-LEAVING = b"server-leaving"
+LEAVING = "server-leaving"
 SERVER_LIMIT = "server-limit"
-SAYS_YES = b"1"
+SAYS_YES = "1"
 
 
 class PlatformHeaders:
@@ -199,21 +199,12 @@
 
 
 def _statement(headers: Headers, date: str | None) -> ServerStatement:
-    """Return what an answer says of its server; of two limits the lower one counts."""
+    """Return what an answer says of its server."""
+    leaving = any(text.strip() == SAYS_YES for text in texts_of(headers, LEAVING))
+    again_s = retry_after_s(texts_of(headers, RETRY_AFTER), date)
     limits = texts_of(headers, SERVER_LIMIT)
-    found = [limit_per_s(text, SERVER_LIMIT) for text in limits]
-    readable = [limit for limit in found if limit is not None]
-    return ServerStatement(
-        _says_leaving(headers),
-        retry_after_s(texts_of(headers, RETRY_AFTER), date),
-        min(readable, default=None),
-        bool(limits) and not readable,
-    )
-
-
-def _says_leaving(headers: Headers) -> bool:
-    """Say whether any of the headers of that name says so."""
-    return any(name.lower() == LEAVING and value.strip() == SAYS_YES for name, value in headers)
+    limit = lowest_limit(limits, SERVER_LIMIT)
+    return ServerStatement(leaving, again_s, limit, bool(limits) and limit is None)
 
 
 def _text_or_none(value: bytes | None) -> str | None:
