Servers that are all held back cost no walk for each request; drawn orders of limits

A limit that ended outlasts a lapse of the entry too: an older word of another node could bring it back.

--- a/src/moledale/gateway/server_group.py
+++ b/src/moledale/gateway/server_group.py
@@ -68,8 +68,11 @@
         self._unsound: set[str] = set()
         self.limited: set[str] = set()
         self._limits_heard: set[str] = set()
+        self._limits_sum = 0.0
+        self._limit_counted: dict[str, float] = {}
+        self._shut: set[str] = set()
         self._held = LoadOrder(chance)
-        self._none_until = 0.0
+        self._backing_off = LoadOrder(chance)
         self._rule = VersionRule()
         self._settled: frozenset[str] = frozenset()
         self._present: dict[str, float] = {}
@@ -118,7 +121,10 @@
         self._unsound.discard(name)
         self.limited.discard(name)
         self._limits_heard.discard(name)
+        self._shut.discard(name)
         self._held.drop(view)
+        self._backing_off.drop(view)
+        self._limits_sum -= self._limit_counted.pop(name, 0.0)
         view.on_change = None
 
     def mark_leaving(self, name: str) -> None:
@@ -143,31 +149,56 @@
             self.busy.discard(name)
         self._note_soundness(view)
         self._note_limit(view)
+        self._note_shut(view)
         order = self._order(view.server.hall)
         if not self.may_serve(view, NONE_EXCLUDED):
             order.drop(view)
         else:
             order.put(view, steps(self._load_s(view, self._now)))
-        if view.opens_in_s(self._now) < self._none_until - self._now:
-            self._none_until = 0.0
 
     def _note_limit(self, view: ServerView) -> None:
-        """Remember a server that names a limit, and those held back in the order of their times."""
-        if view.limit_per_s is not None:
-            self.limited.add(view.server.id)
+        """Remember a server that names a limit."""
+        name, limit = view.server.id, view.limit_per_s
+        if limit is not None:
+            self.limited.add(name)
         else:
-            self.limited.discard(view.server.id)
+            self.limited.discard(name)
         if view.limit.first_hand:
-            self._limits_heard.add(view.server.id)
-        if view.is_held(self._now) and self._may_serve_once_permitted(view):
+            self._limits_heard.add(name)
+        if limit != self._limit_counted.get(name):
+            self._limits_sum += (limit or 0.0) - self._limit_counted.pop(name, 0.0)
+            if limit is not None:
+                self._limit_counted[name] = limit
+
+    def _note_shut(self, view: ServerView) -> None:
+        """Remember a server that may get nothing now, in the order in which they open again.
+
+        Where all are shut, no request has to walk over them to find that out.
+        """
+        now = self._now
+        if self._is_shut(view):
+            self._shut.add(view.server.id)
+        else:
+            self._shut.discard(view.server.id)
+        allowed = not view.server.leaving and self.allows(view.server.version)
+        if allowed and view.retry_at > now:
+            self._backing_off.put(view, steps(view.opens_in_s(now) + now))
+        else:
+            self._backing_off.drop(view)
+        if allowed and view.is_open(now) and view.is_held(now):
             self._held.put(view, steps(view.held_until))
         else:
             self._held.drop(view)
 
-    def _end_holds(self) -> None:
-        """Weigh servers again once permits may be had for them, not a round later."""
-        while (view := self.first_permitted(NONE_EXCLUDED)) and not view.is_held(self._now):
-            self.changed(view)
+    def _open_again(self, now: float) -> None:
+        """Weigh servers again once they may get requests, not a round later."""
+        self._now = max(self._now, now)
+        for order in (self._held, self._backing_off):
+            while (first := order.lightest(1, NONE_EXCLUDED)) and not self._is_shut(first[0]):
+                self.changed(first[0])
+
+    def _is_shut(self, view: ServerView) -> bool:
+        return view.server.leaving or view.opens_in_s(self._now) > 0
 
     def _note_soundness(self, view: ServerView) -> None:
         """Remember a server whose estimate changes by time alone."""
@@ -315,11 +346,6 @@
         now = self._now
         return view.is_open(now) and not view.is_held(now) and not view.is_set_aside(now)
 
-    def _may_serve_once_permitted(self, view: ServerView) -> bool:
-        now = self._now
-        sound = view.is_open(now) and not view.is_set_aside(now)
-        return sound and self.allows(view.server.version)
-
     def first_permitted(self, excluded: frozenset[str]) -> ServerView | None:
         """Return the server with a limit for which a permit may be had first."""
         found = self._held.lightest(1, excluded)
@@ -327,8 +353,7 @@
 
     def sum_of_limits(self) -> float:
         """Return the requests a second that servers with a limit take together."""
-        limits = (self.views[name].limit_per_s for name in self.limited)
-        return sum(limit for limit in limits if limit is not None)
+        return max(0.0, self._limits_sum)
 
     def limits_told(self, now: float) -> list[ServerView]:
         """Return the servers of which other nodes are to hear that they name a limit, or none."""
@@ -346,10 +371,7 @@
         resting: Iterable[str] = (),
     ) -> list[ServerView]:
         """Return the servers to weigh for a request; set aside ones only if there are no others."""
-        self._now = max(self._now, now)
-        if self._now < self._none_until:
-            return []
-        self._end_holds()
+        self._open_again(now)
         found = {view.server.id: view for view in holders if self.may_serve(view, excluded)}
         named = [home] if home is not None else []
         for name in (*named, *self._resting(resting)):
@@ -374,6 +396,8 @@
 
     def _staying_ones(self, excluded: frozenset[str]) -> list[ServerView]:
         """Return the servers that may get requests; those not set aside, if there are any."""
+        if len(self._shut) == len(self.views):
+            return []
         staying = [
             view
             for view in self.views.values()
@@ -381,27 +405,22 @@
             and not view.is_held(self._now)
             and view.server.id not in excluded
         ]
-        if not staying:
-            self._note_none()
         allowed = [view for view in staying if self.allows(view.server.version)]
         if not allowed and (self._rule.only_target or not self._rule.target):
             rejected = self._rule.rejected
             allowed = [view for view in staying if view.server.version not in rejected]
         return [view for view in allowed if not view.is_set_aside(self._now)] or allowed
 
-    def _note_none(self) -> None:
-        """Remember until when no server may get a request, so that not each one walks over all."""
-        staying = (view for view in self.views.values() if not view.server.leaving)
-        first = min((view.opens_in_s(self._now) for view in staying), default=0.0)
-        self._none_until = self._now + first
-
     def retry_in_s(self, now: float) -> float | None:
         """Return when the first server may get a request again, None if there is none.
 
         It is 0 if one may get it now.
         """
-        if now < self._none_until:
-            return self._none_until - now
+        self._open_again(now)
+        if len(self._shut) == len(self.views):
+            found = self._held.lightest(1, NONE_EXCLUDED)
+            found += self._backing_off.lightest(1, NONE_EXCLUDED)
+            return min((view.opens_in_s(now) for view in found), default=None)
         first = None
         for view in self.views.values():
             if view.server.leaving or not self.allows(view.server.version):
--- a/src/moledale/gateway/server_notices.py
+++ b/src/moledale/gateway/server_notices.py
@@ -69,7 +69,7 @@
         life = (view.server.id, view.server.address)
         if view.retry_at:
             self._retry_at[life] = view.retry_at
-        if view.limit_per_s is not None:
+        if view.limit.was_heard:
             self._limits[life] = view.limit
 
     def restore(self, view: ServerView) -> None:
--- a/src/moledale/gateway/stated_limit.py
+++ b/src/moledale/gateway/stated_limit.py
@@ -27,6 +27,11 @@
     since: float = 0.0
     first_hand: bool = False
 
+    @property
+    def was_heard(self) -> bool:
+        """Say whether any limit, or the end of one, was heard."""
+        return self.heard_at > -math.inf
+
     def heard(self, per_s: float | None, sent_at: float, now: float) -> bool:
         """Take over what an answer named; say whether the limit changed.
 
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 from collections.abc import Awaitable, Callable
+from unittest import mock
 
 from moledale.gateway.balance import ServerBook
 from moledale.gateway.limit_sharing import LimitSharing
@@ -345,6 +346,23 @@
         book.apply([Server("s0#2", "plain", "h:0", "a", 4), *SERVERS[1:]])
         self.assertIsNone(book.views["s0#2"].limit_per_s)
 
+    def test_where_all_are_held_back_no_request_walks_over_all_servers(self) -> None:
+        book = ServerBook("a")
+        book.apply([Server(f"s{each}", "plain", f"h:{each}", "a", 4) for each in range(3_000)])
+        limits = {name: LimitNews(1.0, 0.0) for name in book.views}
+        book.notices.peer_limits(limits, "n1", 10.0)
+        for number, view in enumerate(book.views.values()):
+            view.hold_back(11.0 + number)
+        group = book.group("plain")
+        with mock.patch.object(
+            ServerView, "is_held", autospec=True, side_effect=ServerView.is_held
+        ) as asked:
+            self.assertEqual(group.candidates(10.5, frozenset()), [])
+            self.assertEqual(group.retry_in_s(10.5), 0.5)
+            self.assertEqual(group.sum_of_limits(), 3_000.0)
+            self.assertEqual(len(group.candidates(11.1, frozenset())), 1)
+        self.assertLess(asked.call_count, 20)
+
     def test_end_of_a_limit_frees_a_server_that_is_held_back(self) -> None:
         book = ServerBook("a")
         book.apply(SERVERS[:1])
--- a/tests/test_server_beliefs.py
+++ b/tests/test_server_beliefs.py
@@ -7,12 +7,14 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from moledale.gateway.balance import ServerBook
-from moledale.gateway.messages import Server
+from moledale.gateway.messages import Server, ServerStatement
 from moledale.gateway.server_view import LONGEST_DECLINE_S, LONGEST_PAUSE_S, note_silence
+from moledale.gateway.stated_limit import LimitNews
 
 SERVICE = "plain"
 NAMES = st.sampled_from(["s0", "s1", "s2"])
 MOST_TOLD_S = 5.0
+LIMITS = st.sampled_from([None, 0.0, 0.4, 1.0, 50.0])
 WAITS = st.one_of(st.none(), st.floats(0.0, MOST_TOLD_S))
 
 
@@ -28,6 +30,8 @@
         self.listed = {"s0", "s1", "s2"}
         self.said_leaving: set[str] = set()
         self.retry_at: dict[str, float] = {}
+        self.limits: dict[str, tuple[float | None, float]] = {}
+        self.held_until: dict[str, float] = {}
         self.apply()
 
     def id_of(self, name: str) -> str:
@@ -53,6 +57,7 @@
     @rule(name=NAMES)
     def entry_lapses(self, name: str) -> None:
         self.listed.discard(name)
+        self.held_until.pop(self.id_of(name), None)
         self.apply()
 
     @rule(name=NAMES)
@@ -61,6 +66,8 @@
         self.lives[name] += 1
         self.said_leaving.discard(old)
         self.retry_at.pop(old, None)
+        self.limits.pop(old, None)
+        self.held_until.pop(old, None)
         self.listed_as_leaving.discard(name)
         self.listed.add(name)
         self.apply()
@@ -95,6 +102,44 @@
     def other_nodes_were_turned_away(self, name: str, wait_s: float) -> None:
         self.book.notices.peers_declined({self.id_of(name): wait_s}, self.now)
 
+    @rule(name=NAMES, limit=LIMITS, sent_ago_s=st.floats(0.0, 3.0))
+    def answers_with_a_limit_or_none(
+        self, name: str, limit: float | None, sent_ago_s: float
+    ) -> None:
+        view = self.book.views.get(self.id_of(name))
+        if view is None:
+            return
+        sent_at = self.now - sent_ago_s
+        self.book.notices.answered(
+            view, 200, False, ServerStatement(limit_per_s=limit), sent_at, self.now
+        )
+        known, heard_at = self.limits.get(view.server.id, (None, -1e9))
+        loosens = known is not None and (limit is None or limit > known)
+        if (known, limit) == (None, None) or (loosens and sent_at < heard_at):
+            return
+        self.believe(view.server.id, limit, self.now)
+
+    @rule(name=NAMES, limit=LIMITS, age_s=st.floats(0.0, 3.0))
+    def other_node_tells_a_limit(self, name: str, limit: float | None, age_s: float) -> None:
+        server = self.id_of(name)
+        self.book.notices.peer_limits({server: LimitNews(limit, age_s)}, "n2", self.now)
+        heard_at = self.now - age_s
+        if server in self.book.views and heard_at > self.limits.get(server, (None, -1e9))[1]:
+            self.believe(server, limit, heard_at)
+
+    def believe(self, server: str, limit: float | None, heard_at: float) -> None:
+        """Note a limit; another one than before ends what was told for that one."""
+        if limit != self.limits.get(server, (None, 0.0))[0]:
+            self.held_until.pop(server, None)
+        self.limits[server] = (limit, heard_at)
+
+    @rule(name=NAMES, wait_s=st.floats(0.0, MOST_TOLD_S))
+    def permit_is_refused(self, name: str, wait_s: float) -> None:
+        view = self.book.views.get(self.id_of(name))
+        if view is not None and view.limit_per_s is not None:
+            view.hold_back(self.now + wait_s)
+            self.held_until[view.server.id] = self.now + wait_s
+
     @rule(seconds=st.floats(0.01, 3.0))
     def time_passes(self, seconds: float) -> None:
         self.now += seconds
@@ -104,6 +149,7 @@
         """Return the servers that may get a request by what was said."""
         ids = {self.id_of(name) for name in self.listed - self.listed_as_leaving}
         waits = {name for name, at in self.retry_at.items() if at > self.now}
+        waits |= {name for name, at in self.held_until.items() if at > self.now}
         return ids - self.said_leaving - waits
 
     @invariant()
@@ -114,13 +160,23 @@
         assert names <= allowed, f"{names - allowed} may be chosen"
         assert bool(names) == bool(allowed), f"nothing to choose from though {allowed} are there"
 
+    @invariant()
+    def limits_are_those_that_were_heard_last(self) -> None:
+        group = self.book.group(SERVICE)
+        limits = {name: view.limit_per_s for name, view in self.book.views.items()}
+        heard = {name: self.limits.get(name, (None, 0.0))[0] for name in limits}
+        assert limits == heard
+        limited = {name: limit for name, limit in heard.items() if limit is not None}
+        assert group.limited == set(limited)
+        assert abs(group.sum_of_limits() - sum(limited.values())) < 1e-6
+
     @invariant()
     def none_is_lost_for_good(self) -> None:
         """What servers asked for ends: later each that stays is as good as any other."""
         later = self.now + 3 * MOST_TOLD_S + LONGEST_DECLINE_S + LONGEST_PAUSE_S
         for view in self.book.views.values():
             if view.server.id not in self.said_leaving and not view.server.leaving:
-                assert view.is_open(later) and not view.is_set_aside(later)
+                assert view.opens_in_s(later) == 0 and not view.is_set_aside(later)
 
     @invariant()
     def told_time_is_the_first(self) -> None:
