Limited servers: what they lose is rented, what they grant is logged, each part in a module of its own

Cause: a server that takes a request a second counted as a whole one for renting, and operators could not see which servers name limits, how much of them is asked for and granted. E426 tells each 5 s, at the node that grants, what was asked for and granted; the metrics tell how many servers name a limit.

--- a/src/moledale/gateway/balance.py
+++ b/src/moledale/gateway/balance.py
@@ -105,6 +105,10 @@
         """Return the limits that servers named to this node, for other nodes."""
         return self.notices.limits(self._groups.values(), now)
 
+    def limited(self) -> int:
+        """Return how many servers name a limit."""
+        return sum(len(group.limited.names) for group in self._groups.values())
+
     def group(self, service: str) -> ServerGroup:
         """Return the servers of a service."""
         group = self._groups.get(service)
--- /dev/null
+++ b/src/moledale/gateway/closed_servers.py
@@ -0,0 +1,128 @@
+"""Servers of a service that get no requests for now, and those that name limits.
+
+They are known as they change, in the order in which they open again: where all are closed, no
+request has to walk over them to find that out.
+"""
+
+import random
+
+from moledale.gateway.server_order import LoadOrder, steps
+from moledale.gateway.server_view import ServerView
+
+LEAST_USUAL_PER_S = 1e-3
+"""Servers that get fewer requests a second lose nothing by a limit."""
+
+NONE_EXCLUDED: frozenset[str] = frozenset()
+
+
+class LimitedServers:
+    """Those that name a limit of requests from all nodes together."""
+
+    def __init__(self) -> None:
+        self.names: set[str] = set()
+        self._views: dict[str, ServerView] = {}
+        self._heard: dict[str, ServerView] = {}
+        self._counted: dict[str, float] = {}
+        self._sum = 0.0
+
+    def note(self, view: ServerView) -> None:
+        """Take over what a server names."""
+        name, limit = view.server.id, view.limit_per_s
+        if view.limit.first_hand:
+            self._heard[name] = view
+        if limit is None:
+            self._forget(name)
+            return
+        self.names.add(name)
+        self._views[name] = view
+        self._sum += limit - self._counted.get(name, 0.0)
+        self._counted[name] = limit
+
+    def drop(self, name: str) -> None:
+        """Forget a server that is there no more."""
+        self._forget(name)
+        self._heard.pop(name, None)
+
+    def _forget(self, name: str) -> None:
+        self.names.discard(name)
+        self._views.pop(name, None)
+        self._sum -= self._counted.pop(name, 0.0)
+
+    def sum_per_s(self) -> float:
+        """Return the requests a second that they take together."""
+        return max(0.0, self._sum)
+
+    def told(self, now: float) -> list[ServerView]:
+        """Return those of which other nodes are to hear that they name a limit, or none."""
+        for name in [name for name, view in self._heard.items() if view.limit.news(now) is None]:
+            del self._heard[name]
+        return list(self._heard.values())
+
+    def lost(self, now: float, usual_per_s: float, longer_than_s: float) -> int:
+        """Return as how many servers less those count that name limits for longer than that.
+
+        One that takes half of `usual_per_s`, what servers get that name none, is half a server.
+        """
+        usual_per_s = max(usual_per_s, LEAST_USUAL_PER_S)
+        lasting = [
+            view
+            for view in self._views.values()
+            if not view.server.leaving and now - view.limit.since > longer_than_s
+        ]
+        taken = ((view.limit_per_s or 0.0) / usual_per_s for view in lasting)
+        return int(sum(max(0.0, 1.0 - share) for share in taken))
+
+
+class ClosedServers:
+    """Those that leave, back off or are held back for want of a permit."""
+
+    def __init__(self, chance: random.Random) -> None:
+        self._closed: set[str] = set()
+        self._held = LoadOrder(chance)
+        self._backing_off = LoadOrder(chance)
+
+    def note(self, view: ServerView, allowed: bool, now: float) -> None:
+        """Take over how a server stands; `allowed` says whether its version gets work."""
+        if view.is_closed(now):
+            self._closed.add(view.server.id)
+        else:
+            self._closed.discard(view.server.id)
+        may_open = allowed and not view.server.leaving
+        if may_open and view.retry_at > now:
+            self._backing_off.put(view, steps(now + view.opens_in_s(now)))
+        else:
+            self._backing_off.drop(view)
+        if may_open and view.is_open(now) and view.is_held(now):
+            self._held.put(view, steps(view.held_until))
+        else:
+            self._held.drop(view)
+
+    def drop(self, view: ServerView) -> None:
+        """Forget a server that is there no more."""
+        self._closed.discard(view.server.id)
+        self._held.drop(view)
+        self._backing_off.drop(view)
+
+    def are_all(self, number: int) -> bool:
+        """Say whether so many servers are all there are, and closed."""
+        return len(self._closed) == number
+
+    def next_open(self, now: float) -> ServerView | None:
+        """Return a server that is open by now and was not noted so yet, None if there is none."""
+        for view in self._firsts():
+            if not view.is_closed(now):
+                return view
+        return None
+
+    def first_permitted(self, excluded: frozenset[str]) -> ServerView | None:
+        """Return the server for which a permit may be had first."""
+        found = self._held.lightest(1, excluded)
+        return found[0] if found else None
+
+    def opens_in_s(self, now: float) -> float | None:
+        """Return when the first server opens, None if none is known to."""
+        return min((view.opens_in_s(now) for view in self._firsts()), default=None)
+
+    def _firsts(self) -> list[ServerView]:
+        backing_off = self._backing_off.lightest(1, NONE_EXCLUDED)
+        return self._held.lightest(1, NONE_EXCLUDED) + backing_off
--- a/src/moledale/gateway/duties.py
+++ b/src/moledale/gateway/duties.py
@@ -170,7 +170,10 @@
             group = self._book.group(service.name)
             servers = [view.server for view in group.allowed()]
             planner = self._planner(service.name)
-            planner.unavailable = group.unavailable(now, service.renting.boot_s)
+            usual_per_s = self._sharing.requests_per_s(service.name, now) / max(1, len(servers))
+            boot_s = service.renting.boot_s
+            planner.unavailable = group.unavailable(now, boot_s)
+            planner.unavailable += group.limited.lost(now, usual_per_s, boot_s)
             for order in planner.orders(service.renting, servers, now):
                 grant = self._keeper.grant()
                 if grant is None:
--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -1,12 +1,11 @@
 """One request from its caller to a server and back: attempts, whole answers, final answers."""
 
 import asyncio
-import random
 from collections.abc import Awaitable, Callable
 
 from moledale.clock import monotonic
 from moledale.gateway.accounts import AccountLimits
-from moledale.gateway.admission import Admission, spread
+from moledale.gateway.admission import Admission
 from moledale.gateway.answers import AnswerReader
 from moledale.gateway.balance import ServerBook
 from moledale.gateway.dialect import Dialect
@@ -17,6 +16,7 @@
 from moledale.gateway.placing import Placing, Wanted
 from moledale.gateway.plan import Engine, Kind, Plan, PlanIndex
 from moledale.gateway.pool import ConnectionPool
+from moledale.gateway.refusals import NO_SERVER, NOT_RUN_AGAIN_S, Refusals
 from moledale.gateway.reply import Reply
 from moledale.gateway.request_guard import RequestGuard
 from moledale.gateway.server_view import Placement, note_silence
@@ -28,20 +28,9 @@
 MOST_UNREACHED = 6
 """Servers that may take no connection before a request is given up; nothing was sent to them."""
 
-NO_SERVER_AGAIN_S = 0.6
-"""Time to come back where no server takes a connection: a pause of silent ones ends after 0.5 s."""
-
-NOT_RUN_AGAIN_S = 0.3
-"""Time to come back where servers were full: a few answers of the users' plain services (90 ms)."""
-
 OTHER_NODE_AGAIN_S = 0.05
 """Time to come back where other nodes are known to be able to serve, so only a little spread."""
 
-NO_SERVER = "no server is there"
-ALL_BACK_OFF = "all servers asked for a later retry"
-ALL_LIMITED = "all servers are at their limits"
-"""What callers are told where a request could be sent to no server."""
-
 NO_EVENT = "0"
 """Id before a stream's first event."""
 
@@ -104,8 +93,8 @@
         self._now = now
         self._list_is_current = list_is_current
         self._trial_share = trial_share
-        self._turns = Turns(starters, now)
-        self._random = random.Random()
+        self._refusals = Refusals(dialect, book, Turns(starters, now), now)
+        self.refuse = self._refusals.refuse
         self._answers = AnswerReader(
             dialect, book, sharing, self.refuse, now, self.guard, self.server_leaves
         )
@@ -192,8 +181,8 @@
                 raise TimeoutError
             placement = await self._place(job) if moved is None else moved.placement
             if placement is None:
-                if last.why == NO_SERVER and self._wait_s(job):
-                    last = Attempt(Ending.NOT_SENT, why=self._why_none(job))
+                if last.why == NO_SERVER and self._refusals.wait_s(job):
+                    last = Attempt(Ending.NOT_SENT, why=self._refusals.why_none(job))
                 break
             placement.route = job.route.name
             attempt = await self._attempt(job, placement, moved)
@@ -226,9 +215,6 @@
             )
         )
 
-    def _why_none(self, job: Job) -> str:
-        return ALL_LIMITED if self._book.group(job.service).limited else ALL_BACK_OFF
-
     def _engine(self, name: str) -> Engine | None:
         index = self.index
         assert index is not None
@@ -383,28 +369,7 @@
         elif job.may_have_run:
             self._give_up(job, Refusal(502, "the server broke off"))
         else:
-            again_s = spread(self._random, self._again_s(job, last))
-            self._give_up(job, Refusal(503, last.why, again_s))
-
-    def _again_s(self, job: Job, last: Attempt) -> float:
-        """Return when a caller may come back.
-
-        A server's own time to come back is about that server only: where others may take the
-        request sooner, their time counts.
-        """
-        if last.again_s is not None:
-            return last.again_s
-        wait_s = self._wait_s(job)
-        if wait_s is None:
-            return NO_SERVER_AGAIN_S
-        limit_per_s = self._book.group(job.service).sum_of_limits()
-        if wait_s > 0 and limit_per_s:
-            return self._turns.next_s(job.service, wait_s, limit_per_s)
-        usual_s = NO_SERVER_AGAIN_S if last.ending is Ending.NOT_SENT else NOT_RUN_AGAIN_S
-        return wait_s if wait_s > 0 else usual_s
-
-    def _wait_s(self, job: Job) -> float | None:
-        return self._book.group(job.service).retry_in_s(self._now())
+            self._give_up(job, self._refusals.to_come_back(job, last))
 
     def _give_up(self, job: Job, refusal: Refusal) -> None:
         if job.reply.begun:
@@ -415,19 +380,3 @@
         if not job.offered and refusal.status == 504:
             refusal = Refusal(503, refusal.reason, NOT_RUN_AGAIN_S)
         self.refuse(job.reply, job.request, refusal, job.facts.id)
-
-    def refuse(
-        self, reply: Reply, request: InboundRequest, refusal: Refusal, name: str = ""
-    ) -> None:
-        """Give a final answer of the node's own."""
-        emit(
-            Event.REFUSED,
-            request=name,
-            status=refusal.status,
-            why=refusal.reason,
-            again_s=refusal.retry_after_s,
-            held_ms=round((self._now() - request.arrived_at) * 1000),
-        )
-        body = b'{"error":"%s"}' % refusal.reason.encode()
-        headers = self._dialect.refusal_headers(name, refusal.retry_after_s)
-        reply.whole(refusal.status, headers, body)
--- a/src/moledale/gateway/limit_sharing.py
+++ b/src/moledale/gateway/limit_sharing.py
@@ -8,6 +8,13 @@
 from moledale.gateway.peers import Membership, NodeState
 from moledale.gateway.permits import Grantors, PermitAnswer, PermitAsk, PermitDesk, Permits
 from moledale.gateway.stated_limit import LimitNews
+from moledale.log import Event, emit
+
+TELL_S = 5.0
+"""Time between two log lines of the permits of a server."""
+
+MOST_TOLD = 32
+"""Servers of which the permits are logged at a time, those that were asked for most."""
 
 
 class LimitSharing:
@@ -28,6 +35,7 @@
         self._members = members
         self._tell = tell
         self._now = now
+        self._told_at = now()
         self._grantors = Grantors(own_id)
         self._desk = PermitDesk(self._limit_of, lambda: members.heard_share(now()))
         self.permits = Permits(self._desk, self._grantors, own_peer, tell, now)
@@ -38,7 +46,25 @@
 
     def renew(self, serving: bool) -> None:
         """Take over which nodes serve; once a round is enough."""
-        self._grantors.renew(self._own_hall, serving, self._members.alive(self._now()))
+        now = self._now()
+        self._grantors.renew(self._own_hall, serving, self._members.alive(now))
+        if now - self._told_at >= TELL_S:
+            self._log_counts(now - self._told_at)
+            self._told_at = now
+
+    def _log_counts(self, seconds: float) -> None:
+        """Log how much of the limits was asked for and granted here."""
+        counts = self._desk.take_counts()
+        most = sorted(counts, key=lambda server: -counts[server].asked)[:MOST_TOLD]
+        for server in most:
+            emit(
+                Event.PERMITS,
+                server=server,
+                limit_per_s=self._limit_of(server),
+                asked=counts[server].asked,
+                granted=counts[server].granted,
+                seconds=round(seconds, 1),
+            )
 
     def heard(self, message: PermitAsk | PermitAnswer) -> None:
         """Answer a question of another node, or take over an answer to one of this node."""
--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -205,6 +205,7 @@
             self.fleet.archive,
             self.pool,
             settings.bounds.address_ttl_s,
+            self.book.limited,
         )
         self._leaving_since: float | None = None
         self._rollouts_told: dict[str, RolloutNews] = {}
--- a/src/moledale/gateway/permits.py
+++ b/src/moledale/gateway/permits.py
@@ -58,6 +58,13 @@
     wait_s: float
 
 
+class PermitCounts(msgspec.Struct):
+    """Permits of a server that were asked for and granted since this was told last."""
+
+    asked: int = 0
+    granted: int = 0
+
+
 class PermitDesk:
     """Grants permits for servers that this node is drawn for.
 
@@ -71,6 +78,7 @@
         self._limit_of = limit_of
         self._share = share
         self._pacers: LRUCache[str, Pacer] = LRUCache(MOST_PACED)
+        self._counts: dict[str, PermitCounts] = {}
 
     def ask(self, server: str, number: int, most_wait_s: float, now: float) -> Reservation:
         """Grant permits, or say when to ask again; all are granted where no limit is known."""
@@ -83,7 +91,16 @@
         if pacer is None:
             pacer = self._pacers[server] = Pacer.begin(rate, now)
         pacer.retune(rate, now)
-        return pacer.take(now, most_wait_s, number)
+        reservation = pacer.take(now, most_wait_s, number)
+        counts = self._counts.setdefault(server, PermitCounts())
+        counts.asked += number
+        counts.granted += number if reservation.granted else 0
+        return reservation
+
+    def take_counts(self) -> dict[str, PermitCounts]:
+        """Return what was counted since the last call, by server."""
+        counts, self._counts = self._counts, {}
+        return counts
 
     def spent_elsewhere(self, server: str, now: float) -> None:
         """Count a request that a node sent without asking, as builds do that know no limits."""
--- a/src/moledale/gateway/placing.py
+++ b/src/moledale/gateway/placing.py
@@ -57,7 +57,7 @@
     def _choose(self, wanted: Wanted, unlimited: bool) -> Choice | None:
         excluded = wanted.excluded
         if unlimited:
-            excluded = excluded | self._book.group(wanted.service).limited
+            excluded = excluded | self._book.group(wanted.service).limited.names
         return self._book.choose(
             wanted.service,
             wanted.facts,
@@ -69,7 +69,7 @@
 
     async def _wait_for_turn(self, wanted: Wanted) -> Placement | None:
         """Wait for a place at the server that has the first one to give, if that is in time."""
-        view = self._book.group(wanted.service).first_permitted(wanted.excluded)
+        view = self._book.group(wanted.service).closed.first_permitted(wanted.excluded)
         if view is None or view.held_until - self._now() > wanted.patience_s:
             return None
         if not await self._permits.take(view, wanted.patience_s, wanted.answer_s):
--- /dev/null
+++ b/src/moledale/gateway/refusals.py
@@ -0,0 +1,82 @@
+"""Final answers of a node's own: what callers are told, and when to come back."""
+
+import random
+from collections.abc import Callable
+
+from moledale.gateway.admission import spread
+from moledale.gateway.balance import ServerBook
+from moledale.gateway.dialect import Dialect
+from moledale.gateway.job import Attempt, Ending, Job
+from moledale.gateway.messages import InboundRequest, Refusal
+from moledale.gateway.reply import Reply
+from moledale.gateway.turns import Turns
+from moledale.log import Event, emit
+
+NO_SERVER_AGAIN_S = 0.6
+"""Time to come back where no server takes a connection: a pause of silent ones ends after 0.5 s."""
+
+NOT_RUN_AGAIN_S = 0.3
+"""Time to come back where servers were full: a few answers of the users' plain services (90 ms)."""
+
+NO_SERVER = "no server is there"
+ALL_BACK_OFF = "all servers asked for a later retry"
+ALL_LIMITED = "all servers are at their limits"
+"""What callers are told where a request could be sent to no server."""
+
+
+class Refusals:
+    """Tells callers why their request was not served."""
+
+    def __init__(
+        self, dialect: Dialect, book: ServerBook, turns: Turns, now: Callable[[], float]
+    ) -> None:
+        self._dialect = dialect
+        self._book = book
+        self._turns = turns
+        self._now = now
+        self._random = random.Random()
+
+    def why_none(self, job: Job) -> str:
+        """Return why a request gets no server though some are there."""
+        return ALL_LIMITED if self._book.group(job.service).limited.names else ALL_BACK_OFF
+
+    def to_come_back(self, job: Job, last: Attempt) -> Refusal:
+        """Return the answer for a request that no server ran."""
+        return Refusal(503, last.why, spread(self._random, self._again_s(job, last)))
+
+    def _again_s(self, job: Job, last: Attempt) -> float:
+        """Return when a caller may come back.
+
+        A server's own time to come back is about that server only: where others may take the
+        request sooner, their time counts.
+        """
+        if last.again_s is not None:
+            return last.again_s
+        wait_s = self.wait_s(job)
+        if wait_s is None:
+            return NO_SERVER_AGAIN_S
+        limit_per_s = self._book.group(job.service).limited.sum_per_s()
+        if wait_s > 0 and limit_per_s:
+            return self._turns.next_s(job.service, wait_s, limit_per_s)
+        usual_s = NO_SERVER_AGAIN_S if last.ending is Ending.NOT_SENT else NOT_RUN_AGAIN_S
+        return wait_s if wait_s > 0 else usual_s
+
+    def wait_s(self, job: Job) -> float | None:
+        """Return when the first server of a request's service may get one again."""
+        return self._book.group(job.service).retry_in_s(self._now())
+
+    def refuse(
+        self, reply: Reply, request: InboundRequest, refusal: Refusal, name: str = ""
+    ) -> None:
+        """Give a final answer of the node's own."""
+        emit(
+            Event.REFUSED,
+            request=name,
+            status=refusal.status,
+            why=refusal.reason,
+            again_s=refusal.retry_after_s,
+            held_ms=round((self._now() - request.arrived_at) * 1000),
+        )
+        body = b'{"error":"%s"}' % refusal.reason.encode()
+        headers = self._dialect.refusal_headers(name, refusal.retry_after_s)
+        reply.whole(refusal.status, headers, body)
--- a/src/moledale/gateway/renting.py
+++ b/src/moledale/gateway/renting.py
@@ -188,8 +188,8 @@
 class RentingPlanner(msgspec.Struct):
     """Plans orders for one service; remembers what this holder ordered.
 
-    `unavailable` servers are there and paid, but turn requests away for longer than a new one takes
-    to start, so as many more are needed.
+    `unavailable` servers are there and paid, but turn requests away, or take few, for longer than a
+    new one takes to start, so as many more are needed.
     """
 
     service: str
--- a/src/moledale/gateway/server_group.py
+++ b/src/moledale/gateway/server_group.py
@@ -14,6 +14,7 @@
 
 from moledale.core.hashing import ranked
 from moledale.core.rollouts import VersionRule
+from moledale.gateway.closed_servers import NONE_EXCLUDED, ClosedServers, LimitedServers
 from moledale.gateway.messages import PromptPart, Server
 from moledale.gateway.server_order import HomeRing, LoadOrder, steps
 from moledale.gateway.server_view import ServerView
@@ -38,8 +39,6 @@
 """A version that appears without an order gets work after this time: longer than the order that it
 may belong to is on its way, so that servers which were replaced in another way are used at last."""
 
-NONE_EXCLUDED: frozenset[str] = frozenset()
-
 FADING_SHARE = 0.01
 """A server that failed or was slow counts as sound again below this."""
 
@@ -66,13 +65,8 @@
         self._holders: dict[str, list[ServerView]] = {}
         self._counted: dict[str, tuple[int, int]] = {}
         self._unsound: set[str] = set()
-        self.limited: set[str] = set()
-        self._limits_heard: set[str] = set()
-        self._limits_sum = 0.0
-        self._limit_counted: dict[str, float] = {}
-        self._shut: set[str] = set()
-        self._held = LoadOrder(chance)
-        self._backing_off = LoadOrder(chance)
+        self.limited = LimitedServers()
+        self.closed = ClosedServers(chance)
         self._rule = VersionRule()
         self._settled: frozenset[str] = frozenset()
         self._present: dict[str, float] = {}
@@ -119,12 +113,8 @@
         self.prefill -= prefill
         self.busy.discard(name)
         self._unsound.discard(name)
-        self.limited.discard(name)
-        self._limits_heard.discard(name)
-        self._shut.discard(name)
-        self._held.drop(view)
-        self._backing_off.drop(view)
-        self._limits_sum -= self._limit_counted.pop(name, 0.0)
+        self.limited.drop(name)
+        self.closed.drop(view)
         view.on_change = None
 
     def mark_leaving(self, name: str) -> None:
@@ -148,57 +138,19 @@
         else:
             self.busy.discard(name)
         self._note_soundness(view)
-        self._note_limit(view)
-        self._note_shut(view)
+        self.limited.note(view)
+        self.closed.note(view, self.allows(view.server.version), self._now)
         order = self._order(view.server.hall)
         if not self.may_serve(view, NONE_EXCLUDED):
             order.drop(view)
         else:
             order.put(view, steps(self._load_s(view, self._now)))
 
-    def _note_limit(self, view: ServerView) -> None:
-        """Remember a server that names a limit."""
-        name, limit = view.server.id, view.limit_per_s
-        if limit is not None:
-            self.limited.add(name)
-        else:
-            self.limited.discard(name)
-        if view.limit.first_hand:
-            self._limits_heard.add(name)
-        if limit != self._limit_counted.get(name):
-            self._limits_sum += (limit or 0.0) - self._limit_counted.pop(name, 0.0)
-            if limit is not None:
-                self._limit_counted[name] = limit
-
-    def _note_shut(self, view: ServerView) -> None:
-        """Remember a server that may get nothing now, in the order in which they open again.
-
-        Where all are shut, no request has to walk over them to find that out.
-        """
-        now = self._now
-        if self._is_shut(view):
-            self._shut.add(view.server.id)
-        else:
-            self._shut.discard(view.server.id)
-        allowed = not view.server.leaving and self.allows(view.server.version)
-        if allowed and view.retry_at > now:
-            self._backing_off.put(view, steps(view.opens_in_s(now) + now))
-        else:
-            self._backing_off.drop(view)
-        if allowed and view.is_open(now) and view.is_held(now):
-            self._held.put(view, steps(view.held_until))
-        else:
-            self._held.drop(view)
-
     def _open_again(self, now: float) -> None:
         """Weigh servers again once they may get requests, not a round later."""
         self._now = max(self._now, now)
-        for order in (self._held, self._backing_off):
-            while (first := order.lightest(1, NONE_EXCLUDED)) and not self._is_shut(first[0]):
-                self.changed(first[0])
-
-    def _is_shut(self, view: ServerView) -> bool:
-        return view.server.leaving or view.opens_in_s(self._now) > 0
+        while view := self.closed.next_open(self._now):
+            self.changed(view)
 
     def _note_soundness(self, view: ServerView) -> None:
         """Remember a server whose estimate changes by time alone."""
@@ -343,24 +295,7 @@
         return self.allows(view.server.version)
 
     def _is_free(self, view: ServerView) -> bool:
-        now = self._now
-        return view.is_open(now) and not view.is_held(now) and not view.is_set_aside(now)
-
-    def first_permitted(self, excluded: frozenset[str]) -> ServerView | None:
-        """Return the server with a limit for which a permit may be had first."""
-        found = self._held.lightest(1, excluded)
-        return found[0] if found else None
-
-    def sum_of_limits(self) -> float:
-        """Return the requests a second that servers with a limit take together."""
-        return max(0.0, self._limits_sum)
-
-    def limits_told(self, now: float) -> list[ServerView]:
-        """Return the servers of which other nodes are to hear that they name a limit, or none."""
-        heard = [self.views[name] for name in self._limits_heard]
-        told = [view for view in heard if view.limit.news(now) is not None]
-        self._limits_heard = {view.server.id for view in told}
-        return told
+        return not view.is_closed(self._now) and not view.is_set_aside(self._now)
 
     def candidates(
         self,
@@ -396,14 +331,12 @@
 
     def _staying_ones(self, excluded: frozenset[str]) -> list[ServerView]:
         """Return the servers that may get requests; those not set aside, if there are any."""
-        if len(self._shut) == len(self.views):
+        if self.closed.are_all(len(self.views)):
             return []
         staying = [
             view
             for view in self.views.values()
-            if view.is_open(self._now)
-            and not view.is_held(self._now)
-            and view.server.id not in excluded
+            if not view.is_closed(self._now) and view.server.id not in excluded
         ]
         allowed = [view for view in staying if self.allows(view.server.version)]
         if not allowed and (self._rule.only_target or not self._rule.target):
@@ -417,10 +350,8 @@
         It is 0 if one may get it now.
         """
         self._open_again(now)
-        if len(self._shut) == len(self.views):
-            found = self._held.lightest(1, NONE_EXCLUDED)
-            found += self._backing_off.lightest(1, NONE_EXCLUDED)
-            return min((view.opens_in_s(now) for view in found), default=None)
+        if self.closed.are_all(len(self.views)):
+            return self.closed.opens_in_s(now)
         first = None
         for view in self.views.values():
             if view.server.leaving or not self.allows(view.server.version):
--- a/src/moledale/gateway/server_notices.py
+++ b/src/moledale/gateway/server_notices.py
@@ -120,7 +120,7 @@
 
         Those that were heard last come first, where there are more than one state tells.
         """
-        views = [view for group in groups for view in group.limits_told(now)]
+        views = [view for group in groups for view in group.limited.told(now)]
         views.sort(key=lambda view: -view.limit.heard_at)
         told = ((view.server.id, view.limit.news(now)) for view in views[:MOST_TOLD])
         return {name: news for name, news in told if news is not None}
--- a/src/moledale/gateway/server_view.py
+++ b/src/moledale/gateway/server_view.py
@@ -121,6 +121,10 @@
         """Say whether no permit is to be had for the server yet."""
         return self.held_until > now
 
+    def is_closed(self, now: float) -> bool:
+        """Say whether the server gets no request of this node now, whatever others do."""
+        return not self.is_open(now) or self.is_held(now)
+
     def opens_in_s(self, now: float) -> float:
         """Return how long the server gets no requests of this node, if it stays."""
         return max(0.0, self.retry_at - now, self.held_until - now)
--- a/src/moledale/gateway/sharing.py
+++ b/src/moledale/gateway/sharing.py
@@ -75,6 +75,11 @@
         others = [state.sends[service] for state in alive if service in state.sends]
         return self._budget(service).allows(now, others, len(alive) + 1)
 
+    def requests_per_s(self, service: str, now: float) -> float:
+        """Return the callers' requests for a service at all nodes, over the window of repeats."""
+        told = [state.sends.get(service, (0, 0))[0] for state in self.members.alive(now)]
+        return (self._budget(service).counts(now)[0] + sum(told)) / self._bounds.retry_window_s
+
     def sends(self, now: float) -> dict[str, tuple[int, int]]:
         """Return requests and repeats of the window, by service."""
         return {service: budget.counts(now) for service, budget in self._budgets.items()}
--- a/src/moledale/log.py
+++ b/src/moledale/log.py
@@ -85,6 +85,9 @@
     SERVER_LIMIT = EventSpec(
         425, logbook.INFO, "A server named another limit of requests from all nodes, or none."
     )
+    PERMITS = EventSpec(
+        426, logbook.INFO, "Permits for a server with a limit: asked for and granted at this node."
+    )
     USAGE_REPORTED = EventSpec(510, logbook.INFO, "Usage of a window was reported.")
     USAGE_FAILED = EventSpec(511, logbook.WARNING, "Usage of a window could not be reported.")
     SERVERS_ORDERED = EventSpec(512, logbook.INFO, "A number of servers was ordered for a hall.")
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -1,12 +1,15 @@
 """One node grants permits for a server that names a limit; what others do when it can't."""
 
 import asyncio
+import json
 import unittest
 from collections.abc import Awaitable, Callable
 from unittest import mock
 
+import logbook
+
 from moledale.gateway.balance import ServerBook
-from moledale.gateway.limit_sharing import LimitSharing
+from moledale.gateway.limit_sharing import TELL_S, LimitSharing
 from moledale.gateway.messages import Server
 from moledale.gateway.peers import Membership, Standing
 from moledale.gateway.permits import ANSWER_S, SILENT_S, Grantors, PermitAnswer, PermitAsk
@@ -159,6 +162,26 @@
 
         play(work)
 
+    def test_use_of_a_limit_is_logged_now_and_then(self) -> None:
+        async def work() -> None:
+            world = World("n0")
+            world.limit(1.0)
+            node = world.nodes["n0"]
+            for _ in range(3):
+                await node.sharing.permits.take(node.view())
+                world.now += 0.6
+            world.now = TELL_S
+            with logbook.TestHandler().applicationbound() as handler:
+                node.sharing.renew(serving=True)
+                node.sharing.renew(serving=True)
+            lines = [record.message for record in handler.records]
+            self.assertEqual([line[:4] for line in lines], ["E426"])
+            fields = json.loads(lines[0][lines[0].index("{") :])
+            self.assertEqual((fields["server"], fields["asked"]), ("s0", 3))
+            self.assertEqual((fields["granted"], fields["limit_per_s"]), (1, 1.0))
+
+        play(work)
+
     def test_halves_that_are_cut_grant_a_part_each(self) -> None:
         async def work() -> None:
             world = World(*(f"n{each}" for each in range(8)))
@@ -239,7 +262,9 @@
             asking = asyncio.create_task(node.sharing.permits.take(node.view()))
             await asyncio.sleep(0)
             self.assertTrue(node.view().is_held(world.now))
-            self.assertEqual(node.book.group("plain").first_permitted(frozenset()), node.view())
+            self.assertEqual(
+                node.book.group("plain").closed.first_permitted(frozenset()), node.view()
+            )
             await asking
 
         play(work)
@@ -340,9 +365,9 @@
         book.apply(SERVERS[1:])
         book.apply(SERVERS)
         self.assertEqual(book.views["s0"].limit_per_s, 2.0)
-        self.assertEqual(book.group("plain").limited, {"s0"})
+        self.assertEqual(book.group("plain").limited.names, {"s0"})
         book.apply(SERVERS[1:])
-        self.assertEqual(book.group("plain").limited, set())
+        self.assertEqual(book.group("plain").limited.names, set())
         book.apply([Server("s0#2", "plain", "h:0", "a", 4), *SERVERS[1:]])
         self.assertIsNone(book.views["s0#2"].limit_per_s)
 
@@ -359,7 +384,7 @@
         ) as asked:
             self.assertEqual(group.candidates(10.5, frozenset()), [])
             self.assertEqual(group.retry_in_s(10.5), 0.5)
-            self.assertEqual(group.sum_of_limits(), 3_000.0)
+            self.assertEqual(group.limited.sum_per_s(), 3_000.0)
             self.assertEqual(len(group.candidates(11.1, frozenset())), 1)
         self.assertLess(asked.call_count, 20)
 
--- a/tests/test_server_beliefs.py
+++ b/tests/test_server_beliefs.py
@@ -167,8 +167,8 @@
         heard = {name: self.limits.get(name, (None, 0.0))[0] for name in limits}
         assert limits == heard
         limited = {name: limit for name, limit in heard.items() if limit is not None}
-        assert group.limited == set(limited)
-        assert abs(group.sum_of_limits() - sum(limited.values())) < 1e-6
+        assert group.limited.names == set(limited)
+        assert abs(group.limited.sum_per_s() - sum(limited.values())) < 1e-6
 
     @invariant()
     def none_is_lost_for_good(self) -> None:
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -1,11 +1,25 @@
 """A server that names a limit gets no more than that from all nodes together."""
 
+import asyncio
 import random
 import unittest
 
 import logbook
 
+from moledale.clock import monotonic
+from moledale.gateway.balance import ServerBook
+from moledale.gateway.messages import RequestFacts, Server
+from moledale.gateway.peers import Membership
+from moledale.gateway.permits import permits_alone
+from moledale.gateway.placing import Placing, Wanted
+from moledale.gateway.plan import Engine, Kind, Route, Share
+from moledale.gateway.settings import Bounds
+from moledale.gateway.sharing import Sharing
+from moledale.gateway.stated_limit import LimitNews
+from moledale.gateway.upstream import UpstreamConnection
 from moledale.platform.headers import PlatformHeaders
+from tests.gateway_states import state
+from tests.gateway_world import HOST, GatewayWorld, a_plan, fine, quietly
 from tests.limit_world import Callers, allowed, limited_server, start_nodes
 from tests.test_gateway_nodes import Cluster, on_cluster
 from tests.test_server_notices import headers
@@ -76,6 +90,100 @@
         servers[1].stop()
 
 
+class TurnTest(unittest.TestCase):
+    """Where the only server names a limit, requests wait for their turn while that is in time."""
+
+    def test_requests_that_can_wait_are_served_one_after_the_other(self) -> None:
+        quietly(self._ask_at_once())
+
+    async def _ask_at_once(self) -> None:
+        routes = (
+            Route("now", HOST, "/now/", Kind.SAFE, (Share("plain"),), 1.0, 2.0, priority=0),
+            Route("later", HOST, "/later/", Kind.SAFE, (Share("plain"),), 1.0, 2.0, priority=4),
+        )
+        async with GatewayWorld(a_plan(routes=routes)) as world:
+            server = limited_server("s1", 5.0)
+            await world.add(server, "plain")
+            # The limit is heard with the first answer, and kept from the second request on.
+            for _ in range(2):
+                await world.ask("/now/")
+            await asyncio.sleep(0.5)
+            later = [asyncio.create_task(world.ask("/later/")) for _ in range(8)]
+            await asyncio.sleep(0.02)
+            now = [asyncio.create_task(world.ask("/now/")) for _ in range(3)]
+            answers = [await each for each in now]
+            self.assertEqual([each.status for each in answers], [200, 200, 200])
+            waited = [await each for each in later]
+            # What was saved, and a turn within a fifth of half of their target.
+            self.assertIn([each.status for each in waited].count(200), (2, 3))
+            refused = [each for each in waited if each.status == 503]
+            times = [float(each.headers["retry-after"]) for each in refused]
+            self.assertEqual(len(set(times)), len(times))
+            self.assertIn(b"at their limits", refused[0].body)
+
+    def test_limit_heard_while_a_connection_is_made_counts(self) -> None:
+        async def work() -> None:
+            async with GatewayWorld(a_plan()) as world:
+                first = await world.server("s1", "plain", fine)
+                await world.server("s2", "plain", fine)
+                take = world.pool.take
+
+                async def take_slowly(server: str, address: str) -> UpstreamConnection:
+                    connection = await take(server, address)
+                    if server == "s1":
+                        limit = {"s1": LimitNews(0.1, 0.0)}
+                        world.book.notices.peer_limits(limit, "n2", monotonic())
+                    return connection
+
+                world.pool.take = take_slowly  # type: ignore[method-assign]
+                self.assertEqual((await world.ask("/order/")).status, 200)
+                self.assertEqual(first.arrivals, [])
+
+        quietly(work())
+
+    def test_streams_are_moved_to_no_server_that_has_no_place(self) -> None:
+        async def work() -> None:
+            book = ServerBook("a")
+            book.apply([Server(f"s{each}", "model", f"h:{each}", "a", 64) for each in range(3)])
+            book.notices.peer_limits({"s1": LimitNews(0.1, 0.0)}, "n2", monotonic())
+            placing = Placing(book, permits_alone(book, monotonic), monotonic)
+            engine = Engine(4, 100_000, 1, 1000.0, moves=True, event_tokens=3)
+            for number in range(6):
+                facts = RequestFacts(id=f"r{number}", prompt_tokens=50)
+                wanted = Wanted("model", facts, engine, frozenset({"s0"}), moved=True)
+                placement = await placing.place(wanted)
+                assert placement is not None
+                self.assertEqual(placement.view.server.id, "s2")
+
+        quietly(work())
+
+
+class RentingTest(unittest.TestCase):
+    """A server that takes hardly anything for longer than a new one takes to start is missing."""
+
+    def test_part_that_limits_take_away_is_made_up_for(self) -> None:
+        book = ServerBook("a")
+        book.apply([Server(f"s{each}", "model", f"h:{each}", "a", 64) for each in range(6)])
+        group = book.group("model")
+        for name, limit in (("s0", 0.5), ("s1", 1.0), ("s2", 50.0), ("s3", 0.0)):
+            book.notices.peer_limits({name: LimitNews(limit, 0.0)}, "n1", 10.0)
+        usual_per_s, boot_s = 5.0, 4.0
+        self.assertEqual(group.limited.lost(13.0, usual_per_s, boot_s), 0)
+        # 0.9, 0.8, none and 1 of them are missing.
+        self.assertEqual(group.limited.lost(15.0, usual_per_s, boot_s), 2)
+        self.assertEqual(group.limited.lost(15.0, 0.0, boot_s), 1)
+        book.notices.note_leaving("s3")
+        self.assertEqual(group.limited.lost(15.0, usual_per_s, boot_s), 1)
+
+    def test_requests_of_all_nodes_tell_what_is_usual(self) -> None:
+        members = Membership("n0", 1)
+        sharing = Sharing(members, Bounds(), now=lambda: 1.0)
+        for _ in range(20):
+            sharing.request("model", 1.0)
+        members.heard(state("n1", sends={"model": (30, 2)}), 1.0)
+        self.assertEqual(sharing.requests_per_s("model", 1.0), 5.0)
+
+
 class HeaderValuesTest(unittest.TestCase):
     """Each value that a limit may have is read in one way."""
 
--- a/tools/without_gateway.py
+++ b/tools/without_gateway.py
@@ -7,6 +7,7 @@
 
 from moledale import clock
 from moledale.core import rollouts
+from moledale.core.pacing import Pacer
 from moledale.core.quarantine import Quarantine
 from moledale.gateway import (
     directory,
@@ -23,6 +24,7 @@
 from moledale.gateway.answers import AnswerReader
 from moledale.gateway.backoff import Backoff
 from moledale.gateway.balance import ServerBook
+from moledale.gateway.closed_servers import LimitedServers
 from moledale.gateway.cold_start import ColdStart
 from moledale.gateway.document_archive import DocumentArchive, DocumentPiece, UploadBudget
 from moledale.gateway.document_fetch import DocumentFetch, Transfer
@@ -37,9 +39,12 @@
 from moledale.gateway.neighbours import Neighbours
 from moledale.gateway.node import GatewayNode
 from moledale.gateway.peers import LeaseNews, Membership
+from moledale.gateway.permits import Grantors, Permits
+from moledale.gateway.placing import Placing
 from moledale.gateway.plan import PlanIndex
 from moledale.gateway.quarantine_sharing import QuarantineSharing
 from moledale.gateway.quarantine_store import QuarantineStore
+from moledale.gateway.refusals import Refusals
 from moledale.gateway.reply import Reply
 from moledale.gateway.request_guard import RequestGuard
 from moledale.gateway.retries import RetryBudget
@@ -50,6 +55,7 @@
 from moledale.gateway.server_model import Slowness, SpeedLearner
 from moledale.gateway.server_notices import ServerNotices
 from moledale.gateway.server_view import ServerView
+from moledale.gateway.stated_limit import StatedLimit
 from moledale.gateway.upstream import UpstreamConnection
 from moledale.gateway.work import WorkMeter
 from moledale.platform import entries
@@ -68,6 +74,8 @@
 LISTS = "tests.test_server_list"
 PLACEMENTS = "tests.test_gateway_placements"
 BLOCKS = "tests.test_quarantine tests.test_quarantine_nodes"
+PERMITS = "tests.test_permits"
+SERVER_LIMITS = "tests.test_server_limits"
 NOTICES = "tests.test_server_notices"
 BLAME = "tests.test_quarantine_core"
 VERSIONS = "tests.test_rollouts.VersionsTest"
@@ -79,6 +87,15 @@
 _note = WorkMeter.note
 
 
+async def _grant_all(*_: object) -> bool:
+    """Send to a server whatever limit it names."""
+    return True
+
+
+async def _no_turn(*_: object) -> None:
+    """Wait for no turn."""
+
+
 def _keep_any(self: UpstreamConnection, now: float) -> bool:
     """Use a connection again whatever it brought."""
     self.usable = True
@@ -253,8 +270,19 @@
     ("others hear which servers leave", ServerNotices, "leaving_beyond_the_list", lambda _: [],
      NOTICES),
     ("others ask a full server later", ServerNotices, "peers_declined", lambda *_: None, NOTICES),
-    ("callers come back when any server is free", Forwarder, "_wait_s", lambda *_: None, NOTICES),
+    ("callers come back when any server is free", Refusals, "wait_s", lambda *_: None, NOTICES),
     ("servers that turn away are made up for", ServerGroup, "unavailable", lambda *_: 0, NOTICES),
+    ("requests to a limited server need a permit", Permits, "take", _grant_all, SERVER_LIMITS),
+    ("one node grants for a server", Grantors, "address", lambda *_: None, PERMITS),
+    ("halves of a cut grant a part", Membership, "heard_share", lambda *_: 1.0, PERMITS),
+    ("others hear which limits servers name", ServerNotices, "peer_limits", lambda *_: None,
+     PERMITS),
+    ("a server without a permit isn't chosen", ServerView, "is_held", lambda *_: False, PERMITS),
+    ("overtaken answers don't loosen a limit", StatedLimit, "_loosens", lambda *_: False, PERMITS),
+    ("those that are refused come one after the other", Pacer, "_turn_s",
+     lambda _, wait_s, __: wait_s, "tests.test_pacing"),
+    ("requests wait for their turn", Placing, "_wait_for_turn", _no_turn, SERVER_LIMITS),
+    ("limits are made up for by renting", LimitedServers, "lost", lambda *_: 0, SERVER_LIMITS),
     ("starting nodes tell all what they admit", Neighbours, "_spends_unheard",
      lambda *_: False, LIMITS),
     ("the holder's looks are reckoned with", rollouts, "STEPS_AFTER_RISE", 0,
