Only nodes that serve count as cut off; those in reserve are hardly heard where nodes are many

Cause, found by reading: the part of a limit that a node grants was that of all nodes which it hears. Of 390 nodes, those in reserve in other halls tell it by chance only, so it would have granted a third or less of each limit. The nodes that serve tell each other each second at least; a side of a cut on which none serves counts the silent ones all the same.

--- a/src/moledale/gateway/peers.py
+++ b/src/moledale/gateway/peers.py
@@ -135,6 +135,10 @@
         )
 
 
+def _serves(state: NodeState) -> bool:
+    return state.serving and state.standing != Standing.LEAVING
+
+
 class Member(msgspec.Struct):
     """A node as this one knows it."""
 
@@ -202,13 +206,13 @@
         return [each.state for each in self.members.values() if now - each.heard_at < limit]
 
     def heard_share(self, now: float) -> float:
-        """Return the part of all nodes that are heard, this one with them.
+        """Return the part of the nodes that serve which is heard, this one with them.
 
-        Nodes that said that they leave are left out; any other that is silent may live behind a
-        cut.
+        One that fell silent without saying that it leaves may live behind a cut. Nodes in reserve
+        are left out: where nodes are many, those of other halls are hardly heard in any case.
         """
-        known = sum(each.state.standing != Standing.LEAVING for each in self.members.values())
-        heard = sum(state.standing != Standing.LEAVING for state in self.alive(now))
+        known = sum(_serves(each.state) for each in self.members.values())
+        heard = sum(_serves(state) for state in self.alive(now))
         return (1 + heard) / (1 + known)
 
     def all_states(self) -> list[NodeState]:
