--- a/src/moledale/gateway/balance.py
+++ b/src/moledale/gateway/balance.py
@@ -20,7 +20,8 @@
 from moledale.gateway.server_model import FirstEvent, Speed, SpeedLearner
 from moledale.gateway.server_notices import ServerNotices
 from moledale.gateway.server_order import steps
-from moledale.gateway.server_view import ENGINE_SLOTS, FIRST_PAUSE_S, Placement, ServerView
+from moledale.gateway.server_standing import FIRST_PAUSE_S
+from moledale.gateway.server_view import ENGINE_SLOTS, Placement, ServerView
 from moledale.gateway.stated_limit import LimitNews
 
 LEAST_EXPECTED_S = 0.01
--- a/src/moledale/gateway/choice.py
+++ b/src/moledale/gateway/choice.py
@@ -51,7 +51,8 @@
     """Return the longest front of a prompt that a sound server has, leaving ones included."""
     best = Front()
     for view in holders:
-        if view.is_set_aside(now) or view.retry_at > now or view.failures:
+        backs_off = view.standing.retry_at > now
+        if view.is_set_aside(now) or backs_off or view.standing.failures:
             continue
         tokens = view.covers(facts.parts)
         if tokens > best.tokens:
--- a/src/moledale/gateway/closed_servers.py
+++ b/src/moledale/gateway/closed_servers.py
@@ -28,7 +28,7 @@
     def note(self, view: ServerView) -> None:
         """Take over what a server names."""
         name, limit = view.server.id, view.limit_per_s
-        if view.limit.first_hand:
+        if view.standing.limit.first_hand:
             self._heard[name] = view
         if limit is None:
             self._forget(name)
@@ -54,7 +54,8 @@
 
     def told(self, now: float) -> list[ServerView]:
         """Return those of which other nodes are to hear that they name a limit, or none."""
-        for name in [name for name, view in self._heard.items() if view.limit.news(now) is None]:
+        limits = {name: view.standing.limit for name, view in self._heard.items()}
+        for name in [name for name, limit in limits.items() if limit.news(now) is None]:
             del self._heard[name]
         return list(self._heard.values())
 
@@ -67,7 +68,7 @@
         lasting = [
             view
             for view in self._views.values()
-            if not view.server.leaving and now - view.limit.since > longer_than_s
+            if not view.server.leaving and now - view.standing.limit.since > longer_than_s
         ]
         taken = ((view.limit_per_s or 0.0) / usual_per_s for view in lasting)
         return int(sum(max(0.0, 1.0 - share) for share in taken))
@@ -88,12 +89,12 @@
         else:
             self._closed.discard(view.server.id)
         may_open = allowed and not view.server.leaving
-        if may_open and view.retry_at > now:
-            self._backing_off.put(view, steps(now + view.opens_in_s(now)))
+        if may_open and view.standing.retry_at > now:
+            self._backing_off.put(view, steps(now + view.standing.opens_in_s(now)))
         else:
             self._backing_off.drop(view)
-        if may_open and view.is_open(now) and view.is_held(now):
-            self._held.put(view, steps(view.held_until))
+        if may_open and view.is_open(now) and view.standing.is_held(now):
+            self._held.put(view, steps(view.standing.held_until))
         else:
             self._held.drop(view)
 
@@ -121,7 +122,7 @@
 
     def opens_in_s(self, now: float) -> float | None:
         """Return when the first server opens, None if none is known to."""
-        return min((view.opens_in_s(now) for view in self._firsts()), default=None)
+        return min((view.standing.opens_in_s(now) for view in self._firsts()), default=None)
 
     def _firsts(self) -> list[ServerView]:
         backing_off = self._backing_off.lightest(1, NONE_EXCLUDED)
--- a/src/moledale/gateway/permits.py
+++ b/src/moledale/gateway/permits.py
@@ -219,7 +219,7 @@
     ) -> PermitAnswer | None:
         now = self._now()
         self._serial += 1
-        age_s = now - view.limit.heard_at
+        age_s = now - view.standing.limit.heard_at
         ask = PermitAsk(
             self._own_peer, self._serial, view.server.id, limit, age_s, number, most_wait_s
         )
--- a/src/moledale/gateway/placing.py
+++ b/src/moledale/gateway/placing.py
@@ -70,7 +70,7 @@
     async def _wait_for_turn(self, wanted: Wanted) -> Placement | None:
         """Wait for a place at the server that has the first one to give, if that is in time."""
         view = self._book.group(wanted.service).closed.first_permitted(wanted.excluded)
-        if view is None or view.held_until - self._now() > wanted.patience_s:
+        if view is None or view.standing.held_until - self._now() > wanted.patience_s:
             return None
         if not await self._permits.take(view, wanted.patience_s, wanted.answer_s):
             return None
--- a/src/moledale/gateway/server_group.py
+++ b/src/moledale/gateway/server_group.py
@@ -155,7 +155,7 @@
     def _note_soundness(self, view: ServerView) -> None:
         """Remember a server whose estimate changes by time alone."""
         slow = view.slowness.times(self._now) - 1.0 > FADING_SHARE
-        waits = view.opens_in_s(self._now) > 0 or view.is_set_aside(self._now)
+        waits = view.standing.opens_in_s(self._now) > 0 or view.is_set_aside(self._now)
         if slow or view.failed_share > FADING_SHARE or waits:
             self._unsound.add(view.server.id)
         else:
@@ -356,7 +356,7 @@
         for view in self.views.values():
             if view.server.leaving or not self.allows(view.server.version):
                 continue
-            wait_s = view.opens_in_s(now)
+            wait_s = view.standing.opens_in_s(now)
             if wait_s == 0.0:
                 return 0.0
             first = wait_s if first is None else min(first, wait_s)
@@ -365,13 +365,16 @@
     def declined(self, now: float) -> list[ServerView]:
         """Return the servers that stay and turned requests of this node away."""
         views = (self.views[name] for name in self._unsound)
-        return [view for view in views if view.declined_until > now and not view.server.leaving]
+        return [
+            view for view in views if view.standing.declined_until > now and not view.server.leaving
+        ]
 
     def unavailable(self, now: float, longer_than_s: float) -> int:
         """Return how many servers that stay turn requests of any node away for longer than that."""
         views = (self.views[name] for name in self._unsound)
-        away = (view for view in views if view.declines_until() > now and not view.server.leaving)
-        return sum(view.declines_until() - view.declined_since > longer_than_s for view in away)
+        standings = (view.standing for view in views if not view.server.leaving)
+        away = (each for each in standings if each.declines_until() > now)
+        return sum(each.declines_until() - each.declined_since > longer_than_s for each in away)
 
     def has_other(self, now: float, tried: frozenset[str]) -> bool:
         """Say whether a server may get work that was not tried and is not set aside."""
--- a/src/moledale/gateway/server_notices.py
+++ b/src/moledale/gateway/server_notices.py
@@ -13,8 +13,9 @@
 
 from moledale.gateway.messages import Server, ServerStatement
 from moledale.gateway.server_group import ServerGroup
+from moledale.gateway.server_standing import ServerStanding
 from moledale.gateway.server_view import ServerView
-from moledale.gateway.stated_limit import LimitNews, StatedLimit
+from moledale.gateway.stated_limit import LimitNews
 from moledale.log import Event, emit
 
 TURNED_AWAY = 503
@@ -49,8 +50,7 @@
         self._group = group
         self._address_of: LRUCache[str, str] = LRUCache(MOST_REMEMBERED)
         self._beyond_the_list: set[str] = set()
-        self._retry_at: LRUCache[tuple[str, str], float] = LRUCache(MOST_REMEMBERED)
-        self._limits: LRUCache[tuple[str, str], StatedLimit] = LRUCache(MOST_REMEMBERED)
+        self._asked_for: LRUCache[tuple[str, str], ServerStanding] = LRUCache(MOST_REMEMBERED)
 
     def applied_to(self, servers: Iterable[Server]) -> list[Server]:
         """Return a list of servers with those marked that said that they leave."""
@@ -66,22 +66,15 @@
 
     def keep(self, view: ServerView) -> None:
         """Remember what a server asked for whose entry is gone: it may be back in a moment."""
-        life = (view.server.id, view.server.address)
-        if view.retry_at:
-            self._retry_at[life] = view.retry_at
-        if view.limit.was_heard:
-            self._limits[life] = view.limit
+        asked_for = view.standing.asked_for()
+        if asked_for is not None:
+            self._asked_for[view.server.id, view.server.address] = asked_for
 
     def restore(self, view: ServerView) -> None:
         """Hold what a server that is listed again asked for before its entry was gone."""
-        life = (view.server.id, view.server.address)
-        retry_at = self._retry_at.pop(life, None)
-        limit = self._limits.pop(life, None)
-        if retry_at is not None:
-            view.retry_at = view.declined_until = retry_at
-        if limit is not None:
-            view.limit = limit
-        if retry_at is not None or limit is not None:
+        asked_for = self._asked_for.pop((view.server.id, view.server.address), None)
+        if asked_for is not None:
+            view.standing = asked_for
             view.changed()
 
     def answered(
@@ -102,7 +95,8 @@
             self._back_off(view, stated.retry_after_s, now)
         elif not not_run:
             view.accepted(sent_at)
-        if not stated.limit_unreadable and view.limit.heard(stated.limit_per_s, sent_at, now):
+        limit = view.standing.limit
+        if not stated.limit_unreadable and limit.heard(stated.limit_per_s, sent_at, now):
             self._limit_changed(view, "answer")
 
     def _back_off(self, view: ServerView, retry_after_s: float | None, now: float) -> None:
@@ -121,15 +115,15 @@
         Those that were heard last come first, where there are more than one state tells.
         """
         views = [view for group in groups for view in group.limited.told(now)]
-        views.sort(key=lambda view: -view.limit.heard_at)
-        told = ((view.server.id, view.limit.news(now)) for view in views[:MOST_TOLD])
+        views.sort(key=lambda view: -view.standing.limit.heard_at)
+        told = ((view.server.id, view.standing.limit.news(now)) for view in views[:MOST_TOLD])
         return {name: news for name, news in told if news is not None}
 
     def peer_limits(self, limits: dict[str, LimitNews], source: str, now: float) -> None:
         """Take over the limits that another node heard."""
         for name, news in limits.items():
             view = self._views.get(name)
-            if view is not None and view.limit.told(news, now):
+            if view is not None and view.standing.limit.told(news, now):
                 self._limit_changed(view, source)
 
     def note_leaving(self, name: str) -> Server | None:
@@ -153,7 +147,8 @@
         are set aside, for other nodes."""
         declined = [view for group in groups for view in group.declined(now)]
         return {
-            view.server.id: round(view.declined_until - now, 2) for view in declined[:MOST_TOLD]
+            view.server.id: round(view.standing.declined_until - now, 2)
+            for view in declined[:MOST_TOLD]
         }
 
     def peers_declined(self, declined: dict[str, float], now: float) -> None:
--- a/src/moledale/gateway/server_view.py
+++ b/src/moledale/gateway/server_view.py
@@ -7,30 +7,12 @@
 
 from moledale.gateway.messages import PromptPart, Server
 from moledale.gateway.server_model import ReadingTimes, Slowness
-from moledale.gateway.stated_limit import StatedLimit
+from moledale.gateway.server_standing import ServerStanding
 
 SMOOTHING = 0.2
 """Weight of a new answer in a server's answer time and share of failures: about the last five
 count."""
 
-FIRST_PAUSE_S = 0.5
-LONGEST_PAUSE_S = 3.0
-"""A server that is silent gets no work for the first time, and at most for the second."""
-
-FIRST_DECLINE_S = 0.25
-LONGEST_DECLINE_S = 3.0
-"""A server that turned a request away without a time to come back is asked last for the first time,
-twice as long with each further one, and at most for the second. A server that turns everything away
-looks idle, so without this it draws requests: 362 of 809 were turned away on a played day on which
-four of twelve engines did so for 12 s."""
-
-MOST_DOUBLED = 32
-"""Pauses double so many times at most: no pause gets longer after that, whatever its first is."""
-
-DECLINE_GAP_S = 1.0
-"""A server that turned requests away is taken to go on with it until it takes one, or until it was
-not asked for this long: the time between two requests of a node to a service is less."""
-
 SILENT_ENGINE_S = 0.8
 """An engine with several requests is silent after this time: its steps take 3 to 20 ms. Not derived
 from the pauses that routes allow (0.25 to 0.5 s), which are over by then."""
@@ -47,19 +29,10 @@
 """Servers with as many slots run batches, whose tokens come all the time."""
 
 
-def doubled(first_s: float, times: int, most_s: float) -> float:
-    """Return a pause that doubles each time, up to a most; `times` may be any number from 1."""
-    # A power of two beyond a float's range raises an error, and a server may fail for hours.
-    return min(first_s * 2.0 ** min(times - 1, MOST_DOUBLED), most_s)
-
-
 class ServerView(msgspec.Struct, eq=False):
     """A server as this node sees it; `on_change` hears of each change of its load or standing.
 
-    The server asked this node for no request before `retry_at`. Until `declined_until`, and
-    `peers_declined_until` by what other nodes told, it gets requests only if no other server may:
-    it turned some away. It named a `limit`, and there is no permit for it before `held_until`. All
-    times are monotonic seconds.
+    `standing` is what is believed of its readiness. All times are monotonic seconds.
     """
 
     server: Server
@@ -69,16 +42,7 @@
     others_prefill: int = 0
     failed_share: float = 0.0
     answer_s: float = 0.02
-    failures: int = 0
-    paused_until: float = 0.0
-    retry_at: float = 0.0
-    declined_until: float = 0.0
-    peers_declined_until: float = 0.0
-    declines: int = 0
-    declined_at: float = 0.0
-    declined_since: float = 0.0
-    limit: StatedLimit = msgspec.field(default_factory=StatedLimit)
-    held_until: float = 0.0
+    standing: ServerStanding = msgspec.field(default_factory=ServerStanding)
     heard_at: float = 0.0
     busy_since: float = 0.0
     cached: OrderedDict[str, int] = msgspec.field(default_factory=OrderedDict)
@@ -99,74 +63,47 @@
         self.changed()
 
     def pause(self, until: float) -> None:
-        """Give the server no new work until some time."""
-        self.paused_until = max(self.paused_until, until)
+        """Take the server for silent until some time."""
+        self.standing.pause(until)
         self.changed()
 
-    @property
-    def limit_per_s(self) -> float | None:
-        """Return the requests a second that the server takes from all nodes together, if few."""
-        return self.limit.per_s
-
     def hold_back(self, until: float) -> None:
         """Choose the server for no request before some time: there is no permit for it."""
-        self.held_until = until
+        self.standing.held_until = until
         self.changed()
 
-    def is_open(self, now: float) -> bool:
-        """Say whether the server may get requests at all."""
-        return not self.server.leaving and self.retry_at <= now
-
-    def is_held(self, now: float) -> bool:
-        """Say whether no permit is to be had for the server yet."""
-        return self.held_until > now
-
-    def is_closed(self, now: float) -> bool:
-        """Say whether the server gets no request of this node now, whatever others do."""
-        return not self.is_open(now) or self.is_held(now)
-
-    def opens_in_s(self, now: float) -> float:
-        """Return how long the server gets no requests of this node, if it stays."""
-        return max(0.0, self.retry_at - now, self.held_until - now)
-
-    def is_set_aside(self, now: float) -> bool:
-        """Say whether the server gets requests only if no other one may."""
-        return max(self.paused_until, self.declined_until, self.peers_declined_until) > now
-
-    def declines_until(self) -> float:
-        """Return until when the server is set aside since it turned requests of any node away."""
-        return max(self.declined_until, self.peers_declined_until)
-
-    def _note_decline(self, now: float) -> None:
-        if now - self.declines_until() > DECLINE_GAP_S:
-            self.declined_since = now
-
     def decline(self, now: float, retry_after_s: float | None) -> None:
         """Learn that the server turned a request away; it may say when to retry."""
-        self._note_decline(now)
-        self.declines += 1
-        self.declined_at = now
-        if retry_after_s is None:
-            pause_s = doubled(FIRST_DECLINE_S, self.declines, LONGEST_DECLINE_S)
-            self.declined_until = max(self.declined_until, now + pause_s)
-        else:
-            self.retry_at = max(self.retry_at, now + retry_after_s)
-            self.declined_until = max(self.declined_until, self.retry_at)
+        self.standing.decline(now, retry_after_s)
         self.changed()
 
     def accepted(self, sent_at: float) -> None:
-        """Learn that the server took a request; one from before it declined says nothing."""
-        if self.declines and sent_at > self.declined_at:
-            self.declines = 0
-            self.declined_until = self.peers_declined_until = 0.0
+        """Learn that the server took a request that was sent at some time."""
+        if self.standing.accepted(sent_at):
             self.changed()
 
     def peers_decline(self, now: float, until: float) -> None:
         """Learn that the server turned requests of other nodes away."""
-        self._note_decline(now)
-        self.peers_declined_until = max(self.peers_declined_until, until)
+        self.standing.peers_decline(now, until)
         self.changed()
 
+    @property
+    def limit_per_s(self) -> float | None:
+        """Return the requests a second that the server takes from all nodes together, if few."""
+        return self.standing.limit.per_s
+
+    def is_open(self, now: float) -> bool:
+        """Say whether the server may get requests at all."""
+        return not self.server.leaving and self.standing.retry_at <= now
+
+    def is_closed(self, now: float) -> bool:
+        """Say whether the server gets no request of this node now, whatever others do."""
+        return not self.is_open(now) or self.standing.is_held(now)
+
+    def is_set_aside(self, now: float) -> bool:
+        """Say whether the server gets requests only if no other one may."""
+        return self.standing.is_set_aside(now)
+
     @property
     def all_running(self) -> int:
         """Return the requests that all nodes have there.
@@ -189,7 +126,7 @@
         if self.server.slots < ENGINE_SLOTS:
             limit = max(SILENT_PLAIN_S, SILENT_X * self.answer_s)
         else:
-            known = self.running > 1 or self.failures
+            known = self.running > 1 or self.standing.failures
             limit = SILENT_ENGINE_S if known else SILENT_ALONE_S
         return self.silent_s(now) > limit
 
@@ -268,7 +205,7 @@
 
 def note_answer(view: ServerView, failed: bool, took_s: float) -> None:
     """Learn from an answer."""
-    view.failures = 0
+    view.standing.failures = 0
     view.failed_share += SMOOTHING * (float(failed) - view.failed_share)
     view.answer_s += SMOOTHING * (min(took_s, 2.0) - view.answer_s)
     view.changed()
@@ -276,7 +213,6 @@
 
 def note_silence(view: ServerView, now: float) -> None:
     """Learn from a server that can't be reached or broke off: pause it, longer each time."""
-    view.failures += 1
+    view.standing.failed(now)
     view.failed_share += SMOOTHING * (1.0 - view.failed_share)
-    view.paused_until = now + doubled(FIRST_PAUSE_S, view.failures, LONGEST_PAUSE_S)
     view.changed()
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -13,6 +13,7 @@
 from moledale.gateway.messages import Server
 from moledale.gateway.peers import Membership, Standing
 from moledale.gateway.permits import ANSWER_S, SILENT_S, Grantors, PermitAnswer, PermitAsk
+from moledale.gateway.server_standing import ServerStanding
 from moledale.gateway.server_view import ServerView
 from moledale.gateway.stated_limit import ENDED_TOLD_S, LimitNews, StatedLimit
 from tests.gateway_states import state
@@ -114,7 +115,7 @@
                 for _ in range(400):
                     world.pass_time(0.025)
                     for node in world.nodes.values():
-                        if not node.view().is_held(world.now):
+                        if not node.view().standing.is_held(world.now):
                             granted += await node.sharing.permits.take(node.view())
                 self.assertLessEqual(granted, per_s * 10.0 + 1 + max(1, 0.25 * per_s))
                 self.assertGreaterEqual(granted, per_s * 10.0 * 0.7)
@@ -200,7 +201,7 @@
             for _ in range(400):
                 world.pass_time(0.025)
                 for node in world.nodes.values():
-                    if not node.view().is_held(world.now):
+                    if not node.view().standing.is_held(world.now):
                         granted += await node.sharing.permits.take(node.view())
             self.assertLessEqual(granted, 8.0 * 10.0 + 2 * 2)
             self.assertGreaterEqual(granted, 8.0 * 10.0 * 0.7)
@@ -219,8 +220,8 @@
             world.silent.add(world.grantor().name)
             node = world.others()[0]
             self.assertFalse(await node.sharing.permits.take(node.view()))
-            self.assertTrue(node.view().is_held(world.now + SILENT_S - 0.01))
-            self.assertFalse(node.view().is_held(world.now + SILENT_S + 0.01))
+            self.assertTrue(node.view().standing.is_held(world.now + SILENT_S - 0.01))
+            self.assertFalse(node.view().standing.is_held(world.now + SILENT_S + 0.01))
 
         play(work)
 
@@ -232,7 +233,7 @@
             world.silent.add(grantor.name)
             await node.sharing.permits.take(node.view(), answer_s=ANSWER_S / 8)
             node.sharing.heard(PermitAnswer(1, 1, 0.0))
-            self.assertTrue(node.view().is_held(world.now + 0.01))
+            self.assertTrue(node.view().standing.is_held(world.now + 0.01))
 
         play(work)
 
@@ -261,7 +262,7 @@
             node = world.others()[0]
             asking = asyncio.create_task(node.sharing.permits.take(node.view()))
             await asyncio.sleep(0)
-            self.assertTrue(node.view().is_held(world.now))
+            self.assertTrue(node.view().standing.is_held(world.now))
             self.assertEqual(
                 node.book.group("plain").closed.first_permitted(frozenset()), node.view()
             )
@@ -369,7 +370,7 @@
     def test_limit_outlasts_a_lapse_of_the_entry_but_no_new_life(self) -> None:
         book = ServerBook("a")
         book.apply(SERVERS)
-        book.views["s0"].limit.heard(2.0, 1.0, 1.0)
+        book.views["s0"].standing.limit.heard(2.0, 1.0, 1.0)
         book.apply(SERVERS[1:])
         book.apply(SERVERS)
         self.assertEqual(book.views["s0"].limit_per_s, 2.0)
@@ -388,7 +389,7 @@
             view.hold_back(11.0 + number)
         group = book.group("plain")
         with mock.patch.object(
-            ServerView, "is_held", autospec=True, side_effect=ServerView.is_held
+            ServerStanding, "is_held", autospec=True, side_effect=ServerStanding.is_held
         ) as asked:
             self.assertEqual(group.candidates(10.5, frozenset()), [])
             self.assertEqual(group.retry_in_s(10.5), 0.5)
--- a/tests/test_server_beliefs.py
+++ b/tests/test_server_beliefs.py
@@ -8,7 +8,8 @@
 
 from moledale.gateway.balance import ServerBook
 from moledale.gateway.messages import Server, ServerStatement
-from moledale.gateway.server_view import LONGEST_DECLINE_S, LONGEST_PAUSE_S, note_silence
+from moledale.gateway.server_standing import LONGEST_DECLINE_S, LONGEST_PAUSE_S
+from moledale.gateway.server_view import note_silence
 from moledale.gateway.stated_limit import LimitNews
 
 SERVICE = "plain"
@@ -176,7 +177,7 @@
         later = self.now + 3 * MOST_TOLD_S + LONGEST_DECLINE_S + LONGEST_PAUSE_S
         for view in self.book.views.values():
             if view.server.id not in self.said_leaving and not view.server.leaving:
-                assert view.opens_in_s(later) == 0 and not view.is_set_aside(later)
+                assert not view.is_closed(later) and not view.is_set_aside(later)
 
     @invariant()
     def told_time_is_the_first(self) -> None:
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -363,13 +363,13 @@
     def test_pauses_of_a_full_server_grow_and_end_with_an_answer(self) -> None:
         view = ServerView(Server("s1", "plain", "h:1", "a", 4))
         for expected in (0.25, 0.5, 1.0, 2.0, 3.0, 3.0):
-            now = view.declined_until
+            now = view.standing.declined_until
             view.decline(now, None)
-            self.assertAlmostEqual(view.declined_until - now, expected)
-        view.accepted(view.declined_at - 0.1)
-        self.assertTrue(view.is_set_aside(view.declined_at))
-        view.accepted(view.declined_at + 0.1)
-        self.assertFalse(view.is_set_aside(view.declined_at))
+            self.assertAlmostEqual(view.standing.declined_until - now, expected)
+        view.accepted(view.standing.declined_at - 0.1)
+        self.assertTrue(view.is_set_aside(view.standing.declined_at))
+        view.accepted(view.standing.declined_at + 0.1)
+        self.assertFalse(view.is_set_aside(view.standing.declined_at))
 
     def test_time_that_was_stated_outlasts_an_answer_to_an_earlier_request(self) -> None:
         view = ServerView(Server("s1", "plain", "h:1", "a", 4))
@@ -385,8 +385,8 @@
         for each in range(5_000):
             view.decline(float(each), None)
             note_silence(view, float(each))
-        self.assertEqual(view.declined_until, 4_999.0 + 3.0)
-        self.assertEqual(view.paused_until, 4_999.0 + 3.0)
+        self.assertEqual(view.standing.declined_until, 4_999.0 + 3.0)
+        self.assertEqual(view.standing.paused_until, 4_999.0 + 3.0)
 
     def test_node_that_serves_nobody_counts_what_others_were_told(self) -> None:
         """The holder of the duties is a node in reserve, so it hears of it from others only."""
@@ -438,11 +438,11 @@
             cluster.backend.script = declines
             self.assertEqual((await ask_node(first)).status, 503)
             now = monotonic()
-            await until(lambda: second.book.views["s1"].peers_declined_until > now)
+            await until(lambda: second.book.views["s1"].standing.peers_declined_until > now)
             view = second.book.views["s1"]
-            self.assertGreater(view.peers_declined_until, now + RETRY_AFTER_S)
+            self.assertGreater(view.standing.peers_declined_until, now + RETRY_AFTER_S)
             latest = monotonic() + RETRY_AFTER_S + ASKED_LATER_S
-            self.assertLessEqual(view.peers_declined_until, latest)
+            self.assertLessEqual(view.standing.peers_declined_until, latest)
             # It is the only server, and has asked this node for nothing.
             cluster.backend.script = fine
             self.assertEqual((await ask_node(second)).status, 200)
--- a/tools/without_gateway.py
+++ b/tools/without_gateway.py
@@ -54,6 +54,7 @@
 from moledale.gateway.server_list import ServerList
 from moledale.gateway.server_model import Slowness, SpeedLearner
 from moledale.gateway.server_notices import ServerNotices
+from moledale.gateway.server_standing import ServerStanding
 from moledale.gateway.server_view import ServerView
 from moledale.gateway.stated_limit import StatedLimit
 from moledale.gateway.upstream import UpstreamConnection
@@ -266,7 +267,7 @@
     ("a time to come back is kept", ServerView, "is_open",
      lambda self, _: not self.server.leaving, NOTICES),
     ("a full server is asked last", ServerView, "is_set_aside",
-     lambda self, now: self.paused_until > now, NOTICES),
+     lambda self, now: self.standing.paused_until > now, NOTICES),
     ("others hear which servers leave", ServerNotices, "leaving_beyond_the_list", lambda _: [],
      NOTICES),
     ("others ask a full server later", ServerNotices, "peers_declined", lambda *_: None, NOTICES),
@@ -277,7 +278,8 @@
     ("halves of a cut grant a part", Membership, "heard_share", lambda *_: 1.0, PERMITS),
     ("others hear which limits servers name", ServerNotices, "peer_limits", lambda *_: None,
      PERMITS),
-    ("a server without a permit isn't chosen", ServerView, "is_held", lambda *_: False, PERMITS),
+    ("a server without a permit isn't chosen", ServerStanding, "is_held", lambda *_: False,
+     PERMITS),
     ("overtaken answers don't loosen a limit", StatedLimit, "_loosens", lambda *_: False, PERMITS),
     ("those that are refused come one after the other", Pacer, "_turn_s",
      lambda _, wait_s, __: wait_s, "tests.test_pacing"),
