Tell operators which nodes run other builds, and which messages could not be read

Cause: a message of a build that is not known here was counted in a number that nobody could see, and nothing told that nodes of two builds serve side by side. The metrics tell peers of other builds, messages that could not be read, servers with limits.

--- a/src/moledale/gateway/gossip.py
+++ b/src/moledale/gateway/gossip.py
@@ -5,7 +5,9 @@
 """
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
+from typing import get_args
 
 import msgspec
 
@@ -14,6 +16,7 @@
 from moledale.gateway.permits import PermitAnswer, PermitAsk
 from moledale.gateway.quarantine_sharing import BlockNews, ClearedNews, EndNews
 from moledale.gateway.server_list import ServerChange
+from moledale.log import Event, emit
 
 
 class StateNews(msgspec.Struct, array_like=True, tag="state"):
@@ -52,31 +55,62 @@
     | PermitAsk
     | PermitAnswer
 )
+MESSAGES: tuple[type[msgspec.Struct], ...] = get_args(Message)
+
+MOST_KINDS = 32
+"""Kinds of messages that can't be read which are told apart, whatever is sent to the port."""
+
+MOST_KIND_LETTERS = 32
+"""Letters of a kind that are kept: those of this build have fewer."""
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
 
 
+OTHER_KINDS = "others"
+NO_KIND = "no message"
+
+
+def kind_of(data: bytes) -> str:
+    """Return the name that a message which can't be read gives itself."""
+    try:
+        parts = msgspec.msgpack.decode(data)
+    except msgspec.DecodeError:
+        return NO_KIND
+    if isinstance(parts, list) and parts and isinstance(parts[0], str):
+        return parts[0][:MOST_KIND_LETTERS]
+    return NO_KIND
+
+
 class GossipSocket(asyncio.DatagramProtocol):
     """The socket that news go through."""
 
     def __init__(self, heard: Callable[[Message], None]) -> None:
         self._heard = heard
         self._transport: asyncio.DatagramTransport | None = None
-        self.unreadable = 0
+        self.unreadable: Counter[str] = Counter()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
         self._transport = transport  # type: ignore[assignment]
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Read a message; what can't be read is counted and dropped."""
+        """Read a message; what can't be read is counted by kind and dropped."""
         try:
             message = _decoder.decode(data)
-        except msgspec.DecodeError:
-            self.unreadable += 1
+        except msgspec.DecodeError as error:
+            self._note_unreadable(kind_of(data), addr[0], str(error))
             return
         self._heard(message)
 
+    def _note_unreadable(self, kind: str, sender: str, why: str) -> None:
+        """Count a message of another build, or of nobody; the first of a kind is logged."""
+        if kind not in self.unreadable and len(self.unreadable) >= MOST_KINDS:
+            kind = OTHER_KINDS
+        self.unreadable[kind] += 1
+        if self.unreadable[kind] == 1:
+            emit(Event.FORMAT_REFUSED, kind=kind, sender=sender, why=why)
+
     def error_received(self, exc: Exception) -> None:
         """A peer's port is closed: its silence tells as much."""
 
--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -8,6 +8,7 @@
 from moledale.clock import SystemClock, monotonic
 from moledale.core.rollouts import Exposure, Phase, RolloutNews
 from moledale.gateway.balance import ServerBook
+from moledale.gateway.builds import FORMATS, BuildWatch
 from moledale.gateway.cold_start import ColdStart
 from moledale.gateway.dialect import Dialect
 from moledale.gateway.directory import power_of
@@ -173,6 +174,7 @@
         self._sequence = 0
         self._packer = StatePacker()
         self._unpacker = StateUnpacker()
+        self._builds = BuildWatch()
         cold_start = ColdStart(self._crowd)
         self.plans = PlanWatch(
             store,
@@ -205,7 +207,7 @@
             self.fleet.archive,
             self.pool,
             settings.bounds.address_ttl_s,
-            self.book.limited,
+            self._figures,
         )
         self._leaving_since: float | None = None
         self._rollouts_told: dict[str, RolloutNews] = {}
@@ -213,6 +215,16 @@
         self._others = Listener(self._answer_question, self._limits, monotonic)
         self._servers: list[asyncio.Server] = []
 
+    def _figures(self) -> dict[str, int]:
+        """Return figures of the parts that only the node knows."""
+        alive = self.members.alive(monotonic())
+        unreadable = self._gossip.unreadable.total() if self._gossip is not None else 0
+        return {
+            "servers_limited": self.book.limited(),
+            "peers_of_other_builds": self._builds.others(alive),
+            "news_unreadable_total": unreadable,
+        }
+
     def _limits(self) -> Limits:
         index = self.forwarder.index
         return index.limits if index is not None else Limits()
@@ -341,6 +353,7 @@
             leaving=self.book.notices.leaving_beyond_the_list(),
             declined=self.book.declined(now),
             limits=self.book.limits(now),
+            formats=FORMATS,
         )
 
     def _tell_state(self, everyone: bool = True) -> None:
@@ -452,6 +465,7 @@
         stranger = state.id not in self.members.members
         if not self.sharing.heard(state, self.forwarder.limits):
             return
+        self._builds.heard(state)
         if stranger and self._gossip is not None:
             self._gossip.tell(StateNews(self._state(), self.neighbours.hints(now)), [state.peer])
         for name in state.leaving:
--- a/src/moledale/gateway/peers.py
+++ b/src/moledale/gateway/peers.py
@@ -76,6 +76,7 @@
     `leaving` are servers that said in answers that they leave, while the list does not say so, and
     `declined` those that turned requests of this node away, with the seconds that are left.
     `limits` are those that servers named to this node, None from builds that know of none.
+    `formats` is a digest of what its build tells others, empty from builds that tell none.
     Builds of two versions hear each other while nodes are replaced one by one, so new fields come
     last, with a default, and none is ever taken out.
     """
@@ -111,6 +112,7 @@
     leaving: list[str] = []
     declined: dict[str, float] = {}
     limits: dict[str, LimitNews] | None = None
+    formats: str = ""
 
     def shortened(self) -> "NodeState":
         """Return the state without most counts, for nodes that only need to know who is there.
--- a/src/moledale/gateway/questions.py
+++ b/src/moledale/gateway/questions.py
@@ -30,14 +30,14 @@
         servers: DocumentArchive,
         pool: ConnectionPool,
         address_ttl_s: float,
-        limited: Callable[[], int] = lambda: 0,
+        figures: Callable[[], dict[str, int]] = dict,
     ) -> None:
         self._entry = entry
         self._neighbours = neighbours
         self._archives = {PLAN_PATH: plans, SERVERS_PATH: servers}
         self._pool = pool
         self._address_ttl_s = address_ttl_s
-        self._limited = limited
+        self._figures = figures
 
     def answer(
         self, request: InboundRequest, reply: Reply, own: NodeState, callers: Listener
@@ -88,7 +88,7 @@
             "connections": len(callers.connections),
             "busy": callers.busy(),
             "upstream_opened_total": self._pool.opened,
-            "servers_limited": self._limited(),
             "peers": len(self._neighbours.members.alive(monotonic())),
+            **self._figures(),
         }
         return "".join(f"moledale_{name} {value}\n" for name, value in figures.items()).encode()
--- a/src/moledale/log.py
+++ b/src/moledale/log.py
@@ -102,6 +102,14 @@
     RELOADED = EventSpec(106, logbook.INFO, "The settings were read again.")
     PEER_REFUSED = EventSpec(600, logbook.WARNING, "A peer call without a valid token was refused.")
     PEER_DOWN = EventSpec(601, logbook.INFO, "A peer does not answer.")
+    FORMAT_REFUSED = EventSpec(
+        602, logbook.WARNING, "A message of a kind that can't be read was dropped; logged once."
+    )
+    BUILDS_DIFFER = EventSpec(
+        603,
+        logbook.INFO,
+        "A node changed its formats, or has others than this one: another build.",
+    )
 
 
 def emit(event: Event, **fields: object) -> None:
--- /dev/null
+++ b/tests/test_builds.py
@@ -0,0 +1,76 @@
+"""Nodes of other builds are told apart, and messages that nobody here can read are counted."""
+
+import asyncio
+import unittest
+
+import logbook
+import msgspec
+
+from moledale.gateway.builds import FORMATS, BuildWatch
+from moledale.gateway.gossip import MOST_KINDS, OTHER_KINDS, GossipSocket, Message
+from tests.gateway_states import state
+from tests.test_gateway_nodes import Cluster, ask, on_cluster, ready, until
+
+
+def events(handler: logbook.TestHandler) -> list[str]:
+    """Return the numbers of the events that were logged."""
+    return [record.message[:4] for record in handler.records]
+
+
+class UnreadableTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.heard: list[Message] = []
+        self.socket = GossipSocket(self.heard.append)
+
+    def receive(self, *messages: object) -> list[str]:
+        """Let messages come; return what was logged."""
+        with logbook.TestHandler().applicationbound() as handler:
+            for message in messages:
+                data = message if isinstance(message, bytes) else msgspec.msgpack.encode(message)
+                self.socket.datagram_received(data, ("10.0.0.1", 7))
+        return events(handler)
+
+    def test_each_kind_is_counted_and_logged_once(self) -> None:
+        logged = self.receive(["newer", 1], ["newer", 2], b"\xff\xff", 7, {"a": 1}, ["state"])
+        self.assertEqual(logged, ["E602"] * 3)
+        self.assertEqual(self.socket.unreadable, {"newer": 2, "no message": 3, "state": 1})
+        self.assertEqual(self.heard, [])
+
+    def test_kinds_are_bounded(self) -> None:
+        logged = self.receive(*([f"kind{number}" * 9, 1] for number in range(200)))
+        self.assertEqual(len(logged), MOST_KINDS + 1)
+        self.assertEqual(self.socket.unreadable[OTHER_KINDS], 200 - MOST_KINDS)
+        self.assertLess(max(len(kind) for kind in self.socket.unreadable), 40)
+
+
+class BuildsTest(unittest.TestCase):
+    def test_other_build_is_logged_once_for_each_node_and_build(self) -> None:
+        watch = BuildWatch()
+        same = state("n1", formats=FORMATS)
+        older, newer = state("n2"), state("n2", formats="f00")
+        with logbook.TestHandler().applicationbound() as handler:
+            for each in (same, older, older, newer, newer, state("n2", formats=FORMATS), older):
+                watch.heard(each)
+        # The way back to this build is told as well: nobody is left who runs the other one.
+        self.assertEqual(events(handler), ["E603"] * 4)
+        self.assertEqual(watch.others([same, older, newer]), 2)
+
+    def test_nodes_of_one_build_differ_from_none_and_tell_it(self) -> None:
+        async def work(cluster: Cluster) -> None:
+            first = await cluster.start("n1")
+            second = await cluster.start("n2", (first.settings.node.control,))
+            for node in (first, second):
+                await until(ready(node))
+            await until(lambda: bool(first.members.members))
+            await asyncio.sleep(0.5)
+            data = b"GET /metrics HTTP/1.1\r\nHost: d\r\n\r\n"
+            body = (await ask(first.settings.node.control, data)).body
+            self.assertIn(b"moledale_peers 1\n", body)
+            for name in (b"peers_of_other_builds", b"news_unreadable_total", b"servers_limited"):
+                self.assertIn(b"moledale_" + name + b" 0\n", body)
+
+        on_cluster(work)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -141,12 +141,12 @@
     def test_whole_ones_are_heard(self) -> None:
         packed = pack_alone(StateNews(state("n1"), []))
         self.socket.datagram_received(msgspec.msgpack.encode(packed), ("", 0))
-        self.assertEqual((len(self.heard), self.socket.unreadable), (1, 0))
+        self.assertEqual((len(self.heard), self.socket.unreadable.total()), (1, 0))
 
     @FUZZ
     @given(st.binary(max_size=120))
     def test_any_bytes(self, data: bytes) -> None:
         self.heard.clear()
-        before = self.socket.unreadable
+        before = self.socket.unreadable.total()
         self.socket.datagram_received(data, ("", 0))
-        self.assertEqual(len(self.heard) + self.socket.unreadable - before, 1)
+        self.assertEqual(len(self.heard) + self.socket.unreadable.total() - before, 1)
