Permits that were kept for another limit are void; a server that isn't listed yet keeps its limit

Found by reading. Permits that a node had asked for together outlived a limit that fell (19 of a limit of 1,000 a second to one that now takes 1). A node that grants granted everything for a server that its list did not name yet, since it knew no limit of it; it goes by the limit of the node that asks now. Both tests were seen failing (5 of 5 and 100 of 100 granted). The part of the serving nodes that is heard is counted once a round, not for each question.

--- a/src/moledale/gateway/limit_sharing.py
+++ b/src/moledale/gateway/limit_sharing.py
@@ -6,7 +6,14 @@
 from moledale.gateway.balance import ServerBook
 from moledale.gateway.gossip import PlacementNews
 from moledale.gateway.peers import Membership, NodeState
-from moledale.gateway.permits import Grantors, PermitAnswer, PermitAsk, PermitDesk, Permits
+from moledale.gateway.permits import (
+    Grantors,
+    PermitAnswer,
+    PermitAsk,
+    PermitDesk,
+    Permits,
+    limit_in,
+)
 from moledale.gateway.stated_limit import LimitNews
 from moledale.log import Event, emit
 
@@ -37,17 +44,14 @@
         self._now = now
         self._told_at = now()
         self._grantors = Grantors(own_id)
-        self._desk = PermitDesk(self._limit_of, lambda: members.heard_share(now()))
+        self._desk = PermitDesk(limit_in(book))
         self.permits = Permits(self._desk, self._grantors, own_peer, tell, now)
 
-    def _limit_of(self, server: str) -> float | None:
-        view = self._book.views.get(server)
-        return view.limit_per_s if view is not None else None
-
     def renew(self, serving: bool) -> None:
         """Take over which nodes serve; once a round is enough."""
         now = self._now()
         self._grantors.renew(self._own_hall, serving, self._members.alive(now))
+        self._desk.share = self._members.heard_share(now)
         if now - self._told_at >= TELL_S:
             self._log_counts(now - self._told_at)
             self._told_at = now
@@ -57,10 +61,11 @@
         counts = self._desk.take_counts()
         most = sorted(counts, key=lambda server: -counts[server].asked)[:MOST_TOLD]
         for server in most:
+            view = self._book.views.get(server)
             emit(
                 Event.PERMITS,
                 server=server,
-                limit_per_s=self._limit_of(server),
+                limit_per_s=view.limit_per_s if view is not None else None,
                 asked=counts[server].asked,
                 granted=counts[server].granted,
                 seconds=round(seconds, 1),
--- a/src/moledale/gateway/permits.py
+++ b/src/moledale/gateway/permits.py
@@ -35,6 +35,10 @@
 """Servers that one node grants for, about twice as many as a large deployment has."""
 
 
+LimitOf = Callable[[str, float], float | None]
+"""Returns a server's limit, None if it names none any more; the number is for one not listed."""
+
+
 class PermitAsk(msgspec.Struct, array_like=True, tag="ask-permit"):
     """A node asks for permits; `per_s` is the limit as it knows it, heard `age_s` ago.
 
@@ -58,6 +62,14 @@
     wait_s: float
 
 
+class LeftPermits(msgspec.Struct):
+    """Permits that were asked for together and not used yet, for a limit of `per_s`."""
+
+    number: int
+    until: float
+    per_s: float
+
+
 class PermitCounts(msgspec.Struct):
     """Permits of a server that were asked for and granted since this was told last."""
 
@@ -68,25 +80,29 @@
 class PermitDesk:
     """Grants permits for servers that this node is drawn for.
 
-    `limit_of` returns a server's limit as it is known here. `share` is the part of all nodes that
-    this one hears: those that it doesn't may be cut off and have a node that grants among them.
+    `limit_of` returns a server's limit as it is known here, of one that isn't known what is asked
+    for. `share` is the part of the nodes that serve which this one hears: those that it doesn't may
+    be cut off and have a node that grants among them.
     """
 
-    def __init__(
-        self, limit_of: Callable[[str], float | None], share: Callable[[], float] = lambda: 1.0
-    ) -> None:
+    def __init__(self, limit_of: LimitOf) -> None:
+        self.share = 1.0
         self._limit_of = limit_of
-        self._share = share
         self._pacers: LRUCache[str, Pacer] = LRUCache(MOST_PACED)
         self._counts: dict[str, PermitCounts] = {}
 
-    def ask(self, server: str, number: int, most_wait_s: float, now: float) -> Reservation:
-        """Grant permits, or say when to ask again; all are granted where no limit is known."""
-        limit_per_s = self._limit_of(server)
+    def ask(
+        self, server: str, asked_per_s: float, number: int, most_wait_s: float, now: float
+    ) -> Reservation:
+        """Grant permits, or say when to ask again; all are granted where the limit has ended.
+
+        `asked_per_s` is the limit as the node that asks knows it.
+        """
+        limit_per_s = self._limit_of(server, asked_per_s)
         if limit_per_s is None:
             self._pacers.pop(server, None)
             return Reservation(True, 0.0)
-        rate = limit_per_s * self._share()
+        rate = limit_per_s * self.share
         pacer = self._pacers.get(server)
         if pacer is None:
             pacer = self._pacers[server] = Pacer.begin(rate, now)
@@ -164,7 +180,7 @@
         self._sleep = sleep
         self._serial = 0
         self._waiting: dict[int, asyncio.Future[PermitAnswer]] = {}
-        self._left: LRUCache[str, tuple[int, float]] = LRUCache(MOST_PACED)
+        self._left: LRUCache[str, LeftPermits] = LRUCache(MOST_PACED)
 
     async def take(
         self, view: ServerView, most_wait_s: float = 0.0, answer_s: float = ANSWER_S
@@ -174,7 +190,7 @@
         While a question is under way, no other request of this node chooses the server.
         """
         limit = view.limit_per_s
-        if limit is None or self._take_left(view.server.id):
+        if limit is None or self._take_left(view.server.id, limit):
             return True
         number = max(1, int(limit * BATCH_S))
         asked_at = self._now()
@@ -188,7 +204,8 @@
             view.hold_back(now + answer.wait_s)
             return False
         if answer.number > 1:
-            self._left[view.server.id] = (answer.number - 1, now + answer.wait_s + KEPT_S)
+            until = now + answer.wait_s + KEPT_S
+            self._left[view.server.id] = LeftPermits(answer.number - 1, until, limit)
         view.hold_back(0.0)
         if answer.wait_s > 0:
             await self._sleep(answer.wait_s)
@@ -202,17 +219,20 @@
 
     def grant(self, ask: PermitAsk) -> PermitAnswer:
         """Answer another node's question."""
-        reservation = self._desk.ask(ask.server, ask.number, ask.most_wait_s, self._now())
+        reservation = self._desk.ask(
+            ask.server, ask.per_s, ask.number, ask.most_wait_s, self._now()
+        )
         number = ask.number if reservation.granted else 0
         return PermitAnswer(ask.serial, number, reservation.wait_s)
 
-    def _take_left(self, server: str) -> bool:
-        number, until = self._left.pop(server, (0, 0.0))
-        if not number or until < self._now():
+    def _take_left(self, server: str, limit_per_s: float) -> bool:
+        left = self._left.get(server)
+        if left is None:
             return False
-        if number > 1:
-            self._left[server] = (number - 1, until)
-        return True
+        left.number -= 1
+        if left.number <= 0 or left.until < self._now() or left.per_s != limit_per_s:
+            del self._left[server]
+        return left.until >= self._now() and left.per_s == limit_per_s
 
     async def _ask(
         self, view: ServerView, limit: float, number: int, most_wait_s: float, answer_s: float
@@ -241,8 +261,14 @@
 def permits_alone(book: ServerBook, now: Callable[[], float]) -> Permits:
     """Return permits of a node that knows of no other one."""
 
-    def limit_of(server: str) -> float | None:
+    return Permits(PermitDesk(limit_in(book)), Grantors(""), now=now)
+
+
+def limit_in(book: ServerBook) -> LimitOf:
+    """Return what tells limits as a node's book has them."""
+
+    def limit_of(server: str, asked_per_s: float) -> float | None:
         view = book.views.get(server)
-        return view.limit_per_s if view is not None else None
+        return view.limit_per_s if view is not None else asked_per_s
 
-    return Permits(PermitDesk(limit_of), Grantors(""), now=now)
+    return limit_of
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -66,6 +66,7 @@
             for member in node.members.members.values():
                 if member.heard_at >= self.heard_from:
                     member.heard_at = self.now
+            node.sharing.renew(serving=True)
 
     def clock(self) -> float:
         """Return the time."""
@@ -150,6 +151,35 @@
 
         play(work)
 
+    def test_permits_for_another_limit_are_void(self) -> None:
+        async def work() -> None:
+            world = World("n0", "n1")
+            world.limit(1_000.0)
+            node = world.others()[0]
+            await node.sharing.permits.take(node.view())
+            world.now += 0.5
+            self.assertTrue(await node.sharing.permits.take(node.view()))
+            world.limit(1.0)
+            granted = [await node.sharing.permits.take(node.view()) for _ in range(5)]
+            self.assertEqual(granted, [False] * 5)
+
+        play(work)
+
+    def test_server_that_the_granting_node_does_not_list_yet_keeps_its_limit(self) -> None:
+        async def work() -> None:
+            world = World("n0", "n1")
+            world.limit(1.0)
+            grantor, asker = world.grantor(), world.others()[0]
+            grantor.book.apply(SERVERS[1:])
+            granted = 0
+            for _ in range(100):
+                world.pass_time(0.1)
+                asker.view().hold_back(0.0)
+                granted += await asker.sharing.permits.take(asker.view())
+            self.assertIn(granted, range(8, 13))
+
+        play(work)
+
     def test_node_that_was_not_told_makes_the_grantor_heed_the_limit(self) -> None:
         """Only the node that asks has heard the limit yet."""
 
