A safe request leaves no slow server for one that names a limit and has no place

What a caller saw: 502 "the server broke off" though its server would have answered. Cause: a safe request is tried elsewhere when its answer is slow, if another server may get it; one that names a limit counted as such, but had no place when it was asked. It is none to count on now.

Bounds on what servers get are as before.

--- a/src/moledale/gateway/server_group.py
+++ b/src/moledale/gateway/server_group.py
@@ -377,6 +377,10 @@
         return sum(each.declines_until() - each.declined_since > longer_than_s for each in away)
 
     def has_other(self, now: float, tried: frozenset[str]) -> bool:
-        """Say whether a server may get work that was not tried and is not set aside."""
+        """Say whether a server may get work that was not tried and is not set aside.
+
+        One that names a limit is none to count on: it may have no place when it is asked.
+        """
         self._now = max(self._now, now)
-        return any(self.may_serve(view, tried) for view in self.views.values())
+        excluded = tried | self.limited.names
+        return any(self.may_serve(view, excluded) for view in self.views.values())
