--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -10,12 +10,11 @@
 import argparse
 import secrets
 import shutil
-import subprocess
 import sys
 import tempfile
 from pathlib import Path
 
-from tests.soak.process import ROOT
+from tests.soak.former import sources_of
 from tests.soak.soak import SoakPlan, play
 
 MOST_SHOWN = 12
@@ -35,15 +34,6 @@
         return play_all(asked, former)
 
 
-def sources_of(commit: str, folder: Path) -> Path:
-    """Put the sources of a commit into a folder; they come out of this repository's history."""
-    archive = subprocess.run(["git", "archive", commit], cwd=ROOT, capture_output=True, check=False)
-    if archive.returncode:
-        raise SystemExit(f"no sources of {commit} here: {archive.stderr.decode().strip()}")
-    subprocess.run(["tar", "-x", "-C", str(folder)], input=archive.stdout, check=True)
-    return folder
-
-
 def play_all(asked: argparse.Namespace, former: Path | None) -> int:
     """Play all seeds that were asked for."""
     first = asked.first if asked.first is not None else secrets.randbelow(1_000_000)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,11 +1,14 @@
 """The soak's checks find what they are for, and a short soak with a fixed seed finds nothing."""
 
 import shutil
+import tempfile
 import unittest
+from pathlib import Path
 
 from standins.rows import DutyCall
 from tests.soak import checks
 from tests.soak.backend import EVENTS, GUILTY, event_of, plain_body
+from tests.soak.former import LANDED, sources_of
 from tests.soak.records import (
     Attempt,
     Declined,
@@ -257,6 +260,19 @@
         self.assertGreater(result.served, 300)
         shutil.rmtree(result.folder, ignore_errors=True)
 
+    def test_short_soak_beside_the_landing_before_finds_nothing(self) -> None:
+        """Nodes go forth and back between both builds; where the history is missing it fails."""
+        with tempfile.TemporaryDirectory(prefix="soak-build-") as folder:
+            former = sources_of(LANDED, Path(folder))
+            plan = SoakPlan(
+                SEED, nodes=4, planned_s=4.0, chaos_s=5.0, rounds=1, former_build=former
+            )
+            result = play(plan)
+        self.assertEqual(result.findings, [], result.faults)
+        self.assertGreater(result.served, 300)
+        self.assertGreater(result.former_lives, 0)
+        shutil.rmtree(result.folder, ignore_errors=True)
+
 
 if __name__ == "__main__":
     unittest.main()
