A limit whose part wavers loses no places

Found by reading. A node grants the part of a limit that is the part of serving nodes which it hears; each time that part fell, the next place began anew, so with a part that changes with the rounds of news (nodes that come and go) a limit of 0.4 a second gave no place at all: 0 of 16 in 40 s, 14 to 17 now. The wait for the next place is as many intervals as before; only a steep fall, below half, begins anew, since much may have been sent at the rate of before.

--- a/src/moledale/core/pacing.py
+++ b/src/moledale/core/pacing.py
@@ -14,6 +14,9 @@
 LEAST_PER_S = 0.1
 """A rate of nothing is kept as this one: a server that named it would never be heard again."""
 
+STEEP_FALL = 0.5
+"""A rate that falls below this part of what it was is taken for another one."""
+
 ASKED_X = 2.0
 """Those that are turned away are told times for so many requests per place, since some of them
 don't come back."""
@@ -54,15 +57,22 @@
         return max(self.interval_s, BURST_S - self.interval_s)
 
     def retune(self, per_s: float, now: float) -> None:
-        """Change the rate; after a rise the next place is not later than one that begins anew."""
+        """Change the rate; the wait for the next place is as many intervals as before.
+
+        After a steep fall there is no place at once, whatever was saved at the higher rate.
+        """
         per_s = max(LEAST_PER_S, per_s)
         if per_s == self.per_s:
             return
-        rises = per_s > self.per_s
+        change = per_s / self.per_s
         self.per_s = per_s
-        begun = now + self.interval_s + self.ahead_s
-        self.next_at = min(self.next_at, begun) if rises else max(self.next_at, begun)
         self.told_at = min(self.told_at, now)
+        most = now + self.interval_s + self.ahead_s
+        if change < STEEP_FALL:
+            self.next_at = most
+        elif self.next_at > now:
+            # Small changes may come each moment: were each a new beginning, no place would come.
+            self.next_at = min(most, now + (self.next_at - now) / change)
 
     def take(self, now: float, most_wait_s: float = 0.0, number: int = 1) -> Reservation:
         """Take some places at once, the first within a wait; or be told when to ask again."""
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -48,6 +48,16 @@
         pacer.retune(1.0, now)
         self.assertTrue(pacer.take(now + 2.0 / LEAST_PER_S).granted)
 
+    def test_rate_that_wavers_loses_no_places(self) -> None:
+        """The part of all nodes that a node hears may change with each round of news."""
+        pacer = Pacer.begin(0.4, 0.0)
+        granted = 0
+        for step in range(400):
+            now = step * 0.1
+            pacer.retune(0.4 if step % 4 < 2 else 0.36, now)
+            granted += pacer.take(now).granted
+        self.assertIn(granted, range(14, 18))
+
     def test_one_that_begins_has_no_place_yet(self) -> None:
         for per_s in (0.4, 1.0, 50.0):
             pacer = Pacer.begin(per_s, 5.0)
