The soak notes pauses of its own that come in pieces

The soak noted such pauses when one alone was longer than half a second. It counts those that follow each other within two seconds together now; the check and its bound are as they were.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -19,7 +19,7 @@
     Run,
     Version,
 )
-from tests.soak.soak import SoakPlan, note_stall, play
+from tests.soak.soak import HEARTBEAT_S, SoakPlan, StallWatch, note_stall, play
 
 SEED = 7
 
@@ -145,6 +145,23 @@
         self.ledger.runs.append(run_of("r2", "s1", 133.1))
         self.assert_found(checks.planned_work_cuts_nothing)
 
+    def test_pauses_of_the_soak_count_together_when_they_follow_each_other(self) -> None:
+        """Five requests took 1.8 s while all streams of servers, which live in the soak as callers
+        do, stood still, in pieces of less than half a second, and nodes' own timers ran on."""
+
+        def spans(*pauses: tuple[float, float]) -> list[tuple[float, float]]:
+            watch = StallWatch()
+            woken = [watch.woke(at, at + HEARTBEAT_S + late_s) for at, late_s in pauses]
+            return [span for span in woken if span is not None]
+
+        self.assertEqual(spans((10.0, 0.0), (10.1, 0.01), (10.2, 0.4)), [])
+        self.assertEqual(spans((10.0, 0.3), (15.0, 0.3), (20.0, 0.3)), [])
+        self.assertEqual(len(spans((10.0, 1.8))), 1)
+        found = spans((10.0, 0.3), (10.4, 0.3), (10.9, 0.01))
+        self.assertEqual([round(began, 2) for began, _ in found], [10.0])
+        self.assertEqual([round(ended, 2) for _, ended in found], [10.75])
+        self.assertEqual(spans(*((10.0 + 0.1 * number, 0.04) for number in range(100))), [])
+
     def test_request_that_goes_on_ending_servers(self) -> None:
         body = GUILTY + b" 1"
         for number, at in enumerate((1.0, 2.0, 3.0, 4.0, 5.0, 6.5, 7.0, 7.5)):
