A request finds the one server with a place where all name limits

Found by reading. It goes on to ask, eight servers at most, a millisecond each. Nothing changes where no server names a limit.

--- a/src/moledale/gateway/placing.py
+++ b/src/moledale/gateway/placing.py
@@ -12,7 +12,10 @@
 from moledale.gateway.server_view import Placement
 
 MOST_REFUSED = 2
-"""Permits that one request is refused before only servers without a limit are weighed for it."""
+"""Permits that one request is refused before a server without a limit is taken, if there is one."""
+
+MOST_ASKED = 8
+"""Permits that one request asks for at most, where all servers name limits: a millisecond each."""
 
 
 class Wanted(msgspec.Struct, frozen=True):
@@ -45,19 +48,24 @@
 
         Where the server names no limit, both are one step: no other request comes in between.
         """
-        refused = 0
-        while choice := self._choose(wanted, refused >= MOST_REFUSED):
+        for refused in range(MOST_ASKED):
+            choice = self._choose(wanted, refused)
+            if choice is None:
+                break
             view = choice.view
             limited = view.limit_per_s is not None
             if not limited or await self._permits.take(view, answer_s=wanted.answer_s):
                 return self._count(choice, wanted, limited)
-            refused += 1
         return await self._wait_for_turn(wanted)
 
-    def _choose(self, wanted: Wanted, unlimited: bool) -> Choice | None:
-        excluded = wanted.excluded
-        if unlimited:
-            excluded = excluded | self._book.group(wanted.service).limited.names
+    def _choose(self, wanted: Wanted, refused: int) -> Choice | None:
+        choice = None
+        if refused >= MOST_REFUSED:
+            limited = self._book.group(wanted.service).limited.names
+            choice = self._choose_without(wanted, wanted.excluded | limited)
+        return choice or self._choose_without(wanted, wanted.excluded)
+
+    def _choose_without(self, wanted: Wanted, excluded: frozenset[str]) -> Choice | None:
         return self._book.choose(
             wanted.service,
             wanted.facts,
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -4,6 +4,7 @@
 import random
 import unittest
 from statistics import median
+from unittest import mock
 
 import logbook
 
@@ -11,7 +12,7 @@
 from moledale.gateway.balance import ServerBook
 from moledale.gateway.messages import RequestFacts, Server
 from moledale.gateway.peers import Membership
-from moledale.gateway.permits import permits_alone
+from moledale.gateway.permits import PermitAnswer, PermitAsk, permits_alone
 from moledale.gateway.placing import Placing, Wanted
 from moledale.gateway.plan import Engine, Kind, Route, Share
 from moledale.gateway.settings import Bounds
@@ -26,6 +27,11 @@
 from tests.test_server_notices import headers
 
 
+def grant_only(server: str, ask: PermitAsk) -> PermitAnswer:
+    """Grant permits for one server only."""
+    return PermitAnswer(ask.serial, int(ask.server == server), 0.0 if ask.server == server else 9.0)
+
+
 class SumOfAllNodesTest(unittest.TestCase):
     """What all nodes send to a server that names a limit keeps it together.
 
@@ -161,6 +167,26 @@
 
         quietly(work())
 
+    def test_place_is_found_where_most_servers_have_none(self) -> None:
+        """All servers name limits; only one of six has a place, and nobody knows which."""
+
+        async def work() -> None:
+            book = ServerBook("a")
+            book.apply([Server(f"s{each}", "plain", f"h:{each}", "a", 4) for each in range(6)])
+            limits = {name: LimitNews(1.0, 0.0) for name in book.views}
+            book.notices.peer_limits(limits, "n2", monotonic())
+            permits = permits_alone(book, monotonic)
+            with mock.patch.object(
+                permits, "grant", side_effect=lambda ask: grant_only("s3", ask)
+            ) as asked:
+                placing = Placing(book, permits, monotonic)
+                placement = await placing.place(Wanted("plain", RequestFacts(), None))
+                assert placement is not None
+                self.assertEqual(placement.view.server.id, "s3")
+                self.assertLessEqual(asked.call_count, 6)
+
+        quietly(work())
+
     def test_streams_are_moved_to_no_server_that_has_no_place(self) -> None:
         async def work() -> None:
             book = ServerBook("a")
