--- a/src/moledale/core/addresses.py
+++ b/src/moledale/core/addresses.py
@@ -6,7 +6,7 @@
 from moledale.core.hashing import ranked
 
 MOST_ADDRESSES = 3
-"""A caller is told this many: it tries another when one fails. Not measured."""
+"""A caller is told this many: it tries another when one fails."""
 
 OVERLOAD_BOUND = 1.25
 """A node with more than this times the mean load gives way to the next in order."""
--- a/src/moledale/core/rollout_evidence.py
+++ b/src/moledale/core/rollout_evidence.py
@@ -24,19 +24,18 @@
 
 SLOW_BUCKETS = 5
 """An answer this many buckets above the middle of the old ones is slow: 2.4 times as long. Versions
-that are slow take several times as long, 3 in the model; of answers that spread as those of the
-users' plain service (a standard deviation of half of the mean) 3 in 100 are slow by chance."""
+that are slow take several times as long; few answers of a sound one are that slow by chance."""
 
 LEAST_SLOW_S = 0.02
 """An answer that came sooner is never slow. Servers that a node has no connection to yet answer a
-few ms later, which was 2.4 times as long on a played route whose answers take 2 ms."""
+few ms later, which is twice as long and more on a route whose answers take 2 ms."""
 
 LEAST_CONTROL = 8
 """Answers of the old servers before the middle of their times is trusted."""
 
 RECENT_CONTROL = 30
-"""The middle is that of about so many answers of late. With all of them, when all servers turned
-three times slower, 49 of 100 good versions were taken for bad in the model."""
+"""The middle is that of about so many answers of late. Were it that of all, a good version would be
+taken for bad once all servers turn slower."""
 
 PRIOR_BAD = 0.05
 PRIOR_WEIGHT = 4.0
@@ -56,10 +55,8 @@
 LEAST_CHANGED = 3.0
 CHANGED_X = 0.65
 """Sum that means a bad version, and what is added with the natural logarithm of the number of
-answers seen, since chance has more goes at a long series. Over 200 seeds of the
-project's model (docs/design/rollouts.md) good versions were stopped in 0 to 3 of 100 roll-outs at 2
-to 600 requests a second; of those half of whose answers fail, 2 of 100 were missed at 40 a second.
-"""
+answers seen, since chance has more goes at a long series. What it costs in good versions that are
+stopped and bad ones that are missed is told in docs/design/rollouts.md."""
 
 
 class Arm(IntEnum):
--- a/src/moledale/core/rollouts.py
+++ b/src/moledale/core/rollouts.py
@@ -44,8 +44,7 @@
 
 STEPS_AFTER_RISE = 3
 """Looks by which a version may be taken over later than its phases ask for: each of the rise, the
-move and the end comes up to one look after it is due. Without them 30 of 40 roll-outs with late
-evidence on one route, of 8 to 20 s each, were taken over too late to be told in time."""
+move and the end comes up to one look after it is due."""
 
 LEAST_PER_ROUTE = 6
 """Answers of the new servers on each route that has traffic before the version rises: of those of a
--- a/src/moledale/core/routing.py
+++ b/src/moledale/core/routing.py
@@ -17,8 +17,7 @@
 
 SET_ASIDE_KEY = "can-wait"
 QUIET_SHARE = 0.25
-"""Part of its slots below which a server counts as quiet, so that work that can wait may go there.
-Not measured."""
+"""Part of its slots below which a server is quiet, so that work that can wait may go there."""
 
 
 class Standing(StrEnum):
--- a/src/moledale/gateway/admission.py
+++ b/src/moledale/gateway/admission.py
@@ -18,7 +18,7 @@
 """A final answer leaves this long before the caller's deadline, so that it arrives in time."""
 
 NO_PLAN_AGAIN_S = 0.5
-"""A node that starts knows a plan within about this time (0.5 to 0.9 s on played days)."""
+"""A node that starts knows a plan within about this time."""
 
 NEWER_PLAN_AGAIN_S = 0.15
 """A newer plan that is known of is here within about this time."""
--- a/src/moledale/gateway/calls.py
+++ b/src/moledale/gateway/calls.py
@@ -13,8 +13,7 @@
 """Connections kept to one address: calls to it seldom overlap more."""
 
 IDLE_S = 20.0
-"""Connections at rest for longer are closed; callees close theirs after about as long. Not
-measured."""
+"""Connections at rest for longer are closed; callees close theirs after about as long."""
 
 
 class CallAnswer(msgspec.Struct, frozen=True):
--- a/src/moledale/gateway/cold_start.py
+++ b/src/moledale/gateway/cold_start.py
@@ -13,9 +13,7 @@
 
 ANSWER_S = 0.06
 """Time in which a peer that lives answers a node's first state: a round trip of a few ms, and a
-busy processor. Where all end at once nobody answers, and callers wait for all that is longer: with
-0.3 s in all, two played days of 81 nodes had 0.48 and 0.50 of their worth in their worst seconds,
-with no wait 0.54 and 0.53 (one play each), for 3 to 24 in 100 fewer calls to the store."""
+busy processor. Where all end at once nobody answers, and callers wait for all that is longer."""
 
 MANY = 8.0
 """From so many times `neighbours.FEW` nodes on they do not all ask the store at once: 81 nodes read
--- a/src/moledale/gateway/directory.py
+++ b/src/moledale/gateway/directory.py
@@ -17,7 +17,7 @@
 """Nodes that serve in a hall at least; more do as requests need them."""
 
 REQUEST_CORE_S = 0.0017
-"""Processor time of a request with its events, measured on played days (docs/CAPACITY.md)."""
+"""Processor time of a request with its events."""
 
 LOAD_SHARE = 0.35
 """Part of its processor that a node's requests may take before the hall has another one serve."""
@@ -31,7 +31,7 @@
 """Power (see `power_of`) beyond which more of it makes no difference."""
 
 LINK_MBPS_FOR_A_CORE = 50.0
-"""Link that counts as much as one core. Not measured."""
+"""Link that counts as much as one core."""
 
 
 def power_of(cores: float, link_mbps: float) -> float:
--- a/src/moledale/gateway/document_codec.py
+++ b/src/moledale/gateway/document_codec.py
@@ -14,10 +14,10 @@
 """Compressor's window, as a power of two in bytes: the store takes no larger object (8 MiB)."""
 
 HASH_LOG = 17
-"""Entries of the match table, as a power of two; 1.3 ms and 2 MB at a plan of 300 KB (measured)."""
+"""Entries of the match table, as a power of two: 2 MB."""
 
 SHORTEST_MATCH = 7
-"""Shortest repetition that is looked for, in bytes. Not measured."""
+"""Shortest repetition that is looked for, in bytes."""
 
 MOST_BYTES = 1 << WINDOW_LOG
 
--- a/src/moledale/gateway/duties.py
+++ b/src/moledale/gateway/duties.py
@@ -33,9 +33,8 @@
 
 HEARD_AFTER_S = 1.5
 """A new holder reports once it has held the lease for this long. Nodes tell their counts to the
-holder only: they hear of it within a round or a second, and tell within a round. Reporting sooner
-froze 103 of 774 requests of a window on a played day of 195 nodes. Counts of nodes in reserve may
-come up to 0.7 s later than this, by the rounds of news."""
+holder only: they hear of it within a round or a second, and tell within a round; a report that is
+sooner freezes too few. Counts of nodes in reserve may come a little later still."""
 
 PLAN_S = 0.5
 """Servers are planned this often: eight times in the boot of a server, 4 s at the users'."""
--- a/src/moledale/gateway/engine_costs.py
+++ b/src/moledale/gateway/engine_costs.py
@@ -10,8 +10,7 @@
 from moledale.gateway.server_view import ServerView
 
 LONG_PROMPT_X = 9.3e-6
-"""Work that a prompt adds by its square, in tokens: each token attends to all those before it.
-Measured at the first customers' engines; a third one's have 8.6e-6."""
+"""Work that a prompt adds by its square, in tokens: each token attends to all those before it."""
 
 FETCH_SETUP_S = 0.005
 """Time until a fetch from another server begins, as the users' engines state it (5.0 to 5.3 ms)."""
--- a/src/moledale/gateway/evacuation.py
+++ b/src/moledale/gateway/evacuation.py
@@ -37,7 +37,7 @@
 """Time of a move beyond what its copy takes, for others that wait at the links."""
 
 FIRST_TOKEN_S = 0.3
-"""Time to a first event that is assumed of a stream without any yet. Not measured."""
+"""Time to a first event that is assumed of a stream without any yet."""
 
 EVENT_S = 0.03
 """Time between two events where none was seen yet."""
--- a/src/moledale/gateway/neighbours.py
+++ b/src/moledale/gateway/neighbours.py
@@ -40,7 +40,7 @@
 """A node counts as busy this long after a request: callers keep addresses for 2 s and longer."""
 
 ADDRESS_KEPT_S = 60.0
-"""A silent address is still tried for this long, longer than partitions of a played day."""
+"""A silent address is still tried for this long: nodes that were cut off find each other again."""
 
 MOST_HINTS = 8
 """Addresses told with a state, 20 bytes each; a node that starts hears of all others by and by."""
@@ -51,9 +51,7 @@
 
 SUCCESSORS = 2
 """Nodes next in the ring of addresses that one passes a change of the servers on to. So two others
-tell each node, whatever chance does. Of 390 nodes that pass on to four by chance, 1.8 in 100 are
-told by none (2.2 where 5 in 100 packets are lost) and hear of it by the next state of some node,
-up to a second later; with two successors and two by chance 0.00 (0.03)."""
+tell each node, whatever chance does; one that is told by none hears of it up to a second later."""
 
 PASSED_ON = 2
 """Nodes by chance that one tells beside these: whole parts of the ring may be cut off."""
--- a/src/moledale/gateway/rollout_duty.py
+++ b/src/moledale/gateway/rollout_duty.py
@@ -20,8 +20,7 @@
 
 EVIDENCE_SHARE = 0.04
 """Part of a route's requests that the new servers are to have answered, half of what a trial sends
-them on average: where more was wanted a route with three requests a second kept a good version
-waiting until 0.8 of its time on a played day."""
+them on average: where more is wanted, a route with few requests keeps a good version waiting."""
 
 
 class RolloutDuty:
--- a/src/moledale/gateway/rollouts.py
+++ b/src/moledale/gateway/rollouts.py
@@ -32,8 +32,7 @@
 
 
 KEPT_SHARE = 0.5
-"""Part of the free requests that is kept for such routes. Without it the others had used them up on
-a played day, and a route with a request in some seconds had no evidence at 0.8 of the time."""
+"""Part of the free requests that is kept for such routes: the others would use them up before."""
 
 
 class ServiceRollout:
@@ -176,8 +175,7 @@
         """Return the part of the load that a version on trial bears if a request is to go there.
 
         Repeats never do. While few new servers are there they get no more than as many old ones
-        would: a burst on them looks like a slow version. Of a good one, 29 answers within a quarter
-        of a second at four servers had it rolled back on a played day with 377 requests a second.
+        would: a burst on them looks like a slow version.
         """
         rollout = self.services.get(service)
         if rollout is None or rollout.phase not in (Phase.TRIAL, Phase.RISING):
--- a/src/moledale/gateway/server_group.py
+++ b/src/moledale/gateway/server_group.py
@@ -22,14 +22,10 @@
 NEAR_LIGHT = 4
 FAR_LIGHT = 2
 """Least loaded servers of the own and of each other hall that are weighed for a request: enough for
-one that was tried, one that is slower than believed, and a choice between equal ones. With none of
-other halls the estimate for the best candidate was 7 ms above that for the best of all 64 servers,
-on average over 600 prompts with 40 fronts and 60 requests running; with one or two it was the same.
-"""
+one that was tried, one that is slower than believed, and a choice between equal ones."""
 
 MOST_HOLDERS = 12
-"""Servers with the front of a prompt that are weighed for a request, drawn by chance if more. With
-none the estimate was 18 to 25 ms above the best in the same model; with four it was the same."""
+"""Servers with the front of a prompt that are weighed for a request, drawn by chance if more."""
 
 MOST_RESTING = 4
 """Servers with a connection at rest that are weighed for a request: a new one takes 1 ms, and is
--- a/src/moledale/gateway/server_model.py
+++ b/src/moledale/gateway/server_model.py
@@ -23,8 +23,7 @@
 import msgspec
 
 PRIOR_READ_PER_S = 40_000.0
-"""Prompt tokens a second that a server is taken to read before any was seen to; measured at the
-first customers' engines (docs/DECISIONS.md)."""
+"""Prompt tokens a second that a server is taken to read before any was seen to."""
 
 PRIOR_START_S = 0.03
 """Time to a first event that does not depend on the prompt, likewise."""
--- a/src/moledale/gateway/server_order.py
+++ b/src/moledale/gateway/server_order.py
@@ -16,9 +16,7 @@
 both to a server with a connection at rest first, since a new one takes 1 ms of it."""
 
 RING_POINTS = 4
-"""Places of a server on the ring of homes. With four the most loaded of 1,000 servers is the home
-of 3.7 times as many fronts as the average one (200,000 fronts); the choice weighs its load besides.
-"""
+"""Places of a server on the ring of homes. Few are enough: the choice weighs its load besides."""
 
 POINT_BITS = 128 // RING_POINTS
 POINT_MASK = (1 << POINT_BITS) - 1
--- a/src/moledale/gateway/state_packing.py
+++ b/src/moledale/gateway/state_packing.py
@@ -14,8 +14,7 @@
 from moledale.gateway.gossip import PackedState, StateNews
 
 KEY_EVERY = 5
-"""Rounds from one state that is sent by itself to the next: a second. With 19 accounts and 39
-servers a state has 2.1 KB, by itself 1.1 KB, as a difference 0.45 KB."""
+"""Rounds from one state that is sent by itself to the next: a second."""
 
 ALONE = -1
 """Base of a state that is sent by itself."""
