A stream that broke off waits for its turn from its last event on

Cause, found by reading: the time that a request may wait where all servers name limits counted from its arrival, so a stream that was under way for longer than that had none and was broken off, though a place would have come a moment later.

--- a/src/moledale/gateway/turns.py
+++ b/src/moledale/gateway/turns.py
@@ -21,10 +21,14 @@
 
 
 def patience(job: Job, now: float) -> float:
-    """Return for how many seconds a request may wait for its turn."""
+    """Return for how many seconds a request may wait for its turn.
+
+    A stream that broke off waits from its last event on: that it goes on late is better than never.
+    """
     rank = USUAL_RANK if job.caller.priority is None else max(0, job.caller.priority)
     most_s = PATIENCE_SHARE * job.route.target_s / (rank + 1)
-    return max(0.0, min(most_s - (now - job.request.arrived_at), job.left_s(now)))
+    since = job.request.arrived_at if job.event_at is None else job.event_at
+    return max(0.0, min(most_s - (now - since), job.left_s(now)))
 
 
 class Turns:
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -10,14 +10,18 @@
 
 from moledale.clock import monotonic
 from moledale.gateway.balance import ServerBook
-from moledale.gateway.messages import RequestFacts, Server
+from moledale.gateway.events import EventCutter
+from moledale.gateway.job import Job
+from moledale.gateway.messages import Caller, InboundRequest, RequestFacts, RequestHead, Server
 from moledale.gateway.peers import Membership
 from moledale.gateway.permits import PermitAnswer, PermitAsk, permits_alone
 from moledale.gateway.placing import Placing, Wanted
 from moledale.gateway.plan import Engine, Kind, Route, Share
+from moledale.gateway.reply import Reply
 from moledale.gateway.settings import Bounds
 from moledale.gateway.sharing import Sharing
 from moledale.gateway.stated_limit import LimitNews
+from moledale.gateway.turns import patience
 from moledale.gateway.upstream import UpstreamConnection
 from moledale.platform.headers import PlatformHeaders
 from tests.gateway_states import state
@@ -167,6 +171,29 @@
 
         quietly(work())
 
+    def test_patience_follows_rank_and_target_and_begins_anew_with_a_stream(self) -> None:
+        route = Route("r", HOST, "/r/", Kind.STREAM, (Share("model"),), 9.0, 2.0)
+        head = RequestHead(b"POST", b"/r/", [])
+        request = InboundRequest(head, b"", 100.0)
+        job = Job(
+            request,
+            RequestFacts(),
+            route,
+            Caller(None, 0),
+            "model",
+            109.0,
+            Reply(None, close=False),  # type: ignore[arg-type]
+            EventCutter(""),
+        )
+        self.assertAlmostEqual(patience(job, 100.2), 0.8)
+        self.assertEqual(patience(job, 101.5), 0.0)
+        job.note_event(105.0)
+        self.assertAlmostEqual(patience(job, 105.1), 0.9)
+        job.ends_at = 105.5
+        self.assertAlmostEqual(patience(job, 105.1), 0.4)
+        job.caller.priority = 4
+        self.assertAlmostEqual(patience(job, 105.1), 0.1)
+
     def test_place_is_found_where_most_servers_have_none(self) -> None:
         """All servers name limits; only one of six has a place, and nobody knows which."""
 
