Who waits for its turn takes one place, not a batch

Found by reading: permits for a later moment that came together with the one that is waited for would have been used at once by other requests (limits of 100 a second and more).

--- a/src/moledale/gateway/permits.py
+++ b/src/moledale/gateway/permits.py
@@ -192,7 +192,8 @@
         limit = view.limit_per_s
         if limit is None or self._take_left(view.server.id, limit):
             return True
-        number = max(1, int(limit * BATCH_S))
+        # What is granted for a later moment would be used before it by those that don't wait.
+        number = 1 if most_wait_s else max(1, int(limit * BATCH_S))
         asked_at = self._now()
         view.hold_back(asked_at + answer_s)
         answer = await self._ask(view, limit, number, most_wait_s, answer_s)
@@ -204,8 +205,7 @@
             view.hold_back(now + answer.wait_s)
             return False
         if answer.number > 1:
-            until = now + answer.wait_s + KEPT_S
-            self._left[view.server.id] = LeftPermits(answer.number - 1, until, limit)
+            self._left[view.server.id] = LeftPermits(answer.number - 1, now + KEPT_S, limit)
         view.hold_back(0.0)
         if answer.wait_s > 0:
             await self._sleep(answer.wait_s)
@@ -260,7 +260,6 @@
 
 def permits_alone(book: ServerBook, now: Callable[[], float]) -> Permits:
     """Return permits of a node that knows of no other one."""
-
     return Permits(PermitDesk(limit_in(book)), Grantors(""), now=now)
 
 
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -151,6 +151,19 @@
 
         play(work)
 
+    def test_who_waits_for_its_turn_takes_one_place_only(self) -> None:
+        async def work() -> None:
+            world = World("n0", "n1")
+            world.limit(1_000.0)
+            node = world.others()[0]
+            await node.sharing.permits.take(node.view())
+            self.assertTrue(await node.sharing.permits.take(node.view(), most_wait_s=0.1))
+            asks = [each for each in world.sent if isinstance(each, PermitAsk)]
+            self.assertEqual([each.number for each in asks], [20, 1])
+            self.assertFalse(node.sharing.permits._left)
+
+        play(work)
+
     def test_permits_for_another_limit_are_void(self) -> None:
         async def work() -> None:
             world = World("n0", "n1")
