moledale fleet show tells which build each node runs

Cause: while machines are replaced one after the other, operators could not see which nodes run which build.

--- a/src/moledale/edge/operators.py
+++ b/src/moledale/edge/operators.py
@@ -9,6 +9,7 @@
 from starlette.routing import Route
 
 from moledale import problems
+from moledale.build import build_id
 from moledale.bundle import store
 from moledale.edge.answers import json_response, problem_response
 from moledale.edge.requests import bearer, read_body
@@ -28,7 +29,7 @@
 
 
 class NodeStatus(msgspec.Struct, frozen=True):
-    """One node's view of itself and of the fleet."""
+    """One node's view of itself and of the fleet; `build` is empty from builds that tell none."""
 
     node: str
     hall: str
@@ -45,6 +46,7 @@
     leases: list[str]
     nodes: dict[str, str]
     servers: list[ServerStanding]
+    build: str = ""
 
 
 class OperatorApi:
@@ -143,6 +145,7 @@
                 ServerStanding(v.id, v.hall, v.standing.value, v.running, sorted(v.models))
                 for v in node.book.views.values()
             ],
+            build_id(),
         )
 
 
--- a/src/moledale/ui/fleet_commands.py
+++ b/src/moledale/ui/fleet_commands.py
@@ -69,11 +69,12 @@
         print_json({"nodes": statuses, "not_answering": failures})
         return Exit.FAILED if failures else Exit.OK
     print_table(
-        ["node", "hall", "version", "standing", "open", "waiting", "jobs", "leases"],
+        ["node", "hall", "build", "version", "standing", "open", "waiting", "jobs", "leases"],
         [
             (
                 s.node,
                 s.hall,
+                s.build or "-",
                 s.bundle_version,
                 "draining" if s.draining else s.verdict,
                 s.open_requests,
--- a/tests/test_builds.py
+++ b/tests/test_builds.py
@@ -2,10 +2,15 @@
 
 import asyncio
 import unittest
+from importlib.metadata import PackageNotFoundError
+from pathlib import Path
+from unittest import mock
 
 import logbook
 import msgspec
 
+from moledale.build import build_id
+from moledale.edge.operators import NodeStatus
 from moledale.gateway.builds import FORMATS, BuildWatch
 from moledale.gateway.gossip import MOST_KINDS, OTHER_KINDS, GossipSocket, Message
 from tests.gateway_states import state
@@ -43,6 +48,31 @@
         self.assertLess(max(len(kind) for kind in self.socket.unreadable), 40)
 
 
+class BuildIdTest(unittest.TestCase):
+    def test_same_sources_are_one_build_and_changed_ones_another(self) -> None:
+        build_id.cache_clear()
+        first = build_id()
+        self.assertEqual(build_id(), first)
+        build_id.cache_clear()
+        with mock.patch.object(Path, "read_bytes", return_value=b"changed"):
+            self.assertNotEqual(build_id(), first)
+        build_id.cache_clear()
+        with mock.patch("moledale.build.version", side_effect=PackageNotFoundError):
+            self.assertTrue(build_id().startswith("unpacked+"))
+        build_id.cache_clear()
+        self.assertEqual(build_id(), first)
+
+    def test_status_of_a_build_that_tells_none_is_read(self) -> None:
+        """The command asks nodes of the landing before as well."""
+        fields = [name for name in NodeStatus.__struct_fields__ if name != "build"]
+        self.assertEqual(NodeStatus.__struct_fields__[-1], "build")
+        told = {name: [] if name in ("leases", "servers") else 0 for name in fields}
+        told |= dict.fromkeys(("node", "hall", "incarnation", "bundle_digest", "verdict"), "x")
+        told |= {"nodes": {}, "draining": False, "table_reachable": True}
+        read = msgspec.json.decode(msgspec.json.encode(told), type=NodeStatus)
+        self.assertEqual(read.build, "")
+
+
 class BuildsTest(unittest.TestCase):
     def test_other_build_is_logged_once_for_each_node_and_build(self) -> None:
         watch = BuildWatch()
--- a/tests/test_system.py
+++ b/tests/test_system.py
@@ -12,6 +12,7 @@
 import grpc
 
 from moledale.backing.types import InstanceState, Part
+from moledale.build import build_id
 from moledale.bundle.signing import Signature
 from moledale.clock import monotonic
 from moledale.peers.pb import peers_pb2, peers_pb2_grpc
@@ -439,6 +440,7 @@
             (["bundle", "roll", str(forged)], 2, "does not fit"),
             (["bundle", "status"], 0, "entry-2"),
             (["fleet", "show", "--json"], 0, '"open_requests"'),
+            (["fleet", "show"], 0, build_id()),
             (["report", "burn", "--plot", str(plot)], 0, "burn 5m"),
             (["settings", "check", str(ROOT / "examples" / "settings.toml")], 0, "no findings"),
             (["settings", "check", str(bad)], 2, "node: required key is missing"),
