--- a/tests/soak/backend.py
+++ b/tests/soak/backend.py
@@ -83,6 +83,7 @@
     def crash(self) -> None:
         """End at once, with all connections."""
         self.down = True
+        self._ledger.end_limits(self.id)
         if self._server is not None:
             self._server.close()
         for writer in list(self._writers):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,14 +1,20 @@
 """The soak's checks find what they are for, and a short soak with a fixed seed finds nothing."""
 
+import asyncio
+import os
+import random
 import shutil
+import sys
 import tempfile
 import unittest
 from pathlib import Path
+from unittest import mock
 
 from standins.rows import DutyCall
 from tests.soak import checks
-from tests.soak.backend import EVENTS, GUILTY, event_of, plain_body
+from tests.soak.backend import EVENTS, GUILTY, Backend, event_of, plain_body
 from tests.soak.former import LANDED, sources_of
+from tests.soak.process import NodeProcess
 from tests.soak.records import (
     Attempt,
     Declined,
@@ -110,6 +116,18 @@
         self.ledger.runs.pop()
         self.assert_found(checks.named_limits_are_kept, 0)
 
+    def test_next_life_of_a_server_names_no_limit(self) -> None:
+        """One that named a limit crashed, and was back under its id without one."""
+        self.ledger.limits += [Limit("s1", 0.5, 99.0), Limit("s2", 0.5, 99.0)]
+        self.ledger.end_limits("s1")
+        self.ledger.end_limits("s1")
+        ends = {limit.server: limit.ends for limit in self.ledger.limits}
+        self.assertLess(ends["s1"], float("inf"))
+        self.assertEqual(ends["s2"], float("inf"))
+        backend = Backend("s2", "plain", self.ledger, random.Random(1))
+        backend.crash()
+        self.assertLess(self.ledger.limits[1].ends, float("inf"))
+
     def test_wrong_or_cut_body(self) -> None:
         self.answered("check", plain_body("r1", "s1")[:-1])
         self.assert_found(checks.own_whole_answers)
@@ -270,6 +288,29 @@
         self.assertEqual(list(checks.duties_by_one(fine, [], 0.5)), [])
 
 
+class NodeProcessTest(unittest.TestCase):
+    """Signals to a process take nothing away from whoever waits for its end."""
+
+    def test_signal_to_a_process_that_just_ended_leaves_its_exit_code(self) -> None:
+        """A node that had ended with code 0 was told to have ended with code 255: the signal that
+        came a moment later had looked whether it ended."""
+
+        async def work(folder: Path) -> int | None:
+            ledger = Ledger()
+            node = NodeProcess("n1", "127.0.0.1", "hall-a", folder, "127.0.0.1:1", ledger)
+            node.process = await asyncio.create_subprocess_exec(sys.executable, "-c", "pass")
+            node._descriptor = os.pidfd_open(node.process.pid)
+            watch = asyncio.create_task(node._wait(node.process, node._descriptor))
+            with mock.patch("subprocess.Popen.poll", side_effect=AssertionError):
+                node.kill()
+                await watch
+                node.kill()
+            return ledger.exits[0].code
+
+        with tempfile.TemporaryDirectory() as folder:
+            self.assertIn(asyncio.run(work(Path(folder))), (0, -9))
+
+
 class ShortSoakTest(unittest.TestCase):
     def test_short_soak_with_a_fixed_seed_finds_nothing(self) -> None:
         result = play(SoakPlan(SEED, nodes=4, planned_s=4.0, chaos_s=5.0, rounds=1))
