Log the return of the store from an older copy, lists that were read in vain, and counts of windows beside those sent

E304 names the era before and after, E427 the versions of a list that was read and the one in use, E510 the counts as they stand now beside those sent. The era is read in the adapter only, from every answer; no decision depends on it yet. The stand-in names its era and can come back from a copy.

--- a/src/moledale/gateway/calls.py
+++ b/src/moledale/gateway/calls.py
@@ -23,6 +23,7 @@
     body: bytes
     sent_at: float
     answered_at: float
+    headers: Headers = []
 
 
 class CallFailed(msgspec.Struct, frozen=True):
@@ -68,7 +69,7 @@
             if connection.finish(now) and len(self._idle) < MOST_IDLE:
                 self._idle.append(connection)
             connection = None
-            return Ok(CallAnswer(head.status, b"".join(parts), sent_at, now))
+            return Ok(CallAnswer(head.status, b"".join(parts), sent_at, now, head.headers))
         except (ConnectFailed, AnswerCut, TimeoutError) as error:
             self._close(at_rest)
             return Err(CallFailed(f"{type(error).__name__} {error}", sent))
--- a/src/moledale/gateway/duties.py
+++ b/src/moledale/gateway/duties.py
@@ -131,7 +131,12 @@
         trouble = await self._orders.report_usage(self._node, grant.epoch, window, frozen.counts)
         if trouble is None:
             self._done.add(window)
-            emit(Event.USAGE_REPORTED, window=window, total=sum(frozen.counts.values()))
+            emit(
+                Event.USAGE_REPORTED,
+                window=window,
+                total=sum(frozen.counts.values()),
+                counted=sum(counts.values()),
+            )
         else:
             emit(Event.USAGE_FAILED, window=window, why=trouble.detail)
 
--- a/src/moledale/gateway/fleet_watch.py
+++ b/src/moledale/gateway/fleet_watch.py
@@ -151,6 +151,7 @@
         self._returned_s = NEVER_S
         self._returned_at = -1e9
         self._failed_at = -1e9
+        self._older_told = -1
         self._believed: list[Server] = []
         self._keeps_lapsed = False
         self._reading: asyncio.Task[bool] | None = None
@@ -262,6 +263,9 @@
             self._returned_at, self._returned_s = sent_at, listed.store_s
         if listed.version >= self.list.version:
             self._note_fresh(sent_at, listed.store_s)
+        elif self._older_told != self.list.version:
+            self._older_told = self.list.version
+            emit(Event.LIST_OLDER, read=listed.version, here=self.list.version)
         base = self.list.digest
         if before is not None and not listed.changed and base == digest:
             difference = None
--- a/src/moledale/log.py
+++ b/src/moledale/log.py
@@ -47,6 +47,9 @@
     ROW_UNREADABLE = EventSpec(
         303, logbook.ERROR, "A row of the store can't be read and is left alone."
     )
+    STORE_RESTORED = EventSpec(
+        304, logbook.WARNING, "The store came back from an older copy; versions start again."
+    )
     SERVER_LEAVING = EventSpec(400, logbook.INFO, "A backend server leaves; it gets no new work.")
     SERVER_DOWN = EventSpec(401, logbook.WARNING, "A backend server does not answer.")
     ATTEMPT_FAILED = EventSpec(402, logbook.WARNING, "An attempt failed; the request goes on.")
@@ -88,6 +91,9 @@
     PERMITS = EventSpec(
         426, logbook.INFO, "Permits for a server with a limit: asked for and granted at this node."
     )
+    LIST_OLDER = EventSpec(
+        427, logbook.WARNING, "A list of servers that was read is older than the one in use."
+    )
     USAGE_REPORTED = EventSpec(510, logbook.INFO, "Usage of a window was reported.")
     USAGE_FAILED = EventSpec(511, logbook.WARNING, "Usage of a window could not be reported.")
     SERVERS_ORDERED = EventSpec(512, logbook.INFO, "A number of servers was ordered for a hall.")
--- a/src/moledale/platform/store.py
+++ b/src/moledale/platform/store.py
@@ -8,7 +8,7 @@
 
 from moledale.core.rollouts import Phase, RolloutNews, RolloutOrder
 from moledale.gateway.calls import CallAnswer, CallFailed, HttpCaller
-from moledale.gateway.messages import Headers, Server
+from moledale.gateway.messages import Headers, Server, first_header
 from moledale.gateway.outside import (
     PlanNews,
     Reading,
@@ -20,6 +20,8 @@
     Written,
 )
 from moledale.gateway.plan import Plan
+from moledale.gateway.store_era import UNKNOWN_ERA, StoreEra
+from moledale.http_fields import MOST_LOGGED
 from moledale.log import Event, emit
 from moledale.platform.entries import Entries, platform_id
 from moledale.platform.records import (
@@ -33,6 +35,7 @@
 )
 
 JSON: Headers = [(b"Content-Type", b"application/json")]
+ERA = b"store-era"
 CONFIG_TABLE = "op"
 CONFIG_KEY = "config"
 ROLLOUT_PREFIX = "rollout/"
@@ -53,6 +56,7 @@
     """Rows, configuration and server list of the platform."""
 
     def __init__(self, address: str) -> None:
+        self.era = StoreEra()
         self._calls = HttpCaller(address)
         self._entries = Entries()
 
@@ -239,6 +243,8 @@
         good: tuple[int, ...] = (200,),
     ) -> Result[CallAnswer, Trouble]:
         outcome = await self._calls.call(method, path, body, JSON if body else [], timeout_s)
+        if isinstance(outcome, Ok):
+            self.era.heard(_era_of(outcome.ok_value.headers))
         return _checked(outcome, good)
 
 
@@ -256,6 +262,22 @@
     )
 
 
+def _era_of(headers: Headers) -> int:
+    """Return the era that an answer names, counted from 1; `UNKNOWN_ERA` if it names none."""
+    value = first_header(headers, ERA)
+    if value is None:
+        return UNKNOWN_ERA
+    try:
+        return 1 + max(0, int(value))
+    except ValueError:
+        emit(
+            Event.HEADER_UNREADABLE,
+            header=ERA.decode(),
+            value=value.decode("latin-1")[:MOST_LOGGED],
+        )
+        return UNKNOWN_ERA
+
+
 def _plan_news(record: RowsRecord) -> PlanNews:
     newest = b""
     now_s = record.now_ms / 1000
--- a/standins/rows.py
+++ b/standins/rows.py
@@ -1,13 +1,13 @@
 """Stand-in for the users' platform: the store with rows and its duties, as their pages tell them.
 
-It can be silent, slow or busy, lose answers after their effect, do a change late, and forget
-history; what it took is kept for tests to look at.
+It can be silent, slow or busy, lose answers after their effect, do a change late, forget history,
+and come back from an older copy; what it took is kept for tests to look at.
 """
 
 import asyncio
 import base64
 import json
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import StrEnum
 from urllib.parse import parse_qs, urlsplit
 
@@ -36,6 +36,14 @@
     gone: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """What the store held at some moment."""
+
+    version: int
+    rows: dict[tuple[str, str, str], Row]
+
+
 @dataclass(frozen=True, slots=True)
 class DutyCall:
     """A call of a duty that was accepted."""
@@ -55,6 +63,7 @@
     delay_s: float = 0.0
     history_from: int = 0
     version: int = 0
+    era: int = 1
     rows: dict[tuple[str, str, str], Row] = field(default_factory=dict)
     duty_calls: list[DutyCall] = field(default_factory=list)
     refused_spot: set[str] = field(default_factory=set)
@@ -98,6 +107,17 @@
             return None
         return json.loads(base64.b64decode(row.value))
 
+    def copy(self) -> StoreCopy:
+        """Return a copy that the store may come back from."""
+        return StoreCopy(self.version, {name: replace(row) for name, row in self.rows.items()})
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from a copy: what was written since is gone, versions are given out again."""
+        self.era += 1
+        self.version = copy.version
+        self.rows = {name: replace(row) for name, row in copy.rows.items()}
+        self._changed.set()
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             while True:
@@ -120,8 +140,8 @@
                     await asyncio.sleep(3600)
                 data = json.dumps(answer).encode()
                 writer.write(
-                    b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\n"
-                    b"Content-Length: %d\r\n\r\n%b" % (status, len(data), data)
+                    b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\nStore-Era: %d\r\n"
+                    b"Content-Length: %d\r\n\r\n%b" % (status, self.era, len(data), data)
                 )
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
@@ -197,7 +217,7 @@
         after = int(query["startAfter"])
         ends = asyncio.get_running_loop().time() + int(query["waitMs"]) / 1000
         while True:
-            if after < self.history_from:
+            if not self.history_from <= after <= self.version:
                 return 410, {}
             rows = [r for r in self.rows.values() if r.table == query["table"] and r.ver > after]
             left = ends - asyncio.get_running_loop().time()
