A failing test: a server that leaves after the store came back from an older copy gets new work

Three nodes, a store that lost 200 changes and was away for 0.3 s: 3 of 3 requests reach the server 2 s after its entry said that it leaves, where none may.

--- /dev/null
+++ b/tests/test_store_restored.py
@@ -0,0 +1,55 @@
+"""Whole nodes whose store comes back from an older copy."""
+
+import asyncio
+import unittest
+
+from standins.rows import Mood, StoreCopy
+from tests.test_gateway_nodes import BOUNDS, Cluster, config, on_cluster, ready, until
+
+NODES = ("n1", "n2", "n3")
+LOST_CHANGES = 200
+"""Changes that a copy lacks; none of the tests makes as many after the store's return."""
+
+AWAY_S = 0.3
+
+
+async def started(cluster: Cluster) -> StoreCopy:
+    """Start the nodes, and let the store take changes that the returned copy lacks."""
+    nodes = [await cluster.start(name) for name in NODES]
+    for node in nodes:
+        await until(ready(node))
+    await asyncio.sleep(0.3)
+    copy = cluster.platform.copy()
+    for _ in range(LOST_CHANGES):
+        cluster.platform.put("other", "row", {})
+    await asyncio.sleep(1.0)
+    return copy
+
+
+async def restore(cluster: Cluster, copy: StoreCopy) -> None:
+    """Let the store be away and come back from a copy; the operator and the server write again."""
+    cluster.platform.mood = Mood.RESET
+    await asyncio.sleep(AWAY_S)
+    cluster.platform.restore(copy)
+    cluster.platform.mood = Mood.GOOD
+    await asyncio.sleep(0.1)
+    cluster.platform.put("op", "config", config(1))
+    cluster.list_backend("ready")
+
+
+class RestoredListTest(unittest.TestCase):
+    def test_server_that_leaves_after_the_stores_return_gets_no_new_work(self) -> None:
+        async def work(cluster: Cluster) -> None:
+            await restore(cluster, await started(cluster))
+            cluster.list_backend("draining")
+            await asyncio.sleep(BOUNDS.leave_s)
+            before = len(cluster.backend.arrivals)
+            for name in NODES:
+                await cluster.ask(name)
+            self.assertEqual(len(cluster.backend.arrivals) - before, 0)
+
+        on_cluster(work)
+
+
+if __name__ == "__main__":
+    unittest.main()
