--- a/src/moledale/gateway/document_archive.py
+++ b/src/moledale/gateway/document_archive.py
@@ -14,6 +14,7 @@
 import xxhash
 
 from moledale.gateway.document_codec import digest_of, encode
+from moledale.gateway.store_era import UNKNOWN_ERA, EraVersion
 
 PIECE_BYTES = 16_384
 """26 ms on the thinnest link of the users' sheets (5 Mbit/s)."""
@@ -38,6 +39,7 @@
     """A piece of a frame: of which document, made from which base, its place and the frame's size.
 
     `base` is "" for one that is compressed by itself; `frame` is the digest of the whole frame.
+    `era` is that of the version, unknown for plans and in pieces of earlier builds.
     """
 
     version: int
@@ -47,6 +49,12 @@
     size: int
     offset: int
     data: bytes
+    era: int = UNKNOWN_ERA
+
+    @property
+    def at(self) -> EraVersion:
+        """Return the version with its era."""
+        return EraVersion(self.era, self.version)
 
 
 class PieceWanted(msgspec.Struct, frozen=True):
@@ -60,7 +68,7 @@
 class KeptDocument(msgspec.Struct):
     """A document's bytes and version."""
 
-    version: int
+    version: EraVersion
     raw: bytes
 
 
@@ -95,7 +103,7 @@
     def __post_init__(self) -> None:
         self._budget = UploadBudget(self.link_mbps * BYTES_PER_MBIT * LINK_SHARE)
 
-    def keep(self, version: int, raw: bytes) -> None:
+    def keep(self, version: EraVersion, raw: bytes) -> None:
         """Keep a document that is newer than all before it; it may have been there before."""
         digest = digest_of(raw)
         self._kept[digest] = KeptDocument(version, raw)
@@ -104,7 +112,7 @@
         while len(self._kept) > self.most_kept:
             self._kept.popitem(last=False)
 
-    def renew(self, version: int) -> None:
+    def renew(self, version: EraVersion) -> None:
         """Note that the newest document is that of a later version, too."""
         if self._kept:
             self._kept[self.newest].version = version
@@ -133,7 +141,8 @@
         if not self._budget.take(len(data), self.now()):
             return None
         version = self._kept[digest].version
-        return DocumentPiece(version, digest, base, name, len(frame), offset, data)
+        size = len(frame)
+        return DocumentPiece(version.number, digest, base, name, size, offset, data, version.era)
 
     def _frame(self, digest: str, base: str) -> tuple[str, bytes]:
         found = self._frames.get(base)
--- a/src/moledale/gateway/document_fetch.py
+++ b/src/moledale/gateway/document_fetch.py
@@ -18,6 +18,7 @@
 from moledale.gateway.calls import HttpCaller
 from moledale.gateway.document_archive import DocumentArchive, DocumentPiece, PieceWanted
 from moledale.gateway.document_codec import DocumentUnreadable, decode
+from moledale.gateway.store_era import EraVersion
 from moledale.log import Event, emit
 
 PLAN_PATH = "/peer/plan"
@@ -51,7 +52,7 @@
 class Source(msgspec.Struct):
     """A node that says it has a document, and what it can carry (see `directory.power_of`)."""
 
-    version: int
+    version: EraVersion
     power: float
     paused_until: float = 0.0
 
@@ -81,8 +82,8 @@
         self,
         path: str,
         archive: DocumentArchive,
-        own_version: Callable[[], int],
-        took: Callable[[int, bytes], None],
+        own_version: Callable[[], EraVersion],
+        took: Callable[[EraVersion, bytes], None],
         read_store: Callable[[], Awaitable[bool]],
     ) -> None:
         self._path = path
@@ -97,7 +98,7 @@
         self._whole_only = False
         self._random = random.Random()
 
-    def heard(self, control: str, version: int, power: float, now: float) -> None:
+    def heard(self, control: str, version: EraVersion, power: float, now: float) -> None:
         """Note a node's word of the document that it has."""
         known = self._sources.get(control)
         if known is not None and known.version >= version:
@@ -165,7 +166,7 @@
             source.paused_until = now + outcome.err_value
             return False
         piece = outcome.ok_value
-        if piece.version <= self._own_version():
+        if piece.at <= self._own_version():
             del self._sources[control]
             return False
         self._transfer.add(piece)
@@ -222,5 +223,5 @@
             )
             return False
         self._whole_only = False
-        self._took(piece.version, raw)
-        return self._own_version() >= piece.version
+        self._took(piece.at, raw)
+        return self._own_version() >= piece.at
--- a/src/moledale/gateway/fleet_watch.py
+++ b/src/moledale/gateway/fleet_watch.py
@@ -10,7 +10,9 @@
 
 Servers renew their entries in the same store. While it is away entries may lapse though their
 servers live, and these are back soon after it is; so a server that is missing from the first lists
-after an outage is kept for that long.
+after an outage is kept for that long. The same goes for a store that comes back from an older copy.
+Servers that had left or were gone before are listed again then; such entries are not believed until
+those that nobody renews have lapsed.
 """
 
 import asyncio
@@ -36,6 +38,7 @@
     ServerList,
     packets,
 )
+from moledale.gateway.store_era import UNKNOWN_ERA, EraVersion
 from moledale.gateway.store_health import StoreHealth
 from moledale.gateway.usage import TrueTime
 from moledale.log import Event, emit
@@ -81,6 +84,10 @@
 RETURN_S = 1.8
 """Entries that lapsed meanwhile are back within about two seconds of the store's return."""
 
+LAPSE_S = 4.5
+"""Entries that nobody renews have lapsed so long after the store came back from an older copy:
+three heartbeats of 1.2 s, and a reading."""
+
 USABLE_SHARE = 0.6
 """Requests are sent by a list that is at most this part of `bounds.leave_s` old. A server may get
 no new work once it has been leaving for that long; the rest is for a slow connection."""
@@ -129,7 +136,7 @@
         self.fetch = DocumentFetch(
             SERVERS_PATH,
             self.archive,
-            lambda: self.list.version,
+            lambda: self.list.at,
             self._fetched,
             self._read_for_want_of_peers,
         )
@@ -151,7 +158,9 @@
         self._returned_s = NEVER_S
         self._returned_at = -1e9
         self._failed_at = -1e9
-        self._older_told = -1
+        self._futile_at = -1e9
+        self._restored_at = -1e9
+        self._era = UNKNOWN_ERA
         self._believed: list[Server] = []
         self._keeps_lapsed = False
         self._reading: asyncio.Task[bool] | None = None
@@ -169,7 +178,8 @@
         """Return which list this node has, for others."""
         if not self.known:
             return None
-        return ListHead(self.list.version, self.list.digest, self._read_s, self._returned_s)
+        at = self.list.at
+        return ListHead(at.number, self.list.digest, self._read_s, self._returned_s, at.era)
 
     async def watch(self) -> None:
         """Read the list whenever it is this node's turn, for ever."""
@@ -210,18 +220,24 @@
 
     def heard_head(self, head: ListHead, control: str, power: float) -> None:
         """Take over which list another node has; a newer one is fetched from there."""
+        if self.list.is_outdated(head):
+            return
         self._note_return(head)
         self._note_head(head)
         if self.list.confirmed(head):
+            self._follow_era()
             self._confirmed(head)
-        elif head.version > self.list.version:
-            self.fetch.heard(control, head.version, power, self._now())
+        elif head.at > self.list.at:
+            self.fetch.heard(control, head.at, power, self._now())
 
     def heard(self, change: ServerChange) -> None:
         """Take over a change that another node told, and pass it on the first time."""
+        if self.list.is_outdated(change.head):
+            return
         self._note_return(change.head)
         self._note_head(change.head)
         heard = self.list.hear(change)
+        self._follow_era()
         if heard.confirmed:
             self._confirmed(change.head)
         if heard.differs:
@@ -230,11 +246,14 @@
             source = self._control if heard.confirmed else change.source
             self._tell([msgspec.structs.replace(change, source=source)], False)
         if heard.missing:
-            self.fetch.heard(change.source, change.head.version, 1.0, self._now())
+            self.fetch.heard(change.source, change.head.at, 1.0, self._now())
 
     def drop_lapsed(self) -> None:
         """Take servers that are still missing as gone; called often, as lists come seldom."""
-        if self._keeps_lapsed and self._now() - self._returned_at >= RETURN_S:
+        lapsed = self._keeps_lapsed and self._now() - self._returned_at >= RETURN_S
+        if self._now() - self._restored_at >= LAPSE_S:
+            lapsed = self.list.believe_entries() or lapsed
+        if lapsed:
             self._believe()
 
     def _is_fresh(self) -> bool:
@@ -259,22 +278,21 @@
         self._health.answered()
         listed = outcome.ok_value
         self._true_time.store_read(listed.store_s, sent_at, self._now())
+        if listed.at < self.list.at:
+            self._read_in_vain(listed)
+            return True
         if self._failed_at > self._fresh_at and sent_at - self._fresh_at > OUTAGE_S:
             self._returned_at, self._returned_s = sent_at, listed.store_s
-        if listed.version >= self.list.version:
-            self._note_fresh(sent_at, listed.store_s)
-        elif self._older_told != self.list.version:
-            self._older_told = self.list.version
-            emit(Event.LIST_OLDER, read=listed.version, here=self.list.version)
         base = self.list.digest
-        if before is not None and not listed.changed and base == digest:
-            difference = None
-            if self.list.unchanged(listed.version):
-                self._believe()
-        else:
-            difference = self.list.read(listed.servers, listed.version)
+        unchanged = before is not None and not listed.changed and base == digest
+        difference = None if unchanged else self.list.read(listed.servers, listed.at)
+        marks_fell = unchanged and self.list.unchanged(listed.at)
+        self._follow_era()
+        self._note_fresh(sent_at, listed.store_s)
+        if marks_fell:
+            self._believe()
         if difference is None:
-            self.archive.renew(self.list.version)
+            self.archive.renew(self.list.at)
             self.drop_lapsed()
             self._tell_unchanged()
         else:
@@ -282,11 +300,35 @@
             self._tell_difference(base, difference)
         return True
 
+    def _read_in_vain(self, listed: StoredList) -> None:
+        """Note a reading of an older list."""
+        now = self._now()
+        if self._is_fresh():
+            return
+        if now - self._futile_at > FAILED_KEPT_S:
+            emit(Event.LIST_OLDER, read=listed.at, here=self.list.at)
+        self._futile_at = now
+
+    def _follow_era(self) -> None:
+        """Begin anew with times of the store's clock where the list is of another era than before.
+
+        Entries of servers that started since the copy are missing until these write again.
+        """
+        known, self._era = self._era, self.list.at.era
+        if not self.list.at.is_restored_since(EraVersion(known)):
+            return
+        self._restored_at = self._returned_at = self._now()
+        self._read_s = self._returned_s = NEVER_S
+        if self._newest_head is not None and self.list.is_outdated(self._newest_head):
+            self._newest_head = None
+        self._believe()
+
     def _held(self) -> StoredList | None:
         """Return the list that is here, to be told only what changed since."""
         if not self.known:
             return None
-        return StoredList(tuple(self.list.servers.values()), self.list.version, self._read_s)
+        at, servers = self.list.at, tuple(self.list.servers.values())
+        return StoredList(servers, at.number, self._read_s, era=at.era)
 
     async def _read_for_want_of_peers(self) -> bool:
         return await asyncio.shield(self._start_reading())
@@ -301,13 +343,14 @@
         if head is not None:
             self._tell(packets(head, base, self._control, difference), True)
 
-    def _fetched(self, version: int, raw: bytes) -> None:
+    def _fetched(self, version: EraVersion, raw: bytes) -> None:
         """Take over a list that another node passed on whole."""
         try:
             differs = self.list.fetched(raw, version)
         except ValueError as error:
             emit(Event.PEER_FETCH_FAILED, what="servers", version=version, why=str(error))
             return
+        self._follow_era()
         if differs:
             self._changed(from_store=False)
         if self._newest_head is not None and self.list.confirmed(self._newest_head):
@@ -315,11 +358,12 @@
 
     def _note_head(self, head: ListHead) -> None:
         """Remember the newest list that was heard of: it tells how old it is once it is here."""
-        if self._newest_head is None or head.read_s > self._newest_head.read_s:
+        newest = self._newest_head
+        if newest is None or (head.era, head.read_s) > (newest.era, newest.read_s):
             self._newest_head = head
 
     def _confirmed(self, head: ListHead) -> None:
-        self.archive.renew(self.list.version)
+        self.archive.renew(self.list.at)
         read_at = self._true_time.local(head.read_s)
         if read_at is not None:
             self._note_fresh(min(read_at, self._now()), head.read_s)
@@ -342,16 +386,19 @@
         A node that had a list all the time knows better.
         """
         returned_at = self._true_time.local(head.returned_s)
+        if head.era > self.list.at.era > UNKNOWN_ERA:
+            return
         if returned_at is not None and head.read_s - self._read_s > OUTAGE_S:
             self._returned_at = max(self._returned_at, returned_at)
             self._returned_s = max(self._returned_s, head.returned_s)
 
     def _changed(self, from_store: bool) -> None:
         """Hand on a list that differs from the one before."""
-        self.archive.keep(self.list.version, self.list.raw)
+        self.archive.keep(self.list.at, self.list.raw)
         self._believe()
         emit(
             Event.SERVERS_CHANGED,
+            era=self.list.at.era,
             version=self.list.version,
             from_store=from_store,
             there=len(self._believed),
--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -54,6 +54,7 @@
 from moledale.gateway.settings import Bounds, GatewaySettings
 from moledale.gateway.sharing import Sharing
 from moledale.gateway.state_packing import StatePacker, StateUnpacker, pack_alone
+from moledale.gateway.store_era import EraVersion
 from moledale.gateway.suspension import SuspensionWatch
 from moledale.log import Event, emit
 from moledale.node.supervisor import Supervisor
@@ -485,10 +486,12 @@
             self.keeper.heard(passed_on.holder, passed_on.news, now, passed_on=True)
         self.quarantine.heard_digest(state.peer, state.blocks)
         if state.servers is not None:
+            self._store.era.heard(state.servers.era)
             self.fleet.heard_head(state.servers, state.control, state.power)
         index = self.forwarder.index
         if state.plan_version > (index.version if index is not None else -1):
-            self.plans.fetch.heard(state.control, state.plan_version, state.power, now)
+            version = EraVersion(number=state.plan_version)
+            self.plans.fetch.heard(state.control, version, state.power, now)
 
     def _rollout_changed(self, news: RolloutNews) -> None:
         """Tell all others of a roll-out at once, and empty old servers when requests move."""
--- a/src/moledale/gateway/outside.py
+++ b/src/moledale/gateway/outside.py
@@ -8,6 +8,7 @@
 from moledale.core.rollouts import Phase, RolloutNews, RolloutOrder
 from moledale.gateway.messages import Server
 from moledale.gateway.plan import Plan
+from moledale.gateway.store_era import UNKNOWN_ERA, EraVersion, StoreEra
 
 ABSENT = 0
 """Version of a row that does not exist."""
@@ -59,6 +60,12 @@
     version: int
     store_s: float
     changed: bool = True
+    era: int = UNKNOWN_ERA
+
+    @property
+    def at(self) -> EraVersion:
+        """Return the version with its era."""
+        return EraVersion(self.era, self.version)
 
 
 class StoredRollout(msgspec.Struct, frozen=True):
@@ -95,7 +102,9 @@
 
 
 class Store(Protocol):
-    """The platform's store, as far as the gateway uses it."""
+    """The platform's store, as far as the gateway uses it; `era` follows its answers."""
+
+    era: StoreEra
 
     async def read(self, table: str, timeout_s: float) -> Result[Reading, Trouble]:
         """Return all rows of one of this system's tables."""
--- a/src/moledale/gateway/plan_watch.py
+++ b/src/moledale/gateway/plan_watch.py
@@ -17,6 +17,7 @@
 from moledale.gateway.document_fetch import PLAN_PATH, DocumentFetch
 from moledale.gateway.outside import PlanNews, Store, StoredRollout
 from moledale.gateway.plan import Plan
+from moledale.gateway.store_era import EraVersion
 from moledale.gateway.store_health import StoreHealth
 from moledale.gateway.usage import TrueTime
 from moledale.log import Event, emit
@@ -69,7 +70,7 @@
         self.fetch = DocumentFetch(
             PLAN_PATH,
             self.archive,
-            lambda: self._version,
+            lambda: EraVersion(number=self._version),
             self._fetched,
             self._read_for_want_of_peers,
         )
@@ -140,12 +141,12 @@
         if news.plan is not None:
             self._take(news.plan, news.raw, from_store=True)
 
-    def _fetched(self, version: int, raw: bytes) -> None:
+    def _fetched(self, version: EraVersion, raw: bytes) -> None:
         """Take over a plan that a peer passed on."""
         try:
             plan = self._store.decode_plan(raw)
         except ValueError as error:
-            emit(Event.BUNDLE_REFUSED, version=version, why=str(error))
+            emit(Event.BUNDLE_REFUSED, version=version.number, why=str(error))
             return
         self._take(plan, raw, from_store=False)
 
@@ -154,7 +155,7 @@
             return
         self._version = plan.version
         self._brought.set()
-        self.archive.keep(plan.version, raw)
+        self.archive.keep(EraVersion(number=plan.version), raw)
         self._adopted(from_store)
         emit(
             Event.BUNDLE_ADOPTED,
--- a/src/moledale/gateway/server_list.py
+++ b/src/moledale/gateway/server_list.py
@@ -11,7 +11,9 @@
 import msgspec
 import xxhash
 
+from moledale.gateway.ended_servers import Ended, EndedServers
 from moledale.gateway.messages import Server
+from moledale.gateway.store_era import UNKNOWN_ERA, EraVersion
 
 PACKET_BYTES = 1_200
 """Size of a change on the wire, so that it fits one packet of Ethernet (1,500 bytes) with all
@@ -29,13 +31,20 @@
 
     `read_s` is that time and `returned_s` when the store was last back from an outage, both on the
     store's steady clock: an age would grow younger by the way of each message, and a list that
-    nobody reads any more would pass for new among nodes that tell each other of it.
+    nobody reads any more would pass for new among nodes that tell each other of it. `era` is that
+    of the version, unknown in heads that earlier builds tell.
     """
 
     version: int
     digest: int
     read_s: float
     returned_s: float = NEVER_S
+    era: int = UNKNOWN_ERA
+
+    @property
+    def at(self) -> EraVersion:
+        """Return the version with its era."""
+        return EraVersion(self.era, self.version)
 
 
 class Leaving(msgspec.Struct, frozen=True, array_like=True):
@@ -115,64 +124,88 @@
 class _Mark(msgspec.Struct, frozen=True):
     """A server that leaves, or is gone (None), as of a version."""
 
-    version: int
+    version: EraVersion
     leaving: Leaving | None
 
 
 class ServerList(msgspec.Struct):
     """The newest list that is known, and what is known beyond it."""
 
-    version: int = -1
+    at: EraVersion = EraVersion()
     digest: int = 0
     raw: bytes = b""
     servers: dict[str, Server] = msgspec.field(default_factory=dict)
     _marks: dict[str, _Mark] = msgspec.field(default_factory=dict)
+    _ended: EndedServers = msgspec.field(default_factory=EndedServers)
     _parts: dict[int, ServerChange] = msgspec.field(default_factory=dict)
     _parts_of: tuple[int, int] = (0, 0)
-    _parts_version: int = -1
+    _parts_version: EraVersion = EraVersion()
+
+    @property
+    def version(self) -> int:
+        """Return the version within its era, -1 while there is no list."""
+        return self.at.number
 
     def usable(self) -> list[Server]:
         """Return the servers that are there, with those that leave marked so."""
         result = []
         for name, server in self.servers.items():
-            mark = self._marks.get(name)
-            if mark is None:
+            end = self._end_of(name)
+            if end is None:
                 result.append(server)
-            elif mark.leaving is not None:
-                result.append(_as_leaving(server, mark.leaving))
+            elif not end.gone:
+                result.append(_as_leaving(server, Leaving(name, end.leaves_s)))
         return result
 
-    def read(self, servers: Iterable[Server], version: int) -> Difference | None:
+    def _end_of(self, server: str) -> Ended | None:
+        """Return what is known of a server's end beyond the list."""
+        mark = self._marks.get(server)
+        if mark is None:
+            return self._ended.of(server)
+        return _as_ended(mark)
+
+    def read(self, servers: Iterable[Server], at: EraVersion) -> Difference | None:
         """Take the list as this node read it; return the difference from the one before, if any.
 
         A server's time left is kept as it was first told, since it runs down by itself.
         """
-        if version < self.version:
+        if at < self.at:
             return None
         before = self.servers
         listed = {server.id: self._as_first_told(server) for server in servers}
-        if not self._take(listed, version):
+        if not self._take(listed, at):
             return None
         return _difference(before, listed)
 
-    def unchanged(self, version: int) -> bool:
+    def unchanged(self, at: EraVersion) -> bool:
         """Note that the store's list is still this one; say whether marks fell away."""
         marked = len(self._marks)
-        self._note_version(max(version, self.version))
+        self._note_version(max(at, self.at))
         return len(self._marks) < marked
 
-    def fetched(self, raw: bytes, version: int) -> bool:
+    def fetched(self, raw: bytes, at: EraVersion) -> bool:
         """Take a list as another node has it; say whether it differs. ValueError if unreadable."""
         servers = msgspec.msgpack.decode(raw, type=list[Server])
-        if version < self.version:
+        if at < self.at:
             return False
-        return self._take({server.id: server for server in servers}, version)
+        return self._take({server.id: server for server in servers}, at)
+
+    def believe_entries(self) -> bool:
+        """Believe entries of a restored store that contradict what was seen before.
+
+        Return whether that changes anything.
+        """
+        return self._ended.believe_entries()
+
+    def is_outdated(self, head: ListHead) -> bool:
+        """Say whether a head is of an era before that of this list."""
+        return UNKNOWN_ERA < head.era < self.at.era
 
     def confirmed(self, head: ListHead) -> bool:
         """Say whether a node that told this head has the same list as this one."""
-        if head.digest != self.digest or self.version < 0:
+        if head.digest != self.digest or self.version < 0 or self.is_outdated(head):
             return False
-        self._note_version(max(self.version, head.version))
+        self._note_version(max(self.at, head.at))
         return True
 
     def hear(self, change: ServerChange) -> Heard:
@@ -180,24 +213,32 @@
         head = change.head
         if self.confirmed(head):
             return Heard(confirmed=True)
-        if head.version <= self.version:
+        told_at = self._comparable(head)
+        if told_at <= self.at:
             return Heard()
+        # A list whose era is unknown can't be fetched in place of one whose era is known.
+        can_fetch = head.at > self.at
         if change.empty:
-            return Heard(missing=True)
+            return Heard(missing=can_fetch)
         if not self._keep_part(change):
             return Heard()
-        differs = self._mark(change)
+        differs = self._mark(change, told_at)
         if change.base == self.digest and self._complete(head):
             return Heard(new=True, confirmed=True, differs=True)
-        return Heard(new=True, differs=differs, missing=change.last)
+        return Heard(new=True, differs=differs, missing=change.last and can_fetch)
+
+    def _comparable(self, head: ListHead) -> EraVersion:
+        """Return a head's version; one without an era counts as of the era of this list."""
+        return EraVersion(head.era or self.at.era, head.version)
 
     def _keep_part(self, change: ServerChange) -> bool:
         """Keep a part with the others of its change; False if it is there or older than these."""
         name = (change.head.digest, change.base)
         if name != self._parts_of:
-            if change.head.version < self._parts_version:
+            version = self._comparable(change.head)
+            if version < self._parts_version:
                 return False
-            self._parts_of, self._parts_version, self._parts = name, change.head.version, {}
+            self._parts_of, self._parts_version, self._parts = name, version, {}
         if change.part in self._parts:
             return False
         self._parts[change.part] = change
@@ -211,12 +252,11 @@
         servers = difference.applied_to(self.servers)
         if digest_of(_encoded(servers)) != head.digest:
             return False
-        self._take(servers, head.version)
+        self._take(servers, max(self.at, head.at))
         return True
 
-    def _mark(self, change: ServerChange) -> bool:
+    def _mark(self, change: ServerChange, version: EraVersion) -> bool:
         """Mark servers that leave or are gone; say whether that is news."""
-        version = change.head.version
         marks = {each.id: _Mark(version, each) for each in change.leaving}
         marks.update((name, _Mark(version, None)) for name in change.gone)
         news = False
@@ -224,6 +264,7 @@
             known = self._marks.get(name)
             if known is None or known.version < version:
                 self._marks[name] = mark
+                self._ended.note(name, _as_ended(mark))
                 news = True
         return news
 
@@ -236,17 +277,21 @@
             return msgspec.structs.replace(server, leaves_s=mark.leaving.leaves_s)
         return server
 
-    def _take(self, servers: dict[str, Server], version: int) -> bool:
+    def _take(self, servers: dict[str, Server], at: EraVersion) -> bool:
         raw = _encoded(servers)
         digest = digest_of(raw)
         differs = digest != self.digest or self.version < 0 or bool(self._marks)
+        if at.era == self.at.era:
+            self._ended.follow(self.servers, servers)
         self.servers, self.raw, self.digest = servers, raw, digest
-        self._note_version(version)
+        self._note_version(at)
         return differs
 
-    def _note_version(self, version: int) -> None:
-        self.version = version
-        self._marks = {name: mark for name, mark in self._marks.items() if mark.version > version}
+    def _note_version(self, at: EraVersion) -> None:
+        if at.is_restored_since(self.at):
+            self._ended.restored(self.servers)
+        self.at = at
+        self._marks = {name: mark for name, mark in self._marks.items() if mark.version > at}
 
 
 def digest_of(raw: bytes) -> int:
@@ -307,6 +352,12 @@
     return msgspec.structs.replace(server, leaving=True, leaves_s=leaving.leaves_s)
 
 
+def _as_ended(mark: _Mark) -> Ended:
+    if mark.leaving is None:
+        return Ended(gone=True)
+    return Ended(gone=False, leaves_s=mark.leaving.leaves_s)
+
+
 def _encoded(servers: dict[str, Server]) -> bytes:
     """Return a list's bytes, the same for the same servers on all nodes."""
     return msgspec.msgpack.encode([servers[name] for name in sorted(servers)])
--- a/src/moledale/gateway/store_era.py
+++ b/src/moledale/gateway/store_era.py
@@ -20,6 +20,10 @@
     era: int = UNKNOWN_ERA
     number: int = -1
 
+    def is_restored_since(self, earlier: "EraVersion") -> bool:
+        """Say whether the store came back from an older copy between two versions."""
+        return self.era > earlier.era > UNKNOWN_ERA
+
 
 class StoreEra:
     """The newest era that this node knows, from answers of the store or from its peers."""
--- a/src/moledale/http_fields.py
+++ b/src/moledale/http_fields.py
@@ -35,6 +35,42 @@
     return [value.decode("latin-1") for each, value in fields if each.lower() == name]
 
 
+def text_of(value: bytes | None) -> str:
+    """Return a value as text, "" if there is none."""
+    return "" if value is None else value.decode("latin-1")
+
+
+def number_of(value: bytes | None, name: str) -> float | None:
+    """Return a number, None if there is none; ValueError if it can't be read."""
+    if value is None:
+        return None
+    try:
+        number = float(value)
+    except ValueError:
+        number = math.nan
+    if not math.isfinite(number):
+        raise ValueError(f"{name} is not a number")
+    return number
+
+
+def count_of(value: bytes) -> int:
+    """Return a whole number; ValueError if it can't be read or is below zero."""
+    number = int(value)
+    if number < 0:
+        raise ValueError("below zero")
+    return number
+
+
+def count_in(fields: Fields, name: str) -> int | None:
+    """Return the count that the fields of a lower-case name state; what is none is logged."""
+    for text in texts_of(fields, name):
+        try:
+            return count_of(text.encode())
+        except ValueError:
+            emit(Event.HEADER_UNREADABLE, header=name, value=text[:MOST_LOGGED])
+    return None
+
+
 def named_in_connection(fields: Fields) -> set[bytes]:
     """Return the fields that the Connection field names, which end at this hop."""
     named: set[bytes] = set()
--- a/src/moledale/platform/headers.py
+++ b/src/moledale/platform/headers.py
@@ -1,6 +1,5 @@
 """Requests and answers as the platform spells them."""
 
-import math
 from urllib.parse import parse_qs
 
 import msgspec
@@ -19,10 +18,13 @@
 from moledale.http_fields import (
     ONE_CONNECTION,
     RETRY_AFTER,
+    count_of,
     keep_alive_s,
     lowest_limit,
     named_in_connection,
+    number_of,
     retry_after_s,
+    text_of,
     texts_of,
 )
 from moledale.platform.entries import platform_id
@@ -56,15 +58,15 @@
         """Return what a request says of itself."""
         found = {name.lower(): value for name, value in head.headers}
         prompt, answer = _two_numbers(found.get(b"token-count"))
-        deadline = _number(found.get(b"deadline-ms"), "Deadline-Ms")
+        deadline = number_of(found.get(b"deadline-ms"), "Deadline-Ms")
         return RequestFacts(
-            _text(found.get(b"request-id")),
+            text_of(found.get(b"request-id")),
             _key(found.get(b"authorization")),
             None if deadline is None else deadline / 1000,
             prompt,
             answer,
             _parts(found.get(b"prompt-prefix")),
-            _text(found.get(LAST_EVENT)),
+            text_of(found.get(LAST_EVENT)),
         )
 
     def attempt_head(self, head: RequestHead, facts: AttemptFacts, length: int) -> bytes:
@@ -145,42 +147,18 @@
         return [(b"Content-Type", b"application/json")], body
 
 
-def _text(value: bytes | None) -> str:
-    return "" if value is None else value.decode("latin-1")
-
-
 def _key(value: bytes | None) -> str:
     if value is None or not value.lower().startswith(BEARER):
         return ""
     return value[len(BEARER) :].strip().decode("latin-1")
 
 
-def _number(value: bytes | None, name: str) -> float | None:
-    if value is None:
-        return None
-    try:
-        number = float(value)
-    except ValueError:
-        number = math.nan
-    if not math.isfinite(number):
-        raise ValueError(f"{name} is not a number")
-    return number
-
-
-def _count(value: bytes) -> int:
-    """Return a number of tokens: one below zero would fill an account's limit, not use it."""
-    number = int(value)
-    if number < 0:
-        raise ValueError("below zero")
-    return number
-
-
 def _two_numbers(value: bytes | None) -> tuple[int, int]:
     if not value:
         return 0, 0
     first, _, second = value.partition(b",")
     try:
-        return _count(first), _count(second or b"0")
+        return count_of(first), count_of(second or b"0")
     except ValueError:
         raise ValueError("Token-Count is not two numbers") from None
 
@@ -192,7 +170,7 @@
     for item in value.split(b","):
         name, _, tokens = item.strip().rpartition(b":")
         try:
-            parts.append(PromptPart(name.decode("latin-1"), _count(tokens)))
+            parts.append(PromptPart(name.decode("latin-1"), count_of(tokens)))
         except ValueError:
             raise ValueError("Prompt-Prefix is not a list of ID:TOKENS") from None
     return tuple(parts)
--- a/src/moledale/platform/records.py
+++ b/src/moledale/platform/records.py
@@ -7,6 +7,7 @@
 
 from moledale.core.rollouts import Phase, RolloutNews, RolloutOrder
 from moledale.gateway import plan
+from moledale.gateway.store_era import UNKNOWN_ERA
 
 RUNNING = "running"
 STATES = {Phase.COMPLETED: "completed", Phase.ROLLED_BACK: "rolled_back"}
@@ -139,12 +140,13 @@
 
 
 class RowsRecord(msgspec.Struct, frozen=True):
-    """An answer about rows."""
+    """An answer about rows; `era` comes with its header."""
 
     rows: tuple[RowRecord, ...] = ()
     more: bool = False
     ver: int = 0
     now_ms: float = 0.0
+    era: int = UNKNOWN_ERA
 
 
 def read_config(raw: bytes) -> plan.Plan:
--- a/src/moledale/platform/store.py
+++ b/src/moledale/platform/store.py
@@ -7,8 +7,8 @@
 from result import Err, Ok, Result
 
 from moledale.core.rollouts import Phase, RolloutNews, RolloutOrder
-from moledale.gateway.calls import CallAnswer, CallFailed, HttpCaller
-from moledale.gateway.messages import Headers, Server, first_header
+from moledale.gateway.calls import HttpCaller
+from moledale.gateway.messages import Headers, Server
 from moledale.gateway.outside import (
     PlanNews,
     Reading,
@@ -21,7 +21,7 @@
 )
 from moledale.gateway.plan import Plan
 from moledale.gateway.store_era import UNKNOWN_ERA, StoreEra
-from moledale.http_fields import MOST_LOGGED
+from moledale.http_fields import count_in
 from moledale.log import Event, emit
 from moledale.platform.entries import Entries, platform_id
 from moledale.platform.records import (
@@ -35,13 +35,15 @@
 )
 
 JSON: Headers = [(b"Content-Type", b"application/json")]
-ERA = b"store-era"
+ERA = "store-era"
 CONFIG_TABLE = "op"
 CONFIG_KEY = "config"
 ROLLOUT_PREFIX = "rollout/"
 STATUS_TABLE = "status"
 KEPT_TABLE = "rollouts"
 SERVER_TABLE = "servers"
+HISTORY_GONE = 410
+OTHER_ERA = Trouble("the store came back from an older copy", uncertain=False, history_gone=True)
 WATCH_MARGIN_S = 0.7
 """A watch is given up so long after the time that it was to wait."""
 
@@ -52,6 +54,13 @@
 """An answer of so many changes may not be all of them, so it is asked for more."""
 
 
+class Answer(msgspec.Struct, frozen=True):
+    """An answer of the store: its status and what it says of rows."""
+
+    status: int
+    rows: RowsRecord
+
+
 class PlatformStore:
     """Rows, configuration and server list of the platform."""
 
@@ -82,7 +91,7 @@
         outcome = await self._call("POST", "/v1/rows-tx", timeout_s, encode(body), (200, 412))
         if isinstance(outcome, Err):
             return outcome
-        record = msgspec.json.decode(outcome.ok_value.body, type=RowsRecord)
+        record = outcome.ok_value.rows
         now_s = record.now_ms / 1000
         if outcome.ok_value.status == 200:
             return Ok(Written(record.ver, True, None, now_s))
@@ -123,7 +132,7 @@
         record = outcome.ok_value
         read = (self._entries.read(row) for row in record.rows)
         servers = tuple(server for server in read if server is not None)
-        return Ok(ServerList(servers, record.ver, record.now_ms / 1000))
+        return Ok(ServerList(servers, record.ver, record.now_ms / 1000, era=record.era))
 
     async def _servers_since(
         self, before: ServerList, timeout_s: float
@@ -136,7 +145,9 @@
             outcome = await self._call("GET", path, timeout_s)
             if isinstance(outcome, Err):
                 return outcome
-            record = msgspec.json.decode(outcome.ok_value.body, type=RowsRecord)
+            record = outcome.ok_value.rows
+            if record.era != before.era:
+                return Err(OTHER_ERA)
             for row in record.rows:
                 changes[row.key] = None if row.gone else self._entries.read(row)
             if len(record.rows) < FEED_AGAIN_ROWS or record.ver <= position:
@@ -144,13 +155,13 @@
             position = record.ver
         now_s = record.now_ms / 1000
         if not changes:
-            return Ok(ServerList(before.servers, record.ver, now_s, changed=False))
+            return Ok(ServerList(before.servers, record.ver, now_s, False, before.era))
         servers: dict[str, Server | None] = {
             platform_id(server.id): server for server in before.servers
         }
         servers.update(changes)
         there = tuple(server for server in servers.values() if server is not None)
-        return Ok(ServerList(there, record.ver, now_s))
+        return Ok(ServerList(there, record.ver, now_s, era=before.era))
 
     async def plan(self, timeout_s: float) -> Result[PlanNews, Trouble]:
         """Return the newest plan."""
@@ -174,7 +185,7 @@
         outcome = await self._call("GET", path, wait_s + WATCH_MARGIN_S)
         if isinstance(outcome, Err):
             return outcome
-        return Ok(_plan_news(msgspec.json.decode(outcome.ok_value.body, type=RowsRecord)))
+        return Ok(_plan_news(outcome.ok_value.rows))
 
     async def write_rollout(
         self, news: RolloutNews, expected: int, timeout_s: float
@@ -196,7 +207,7 @@
         outcome = await self._call("POST", "/v1/rows-tx", timeout_s, encode(body), (200, 412))
         if isinstance(outcome, Err):
             return outcome
-        record = msgspec.json.decode(outcome.ok_value.body, type=RowsRecord)
+        record = outcome.ok_value.rows
         if outcome.ok_value.status == 200:
             return Ok(StatusWritten(True, record.ver))
         return Ok(_status_in_the_way(record, order))
@@ -223,11 +234,13 @@
             outcome = await self._call("GET", path, timeout_s)
             if isinstance(outcome, Err):
                 return outcome
-            page = msgspec.json.decode(outcome.ok_value.body, type=RowsRecord)
-            rows.extend(page.rows)
+            page = outcome.ok_value.rows
             first = first or page
+            if page.era != first.era:
+                return Err(OTHER_ERA)
+            rows.extend(page.rows)
             if not page.more or not page.rows:
-                return Ok(RowsRecord(tuple(rows), False, first.ver, first.now_ms))
+                return Ok(msgspec.structs.replace(first, rows=tuple(rows), more=False))
             start = page.rows[-1].key + "\x00"
 
     async def _change(self, body: dict[str, object], timeout_s: float) -> Trouble | None:
@@ -241,41 +254,19 @@
         timeout_s: float,
         body: bytes = b"",
         good: tuple[int, ...] = (200,),
-    ) -> Result[CallAnswer, Trouble]:
+    ) -> Result[Answer, Trouble]:
         outcome = await self._calls.call(method, path, body, JSON if body else [], timeout_s)
-        if isinstance(outcome, Ok):
-            self.era.heard(_era_of(outcome.ok_value.headers))
-        return _checked(outcome, good)
-
-
-def _checked(
-    outcome: Result[CallAnswer, CallFailed], good: tuple[int, ...]
-) -> Result[CallAnswer, Trouble]:
-    """Tell what an answer's status means."""
-    if isinstance(outcome, Err):
-        return Err(Trouble(outcome.err_value.detail, uncertain=outcome.err_value.sent))
-    answer = outcome.ok_value
-    if answer.status in good:
-        return Ok(answer)
-    return Err(
-        Trouble(f"status {answer.status}", uncertain=False, history_gone=answer.status == 410)
-    )
-
-
-def _era_of(headers: Headers) -> int:
-    """Return the era that an answer names, counted from 1; `UNKNOWN_ERA` if it names none."""
-    value = first_header(headers, ERA)
-    if value is None:
-        return UNKNOWN_ERA
-    try:
-        return 1 + max(0, int(value))
-    except ValueError:
-        emit(
-            Event.HEADER_UNREADABLE,
-            header=ERA.decode(),
-            value=value.decode("latin-1")[:MOST_LOGGED],
-        )
-        return UNKNOWN_ERA
+        if isinstance(outcome, Err):
+            return Err(Trouble(outcome.err_value.detail, uncertain=outcome.err_value.sent))
+        got = outcome.ok_value
+        count = count_in(got.headers, ERA)
+        era = UNKNOWN_ERA if count is None else count + 1
+        self.era.heard(era)
+        if got.status not in good:
+            gone = got.status == HISTORY_GONE
+            return Err(Trouble(f"status {got.status}", uncertain=False, history_gone=gone))
+        rows = msgspec.json.decode(got.body, type=RowsRecord)
+        return Ok(Answer(got.status, msgspec.structs.replace(rows, era=era)))
 
 
 def _plan_news(record: RowsRecord) -> PlanNews:
--- a/tests/list_world.py
+++ b/tests/list_world.py
@@ -22,6 +22,7 @@
 from moledale.gateway.outside import Trouble
 from moledale.gateway.peers import Membership, NodeState
 from moledale.gateway.server_list import ServerChange
+from moledale.gateway.store_era import EraVersion
 from moledale.gateway.usage import TrueTime
 from tests.gateway_states import state
 
@@ -59,6 +60,7 @@
 
     servers: dict[str, Server] = field(default_factory=dict)
     version: int = 1
+    era: int = 1
     away: bool = False
     reads: int = 0
     clock: Callable[[], float] = lambda: 0.0
@@ -70,11 +72,16 @@
             self.servers[name], leaving=True, leaves_s=leaves_s
         )
 
+    def restore(self, servers: dict[str, Server], version: int) -> None:
+        """Come back from an older copy."""
+        self.era += 1
+        self.servers, self.version = dict(servers), version
+
     def listed(self) -> StoredList:
         """Return the list as of now; heartbeats change its version all the time."""
         self.reads += 1
         self.version += 1
-        return StoredList(tuple(self.servers.values()), self.version, self.clock())
+        return StoredList(tuple(self.servers.values()), self.version, self.clock(), era=self.era)
 
 
 @dataclass
@@ -98,10 +105,10 @@
 
     def __init__(self, node: "ListNode") -> None:
         self.node = node
-        self.wanted = -1
+        self.wanted = EraVersion()
         self.fetched = 0
 
-    def heard(self, control: str, version: int, _power: float, _now: float) -> None:
+    def heard(self, control: str, version: EraVersion, _power: float, _now: float) -> None:
         """Fetch a newer list soon."""
         if version <= self.wanted:
             return
@@ -111,15 +118,15 @@
     def _copy(self, control: str) -> None:
         world = self.node.world
         source = world.by_control.get(control)
-        self.wanted = -1
+        self.wanted = EraVersion()
         if source is None or not source.alive or world.cut(source.name, self.node.name):
             return
         self.fetched += 1
-        self.node.watch._fetched(source.watch.list.version, source.watch.list.raw)
+        self.node.watch._fetched(source.watch.list.at, source.watch.list.raw)
 
     def behind(self, _now: float) -> bool:
         """Say whether a newer list is on its way."""
-        return self.wanted >= 0
+        return self.wanted > EraVersion()
 
 
 class ListNode:
@@ -261,7 +268,7 @@
     def _introduce(self) -> None:
         """Let all nodes have the list, and know of each other what they would have heard."""
         finished(self.nodes[0].watch._read())
-        raw, version = self.nodes[0].watch.list.raw, self.nodes[0].watch.list.version
+        raw, version = self.nodes[0].watch.list.raw, self.nodes[0].watch.list.at
         for node in self.nodes:
             node.watch._fetched(version, raw)
             node.watch._note_fresh(0.0, STORE_STARTED_S)
--- a/tests/plan_world.py
+++ b/tests/plan_world.py
@@ -14,6 +14,7 @@
 from moledale.gateway.plan import Limits
 from moledale.gateway.questions import Questions
 from moledale.gateway.reply import Reply
+from moledale.gateway.store_era import EraVersion
 from moledale.platform.records import read_config
 from tests.gateway_states import state
 
@@ -72,7 +73,11 @@
     def __post_init__(self) -> None:
         self.archive = DocumentArchive(self.link_mbps, monotonic)
         self.fetch = DocumentFetch(
-            PLAN_PATH, self.archive, lambda: self.version, self.take, self._read_store
+            PLAN_PATH,
+            self.archive,
+            lambda: EraVersion(number=self.version),
+            self.take,
+            self._read_store,
         )
 
     async def start(self) -> None:
@@ -107,16 +112,17 @@
             return False
         # The store spells bytes as base64, over the node's own link.
         await asyncio.sleep(len(self.world.raw) * 4 / 3 / (self.link_mbps * BYTES_PER_MBIT))
-        self.take(read_config(self.world.raw).version, self.world.raw)
+        self.take(EraVersion(number=read_config(self.world.raw).version), self.world.raw)
         return True
 
-    def take(self, version: int, raw: bytes) -> None:
+    def take(self, at: EraVersion, raw: bytes) -> None:
         """Adopt a newer plan and tell a few others."""
+        version = at.number
         if version <= self.version or self.refuses:
             return
         self.version = version
         self.adopted_at[version] = monotonic()
-        self.archive.keep(version, raw)
+        self.archive.keep(at, raw)
         others = [each for each in self.world.nodes if each is not self]
         for each in self.world.chance.sample(others, min(FANOUT, len(others))):
             each.hear(self)
@@ -125,7 +131,8 @@
         """Hear which version another node has."""
         if other.version > self.version:
             power = min(20.0, other.link_mbps / 5)
-            self.fetch.heard(other.address, other.version, power, monotonic())
+            version = EraVersion(number=other.version)
+            self.fetch.heard(other.address, version, power, monotonic())
 
 
 class PlanWorld:
@@ -151,7 +158,7 @@
         self.nodes.append(node)
         if raw:
             node.version = read_config(raw).version
-            node.archive.keep(node.version, raw)
+            node.archive.keep(EraVersion(number=node.version), raw)
         return node
 
     def roll(self, raw: bytes, watchers: list[PlanNode]) -> None:
@@ -159,7 +166,7 @@
         self.raw = raw
         version = read_config(raw).version
         for watcher in watchers:
-            watcher.take(version, raw)
+            watcher.take(EraVersion(number=version), raw)
             for node in self.nodes:
                 node.hear(watcher)
 
--- a/tests/test_backoff.py
+++ b/tests/test_backoff.py
@@ -10,6 +10,7 @@
 from moledale.gateway.fleet_watch import AGAIN_MOST_S, AGAIN_S, CROWD_SPREAD_S, FleetWatch
 from moledale.gateway.outside import Trouble
 from moledale.gateway.plan_watch import PlanWatch
+from moledale.gateway.store_era import EraVersion
 from moledale.gateway.usage import TrueTime
 from moledale.platform.records import read_config
 from tests.gateway_world import quietly
@@ -134,7 +135,7 @@
             task = asyncio.create_task(watch.watch())
             await asyncio.sleep(2.0)
             asked = store.calls
-            watch._fetched(9, config_bytes(9, 5))
+            watch._fetched(EraVersion(number=9), config_bytes(9, 5))
             await asyncio.sleep(0.1)
             self.assertGreater(store.calls, asked)
             task.cancel()
--- a/tests/test_server_list.py
+++ b/tests/test_server_list.py
@@ -22,11 +22,14 @@
     MOST_PACKETS,
     PACKET_BYTES,
     Difference,
+    Heard,
+    Leaving,
     ListHead,
     ServerChange,
     ServerList,
     packets,
 )
+from moledale.gateway.store_era import EraVersion
 from moledale.gateway.usage import TrueTime
 from tests.gateway_world import quietly
 from tests.list_world import HALLS, ListWorld, a_server, finished, thaw
@@ -43,6 +46,11 @@
 """Time of a few hops; by the next state of some node it takes a second."""
 
 
+def at(number: int, era: int = 1) -> EraVersion:
+    """Return a version of the store."""
+    return EraVersion(era, number)
+
+
 def size_of(change: ServerChange) -> int:
     return len(msgspec.msgpack.encode(change))
 
@@ -50,8 +58,8 @@
 def told(before: ServerList, servers: list[Server], version: int) -> list[ServerChange]:
     """Let a node read a list and return what it tells."""
     base = before.digest
-    difference = before.read(servers, version)
-    head = ListHead(before.version, before.digest, 0.0)
+    difference = before.read(servers, at(version))
+    head = ListHead(before.version, before.digest, 0.0, era=before.at.era)
     return packets(head, base, "n1:3", difference or Difference())
 
 
@@ -59,7 +67,7 @@
     def setUp(self) -> None:
         self.servers = [a_server(number) for number in range(TARGET_SERVERS)]
         self.list = ServerList()
-        self.list.read(self.servers, 1)
+        self.list.read(self.servers, at(1))
 
     def leave(self, gone: bool, hall: str) -> list[Server]:
         result = []
@@ -81,7 +89,7 @@
                 self.assertLessEqual(len(parts), MOST_PACKETS)
                 self.assertLessEqual(max(map(size_of, parts)), PACKET_BYTES)
                 other = ServerList()
-                other.read(self.servers, 1)
+                other.read(self.servers, at(1))
                 for part in reversed(parts):
                     other.hear(part)
                 self.assertEqual(other.raw, self.list.raw)
@@ -92,7 +100,7 @@
         parts = told(self.list, listed, 2)
         self.assertLessEqual(max(map(size_of, parts)), PACKET_BYTES)
         other = ServerList()
-        other.read(self.servers, 1)
+        other.read(self.servers, at(1))
         heard = [other.hear(part) for part in parts]
         self.assertTrue(heard[-1].missing)
         left = {server.id for server in listed if server.leaving}
@@ -103,9 +111,9 @@
     def setUp(self) -> None:
         self.servers = {each.id: each for each in map(a_server, range(8))}
         self.reader = ServerList()
-        self.reader.read(self.servers.values(), 1)
+        self.reader.read(self.servers.values(), at(1))
         self.other = ServerList()
-        self.other.read(self.servers.values(), 1)
+        self.other.read(self.servers.values(), at(1))
 
     def leave(self, number: int) -> None:
         server = a_server(number)
@@ -113,11 +121,11 @@
 
     def test_time_left_stays_as_it_was_first_told(self) -> None:
         self.leave(1)
-        self.reader.read(self.servers.values(), 2)
+        self.reader.read(self.servers.values(), at(2))
         before = self.reader.digest
         name = a_server(1).id
         self.servers[name] = msgspec.structs.replace(self.servers[name], leaves_s=1.0)
-        self.assertIsNone(self.reader.read(self.servers.values(), 3))
+        self.assertIsNone(self.reader.read(self.servers.values(), at(3)))
         self.assertEqual((self.reader.digest, self.reader.version), (before, 3))
 
     def test_marked_server_counts_as_leaving_until_a_list_as_new_comes(self) -> None:
@@ -129,19 +137,19 @@
         self.assertTrue(self.other.hear(lost[0]).new is False, "an older change counts no more")
         leaving = [server.id for server in self.other.usable() if server.leaving]
         self.assertEqual(leaving, [a_server(2).id])
-        self.assertTrue(self.other.fetched(self.reader.raw, self.reader.version))
+        self.assertTrue(self.other.fetched(self.reader.raw, self.reader.at))
         self.assertEqual(self.other.usable(), self.reader.usable())
 
     def test_older_list_is_not_taken(self) -> None:
-        raw, version = self.reader.raw, self.reader.version
+        raw, version = self.reader.raw, self.reader.at
         self.leave(1)
-        self.reader.read(self.servers.values(), 5)
+        self.reader.read(self.servers.values(), at(5))
         self.assertFalse(self.reader.fetched(raw, version))
         self.assertTrue(any(server.leaving for server in self.reader.usable()))
 
     def test_unreadable_list_is_refused(self) -> None:
         with self.assertRaises(ValueError):
-            self.other.fetched(b"\x91\x01", 9)
+            self.other.fetched(b"\x91\x01", at(9))
 
     # `tools.without` runs a test several times in one process, each time in a new TestCase.
     @settings(
@@ -156,8 +164,8 @@
     ) -> None:
         servers = {each.id: each for each in map(a_server, range(12))}
         reader, other = ServerList(), ServerList()
-        reader.read(servers.values(), 1)
-        other.read(servers.values(), 1)
+        reader.read(servers.values(), at(1))
+        other.read(servers.values(), at(1))
         waiting: list[ServerChange] = []
         left: dict[str, int] = {}
         for version in range(2, 12):
@@ -178,10 +186,85 @@
                     known = left.get(server.id, 99)
                     self.assertFalse(not server.leaving and known <= other.version)
             if data.draw(st.booleans()):
-                other.fetched(reader.raw, reader.version)
+                other.fetched(reader.raw, reader.at)
                 self.assertEqual(other.usable(), reader.usable())
 
 
+class RestoredStoreTest(unittest.TestCase):
+    """The store came back from an older copy, so versions start again in a new era."""
+
+    def setUp(self) -> None:
+        self.servers = {each.id: each for each in map(a_server, range(4))}
+        self.list = ServerList()
+        self.list.read(self.servers.values(), at(100))
+
+    def leave(self, number: int) -> Server:
+        return msgspec.structs.replace(a_server(number), leaving=True, leaves_s=3.0)
+
+    def usable(self) -> dict[str, bool]:
+        return {server.id: server.leaving for server in self.list.usable()}
+
+    def test_list_of_the_new_era_is_taken_though_its_version_is_lower(self) -> None:
+        difference = self.list.read([a_server(0), self.leave(1)], at(60, era=2))
+        assert difference is not None
+        self.assertEqual([each.id for each in difference.leaving], [a_server(1).id])
+        self.assertEqual(self.list.at, at(60, era=2))
+
+    def test_list_of_the_former_era_is_dropped_though_its_version_is_higher(self) -> None:
+        former = ServerList()
+        former.read([self.leave(0)], at(200))
+        self.list.read(self.servers.values(), at(60, era=2))
+        self.assertFalse(self.list.fetched(former.raw, former.at))
+        change = told(former, [], 201)[0]
+        self.assertEqual(self.list.hear(change), Heard())
+        self.assertFalse(self.list.confirmed(ListHead(99, self.list.digest, 0.0, era=1)))
+        self.assertEqual(set(self.usable()), set(self.servers))
+
+    def test_server_that_had_left_is_not_believed_to_be_back_until_entries_lapsed(self) -> None:
+        self.list.read([self.leave(1), a_server(2), a_server(3)], at(101))
+        self.list.read(self.servers.values(), at(60, era=2))
+        gone, leaving = a_server(0).id, a_server(1).id
+        self.assertNotIn(gone, self.usable())
+        self.assertTrue(self.usable()[leaving])
+        self.assertTrue(self.list.believe_entries())
+        self.assertEqual(self.usable(), dict.fromkeys(self.servers, False))
+
+    def test_server_marked_as_leaving_stays_so_over_the_stores_return(self) -> None:
+        head = ListHead(101, 1, 0.0, era=1)
+        marked = [Leaving(a_server(1).id, 2.0)]
+        self.list.hear(ServerChange(head, 0, "n2:3", gone=[a_server(0).id], leaving=marked))
+        self.list.read(self.servers.values(), at(60, era=2))
+        self.assertNotIn(a_server(0).id, self.usable())
+        self.assertTrue(self.usable()[a_server(1).id])
+
+    def test_server_that_was_back_before_the_stores_return_is_used(self) -> None:
+        self.list.read([a_server(0)], at(101))
+        self.list.read(self.servers.values(), at(102))
+        self.list.read(self.servers.values(), at(60, era=2))
+        self.assertEqual(set(self.usable()), set(self.servers))
+
+    def test_changes_that_tell_no_era_count_but_take_no_version_over(self) -> None:
+        former = ServerList()
+        former.read(self.servers.values(), EraVersion(0, 100))
+        head_of = ListHead(101, 0, 0.0)
+        listed = [a_server(0), a_server(2), a_server(3)]
+        difference = former.read(listed, EraVersion(0, 101))
+        assert difference is not None
+        head_of = ListHead(101, former.digest, 0.0)
+        base = self.list.digest
+        heard = self.list.hear(packets(head_of, base, "n2:3", difference)[0])
+        self.assertTrue(heard.confirmed)
+        self.assertEqual(set(self.usable()), {each.id for each in listed})
+        self.assertEqual(self.list.at, at(100))
+
+    def test_list_that_tells_no_era_is_not_fetched_in_place_of_one_that_does(self) -> None:
+        heard = self.list.hear(ServerChange(ListHead(900, 5, 0.0), 4, "n2:3"))
+        self.assertFalse(heard.missing)
+        former = ServerList()
+        former.read([a_server(9)], EraVersion(0, 900))
+        self.assertFalse(self.list.fetched(former.raw, former.at))
+
+
 class SpreadTest(unittest.TestCase):
     """At the letter's size, on links of 10 Mbit/s."""
 
@@ -306,6 +389,40 @@
         self.assertLess(busiest, 15)
 
 
+class SpreadAfterRestoreTest(unittest.TestCase):
+    """The store comes back from a copy that is 50 versions older, at nodes in number."""
+
+    def restored(self, nodes: int) -> ListWorld:
+        world = ListWorld(nodes, 100, 0.05)
+        copy = dict(world.store.servers)
+        world.store.version = 500
+        world.run(3.0)
+        world.store.away = True
+        world.run(3.6)
+        world.store.away = False
+        world.store.restore(copy, 450)
+        return world
+
+    def test_leaving_server_is_known_everywhere_within_the_time_it_serves_on(self) -> None:
+        for nodes in (9, 77, TARGET_NODES):
+            with self.subTest(nodes=nodes):
+                world = self.restored(nodes)
+                world.run(4.0)
+                name = a_server(5).id
+                world.store.leave(name, 4.0)
+                world.run(4.0 + READ_S + SEEN_S)
+                self.assertLess(world.last_to_see(name), 4.0 + READ_S + SEEN_S)
+
+    def test_nodes_do_not_come_to_the_store_at_once(self) -> None:
+        for nodes in (9, 77, TARGET_NODES):
+            with self.subTest(nodes=nodes):
+                world = self.restored(nodes)
+                reads = world.store.reads
+                world.run(4.6)
+                self.assertLess(world.store.reads - reads, 30)
+                self.assertEqual(len({node.watch.list.digest for node in world.nodes}), 1)
+
+
 class StoreOnDemand:
     """A store whose list is read when a test says so."""
 
@@ -314,14 +431,15 @@
         self.away = False
         self.reads = 0
         self.version = 1
+        self.step = 1
 
     async def servers(self, _: float, _before: object = None) -> object:
         self.reads += 1
         if self.away:
             await asyncio.sleep(0.01)
             return Err(Trouble("away"))
-        self.version += 1
-        return Ok(StoredList((a_server(1),), self.version, self.now()))
+        self.version += self.step
+        return Ok(StoredList((a_server(1),), self.version, self.now(), era=1))
 
 
 class CurrentTest(unittest.TestCase):
@@ -367,9 +485,9 @@
         self.true_time.store_read(self.now, self.now, self.now)
         self.store.version = 5
         peer = ServerList()
-        peer.read([a_server(1)], 5)
-        self.watch.heard_head(ListHead(5, peer.digest, self.now - 0.3), "n2:3", 1.0)
-        self.watch._fetched(5, peer.raw)
+        peer.read([a_server(1)], at(5))
+        self.watch.heard_head(ListHead(5, peer.digest, self.now - 0.3, era=1), "n2:3", 1.0)
+        self.watch._fetched(at(5), peer.raw)
         self.assertTrue(self.current())
         self.assertEqual(self.store.reads, 0)
         self.now += USABLE_SHARE * LEAVE_S - 0.2
@@ -389,7 +507,7 @@
         self.assertTrue(self.current())
         self.store.away = True
         self.now += 60.0
-        self.watch.heard_head(ListHead(9, 9, self.now), "n2:3", 1.0)
+        self.watch.heard_head(ListHead(9, 9, self.now, era=1), "n2:3", 1.0)
         self.assertFalse(self.current())
 
     def test_requests_that_come_together_share_one_reading(self) -> None:
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -11,6 +11,8 @@
 """Changes that a copy lacks; none of the tests makes as many after the store's return."""
 
 AWAY_S = 0.3
+MOST_CALLS_PER_S = 80
+"""Three nodes that are well make some 20 calls a second, and a few more after an outage."""
 
 
 async def started(cluster: Cluster) -> StoreCopy:
@@ -50,6 +52,17 @@
 
         on_cluster(work)
 
+    def test_nodes_do_not_storm_the_store_after_its_return(self) -> None:
+        async def work(cluster: Cluster) -> None:
+            await restore(cluster, await started(cluster))
+            before = cluster.platform.calls
+            for _ in range(50):
+                await cluster.ask(NODES[0])
+                await asyncio.sleep(0.02)
+            self.assertLess(cluster.platform.calls - before, MOST_CALLS_PER_S)
+
+        on_cluster(work)
+
 
 if __name__ == "__main__":
     unittest.main()
