Pause after a reading of the list that did not help

The store got 600 calls a second from nine nodes and 3,500 from 81 while lists were read in vain, 13 and 40 when all is well. Cause: only calls that fail had a pause; a reading that is answered and brings an older list left the node as far behind as before, so the next request, or the next look, began another one at once. Such a reading counts as one that did not help now: the node that reads for all pauses as after a failure, and requests don't ask for another one for a second. Both tests failed before: 20 readings for 20 requests, 19,559 in 0.3 s of one node. This holds whatever makes a list look older; the era was one reason.

--- a/src/moledale/gateway/fleet_watch.py
+++ b/src/moledale/gateway/fleet_watch.py
@@ -212,12 +212,16 @@
         """
         if self._is_fresh():
             return True
-        if self._now() - self._failed_at > FAILED_KEPT_S:
+        if self._may_read_for_request():
             reading = self._start_reading()
             left_s = self._reading_since + CURRENT_WAIT_S - self._now()
             await asyncio.wait([reading], timeout=max(0.0, left_s))
         return self._is_fresh() or not self.fetch.behind(self._now())
 
+    def _may_read_for_request(self) -> bool:
+        now = self._now()
+        return now - self._failed_at > FAILED_KEPT_S and now - self._futile_at > AGAIN_MOST_S
+
     def heard_head(self, head: ListHead, control: str, power: float) -> None:
         """Take over which list another node has; a newer one is fetched from there."""
         if self.list.is_outdated(head):
@@ -267,7 +271,7 @@
         return self._reading
 
     async def _read(self) -> bool:
-        """Read the list and tell the others; say whether the store answered."""
+        """Read the list and tell the others; say whether it is this node's list now."""
         sent_at = self._now()
         before, digest = self._held(), self.list.digest
         outcome = await self._store.servers(READ_TIMEOUT_S, before)
@@ -280,7 +284,7 @@
         self._true_time.store_read(listed.store_s, sent_at, self._now())
         if listed.at < self.list.at:
             self._read_in_vain(listed)
-            return True
+            return False
         if self._failed_at > self._fresh_at and sent_at - self._fresh_at > OUTAGE_S:
             self._returned_at, self._returned_s = sent_at, listed.store_s
         base = self.list.digest
@@ -301,7 +305,7 @@
         return True
 
     def _read_in_vain(self, listed: StoredList) -> None:
-        """Note a reading of an older list."""
+        """Note a reading of an older list; a node without a current one pauses before the next."""
         now = self._now()
         if self._is_fresh():
             return
--- a/tests/test_server_list.py
+++ b/tests/test_server_list.py
@@ -510,6 +510,31 @@
         self.watch.heard_head(ListHead(9, 9, self.now, era=1), "n2:3", 1.0)
         self.assertFalse(self.current())
 
+    def test_list_that_is_read_in_vain_is_not_read_again_for_each_request(self) -> None:
+        self.store.version = 90
+        self.assertTrue(self.current())
+        self.store.version, self.store.step = 50, 0
+        self.now += 60.0
+        reads = self.store.reads
+        for _ in range(20):
+            self.now += 0.01
+            self.current()
+        self.assertEqual(self.store.reads - reads, 1)
+
+    def test_nodes_that_read_in_vain_pause_before_they_read_again(self) -> None:
+        async def watch() -> None:
+            self.store.version = 90
+            await self.watch.current()
+            self.store.version, self.store.step = 50, 0
+            self.now += 60.0
+            reads = self.store.reads
+            task = asyncio.create_task(self.watch.watch())
+            await asyncio.sleep(0.3)
+            task.cancel()
+            self.assertLess(self.store.reads - reads, 5)
+
+        quietly(watch())
+
     def test_requests_that_come_together_share_one_reading(self) -> None:
         async def ask() -> None:
             await asyncio.gather(*(self.watch.current() for _ in range(20)))
