A failing test: a window whose kept counts the store lost is reported again with other counts

A holder keeps and reports a window with 3 requests, the store comes back from a copy without that row, and the next holder, which knows of 2, reports the window as 2. Duties take their clock as an argument, so that a test need not wait for windows to end.

--- a/src/moledale/gateway/duties.py
+++ b/src/moledale/gateway/duties.py
@@ -65,6 +65,7 @@
         index: Callable[[], PlanIndex | None],
         first_start: bool,
         rollouts: RolloutDuty,
+        now: Callable[[], float] = monotonic,
     ) -> None:
         self.acting = asyncio.Lock()
         self._first_start = first_start
@@ -76,6 +77,7 @@
         self._book = book
         self._index = index
         self._rollouts = rollouts
+        self._now = now
         self._done: set[int] = set()
         self._first_window: int | None = None
         self._planners: dict[str, RentingPlanner] = {}
@@ -89,13 +91,13 @@
 
     async def step(self) -> None:
         """Do what is due; demand is watched by all nodes, so that any of them may take over."""
-        self._watch_demand(monotonic())
+        self._watch_demand(self._now())
         grant = self._keeper.grant()
         if grant is None:
             return
         if grant.epoch != self._epoch:
             self._epoch = grant.epoch
-            self._held_since = monotonic()
+            self._held_since = self._now()
             self._planners.clear()
             self._rollouts.begin()
         async with self.acting:
@@ -106,7 +108,7 @@
             )
 
     async def _report_usage(self) -> None:
-        if monotonic() - self._held_since < HEARD_AFTER_S:
+        if self._now() - self._held_since < HEARD_AFTER_S:
             return
         usage = self._sharing.usage
         current = usage.window_of(self._sharing.time() - SETTLE_S)
@@ -162,7 +164,7 @@
         return None
 
     async def _rent(self) -> None:
-        now = monotonic()
+        now = self._now()
         index = self._index()
         if index is None or now - self._planned_at < PLAN_S:
             return
@@ -186,7 +188,7 @@
                     self._node, grant.epoch, order.service, order.hall, order.number, order.spot
                 )
                 accepted = isinstance(outcome, Ok) and outcome.ok_value
-                planner.ordered(order, accepted, monotonic())
+                planner.ordered(order, accepted, self._now())
                 emit(
                     Event.SERVERS_ORDERED,
                     hall=order.hall,
--- a/tests/test_gateway_lease.py
+++ b/tests/test_gateway_lease.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from collections.abc import Callable
 
 import msgspec
 from result import Err, Ok, Result
@@ -15,6 +16,7 @@
 from moledale.gateway.peers import LeaseNews, Membership
 from moledale.gateway.settings import Bounds
 from moledale.gateway.sharing import Sharing
+from moledale.gateway.store_era import StoreEra
 from tests.gateway_world import quietly
 
 BOUNDS = Bounds(lease_s=0.4)
@@ -27,11 +29,17 @@
     def __init__(self) -> None:
         self.row: StateRow | None = None
         self.version = 10
+        self.era = StoreEra()
         self.loses = False
         self.down = False
         self.reads = 0
         self.writes = 0
 
+    def restore(self, row: StateRow | None, version: int) -> None:
+        """Come back from an older copy."""
+        self.row, self.version = row, version
+        self.era.heard(self.era.number + 1)
+
     def clock(self) -> float:
         """Return the store's clock, whose start is its own."""
         return monotonic() + 5_000.0
@@ -277,10 +285,12 @@
 
     def __init__(self) -> None:
         self.reported: list[int] = []
+        self.counts: list[object] = []
 
     async def report_usage(self, *report: object) -> None:
         """Note the window."""
         self.reported.append(int(str(report[2])))
+        self.counts.append(report[3])
 
 
 class NoRollouts:
@@ -293,23 +303,101 @@
         """Carry nothing on."""
 
 
+def duties_of(
+    node: str,
+    keeper: HeldForEver,
+    store: OneRow,
+    log: ReportLog,
+    sharing: Sharing,
+    now: Callable[[], float] = monotonic,
+) -> Duties:
+    """Return the duties of a node that holds the lease."""
+    return Duties(
+        node,
+        keeper,  # type: ignore[arg-type]
+        store,  # type: ignore[arg-type]
+        log,  # type: ignore[arg-type]
+        sharing,
+        ServerBook("a"),
+        lambda: None,
+        False,
+        NoRollouts(),  # type: ignore[arg-type]
+        now,
+    )
+
+
+class Holder:
+    """A node that holds the lease and counts requests by a wall clock of the test."""
+
+    def __init__(self, node: str, world: "UsageWorld") -> None:
+        bounds = Bounds(usage_window_s=5.0)
+        self.keeper = HeldForEver()
+        self.sharing = Sharing(Membership(node, 1), bounds, world.now, world.wall)
+        self.duties = duties_of(node, self.keeper, world.store, world.log, self.sharing, world.now)
+
+
+class UsageWorld:
+    """Holders of the lease that follow each other, a store that restores, and a virtual clock."""
+
+    def __init__(self) -> None:
+        self.at = 1_000.0
+        self.store = OneRow()
+        self.store.era = StoreEra(self.now)
+        self.store.era.heard(1)
+        self.log = ReportLog()
+
+    def now(self) -> float:
+        """Return the time of the monotonic clock."""
+        return self.at
+
+    def wall(self) -> float:
+        """Return the time of day."""
+        return self.at
+
+    async def run(self, holder: Holder, until: float) -> None:
+        """Let a holder do what is due."""
+        while self.at < until:
+            self.at += 0.2
+            await holder.duties.step()
+
+
+class UsageOverRestoresTest(unittest.TestCase):
+    """The store lost which counts of a window were kept, and the platform has them."""
+
+    def setUp(self) -> None:
+        self.world = UsageWorld()
+        self.first, self.second = Holder("n1", self.world), Holder("n2", self.world)
+        self.second.keeper.epoch += 1
+        for holder, number in ((self.first, 3), (self.second, 2)):
+            for _ in range(number):
+                holder.sharing.started("north")
+
+    def counts_of_first_window(self) -> list[object]:
+        log = self.world.log
+        told = zip(log.reported, log.counts, strict=True)
+        return [counts for window, counts in told if window == 200]
+
+    def test_window_whose_counts_the_store_lost_is_not_counted_anew_by_the_next_holder(
+        self,
+    ) -> None:
+        async def work() -> None:
+            world = self.world
+            await world.run(self.first, 1_008.0)
+            self.assertEqual(self.counts_of_first_window(), [{"north": 3}])
+            world.store.restore(None, 5)
+            await world.run(self.second, 1_012.0)
+            self.assertEqual(self.counts_of_first_window(), [{"north": 3}])
+
+        quietly(work())
+
+
 class NewHolderTest(unittest.TestCase):
     def test_new_holder_reports_no_usage_before_it_can_have_heard_of_it(self) -> None:
         async def work() -> None:
             log, keeper = ReportLog(), HeldForEver()
             wall = 1_002.0
             sharing = Sharing(Membership("n1", 1), Bounds(usage_window_s=5.0), wall=lambda: wall)
-            duties = Duties(
-                "n1",
-                keeper,  # type: ignore[arg-type]
-                OneRow(),  # type: ignore[arg-type]
-                log,  # type: ignore[arg-type]
-                sharing,
-                ServerBook("a"),
-                lambda: None,
-                False,
-                NoRollouts(),  # type: ignore[arg-type]
-            )
+            duties = duties_of("n1", keeper, OneRow(), log, sharing)
             sharing.started("north")
             wall = 1_005.1 + SETTLE_S
             began = monotonic()
