Report no window whose kept counts the store may have lost

What the platform saw: usage of one window twice, 246 requests from the former holder and 180 from the next. Cause: counts are kept in the store before they are sent, and that row alone told the next holder that the window had been reported. The store came back from a copy without it, so the holder counted the window anew. Change: each node knows since when the era lasts at least, from its own calls or from peers, which tell it with their state. A window that ended in this era can't have been lost. One that ended before is counted only by the node that held the lease all the time since; another holder sends what it finds kept, or nothing. Counts that were written in a later era than the one in which they were allowed are taken back. It costs the report of windows that ended in the former era and were not yet sent when the holder changes.

--- a/src/moledale/gateway/duties.py
+++ b/src/moledale/gateway/duties.py
@@ -79,6 +79,7 @@
         self._rollouts = rollouts
         self._now = now
         self._done: set[int] = set()
+        self._frozen: dict[int, WindowRow] = {}
         self._first_window: int | None = None
         self._planners: dict[str, RentingPlanner] = {}
         self._demands: dict[str, Demand] = {}
@@ -119,14 +120,22 @@
             if window not in self._done:
                 await self._report_window(window)
         self._done = {window for window in self._done if window >= first}
+        self._frozen = {window: row for window, row in self._frozen.items() if window >= first}
 
     async def _report_window(self, window: int) -> None:
         counts = total_of(window, self._sharing.usage, self._sharing.members.all_states())
         if not counts:
             return
-        frozen = await self._freeze(WindowRow(window, counts))
+        if window in self._frozen or self._is_first_to_report(window):
+            frozen = await self._freeze(self._frozen.get(window, WindowRow(window, counts)))
+        else:
+            frozen = await self._kept(window)
         if frozen is None:
             return
+        if not frozen.counts:
+            self._done.add(window)
+            return
+        self._frozen[window] = frozen
         grant = self._keeper.grant()
         if grant is None:
             return
@@ -142,10 +151,34 @@
         else:
             emit(Event.USAGE_FAILED, window=window, why=trouble.detail)
 
+    def _is_first_to_report(self, window: int) -> bool:
+        """Say whether the store would still have what another holder kept of a window.
+
+        It would if the window ended in this era; before that only this node can have kept it if it
+        held the lease from the window's end on.
+        """
+        usage = self._sharing.usage
+        ended_at = self._now() - (self._sharing.time() - usage.end_of(window))
+        return ended_at >= min(self._store.era.since, self._held_since)
+
+    async def _kept(self, window: int) -> WindowRow | None:
+        """Return what a holder kept of a window; one that the store lost is not reported."""
+        outcome = await self._store.read(USAGE_TABLE, CALL_TIMEOUT_S)
+        if isinstance(outcome, Err):
+            return None
+        for row in outcome.ok_value.rows:
+            kept = msgspec.json.decode(row.value, type=WindowRow)
+            if kept.window == window:
+                return kept
+        self._done.add(window)
+        emit(Event.USAGE_FAILED, window=window, why="the store may have lost what was reported")
+        return None
+
     async def _freeze(self, row: WindowRow) -> WindowRow | None:
         """Keep a window's counts before they are sent, or return what was kept before."""
         key = str(row.window % USAGE_ROWS)
         expected = ABSENT
+        era = self._store.era.number
         for _ in range(2):
             outcome = await self._store.write(
                 USAGE_TABLE, key, msgspec.json.encode(row), expected, CALL_TIMEOUT_S
@@ -153,8 +186,11 @@
             if isinstance(outcome, Err):
                 return None
             written = outcome.ok_value
-            if written.committed:
+            if written.committed and written.era == era:
                 return row
+            if written.committed:
+                await self._void(row.window, written.version)
+                return None
             if written.standing is None:
                 return None
             standing = msgspec.json.decode(written.standing.value, type=WindowRow)
@@ -163,6 +199,14 @@
             expected = written.standing.version
         return None
 
+    async def _void(self, window: int, version: int) -> None:
+        """Take back counts that were kept in a later era than the one in which that was allowed."""
+        self._done.add(window)
+        value = msgspec.json.encode(WindowRow(window, {}))
+        key = str(window % USAGE_ROWS)
+        await self._store.write(USAGE_TABLE, key, value, version, CALL_TIMEOUT_S)
+        emit(Event.USAGE_FAILED, window=window, why="the store came back from an older copy")
+
     async def _rent(self) -> None:
         now = self._now()
         index = self._index()
--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -355,6 +355,7 @@
             declined=self.book.declined(now),
             limits=self.book.limits(now),
             formats=FORMATS,
+            era=self._store.era.news(),
         )
 
     def _tell_state(self, everyone: bool = True) -> None:
@@ -485,8 +486,9 @@
             passed_on = state.lease_heard
             self.keeper.heard(passed_on.holder, passed_on.news, now, passed_on=True)
         self.quarantine.heard_digest(state.peer, state.blocks)
+        if state.era is not None:
+            self._store.era.heard(state.era.number, state.era.age_s)
         if state.servers is not None:
-            self._store.era.heard(state.servers.era)
             self.fleet.heard_head(state.servers, state.control, state.power)
         index = self.forwarder.index
         if state.plan_version > (index.version if index is not None else -1):
--- a/src/moledale/gateway/outside.py
+++ b/src/moledale/gateway/outside.py
@@ -40,6 +40,7 @@
     committed: bool
     standing: StateRow | None = None
     store_s: float = 0.0
+    era: int = UNKNOWN_ERA
 
 
 class Reading(msgspec.Struct, frozen=True):
@@ -48,6 +49,7 @@
     rows: tuple[StateRow, ...]
     version: int
     store_s: float
+    era: int = UNKNOWN_ERA
 
 
 class ServerList(msgspec.Struct, frozen=True):
--- a/src/moledale/gateway/peers.py
+++ b/src/moledale/gateway/peers.py
@@ -13,6 +13,7 @@
 from moledale.gateway.server_list import ListHead
 from moledale.gateway.server_model import Speed
 from moledale.gateway.stated_limit import LimitNews
+from moledale.gateway.store_era import EraNews
 
 ALIVE_S = 1.0
 """A node not heard of for this long takes no part in choices, while all hear all each round."""
@@ -77,6 +78,7 @@
     `declined` those that turned requests of this node away, with the seconds that are left.
     `limits` are those that servers named to this node, None from builds that know of none.
     `formats` is a digest of what its build tells others, empty from builds that tell none.
+    `era` is that of the store, None from builds that know of none.
     Builds of two versions hear each other while nodes are replaced one by one, so new fields come
     last, with a default, and none is ever taken out.
     """
@@ -113,6 +115,7 @@
     declined: dict[str, float] = {}
     limits: dict[str, LimitNews] | None = None
     formats: str = ""
+    era: EraNews | None = None
 
     def shortened(self) -> "NodeState":
         """Return the state without most counts, for nodes that only need to know who is there.
--- a/src/moledale/gateway/store_era.py
+++ b/src/moledale/gateway/store_era.py
@@ -3,6 +3,7 @@
 Versions then go back and are given out again, so a version is compared together with its era.
 """
 
+import math
 from collections.abc import Callable
 
 import msgspec
@@ -25,17 +26,38 @@
         return self.era > earlier.era > UNKNOWN_ERA
 
 
+class EraNews(msgspec.Struct, frozen=True, array_like=True):
+    """The newest era that a node knows, and for how long at least it has lasted, in seconds."""
+
+    number: int
+    age_s: float
+
+
 class StoreEra:
-    """The newest era that this node knows, from answers of the store or from its peers."""
+    """The newest era that this node knows, from answers of the store or from its peers.
+
+    `since` is when this era had begun at the latest, on the monotonic clock.
+    """
 
     def __init__(self, now: Callable[[], float] = monotonic) -> None:
         self.number = UNKNOWN_ERA
+        self.since = -math.inf
         self._now = now
 
-    def heard(self, era: int) -> None:
-        """Note an era that an answer or a peer names."""
-        if era <= self.number:
+    def heard(self, era: int, age_s: float = 0.0) -> None:
+        """Note an era that an answer or a peer names, and its least age."""
+        if era < self.number or era == UNKNOWN_ERA:
+            return
+        began_at = self._now() - age_s
+        if era == self.number:
+            self.since = min(self.since, began_at)
             return
-        before, self.number = self.number, era
+        before, self.number, self.since = self.number, era, began_at
         if before != UNKNOWN_ERA:
             emit(Event.STORE_RESTORED, era=era, before=before)
+
+    def news(self) -> EraNews | None:
+        """Return what this node tells its peers, None while it knows no era."""
+        if self.number == UNKNOWN_ERA:
+            return None
+        return EraNews(self.number, self._now() - self.since)
--- a/src/moledale/gateway/usage.py
+++ b/src/moledale/gateway/usage.py
@@ -63,6 +63,10 @@
         """Return the number of the window that a moment lies in."""
         return int(true_time // self.window_s)
 
+    def end_of(self, window: int) -> float:
+        """Return the true time at which a window ends."""
+        return (window + 1) * self.window_s
+
     def count(self, account: str, true_time: float) -> None:
         """Count a request that began to run."""
         window = self.window_of(true_time)
--- a/src/moledale/platform/store.py
+++ b/src/moledale/platform/store.py
@@ -76,7 +76,7 @@
             return outcome
         record = outcome.ok_value
         rows = tuple(StateRow(row.key, row.body(), row.ver) for row in record.rows)
-        return Ok(Reading(rows, record.ver, record.now_ms / 1000))
+        return Ok(Reading(rows, record.ver, record.now_ms / 1000, record.era))
 
     async def write(
         self, table: str, key: str, value: bytes, expected: int, timeout_s: float
@@ -92,13 +92,11 @@
         if isinstance(outcome, Err):
             return outcome
         record = outcome.ok_value.rows
-        now_s = record.now_ms / 1000
-        if outcome.ok_value.status == 200:
-            return Ok(Written(record.ver, True, None, now_s))
-        standing = next((row for row in record.rows if row.key == key and not row.gone), None)
-        if standing is None or not standing.ver:
-            return Ok(Written(record.ver, False, None, now_s))
-        return Ok(Written(record.ver, False, StateRow(key, standing.body(), standing.ver), now_s))
+        committed = outcome.ok_value.status == 200
+        there = (row for row in record.rows if row.key == key and not row.gone and row.ver)
+        row = None if committed else next(there, None)
+        standing = None if row is None else StateRow(key, row.body(), row.ver)
+        return Ok(Written(record.ver, committed, standing, record.now_ms / 1000, record.era))
 
     async def put(self, table: str, key: str, value: bytes, timeout_s: float) -> Trouble | None:
         """Put a row without a condition."""
--- a/tests/test_gateway_lease.py
+++ b/tests/test_gateway_lease.py
@@ -50,7 +50,7 @@
         if self.down:
             return Err(Trouble("down"))
         rows = (self.row,) if self.row is not None else ()
-        return Ok(Reading(rows, self.version, self.clock()))
+        return Ok(Reading(rows, self.version, self.clock(), self.era.number))
 
     async def write(
         self, table: str, key: str, value: bytes, expected: int, timeout_s: float
@@ -61,12 +61,12 @@
             return Err(Trouble("down", uncertain=False))
         standing = self.row.version if self.row is not None else 0
         if standing != expected:
-            return Ok(Written(self.version, False, self.row, self.clock()))
+            return Ok(Written(self.version, False, self.row, self.clock(), self.era.number))
         self.version += 1
         self.row = StateRow(key, value, self.version)
         if self.loses:
             return Err(Trouble("lost"))
-        return Ok(Written(self.version, True, None, self.clock()))
+        return Ok(Written(self.version, True, None, self.clock(), self.era.number))
 
     def holds(self) -> LeaseRow:
         """Return what the row says."""
@@ -390,6 +390,68 @@
 
         quietly(work())
 
+    def test_holder_that_goes_on_reports_what_it_had_not_yet(self) -> None:
+        async def work() -> None:
+            world = self.world
+            await world.run(self.first, 1_005.5)
+            world.store.restore(None, 5)
+            await world.run(self.first, 1_008.0)
+            self.assertEqual(self.counts_of_first_window(), [{"north": 3}])
+
+        quietly(work())
+
+    def test_window_that_ends_after_the_stores_return_is_counted_by_the_next_holder(self) -> None:
+        async def work() -> None:
+            world = self.world
+            await world.run(self.first, 1_004.0)
+            world.store.restore(None, 5)
+            await world.run(self.second, 1_008.0)
+            self.assertEqual(self.counts_of_first_window(), [{"north": 2}])
+
+        quietly(work())
+
+    def test_counts_that_the_copy_has_are_reported_again_as_they_were(self) -> None:
+        async def work() -> None:
+            world = self.world
+            await world.run(self.first, 1_008.0)
+            world.store.restore(world.store.row, 50)
+            await world.run(self.second, 1_012.0)
+            self.assertEqual(self.counts_of_first_window(), [{"north": 3}] * 2)
+
+        quietly(work())
+
+    def test_node_that_starts_knows_from_its_peers_that_no_counts_were_lost(self) -> None:
+        async def work() -> None:
+            world = self.world
+            await world.run(self.first, 1_006.0)
+            restarted = Holder("n2", world)
+            world.store.era = restarted.duties._store.era = StoreEra(world.now)
+            world.store.era.heard(1)
+            world.store.era.heard(1, age_s=60.0)
+            restarted.sharing.started("north")
+            restarted.sharing.usage.started = {200: {"north": 2}}
+            await world.run(restarted, 1_009.0)
+            self.assertEqual(self.counts_of_first_window(), [{"north": 2}])
+
+        quietly(work())
+
+    def test_counts_kept_while_the_store_came_back_are_taken_back(self) -> None:
+        async def work() -> None:
+            world = self.world
+            writes = world.store.write
+
+            async def restoring(*call: object) -> Result[Written, Trouble]:
+                world.store.write = writes  # type: ignore[method-assign]
+                world.store.restore(None, 5)
+                return await writes(*call)  # type: ignore[arg-type]
+
+            world.store.write = restoring  # type: ignore[assignment,method-assign]
+            await world.run(self.first, 1_008.0)
+            await world.run(self.second, 1_012.0)
+            self.assertEqual(self.counts_of_first_window(), [])
+
+        quietly(work())
+
 
 class NewHolderTest(unittest.TestCase):
     def test_new_holder_reports_no_usage_before_it_can_have_heard_of_it(self) -> None:
