Watch the plan from a position of the same era only

Callers would be served by a plan of before for as long as no other change comes: a watch goes on after the version that it has seen, and where the store came back from an older copy and its versions passed that one while the node could not reach it, what the operator wrote below is never told. Change: positions carry the era; where an answer names another one, the plan is read whole. The test of the plan failed before (the watch answered without the plan).

--- a/src/moledale/gateway/outside.py
+++ b/src/moledale/gateway/outside.py
@@ -98,7 +98,7 @@
 
     plan: Plan | None
     raw: bytes
-    position: int
+    position: EraVersion
     store_s: float
     rollouts: tuple[StoredRollout, ...] = ()
 
@@ -136,7 +136,7 @@
         """Return the newest plan."""
         ...
 
-    async def watch_plan(self, position: int, wait_s: float) -> Result[PlanNews, Trouble]:
+    async def watch_plan(self, position: EraVersion, wait_s: float) -> Result[PlanNews, Trouble]:
         """Return the newest plan once there is one after `position`, or after `wait_s`."""
         ...
 
--- a/src/moledale/gateway/plan_watch.py
+++ b/src/moledale/gateway/plan_watch.py
@@ -93,7 +93,7 @@
             await self._start.wait(
                 lambda: self._version >= 0, lambda: self.fetch.behind(monotonic())
             )
-        position: int | None = None
+        position: EraVersion | None = None
         while True:
             if self._version >= 0 and self._turn() >= WATCHERS:
                 position = None
--- a/src/moledale/platform/records.py
+++ b/src/moledale/platform/records.py
@@ -7,7 +7,7 @@
 
 from moledale.core.rollouts import Phase, RolloutNews, RolloutOrder
 from moledale.gateway import plan
-from moledale.gateway.store_era import UNKNOWN_ERA
+from moledale.gateway.store_era import UNKNOWN_ERA, EraVersion
 
 RUNNING = "running"
 STATES = {Phase.COMPLETED: "completed", Phase.ROLLED_BACK: "rolled_back"}
@@ -148,6 +148,11 @@
     now_ms: float = 0.0
     era: int = UNKNOWN_ERA
 
+    @property
+    def at(self) -> EraVersion:
+        """Return the version with its era."""
+        return EraVersion(self.era, self.ver)
+
 
 def read_config(raw: bytes) -> plan.Plan:
     """Make a plan of a configuration; ValueError if it can't be read."""
--- a/src/moledale/platform/store.py
+++ b/src/moledale/platform/store.py
@@ -20,7 +20,7 @@
     Written,
 )
 from moledale.gateway.plan import Plan
-from moledale.gateway.store_era import UNKNOWN_ERA, StoreEra
+from moledale.gateway.store_era import UNKNOWN_ERA, EraVersion, StoreEra
 from moledale.http_fields import count_in
 from moledale.log import Event, emit
 from moledale.platform.entries import Entries, platform_id
@@ -43,6 +43,8 @@
 KEPT_TABLE = "rollouts"
 SERVER_TABLE = "servers"
 HISTORY_GONE = 410
+"""Status of an answer that can't tell what changed since the asked version."""
+
 OTHER_ERA = Trouble("the store came back from an older copy", uncertain=False, history_gone=True)
 WATCH_MARGIN_S = 0.7
 """A watch is given up so long after the time that it was to wait."""
@@ -176,13 +178,15 @@
         rollouts = tuple(_with_status(each, rows) for each in news.rollouts)
         return Ok(msgspec.structs.replace(news, rollouts=rollouts))
 
-    async def watch_plan(self, position: int, wait_s: float) -> Result[PlanNews, Trouble]:
+    async def watch_plan(self, position: EraVersion, wait_s: float) -> Result[PlanNews, Trouble]:
         """Return the newest plan once there is one after `position`, or after `wait_s`."""
         wait = int(wait_s * 1000)
-        path = f"/v1/rows-feed?table={CONFIG_TABLE}&startAfter={position}&waitMs={wait}"
+        path = f"/v1/rows-feed?table={CONFIG_TABLE}&startAfter={position.number}&waitMs={wait}"
         outcome = await self._call("GET", path, wait_s + WATCH_MARGIN_S)
         if isinstance(outcome, Err):
             return outcome
+        if outcome.ok_value.rows.era != position.era:
+            return Err(OTHER_ERA)
         return Ok(_plan_news(outcome.ok_value.rows))
 
     async def write_rollout(
@@ -281,7 +285,7 @@
             if order is not None:
                 rollouts.append(StoredRollout(order))
     plan = read_config(newest) if newest else None
-    return PlanNews(plan, newest, record.ver, now_s, tuple(rollouts))
+    return PlanNews(plan, newest, record.at, now_s, tuple(rollouts))
 
 
 def _order_of(row: RowRecord, now_s: float) -> RolloutOrder | None:
--- a/tests/test_gateway_nodes.py
+++ b/tests/test_gateway_nodes.py
@@ -121,7 +121,16 @@
             f"{address}:{FIRST_PORT + number}" for number in range(5)
         )
         identity = Identity(
-            name, "hall-a", "r", callers, control, directory, readiness, peers, seeds
+            name,
+            "hall-a",
+            "r",
+            callers,
+            control,
+            directory,
+            readiness,
+            peers,
+            seeds,
+            first_start=name not in self.nodes,
         )
         store = self.platform.address
         settings = GatewaySettings(identity, Outside(store, store), self.bounds)
--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -7,7 +7,8 @@
 from moledale.log import Event
 from moledale.platform.store import PlatformStore
 from standins.rows import RowsPlatform
-from tests.test_platform_store import on_store, read
+from tests.test_gateway_nodes import config
+from tests.test_platform_store import entry, on_store, read
 
 
 def lines_of(handler: logbook.TestHandler, event: Event) -> list[str]:
@@ -39,5 +40,43 @@
         self.assertEqual(lines_of(handler, Event.STORE_RESTORED), [])
 
 
+class PositionTest(unittest.TestCase):
+    """A position in the history of one era says nothing in that of another."""
+
+    def test_changes_after_a_position_of_the_former_era_make_no_list(self) -> None:
+        async def work(platform: RowsPlatform, store: PlatformStore) -> None:
+            copy = platform.copy()
+            for _ in range(20):
+                platform.put("other", "row", {})
+            platform.put("servers", "s1", entry())
+            before = await read(store)
+            platform.restore(copy)
+            platform.put("servers", "s2", entry())
+            for _ in range(40):
+                platform.put("other", "row", {})
+            platform.put("servers", "s3", entry())
+            got = await read(store, before)
+            self.assertEqual({each.id for each in got.servers}, {"s2", "s3"})
+            self.assertEqual((got.era, got.changed), (before.era + 1, True))
+
+        on_store(work)
+
+    def test_plan_written_at_a_version_that_was_passed_before_is_not_overlooked(self) -> None:
+        async def work(platform: RowsPlatform, store: PlatformStore) -> None:
+            copy = platform.copy()
+            for _ in range(20):
+                platform.put("other", "row", {})
+            position = (await store.plan(1.0)).unwrap().position
+            platform.restore(copy)
+            platform.put("op", "config", config(2))
+            for _ in range(40):
+                platform.put("other", "row", {})
+            self.assertTrue((await store.watch_plan(position, 0.1)).unwrap_err().history_gone)
+            news = (await store.plan(1.0)).unwrap()
+            self.assertEqual(news.plan and news.plan.version, 2)
+
+        on_store(work)
+
+
 if __name__ == "__main__":
     unittest.main()
