Write registrations and blocks of requests again when the store may have lost them

A system whose processes all end later would begin without its blocks, and nodes that start would not find the others. Nodes register again in each era, spread by their number; the node that decided on a block writes it again while it holds. Both tests failed before (the rows never came). Left: blocks whose node is gone by then.

--- a/src/moledale/gateway/quarantine_store.py
+++ b/src/moledale/gateway/quarantine_store.py
@@ -42,7 +42,10 @@
 
 
 class QuarantineStore:
-    """Writes blocks that this node decided on, and reads all where no peer tells of them."""
+    """Writes blocks that this node decided on, and reads all where no peer tells of them.
+
+    They are written again when the store may have lost them.
+    """
 
     def __init__(
         self,
@@ -63,8 +66,10 @@
         self._health = StoreHealth("blocked requests")
         self._backoff = Backoff(AGAIN_S, AGAIN_MOST_S, crowd)
         self._unwritten: dict[bytes, Block] = {}
+        self._written: dict[bytes, Block] = {}
         self._decided = asyncio.Event()
         guard.on_block = self._blocked
+        store.era.on_restored.append(self._write_again)
 
     async def run(self) -> None:
         """Call the store whenever that is due, for ever."""
@@ -93,6 +98,18 @@
         self._decided.set()
         self._sharing.tell_block(block)
 
+    def _write_again(self) -> None:
+        """Have the blocks written again that still hold."""
+        self._unwritten = self._held_of(self._written) | self._unwritten
+        self._written.clear()
+        if self._unwritten:
+            self._decided.set()
+
+    def _held_of(self, blocks: dict[bytes, Block]) -> dict[bytes, Block]:
+        """Return the blocks that are not over."""
+        now = self._now()
+        return {name: block for name, block in blocks.items() if not block.is_over(now)}
+
     def _needs_reading(self) -> bool:
         """Say whether callers come here and no peer has told what is blocked.
 
@@ -148,6 +165,7 @@
             return False
         if self._unwritten.get(fingerprint) is block:
             del self._unwritten[fingerprint]
+            self._written = self._held_of(self._written) | {fingerprint: block}
         if not self._unwritten:
             self._decided.clear()
         return True
--- a/src/moledale/gateway/registration.py
+++ b/src/moledale/gateway/registration.py
@@ -1,6 +1,7 @@
-"""Telling the store of a node that starts, and learning from it of others to send news to."""
+"""Telling the store of this node, and learning from it of others to send news to."""
 
 import asyncio
+import random
 from collections.abc import Callable
 
 from result import Ok
@@ -21,9 +22,12 @@
 AGAIN_MOST_S = 1.0
 """Longest pause, for a node alone."""
 
+SPREAD_S = 0.5
+"""Nodes register again within this time for each `neighbours.FEW` of them, by chance."""
+
 
 class Registration:
-    """Writes one row and reads all; done once both have succeeded.
+    """Writes one row and reads all, once in each era of the store, which may have lost the row.
 
     The answer tells the store's clock, too, by which the age of a list is told.
     """
@@ -42,15 +46,28 @@
         self._own_address = own_address
         self._addresses = addresses
         self._true_time = true_time
+        self._crowd = crowd
+        self._random = random.Random()
         self._backoff = Backoff(AGAIN_S, AGAIN_MOST_S, crowd)
+        self._restored = asyncio.Event()
+        store.era.on_restored.append(self._restored.set)
 
     async def run(self) -> None:
+        """Register in each era, for ever."""
+        while True:
+            self._restored.clear()
+            await self._register()
+            await self._restored.wait()
+            await asyncio.sleep(SPREAD_S * self._crowd() * self._random.random())
+
+    async def _register(self) -> None:
         """Register, repeating what fails."""
         registered = read = False
         while not (registered and read):
             registered = registered or await self._write()
             read = await self._read()
             await asyncio.sleep(self._backoff.next_s())
+        self._backoff.answered()
 
     async def _write(self) -> bool:
         value = self._own_address.encode()
--- a/src/moledale/gateway/store_era.py
+++ b/src/moledale/gateway/store_era.py
@@ -37,13 +37,14 @@
     """The newest era that this node knows, from answers of the store or from its peers.
 
     `since` is when this era had begun at the latest, and `restored_at` when the store came back
-    last in this life of the process; both on the monotonic clock.
+    last in this life of the process; both on the monotonic clock. `on_restored` are called then.
     """
 
     def __init__(self, now: Callable[[], float] = monotonic) -> None:
         self.number = UNKNOWN_ERA
         self.since = -math.inf
         self.restored_at = -math.inf
+        self.on_restored: list[Callable[[], None]] = []
         self._now = now
 
     def heard(self, era: int, age_s: float = 0.0) -> None:
@@ -58,6 +59,8 @@
         if before != UNKNOWN_ERA:
             self.restored_at = began_at
             emit(Event.STORE_RESTORED, era=era, before=before)
+            for hear in self.on_restored:
+                hear()
 
     def restored_within(self, span_s: float) -> bool:
         """Say whether the store came back from an older copy so lately."""
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -3,6 +3,8 @@
 import asyncio
 import unittest
 
+from moledale.clock import monotonic
+from moledale.core.quarantine import Block
 from standins.rows import Mood, StoreCopy
 from tests.test_gateway_nodes import BOUNDS, Cluster, config, on_cluster, ready, until
 
@@ -64,5 +66,32 @@
         on_cluster(work)
 
 
+class RestoredRowsTest(unittest.TestCase):
+    """Rows that the copy lacks are written again by the node that wrote them."""
+
+    def test_nodes_register_again(self) -> None:
+        async def work(cluster: Cluster) -> None:
+            empty = cluster.platform.copy()
+            await started(cluster)
+            await restore(cluster, empty)
+            names = [("members", "", name) for name in NODES]
+            await until(lambda: all(name in cluster.platform.rows for name in names))
+
+        on_cluster(work)
+
+    def test_blocks_of_requests_are_kept_again(self) -> None:
+        async def work(cluster: Cluster) -> None:
+            copy = await started(cluster)
+            node = cluster.nodes[NODES[0]]
+            name = ("blocks", "", b"guilty".hex())
+            node.forwarder.guard.on_block(Block(b"guilty", monotonic() + 60.0, 1))
+            await until(lambda: name in cluster.platform.rows)
+            await restore(cluster, copy)
+            self.assertNotIn(name, copy.rows)
+            await until(lambda: name in cluster.platform.rows)
+
+        on_cluster(work)
+
+
 if __name__ == "__main__":
     unittest.main()
