The soak's store comes back from older copies, and its servers renew their entries

Drills come while other troubles go on, and before a phase in which nothing else goes wrong; draws of their own leave all else that a seed plays as it was. The store loses up to 120 changes more than its own callers make. A soak beside the landing before has none: that one can't bear them.

--- a/tests/soak/former.py
+++ b/tests/soak/former.py
@@ -5,7 +5,7 @@
 
 from tests.soak.process import ROOT
 
-LANDED = "ed5dc3f"
+LANDED = "c96abaf"
 """The landing before this code: its nodes may still run while this one's are started."""
 
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -5,6 +5,7 @@
 import tempfile
 import time
 from collections import deque
+from collections.abc import Coroutine
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -32,6 +33,10 @@
 
 PLANNED_GAP_S = 0.5
 TROUBLE_GAP_S = 0.45
+RESTORE_GAP_S = 4.0
+RESTORED_SHARE = 0.7
+COPY_EVERY_S = 0.5
+BEAT_EVERY_S = 1.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,6 +104,8 @@
     def __init__(self, plan: SoakPlan, folder: Path) -> None:
         self._plan = plan
         self._chance = random.Random(plan.seed)
+        # Draws of their own leave all else that a seed plays as it is.
+        self._restore_chance = random.Random(f"{plan.seed} restores")
         self._world = SoakWorld(folder, self._chance, builds=plan.builds)
         self._troubles = Troubles(self._world)
         self._probes = 0
@@ -152,10 +159,15 @@
         work = [asyncio.create_task(caller.run(over)) for caller in callers]
         work.append(asyncio.create_task(self._probe_forever()))
         work.append(asyncio.create_task(self._watch_own_stalls()))
+        work.append(asyncio.create_task(self._copy_forever()))
+        work.append(asyncio.create_task(self._beat_forever()))
         for _ in range(self._plan.rounds):
+            self._restore_before_planned_work()
             await self._phase(self._plan.planned_s, self._troubles.planned(), PLANNED_GAP_S)
             await self._settle()
+            restores = asyncio.create_task(self._restore_now_and_then())
             await self._phase(self._plan.chaos_s, self._troubles.unplanned(), TROUBLE_GAP_S)
+            await restores
             await self._settle()
             await self._world.heal()
         self._world.ledger.healed_at = time.monotonic()
@@ -184,11 +196,14 @@
         ends = time.monotonic() + length_s
         while time.monotonic() < ends:
             trouble = self._chance.choice(choices)
-            job = asyncio.create_task(trouble())
-            self._jobs.add(job)
-            job.add_done_callback(self._jobs.discard)
+            self._begin(trouble())
             await asyncio.sleep(gap_s * (0.3 + 1.4 * self._chance.random()))
 
+    def _begin(self, trouble: Coroutine[None, None, None]) -> None:
+        job = asyncio.create_task(trouble)
+        self._jobs.add(job)
+        job.add_done_callback(self._jobs.discard)
+
     async def _settle(self) -> None:
         """Wait until every trouble under way is over."""
         while self._jobs:
@@ -196,6 +211,39 @@
             for job in done:
                 job.result()
 
+    @property
+    def _restores(self) -> bool:
+        """Say whether the store comes back from older copies: the landing before can't bear it."""
+        return self._plan.former_build is None
+
+    def _restore_before_planned_work(self) -> None:
+        """Let the store have come back just before a phase in which nothing else goes wrong."""
+        chance = self._restore_chance
+        if chance.random() < RESTORED_SHARE and self._restores:
+            self._begin(self._troubles.restore_store(chance))
+
+    async def _restore_now_and_then(self) -> None:
+        """Let the store come back from older copies while other troubles go on."""
+        if not self._restores:
+            return
+        chance = self._restore_chance
+        ends = time.monotonic() + self._plan.chaos_s
+        while True:
+            await asyncio.sleep(RESTORE_GAP_S * (0.3 + 1.4 * chance.random()))
+            if time.monotonic() > ends:
+                return
+            self._begin(self._troubles.restore_store(chance))
+
+    async def _copy_forever(self) -> None:
+        while not self._over:
+            self._world.take_copy()
+            await asyncio.sleep(COPY_EVERY_S)
+
+    async def _beat_forever(self) -> None:
+        while not self._over:
+            self._world.beat()
+            await asyncio.sleep(BEAT_EVERY_S)
+
     async def _probe_forever(self) -> None:
         """Ask nodes about the newest version and about one before it, past the directory."""
         while not self._over:
@@ -204,13 +252,9 @@
             recent = self._world.ledger.versions[-2:]
             number = self._chance.choice(recent).number
             self._probes += 1
-            job = asyncio.create_task(
-                probe(
-                    node, f"only-{number}", ACCOUNTS[0], f"probe-{self._probes}", self._world.ledger
-                )
-            )
-            self._jobs.add(job)
-            job.add_done_callback(self._jobs.discard)
+            name = f"probe-{self._probes}"
+            ledger = self._world.ledger
+            self._begin(probe(node, f"only-{number}", ACCOUNTS[0], name, ledger))
 
 
 def play(plan: SoakPlan) -> SoakResult:
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -1,6 +1,7 @@
 """What happens in a soak: planned work of operators, and troubles that nobody planned."""
 
 import asyncio
+import random
 import time
 from collections.abc import Callable, Coroutine
 
@@ -15,6 +16,12 @@
 """A leaving server serves on for this long after the list said so."""
 
 LAPSE_S = 2.0
+ENTRIES_LAPSE_S = 3.0
+"""Entries of a restored store that no server renews lapse this long after the others are back."""
+
+MOST_LOST = 120
+"""Changes that others make and a copy lacks: versions are given out again for so much longer."""
+
 AWAY_S = 3.8
 
 GUILTY_TIMES = 16
@@ -91,7 +98,7 @@
     async def _end(self, old: Backend) -> None:
         """End a server that leaves as it said: it serves on, its entry goes, then it does."""
         await asyncio.sleep(SERVED_ON_S)
-        self._world.platform.drop("servers", old.id)
+        self._world.unlist(old.id)
         await asyncio.sleep(0.5)
         old.crash()
         old.link.close()
@@ -228,7 +235,7 @@
         await asyncio.sleep(AWAY_S)
         lapsed = list(self._world.backends)
         for backend in lapsed:
-            self._world.platform.drop("servers", backend.id)
+            self._world.unlist(backend.id)
         self._world.platform.mood = StoreMood.GOOD
         await asyncio.sleep(1.0)
         for backend in lapsed:
@@ -238,6 +245,26 @@
         fault.ends = time.monotonic()
         self._world.busy.discard("store")
 
+    async def restore_store(self, chance: random.Random) -> None:
+        """The store is away for a moment and comes back as it was some seconds before."""
+        if "store" in self._world.busy:
+            return
+        self._world.busy.add("store")
+        fault = self._world.ledger.fault("store", "back from an older copy")
+        for _ in range(chance.randint(0, MOST_LOST)):
+            self._world.platform.put("others", "row", {})
+        self._world.platform.mood = StoreMood.RESET
+        await asyncio.sleep(0.2 + 1.3 * chance.random())
+        self._world.restore_store(2.0 + 4.0 * chance.random())
+        self._world.platform.mood = StoreMood.GOOD
+        self._world.thawed.append(asyncio.get_running_loop().time())
+        fault.ends = time.monotonic()
+        self._world.busy.discard("store")
+        await asyncio.sleep(0.1 + 0.9 * chance.random())
+        self._world.write_again()
+        await asyncio.sleep(ENTRIES_LAPSE_S)
+        self._world.lapse_others()
+
     async def _leave_unheard(self) -> None:
         """A server leaves while the store is away, so that only its own answers say it."""
         if self._world.busy & {"store", "release"}:
@@ -324,9 +351,10 @@
         old = self._world.chance.choice(same)
         self._world.backends.remove(old)
         fault = self._world.ledger.fault("crash", old.id)
+        self._world.fall_silent(old.id)
         old.crash()
         await asyncio.sleep(LAPSE_S)
-        self._world.platform.drop("servers", old.id)
+        self._world.unlist(old.id)
         await asyncio.sleep(0.5)
         service = self._world.chance.choice(("plain", "model"))
         reuse = old.link if self._world.chance.random() < 0.5 else None
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -4,12 +4,13 @@
 import os
 import random
 import time
+from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 
 from standins.rows import Mood as StoreMood
-from standins.rows import RowsPlatform
+from standins.rows import RowsPlatform, StoreCopy
 from tests.gateway_world import HOST
 from tests.soak.backend import Backend
 from tests.soak.callers import Account
@@ -23,6 +24,9 @@
 START_S = 2.5
 SERVERS = {"plain": 3, "model": 3}
 
+OLDEST_COPY_S = 8.0
+"""Copies of the store are kept for this long."""
+
 BACK_S = 2.5
 """A server that a request ended is back within this time."""
 
@@ -42,6 +46,9 @@
     version: int = 0
     builds: Sequence[Path] = (ROOT,)
     returning: set[asyncio.Task[None]] = field(default_factory=set)
+    listed: dict[str, dict[str, object]] = field(default_factory=dict)
+    copies: deque[tuple[float, StoreCopy]] = field(default_factory=deque)
+    _config: dict[str, object] = field(default_factory=dict)
     _number: int = 0
 
     async def start(self, nodes: int) -> None:
@@ -128,6 +135,7 @@
         if old not in self.backends:
             return
         self.backends.remove(old)
+        self.fall_silent(old.id)
         task = asyncio.create_task(self._return(old))
         self.returning.add(task)
         task.add_done_callback(self.returning.discard)
@@ -139,7 +147,7 @@
             await self.add_backend(old.service, name=old.id)
             return
         await asyncio.sleep(BACK_S)
-        self.platform.drop("servers", old.id)
+        self.unlist(old.id)
         await self.add_backend(old.service)
 
     def list_backend(self, backend: Backend, state: str) -> None:
@@ -154,8 +162,54 @@
             "seq": 1,
             "born": backend.born,
         }
+        self.listed[backend.id] = entry
         self.platform.put("servers", backend.id, entry)
 
+    def unlist(self, name: str) -> None:
+        """Remove a server's entry, as the store does once it has ended."""
+        self.listed.pop(name, None)
+        self.platform.drop("servers", name)
+
+    def fall_silent(self, name: str) -> None:
+        """Have a server write its entry no more, which stays until it lapses."""
+        self.listed.pop(name, None)
+
+    def beat(self) -> None:
+        """Write the entries of all servers again, as their heartbeats do."""
+        if self.platform.mood is not StoreMood.GOOD:
+            return
+        for name, entry in self.listed.items():
+            entry["seq"] = int(str(entry["seq"])) + 1
+            self.platform.put("servers", name, entry)
+
+    def take_copy(self) -> None:
+        """Keep a copy of the store that it may come back from."""
+        now = time.monotonic()
+        self.copies.append((now, self.platform.copy()))
+        while now - self.copies[0][0] > OLDEST_COPY_S:
+            self.copies.popleft()
+
+    def restore_store(self, age_s: float) -> None:
+        """Let the store come back from the newest copy of at least an age."""
+        wanted = time.monotonic() - age_s
+        older = [copy for at, copy in self.copies if at <= wanted]
+        self.platform.restore(older[-1] if older else self.copies[0][1])
+        self.copies.clear()
+        self.take_copy()
+
+    def write_again(self) -> None:
+        """Write what the operator and the servers wrote, as these do after the store's return."""
+        self.platform.put("op", "config", self._config)
+        for name, entry in self.listed.items():
+            self.platform.put("servers", name, entry)
+
+    def lapse_others(self) -> None:
+        """Remove the entries that no server renews."""
+        names = [key for table, _, key in self.platform.rows if table == "servers"]
+        for name in names:
+            if name not in self.listed:
+                self.platform.drop("servers", name)
+
     def roll_version(self) -> None:
         """Let the operator write the next configuration; one route is in this version only."""
         self.version += 1 + self.chance.randint(0, 3)
@@ -182,6 +236,7 @@
             },
             "tenants": [_tenant(account) for account in ACCOUNTS],
         }
+        self._config = config
         self.platform.put("op", "config", config)
         keys = frozenset(account.key for account in ACCOUNTS)
         self.ledger.versions.append(Version(self.version, time.monotonic(), keys))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -28,6 +28,7 @@
 from tests.soak.soak import HEARTBEAT_S, SoakPlan, StallWatch, note_stall, play
 
 SEED = 7
+RESTORING_SEED = 13
 
 
 def run_of(request: str, server: str, at: float = 0.0, **changes: object) -> Run:
@@ -318,6 +319,13 @@
         self.assertGreater(result.served, 300)
         shutil.rmtree(result.folder, ignore_errors=True)
 
+    def test_short_soak_with_a_store_that_comes_back_from_older_copies_finds_nothing(self) -> None:
+        plan = SoakPlan(RESTORING_SEED, nodes=4, planned_s=1.0, chaos_s=10.0, rounds=1)
+        result = play(plan)
+        self.assertEqual(result.findings, [], result.faults)
+        self.assertGreater(sum("older copy" in fault for fault in result.faults), 1)
+        shutil.rmtree(result.folder, ignore_errors=True)
+
     def test_short_soak_beside_the_landing_before_finds_nothing(self) -> None:
         """Nodes go forth and back between both builds; where the history is missing it fails."""
         with tempfile.TemporaryDirectory(prefix="soak-build-") as folder:
