A holder tells the version of its lease with the era that it is of

Found reading the change: between hearing of a new era and its next renewal a holder told the former era's version under the new one, so its later renewals, with lower versions, were dropped by those that had heard it. They would have read the row again and again; no lease had two holders. The test failed before ((2, 11) where (1, 11) is meant).

--- a/src/moledale/gateway/lease_keeper.py
+++ b/src/moledale/gateway/lease_keeper.py
@@ -79,6 +79,7 @@
         self._nonce = nonce
         self._first_start = first_start
         self._era = UNKNOWN_ERA
+        self._version_era = UNKNOWN_ERA
         self._restored = False
         self._highest_fence = 0
         self._clock = StoreClock()
@@ -105,7 +106,7 @@
         if grant is None:
             return None
         age = monotonic() - self._renewed_at
-        return LeaseNews(grant.epoch, self.lease.version, age, self._era)
+        return LeaseNews(grant.epoch, self.lease.version, age, self._version_era)
 
     def lease_heard(self, now: float) -> HeldLease | None:
         """Return the lease that its holder told this node, to pass on.
@@ -117,7 +118,7 @@
         age_s = now - self._told_at
         if row is None or self.holder == NOBODY or age_s >= self._ttl_s or self.grant() is not None:
             return None
-        news = LeaseNews(row.epoch, self.lease.version, age_s, self._era)
+        news = LeaseNews(row.epoch, self.lease.version, age_s, self._version_era)
         return HeldLease(self.holder, news)
 
     def heard(self, holder: str, news: LeaseNews, now: float, passed_on: bool = False) -> None:
@@ -125,14 +126,19 @@
         self._highest_fence = max(self._highest_fence, news.fence)
         self._enter(news.era, now)
         told_at = EraVersion(news.era or self._era, news.version)
-        if self.grant() is not None or told_at < EraVersion(self._era, self.lease.version):
+        if self.grant() is not None or told_at < self._known_at():
             return
         self.holder = holder
+        self._version_era = told_at.era
         self._news_at = max(self._news_at, now - news.age_s)
         if not passed_on:
             self._told_at = now - news.age_s
         self.lease.saw(LeaseRow(holder, news.fence, ""), news.version, now - news.age_s)
 
+    def _known_at(self) -> EraVersion:
+        """Return the version of the row as it is known here, with its era."""
+        return EraVersion(self._version_era, self.lease.version)
+
     def gave_up(self, node: str, now: float) -> None:
         """Note that a node no longer says that it holds the lease."""
         if node != self.holder or self.grant() is not None:
@@ -215,6 +221,7 @@
             self._renew_at_once = True
             return
         self.lease.forget()
+        self._version_era = self._era
         self.holder = NOBODY
         self._news_at = max(self._news_at, now - self._ttl_s + RESTORED_WAIT_S)
         self._read_again_at = now + RESTORED_WAIT_S * self._crowd * self._random.random()
@@ -228,8 +235,7 @@
         row = msgspec.json.decode(standing.value, type=LeaseRow)
         self._highest_fence = max(self._highest_fence, row.epoch)
         if row.era != self._era and self.lease.grant(now) is not None:
-            self.lease.stands_at(standing.version)
-            self._renew_at_once = True
+            self._stands_at(standing.version)
             return
         if row.operation == self._pending and row.era == self._era:
             self._wrote(row, standing.version, self._pending_at)
@@ -244,9 +250,17 @@
         else:
             since = now
         self.lease.saw(row, standing.version, since)
+        self._version_era = self._era
+
+    def _stands_at(self, version: int) -> None:
+        """Have this node's lease renewed at once where the row stands now."""
+        self.lease.stands_at(version)
+        self._version_era = self._era
+        self._renew_at_once = True
 
     def _wrote(self, row: LeaseRow, version: int, sent_at: float) -> None:
         self.lease.wrote(row, version, sent_at)
+        self._version_era = self._era
         self._renew_at_once = False
         self._highest_fence = max(self._highest_fence, row.epoch)
         self._renewed_at = sent_at
--- a/src/moledale/gateway/rollouts.py
+++ b/src/moledale/gateway/rollouts.py
@@ -31,7 +31,6 @@
 """Requests of a route that a node sends to a new version sooner than others: routes with few
 requests would keep a good version waiting for evidence until the end of its time."""
 
-
 WRITTEN_AGAIN_S = 5.0
 """After a return of the store from an older copy, operators write again for so long what it lost.
 An order that asks for the same is no new one then."""
--- a/tests/test_gateway_lease.py
+++ b/tests/test_gateway_lease.py
@@ -365,6 +365,19 @@
 
         quietly(work())
 
+    def test_holder_tells_a_version_with_the_era_that_it_is_of(self) -> None:
+        async def work() -> None:
+            await self.one.step(0)
+            version = self.store.version
+            self.store.restore(None, 3)
+            self.store.down = True
+            await self.one.step(0)
+            news = self.one.news()
+            assert news is not None
+            self.assertEqual((news.era, news.version), (1, version))
+
+        quietly(work())
+
     def test_news_of_the_former_era_do_not_pass_for_newer(self) -> None:
         async def work() -> None:
             await self.one.step(0)
