A holder goes on though the store came back from a copy without the row of its lease

Found reading the change: its renewal was refused without a row to renew, so it gave up once its grant had run out, and duties stood still for two times to live. It writes the row anew now, under the condition that there is none. The test failed before (no grant).

--- a/src/moledale/gateway/lease_keeper.py
+++ b/src/moledale/gateway/lease_keeper.py
@@ -295,6 +295,8 @@
             self._saw(StateRow(LEASE_KEY, value, written.version), written.store_s, answered_at)
         elif written.standing is not None:
             self._saw(written.standing, written.store_s, answered_at)
+        elif self.lease.grant(answered_at) is not None:
+            self._stands_at(ABSENT)
         self._tell_change(answered_at)
 
     def _tell_change(self, now: float) -> None:
--- a/tests/test_gateway_lease.py
+++ b/tests/test_gateway_lease.py
@@ -378,6 +378,20 @@
 
         quietly(work())
 
+    def test_holder_goes_on_though_the_copy_has_no_row(self) -> None:
+        async def work() -> None:
+            await self.one.step(0)
+            held = self.one.grant()
+            assert held is not None
+            self.store.restore(None, 3)
+            while monotonic() < held.until + TTL_S:
+                await self.one.step(0)
+                self.assertIsNotNone(self.one.grant())
+                await asyncio.sleep(0.02)
+            self.assertEqual((self.store.holds().epoch, self.store.holds().era), (held.epoch, 2))
+
+        quietly(work())
+
     def test_news_of_the_former_era_do_not_pass_for_newer(self) -> None:
         async def work() -> None:
             await self.one.step(0)
