Eleven mechanisms of returns of the store whose absence tests must notice

One was not at first: the missing row of a lease, as the wait before candidates read the row was longer than a lease of the tests; these use a shorter one now.

--- a/tests/test_gateway_lease.py
+++ b/tests/test_gateway_lease.py
@@ -3,12 +3,14 @@
 import asyncio
 import unittest
 from collections.abc import Callable
+from unittest import mock
 
 import msgspec
 from result import Err, Ok, Result
 
 from moledale.clock import monotonic
 from moledale.core.leases import Grant, LeaseRow
+from moledale.gateway import lease_keeper
 from moledale.gateway.balance import ServerBook
 from moledale.gateway.duties import HEARD_AFTER_S, SETTLE_S, Duties
 from moledale.gateway.lease_keeper import LEASE_KEY, NOBODY, LeaseKeeper, StoreClock
@@ -277,6 +279,10 @@
         self.store = OneRow()
         self.store.era.heard(1)
         self.one, self.two = keeper(self.store, "one"), keeper(self.store, "two")
+        # Times of the test are shorter than those of nodes.
+        short = mock.patch.object(lease_keeper, "RESTORED_WAIT_S", 0.02)
+        short.start()
+        self.addCleanup(short.stop)
 
     async def _held_by_one_after(self, age_s: float) -> None:
         """Let one take the lease of a row that was renewed long ago; the store then forgets it."""
--- a/tests/test_lease_over_restores.py
+++ b/tests/test_lease_over_restores.py
@@ -3,10 +3,12 @@
 import asyncio
 import random
 import unittest
+from unittest import mock
 
 from result import Err, Result
 
 from moledale.clock import monotonic
+from moledale.gateway import lease_keeper
 from moledale.gateway.lease_keeper import LeaseKeeper
 from moledale.gateway.outside import Reading, StateRow, Trouble, Written
 from moledale.gateway.settings import Bounds
@@ -114,6 +116,7 @@
                 cut = nodes[self.held[-1][0]] if self.held else self.chance.choice(nodes)
                 cut.cut_until = monotonic() + 0.4 * self.chance.random()
 
+    @mock.patch.object(lease_keeper, "RESTORED_WAIT_S", 0.02)
     async def play(self, seed: int) -> None:
         self.chance.seed(seed)
         store = ForgetfulStore(self.chance)
--- a/tools/without_gateway.py
+++ b/tools/without_gateway.py
@@ -9,6 +9,7 @@
 from moledale.core import rollouts
 from moledale.core.pacing import Pacer
 from moledale.core.quarantine import Quarantine
+from moledale.core.rollouts import RolloutOrder
 from moledale.gateway import (
     directory,
     document_codec,
@@ -28,6 +29,8 @@
 from moledale.gateway.cold_start import ColdStart
 from moledale.gateway.document_archive import DocumentArchive, DocumentPiece, UploadBudget
 from moledale.gateway.document_fetch import DocumentFetch, Transfer
+from moledale.gateway.duties import Duties
+from moledale.gateway.ended_servers import EndedServers
 from moledale.gateway.engine_costs import EngineCosts
 from moledale.gateway.evacuation import Evacuation
 from moledale.gateway.events import EventCutter
@@ -57,14 +60,16 @@
 from moledale.gateway.server_standing import ServerStanding
 from moledale.gateway.server_view import ServerView
 from moledale.gateway.stated_limit import StatedLimit
+from moledale.gateway.store_era import StoreEra
 from moledale.gateway.upstream import UpstreamConnection
 from moledale.gateway.work import WorkMeter
-from moledale.platform import entries
+from moledale.platform import entries, store
 from moledale.platform.entries import Entries
 from moledale.platform.headers import PlatformHeaders
 
 BYTES = "tests.test_gateway_forwarding"
 NODES = "tests.test_gateway_nodes"
+RESTORED = "tests.test_store_restored tests.test_store_era"
 LEASE = "tests.test_gateway_lease"
 STATE = "tests.test_gateway_state"
 LIMITS = "tests.test_gateway_limits"
@@ -163,6 +168,15 @@
         self.data += piece.data
 
 
+async def _void_nothing(*_: object) -> None:
+    """Leave counts in the store that were kept in another era."""
+
+
+def _restore_unheard(self: StoreEra, era: int, _age_s: float = 0.0) -> None:
+    """Follow the era, and tell nobody of it."""
+    self.number = max(self.number, era)
+
+
 def _heard_as_told(
     self: LeaseKeeper, holder: str, news: LeaseNews, now: float, passed_on: bool = False
 ) -> None:
@@ -290,4 +304,21 @@
     ("the holder's looks are reckoned with", rollouts, "STEPS_AFTER_RISE", 0,
      "tests.test_rollout_timing"),
     ("as many serve as requests need", directory, "REQUEST_CORE_S", 1e-9, MEMBERSHIP),
+    ("answers of the store name its era", store, "count_in", lambda *_: None, RESTORED),
+    ("a list read in vain is followed by a pause", FleetWatch, "_read_in_vain", lambda *_: None,
+     "tests.test_server_list"),
+    ("servers that had ended are not used again", EndedServers, "of", lambda *_: None,
+     "tests.test_server_list"),
+    ("fences are numbered by era", lease_keeper, "FENCES_PER_ERA", 0, LEASE),
+    ("a holder goes on over a return of the store", LeaseKeeper, "_stands_at", lambda *_: None,
+     LEASE),
+    ("a missing row is no free lease", LeaseKeeper, "_may_take_missing", lambda *_: True, LEASE),
+    ("what is known of a row ends with its era", LeaseKeeper, "_enter", lambda *_: None, LEASE),
+    ("windows whose counts may be lost aren't counted anew", Duties, "_is_first_to_report",
+     lambda *_: True, LEASE),
+    ("counts kept in a later era are taken back", Duties, "_void", _void_nothing, LEASE),
+    ("an order that is written again is no new one", RolloutOrder, "asks_the_same",
+     lambda *_: False, "tests.test_rollouts.RestoredOrderTest"),
+    ("rows that the store may have lost are written again", StoreEra, "heard", _restore_unheard,
+     RESTORED),
 ]  # fmt: skip
