--- a/tests/test_gateway_lease.py
+++ b/tests/test_gateway_lease.py
@@ -2,22 +2,18 @@
 
 import asyncio
 import unittest
-from collections.abc import Callable
 from unittest import mock
 
 import msgspec
 from result import Err, Ok, Result
 
 from moledale.clock import monotonic
-from moledale.core.leases import Grant, LeaseRow
+from moledale.core.leases import LeaseRow
 from moledale.gateway import lease_keeper
-from moledale.gateway.balance import ServerBook
-from moledale.gateway.duties import HEARD_AFTER_S, SETTLE_S, Duties
 from moledale.gateway.lease_keeper import LEASE_KEY, NOBODY, LeaseKeeper, StoreClock
 from moledale.gateway.outside import Reading, StateRow, Trouble, Written
-from moledale.gateway.peers import LeaseNews, Membership
+from moledale.gateway.peers import LeaseNews
 from moledale.gateway.settings import Bounds
-from moledale.gateway.sharing import Sharing
 from moledale.gateway.store_era import StoreEra
 from tests.gateway_world import quietly
 
@@ -412,215 +408,5 @@
         quietly(work())
 
 
-class HeldForEver:
-    """A lease that this node holds with a fence."""
-
-    epoch = 3
-
-    def grant(self) -> Grant | None:
-        """Return proof of the lease."""
-        return Grant(LEASE_KEY, self.epoch, 1e18, 0.0)
-
-
-class ReportLog:
-    """The cloud, which notes what is reported."""
-
-    def __init__(self) -> None:
-        self.reported: list[int] = []
-        self.counts: list[object] = []
-
-    async def report_usage(self, *report: object) -> None:
-        """Note the window."""
-        self.reported.append(int(str(report[2])))
-        self.counts.append(report[3])
-
-
-class NoRollouts:
-    """No roll-out was ordered."""
-
-    def begin(self) -> None:
-        """Forget nothing."""
-
-    async def step(self, _: object) -> None:
-        """Carry nothing on."""
-
-
-def duties_of(
-    node: str,
-    keeper: HeldForEver,
-    store: OneRow,
-    log: ReportLog,
-    sharing: Sharing,
-    now: Callable[[], float] = monotonic,
-) -> Duties:
-    """Return the duties of a node that holds the lease."""
-    return Duties(
-        node,
-        keeper,  # type: ignore[arg-type]
-        store,  # type: ignore[arg-type]
-        log,  # type: ignore[arg-type]
-        sharing,
-        ServerBook("a"),
-        lambda: None,
-        False,
-        NoRollouts(),  # type: ignore[arg-type]
-        now,
-    )
-
-
-class Holder:
-    """A node that holds the lease and counts requests by a wall clock of the test."""
-
-    def __init__(self, node: str, world: "UsageWorld") -> None:
-        bounds = Bounds(usage_window_s=5.0)
-        self.keeper = HeldForEver()
-        self.sharing = Sharing(Membership(node, 1), bounds, world.now, world.wall)
-        self.duties = duties_of(node, self.keeper, world.store, world.log, self.sharing, world.now)
-
-
-class UsageWorld:
-    """Holders of the lease that follow each other, a store that restores, and a virtual clock."""
-
-    def __init__(self) -> None:
-        self.at = 1_000.0
-        self.store = OneRow()
-        self.store.era = StoreEra(self.now)
-        self.store.era.heard(1)
-        self.log = ReportLog()
-
-    def now(self) -> float:
-        """Return the time of the monotonic clock."""
-        return self.at
-
-    def wall(self) -> float:
-        """Return the time of day."""
-        return self.at
-
-    async def run(self, holder: Holder, until: float) -> None:
-        """Let a holder do what is due."""
-        while self.at < until:
-            self.at += 0.2
-            await holder.duties.step()
-
-
-class UsageOverRestoresTest(unittest.TestCase):
-    """The store lost which counts of a window were kept, and the platform has them."""
-
-    def setUp(self) -> None:
-        self.world = UsageWorld()
-        self.first, self.second = Holder("n1", self.world), Holder("n2", self.world)
-        self.second.keeper.epoch += 1
-        for holder, number in ((self.first, 3), (self.second, 2)):
-            for _ in range(number):
-                holder.sharing.started("north")
-
-    def counts_of_first_window(self) -> list[object]:
-        log = self.world.log
-        told = zip(log.reported, log.counts, strict=True)
-        return [counts for window, counts in told if window == 200]
-
-    def test_window_whose_counts_the_store_lost_is_not_counted_anew_by_the_next_holder(
-        self,
-    ) -> None:
-        async def work() -> None:
-            world = self.world
-            await world.run(self.first, 1_008.0)
-            self.assertEqual(self.counts_of_first_window(), [{"north": 3}])
-            world.store.restore(None, 5)
-            await world.run(self.second, 1_012.0)
-            self.assertEqual(self.counts_of_first_window(), [{"north": 3}])
-
-        quietly(work())
-
-    def test_holder_that_goes_on_reports_what_it_had_not_yet(self) -> None:
-        async def work() -> None:
-            world = self.world
-            await world.run(self.first, 1_005.5)
-            world.store.restore(None, 5)
-            await world.run(self.first, 1_008.0)
-            self.assertEqual(self.counts_of_first_window(), [{"north": 3}])
-
-        quietly(work())
-
-    def test_window_that_ends_after_the_stores_return_is_counted_by_the_next_holder(self) -> None:
-        async def work() -> None:
-            world = self.world
-            await world.run(self.first, 1_004.0)
-            world.store.restore(None, 5)
-            await world.run(self.second, 1_008.0)
-            self.assertEqual(self.counts_of_first_window(), [{"north": 2}])
-
-        quietly(work())
-
-    def test_counts_that_the_copy_has_are_reported_again_as_they_were(self) -> None:
-        async def work() -> None:
-            world = self.world
-            await world.run(self.first, 1_008.0)
-            world.store.restore(world.store.row, 50)
-            await world.run(self.second, 1_012.0)
-            self.assertEqual(self.counts_of_first_window(), [{"north": 3}] * 2)
-
-        quietly(work())
-
-    def test_node_that_starts_knows_from_its_peers_that_no_counts_were_lost(self) -> None:
-        async def work() -> None:
-            world = self.world
-            await world.run(self.first, 1_006.0)
-            restarted = Holder("n2", world)
-            world.store.era = restarted.duties._store.era = StoreEra(world.now)
-            world.store.era.heard(1)
-            world.store.era.heard(1, age_s=60.0)
-            restarted.sharing.started("north")
-            restarted.sharing.usage.started = {200: {"north": 2}}
-            await world.run(restarted, 1_009.0)
-            self.assertEqual(self.counts_of_first_window(), [{"north": 2}])
-
-        quietly(work())
-
-    def test_counts_kept_while_the_store_came_back_are_taken_back(self) -> None:
-        async def work() -> None:
-            world = self.world
-            writes = world.store.write
-
-            async def restoring(*call: object) -> Result[Written, Trouble]:
-                world.store.write = writes  # type: ignore[method-assign]
-                world.store.restore(None, 5)
-                return await writes(*call)  # type: ignore[arg-type]
-
-            world.store.write = restoring  # type: ignore[assignment,method-assign]
-            await world.run(self.first, 1_008.0)
-            await world.run(self.second, 1_012.0)
-            self.assertEqual(self.counts_of_first_window(), [])
-
-        quietly(work())
-
-
-class NewHolderTest(unittest.TestCase):
-    def test_new_holder_reports_no_usage_before_it_can_have_heard_of_it(self) -> None:
-        async def work() -> None:
-            log, keeper = ReportLog(), HeldForEver()
-            wall = 1_002.0
-            sharing = Sharing(Membership("n1", 1), Bounds(usage_window_s=5.0), wall=lambda: wall)
-            duties = duties_of("n1", keeper, OneRow(), log, sharing)
-            sharing.started("north")
-            wall = 1_005.1 + SETTLE_S
-            began = monotonic()
-            while not log.reported:
-                await duties.step()
-                await asyncio.sleep(0.02)
-            self.assertGreaterEqual(monotonic() - began, HEARD_AFTER_S)
-            sharing.started("north")
-            wall += 5.0
-            await duties.step()
-            self.assertEqual(len(log.reported), 2, "a holder of some time reports at once")
-            keeper.epoch += 1
-            sharing.started("north")
-            wall += 5.0
-            await duties.step()
-            self.assertEqual(len(log.reported), 2)
-
-        quietly(work())
-
-
 if __name__ == "__main__":
     unittest.main()
