--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -118,7 +118,7 @@
     @given(JSON)
     def test_plans_and_orders(self, value: object) -> None:
         raw = msgspec.json.encode(value)
-        for read in (lambda: read_config(raw), lambda: read_rollout(row(raw), 1.0)):
+        for read in (lambda: read_config(raw), lambda: read_rollout(row(raw), 1.0, 1)):
             with contextlib.suppress(ValueError):
                 read()
 
@@ -126,7 +126,7 @@
     @given(JSON)
     def test_phases(self, value: object) -> None:
         body = {"service": "s", "targetVersion": "v2", "durationS": 8.0}
-        order = read_rollout(row(msgspec.json.encode(body)), 1.0)
+        order = read_rollout(row(msgspec.json.encode(body)), 1.0, 1)
         with contextlib.suppress(ValueError):
             read_phase(row(msgspec.json.encode(value)), order)
 
