Soak: a restore of the store that is due during another of its troubles is played after it

Cause: a restore was passed over while another trouble had the store in hand.

Restores draw first and then wait for the store. The check is as it was. The four troubles of the store share what they noted by hand.

--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -1,9 +1,10 @@
 """What happens in a soak: planned work of operators, and troubles that nobody planned."""
 
 import asyncio
+import contextlib
 import random
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import AsyncIterator, Callable, Coroutine
 
 from standins.rows import Mood as StoreMood
 from tests.soak.backend import GUILTY, Backend, Mood
@@ -43,6 +44,7 @@
     def __init__(self, world: SoakWorld) -> None:
         self._world = world
         self._guilty = 0
+        self._store = asyncio.Lock()
 
     def planned(self) -> list[Trouble]:
         """Return what operators do; nothing of it may cut a request."""
@@ -208,59 +210,58 @@
         backend = self._world.chance.choice(self._world.backends)
         await self._turn("server link", backend.id, backend.link)
 
+    @contextlib.asynccontextmanager
+    async def _store_in_hand(self, what: str) -> AsyncIterator[None]:
+        """Note a trouble of the store from its begin to its end; another one waits for that."""
+        async with self._store:
+            self._world.busy.add("store")
+            fault = self._world.ledger.fault("store", what)
+            yield
+            self._world.thawed.append(asyncio.get_running_loop().time())
+            fault.ends = time.monotonic()
+            self._world.busy.discard("store")
+
     async def _store_mood(self) -> None:
         if "store" in self._world.busy:
             return
-        self._world.busy.add("store")
         mood = self._world.chance.choice(
             (StoreMood.BUSY, StoreMood.SILENT, StoreMood.RESET, StoreMood.LOSES, None)
         )
-        fault = self._world.ledger.fault("store", mood.value if mood else "slow")
-        self._world.platform.delay_s = 0.0 if mood else 0.3
-        self._world.platform.mood = mood or StoreMood.GOOD
-        await asyncio.sleep(self._for_s())
-        self._world.platform.mood = StoreMood.GOOD
-        self._world.platform.delay_s = 0.0
-        self._world.thawed.append(asyncio.get_running_loop().time())
-        fault.ends = time.monotonic()
-        self._world.busy.discard("store")
+        async with self._store_in_hand(mood.value if mood else "slow"):
+            self._world.platform.delay_s = 0.0 if mood else 0.3
+            self._world.platform.mood = mood or StoreMood.GOOD
+            await asyncio.sleep(self._for_s())
+            self._world.platform.mood = StoreMood.GOOD
+            self._world.platform.delay_s = 0.0
 
     async def _lapse_entries(self) -> None:
         """The store is away so long that entries lapse; they are back a second after it is."""
         if "store" in self._world.busy:
             return
-        self._world.busy.add("store")
-        fault = self._world.ledger.fault("store", "silent, entries lapse")
-        self._world.platform.mood = StoreMood.SILENT
-        await asyncio.sleep(AWAY_S)
-        lapsed = list(self._world.backends)
-        for backend in lapsed:
-            self._world.unlist(backend.id)
-        self._world.platform.mood = StoreMood.GOOD
-        await asyncio.sleep(1.0)
-        for backend in lapsed:
-            if backend in self._world.backends:
-                self._world.list_backend(backend, "ready")
-        self._world.thawed.append(asyncio.get_running_loop().time())
-        fault.ends = time.monotonic()
-        self._world.busy.discard("store")
+        async with self._store_in_hand("silent, entries lapse"):
+            self._world.platform.mood = StoreMood.SILENT
+            await asyncio.sleep(AWAY_S)
+            lapsed = list(self._world.backends)
+            for backend in lapsed:
+                self._world.unlist(backend.id)
+            self._world.platform.mood = StoreMood.GOOD
+            await asyncio.sleep(1.0)
+            for backend in lapsed:
+                if backend in self._world.backends:
+                    self._world.list_backend(backend, "ready")
 
     async def restore_store(self, chance: random.Random) -> None:
         """The store is away for a moment and comes back as it was some seconds before."""
-        if "store" in self._world.busy:
-            return
-        self._world.busy.add("store")
-        fault = self._world.ledger.fault("store", "back from an older copy")
-        for _ in range(chance.randint(0, MOST_LOST)):
-            self._world.platform.put("others", "row", {})
-        self._world.platform.mood = StoreMood.RESET
-        await asyncio.sleep(0.2 + 1.3 * chance.random())
-        self._world.restore_store(2.0 + 4.0 * chance.random())
-        self._world.platform.mood = StoreMood.GOOD
-        self._world.thawed.append(asyncio.get_running_loop().time())
-        fault.ends = time.monotonic()
-        self._world.busy.discard("store")
-        await asyncio.sleep(0.1 + 0.9 * chance.random())
+        lost = chance.randint(0, MOST_LOST)
+        away, age, pause = chance.random(), chance.random(), chance.random()
+        async with self._store_in_hand("back from an older copy"):
+            for _ in range(lost):
+                self._world.platform.put("others", "row", {})
+            self._world.platform.mood = StoreMood.RESET
+            await asyncio.sleep(0.2 + 1.3 * away)
+            self._world.restore_store(2.0 + 4.0 * age)
+            self._world.platform.mood = StoreMood.GOOD
+        await asyncio.sleep(0.1 + 0.9 * pause)
         self._world.write_again()
         await asyncio.sleep(ENTRIES_LAPSE_S)
         self._world.lapse_others()
@@ -269,21 +270,18 @@
         """A server leaves while the store is away, so that only its own answers say it."""
         if self._world.busy & {"store", "release"}:
             return
-        self._world.busy |= {"store", "release"}
+        self._world.busy.add("release")
         old = self._world.chance.choice(self._world.backends)
         await self._world.add_backend(old.service)
         await asyncio.sleep(1.0)
-        fault = self._world.ledger.fault("store", f"silent, {old.id} leaves")
-        self._world.platform.mood = StoreMood.SILENT
-        if old in self._world.backends:
-            self._world.backends.remove(old)
-        old.leaving = True
-        await asyncio.sleep(AWAY_S + self._for_s())
-        self._world.platform.mood = StoreMood.GOOD
-        self._list_as_leaving(old)
-        self._world.thawed.append(asyncio.get_running_loop().time())
-        fault.ends = time.monotonic()
-        self._world.busy.discard("store")
+        async with self._store_in_hand(f"silent, {old.id} leaves"):
+            self._world.platform.mood = StoreMood.SILENT
+            if old in self._world.backends:
+                self._world.backends.remove(old)
+            old.leaving = True
+            await asyncio.sleep(AWAY_S + self._for_s())
+            self._world.platform.mood = StoreMood.GOOD
+            self._list_as_leaving(old)
         await self._end(old)
         self._world.busy.discard("release")
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -26,6 +26,8 @@
     Version,
 )
 from tests.soak.soak import HEARTBEAT_S, SoakPlan, StallWatch, note_stall, play
+from tests.soak.troubles import Troubles
+from tests.soak.world import SoakWorld
 
 SEED = 7
 RESTORING_SEED = 13
@@ -312,6 +314,24 @@
             self.assertIn(asyncio.run(work(Path(folder))), (0, -9))
 
 
+class TroublesTest(unittest.IsolatedAsyncioTestCase):
+    async def test_restore_that_is_due_during_another_trouble_of_the_store_is_played_after_it(
+        self,
+    ) -> None:
+        world = SoakWorld(Path(), random.Random(1))
+        world.roll_version()
+        world.take_copy()
+        troubles = Troubles(world)
+        outage = asyncio.create_task(troubles._store_mood())
+        await asyncio.sleep(0.1)
+        with mock.patch("tests.soak.troubles.ENTRIES_LAPSE_S", 0.0):
+            await troubles.restore_store(random.Random(1))
+        self.assertTrue(outage.done())
+        restore = world.ledger.faults[-1]
+        self.assertEqual(restore.what, "back from an older copy")
+        self.assertGreaterEqual(restore.begins, world.ledger.faults[0].ends)
+
+
 class ShortSoakTest(unittest.TestCase):
     def test_short_soak_with_a_fixed_seed_finds_nothing(self) -> None:
         result = play(SoakPlan(SEED, nodes=4, planned_s=4.0, chaos_s=5.0, rounds=1))
