Soak: nodes note the spans in which they did not run, and when they leave their program

Times of a log can't tell a process that had no CPU from one that was busy, and they follow the time of day, which the soak itself lets jump by -4, 4 and 30 s.

A thread of each node notes on the steady clock when it woke up late by over half a second, with the CPU time of the process, its wait for a CPU and the time that the host took. Nothing is excused by it.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -50,6 +50,7 @@
             failed += 1
             for finding in result.findings[:MOST_SHOWN]:
                 print(f"  {finding}")
+            (result.folder / "events").write_text("\n".join(result.faults + result.stalls) + "\n")
             print(f"  logs kept in {result.folder.name} of the temporary folder", flush=True)
         else:
             shutil.rmtree(result.folder, ignore_errors=True)
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -346,7 +346,8 @@
         if not end.asked:
             yield f"{end.node} ended by itself with code {end.code}"
         elif took_s is not None and end.code == 0 and took_s > STOP_S + STOP_SLACK_S:
-            yield f"{end.node}: a planned stop took {took_s:.1f} s"
+            at = end.at - ledger.began
+            yield f"{end.node}: a planned stop took {took_s:.1f} s, its end was seen at {at:.2f}"
         elif end.code not in (0, -9):
             yield f"{end.node}: ended with code {end.code}"
 
--- a/tests/soak/process.py
+++ b/tests/soak/process.py
@@ -138,6 +138,7 @@
             "PYTHONPATH": f"{build / 'src'}",
             "MOLEDALE_NODE_FILE": str(self._folder / f"{self.name}.toml"),
             "SOAK_STEP_FILE": str(self._folder / f"{self.name}.step"),
+            "SOAK_STALL_FILE": str(self._folder / f"{self.name}.stalls"),
         }
         with (self._folder / f"{self.name}.log").open("ab") as log:
             self._log_begins = log.tell()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -13,6 +13,7 @@
 from tests.soak.checks import CHECKS, RECOVERY_S, duties_by_one, limits_hold
 from tests.soak.process import ROOT
 from tests.soak.records import STOOD_STILL, Ledger
+from tests.soak.stalls import stall_lines
 from tests.soak.troubles import Trouble, Troubles
 from tests.soak.world import ACCOUNTS, LIMITS, SoakWorld
 
@@ -96,6 +97,7 @@
     faults: list[str]
     folder: Path
     former_lives: int
+    stalls: list[str]
 
 
 class Soak:
@@ -140,6 +142,7 @@
             faults,
             self._world.folder,
             len(ledger.former_builds),
+            stall_lines(self._world.folder, ledger.began),
         )
 
     async def _play(self) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,11 +1,15 @@
 """The soak's checks find what they are for, and a short soak with a fixed seed finds nothing."""
 
 import asyncio
+import json
 import os
 import random
 import shutil
+import signal
+import subprocess
 import sys
 import tempfile
+import time
 import unittest
 from pathlib import Path
 from unittest import mock
@@ -14,7 +18,7 @@
 from tests.soak import checks
 from tests.soak.backend import EVENTS, GUILTY, Backend, event_of, plain_body
 from tests.soak.former import LANDED, sources_of
-from tests.soak.process import NodeProcess
+from tests.soak.process import ROOT, NodeProcess
 from tests.soak.records import (
     Attempt,
     Declined,
@@ -26,6 +30,7 @@
     Version,
 )
 from tests.soak.soak import HEARTBEAT_S, SoakPlan, StallWatch, note_stall, play
+from tests.soak.stalls import stall_lines
 from tests.soak.troubles import Troubles
 from tests.soak.world import SoakWorld
 
@@ -314,6 +319,52 @@
             self.assertIn(asyncio.run(work(Path(folder))), (0, -9))
 
 
+class StallsTest(unittest.TestCase):
+    def test_lines_tell_a_process_that_had_no_cpu_from_one_that_was_busy(self) -> None:
+        busy = {"cpu_s": 3.9, "waited_s": 0.0, "stolen_s": 0.1}
+        away = {"cpu_s": 0.0, "waited_s": 0.2, "stolen_s": 4.1}
+        span = {"what": "did not run", "began": 12.0, "ended": 16.0}
+        with tempfile.TemporaryDirectory() as folder:
+            Path(folder, "n1.stalls").write_text(json.dumps({**span, **busy}) + "\n")
+            Path(folder, "n0.stalls").write_text(json.dumps({**span, **away, "began": 11.9}) + "\n")
+            lines = stall_lines(Path(folder), 10.0)
+        self.assertEqual(
+            lines,
+            [
+                "   1.90 n0 did not run for 4.10 s: 0.00 s on a CPU, 0.20 s ready to run, "
+                "4.10 s taken by the host",
+                "   2.00 n1 did not run for 4.00 s: 3.90 s on a CPU, 0.00 s ready to run, "
+                "0.10 s taken by the host",
+            ],
+        )
+
+    def test_process_that_was_frozen_notes_the_span_and_its_end(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            program = Path(folder, "deploy", "launch.py")
+            program.parent.mkdir()
+            program.write_text("print('up', flush=True)\ninput()\n")
+            main = Path(folder, "tests", "soak", "node_main.py")
+            main.parent.mkdir(parents=True)
+            shutil.copy(ROOT / "tests" / "soak" / "node_main.py", main)
+            process = subprocess.Popen(
+                [sys.executable, str(main)],
+                env={"SOAK_STALL_FILE": str(Path(folder, "n0.stalls"))},
+                stdin=subprocess.PIPE,
+                stdout=subprocess.PIPE,
+            )
+            assert process.stdout is not None
+            process.stdout.readline()
+            time.sleep(0.2)
+            process.send_signal(signal.SIGSTOP)
+            time.sleep(1.0)
+            process.send_signal(signal.SIGCONT)
+            time.sleep(0.3)
+            process.communicate(b"\n")
+            lines = stall_lines(Path(folder), 0.0)
+        self.assertIn("n0 did not run for", lines[0])
+        self.assertIn("n0 left its program", lines[-1])
+
+
 class TroublesTest(unittest.IsolatedAsyncioTestCase):
     async def test_restore_that_is_due_during_another_trouble_of_the_store_is_played_after_it(
         self,
