Duties: ordering servers in a module of its own

duties.py (277 lines) held the report of usage and the orders of servers, which share the lease and nothing else. RentingDuty watches demand and sends orders, as RolloutDuty does for roll-outs; its orders are made in three short steps.

--- a/src/moledale/gateway/duties.py
+++ b/src/moledale/gateway/duties.py
@@ -1,21 +1,18 @@
-"""What one node at a time does for all: usage, orders of servers, roll-outs of their versions."""
+"""What one node does for all while it holds the lease: usage, servers, roll-outs."""
 
 import asyncio
 from collections.abc import Callable
 
 import msgspec
-from result import Err, Ok
+from result import Err
 
 from moledale.clock import monotonic
-from moledale.gateway.balance import ServerBook
 from moledale.gateway.lease_keeper import LeaseKeeper
 from moledale.gateway.outside import ABSENT, Orders, Store
-from moledale.gateway.plan import PlanIndex
-from moledale.gateway.renting import Demand, Load, RentingPlanner, needed
+from moledale.gateway.renting_duty import RentingDuty
 from moledale.gateway.rollout_duty import RolloutDuty
 from moledale.gateway.sharing import Sharing
 from moledale.gateway.usage import total_of
-from moledale.gateway.work import OWN_LIFE, WorkMeter
 from moledale.log import Event, emit
 
 USAGE_TABLE = "usage"
@@ -36,9 +33,6 @@
 holder only: they hear of it within a round or a second, and tell within a round; a report that is
 sooner freezes too few. Counts of nodes in reserve may come a little later still."""
 
-PLAN_S = 0.5
-"""Servers are planned this often: eight times in the boot of a server, 4 s at the users'."""
-
 BACK_WINDOWS = 2
 """A new holder reports so many windows before the current one: 10 s, as long as reports may be
 late."""
@@ -52,7 +46,7 @@
 
 
 class Duties:
-    """Reports usage and orders servers while the lease is held."""
+    """Reports usage and steps the other duties while the lease is held."""
 
     def __init__(
         self,
@@ -61,50 +55,40 @@
         store: Store,
         orders: Orders,
         sharing: Sharing,
-        book: ServerBook,
-        index: Callable[[], PlanIndex | None],
-        first_start: bool,
+        renting: RentingDuty,
         rollouts: RolloutDuty,
         now: Callable[[], float] = monotonic,
     ) -> None:
         self.acting = asyncio.Lock()
-        self._first_start = first_start
         self._node = node
         self._keeper = keeper
         self._store = store
         self._orders = orders
         self._sharing = sharing
-        self._book = book
-        self._index = index
+        self._renting = renting
         self._rollouts = rollouts
         self._now = now
         self._done: set[int] = set()
         self._frozen: dict[int, WindowRow] = {}
         self._first_window: int | None = None
-        self._planners: dict[str, RentingPlanner] = {}
-        self._demands: dict[str, Demand] = {}
-        self._work = WorkMeter()
-        self._work.note(OWN_LIFE, {})
-        self._planned_at = -1e9
-        self._watched_at = -1e9
         self._epoch = 0
         self._held_since = -1e9
 
     async def step(self) -> None:
         """Do what is due; demand is watched by all nodes, so that any of them may take over."""
-        self._watch_demand(self._now())
+        self._renting.watch_demand()
         grant = self._keeper.grant()
         if grant is None:
             return
         if grant.epoch != self._epoch:
             self._epoch = grant.epoch
             self._held_since = self._now()
-            self._planners.clear()
+            self._renting.begin()
             self._rollouts.begin()
         async with self.acting:
             await asyncio.gather(
                 self._report_usage(),
-                self._rent(),
+                self._renting.step(),
                 self._rollouts.step(lambda: self._keeper.grant() is not None),
             )
 
@@ -206,72 +190,3 @@
         key = str(window % USAGE_ROWS)
         await self._store.write(USAGE_TABLE, key, value, version, CALL_TIMEOUT_S)
         emit(Event.USAGE_FAILED, window=window, why="the store came back from an older copy")
-
-    async def _rent(self) -> None:
-        now = self._now()
-        index = self._index()
-        if index is None or now - self._planned_at < PLAN_S:
-            return
-        self._planned_at = now
-        for service in index.services.values():
-            if service.renting is None or service.name not in self._demands:
-                continue
-            # Servers of a version on trial stand beside those that the orders are about.
-            group = self._book.group(service.name)
-            servers = [view.server for view in group.allowed()]
-            planner = self._planner(service.name)
-            usual_per_s = self._sharing.requests_per_s(service.name, now) / max(1, len(servers))
-            boot_s = service.renting.boot_s
-            planner.unavailable = group.unavailable(now, boot_s)
-            planner.unavailable += group.limited.lost(now, usual_per_s, boot_s)
-            for order in planner.orders(service.renting, servers, now):
-                grant = self._keeper.grant()
-                if grant is None:
-                    return
-                outcome = await self._orders.order_servers(
-                    self._node, grant.epoch, order.service, order.hall, order.number, order.spot
-                )
-                accepted = isinstance(outcome, Ok) and outcome.ok_value
-                planner.ordered(order, accepted, self._now())
-                emit(
-                    Event.SERVERS_ORDERED,
-                    hall=order.hall,
-                    spot=order.spot,
-                    number=order.number,
-                    accepted=accepted,
-                    need=planner.need(service.renting),
-                    work_per_s=round(planner.demand.rate),
-                    running=self._book.running(service.name),
-                    waiting=self._book.waiting(service.name),
-                    learnt=self._book.learner(service.name).speed(now),
-                )
-
-    def _planner(self, service: str) -> RentingPlanner:
-        planner = self._planners.get(service)
-        if planner is None:
-            planner = RentingPlanner(service, self._first_start, self._demands[service])
-            self._planners[service] = planner
-        return planner
-
-    def _watch_demand(self, now: float) -> None:
-        index = self._index()
-        if index is None or now - self._watched_at < PLAN_S:
-            return
-        self._watched_at = now
-        self._work.note(OWN_LIFE, self._book.work)
-        self._work.note_all(self._sharing.members.all_states())
-        for service in index.services.values():
-            if service.renting is None:
-                continue
-            demand = self._demands.setdefault(service.name, Demand())
-            demand.note(self._work.total.get(service.name, 0), now)
-            if service.engine is not None:
-                load = Load(
-                    demand.rate,
-                    self._book.waiting(service.name),
-                    self._book.running(service.name),
-                )
-                speed = self._book.learner(service.name).speed(now)
-                boot_s = service.renting.boot_s
-                need = needed(index, service.name, service.engine.slots, boot_s, load, speed)
-                demand.note_need(need, now)
--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -47,6 +47,7 @@
 from moledale.gateway.questions import Questions
 from moledale.gateway.rate import Rate
 from moledale.gateway.registration import Registration
+from moledale.gateway.renting_duty import RentingDuty
 from moledale.gateway.reply import Reply
 from moledale.gateway.rollout_duty import RolloutDuty
 from moledale.gateway.rollouts import Rollouts
@@ -151,9 +152,15 @@
             store,
             orders,
             self.sharing,
-            self.book,
-            lambda: self.forwarder.index,
-            node.first_start,
+            RentingDuty(
+                node.id,
+                self.keeper,
+                orders,
+                self.sharing,
+                self.book,
+                lambda: self.forwarder.index,
+                node.first_start,
+            ),
             RolloutDuty(store, self.rollouts, self.book, self.sharing.true_time.local, monotonic),
         )
         self.quarantine = QuarantineSharing(self.forwarder.guard, self._tell_quarantine)
--- /dev/null
+++ b/src/moledale/gateway/renting_duty.py
@@ -0,0 +1,132 @@
+"""Ordering servers and giving them back while the lease is held."""
+
+from collections.abc import Callable
+
+from result import Ok
+
+from moledale.clock import monotonic
+from moledale.core.leases import Grant
+from moledale.gateway.balance import ServerBook
+from moledale.gateway.lease_keeper import LeaseKeeper
+from moledale.gateway.outside import Orders
+from moledale.gateway.plan import PlanIndex, Renting
+from moledale.gateway.renting import Demand, Load, Order, RentingPlanner, needed
+from moledale.gateway.sharing import Sharing
+from moledale.gateway.work import OWN_LIFE, WorkMeter
+from moledale.log import Event, emit
+
+PLAN_S = 0.5
+"""Servers are planned this often: some times within the boot of a server."""
+
+
+class RentingDuty:
+    """Watches the demand of all services, and orders what the planners of the holder want."""
+
+    def __init__(
+        self,
+        node: str,
+        keeper: LeaseKeeper,
+        orders: Orders,
+        sharing: Sharing,
+        book: ServerBook,
+        index: Callable[[], PlanIndex | None],
+        first_start: bool,
+        now: Callable[[], float] = monotonic,
+    ) -> None:
+        self._node = node
+        self._keeper = keeper
+        self._orders = orders
+        self._sharing = sharing
+        self._book = book
+        self._index = index
+        self._first_start = first_start
+        self._now = now
+        self._planners: dict[str, RentingPlanner] = {}
+        self._demands: dict[str, Demand] = {}
+        self._work = WorkMeter()
+        self._work.note(OWN_LIFE, {})
+        self._planned_at = -1e9
+        self._watched_at = -1e9
+
+    def begin(self) -> None:
+        """Start anew as the holder: another one may have ordered meanwhile."""
+        self._planners.clear()
+
+    async def step(self) -> None:
+        """Order and give back servers where it is due."""
+        now = self._now()
+        index = self._index()
+        if index is None or now - self._planned_at < PLAN_S:
+            return
+        self._planned_at = now
+        for service in index.services.values():
+            if service.renting is not None and service.name in self._demands:
+                await self._rent(service.name, service.renting)
+
+    async def _rent(self, service: str, renting: Renting) -> None:
+        now = self._now()
+        # Servers of a version on trial stand beside those that the orders are about.
+        group = self._book.group(service)
+        servers = [view.server for view in group.allowed()]
+        planner = self._planner(service)
+        usual_per_s = self._sharing.requests_per_s(service, now) / max(1, len(servers))
+        planner.unavailable = group.unavailable(now, renting.boot_s)
+        planner.unavailable += group.limited.lost(now, usual_per_s, renting.boot_s)
+        for order in planner.orders(renting, servers, now):
+            grant = self._keeper.grant()
+            if grant is None:
+                return
+            await self._send(order, grant, planner, renting)
+
+    async def _send(
+        self, order: Order, grant: Grant, planner: RentingPlanner, renting: Renting
+    ) -> None:
+        outcome = await self._orders.order_servers(
+            self._node, grant.epoch, order.service, order.hall, order.number, order.spot
+        )
+        accepted = isinstance(outcome, Ok) and outcome.ok_value
+        planner.ordered(order, accepted, self._now())
+        emit(
+            Event.SERVERS_ORDERED,
+            hall=order.hall,
+            spot=order.spot,
+            number=order.number,
+            accepted=accepted,
+            need=planner.need(renting),
+            work_per_s=round(planner.demand.rate),
+            running=self._book.running(order.service),
+            waiting=self._book.waiting(order.service),
+            learnt=self._book.learner(order.service).speed(self._now()),
+        )
+
+    def _planner(self, service: str) -> RentingPlanner:
+        planner = self._planners.get(service)
+        if planner is None:
+            planner = RentingPlanner(service, self._first_start, self._demands[service])
+            self._planners[service] = planner
+        return planner
+
+    def watch_demand(self) -> None:
+        """Watch the demand; all nodes do, so that any of them may take over."""
+        now = self._now()
+        index = self._index()
+        if index is None or now - self._watched_at < PLAN_S:
+            return
+        self._watched_at = now
+        self._work.note(OWN_LIFE, self._book.work)
+        self._work.note_all(self._sharing.members.all_states())
+        for service in index.services.values():
+            if service.renting is None:
+                continue
+            demand = self._demands.setdefault(service.name, Demand())
+            demand.note(self._work.total.get(service.name, 0), now)
+            if service.engine is not None:
+                load = Load(
+                    demand.rate,
+                    self._book.waiting(service.name),
+                    self._book.running(service.name),
+                )
+                speed = self._book.learner(service.name).speed(now)
+                boot_s = service.renting.boot_s
+                need = needed(index, service.name, service.engine.slots, boot_s, load, speed)
+                demand.note_need(need, now)
--- a/tests/test_usage_reports.py
+++ b/tests/test_usage_reports.py
@@ -8,7 +8,6 @@
 
 from moledale.clock import monotonic
 from moledale.core.leases import Grant
-from moledale.gateway.balance import ServerBook
 from moledale.gateway.duties import HEARD_AFTER_S, SETTLE_S, Duties
 from moledale.gateway.lease_keeper import LEASE_KEY
 from moledale.gateway.outside import Trouble, Written
@@ -43,6 +42,19 @@
         self.counts.append(report[3])
 
 
+class NoRenting:
+    """No service rents servers."""
+
+    def begin(self) -> None:
+        """Forget nothing."""
+
+    def watch_demand(self) -> None:
+        """Watch nothing."""
+
+    async def step(self) -> None:
+        """Order nothing."""
+
+
 class NoRollouts:
     """No roll-out was ordered."""
 
@@ -68,9 +80,7 @@
         store,  # type: ignore[arg-type]
         log,  # type: ignore[arg-type]
         sharing,
-        ServerBook("a"),
-        lambda: None,
-        False,
+        NoRenting(),  # type: ignore[arg-type]
         NoRollouts(),  # type: ignore[arg-type]
         now,
     )
