--- a/src/moledale/core/quarantine.py
+++ b/src/moledale/core/quarantine.py
@@ -15,13 +15,11 @@
 import xxhash
 
 LEAST_STRIKES = 1.99
-"""Ends that a request must explain before it is blocked: two that nothing else explains. With three
-a guilty one ended 3.0 servers and broke 10.6 others off, with two 2.0 and 6.6, while 0.02 others
-were blocked with it (0.17 where servers are busy; means of 60 runs of the model)."""
+"""Ends that a request must explain before it is blocked: two that nothing else explains."""
 
 MOST_ENDS_UNDER = 4
-"""Ends under one request that get it blocked whatever else ended at the same moments: other guilty
-ones may come in step with it. With several halls lost, others had two."""
+"""Ends under one request that get it blocked whatever else ended at the same moments, as another
+such request may come in step with it; more than the loss of several halls brings about."""
 
 TOGETHER_S = 0.25
 """Servers that end within this time may have ended together: those of a hall fall silent within
--- a/src/moledale/gateway/choice.py
+++ b/src/moledale/gateway/choice.py
@@ -13,8 +13,7 @@
 """Extra cost of a server for each part of its answers that failed lately."""
 
 OTHER_HALL_S = 0.001
-"""The way to another hall and back, 1 to 3 ms at the users': it decides between equal servers
-only."""
+"""Round trip to another hall, at its least: it decides between equal servers only."""
 
 
 class EngineChoice(msgspec.Struct, frozen=True):
--- a/src/moledale/gateway/cold_start.py
+++ b/src/moledale/gateway/cold_start.py
@@ -21,8 +21,7 @@
 
 SPREAD_S = 0.15
 """Where no peer answers, many nodes ask the store within this time for each `neighbours.FEW` of
-them, by chance: of 390 that start at once fewer than 30 have asked it when the first of them tells
-of the answer (counted by a test)."""
+them, by chance, so that most of them hear of its answer before they ask."""
 
 LOOK_S = 0.02
 """A document that came is noticed within this time, a third of `ANSWER_S`."""
--- a/src/moledale/gateway/document_archive.py
+++ b/src/moledale/gateway/document_archive.py
@@ -17,7 +17,7 @@
 from moledale.gateway.store_era import UNKNOWN_ERA, EraVersion
 
 PIECE_BYTES = 16_384
-"""26 ms on the thinnest link of the users' sheets (5 Mbit/s)."""
+"""Size of a piece: 26 ms on a link of 5 Mbit/s."""
 
 MOST_KEPT = 4
 """Documents kept as bases of differences; operators may change several plans in a second."""
--- a/src/moledale/gateway/engine_costs.py
+++ b/src/moledale/gateway/engine_costs.py
@@ -13,7 +13,7 @@
 """Work that a prompt adds by its square, in tokens: each token attends to all those before it."""
 
 FETCH_SETUP_S = 0.005
-"""Time until a fetch from another server begins, as the users' engines state it (5.0 to 5.3 ms)."""
+"""Time until a fetch from another server begins."""
 
 FETCH_LOAD_S = 0.04
 """Wait that a request may have at the server with its front, rather than have it fetched elsewhere:
--- a/src/moledale/gateway/evacuation.py
+++ b/src/moledale/gateway/evacuation.py
@@ -43,7 +43,7 @@
 """Time between two events where none was seen yet."""
 
 OTHER_HALL_X = 2.0
-"""A copy to another hall takes twice as long, as the users' engines state it."""
+"""A copy to another hall takes so many times as long as one within a hall."""
 
 
 class Moved(msgspec.Struct, frozen=True):
--- a/src/moledale/gateway/lease_keeper.py
+++ b/src/moledale/gateway/lease_keeper.py
@@ -152,8 +152,7 @@
         """Do what is due; `rank` orders the candidates, so that they don't all try at once.
 
         A candidate that finds the row unreadable asks again `crowd` times as seldom as one alone.
-        One in a crowd that just started takes the lease for held until it should have heard of it,
-        so of 390 calls of 195 nodes that start at once 13 are left (counted by a test).
+        One in a crowd that just started takes the lease for held until it should have heard of it.
         """
         now = monotonic()
         self._crowd = crowd
--- a/src/moledale/gateway/refusals.py
+++ b/src/moledale/gateway/refusals.py
@@ -16,7 +16,7 @@
 """Time to come back where no server takes a connection: a pause of silent ones ends after 0.5 s."""
 
 NOT_RUN_AGAIN_S = 0.3
-"""Time to come back where servers were full: a few answers of the users' plain services (90 ms)."""
+"""Time to come back where servers were full: a few answers of a plain service."""
 
 NO_SERVER = "no server is there"
 ALL_BACK_OFF = "all servers asked for a later retry"
--- a/src/moledale/gateway/server_model.py
+++ b/src/moledale/gateway/server_model.py
@@ -60,15 +60,14 @@
 
 CLEAN_AHEAD = 0.3
 """Observations with at most this part of the prompt waiting ahead tell the rate best, as what waits
-is told late: with views 0.1 s old all observations together gave 1.3 times the rate of the engine
-model."""
+is told late."""
 
 LEAST_CLEAN = 20
 """With fewer of these all observations count, since under load there are no others."""
 
 PASSES = 2
-"""The rate and the slowing by requests beside are estimated in turn; a third pass changes the rate
-by less than one in a hundred over the project's engine model at 0.3, 0.6, 0.9 of its capacity."""
+"""The rate and the slowing by requests beside are estimated in turn; a third pass changes
+hardly anything."""
 
 MOST_CROWDING = 0.5
 """A request beside slows reading by this part at most; more is a queue that was not known of."""
@@ -81,8 +80,7 @@
 change."""
 
 CHANGED = 3.0
-"""Sum of deviations that means a change: five observations at three times as slow. Over the engine
-model at 0.3, 0.6 and 0.9 of its capacity it finds none in 1,000 requests where nothing changes."""
+"""Sum of deviations that means a change: five observations at three times as slow."""
 
 LEAST_KNOWN = 10
 """Observations behind an estimate before a change against it is looked for."""
--- a/src/moledale/gateway/server_notices.py
+++ b/src/moledale/gateway/server_notices.py
@@ -25,8 +25,8 @@
 """Status of a server that is not the one that was meant: that one is gone from its address."""
 
 WRONG_SERVER_S = 4.0
-"""A server that is gone from its address gets no requests for this long, until the list says so:
-its entry lapses after three heartbeats, 3.6 s at the users', and the list is read each 0.8 s."""
+"""A server that is gone from its address gets no requests for this long, until its entry has lapsed
+(three heartbeats of 1.2 s) and the list was read."""
 
 MOST_REMEMBERED = 2_048
 """Servers that said that they leave, about twice as many as a large deployment has: 0.2 MB."""
