--- a/tools/without.py
+++ b/tools/without.py
@@ -5,6 +5,7 @@
 NOT NOTICED and makes the exit code 1.
 """
 
+import argparse
 import io
 import logging
 import random
@@ -24,7 +25,7 @@
 from tools.without_gateway import MECHANISMS
 
 PROCESSES = 4
-GATEWAY = "--gateway"
+GATEWAY = "gateway"
 PROMISES = "tests.test_promises"
 
 
@@ -210,7 +211,7 @@
 
 
 TABLE.extend(
-    Without("gateway", mechanism, _attribute(owner, name, value), tests)
+    Without(GATEWAY, mechanism, _attribute(owner, name, value), tests)
     for mechanism, owner, name, value, tests in MECHANISMS
 )
 
@@ -230,14 +231,21 @@
 
 
 def main() -> int:
-    """Run the table, or just the gateway's part of it."""
-    missed = 0
+    """Run the table, or the entries that were asked for."""
+    parser = argparse.ArgumentParser(prog="python -m tools.without", description=__doc__)
+    parser.add_argument("--gateway", action="store_true", help="the gateway's mechanisms only")
+    parser.add_argument("--named", metavar="TEXT", default="", help="mechanisms with TEXT in them")
+    parser.add_argument("--processes", type=int, default=PROCESSES)
+    asked = parser.parse_args()
     chosen = [
         index
         for index, entry in enumerate(TABLE)
-        if GATEWAY not in sys.argv or entry.point == "gateway"
+        if asked.named in entry.mechanism and (entry.point == GATEWAY or not asked.gateway)
     ]
-    with ProcessPoolExecutor(PROCESSES) as pool:
+    if not chosen:
+        parser.error(f"no mechanism has {asked.named!r} in its name")
+    missed = 0
+    with ProcessPoolExecutor(asked.processes) as pool:
         for index, failed in pool.map(run, chosen):
             entry = TABLE[index]
             verdict = f"{len(failed)} fail" if failed else "NOT NOTICED"
