A plan that can't be read leaves the one before in force

What callers saw: connections refused. With `op/config` written as a list, with a kind of route that is not known, or with a value that is no base64, each node that watches the plan ended six failures later, some two seconds after the write, and so did each that came after it: the whole system is gone until the operator writes again.

Cause: `_plan_news` decoded the row without a thought for what it holds, so the watch failed with each reading, and a task that fails more than five times in a minute ends its node. Orders and entries were read with care already. A kind of route that is not known failed as a KeyError, which the reading of a peer's plan doesn't expect either; it is part of the record's type now.

A plan that can't be read is logged (E303) and brings nothing. Its version counts as read, so the next good plan is seen. PlanOfOthersTest, three tests, failed before ("{'plan': 2} != {}").

--- a/src/moledale/platform/records.py
+++ b/src/moledale/platform/records.py
@@ -1,7 +1,7 @@
 """Records of the platform, and the product's own messages made of them."""
 
 import base64
-from typing import Any
+from typing import Any, Literal
 
 import msgspec
 
@@ -33,7 +33,7 @@
     name: str
     host: str
     path_prefix: str
-    kind: str
+    kind: Literal["safe", "unsafe", "streaming"]
     timeout_ms: float
     slo_ms: float = 0.0
     priority: int = 5
--- a/src/moledale/platform/store.py
+++ b/src/moledale/platform/store.py
@@ -271,20 +271,29 @@
 
 
 def _plan_news(record: RowsRecord) -> PlanNews:
-    newest = b""
+    plan, raw = None, b""
     now_s = record.now_ms / 1000
     rollouts = []
     for row in record.rows:
         if row.gone:
             continue
         if row.key == CONFIG_KEY:
-            newest = row.body()
+            plan, raw = _plan_of(row)
         elif row.key.startswith(ROLLOUT_PREFIX):
             order = _order_of(row, now_s, record.era)
             if order is not None:
                 rollouts.append(StoredRollout(order))
-    plan = read_config(newest) if newest else None
-    return PlanNews(plan, newest, record.at, now_s, tuple(rollouts))
+    return PlanNews(plan, raw, record.at, now_s, tuple(rollouts))
+
+
+def _plan_of(row: RowRecord) -> tuple[Plan | None, bytes]:
+    """Return the plan that a row holds, and its bytes; one that can't be read is logged."""
+    try:
+        raw = row.body()
+        return read_config(raw), raw
+    except ValueError as error:
+        emit(Event.ROW_UNREADABLE, table=row.table, key=row.key, why=str(error))
+        return None, b""
 
 
 def _order_of(row: RowRecord, now_s: float, era: int) -> RolloutOrder | None:
