A lease that can't be read is taken once its time to live has passed

What callers saw: connections refused, as with a spoilt plan. One row `leases/duties` that holds anything but a lease ended every node within some six seconds, and each that came after it, for as long as the row stood.

Cause: the keeper decoded the row and let the error end the task of the duties; five such ends in a minute end the node.

A row that can't be read is logged (E303). It tells no holder, so whoever held the lease may hold it still: a candidate counts the time to live from when it saw the row and then writes over it, and a holder whose grant runs renews over it at once with the fence that it has. Three tests failed before: "it never came true" (the lease was never won), and a keeper that never wrote took an empty operation for its own.

--- a/src/moledale/gateway/lease_keeper.py
+++ b/src/moledale/gateway/lease_keeper.py
@@ -21,6 +21,7 @@
 from moledale.gateway.outside import ABSENT, StateRow, Store
 from moledale.gateway.peers import HeldLease, LeaseNews
 from moledale.gateway.settings import Bounds
+from moledale.gateway.state_rows import read_row
 from moledale.gateway.store_era import UNKNOWN_ERA, EraVersion
 from moledale.log import Event, emit
 
@@ -47,6 +48,9 @@
 
 NOBODY = ""
 
+UNREADABLE = LeaseRow("unreadable", 0, "")
+"""Stands for a row that another writer spoilt: whoever held the lease may hold it still."""
+
 
 class StoreClock:
     """The latest that the store's clock may show, from its answers to this node."""
@@ -229,18 +233,20 @@
         """Note a row as it stands in this era.
 
         One that this life wrote, though the answer was lost, is its own. One that was written in
-        another era takes no grant away, and tells nothing of when the lease was last renewed.
+        another era, or can't be read, takes no grant away, and tells nothing of when the lease was
+        last renewed.
         """
-        row = msgspec.json.decode(standing.value, type=LeaseRow)
+        row = read_row(LEASE_TABLE, standing, LeaseRow) or UNREADABLE
         self._highest_fence = max(self._highest_fence, row.epoch)
-        if row.era != self._era and self.lease.grant(now) is not None:
+        tells_holder = row.era == self._era and row is not UNREADABLE
+        if not tells_holder and self.lease.grant(now) is not None:
             self._stands_at(standing.version)
             return
-        if row.operation == self._pending and row.era == self._era:
+        if row.operation == self._pending and tells_holder:
             self._wrote(row, standing.version, self._pending_at)
             return
         self.holder = row.holder
-        if row.era != self._era:
+        if not tells_holder:
             since = now
         elif row.holder == NOBODY:
             since = now - self._ttl_s
--- a/tests/test_rows_of_others.py
+++ b/tests/test_rows_of_others.py
@@ -1,16 +1,21 @@
 """Rows of the store that other writers spoilt: nodes serve on, and good rows after them count."""
 
+import asyncio
 import base64
 import unittest
 from collections.abc import Callable
 
+from moledale.clock import monotonic
+from moledale.gateway.lease_keeper import LEASE_KEY
 from moledale.gateway.node import GatewayNode
+from moledale.gateway.outside import StateRow
 from standins.rows import RowsPlatform
+from tests.gateway_world import quietly
+from tests.test_gateway_lease import OneRow, keeper
 from tests.test_gateway_nodes import Cluster, config, on_cluster, ready, until
 
 NO_OBJECT = b'["not an object"]'
 NO_BASE64 = "a"
-WATCHED_S = 5.0
 
 
 def spoil(platform: RowsPlatform, table: str, key: str, value: bytes | str) -> None:
@@ -61,5 +66,47 @@
         self._plan_outlives(lambda platform: platform.put("op", "config", plan))
 
 
+class LeaseOfOthersTest(unittest.TestCase):
+    def test_lease_that_can_not_be_read_is_taken_once_its_time_has_passed(self) -> None:
+        async def work(cluster: Cluster) -> None:
+            spoil(cluster.platform, "leases", "duties", NO_OBJECT)
+            began = monotonic()
+            node = await cluster.start("n1")
+            await until(lambda: node.keeper.grant() is not None, 10.0)
+            self.assertGreater(monotonic() - began, cluster.bounds.lease_s)
+            self.assertEqual(failures(node), {})
+
+        on_cluster(work)
+
+    def test_candidate_that_never_wrote_takes_no_spoilt_lease_for_its_own(self) -> None:
+        async def work() -> None:
+            store = OneRow()
+            store.row = StateRow(LEASE_KEY, NO_OBJECT, 9)
+            candidate = keeper(store, "n1")
+            for _ in range(3):
+                await candidate.step(0)
+                self.assertIsNone(candidate.grant())
+                self.assertNotEqual(candidate.holder, "n1")
+
+        quietly(work())
+
+    def test_holder_whose_lease_is_spoilt_goes_on(self) -> None:
+        async def work(cluster: Cluster) -> None:
+            node = await cluster.start("n1")
+            await until(lambda: node.keeper.grant() is not None)
+            held = node.keeper.grant()
+            assert held is not None
+            spoil(cluster.platform, "leases", "duties", NO_OBJECT)
+            end = monotonic() + 2 * cluster.bounds.lease_s
+            while monotonic() < end:
+                grant = node.keeper.grant()
+                assert grant is not None
+                self.assertEqual(grant.epoch, held.epoch)
+                await asyncio.sleep(0.05)
+            self.assertEqual(failures(node), {})
+
+        on_cluster(work)
+
+
 if __name__ == "__main__":
     unittest.main()
