Registrations that can't be read hide no other node

What callers saw: connections refused. A row of `members` with bytes that are no text, or with a word that is no address, ended each node that started while it stood: the reading of the rows failed, or every round of news to the "address" did ({'members': 6}, {'gossip': 6} failures, then the node's end).

Cause: whatever a row held was taken for an address of a node. A value that is no base64 holds nothing, for all rows that nodes keep. test_registrations_that_can_not_be_read_hide_no_other_node failed before (the nodes never met).

--- a/src/moledale/gateway/registration.py
+++ b/src/moledale/gateway/registration.py
@@ -1,6 +1,7 @@
 """Telling the store of this node, and learning from it of others to send news to."""
 
 import asyncio
+import ipaddress
 import random
 from collections.abc import Callable
 
@@ -9,10 +10,13 @@
 from moledale.clock import monotonic
 from moledale.gateway.backoff import Backoff
 from moledale.gateway.neighbours import AddressBook
-from moledale.gateway.outside import Store
+from moledale.gateway.outside import StateRow, Store
 from moledale.gateway.usage import TrueTime
+from moledale.log import Event, emit
 
 MEMBER_TABLE = "members"
+HIGHEST_PORT = 65_535
+
 STORE_TIMEOUT_S = 0.8
 """A call has this long: 200 times its usual answer."""
 
@@ -82,5 +86,21 @@
         now = monotonic()
         self._true_time.store_read(outcome.ok_value.store_s, sent_at, now)
         for row in outcome.ok_value.rows:
-            self._addresses.add(row.value.decode(), now)
+            address = _address_in(row)
+            if address is not None:
+                self._addresses.add(address, now)
         return True
+
+
+def _address_in(row: StateRow) -> str | None:
+    """Return the address `IP:port` that a row tells; one that can't be read is logged."""
+    try:
+        address = row.value.decode("ascii")
+        host, _, port = address.rpartition(":")
+        ipaddress.ip_address(host)
+        if not 0 < int(port) <= HIGHEST_PORT:
+            raise ValueError(f"no port: {port}")
+    except ValueError as error:
+        emit(Event.ROW_UNREADABLE, table=MEMBER_TABLE, key=row.key, why=str(error))
+        return None
+    return address
--- a/src/moledale/platform/store.py
+++ b/src/moledale/platform/store.py
@@ -81,7 +81,7 @@
         if isinstance(outcome, Err):
             return outcome
         record = outcome.ok_value
-        rows = tuple(StateRow(row.key, row.body(), row.ver) for row in record.rows)
+        rows = tuple(_state_row(row) for row in record.rows)
         return Ok(Reading(rows, record.ver, record.now_ms / 1000, record.era))
 
     async def write(
@@ -101,7 +101,7 @@
         committed = outcome.ok_value.status == 200
         there = (row for row in record.rows if row.key == key and not row.gone and row.ver)
         row = None if committed else next(there, None)
-        standing = None if row is None else StateRow(key, row.body(), row.ver)
+        standing = None if row is None else _state_row(row)
         return Ok(Written(record.ver, committed, standing, record.now_ms / 1000, record.era))
 
     async def put(self, table: str, key: str, value: bytes, timeout_s: float) -> Trouble | None:
@@ -286,6 +286,14 @@
     return PlanNews(plan, raw, record.at, now_s, tuple(rollouts))
 
 
+def _state_row(row: RowRecord) -> StateRow:
+    """Return a row that nodes keep; one that another writer spoilt holds nothing."""
+    try:
+        return StateRow(row.key, row.body(), row.ver)
+    except ValueError:
+        return StateRow(row.key, b"", row.ver)
+
+
 def _plan_of(row: RowRecord) -> tuple[Plan | None, bytes]:
     """Return the plan that a row holds, and its bytes; one that can't be read is logged."""
     try:
--- a/tests/test_rows_of_others.py
+++ b/tests/test_rows_of_others.py
@@ -108,5 +108,21 @@
         on_cluster(work)
 
 
+class MembersOfOthersTest(unittest.TestCase):
+    def test_registrations_that_can_not_be_read_hide_no_other_node(self) -> None:
+        async def work(cluster: Cluster) -> None:
+            for number, value in enumerate(
+                (b"\xff\xfe", b"word", b"host:7", b"1.2.3.4:0", NO_BASE64)
+            ):
+                spoil(cluster.platform, "members", f"spoilt-{number}", value)
+            one, two = await cluster.start("n1"), await cluster.start("n2")
+            await until(lambda: "n2" in one.members.members and "n1" in two.members.members)
+            await until(ready(one))
+            self.assertEqual((await cluster.ask("n1")).status, 200)
+            self.assertEqual((failures(one), failures(two)), ({}, {}))
+
+        on_cluster(work)
+
+
 if __name__ == "__main__":
     unittest.main()
