Usage rows that can't be read end no duty

A row of `usage` that another writer spoilt would end the duties of the holder each time it reports the window in whose place it stands, and after five times in a minute the node, one holder after the other.

A new holder can't know whether counts of that window were told, so it keeps that the window isn't reported (priced, where other counts would break a rule); a holder that kept the counts itself writes them again and reports them. Two tests failed before with the error of the decoder.

--- a/src/moledale/gateway/duties.py
+++ b/src/moledale/gateway/duties.py
@@ -12,6 +12,7 @@
 from moledale.gateway.renting_duty import RentingDuty
 from moledale.gateway.rollout_duty import RolloutDuty
 from moledale.gateway.sharing import Sharing
+from moledale.gateway.state_rows import read_row
 from moledale.gateway.usage import total_of
 from moledale.log import Event, emit
 
@@ -38,6 +39,11 @@
 late."""
 
 
+LOST = "the store came back from an older copy"
+SPOILT = "the row in its place can't be read"
+"""Why the counts of a window can't be kept."""
+
+
 class WindowRow(msgspec.Struct, frozen=True):
     """The counts of a window as they are, or were, reported; they never change again."""
 
@@ -151,8 +157,8 @@
         if isinstance(outcome, Err):
             return None
         for row in outcome.ok_value.rows:
-            kept = msgspec.json.decode(row.value, type=WindowRow)
-            if kept.window == window:
+            kept = read_row(USAGE_TABLE, row, WindowRow)
+            if kept is not None and kept.window == window:
                 return kept
         self._done.add(window)
         emit(Event.USAGE_FAILED, window=window, why="the store may have lost what was reported")
@@ -173,20 +179,24 @@
             if written.committed and written.era == era:
                 return row
             if written.committed:
-                await self._void(row.window, written.version)
+                await self._void(row.window, written.version, LOST)
                 return None
             if written.standing is None:
                 return None
-            standing = msgspec.json.decode(written.standing.value, type=WindowRow)
-            if standing.window >= row.window:
-                return standing if standing.window == row.window else None
             expected = written.standing.version
+            standing = read_row(USAGE_TABLE, written.standing, WindowRow)
+            if standing is None:
+                if row.window not in self._frozen:
+                    await self._void(row.window, expected, SPOILT)
+                    return None
+            elif standing.window >= row.window:
+                return standing if standing.window == row.window else None
         return None
 
-    async def _void(self, window: int, version: int) -> None:
-        """Take back counts that were kept in a later era than the one in which that was allowed."""
+    async def _void(self, window: int, version: int, why: str) -> None:
+        """Keep that a window is not reported, since its counts may have been told before."""
         self._done.add(window)
         value = msgspec.json.encode(WindowRow(window, {}))
         key = str(window % USAGE_ROWS)
         await self._store.write(USAGE_TABLE, key, value, version, CALL_TIMEOUT_S)
-        emit(Event.USAGE_FAILED, window=window, why="the store came back from an older copy")
+        emit(Event.USAGE_FAILED, window=window, why=why)
--- a/tests/test_usage_reports.py
+++ b/tests/test_usage_reports.py
@@ -10,7 +10,7 @@
 from moledale.core.leases import Grant
 from moledale.gateway.duties import HEARD_AFTER_S, SETTLE_S, Duties
 from moledale.gateway.lease_keeper import LEASE_KEY
-from moledale.gateway.outside import Trouble, Written
+from moledale.gateway.outside import StateRow, Trouble, Written
 from moledale.gateway.peers import Membership
 from moledale.gateway.settings import Bounds
 from moledale.gateway.sharing import Sharing
@@ -35,11 +35,15 @@
     def __init__(self) -> None:
         self.reported: list[int] = []
         self.counts: list[object] = []
+        self.down = False
 
-    async def report_usage(self, *report: object) -> None:
+    async def report_usage(self, *report: object) -> Trouble | None:
         """Note the window."""
+        if self.down:
+            return Trouble("down")
         self.reported.append(int(str(report[2])))
         self.counts.append(report[3])
+        return None
 
 
 class NoRenting:
@@ -160,6 +164,30 @@
 
         quietly(work())
 
+    def test_window_whose_row_was_spoilt_is_not_counted_anew_and_the_next_ones_are(self) -> None:
+        async def work() -> None:
+            world = self.world
+            world.store.row = StateRow("8", b"spoilt", 9)
+            await world.run(self.second, 1_008.0)
+            self.assertEqual(self.counts_of_first_window(), [])
+            self.second.sharing.started("north")
+            await world.run(self.second, 1_014.0)
+            self.assertEqual(world.log.reported, [201])
+
+        quietly(work())
+
+    def test_holder_whose_row_was_spoilt_reports_what_it_kept(self) -> None:
+        async def work() -> None:
+            world = self.world
+            world.log.down = True
+            await world.run(self.first, 1_007.0)
+            world.store.row = StateRow("8", b"spoilt", world.store.version + 1)
+            world.log.down = False
+            await world.run(self.first, 1_008.0)
+            self.assertEqual(self.counts_of_first_window(), [{"north": 3}])
+
+        quietly(work())
+
     def test_window_that_ends_after_the_stores_return_is_counted_by_the_next_holder(self) -> None:
         async def work() -> None:
             world = self.world
