--- a/tools/without_gateway.py
+++ b/tools/without_gateway.py
@@ -1,6 +1,7 @@
 """The gateway's mechanisms, each with a way to take it away and the tests that must notice."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -14,10 +15,12 @@
     directory,
     document_codec,
     document_fetch,
+    duties,
     fleet_watch,
     lease_keeper,
     neighbours,
     quarantine_sharing,
+    registration,
     renting,
 )
 from moledale.gateway.accounts import AccountLimits, RecentSpending
@@ -41,6 +44,7 @@
 from moledale.gateway.messages import AnswerFacts, AnswerHead
 from moledale.gateway.neighbours import Neighbours
 from moledale.gateway.node import GatewayNode
+from moledale.gateway.outside import StateRow
 from moledale.gateway.peers import LeaseNews, Membership
 from moledale.gateway.permits import Grantors, Permits
 from moledale.gateway.placing import Placing
@@ -71,6 +75,7 @@
 NODES = "tests.test_gateway_nodes"
 RESTORED = "tests.test_store_restored tests.test_store_era"
 LEASE = "tests.test_gateway_lease"
+ROWS = "tests.test_rows_of_others"
 STATE = "tests.test_gateway_state"
 LIMITS = "tests.test_gateway_limits"
 RENTING = "tests.test_gateway_renting"
@@ -168,6 +173,16 @@
         self.data += piece.data
 
 
+def _read_or_fail(_table: str, _key: str, read: Callable[[], object]) -> object:
+    """Let the error of a row that can't be read pass."""
+    return read()
+
+
+def _read_row_or_fail(_table: str, row: StateRow, kind: type) -> object:
+    """Let the error of a row that can't be read pass."""
+    return msgspec.json.decode(row.value, type=kind)
+
+
 async def _void_nothing(*_: object) -> None:
     """Leave counts in the store that were kept in another era."""
 
@@ -322,4 +337,12 @@
      lambda *_: False, "tests.test_rollouts.RestoredOrderTest"),
     ("rows that the store may have lost are written again", StoreEra, "heard", _restore_unheard,
      RESTORED),
+    ("a plan that can't be read ends no task", store, "read_or_log", _read_or_fail,
+     f"{ROWS}.PlanOfOthersTest"),
+    ("a lease that can't be read ends no task", lease_keeper, "read_row", _read_row_or_fail,
+     f"{ROWS}.LeaseOfOthersTest"),
+    ("usage that can't be read ends no task", duties, "read_row", _read_row_or_fail,
+     "tests.test_usage_reports"),
+    ("registrations that can't be read hide no others", registration, "read_or_log",
+     _read_or_fail, f"{ROWS}.MembersOfOthersTest"),
 ]  # fmt: skip
