Log whether a node reaches the servers of a service, and where callers are directed

The logs of the incident of nodes cut from all servers have a line for each attempt (E411), so a node whose links are gone looks like one whose attempts failed at one server, and nothing tells which nodes callers were directed to.

E480 and E481 tell when a node begins and ceases to reach no server of a service: two different servers took no connection, and none did in between. E482 tells the nodes that callers are directed to, after each change. No decision depends on them.

--- a/src/moledale/gateway/answers.py
+++ b/src/moledale/gateway/answers.py
@@ -69,6 +69,7 @@
         placement = run.placement
         head = await self._read_head(job, connection, placement)
         placement.view.last_data_at = self._now()
+        self._balancer.reachability.record_answer(job.service, self._now())
         facts = self._dialect.read_answer(head)
         if facts.closes:
             connection.usable = False
--- a/src/moledale/gateway/balance.py
+++ b/src/moledale/gateway/balance.py
@@ -16,6 +16,7 @@
 from moledale.gateway.messages import Placed, PromptPart, RequestFacts, Server
 from moledale.gateway.peers import Loads, NodeState
 from moledale.gateway.plan import Engine
+from moledale.gateway.reachability import Reachability
 from moledale.gateway.server_group import ServerGroup
 from moledale.gateway.server_model import PrefillSample, Speed, SpeedEstimator
 from moledale.gateway.server_notices import ServerNotices
@@ -110,6 +111,7 @@
         self._peer_loads: dict[str, Loads] = {}
         self._pending_placements: list[tuple[Placement, tuple[PromptPart, ...]]] = []
         self.notices = ServerNotices(self.views, self.group)
+        self.reachability = Reachability()
         self.server_speeds = ServerSpeeds()
         self.claims = EngineClaims()
         self.memory_metrics = EngineMemoryMetrics()
@@ -597,6 +599,18 @@
             )
         view.add_peer_load(placed.running - before[0], placed.prefill - before[1])
 
+    def record_connect(self, name: str, connected: bool, now: float) -> None:
+        """Record whether a server took a new connection."""
+        view = self.views.get(name)
+        if view is None:
+            return
+        service = view.server.service
+        if connected:
+            self.reachability.record_connected(service, now)
+        else:
+            listed = len(self.group(service).views)
+            self.reachability.record_failed(service, name, listed, now)
+
     def tick(self, now: float) -> None:
         """Pause servers that are silent although they should have sent something.
 
--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -109,6 +109,9 @@
         self._dialect = dialect
         self._balancer = balancer
         balancer.on_silent = pool.discard
+        pool.on_connect = lambda server, connected: balancer.record_connect(
+            server, connected, now()
+        )
         self._pool = pool
         self._sharing = sharing
         self._permits = permits or standalone_permit_client(balancer, now)
--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -98,6 +98,9 @@
 """A draining node ends once it has had no request for this long, which is several round trips of a
 caller."""
 
+MAX_LOGGED_NODES = 16
+"""Nodes in the log line of those that callers are directed to."""
+
 EXIT_OK = 0
 """Exit code after a planned stop."""
 
@@ -221,6 +224,7 @@
         self.balancer.idle_servers = self.pool.idle_servers
         self._request_rate = Rate()
         self._sequence = 0
+        self._logged_addresses: list[str] = []
         self._packer = StatePacker()
         self._unpacker = StateUnpacker()
         self._builds = BuildWatch()
@@ -273,6 +277,13 @@
             return 1.0
         return self.sharing.shares.excess(account, now)
 
+    def _log_addresses(self) -> None:
+        """Log the nodes that callers are directed to, if they changed."""
+        nodes = sorted(each.id for each in self.serving_nodes())
+        if nodes != self._logged_addresses:
+            self._logged_addresses = nodes
+            emit(Event.ADDRESSES_CHANGED, nodes=nodes[:MAX_LOGGED_NODES], number=len(nodes))
+
     def _extra_metrics(self) -> dict[str, int]:
         """Return metrics that the control handler cannot read from the components it holds."""
         now = monotonic()
@@ -282,6 +293,7 @@
         speeds = self.balancer.server_speeds.summary()
         return {
             "servers_limited": self.balancer.limited_count(),
+            "services_unreachable": len(self.balancer.reachability.unreachable()),
             "peers_of_other_builds": self._builds.count_different(alive),
             "news_unreadable_total": unreadable,
             **self.forwarder.evacuation.counts.metrics(),
@@ -539,6 +551,7 @@
             self.fleet.drop_lapsed()
             self.balancer.tick(now)
             self.members.forget_old(now)
+            self._log_addresses()
             await asyncio.sleep(GOSSIP_INTERVAL_S)
 
     def _on_message(self, message: Message) -> None:
--- a/src/moledale/gateway/pool.py
+++ b/src/moledale/gateway/pool.py
@@ -1,8 +1,8 @@
 """Idle connections to backend servers, kept for reuse."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator
 
-from moledale.gateway.upstream import UpstreamConnection, connect
+from moledale.gateway.upstream import ConnectFailed, UpstreamConnection, connect
 
 KEEP_ALIVE_SHARE = 0.7
 """Share of a server's stated keep-alive time during which a connection is reused."""
@@ -11,15 +11,26 @@
 """Idle time after which a connection is not reused if its server states no keep-alive time."""
 
 
+Connect = Callable[[str], Awaitable[UpstreamConnection]]
+"""Opens a connection to `host:port`, or raises ConnectFailed."""
+
+
+def _ignore_outcome(_server: str, _connected: bool) -> None:
+    """Ignore the outcome of an attempt to connect."""
+
+
 class ConnectionPool:
     """Idle connections by server id: the most recently used is reused first, so that few are kept.
 
     Servers are ordered by the time at which a connection to them was last released. `opened` counts
-    the attempts to open a new connection.
+    the attempts to open a new connection. `on_connect` is called with a server and whether it took
+    a new connection.
     """
 
-    def __init__(self, now: Callable[[], float]) -> None:
+    def __init__(self, now: Callable[[], float], connect: Connect = connect) -> None:
+        self.on_connect: Callable[[str, bool], None] = _ignore_outcome
         self._now = now
+        self._connect = connect
         self._idle: dict[str, list[UpstreamConnection]] = {}
         self.opened = 0
 
@@ -39,8 +50,18 @@
             if connection.usable and not self._is_stale(connection):
                 return connection
             connection.close()
+        return await self._open(server, address)
+
+    async def _open(self, server: str, address: str) -> UpstreamConnection:
+        """Open a new connection, and report the outcome."""
         self.opened += 1
-        return await connect(address)
+        try:
+            connection = await self._connect(address)
+        except ConnectFailed:
+            self.on_connect(server, False)
+            raise
+        self.on_connect(server, True)
+        return connection
 
     def release(self, server: str, connection: UpstreamConnection) -> None:
         """Keep a connection whose exchange ended completely, else close it."""
--- a/src/moledale/log.py
+++ b/src/moledale/log.py
@@ -126,6 +126,13 @@
     ENGINE_FULL = EventSpec(
         460, logbook.INFO, "No server takes a request in time without preempting another one."
     )
+    SERVICE_UNREACHABLE = EventSpec(
+        480, logbook.WARNING, "This node reaches no server of a service that has some."
+    )
+    SERVICE_REACHED = EventSpec(481, logbook.INFO, "This node reaches the servers again.")
+    ADDRESSES_CHANGED = EventSpec(
+        482, logbook.INFO, "Callers that ask this node are directed to other nodes than before."
+    )
     USAGE_REPORTED = EventSpec(510, logbook.INFO, "Usage of a window was reported.")
     USAGE_FAILED = EventSpec(511, logbook.WARNING, "Usage of a window could not be reported.")
     SERVERS_ORDERED = EventSpec(512, logbook.INFO, "A number of servers was ordered for a hall.")
