--- a/tests/test_gateway_nodes.py
+++ b/tests/test_gateway_nodes.py
@@ -117,7 +117,9 @@
         }
         self.platform.put("servers", server.id, entry)
 
-    async def start(self, name: str, seeds: tuple[str, ...] = ()) -> GatewayNode:
+    async def start(
+        self, name: str, seeds: tuple[str, ...] = (), hall: str = "hall-a"
+    ) -> GatewayNode:
         """Start a node; any start after the first one of a name counts as a restart."""
         address = random_loopback_address()
         callers, control, directory, readiness, peers = (
@@ -125,7 +127,7 @@
         )
         identity = Identity(
             name,
-            "hall-a",
+            hall,
             "r",
             callers,
             control,
