Relay requests of nodes without servers through peers, and direct callers to others

Callers of nodes that were cut from all servers got 503 "no connection" for as long as the cut lasted: 0 of 16 first tries served at the nodes of a hall in the incident, 187 of 191 at the others; and where all four serving nodes were cut, nobody was served while five nodes in reserve reached the servers.

Cause: a node that is ready was taken for one that can serve. Each request looked for a server from its own node only, and nothing that a node does depended on whether it reaches any. Evidence: E411 repeats to the end of the cut for each request with four to six servers, E482 does not appear.

A node now learns that it reaches no server of a service (two took no connection, then three more did not either), sends its requests through a peer that does, and is left out of the addresses for callers while peers reach what it lacks. The request that finds out is relayed, too, after two failed connections. What was sent to a server is never relayed, and accounts are charged at the first node only.

--- a/src/moledale/gateway/admission.py
+++ b/src/moledale/gateway/admission.py
@@ -152,12 +152,14 @@
             return Refusal(503, BLOCKED_REASON, add_jitter(self._rng, blocked_s))
         if account is None:
             return Caller(None, route.priority), None
+        priority = route.priority if account.priority is None else account.priority
+        if request.relayed:
+            return Caller(account.name, priority), None
         charged = self.limits.charge(account, account.price(facts.tokens), self._now())
         if isinstance(charged, Err):
             wait_s = charged.err_value
             self._log_limited(account, facts, wait_s)
             return Refusal(429, "the account's limit is reached", add_jitter(self._rng, wait_s))
-        priority = route.priority if account.priority is None else account.priority
         return Caller(account.name, priority), charged.ok_value
 
     def _reject_or_retry(self, refusal: Refusal) -> Refusal:
--- a/src/moledale/gateway/balance.py
+++ b/src/moledale/gateway/balance.py
@@ -599,18 +599,6 @@
             )
         view.add_peer_load(placed.running - before[0], placed.prefill - before[1])
 
-    def record_connect(self, name: str, connected: bool, now: float) -> None:
-        """Record whether a server took a new connection."""
-        view = self.views.get(name)
-        if view is None:
-            return
-        service = view.server.service
-        if connected:
-            self.reachability.record_connected(service, now)
-        else:
-            listed = len(self.group(service).views)
-            self.reachability.record_failed(service, name, listed, now)
-
     def tick(self, now: float) -> None:
         """Pause servers that are silent although they should have sent something.
 
--- a/src/moledale/gateway/dialect.py
+++ b/src/moledale/gateway/dialect.py
@@ -23,6 +23,10 @@
         """Return the head of a request with a body of `length` bytes as it is sent to a server."""
         ...
 
+    def relay_head(self, head: RequestHead, remaining_s: float, length: int) -> bytes:
+        """Return the head of a caller's request as it is sent to a peer, with the time left."""
+        ...
+
     def read_answer(self, head: AnswerHead) -> AnswerFacts:
         """Return the facts that the head of a server's response states."""
         ...
--- a/src/moledale/gateway/directory.py
+++ b/src/moledale/gateway/directory.py
@@ -3,7 +3,8 @@
 With few serving nodes each one sees more of the traffic, so its view of the servers is better and
 connections to servers are reused more often. Each node decides for itself whether it serves, from
 the states that it gets: it serves unless enough nodes of its hall that rank before it serve. So no
-node has to know all others, and serving nodes that fall silent are replaced at once.
+node has to know all others, and serving nodes that fall silent are replaced at once. A node that
+reaches no server of a service does not serve while other nodes reach them.
 """
 
 from collections.abc import Iterable
@@ -72,6 +73,12 @@
     """Return whether a node should serve, given the other live nodes that it knows."""
     if own.standing != Standing.READY:
         return False
+    alive = list(alive)
+    others_reach_servers = any(
+        not node.cut_off and node.standing == Standing.READY for node in alive
+    )
+    if own.cut_off and others_reach_servers:
+        return False
     rank = rank_of(own)
     before = [
         node
@@ -79,12 +86,17 @@
         if node.hall == own.hall
         and node.serving
         and node.standing == Standing.READY
+        and node.cut_off == own.cut_off
         and rank_of(node) < rank
     ]
     return len(before) < max_serving
 
 
 def serving_nodes(nodes: Iterable[NodeState]) -> list[NodeState]:
-    """Return the nodes that callers should connect to: all ready ones if none of them serves."""
+    """Return the nodes that callers should connect to: all ready ones if none of them serves.
+
+    Nodes that reach no server of a service are left out, unless that holds for all.
+    """
     ready = [node for node in nodes if node.standing == Standing.READY]
+    ready = [node for node in ready if not node.cut_off] or ready
     return [node for node in ready if node.serving] or ready
--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -18,7 +18,10 @@
 from moledale.gateway.placing import PlacementCheck, PlacementRequest, Placer
 from moledale.gateway.plan import Engine, Kind, Plan, PlanIndex
 from moledale.gateway.pool import ConnectionPool
-from moledale.gateway.refusals import NO_SERVER, NOT_RUN_RETRY_S, Refusals
+from moledale.gateway.reach_probe import ReachProber
+from moledale.gateway.reachability import MIN_SERVERS
+from moledale.gateway.refusals import NO_CONNECTION, NO_SERVER, NOT_RUN_RETRY_S, Refusals
+from moledale.gateway.relay import Relay, RelayOutcome
 from moledale.gateway.reply import Reply
 from moledale.gateway.request_guard import RequestGuard
 from moledale.gateway.server_view import Placement, record_silence
@@ -108,10 +111,10 @@
         )
         self._dialect = dialect
         self._balancer = balancer
-        balancer.on_silent = pool.discard
-        pool.on_connect = lambda server, connected: balancer.record_connect(
-            server, connected, now()
-        )
+        self.prober = ReachProber(balancer, pool, now)
+        pool.on_connect = self.prober.record_connect
+        balancer.on_silent = self._on_silent
+        self.relay = Relay(dialect, lambda: sharing.members.alive(now()), now)
         self._pool = pool
         self._sharing = sharing
         self._permits = permits or standalone_permit_client(balancer, now)
@@ -191,6 +194,11 @@
                 self._refund(job)
             raise
 
+    def _on_silent(self, server: str) -> None:
+        """Use no open connection of a server that should have sent something."""
+        self._pool.discard(server)
+        self.prober.record_silence(server)
+
     def _may_refuse(self, service: str) -> bool:
         """Return whether overload control decides on requests for a service."""
         return self._switches.applies(Feature.OVERLOAD, self.index, service)
@@ -231,7 +239,13 @@
         )
 
     async def _forward(self, job: Job) -> None:
-        """Try servers until one responds or no further attempt is allowed."""
+        """Try servers until one responds or no further attempt is allowed.
+
+        A request is relayed at once if no server of its service is reached, and otherwise after
+        attempts at a few servers.
+        """
+        if self._balancer.reachability.is_unreachable(job.service) and await self._relayed(job):
+            return
         self._sharing.record_request(job.service, self._now())
         self._sharing.record_offered(job.service, job.caller.account, job.facts.tokens)
         last = Attempt(AttemptOutcome.NOT_SENT, why=NO_SERVER)
@@ -275,10 +289,31 @@
             if continuation is not None:
                 continue
             last = attempt
+            if self._took_no_connection(job, attempt) and await self._relayed(job):
+                return
             if not self._may_retry(job, attempt):
                 break
         self._end_without_answer(job, last)
 
+    def _took_no_connection(self, job: Job, attempt: Attempt) -> bool:
+        """Return whether several servers took no connection, and the request was sent to none."""
+        no_connection = attempt.why == NO_CONNECTION and not job.was_sent
+        return no_connection and len(job.tried) >= MIN_SERVERS
+
+    async def _relayed(self, job: Job) -> bool:
+        """Relay a request through a peer; return whether its caller has a final response."""
+        if job.request.relayed or job.relay_tried or not self.relay.is_possible(job.service):
+            return False
+        job.relay_tried = True
+        self._publish_charge(job)
+        outcome = await self.relay.relay(job)
+        if job.reply.status == 503:
+            self._refund(job)
+        if outcome is RelayOutcome.BROKEN:
+            job.may_have_run = True
+            self._end_without_answer(job, Attempt(AttemptOutcome.BROKEN, why="the peer broke off"))
+        return outcome is not RelayOutcome.NOT_RUN
+
     def _record_stream_end(self, job: Job, placement: Placement) -> None:
         """Tell overload control how long a stream took that had all its events from one server."""
         engine = self._engine(job.service)
@@ -531,7 +566,7 @@
             except ConnectFailed as error:
                 record_silence(view, self._now())
                 emit(Event.CONNECT_FAILED, request=job.facts.id, server=server.id, why=str(error))
-                return Attempt(AttemptOutcome.NOT_SENT, why="no connection")
+                return Attempt(AttemptOutcome.NOT_SENT, why=NO_CONNECTION)
             if continuation is None and not view.is_open(self._now()):
                 # The server announced this while the connection was being made.
                 self._pool.release_unused(server.id, connection)
--- a/src/moledale/gateway/job.py
+++ b/src/moledale/gateway/job.py
@@ -62,6 +62,7 @@
     sent to any server. `retry_counted` is set while its next send is counted in the retry budget
     already. `longest_pause_s` is the longest time between two relayed events. `charge` is what it
     was charged to its account's limit, if that is taken back when the request is refused.
+    `relay_tried` is set once peers were asked to take the request.
     """
 
     request: InboundRequest
@@ -81,6 +82,7 @@
     last_event_at: float | None = None
     longest_pause_s: float = 0.0
     charge: Charge | None = None
+    relay_tried: bool = False
     _fingerprint: bytes = b""
 
     @property
--- a/src/moledale/gateway/messages.py
+++ b/src/moledale/gateway/messages.py
@@ -157,12 +157,16 @@
 
 
 class Refusal(msgspec.Struct, frozen=True):
-    """An error answer made by a node itself; with `retry_after_s` the request has not run."""
+    """An error answer made by a node itself; with `retry_after_s` the request has not run.
+
+    `unreachable` is set if the request could not be sent to any server from this node.
+    """
 
     status: int
     reason: str
     retry_after_s: float | None = None
     request: str = ""
+    unreachable: bool = False
 
 
 class Caller(msgspec.Struct):
@@ -175,11 +179,13 @@
 class InboundRequest(msgspec.Struct):
     """A complete request of a caller; `arrived_at` is on the monotonic clock.
 
-    `closing` is set if the connection is to be closed after the answer.
+    `closing` is set if the connection is to be closed after the answer. `relayed` is set if the
+    request came from a peer, which has charged it to its account.
     """
 
     head: RequestHead
     body: bytes
     arrived_at: float
     closing: bool = False
+    relayed: bool = False
     context: dict[str, object] = msgspec.field(default_factory=dict)
--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -98,6 +98,10 @@
 """A draining node ends once it has had no request for this long, which is several round trips of a
 caller."""
 
+CUT_OFF_DELAY_S = 1.5
+"""A node that lost a service waits for this long before it takes what peers state for evidence that
+they still reach it: longer than `REACHED_RECENTLY_S` and a gossip round."""
+
 MAX_LOGGED_NODES = 16
 """Nodes in the log line of those that callers are directed to."""
 
@@ -224,6 +228,7 @@
         self.balancer.idle_servers = self.pool.idle_servers
         self._request_rate = Rate()
         self._sequence = 0
+        self._cut_off = False
         self._logged_addresses: list[str] = []
         self._packer = StatePacker()
         self._unpacker = StateUnpacker()
@@ -265,6 +270,7 @@
         self._leaving_since: float | None = None
         self._rollouts_sent: dict[str, RolloutNews] = {}
         self._caller_listener = Listener(self._handle, self._limits, monotonic)
+        self._relay_listener = Listener(self._handle_relayed, self._limits, monotonic)
         self._control_listener = Listener(self._handle_control, self._limits, monotonic)
         self._tcp_servers: list[asyncio.Server] = []
 
@@ -294,6 +300,7 @@
         return {
             "servers_limited": self.balancer.limited_count(),
             "services_unreachable": len(self.balancer.reachability.unreachable()),
+            "requests_relayed_total": self.forwarder.relay.relayed,
             "peers_of_other_builds": self._builds.count_different(alive),
             "news_unreadable_total": unreadable,
             **self.forwarder.evacuation.counts.metrics(),
@@ -338,6 +345,11 @@
             return
         await self.forwarder.handle(request, reply)
 
+    async def _handle_relayed(self, request: InboundRequest, reply: Reply) -> None:
+        """Handle a request that a peer relays, since it reaches no server itself."""
+        request.relayed = True
+        await self._handle(request, reply)
+
     @property
     def _stop_admission_s(self) -> float:
         """Return for how long after the start of a planned stop new requests are admitted."""
@@ -350,6 +362,7 @@
         for address in {node.control, node.directory, node.readiness}:
             self._tcp_servers.append(await listen(address, self._control_listener))
         self._tcp_servers.append(await listen(node.callers, self._caller_listener))
+        self._tcp_servers.append(await listen(node.peers, self._relay_listener))
         emit(Event.LISTENING, node=node.id, hall=node.hall)
         now = monotonic()
         port = node.peers.rpartition(":")[2]
@@ -375,6 +388,7 @@
         start("pool", self._sweep_pool_forever)
         start("callers", lambda: sweep_forever(self._caller_listener))
         start("questions", lambda: sweep_forever(self._control_listener))
+        start("relayed", lambda: sweep_forever(self._relay_listener))
         gave_up = asyncio.create_task(self.supervisor.gave_up.wait())
         stopping = asyncio.create_task(stop.wait())
         await asyncio.wait([gave_up, stopping], return_when=asyncio.FIRST_COMPLETED)
@@ -399,7 +413,7 @@
         earliest_end_at = began_at + min_stop_s(self.settings.bounds)
         quiet_since = monotonic()
         while (now := monotonic()) < end_at:
-            if self._caller_listener.busy():
+            if self._caller_listener.busy() or self._relay_listener.busy():
                 quiet_since = now
             elif now >= earliest_end_at and now - quiet_since >= STOP_QUIET_S:
                 break
@@ -408,6 +422,7 @@
         for server in self._tcp_servers:
             server.close()
         self._caller_listener.close_idle()
+        self._relay_listener.close_idle()
         await self.supervisor.stop()
         self._send_state()
         emit(Event.STOPPED, node=self.settings.node.id)
@@ -460,6 +475,10 @@
             formats=FORMATS,
             era=self._store.era.to_broadcast(),
             claims=self.balancer.claims_report(loads),
+            relays=True,
+            unreachable=self.balancer.reachability.unreachable(),
+            reached=self.balancer.reachability.reached_recently(now),
+            cut_off=self._cut_off,
         )
 
     def _send_state(self, everyone: bool = True) -> None:
@@ -539,6 +558,7 @@
                 emit(Event.WOKEN, node=self.settings.node.id, slept_s=round(slept_s, 3))
             now = monotonic()
             self._request_rate.observe(self.forwarder.handled, now)
+            self._update_cut_off(now)
             changed = self.neighbours.update_serving(self._own_state(), now)
             if changed and self.neighbours.promoted_without_counts(now):
                 self.forwarder.reset_limits()
@@ -554,6 +574,18 @@
             self._log_addresses()
             await asyncio.sleep(GOSSIP_INTERVAL_S)
 
+    def _update_cut_off(self, now: float) -> None:
+        """Decide whether this node lacks a service that peers reach, and check those they lack."""
+        alive = self.members.alive(now)
+        lost = self.balancer.reachability.unreachable_for(CUT_OFF_DELAY_S, now)
+        reached = {name for each in alive for name in each.reached if name not in each.unreachable}
+        self._cut_off = any(service in reached for service in lost)
+        large = self.neighbours.is_large(now)
+        hall = self.settings.node.hall
+        for peer in alive:
+            if peer.cut_off and (not large or peer.hall == hall):
+                self.forwarder.prober.check_for_peers(peer.unreachable)
+
     def _on_message(self, message: Message) -> None:
         """Dispatch a gossip message to the component that handles its kind."""
         now = monotonic()
--- a/src/moledale/gateway/peers.py
+++ b/src/moledale/gateway/peers.py
@@ -101,7 +101,10 @@
     `performance` is what the node itself observed of the speed of some servers (see
     `scheduling.speed_reports`), empty in states that do not tell it. `claims` is what its requests
     take at the servers in `loads`, in their order (see
-    `scheduling.engine_memory.EngineClaims.report`).
+    `scheduling.engine_memory.EngineClaims.report`). `relays` is set if the node takes requests from
+    peers on connections to `peer`. `unreachable` are the services of which it reaches no server,
+    and `reached` those of which it reached one recently. `cut_off` is set if it does not reach a
+    service that other nodes reach.
     Two builds exchange states during a rolling replacement, so new fields are added last with a
     default, and none is ever removed.
     """
@@ -142,6 +145,10 @@
     shares: dict[str, tuple[int, int]] | None = None
     performance: bytes = b""
     claims: bytes = b""
+    relays: bool = False
+    unreachable: list[str] = []
+    reached: list[str] = []
+    cut_off: bool = False
 
     def without_counts(self) -> "NodeState":
         """Return a brief state without most counts, for nodes that only need the membership.
--- a/src/moledale/gateway/pool.py
+++ b/src/moledale/gateway/pool.py
@@ -63,6 +63,15 @@
         self.on_connect(server, True)
         return connection
 
+    async def probe(self, server: str, address: str) -> bool:
+        """Return whether a server takes a new connection, which is kept for reuse."""
+        try:
+            connection = await self._open(server, address)
+        except ConnectFailed:
+            return False
+        self.release_unused(server, connection)
+        return True
+
     def release(self, server: str, connection: UpstreamConnection) -> None:
         """Keep a connection whose exchange ended completely, else close it."""
         if connection.finish(self._now()):
--- /dev/null
+++ b/src/moledale/gateway/reach_probe.py
@@ -0,0 +1,125 @@
+"""Probes of servers by new connections, to learn whether this node reaches a service.
+
+A probe only connects. Its connection is kept for the next request, so a probe of a server that is
+reached costs no more than that request would have.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from moledale.gateway.balance import LoadBalancer
+from moledale.gateway.messages import Server
+from moledale.gateway.pool import ConnectionPool
+from moledale.node.background import BackgroundTasks
+
+PROBED_SERVERS = 3
+"""Servers that are probed at the same time to find out whether a service is reached."""
+
+PROBE_INTERVAL_S = 0.5
+"""Interval between probes of an unreachable service."""
+
+MIN_CHECK_INTERVAL_S = 1.0
+"""Minimum time between two checks of a service. Servers that are silent but take connections are
+suspected again in each gossip round, and each probe may be a connection more."""
+
+
+class ReachProber:
+    """Checks suspected services, and probes unreachable ones until they are reached again."""
+
+    def __init__(
+        self, balancer: LoadBalancer, pool: ConnectionPool, now: Callable[[], float]
+    ) -> None:
+        self._balancer = balancer
+        self._reachability = balancer.reachability
+        self._pool = pool
+        self._now = now
+        self._rng = random.Random()
+        self._checked: set[str] = set()
+        self._last_checked_at: dict[str, float] = {}
+        self._background = BackgroundTasks("probes")
+
+    def record_connect(self, name: str, connected: bool) -> None:
+        """Record whether a server took a new connection, and check its service if it is suspect."""
+        view = self._balancer.views.get(name)
+        if view is None:
+            return
+        service = view.server.service
+        listed = len(self._balancer.group(service).views)
+        if connected:
+            self._reachability.record_connected(service, name, listed, self._now())
+            return
+        self._reachability.record_failed(service, name)
+        if self._reachability.is_suspect(service, listed):
+            self.check(service)
+
+    def record_silence(self, name: str) -> None:
+        """Record that a server sent nothing although it should have."""
+        self.record_connect(name, False)
+
+    def check_for_peers(self, services: list[str]) -> None:
+        """Check services that a peer does not reach, unless this node reached them recently."""
+        reached = self._reachability.reached_recently(self._now())
+        for service in services:
+            if service not in reached:
+                self.check(service)
+
+    def check(self, service: str) -> None:
+        """Start to find out whether a service is reached, unless that was done just now."""
+        now = self._now()
+        last_at = self._last_checked_at.get(service)
+        if service in self._checked or self._reachability.is_unreachable(service):
+            return
+        if last_at is None or now - last_at >= MIN_CHECK_INTERVAL_S:
+            self._checked.add(service)
+            self._last_checked_at[service] = now
+            self._background.start(self._check(service))
+
+    async def _check(self, service: str) -> None:
+        try:
+            if await self._is_reached(service):
+                return
+            listed = len(self._balancer.group(service).views)
+            self._reachability.record_lost(service, listed, self._now())
+            self._check_others()
+            while self._reachability.is_unreachable(service):
+                await asyncio.sleep(PROBE_INTERVAL_S)
+                await self._probe_one(service)
+        finally:
+            self._checked.discard(service)
+
+    def _check_others(self) -> None:
+        """Check the other services, whose links may be lost with those of this one."""
+        services = {view.server.service for view in self._balancer.views.values()}
+        self.check_for_peers(sorted(services))
+
+    async def _is_reached(self, service: str) -> bool:
+        """Return whether any of a few servers takes a connection, those that did not fail first."""
+        failed = self._reachability.service(service).failed
+        servers = self._servers(service)
+        self._rng.shuffle(servers)
+        servers.sort(key=lambda server: server.id in failed)
+        untried = [server for server in servers if server.id not in failed]
+        probed = untried[:PROBED_SERVERS] or servers[:1]
+        if not probed:
+            return True
+        return any(await asyncio.gather(*(self._probe(server) for server in probed)))
+
+    async def _probe_one(self, service: str) -> None:
+        """Probe a server, one that has not yet taken a connection if there is any."""
+        servers = self._servers(service)
+        if not servers:
+            # Nothing is left that could be unreachable.
+            self._reachability.service(service).lost_at = None
+            return
+        connected = self._reachability.service(service).connected
+        await self._probe(
+            self._rng.choice([each for each in servers if each.id not in connected] or servers)
+        )
+
+    async def _probe(self, server: Server) -> bool:
+        return await self._pool.probe(server.id, server.address)
+
+    def _servers(self, service: str) -> list[Server]:
+        views = self._balancer.group(service).allowed_servers()
+        return [view.server for view in views if not view.server.leaving]
--- a/src/moledale/gateway/refusals.py
+++ b/src/moledale/gateway/refusals.py
@@ -12,6 +12,7 @@
 from moledale.gateway.dialect import Dialect
 from moledale.gateway.job import Attempt, AttemptOutcome, Job
 from moledale.gateway.messages import InboundRequest, Refusal
+from moledale.gateway.relay import UNREACHABLE_HEADER
 from moledale.gateway.reply import Reply
 from moledale.gateway.turns import RetryScheduler
 from moledale.log import Event, emit
@@ -23,6 +24,7 @@
 """Retry delay when servers were full: a few response times of a plain service."""
 
 NO_SERVER = "no server is there"
+NO_CONNECTION = "no connection"
 ALL_BACK_OFF = "all servers asked for a later retry"
 ALL_LIMITED = "all servers are at their limits"
 """Reasons sent to callers when no server could be sent the request."""
@@ -87,7 +89,9 @@
 
     def not_run_refusal(self, job: Job, last: Attempt) -> Refusal:
         """Return the refusal of a request that no server ran."""
-        return Refusal(503, last.why, add_jitter(self._rng, self._retry_after_s(job, last)))
+        retry_s = add_jitter(self._rng, self._retry_after_s(job, last))
+        unreachable = last.outcome is AttemptOutcome.NOT_SENT and last.why == NO_CONNECTION
+        return Refusal(503, last.why, retry_s, unreachable=unreachable)
 
     def _retry_after_s(self, job: Job, last: Attempt) -> float:
         """Return the delay after which a caller may retry.
@@ -134,4 +138,6 @@
         )
         body = b'{"error":"%s"}' % refusal.reason.encode()
         headers = self._dialect.refusal_headers(request_id, refusal.retry_after_s)
+        if refusal.unreachable and request.relayed:
+            headers.append((UNREACHABLE_HEADER, b"1"))
         reply.send_whole(refusal.status, headers, body)
--- a/src/moledale/log.py
+++ b/src/moledale/log.py
@@ -130,6 +130,9 @@
         480, logbook.WARNING, "This node reaches no server of a service that has some."
     )
     SERVICE_REACHED = EventSpec(481, logbook.INFO, "This node reaches the servers again.")
+    RELAYED = EventSpec(
+        483, logbook.INFO, "A request was sent to a peer, since no server was reached from here."
+    )
     ADDRESSES_CHANGED = EventSpec(
         482, logbook.INFO, "Callers that ask this node are directed to other nodes than before."
     )
--- a/src/moledale/platform/headers.py
+++ b/src/moledale/platform/headers.py
@@ -32,11 +32,12 @@
 from moledale.platform.entries import platform_id
 
 BEARER_PREFIX = b"bearer "
+DEADLINE_HEADER = b"deadline-ms"
 RESERVED_HEADERS = frozenset(  # for nodes only; values that callers send are dropped
     {
         b"authorization",
         b"tenant",
-        b"deadline-ms",
+        DEADLINE_HEADER,
         b"expect-instance",
         b"request-priority",
         b"kv-from",
@@ -61,7 +62,7 @@
         """Return the facts that the head of a request states; raise ValueError if it is invalid."""
         found = {name.lower(): value for name, value in head.headers}
         prompt, answer = _token_counts(found.get(b"token-count"))
-        deadline = parse_number(found.get(b"deadline-ms"), "Deadline-Ms")
+        deadline = parse_number(found.get(DEADLINE_HEADER), "Deadline-Ms")
         return RequestFacts(
             decode_value(found.get(b"request-id")),
             _bearer_token(found.get(b"authorization")),
@@ -105,6 +106,22 @@
             lines.append(b"Kv-Backup: " + facts.backup_at.encode())
         return b"\r\n".join(lines) + b"\r\n\r\n"
 
+    def relay_head(self, head: RequestHead, remaining_s: float, length: int) -> bytes:
+        """Return the head that is sent to a peer: the caller's, with the time left as deadline."""
+        lines = [b"%b %b HTTP/1.1" % (head.method, head.target)]
+        dropped = HOP_BY_HOP | connection_options(head.headers) | {DEADLINE_HEADER}
+        had_length = False
+        for name, value in head.headers:
+            key = name.lower()
+            had_length = had_length or key in (b"content-length", b"transfer-encoding")
+            if key not in dropped:
+                lines.append(name + b": " + value)
+        if length or had_length:
+            lines.append(b"Content-Length: %d" % length)
+        lines.append(b"Deadline-Ms: %d" % max(1, int(remaining_s * 1000)))
+        lines.append(b"Connection: close")
+        return b"\r\n".join(lines) + b"\r\n\r\n"
+
     def read_answer(self, head: AnswerHead) -> AnswerFacts:
         """Return the facts that the head of a server's response states."""
         found = {name.lower(): value for name, value in head.headers}
--- a/tests/cut_world.py
+++ b/tests/cut_world.py
@@ -5,6 +5,7 @@
 
 from moledale.clock import monotonic
 from moledale.gateway.node import GatewayNode
+from moledale.gateway.peers import Standing
 from moledale.gateway.upstream import CONNECT_TIMEOUT_S, ConnectFailed, UpstreamConnection, connect
 from tests.gateway_world import API_KEY, ScriptedServer, answer_ok, request_bytes
 from tests.test_gateway_nodes import Cluster, ask, ready, wait_until
@@ -107,7 +108,14 @@
         links[name] = ServerLinks(await cluster.start(name, hall=f"hall-{number}"))
     for node in cluster.nodes.values():
         await wait_until(ready(node))
-        await wait_until(lambda node=node: len(node.balancer.views) == servers)  # type: ignore[misc]
-        alive = node.members.alive
-        await wait_until(lambda alive=alive: len(alive(monotonic())) == nodes - 1)  # type: ignore[misc]
+    await wait_until(
+        lambda: all(knows_all(node, nodes, servers) for node in cluster.nodes.values())
+    )
     return links
+
+
+def knows_all(node: GatewayNode, nodes: int, servers: int) -> bool:
+    """Return whether a node knows all servers, and all other nodes as ready ones."""
+    alive = node.members.alive(monotonic())
+    ready_peers = [each for each in alive if each.standing == Standing.READY]
+    return len(node.balancer.views) == servers and len(ready_peers) == nodes - 1
