Do not take a node's lost links for servers that ended

Cause: a server that takes no connection from the node counted as crashed, and the requests that ran there were suspected.

Before a crash is recorded, the node now asks whether it reaches any other server of the service, if a peer reached one recently: a new answer or connection is enough, else up to three servers are probed. If it reaches none, nothing is recorded against requests or versions (E484). Services of fewer than three servers are judged as before, since all of them may have ended. The new test of tests.test_nodes_cut_from_servers fails without this and passes with it.

--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -105,13 +105,18 @@
         limits = AccountLimits(
             first_start, sharing.limit_window_s, sharing.limit_tolerance, starting_nodes
         )
-        self.guard = RequestGuard(pool, now, lambda cut: balancer.record_broken_answer(cut, now()))
+        self.prober = ReachProber(balancer, pool, now, self._peers_reach)
+        self.guard = RequestGuard(
+            pool,
+            now,
+            lambda cut: balancer.record_broken_answer(cut, now()),
+            self.prober.links_lost,
+        )
         self.admission = Admission(
             dialect, now, newer_plan, limits, self.guard.wait_s, self._may_refuse
         )
         self._dialect = dialect
         self._balancer = balancer
-        self.prober = ReachProber(balancer, pool, now)
         pool.on_connect = self.prober.record_connect
         balancer.on_silent = self._on_silent
         self.relay = Relay(dialect, lambda: sharing.members.alive(now()), now)
@@ -194,6 +199,11 @@
                 self._refund(job)
             raise
 
+    def _peers_reach(self, service: str) -> bool:
+        """Return whether a peer states that it reached a service recently."""
+        alive = self._sharing.members.alive(self._now())
+        return any(service in each.reached for each in alive)
+
     def _on_silent(self, server: str) -> None:
         """Use no open connection of a server that should have sent something."""
         self._pool.discard(server)
--- a/src/moledale/gateway/reach_probe.py
+++ b/src/moledale/gateway/reach_probe.py
@@ -25,11 +25,19 @@
 
 
 class ReachProber:
-    """Checks suspected services, and probes unreachable ones until they are reached again."""
+    """Checks suspected services, and probes unreachable ones until they are reached again.
+
+    `peers_reach` returns whether a peer reached a service recently.
+    """
 
     def __init__(
-        self, balancer: LoadBalancer, pool: ConnectionPool, now: Callable[[], float]
+        self,
+        balancer: LoadBalancer,
+        pool: ConnectionPool,
+        now: Callable[[], float],
+        peers_reach: Callable[[str], bool],
     ) -> None:
+        self._peers_reach = peers_reach
         self._balancer = balancer
         self._reachability = balancer.reachability
         self._pool = pool
@@ -57,6 +65,17 @@
         """Record that a server sent nothing although it should have."""
         self.record_connect(name, False)
 
+    async def links_lost(self, service: str, since: float) -> bool:
+        """Return whether this node has lost its links to a service since a time.
+
+        The servers of a small service may all have ended, so there the links count as intact.
+        """
+        if len(self._servers(service)) < PROBED_SERVERS or not self._peers_reach(service):
+            return False
+        if self._reachability.service(service).reached_at > since:
+            return False
+        return self._reachability.is_unreachable(service) or not await self._is_reached(service)
+
     def check_for_peers(self, services: list[str]) -> None:
         """Check services that a peer does not reach, unless this node reached them recently."""
         reached = self._reachability.reached_recently(self._now())
--- a/src/moledale/gateway/request_guard.py
+++ b/src/moledale/gateway/request_guard.py
@@ -16,7 +16,15 @@
 from moledale.gateway.job import Job
 from moledale.gateway.messages import InboundRequest
 from moledale.gateway.pool import ConnectionPool
-from moledale.gateway.server_ends import COLLECT_WINDOW_S, BrokenRequests, CrashDetector, Reach
+from moledale.gateway.server_ends import (
+    COLLECT_WINDOW_S,
+    BrokenRequests,
+    CrashDetector,
+    LinksLost,
+    Reach,
+    Verdict,
+    links_intact,
+)
 from moledale.gateway.server_view import Placement
 from moledale.log import Event, emit
 
@@ -44,7 +52,8 @@
 
     `on_crash` is called for server crashes seen by this node, `on_cleared` for suspected requests
     that a server survived, and `on_block` for blocked requests whose crashes this node has seen.
-    `record_failure` counts a broken response as a failure of the server's version.
+    `record_failure` counts a broken response as a failure of the server's version, and `links_lost`
+    tells whether this node has lost its links to all servers of a service.
     """
 
     def __init__(
@@ -52,13 +61,14 @@
         pool: ConnectionPool,
         now: Callable[[], float] = monotonic,
         record_failure: Callable[[Placement], None] = _ignore,
+        links_lost: LinksLost = links_intact,
     ) -> None:
         self.quarantine = Quarantine()
         self._record_failure = record_failure
         self.on_crash: Callable[[ObservedCrash], None] = _ignore
         self.on_cleared: Callable[[bytes], None] = _ignore
         self.on_block: Callable[[Block], None] = _ignore
-        self._crash_detector = CrashDetector(pool, self._on_server_checked, now)
+        self._crash_detector = CrashDetector(pool, self._on_server_checked, now, links_lost)
         self._now = now
         self._seen_locally: set[bytes] = set()
 
@@ -121,8 +131,11 @@
             each for each in self._seen_locally if self.quarantine.is_suspect(each)
         }
 
-    def _on_server_checked(self, broken: BrokenRequests, crashed: bool) -> None:
-        if not crashed:
+    def _on_server_checked(self, broken: BrokenRequests, verdict: Verdict) -> None:
+        if verdict is Verdict.UNKNOWN:
+            emit(Event.END_UNKNOWN, server=broken.server.id, requests=len(broken.requests))
+            return
+        if verdict is Verdict.ALIVE:
             for placement in broken.placements:
                 self._record_failure(placement)
             return
--- a/src/moledale/gateway/server_ends.py
+++ b/src/moledale/gateway/server_ends.py
@@ -1,13 +1,13 @@
 """Detection of crashed servers after answers of them broke off.
 
 An answer may break off though its server is alive: a connection was reset, or the answer was
-corrupt. Only a server that accepts no connection any more has crashed, and only then do the
-requests that ran there are suspected of the crash. One check covers all requests of this node that
-broke off at a server.
+corrupt. Only a server that accepts no connection any more has crashed, unless this node has lost
+its links to all servers of the service. Only after a crash are the requests that ran there
+suspected of it. One check covers all requests of this node that broke off at a server.
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from enum import StrEnum
 
 import msgspec
@@ -41,9 +41,25 @@
     SILENT = "silent"
 
 
-CrashCheckCallback = Callable[[BrokenRequests, bool], None]
+class Verdict(StrEnum):
+    """Whether a server has crashed; `UNKNOWN` if this node's own links may be lost instead."""
+
+    ALIVE = "alive"
+    CRASHED = "crashed"
+    UNKNOWN = "unknown"
+
+
+CrashCheckCallback = Callable[[BrokenRequests, Verdict], None]
 """Receives the requests that broke off at a server, and whether the server has crashed."""
 
+LinksLost = Callable[[str, float], Awaitable[bool]]
+"""Returns whether this node has lost its links to a service since a time, and peers have not."""
+
+
+async def links_intact(_service: str, _since: float) -> bool:
+    """Take the links to all services for intact."""
+    return False
+
 
 class CrashDetector:
     """Checks servers whose answers broke off; `on_checked` receives the result."""
@@ -53,7 +69,9 @@
         pool: ConnectionPool,
         on_checked: CrashCheckCallback,
         now: Callable[[], float] = monotonic,
+        links_lost: LinksLost = links_intact,
     ) -> None:
+        self._links_lost = links_lost
         self._pool = pool
         self._on_checked = on_checked
         self._now = now
@@ -73,7 +91,14 @@
     async def _check(self, server: str) -> None:
         await asyncio.sleep(COLLECT_WINDOW_S)
         broken = self._broken.pop(server)
-        self._on_checked(broken, await self.probe(broken.server) is not Reach.ACCEPTS)
+        self._on_checked(broken, await self._verdict(broken))
+
+    async def _verdict(self, broken: BrokenRequests) -> Verdict:
+        if await self.probe(broken.server) is Reach.ACCEPTS:
+            return Verdict.ALIVE
+        if await self._links_lost(broken.server.service, broken.at):
+            return Verdict.UNKNOWN
+        return Verdict.CRASHED
 
     async def probe(self, server: Server) -> Reach:
         """Return whether the server accepts a connection; a new one is kept for reuse."""
--- a/src/moledale/log.py
+++ b/src/moledale/log.py
@@ -133,6 +133,11 @@
     RELAYED = EventSpec(
         483, logbook.INFO, "A request was sent to a peer, since no server was reached from here."
     )
+    END_UNKNOWN = EventSpec(
+        484,
+        logbook.WARNING,
+        "Answers of a server broke off, but this node reaches no other server of the service.",
+    )
     ADDRESSES_CHANGED = EventSpec(
         482, logbook.INFO, "Callers that ask this node are directed to other nodes than before."
     )
--- a/tests/cut_world.py
+++ b/tests/cut_world.py
@@ -101,6 +101,7 @@
     for number in range(2, servers + 1):
         server = ScriptedServer(f"s{number}", answer_ok)
         await server.start()
+        cluster.servers.append(server)
         cluster.list_server(server, "ready")
     links = {}
     for number in range(1, nodes + 1):
--- a/tests/test_gateway_nodes.py
+++ b/tests/test_gateway_nodes.py
@@ -75,11 +75,12 @@
 
 
 class Cluster:
-    """Runs nodes, a store and one backend server."""
+    """Runs nodes, a store and backend servers, one of them at first."""
 
     def __init__(self, bounds: Bounds = BOUNDS) -> None:
         self.platform = RowsPlatform()
         self.backend = ScriptedServer("s1", answer_ok)
+        self.servers = [self.backend]
         self.nodes: dict[str, GatewayNode] = {}
         self.bounds = bounds
         self._stops: dict[str, asyncio.Event] = {}
@@ -97,7 +98,8 @@
             self.kill(name)
         await asyncio.sleep(0)
         await self.platform.stop()
-        self.backend.stop()
+        for server in self.servers:
+            server.stop()
 
     def list_backend(self, state: str) -> None:
         """Write the list entry of the cluster's own backend server."""
--- a/tests/test_nodes_cut_from_servers.py
+++ b/tests/test_nodes_cut_from_servers.py
@@ -5,7 +5,8 @@
 
 from moledale.clock import monotonic
 from tests.cut_world import Cut, FirstTries, ServerLinks, send_first_tries, start_cluster
-from tests.test_gateway_nodes import Cluster, make_config, run_on_cluster
+from tests.gateway_world import Arrival
+from tests.test_gateway_nodes import Cluster, make_config, run_on_cluster, wait_until
 
 CONTACT_S = 3.0
 """Time from the begin of a cut until requests at a node must be served again."""
@@ -112,5 +113,35 @@
             await asyncio.sleep(0.1)
 
 
+class SuspicionTest(unittest.TestCase):
+    def test_lost_links_of_a_node_are_not_taken_for_servers_that_ended(self) -> None:
+        async def hang(
+            _arrival: Arrival, reader: asyncio.StreamReader, _writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.read(1)
+            raise ConnectionError
+
+        async def work(cluster: Cluster) -> None:
+            links = await start_cluster(cluster, 3)
+            for name in ("n2", "n3"):
+                self.assertEqual((await cluster.ask(name)).status, 200)
+            members = cluster.nodes["n1"].members
+            await wait_until(lambda: any(each.reached for each in members.alive(monotonic())))
+            for server in cluster.servers:
+                server.script = hang
+            before = sum(len(server.arrivals) for server in cluster.servers)
+            asked = asyncio.create_task(cluster.ask("n1"))
+            await wait_until(
+                lambda: sum(len(server.arrivals) for server in cluster.servers) > before
+            )
+            links["n1"].fail(Cut.REFUSE)
+            await asked
+            await asyncio.sleep(0.5)
+            for node in cluster.nodes.values():
+                self.assertFalse(node.forwarder.guard.quarantine.has_suspects)
+
+        run_on_cluster(work)
+
+
 if __name__ == "__main__":
     unittest.main()
