Find connections that fall silent by TCP keep-alive

A node whose links to the servers are cut silently learnt it from requests that were lost, one for each server with an idle connection; one without traffic learnt nothing and could be chosen to serve.

Cause: connections to servers, the store and peers had no keep-alive, so an idle connection without a peer looked like a good one until a request was sent on it.

An idle connection that ends so counts as a failure to connect in the reachability of its service.

--- a/src/moledale/gateway/pool.py
+++ b/src/moledale/gateway/pool.py
@@ -24,7 +24,7 @@
 
     Servers are ordered by the time at which a connection to them was last released. `opened` counts
     the attempts to open a new connection. `on_connect` is called with a server and whether it took
-    a new connection.
+    a new connection, and with one that did not react on an idle connection any more.
     """
 
     def __init__(self, now: Callable[[], float], connect: Connect = connect) -> None:
@@ -98,8 +98,10 @@
             connection.close()
 
     def sweep(self) -> None:
-        """Close connections that have been idle for too long."""
+        """Close connections that have been idle for too long, and report those that timed out."""
         for server, idle in list(self._idle.items()):
+            if any(each.timed_out for each in idle):
+                self.on_connect(server, False)
             kept = [each for each in idle if each.usable and not self._is_stale(each)]
             for each in idle:
                 if each not in kept:
--- a/src/moledale/gateway/upstream.py
+++ b/src/moledale/gateway/upstream.py
@@ -10,6 +10,7 @@
 
 import httptools
 
+from moledale.gateway.keep_alive import enable_keep_alive
 from moledale.gateway.messages import AnswerHead
 
 CONNECT_TIMEOUT_S = 0.3
@@ -46,12 +47,16 @@
 
 
 class UpstreamConnection(asyncio.Protocol):
-    """One connection to one server; `usable` while it may carry another request."""
+    """One connection to one server; `usable` while it may carry another request.
+
+    `timed_out` is set if the kernel closed it since the server's machine did not react any more.
+    """
 
     def __init__(self) -> None:
         self.transport: asyncio.Transport | None = None
         self.usable = True
         self.closed = False
+        self.timed_out = False
         self.requests_sent = 0
         self.idle_since = 0.0
         self.keep_alive_s: float | None = None
@@ -72,8 +77,9 @@
         self._bodiless = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keep the transport."""
+        """Keep the transport, and have the kernel watch the connection."""
         self.transport = transport  # type: ignore[assignment]
+        enable_keep_alive(transport.get_extra_info("socket"))
 
     def send(self, data: bytes, bodiless: bool = False) -> None:
         """Send one whole request; its response is read with `head` and `chunk`.
@@ -160,6 +166,7 @@
         """Record how the connection ended."""
         self.closed = True
         self.usable = False
+        self.timed_out = isinstance(exc, TimeoutError)
         if exc is not None and not self._complete:
             self._cut = self._cut or Cut.RESET
         self._end_of_data()
