Spare servers that end when they must reject too many requests

Servers may state in all their answers how many rejections within a second end them (Server-Brittle). Nothing read it, and requests beyond a server's slots are queued at the servers, which reject what they don't queue.

A statement now holds for the service at all nodes for 5 s after the last one. Engines get requests of all nodes up to seven eighths of their slots, plain servers up to a fixed share of their slots from each serving node. Requests without room wait as for a permit, then get 503 with a time to come back. A server that rejects all the same gets nothing from any node for a second.

--- a/src/moledale/gateway/balance.py
+++ b/src/moledale/gateway/balance.py
@@ -1,9 +1,10 @@
 """Chooses a server for each request and tracks the load that all nodes put on the servers."""
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 from moledale.core.hashing import weight
+from moledale.gateway.brittle import OwnRooms, engine_room
 from moledale.gateway.choice import (
     FAILURE_PENALTY_S,
     Choice,
@@ -113,6 +114,7 @@
         self.notices = ServerNotices(self.views, self.group)
         self.reachability = Reachability()
         self.server_speeds = ServerSpeeds()
+        self._own_rooms = OwnRooms()
         self.claims = EngineClaims()
         self.memory_metrics = EngineMemoryMetrics()
 
@@ -154,6 +156,19 @@
         """Return the number of servers that state a limit."""
         return sum(len(group.limited.names) for group in self._groups.values())
 
+    def refresh_rooms(self, own: str, serving: Sequence[str], now: float) -> None:
+        """Bound the requests at brittle servers, given the ids of the serving nodes."""
+        self.notices.brittle.expire(now)
+        for service, group in self._groups.items():
+            brittle = self.notices.brittle.is_brittle(service)
+            slots = {name: view.server.slots for name, view in group.views.items()}
+            if not brittle or group.has_engine:
+                for view in group.views.values():
+                    view.set_rooms(engine_room(view.server.slots) if brittle else None, None)
+                continue
+            for name, room in self._own_rooms.of(service, own, serving, slots).items():
+                group.views[name].set_rooms(None, room)
+
     def group(self, service: str) -> ServerGroup:
         """Return the group of a service's servers, which is created if there is none yet."""
         group = self._groups.get(service)
--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -278,10 +278,8 @@
                 self._give_up(job, Refusal(503, refused.reason, refused.retry_after_s))
                 return
             if placement is None:
-                if last.why == NO_SERVER and self._refusals.wait_s(job):
-                    last = Attempt(
-                        AttemptOutcome.NOT_SENT, why=self._refusals.no_server_reason(job)
-                    )
+                if last.why == NO_SERVER:
+                    last = self._refusals.no_server_attempt(job)
                 break
             placement.route = job.route.name
             attempt = await self._attempt(job, placement, continuation)
--- a/src/moledale/gateway/messages.py
+++ b/src/moledale/gateway/messages.py
@@ -94,13 +94,15 @@
     `leaving` is set if the server terminates soon. `retry_after_s` is None if the answer states no
     readable time. `limit_per_s` is the number of requests per second that the server accepts from
     all nodes together, None if it states no limit; `limit_unreadable` is set if the stated limit
-    can't be parsed.
+    can't be parsed. `max_rejections` is how many requests the server can reject within a second;
+    one more ends it. It is None if the server states none.
     """
 
     leaving: bool = False
     retry_after_s: float | None = None
     limit_per_s: float | None = None
     limit_unreadable: bool = False
+    max_rejections: int | None = None
 
 
 class AnswerFacts(msgspec.Struct, frozen=True):
--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -299,6 +299,7 @@
         speeds = self.balancer.server_speeds.summary()
         return {
             "servers_limited": self.balancer.limited_count(),
+            "services_brittle": self.balancer.notices.brittle.count(),
             "services_unreachable": len(self.balancer.reachability.unreachable()),
             "requests_relayed_total": self.forwarder.relay.relayed,
             "peers_of_other_builds": self._builds.count_different(alive),
@@ -479,6 +480,7 @@
             unreachable=self.balancer.reachability.unreachable(),
             reached=self.balancer.reachability.reached_recently(now),
             cut_off=self._cut_off,
+            brittle=self.balancer.notices.brittle.to_broadcast(now),
         )
 
     def _send_state(self, everyone: bool = True) -> None:
@@ -569,11 +571,19 @@
             self.rollouts.step()
             self.forwarder.guard.block_suspects()
             self.fleet.drop_lapsed()
+            self._refresh_rooms(now)
             self.balancer.tick(now)
             self.members.forget_old(now)
             self._log_addresses()
             await asyncio.sleep(GOSSIP_INTERVAL_S)
 
+    def _refresh_rooms(self, now: float) -> None:
+        """Bound the requests at brittle servers by the nodes that serve now."""
+        serving = [each.id for each in self.members.alive(now) if each.serving]
+        if self.neighbours.serving:
+            serving.append(self.settings.node.id)
+        self.balancer.refresh_rooms(self.settings.node.id, sorted(serving), now)
+
     def _update_cut_off(self, now: float) -> None:
         """Decide whether this node lacks a service that peers reach, and check those they lack."""
         alive = self.members.alive(now)
@@ -627,6 +637,7 @@
             )
         for name in state.leaving:
             self.forwarder.handle_leaving_server(name, source=state.id)
+        self.balancer.notices.brittle.merge(state.brittle, state.id, now)
         self.balancer.notices.merge_peer_declines(state.declined, now)
         self.server_limits.on_state(state)
         self.rollouts.merge(state.rollouts)
--- a/src/moledale/gateway/peers.py
+++ b/src/moledale/gateway/peers.py
@@ -10,6 +10,7 @@
 
 from moledale.core.rollout_evidence import Evidence
 from moledale.core.rollouts import RolloutNews
+from moledale.gateway.brittle import BrittleNews
 from moledale.gateway.server_list import ListHead
 from moledale.gateway.server_model import Speed
 from moledale.gateway.stated_limit import LimitNews
@@ -104,7 +105,8 @@
     `scheduling.engine_memory.EngineClaims.report`). `relays` is set if the node takes requests from
     peers on connections to `peer`. `unreachable` are the services of which it reaches no server,
     and `reached` those of which it reached one recently. `cut_off` is set if it does not reach a
-    service that other nodes reach.
+    service that other nodes reach. `brittle` are the statements of brittle servers that it received
+    itself, by service.
     Two builds exchange states during a rolling replacement, so new fields are added last with a
     default, and none is ever removed.
     """
@@ -149,6 +151,7 @@
     unreachable: list[str] = []
     reached: list[str] = []
     cut_off: bool = False
+    brittle: dict[str, BrittleNews] = {}
 
     def without_counts(self) -> "NodeState":
         """Return a brief state without most counts, for nodes that only need the membership.
--- a/src/moledale/gateway/placing.py
+++ b/src/moledale/gateway/placing.py
@@ -1,5 +1,6 @@
 """Places requests on servers, with a permit where the server states a limit."""
 
+import asyncio
 from collections.abc import Callable
 
 import msgspec
@@ -19,6 +20,10 @@
 """Maximum permits that one request asks for when all servers state limits: each takes 1 ms."""
 
 
+ROOM_POLL_INTERVAL_S = 0.01
+"""Interval at which a request checks whether a full server has room."""
+
+
 PlacementCheck = Callable[[Choice, float], Callable[[float, float], None]]
 """Raises `PlacementRefused`, or returns what is called with the time to the first event and now."""
 
@@ -63,6 +68,14 @@
         If the server states no limit, nothing is awaited between the two steps, so no other request
         can change the load in between. A refusal by the request's check is raised.
         """
+        return (
+            await self._place_now(request)
+            or await self._wait_for_room(request)
+            or await self._wait_for_permit(request)
+        )
+
+    async def _place_now(self, request: PlacementRequest) -> Placement | None:
+        """Place the request on a server that takes it now, None if there is none."""
         on_first_event = None
         for refused in range(MAX_PERMIT_REQUESTS):
             choice = self._choose(request, refused)
@@ -76,7 +89,18 @@
                 placement = self._reserve(choice, request, limited)
                 placement.on_first_event = on_first_event
                 return placement
-        return await self._wait_for_permit(request)
+        return None
+
+    async def _wait_for_room(self, request: PlacementRequest) -> Placement | None:
+        """Wait up to `max_wait_s` until a full server has room; place the request there."""
+        group = self._balancer.group(request.service)
+        ends_at = self._now() + request.max_wait_s
+        while group.has_full_servers and self._now() < ends_at:
+            await asyncio.sleep(ROOM_POLL_INTERVAL_S)
+            placement = await self._place_now(request)
+            if placement is not None:
+                return placement
+        return None
 
     def _checked(
         self, request: PlacementRequest, choice: Choice, check: PlacementCheck
--- a/src/moledale/gateway/refusals.py
+++ b/src/moledale/gateway/refusals.py
@@ -26,6 +26,7 @@
 NO_SERVER = "no server is there"
 NO_CONNECTION = "no connection"
 ALL_BACK_OFF = "all servers asked for a later retry"
+ALL_FULL = "all servers are full"
 ALL_LIMITED = "all servers are at their limits"
 """Reasons sent to callers when no server could be sent the request."""
 
@@ -83,9 +84,15 @@
         self._rng = random.Random()
         self.counts = RefusalCounts()
 
-    def no_server_reason(self, job: Job) -> str:
-        """Return why a request gets no server although its service has some."""
-        return ALL_LIMITED if self._balancer.group(job.service).limited.names else ALL_BACK_OFF
+    def no_server_attempt(self, job: Job) -> Attempt:
+        """Return the attempt of a request that got no server, with the reason."""
+        group = self._balancer.group(job.service)
+        if group.has_full_servers:
+            return Attempt(AttemptOutcome.NOT_SENT, why=ALL_FULL, retry_after_s=NOT_RUN_RETRY_S)
+        if not self.wait_s(job):
+            return Attempt(AttemptOutcome.NOT_SENT, why=NO_SERVER)
+        why = ALL_LIMITED if group.limited.names else ALL_BACK_OFF
+        return Attempt(AttemptOutcome.NOT_SENT, why=why)
 
     def not_run_refusal(self, job: Job, last: Attempt) -> Refusal:
         """Return the refusal of a request that no server ran."""
--- a/src/moledale/gateway/server_group.py
+++ b/src/moledale/gateway/server_group.py
@@ -399,6 +399,11 @@
             for each in rejecting
         )
 
+    @property
+    def has_full_servers(self) -> bool:
+        """Return whether any server has as many requests as it may get at a time."""
+        return any(view.is_full for view in self.views.values())
+
     def has_alternative(self, now: float, tried: frozenset[str]) -> bool:
         """Return whether an untried server is eligible for work.
 
--- a/src/moledale/gateway/server_notices.py
+++ b/src/moledale/gateway/server_notices.py
@@ -11,6 +11,7 @@
 import msgspec
 from cachetools import LRUCache
 
+from moledale.gateway.brittle import HOLD_S, BrittleServices
 from moledale.gateway.messages import Server, ServerStatement
 from moledale.gateway.server_group import ServerGroup
 from moledale.gateway.server_standing import ServerStanding
@@ -46,6 +47,7 @@
     """
 
     def __init__(self, views: dict[str, ServerView], group: Callable[[str], ServerGroup]) -> None:
+        self.brittle = BrittleServices()
         self._views = views
         self._group = group
         self._leaving_addresses: LRUCache[str, str] = LRUCache(MAX_REMEMBERED_SERVERS)
@@ -98,8 +100,10 @@
             self._back_off(view, MISDIRECTED_PAUSE_S, now)
             # Another server answered at this address, which states nothing about this server.
             return
+        if stated.max_rejections is not None:
+            self.brittle.record(view.server.service, stated.max_rejections, now)
         if status == SERVICE_UNAVAILABLE and (not_run or stated.retry_after_s is not None):
-            self._back_off(view, stated.retry_after_s, now)
+            self._back_off(view, self._retry_after_s(view, stated), now)
         elif not not_run:
             view.record_accepted(sent_at)
         limit = view.standing.limit
@@ -108,6 +112,12 @@
         ):
             self._on_limit_change(view, "answer")
 
+    def _retry_after_s(self, view: ServerView, stated: ServerStatement) -> float | None:
+        """Return when a server that rejected a request is tried again, None if that is open."""
+        if not self.brittle.is_brittle(view.server.service):
+            return stated.retry_after_s
+        return max(HOLD_S, stated.retry_after_s or 0.0)
+
     def _back_off(self, view: ServerView, retry_after_s: float | None, now: float) -> None:
         view.record_decline(now, retry_after_s)
         if retry_after_s is not None:
@@ -176,3 +186,5 @@
             view = self._views.get(name)
             if view is not None:
                 view.record_peer_decline(now, now + wait_s + PEER_RETRY_DELAY_S)
+                if self.brittle.is_brittle(view.server.service):
+                    view.hold_until(now + wait_s)
--- a/src/moledale/gateway/server_view.py
+++ b/src/moledale/gateway/server_view.py
@@ -37,7 +37,8 @@
     `cached` holds the prompt parts in its cache with their tokens, the least recently used first.
     `has_engine` tells whether the plan gives its service an engine (see `ServerGroup.set_engine`).
     `relative_speed` is its prefill speed relative to its service (see `scheduling.performance`).
-    All times are monotonic seconds.
+    `room` and `own_room` are how many requests of all nodes and of this node it may get at a time,
+    None if that is not bounded. All times are monotonic seconds.
     """
 
     server: Server
@@ -57,6 +58,8 @@
     on_change: Callable[["ServerView"], None] | None = None
     has_engine: bool = False
     relative_speed: float = 1.0
+    room: int | None = None
+    own_room: int | None = None
 
     def notify_change(self) -> None:
         """Report that the load or the standing of the server changed."""
@@ -105,7 +108,20 @@
 
     def is_closed(self, now: float) -> bool:
         """Return whether this node may not send to the server now, even if no other one is open."""
-        return not self.is_open(now) or self.standing.is_held(now)
+        return not self.is_open(now) or self.standing.is_held(now) or self.is_full
+
+    @property
+    def is_full(self) -> bool:
+        """Return whether the server has as many requests as it may get at a time."""
+        if self.own_room is not None and self.running >= self.own_room:
+            return True
+        return self.room is not None and self.total_running >= self.room
+
+    def set_rooms(self, room: int | None, own_room: int | None) -> None:
+        """Set how many requests of all nodes and of this node the server may get at a time."""
+        if (room, own_room) != (self.room, self.own_room):
+            self.room, self.own_room = room, own_room
+            self.notify_change()
 
     def is_deprioritized(self, now: float) -> bool:
         """Return whether the server gets requests only if no other one may."""
--- a/src/moledale/log.py
+++ b/src/moledale/log.py
@@ -98,6 +98,11 @@
     SERVER_SPEED = EventSpec(
         428, logbook.INFO, "A server runs prefill faster or slower than its service; logged once."
     )
+    SERVICE_BRITTLE = EventSpec(
+        429,
+        logbook.INFO,
+        "The servers of a service state how many rejections a second end them, or no longer do.",
+    )
     OVERLOAD = EventSpec(
         430, logbook.INFO, "A service became overloaded at this node, or no longer is."
     )
--- a/src/moledale/platform/headers.py
+++ b/src/moledale/platform/headers.py
@@ -52,6 +52,7 @@
 LENGTH_HINT_HEADER = "length-hint"
 LEAVING_HEADER = "server-leaving"
 SERVER_LIMIT_HEADER = "server-limit"
+SERVER_BRITTLE_HEADER = "server-brittle"
 TRUE_VALUE = "1"
 
 
@@ -203,4 +204,6 @@
     retry_s = retry_after_s(field_values(headers, RETRY_AFTER), date)
     limits = field_values(headers, SERVER_LIMIT_HEADER)
     limit = lowest_limit(limits, SERVER_LIMIT_HEADER)
-    return ServerStatement(leaving, retry_s, limit, bool(limits) and limit is None)
+    rejections = lowest_limit(field_values(headers, SERVER_BRITTLE_HEADER), SERVER_BRITTLE_HEADER)
+    max_rejections = None if rejections is None else int(rejections)
+    return ServerStatement(leaving, retry_s, limit, bool(limits) and limit is None, max_rejections)
