Keep streams at servers that are silent for a second

A sound server may send nothing for a second or so and then go on. A resumable stream was taken from it after 0.8 s of silence (and two checks), read anew at another server, and its first run was thrown away as it was about to go on.

Cause: one threshold decided both that a server gets no new requests and that it has lost those that it runs. New requests still avoid a server from 0.8 s on.

test_resumable_streams_stay_at_a_server_that_is_silent_for_a_second failed before.

--- a/src/moledale/gateway/answers.py
+++ b/src/moledale/gateway/answers.py
@@ -137,7 +137,7 @@
     async def _read_unless_silent(
         self, job: Job, view: ServerView, read: Callable[[], Awaitable[Read]]
     ) -> Read:
-        """Wait for more of a stream; a resumable one is cut off if its server falls silent.
+        """Wait for more of a stream; a resumable one is cut off if its server is silent for long.
 
         Two checks in a row have to find silence: after a stall of this node itself, data that
         arrived in the meantime is read first.
@@ -150,7 +150,7 @@
                 async with asyncio.timeout(SILENCE_POLL_INTERVAL_S):
                     return await read()
             except TimeoutError:
-                silent_polls = silent_polls + 1 if view.is_silent(self._now()) else 0
+                silent_polls = silent_polls + 1 if view.is_lost(self._now()) else 0
             if silent_polls > 1 and self.may_try_elsewhere(job):
                 raise AnswerCut(Cut.SLOW)
 
--- a/src/moledale/gateway/server_view.py
+++ b/src/moledale/gateway/server_view.py
@@ -23,6 +23,10 @@
 request has failed there for its silence already."""
 
 MIN_PLAIN_SILENCE_S = 0.3
+LOST_SILENCE_S = 1.3
+"""A sound server may send nothing for a second or so and then go on. It gets no new requests by
+then, but those that it runs are sent elsewhere only after this time."""
+
 PLAIN_SILENCE_FACTOR = 6.0
 """A plain server is silent after this many of its average answer times, and not before
 `MIN_PLAIN_SILENCE_S`."""
@@ -164,6 +168,10 @@
             self.cached.move_to_end(part.id)
         evicted = []
         while self.cached_tokens > capacity and self.cached:
+    def is_lost(self, now: float) -> bool:
+        """Return whether no data came for longer than a sound server falls silent."""
+        return self.is_silent(now) and self.silent_s(now) > LOST_SILENCE_S
+
             name, tokens = self.cached.popitem(last=False)
             self.cached_tokens -= tokens
             evicted.append(name)
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -299,6 +299,13 @@
             writer.close()
 
 
+async def run_ticks(world: GatewayWorld) -> None:
+    """Call the balancer's periodic update as a node does."""
+    while True:
+        await asyncio.sleep(0.1)
+        world.balancer.tick(monotonic())
+
+
 def request_bytes(
     path: str,
     method: str = "POST",
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -23,6 +23,7 @@
     request_bytes,
     reset,
     run_quietly,
+    run_ticks,
     stream_head,
 )
 
@@ -571,6 +572,32 @@
 
         run_quietly(work())
 
+    def test_resumable_streams_stay_at_a_server_that_is_silent_for_a_second(self) -> None:
+        async def pause_after_first_event(
+            arrival: Arrival, _reader: Reader, writer: Writer
+        ) -> None:
+            writer.write(stream_head(arrival) + chunk(event(1)))
+            await asyncio.sleep(1.2)
+            writer.write(b"".join(chunk(event(n)) for n in range(2, 6)) + LAST_CHUNK)
+
+        async def work() -> None:
+            async with GatewayWorld(make_plan()) as world:
+                paused = await world.start_server("s1", "model", pause_after_first_event, slots=16)
+                ticking = asyncio.create_task(run_ticks(world))
+                tasks = [
+                    asyncio.create_task(world.send_request("/review/", request_id=r)) for r in "ab"
+                ]
+                await paused.arrived.wait()
+                await asyncio.sleep(0.1)
+                other = await world.start_server("s2", "model", stream_after_last_event, slots=16)
+                for task in tasks:
+                    got = await task
+                    self.assertEqual((got.body, got.whole), (ALL_EVENTS, True))
+                self.assertEqual(other.arrivals, [])
+                ticking.cancel()
+
+        run_quietly(work())
+
     def test_non_resumable_stream_stays_at_a_silent_server(self) -> None:
         async def work() -> None:
             async with GatewayWorld(make_plan()) as world:
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -12,6 +12,7 @@
     answer,
     make_plan,
     run_quietly,
+    run_ticks,
 )
 
 IDLE_CONNECTIONS = 4
@@ -86,13 +87,6 @@
         self.assertLess(sum(served), 1.0)
 
 
-async def run_ticks(world: GatewayWorld) -> None:
-    """Call the balancer's periodic update as a node does."""
-    while True:
-        await asyncio.sleep(0.1)
-        world.balancer.tick(monotonic())
-
-
 class CallsTest(unittest.TestCase):
     def test_only_one_call_fails_on_silent_connections(self) -> None:
         """After the first failure the other idle connections are not tried one by one."""
