Count a stall of one server once against its version

In a roll-out, a sound server of the new version that sends nothing for a second holds up all requests that it runs.

Cause: answers of one server at one moment were taken for independent.

--- a/src/moledale/gateway/answers.py
+++ b/src/moledale/gateway/answers.py
@@ -68,7 +68,7 @@
         """Read the head of a response, decide what it means, and read or relay the rest."""
         placement = run.placement
         head = await self._read_head(job, connection, placement)
-        placement.view.last_data_at = self._now()
+        placement.view.record_data(self._now())
         self._balancer.reachability.record_answer(job.service, self._now())
         facts = self._dialect.read_answer(head)
         if facts.closes:
@@ -177,7 +177,7 @@
         now = self._now()
         failed = head.status >= 500
         record_answer(placement.view, failed, now - placement.sent_at)
-        self._balancer.record_outcome(placement, failed, now - placement.sent_at)
+        self._balancer.record_outcome(placement, failed, now - placement.sent_at, now)
         job.may_have_run = True
         self._count_usage(job)
         if failed and job.reply.started:
@@ -234,7 +234,7 @@
         is_first = True
         view = placement.view
         while (data := await self._read_unless_silent(job, view, connection.chunk)) is not None:
-            view.last_data_at = self._now()
+            view.record_data(self._now())
             if is_first:
                 is_first = False
                 self._balancer.record_first_event(placement, self._now())
--- a/src/moledale/gateway/balance.py
+++ b/src/moledale/gateway/balance.py
@@ -476,7 +476,7 @@
         own_expected_s = speed.start_s + (expected_s - speed.start_s) / relative
         placement.view.slowness.observe(took_s, own_expected_s, now)
         expected_with_fetch_s = max(MIN_EXPECTED_S, expected_s + placement.fetching_s)
-        self.record_outcome(placement, False, took_s / expected_with_fetch_s)
+        self.record_outcome(placement, False, took_s / expected_with_fetch_s, now)
         waited_for_slot = placement.concurrent >= placement.view.server.slots
         own_with_fetch_s = max(MIN_EXPECTED_S, own_expected_s + placement.fetching_s)
         teaches = waited_for_slot or self._observe_delay(placement, took_s, own_with_fetch_s, now)
@@ -534,15 +534,19 @@
         """Report an answer that broke off as a failure of the server's version."""
         if placement.outcome_recorded:
             self.on_outcome(placement, placement.route + PACE_SUFFIX, True, 0.0)
-        self.record_outcome(placement, True, now - placement.sent_at)
+        self.record_outcome(placement, True, now - placement.sent_at, now)
 
-    def record_outcome(self, placement: Placement, failed: bool, took: float) -> None:
+    def record_outcome(self, placement: Placement, failed: bool, took: float, now: float) -> None:
         """Report an answer or the lack of one, unless the placement was reported already.
 
+        Of several that one stall of their server delayed, only the first is reported.
+
         `took` is as in `OutcomeCallback`.
         """
-        if not placement.outcome_recorded:
-            placement.outcome_recorded = True
+        if placement.outcome_recorded:
+            return
+        placement.outcome_recorded = True
+        if not placement.view.is_stall_counted(placement.sent_at, now):
             self.on_outcome(placement, placement.route, failed, took)
 
     def speeds(self, now: float) -> dict[str, Speed]:
--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -645,7 +645,7 @@
         """
         waited_s = self._now() - placement.sent_at
         if job.was_sent and waited_s >= job.route.target_s:
-            self._balancer.record_outcome(placement, True, waited_s)
+            self._balancer.record_outcome(placement, True, waited_s, self._now())
 
     def _cut_off_queued(self, job: Job, run: StreamRun, connection: UpstreamConnection) -> bool:
         """End an attempt without an event, to send the request elsewhere, if it may be."""
--- a/src/moledale/gateway/server_view.py
+++ b/src/moledale/gateway/server_view.py
@@ -7,6 +7,7 @@
 
 from moledale.gateway.messages import PromptPart, Server
 from moledale.gateway.server_model import PrefillTracker, Slowness
+from moledale.gateway.server_stalls import ServerStalls
 from moledale.gateway.server_standing import ServerStanding
 from moledale.scheduling.engine_memory import Claim, Demand
 
@@ -22,11 +23,11 @@
 """An engine with a single request gets more time, since that may be a long prefill, unless a
 request has failed there for its silence already."""
 
-MIN_PLAIN_SILENCE_S = 0.3
 LOST_SILENCE_S = 1.3
 """A sound server may send nothing for a second or so and then go on. It gets no new requests by
 then, but those that it runs are sent elsewhere only after this time."""
 
+MIN_PLAIN_SILENCE_S = 0.3
 PLAIN_SILENCE_FACTOR = 6.0
 """A plain server is silent after this many of its average answer times, and not before
 `MIN_PLAIN_SILENCE_S`."""
@@ -62,6 +63,7 @@
     on_change: Callable[["ServerView"], None] | None = None
     has_engine: bool = False
     relative_speed: float = 1.0
+    stalls: ServerStalls = msgspec.field(default_factory=ServerStalls)
     room: int | None = None
     own_room: int | None = None
 
@@ -144,6 +146,15 @@
         """Return the prompt tokens of all nodes that wait for prefill there."""
         return max(0, self.prefill_tokens + self.peers_prefill)
 
+    def record_data(self, now: float) -> None:
+        """Record that the server sent data."""
+        self.stalls.record_data(self.silent_s(now), now)
+        self.last_data_at = now
+
+    def is_stall_counted(self, sent_at: float, now: float) -> bool:
+        """Return whether an outcome was counted already for the stall that delayed a request."""
+        return self.stalls.is_counted(sent_at, self.silent_s(now), now)
+
     def silent_s(self, now: float) -> float:
         """Return for how long no data came while requests were running there."""
         return now - max(self.last_data_at, self.busy_since) if self.running else 0.0
@@ -157,6 +168,10 @@
             max_silence_s = ENGINE_SILENCE_S if use_short_limit else SINGLE_REQUEST_SILENCE_S
         return self.silent_s(now) > max_silence_s
 
+    def is_lost(self, now: float) -> bool:
+        """Return whether no data came for longer than a sound server falls silent."""
+        return self.is_silent(now) and self.silent_s(now) > LOST_SILENCE_S
+
     def record_cached(self, parts: tuple[PromptPart, ...], capacity: int) -> list[str]:
         """Record a prompt's parts as cached at the server; return the ids of evicted parts."""
         for part in parts:
@@ -168,10 +183,6 @@
             self.cached.move_to_end(part.id)
         evicted = []
         while self.cached_tokens > capacity and self.cached:
-    def is_lost(self, now: float) -> bool:
-        """Return whether no data came for longer than a sound server falls silent."""
-        return self.is_silent(now) and self.silent_s(now) > LOST_SILENCE_S
-
             name, tokens = self.cached.popitem(last=False)
             self.cached_tokens -= tokens
             evicted.append(name)
