Count a service as reached again once three probed servers take a connection

With most servers out of reach, a node counted a service as reached again after two new connections, which it got to servers that had started since its links were lost. It then tried the others first, for 0.3 s each, and lost the service again.

Three servers are now probed at a time, and all three have to take a connection.

--- a/src/moledale/gateway/reach_probe.py
+++ b/src/moledale/gateway/reach_probe.py
@@ -14,7 +14,8 @@
 from moledale.node.background import BackgroundTasks
 
 PROBED_SERVERS = 3
-"""Servers that are probed at the same time to find out whether a service is reached."""
+"""Servers that are probed at the same time. If none takes a connection, the service is not reached;
+if all do, it is reached again."""
 
 PROBE_INTERVAL_S = 0.5
 """Interval between probes of an unreachable service."""
@@ -55,7 +56,7 @@
         service = view.server.service
         listed = len(self._balancer.group(service).views)
         if connected:
-            self._reachability.record_connected(service, name, listed, self._now())
+            self._reachability.record_connected(service, self._now())
             return
         self._reachability.record_failed(service, name)
         if self._reachability.is_suspect(service, listed):
@@ -101,9 +102,11 @@
             listed = len(self._balancer.group(service).views)
             self._reachability.record_lost(service, listed, self._now())
             self._check_others()
-            while self._reachability.is_unreachable(service):
+            restored = False
+            while not restored:
                 await asyncio.sleep(PROBE_INTERVAL_S)
-                await self._probe_one(service)
+                restored = await self._is_restored(service)
+            self._reachability.record_restored(service, self._now())
         finally:
             self._checked.discard(service)
 
@@ -124,17 +127,15 @@
             return True
         return any(await asyncio.gather(*(self._probe(server) for server in probed)))
 
-    async def _probe_one(self, service: str) -> None:
-        """Probe a server, one that has not yet taken a connection if there is any."""
+    async def _is_restored(self, service: str) -> bool:
+        """Return whether all of a few servers take a connection.
+
+        A node that reaches only a few servers of many, as those that started since its links were
+        lost, would first try the others for most requests.
+        """
         servers = self._servers(service)
-        if not servers:
-            # Nothing is left that could be unreachable.
-            self._reachability.service(service).lost_at = None
-            return
-        connected = self._reachability.service(service).connected
-        await self._probe(
-            self._rng.choice([each for each in servers if each.id not in connected] or servers)
-        )
+        probed = self._rng.sample(servers, min(PROBED_SERVERS, len(servers)))
+        return all(await asyncio.gather(*(self._probe(server) for server in probed)))
 
     async def _probe(self, server: Server) -> bool:
         return await self._pool.probe(server.id, server.address)
--- a/src/moledale/gateway/reachability.py
+++ b/src/moledale/gateway/reachability.py
@@ -11,8 +11,7 @@
 
 MIN_SERVERS = 2
 """Different servers that have to fail, one after the other, before a service is suspected to be
-unreachable, and that have to take a connection before it counts as reachable again; fewer if the
-service has fewer."""
+unreachable; fewer if the service has fewer."""
 
 REACHED_RECENTLY_S = 1.0
 """A service counts as reached recently for this long after an answer or a new connection."""
@@ -27,13 +26,11 @@
 class ServiceReach(msgspec.Struct):
     """The connections of this node to the servers of one service; times are monotonic seconds.
 
-    `failed` holds the servers that took no connection since the last one that did, and `connected`
-    those that took one since the service became unreachable. That was at `lost_at`, which is None
-    while the service is reachable.
+    `failed` holds the servers that took no connection since the last one that did. `lost_at` is
+    when the service became unreachable, None while it is reachable.
     """
 
     failed: set[str] = msgspec.field(default_factory=set)
-    connected: set[str] = msgspec.field(default_factory=set)
     reached_at: float = NEVER
     lost_at: float | None = None
 
@@ -52,23 +49,15 @@
         """Record that a server of the service sent an answer, maybe on an earlier connection."""
         self.service(service).reached_at = now
 
-    def record_connected(self, service: str, server: str, listed: int, now: float) -> None:
-        """Record that a server took a new connection; `listed` is how many the service has."""
+    def record_connected(self, service: str, now: float) -> None:
+        """Record that a server of the service took a new connection."""
         reach = self.service(service)
         reach.reached_at = now
         reach.failed.clear()
-        if reach.lost_at is None:
-            return
-        reach.connected.add(server)
-        if len(reach.connected) >= min(MIN_SERVERS, listed):
-            emit(Event.SERVICE_REACHED, service=service, after_s=round(now - reach.lost_at, 3))
-            reach.lost_at = None
 
     def record_failed(self, service: str, server: str) -> None:
         """Record that a server took no connection or fell silent."""
-        reach = self.service(service)
-        reach.failed.add(server)
-        reach.connected.clear()
+        self.service(service).failed.add(server)
 
     def is_suspect(self, service: str, listed: int) -> bool:
         """Return whether so many servers failed that the service may be unreachable."""
@@ -81,7 +70,6 @@
         if reach.lost_at is not None:
             return
         reach.lost_at = now
-        reach.connected.clear()
         emit(
             Event.SERVICE_UNREACHABLE,
             service=service,
@@ -90,6 +78,13 @@
             reached_s=round(now - reach.reached_at, 3) if reach.reached_at > NEVER else None,
         )
 
+    def record_restored(self, service: str, now: float) -> None:
+        """Record that the service is reachable again."""
+        reach = self.service(service)
+        if reach.lost_at is not None:
+            emit(Event.SERVICE_REACHED, service=service, after_s=round(now - reach.lost_at, 3))
+            reach.lost_at = None
+
     def is_unreachable(self, service: str) -> bool:
         """Return whether this node reaches no server of the service."""
         return self.service(service).lost_at is not None
