Log with a node's readiness how old its confirmation and its contact with peers are

E102 and E103 tell the verdict only, so a node that refuses since its peers were not heard can't be told from one whose peers are gone. No decision depends on it.

--- a/src/moledale/node/node.py
+++ b/src/moledale/node/node.py
@@ -72,6 +72,10 @@
     generation: GenerationRequest | None = None
 
 
+def _rounded(seconds: float | None) -> float | None:
+    return None if seconds is None else round(seconds, 3)
+
+
 class Node:
     """Builds and owns all parts of one entry instance except the sockets for callers."""
 
@@ -273,13 +277,17 @@
         }
         return [staying[name] for name in ranked(request_id, staying)]
 
+    def _peer_contact_ago_s(self) -> float | None:
+        """Return the seconds since a peer was heard, None if none was."""
+        at = self._peer_contact_at
+        return None if at is None else self.clock.monotonic() - at
+
     def verdict(self) -> Verdict:
         """Return whether new requests may be accepted, by how recently the bundle was confirmed."""
-        contact_at = self._peer_contact_at
         view = Freshness(
             self.bundles.version,
             self.bundles.confirmed_ago_s(),
-            None if contact_at is None else self.clock.monotonic() - contact_at,
+            self._peer_contact_ago_s(),
             len(self.fleet.peer_nodes()),
             self.bundles.newest_version_seen,
         )
@@ -307,7 +315,13 @@
             if verdict is not self._logged_verdict:
                 self._logged_verdict = verdict
                 event = Event.READY if verdict is Verdict.SERVE else Event.NOT_READY
-                emit(event, verdict=verdict.value, version=self.bundles.version)
+                emit(
+                    event,
+                    verdict=verdict.value,
+                    version=self.bundles.version,
+                    confirmed_s=_rounded(self.bundles.confirmed_ago_s()),
+                    peer_contact_s=_rounded(self._peer_contact_ago_s()),
+                )
             self.metrics.gauge("open_requests", self.dispatcher.open_requests)
             self.metrics.gauge("waiting", self.dispatcher.waiting)
             await self.clock.sleep(STATE_POLL_INTERVAL_S)
