--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -575,6 +575,22 @@
         await world.wait_until(lambda: world.nodes["n2"].refusal() is None, 25.0)
         self.assertEqual(world.nodes["n2"].bundles.version, 2)
 
+    @in_world
+    async def test_nodes_in_touch_with_peers_accept_requests_throughout_a_table_outage(
+        self, world: World
+    ) -> None:
+        await world.start()
+        world.faults[Part.TABLE].down = True
+        refusals = []
+        for _ in range(600):
+            await world.clock.sleep(0.1)
+            refusals += [
+                (name, round(world.clock.now), refusal.detail)
+                for name, node in world.nodes.items()
+                if (refusal := node.refusal()) is not None
+            ]
+        self.assertEqual(refusals, [])
+
     @in_world
     async def test_isolated_node_refuses_requests(self, world: World) -> None:
         await world.start()
