--- a/src/moledale/gateway/balance.py
+++ b/src/moledale/gateway/balance.py
@@ -115,6 +115,7 @@
         self.reachability = Reachability()
         self.server_speeds = ServerSpeeds()
         self._own_rooms = OwnRooms()
+        self._bounded_services: set[str] = set()
         self.claims = EngineClaims()
         self.memory_metrics = EngineMemoryMetrics()
 
@@ -158,16 +159,28 @@
 
     def refresh_rooms(self, own: str, serving: Sequence[str], now: float) -> None:
         """Bound the requests at brittle servers, given the ids of the serving nodes."""
-        self.notices.brittle.expire(now)
+        brittle = self.notices.brittle
+        brittle.expire(now)
         for service, group in self._groups.items():
-            brittle = self.notices.brittle.is_brittle(service)
-            slots = {name: view.server.slots for name, view in group.views.items()}
-            if not brittle or group.has_engine:
+            if brittle.is_brittle(service):
+                self._bounded_services.add(service)
+                self._bound_requests(service, group, own, serving)
+            elif service in self._bounded_services:
+                self._bounded_services.discard(service)
                 for view in group.views.values():
-                    view.set_rooms(engine_room(view.server.slots) if brittle else None, None)
-                continue
-            for name, room in self._own_rooms.of(service, own, serving, slots).items():
-                group.views[name].set_rooms(None, room)
+                    view.set_rooms(None, None)
+
+    def _bound_requests(
+        self, service: str, group: ServerGroup, own: str, serving: Sequence[str]
+    ) -> None:
+        """Set how many requests each server of a brittle service may get at a time."""
+        if group.has_engine:
+            for view in group.views.values():
+                view.set_rooms(engine_room(view.server.slots), None)
+            return
+        slots = {name: view.server.slots for name, view in group.views.items()}
+        for name, room in self._own_rooms.of(service, own, serving, slots).items():
+            group.views[name].set_rooms(None, room)
 
     def group(self, service: str) -> ServerGroup:
         """Return the group of a service's servers, which is created if there is none yet."""
--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -24,6 +24,7 @@
 from moledale.gateway.relay import Relay, RelayOutcome
 from moledale.gateway.reply import Reply
 from moledale.gateway.request_guard import RequestGuard
+from moledale.gateway.server_notices import SERVICE_UNAVAILABLE
 from moledale.gateway.server_view import Placement, record_silence
 from moledale.gateway.settings import Scheduling
 from moledale.gateway.sharing import Sharing
@@ -315,7 +316,7 @@
         job.relay_tried = True
         self._publish_charge(job)
         outcome = await self.relay.relay(job)
-        if job.reply.status == 503:
+        if job.reply.status == SERVICE_UNAVAILABLE:
             self._refund(job)
         if outcome is RelayOutcome.BROKEN:
             job.may_have_run = True
--- a/src/moledale/gateway/placing.py
+++ b/src/moledale/gateway/placing.py
@@ -145,7 +145,9 @@
     async def _wait_for_permit(self, request: PlacementRequest) -> Placement | None:
         """Wait up to `max_wait_s` for the next permit of any server; place the request there."""
         view = self._balancer.group(request.service).closed.first_permitted(request.excluded)
-        if view is None or view.standing.held_until - self._now() > request.max_wait_s:
+        if view is None or view.limit_per_s is None:
+            return None
+        if view.standing.held_until - self._now() > request.max_wait_s:
             return None
         if not await self._permits.take(view, request.max_wait_s, request.permit_timeout_s):
             return None
--- a/src/moledale/gateway/reach_probe.py
+++ b/src/moledale/gateway/reach_probe.py
@@ -44,7 +44,7 @@
         self._pool = pool
         self._now = now
         self._rng = random.Random()
-        self._checked: set[str] = set()
+        self._in_progress: set[str] = set()
         self._last_checked_at: dict[str, float] = {}
         self._background = BackgroundTasks("probes")
 
@@ -88,10 +88,10 @@
         """Start to find out whether a service is reached, unless that was done just now."""
         now = self._now()
         last_at = self._last_checked_at.get(service)
-        if service in self._checked or self._reachability.is_unreachable(service):
+        if service in self._in_progress or self._reachability.is_unreachable(service):
             return
         if last_at is None or now - last_at >= MIN_CHECK_INTERVAL_S:
-            self._checked.add(service)
+            self._in_progress.add(service)
             self._last_checked_at[service] = now
             self._background.start(self._check(service))
 
@@ -108,7 +108,7 @@
                 restored = await self._is_restored(service)
             self._reachability.record_restored(service, self._now())
         finally:
-            self._checked.discard(service)
+            self._in_progress.discard(service)
 
     def _check_others(self) -> None:
         """Check the other services, whose links may be lost with those of this one."""
@@ -116,29 +116,34 @@
         self.check_for_peers(sorted(services))
 
     async def _is_reached(self, service: str) -> bool:
-        """Return whether any of a few servers takes a connection, those that did not fail first."""
-        failed = self._reachability.service(service).failed
+        """Return whether any of a few servers that did not fail yet takes a connection.
+
+        If all have failed, one of them is tried again.
+        """
         servers = self._servers(service)
-        self._rng.shuffle(servers)
-        servers.sort(key=lambda server: server.id in failed)
-        untried = [server for server in servers if server.id not in failed]
-        probed = untried[:PROBED_SERVERS] or servers[:1]
-        if not probed:
+        if not servers:
             return True
-        return any(await asyncio.gather(*(self._probe(server) for server in probed)))
+        failed = self._reachability.service(service).failed
+        untried = [server for server in servers if server.id not in failed]
+        probed = self._sample(untried) or [self._rng.choice(servers)]
+        return any(await self._probe_all(probed))
 
     async def _is_restored(self, service: str) -> bool:
         """Return whether all of a few servers take a connection.
 
-        A node that reaches only a few servers of many, as those that started since its links were
-        lost, would first try the others for most requests.
+        One would not be enough: a node may reach only the few of many servers that started since
+        its links were lost, and would first try the others for most requests.
         """
-        servers = self._servers(service)
-        probed = self._rng.sample(servers, min(PROBED_SERVERS, len(servers)))
-        return all(await asyncio.gather(*(self._probe(server) for server in probed)))
+        return all(await self._probe_all(self._sample(self._servers(service))))
+
+    def _sample(self, servers: list[Server]) -> list[Server]:
+        return self._rng.sample(servers, min(PROBED_SERVERS, len(servers)))
 
-    async def _probe(self, server: Server) -> bool:
-        return await self._pool.probe(server.id, server.address)
+    async def _probe_all(self, servers: list[Server]) -> list[bool]:
+        """Probe servers at the same time; return for each whether it takes a connection."""
+        return await asyncio.gather(
+            *(self._pool.probe(server.id, server.address) for server in servers)
+        )
 
     def _servers(self, service: str) -> list[Server]:
         views = self._balancer.group(service).allowed_servers()
--- a/src/moledale/gateway/upstream.py
+++ b/src/moledale/gateway/upstream.py
@@ -10,8 +10,8 @@
 
 import httptools
 
-from moledale.gateway.keep_alive import enable_keep_alive
 from moledale.gateway.messages import AnswerHead
+from moledale.gateway.tcp_keep_alive import enable_keep_alive
 
 CONNECT_TIMEOUT_S = 0.3
 """Backend servers are in the same region; an unreachable one must not delay a request for long."""
--- a/tests/test_keep_alive.py
+++ b/tests/test_tcp_keep_alive.py
@@ -5,8 +5,8 @@
 import unittest
 
 from moledale.clock import monotonic
-from moledale.gateway.keep_alive import IDLE_S, INTERVAL_S, PROBES, enable_keep_alive
 from moledale.gateway.pool import ConnectionPool
+from moledale.gateway.tcp_keep_alive import IDLE_S, INTERVAL_S, PROBES, enable_keep_alive
 from moledale.gateway.upstream import UpstreamConnection
 from tests.gateway_world import ScriptedServer, answer_ok, run_quietly
 
