--- a/src/moledale/http_fields.py
+++ b/src/moledale/http_fields.py
@@ -3,6 +3,7 @@
 import math
 from collections.abc import Iterable
 from email.utils import parsedate_to_datetime
+from typing import Protocol
 
 from moledale.log import Event, emit
 
@@ -26,9 +27,34 @@
 )
 """Fields that apply to one connection only and are not forwarded (RFC 9110, 7.6.1)."""
 
+BODY_FIELDS = frozenset({b"content-length", b"transfer-encoding"})
+"""Fields of a request that has a body, which may be empty."""
+
 Fields = Iterable[tuple[bytes, bytes]]
 
 
+class Request(Protocol):
+    """The request line and fields of a request."""
+
+    method: bytes
+    target: bytes
+    headers: list[tuple[bytes, bytes]]
+
+
+def request_lines(head: Request, dropped: frozenset[bytes], length: int) -> list[bytes]:
+    """Return the lines of a request that is forwarded with a body of `length` bytes.
+
+    Fields of one connection only, and those whose lower-case names are in `dropped`, are left out.
+    """
+    lines = [b"%b %b HTTP/1.1" % (head.method, head.target)]
+    left_out = HOP_BY_HOP | connection_options(head.headers) | dropped
+    fields = [(name.lower(), name, value) for name, value in head.headers]
+    lines.extend(name + b": " + value for key, name, value in fields if key not in left_out)
+    if length or any(key in BODY_FIELDS for key, _, _ in fields):
+        lines.append(b"Content-Length: %d" % length)
+    return lines
+
+
 def field_values(fields: Fields, wanted: str) -> list[str]:
     """Return the values of all fields whose lower-case name is `wanted`."""
     name = wanted.encode()
--- a/src/moledale/platform/headers.py
+++ b/src/moledale/platform/headers.py
@@ -18,7 +18,6 @@
 from moledale.http_fields import (
     HOP_BY_HOP,
     RETRY_AFTER,
-    connection_options,
     decode_value,
     field_values,
     first_count,
@@ -26,6 +25,7 @@
     lowest_limit,
     parse_count,
     parse_number,
+    request_lines,
     retry_after_s,
     text_or_none,
 )
@@ -77,19 +77,8 @@
 
     def attempt_head(self, head: RequestHead, facts: AttemptFacts, length: int) -> bytes:
         """Return the head that is sent to a server, without the caller's own reserved headers."""
-        lines = [b"%b %b HTTP/1.1" % (head.method, head.target)]
-        connection_headers = connection_options(head.headers)
-        had_length = False
-        for name, value in head.headers:
-            key = name.lower()
-            had_length = had_length or key in (b"content-length", b"transfer-encoding")
-            if key in HOP_BY_HOP or key in RESERVED_HEADERS or key in connection_headers:
-                continue
-            if key == LAST_EVENT_ID_HEADER and facts.after_event:
-                continue
-            lines.append(name + b": " + value)
-        if length or had_length:
-            lines.append(b"Content-Length: %d" % length)
+        resumes = frozenset({LAST_EVENT_ID_HEADER} if facts.after_event else ())
+        lines = request_lines(head, RESERVED_HEADERS | resumes, length)
         if facts.remaining_s is not None:
             lines.append(b"Deadline-Ms: %d" % max(1, int(facts.remaining_s * 1000)))
         lines.append(b"Expect-Instance: " + platform_id(facts.server_id).encode())
@@ -109,16 +98,7 @@
 
     def relay_head(self, head: RequestHead, remaining_s: float, length: int) -> bytes:
         """Return the head that is sent to a peer: the caller's, with the time left as deadline."""
-        lines = [b"%b %b HTTP/1.1" % (head.method, head.target)]
-        dropped = HOP_BY_HOP | connection_options(head.headers) | {DEADLINE_HEADER}
-        had_length = False
-        for name, value in head.headers:
-            key = name.lower()
-            had_length = had_length or key in (b"content-length", b"transfer-encoding")
-            if key not in dropped:
-                lines.append(name + b": " + value)
-        if length or had_length:
-            lines.append(b"Content-Length: %d" % length)
+        lines = request_lines(head, frozenset({DEADLINE_HEADER}), length)
         lines.append(b"Deadline-Ms: %d" % max(1, int(remaining_s * 1000)))
         lines.append(b"Connection: close")
         return b"\r\n".join(lines) + b"\r\n\r\n"
