Use the stated number of rejections, and bound servers that are new to a brittle service

Reading the change: the number that a brittle server states decided nothing, a server of a brittle service that came back was unbounded until the next round, and an answer of a server could pass for a peer's that reaches none. A rejection now pauses a server for the share of a second that keeps all nodes together under the number.

--- a/src/moledale/gateway/balance.py
+++ b/src/moledale/gateway/balance.py
@@ -134,6 +134,9 @@
             for view in self.group(service).apply(listed_servers.values()):
                 self.views[view.server.id] = view
                 self.notices.restore_statements(view)
+                if service in self._bounded_services:
+                    # It gets its share in the next round.
+                    view.set_rooms(engine_room(view.server.slots), None if view.has_engine else 1)
                 self._add_peer_loads(view)
         self.server_speeds.set_listed(
             {name: (each.server.service, each.server.address) for name, each in self.views.items()}
@@ -161,6 +164,7 @@
         """Bound the requests at brittle servers, given the ids of the serving nodes."""
         brittle = self.notices.brittle
         brittle.expire(now)
+        brittle.nodes = max(1, len(serving))
         for service, group in self._groups.items():
             if brittle.is_brittle(service):
                 self._bounded_services.add(service)
--- a/src/moledale/gateway/brittle.py
+++ b/src/moledale/gateway/brittle.py
@@ -24,9 +24,9 @@
 """Share of an engine's slots that are used while it is brittle. The rest covers requests that other
 nodes placed in the last milliseconds."""
 
-HOLD_S = 1.0
-"""A brittle server that rejected a request gets none for this long, the time over which it counts
-rejections."""
+MAX_HOLD_S = 1.0
+"""Longest time for which a brittle server that rejected a request gets none: that over which it
+counts rejections."""
 
 
 class BrittleNews(msgspec.Struct, frozen=True, array_like=True):
@@ -45,11 +45,23 @@
 
 
 class BrittleServices:
-    """The services whose servers stated recently that they are brittle."""
+    """The services whose servers stated recently that they are brittle.
+
+    `nodes` is how many nodes send requests.
+    """
 
     def __init__(self) -> None:
+        self.nodes = 1
         self._statements: dict[str, Statement] = {}
 
+    def hold_s(self, service: str) -> float:
+        """Return for how long a server that rejected a request gets none.
+
+        All nodes together send it fewer rejected requests a second than end it.
+        """
+        allowed = self._statements[service].max_rejections
+        return MAX_HOLD_S if allowed <= self.nodes else MAX_HOLD_S * self.nodes / allowed
+
     def record(self, service: str, max_rejections: int, now: float) -> bool:
         """Record a statement in an answer; return whether the service was not brittle before."""
         is_new = self._merge(service, max_rejections, now, "answer")
--- a/src/moledale/gateway/relay.py
+++ b/src/moledale/gateway/relay.py
@@ -120,7 +120,8 @@
         head = self._dialect.relay_head(request.head, remaining_s, len(request.body))
         connection.send(head + request.body, bodiless=request.head.bodiless)
         answer = await connection.head()
-        if answer.get(UNREACHABLE_HEADER.lower()) is not None:
+        is_servers = self._dialect.read_answer(answer).stamped
+        if not is_servers and answer.get(UNREACHABLE_HEADER.lower()) is not None:
             job.was_sent = was_sent
             return RelayOutcome.NOT_RUN
         await self._pass_on(connection, job, answer)
--- a/src/moledale/gateway/server_notices.py
+++ b/src/moledale/gateway/server_notices.py
@@ -11,7 +11,7 @@
 import msgspec
 from cachetools import LRUCache
 
-from moledale.gateway.brittle import HOLD_S, BrittleServices
+from moledale.gateway.brittle import BrittleServices
 from moledale.gateway.messages import Server, ServerStatement
 from moledale.gateway.server_group import ServerGroup
 from moledale.gateway.server_standing import ServerStanding
@@ -116,7 +116,7 @@
         """Return when a server that rejected a request is tried again, None if that is open."""
         if not self.brittle.is_brittle(view.server.service):
             return stated.retry_after_s
-        return max(HOLD_S, stated.retry_after_s or 0.0)
+        return max(self.brittle.hold_s(view.server.service), stated.retry_after_s or 0.0)
 
     def _back_off(self, view: ServerView, retry_after_s: float | None, now: float) -> None:
         view.record_decline(now, retry_after_s)
--- a/tests/test_brittle_servers.py
+++ b/tests/test_brittle_servers.py
@@ -6,6 +6,7 @@
 import logbook
 
 from moledale.clock import monotonic
+from moledale.gateway.balance import LoadBalancer
 from moledale.gateway.brittle import (
     RETENTION_S,
     BrittleNews,
@@ -13,7 +14,7 @@
     engine_room,
     own_rooms,
 )
-from moledale.gateway.messages import AnswerHead
+from moledale.gateway.messages import AnswerHead, Server
 from moledale.platform.headers import PlatformHeaders
 from tests.brittle_world import BrittleServer, make_brittle_server
 from tests.cut_world import knows_all
@@ -114,6 +115,26 @@
         services.record("plain", 2, 10.5)
         self.assertEqual(services.to_broadcast(11.0), {"plain": BrittleNews(2, 0.5)})
 
+    def test_more_rejections_allowed_shorten_the_pause_of_a_server(self) -> None:
+        services = BrittleServices()
+        services.nodes = 4
+        for allowed, hold_s in ((0, 1.0), (2, 1.0), (4, 1.0), (8, 0.5), (40, 0.1)):
+            services.record("plain", allowed, 10.0)
+            self.assertAlmostEqual(services.hold_s("plain"), hold_s)
+
+    def test_server_that_is_new_to_a_brittle_service_is_bounded_at_once(self) -> None:
+        balancer = LoadBalancer("hall-a")
+        servers = [Server(name, "plain", f"{name}:1", "hall-a", 6) for name in ("s1", "s2")]
+        balancer.apply(servers[:1])
+        balancer.notices.brittle.record("plain", 3, 10.0)
+        balancer.refresh_rooms("n1", ["n1", "n2"], 10.0)
+        balancer.apply(servers)
+        self.assertEqual(balancer.views["s2"].own_room, 1)
+        balancer.refresh_rooms("n1", ["n1", "n2"], 10.2)
+        self.assertEqual(balancer.views["s2"].own_room, 3)
+        balancer.refresh_rooms("n1", ["n1", "n2"], 20.0)
+        self.assertIsNone(balancer.views["s2"].own_room)
+
     def test_old_news_do_not_make_a_service_brittle_again(self) -> None:
         services = BrittleServices()
         services.merge({"plain": BrittleNews(3, RETENTION_S)}, "n2", 10.0)
