--- a/tools/without.py
+++ b/tools/without.py
@@ -22,6 +22,7 @@
 from moledale.core import leases, limits, reclaim, routing
 from moledale.core.freshness import Verdict
 from moledale.node import bundle_watch, dispatcher, jobs, journal, node, once, streams
+from moledale.peers import gossip
 from tools.without_gateway import MECHANISMS
 
 PROCESSES = 4
@@ -53,6 +54,11 @@
     return True
 
 
+async def _ask_no_peer(_: gossip.Gossip) -> bool:
+    """Wait for the next round of gossip."""
+    return False
+
+
 async def _hold_nothing(self: dispatcher.Dispatcher, record: streams.StreamRecord) -> None:
     """Let a stream continue while it is handed over to a peer."""
     self._suspended.add(record.request.id)
@@ -185,6 +191,12 @@
         _patch_attribute(node, "decide_verdict", lambda view, grace: Verdict.SERVE),
         f"{PROMISES}.BundleTest",
     ),
+    Removal(
+        "7 bundles",
+        "peers are asked before a node takes itself for isolated",
+        _patch_attribute(gossip.Gossip, "find_peer", _ask_no_peer),
+        f"{PROMISES}.BundleTest",
+    ),
     Removal(
         "leases",
         "a holder gives up before a candidate may begin",
--- a/tools/without_gateway.py
+++ b/tools/without_gateway.py
@@ -51,16 +51,18 @@
 from moledale.gateway.plan import PlanIndex
 from moledale.gateway.quarantine_sharing import QuarantineSharing
 from moledale.gateway.quarantine_store import QuarantineStore
+from moledale.gateway.reach_probe import ReachProber
 from moledale.gateway.refusals import Refusals
 from moledale.gateway.reply import Reply
 from moledale.gateway.request_guard import RequestGuard
 from moledale.gateway.retries import RetryBudget
 from moledale.gateway.rollouts import ServiceRollout
-from moledale.gateway.server_ends import BrokenRequests, CrashDetector
+from moledale.gateway.server_ends import BrokenRequests, CrashDetector, Verdict
 from moledale.gateway.server_group import ServerGroup
 from moledale.gateway.server_list import ServerList
 from moledale.gateway.server_model import Slowness, SpeedEstimator
 from moledale.gateway.server_notices import ServerNotices
+from moledale.gateway.server_stalls import ServerStalls
 from moledale.gateway.server_standing import ServerStanding
 from moledale.gateway.server_view import ServerView
 from moledale.gateway.stated_limit import StatedLimit
@@ -89,6 +91,8 @@
 SERVER_LIMITS = "tests.test_server_limits"
 NOTICES = "tests.test_server_notices"
 QUARANTINE_CORE = "tests.test_quarantine_core"
+CUT_NODES = "tests.test_nodes_cut_from_servers"
+BRITTLE = "tests.test_brittle_servers"
 VERSIONS = "tests.test_rollouts.VersionsTest"
 
 _finish_answer = UpstreamConnection.finish
@@ -209,9 +213,14 @@
     _record_work(self, incarnation, work)
 
 
-async def _always_crashed(*_: object) -> bool:
+async def _always_crashed(*_: object) -> Verdict:
     """Treat each server whose answer broke off as crashed."""
-    return True
+    return Verdict.CRASHED
+
+
+async def _never_relayed(*_: object) -> bool:
+    """Relay no request."""
+    return False
 
 
 async def _write_nothing(_: QuarantineStore) -> bool:
@@ -219,7 +228,7 @@
     return True
 
 
-def _count_each_failure(self: RequestGuard, broken: BrokenRequests, ended: bool) -> None:
+def _count_each_failure(self: RequestGuard, broken: BrokenRequests, _: Verdict) -> None:
     """Count each answer that broke off as a failure of the version."""
     for placement in broken.placements:
         self._record_failure(placement)
@@ -285,7 +294,7 @@
     ("routes with few requests are tried sooner", ServiceRollout, "is_undertested",
      lambda *_: False, VERSIONS),
     ("a request is known when it comes again", RequestGuard, "wait_s", lambda *_: 0.0, BLOCKS),
-    ("only servers that ended count", CrashDetector, "_has_crashed", _always_crashed, BLOCKS),
+    ("only servers that ended count", CrashDetector, "_verdict", _always_crashed, BLOCKS),
     ("ends at the same moment are shared out", Quarantine, "_strike_share", lambda *_: 1.0,
      QUARANTINE_CORE),
     ("an answer clears its request", Quarantine, "record_served", lambda *_: False,
@@ -364,4 +373,14 @@
      "tests.test_usage_reports"),
     ("registrations that can't be read hide no others", registration, "parse_or_log",
      _read_unguarded, f"{ROWS}.MembersOfOthersTest"),
+    ("requests of nodes without servers are relayed", Forwarder, "_relayed", _never_relayed,
+     CUT_NODES),
+    ("callers are directed to nodes that reach servers", GatewayNode, "_update_cut_off",
+     lambda *_: None, CUT_NODES),
+    ("lost links are not taken for ended servers", ReachProber, "links_lost", _never_relayed,
+     CUT_NODES),
+    ("requests at brittle servers are bounded", LoadBalancer, "refresh_rooms", lambda *_: None,
+     BRITTLE),
+    ("requests that one stall delays count once", ServerStalls, "is_counted", lambda *_: False,
+     "tests.test_server_stalls"),
 ]  # fmt: skip
