--- a/tests/test_tcp_keep_alive.py
+++ b/tests/test_tcp_keep_alive.py
@@ -1,13 +1,11 @@
 """Connections whose other side is gone without a reset are found by TCP keep-alive."""
 
-import asyncio
 import socket
 import unittest
 
 from moledale.clock import monotonic
 from moledale.gateway.pool import ConnectionPool
 from moledale.gateway.tcp_keep_alive import IDLE_S, INTERVAL_S, PROBES, enable_keep_alive
-from moledale.gateway.upstream import UpstreamConnection
 from tests.gateway_world import ScriptedServer, answer_ok, run_quietly
 
 CONTACT_S = 3.0
@@ -38,47 +36,34 @@
             enable_keep_alive(sock)
             self.assertEqual(sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT), 0)
 
-    def test_idle_connection_that_timed_out_is_reported_and_not_reused(self) -> None:
+    def lose_idle_connection(self, error: OSError) -> list[tuple[str, bool]]:
+        """Lose an idle connection with an error; return what the pool reports in two sweeps."""
+        reports: list[tuple[str, bool]] = []
+
         async def work() -> None:
             server = ScriptedServer("s1", answer_ok)
             await server.start()
             pool = ConnectionPool(monotonic)
-            reports: list[tuple[str, bool]] = []
             self.assertTrue(await pool.probe("s1", server.address))
             pool.on_connect = lambda name, connected: reports.append((name, connected))
             (connection,) = pool._idle["s1"]
-            self.time_out(connection)
+            assert connection.transport is not None
+            connection.connection_lost(error)
+            connection.transport.abort()
             pool.sweep()
-            self.assertEqual(reports, [("s1", False)])
             pool.sweep()
-            self.assertEqual(len(reports), 1)
             self.assertFalse(pool.has_idle("s1"))
             server.stop()
 
         run_quietly(work())
+        return reports
 
-    def time_out(self, connection: UpstreamConnection) -> None:
-        """End a connection as the kernel does after unanswered probes."""
-        connection.connection_lost(TimeoutError(110, "Connection timed out"))
-        assert connection.transport is not None
-        connection.transport.abort()
+    def test_idle_connection_that_timed_out_is_reported_once_and_not_reused(self) -> None:
+        reports = self.lose_idle_connection(TimeoutError(110, "Connection timed out"))
+        self.assertEqual(reports, [("s1", False)])
 
     def test_connection_that_the_server_closed_is_not_reported(self) -> None:
-        async def work() -> None:
-            server = ScriptedServer("s1", answer_ok)
-            await server.start()
-            pool = ConnectionPool(monotonic)
-            reports: list[tuple[str, bool]] = []
-            self.assertTrue(await pool.probe("s1", server.address))
-            pool.on_connect = lambda name, connected: reports.append((name, connected))
-            (connection,) = pool._idle["s1"]
-            connection.connection_lost(ConnectionResetError())
-            pool.sweep()
-            self.assertEqual(reports, [])
-            server.stop()
-            await asyncio.sleep(0)
-
-        run_quietly(work())
+        self.assertEqual(self.lose_idle_connection(ConnectionResetError()), [])
 
 
 if __name__ == "__main__":
