Relay a request only when no server of its service is reached

A request was relayed after two servers had taken no connection, though others were in reach.

Cause: the relay of the request that finds out did not wait for what the probes say.

--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -19,7 +19,6 @@
 from moledale.gateway.plan import Engine, Kind, Plan, PlanIndex
 from moledale.gateway.pool import ConnectionPool
 from moledale.gateway.reach_probe import ReachProber
-from moledale.gateway.reachability import MIN_SERVERS
 from moledale.gateway.refusals import NO_CONNECTION, NO_SERVER, NOT_RUN_RETRY_S, Refusals
 from moledale.gateway.relay import Relay, RelayOutcome
 from moledale.gateway.reply import Reply
@@ -252,10 +251,10 @@
     async def _forward(self, job: Job) -> None:
         """Try servers until one responds or no further attempt is allowed.
 
-        A request is relayed at once if no server of its service is reached, and otherwise after
-        attempts at a few servers.
+        A request is relayed if no server of its service is reached: at once, or when its own
+        attempts show that.
         """
-        if self._balancer.reachability.is_unreachable(job.service) and await self._relayed(job):
+        if await self._relayed(job):
             return
         self._sharing.record_request(job.service, self._now())
         self._sharing.record_offered(job.service, job.caller.account, job.facts.tokens)
@@ -298,20 +297,25 @@
             if continuation is not None:
                 continue
             last = attempt
-            if self._took_no_connection(job, attempt) and await self._relayed(job):
+            if await self._relayed(job):
                 return
             if not self._may_retry(job, attempt):
                 break
         self._end_without_answer(job, last)
 
-    def _took_no_connection(self, job: Job, attempt: Attempt) -> bool:
-        """Return whether several servers took no connection, and the request was sent to none."""
-        no_connection = attempt.why == NO_CONNECTION and not job.was_sent
-        return no_connection and len(job.tried) >= MIN_SERVERS
+    def _may_relay(self, job: Job) -> bool:
+        """Return whether a request may be relayed: it was sent to no server, and none is reached.
+
+        If only some servers take no connection, the others are tried from here.
+        """
+        if job.was_sent or job.relay_tried or job.request.relayed:
+            return False
+        unreachable = self._balancer.reachability.is_unreachable(job.service)
+        return unreachable and self.relay.is_possible(job.service)
 
     async def _relayed(self, job: Job) -> bool:
-        """Relay a request through a peer; return whether its caller has a final response."""
-        if job.request.relayed or job.relay_tried or not self.relay.is_possible(job.service):
+        """Relay a request if it may be; return whether its caller has a final response."""
+        if not self._may_relay(job):
             return False
         job.relay_tried = True
         self._publish_charge(job)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -157,6 +157,17 @@
 
         run_on_cluster(work)
 
+    def test_request_is_not_relayed_while_some_server_is_reached(self) -> None:
+        async def work(cluster: Cluster) -> None:
+            await start_cluster(cluster, 2, servers=4)
+            for server in cluster.servers[1:]:
+                server.stop()
+            for _ in range(6):
+                self.assertEqual((await cluster.ask("n1")).status, 200)
+            self.assertEqual(cluster.nodes["n1"].forwarder.relay.relayed, 0)
+
+        run_on_cluster(work)
+
     def test_relay_ends_once_servers_are_reached_again(self) -> None:
         async def work(cluster: Cluster) -> None:
             world = CutCluster(cluster)
