Log how an answer was framed, and what was left of an event at its end

E416 was the same line for a whole answer, for one that ended only with its connection, and for one that its server framed as complete inside an event, so the hypotheses on answers that look complete could not be told apart. `framing` and `partial_bytes` stand in E416 and E412, `framing` in E483. No decision depends on them.

--- a/src/moledale/gateway/answers.py
+++ b/src/moledale/gateway/answers.py
@@ -253,11 +253,12 @@
             # The connection was closed by the move or by this node, so the end may be missing.
             raise AnswerCut(Cut.CLOSED)
         self._start_reply(job, head)
+        partial_bytes = job.splitter.partial_bytes
         job.reply.send(job.splitter.flush())
         job.reply.finish()
         self._balancer.record_completion(placement, self._now())
         self._balancer.record_pace(placement, run.server_events, self._now())
-        return Attempt(AttemptOutcome.ANSWERED)
+        return Attempt(AttemptOutcome.ANSWERED, partial_bytes=partial_bytes)
 
     def _start_reply(self, job: Job, head: AnswerHead) -> None:
         if not job.reply.started:
@@ -273,8 +274,9 @@
             self._balancer.record_broken_answer(placement, self._now())
         if cut is Cut.SLOW:
             self._balancer.on_silent(placement.view.server.id)
+        partial_bytes = job.splitter.partial_bytes
         job.splitter.discard_partial()
-        return Attempt(AttemptOutcome.BROKEN, why=cut.value)
+        return Attempt(AttemptOutcome.BROKEN, why=cut.value, partial_bytes=partial_bytes)
 
     def _count_usage(self, job: Job) -> None:
         if not job.usage_counted and job.caller.account is not None:
--- a/src/moledale/gateway/events.py
+++ b/src/moledale/gateway/events.py
@@ -25,6 +25,11 @@
         self._record_events(whole)
         return whole
 
+    @property
+    def partial_bytes(self) -> int:
+        """Return the size of the event that is not complete yet."""
+        return len(self._partial)
+
     def flush(self) -> bytes:
         """Return the remaining data of a stream that has ended completely."""
         rest, self._partial = self._partial, b""
--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -244,6 +244,8 @@
             pause_ms=round(job.longest_pause_s * 1000),
             gap_ms=round(job.route.gap_s * 1000),
             ms=round((now - job.request.arrived_at) * 1000),
+            framing=attempt.framing,
+            partial_bytes=attempt.partial_bytes,
             leaving=attempt.statement.leaving,
             server_limit=attempt.statement.limit_per_s,
         )
@@ -601,6 +603,7 @@
                 attempt = await self._answers.read(job, connection, run)
             except AnswerCut as error:
                 attempt = await self._after_cut(job, run, error)
+            attempt.framing = connection.framing
             if attempt.outcome is not AttemptOutcome.ANSWERED:
                 self._log_unanswered(job, placement, attempt)
             self._pool.release(server.id, connection)
@@ -638,6 +641,8 @@
             ending=attempt.outcome.value,
             why=attempt.why,
             ms=round((self._now() - placement.sent_at) * 1000),
+            framing=attempt.framing,
+            partial_bytes=attempt.partial_bytes,
             leaving=attempt.statement.leaving,
             server_again_s=attempt.statement.retry_after_s,
             server_limit=attempt.statement.limit_per_s,
--- a/src/moledale/gateway/job.py
+++ b/src/moledale/gateway/job.py
@@ -10,6 +10,7 @@
 from moledale.gateway.messages import (
     AnswerHead,
     Caller,
+    Framing,
     InboundRequest,
     RequestFacts,
     ServerStatement,
@@ -41,7 +42,8 @@
 
     `statement` is what the response states about its server, `retry_after_s` the delay after which
     the caller may retry, if known, and `continuation` where a moved stream continues. `broken_run`
-    is set if the response broke off and its run has a backup.
+    is set if the response broke off and its run has a backup. `framing` is that of the response,
+    None without one, and `partial_bytes` is the size of the event that was incomplete at its end.
     """
 
     outcome: AttemptOutcome
@@ -52,6 +54,8 @@
     broken_run: BrokenRun | None = None
     statement: ServerStatement = ServerStatement()
     retry_after_s: float | None = None
+    framing: Framing | None = None
+    partial_bytes: int = 0
 
 
 class Job(msgspec.Struct):
--- a/src/moledale/gateway/messages.py
+++ b/src/moledale/gateway/messages.py
@@ -1,5 +1,7 @@
 """Types that the parts of a gateway node exchange."""
 
+from enum import StrEnum
+
 import msgspec
 
 Headers = list[tuple[bytes, bytes]]
@@ -22,11 +24,23 @@
         return first_header(self.headers, name)
 
 
+class Framing(StrEnum):
+    """What marks the end of an answer's body (RFC 9112, 6.3).
+
+    `CLOSE`: only the end of the connection, so a body that broke off may look complete.
+    """
+
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CLOSE = "close"
+
+
 class AnswerHead(msgspec.Struct):
-    """The status and headers of a server's answer, as received."""
+    """The status and headers of a server's answer, as received, and how its body is framed."""
 
     status: int
     headers: Headers
+    framing: Framing = Framing.LENGTH
 
     def get(self, name: bytes) -> bytes | None:
         """Return the first value of a header, given its lower-case name; None if it is missing."""
--- a/src/moledale/gateway/relay.py
+++ b/src/moledale/gateway/relay.py
@@ -107,6 +107,7 @@
             peer=peer.id,
             outcome=outcome.name.lower(),
             status=job.reply.status,
+            framing=connection.framing if connection is not None else None,
             why=why,
             ms=round((self._now() - started_at) * 1000),
         )
--- a/src/moledale/gateway/upstream.py
+++ b/src/moledale/gateway/upstream.py
@@ -10,7 +10,7 @@
 
 import httptools
 
-from moledale.gateway.messages import AnswerHead
+from moledale.gateway.messages import AnswerHead, Framing
 from moledale.gateway.tcp_keep_alive import enable_keep_alive
 
 CONNECT_TIMEOUT_S = 0.3
@@ -115,6 +115,11 @@
         self._resume_reading()
         return data
 
+    @property
+    def framing(self) -> Framing | None:
+        """Return how the response is framed, None before its head arrived."""
+        return self._head.framing if self._head is not None else None
+
     @property
     def ends_on_close(self) -> bool:
         """Return whether only the end of the connection marks the end of the response."""
@@ -200,10 +205,18 @@
             return
         self._interim = False
         names = {name.lower() for name, _ in self._headers}
-        framed = b"content-length" in names or b"transfer-encoding" in names
-        self._ends_on_close = not (framed or self._bodiless) and status not in (204, 304)
+        framing = self._framing(names, status)
+        self._ends_on_close = framing is Framing.CLOSE
         self._complete = self._bodiless
-        self._head = AnswerHead(status, self._headers)
+        self._head = AnswerHead(status, self._headers, framing)
+
+    def _framing(self, names: set[bytes], status: int) -> Framing:
+        """Return how the body is framed, given the lower-case names of the headers."""
+        if b"transfer-encoding" in names:
+            return Framing.CHUNKED
+        if b"content-length" in names or self._bodiless or status in (204, 304):
+            return Framing.LENGTH
+        return Framing.CLOSE
 
     def on_body(self, body: bytes) -> None:
         """Buffer a part of the body for the reader."""
