--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -131,6 +131,12 @@
     )
 
 
+def unframed_head(arrival: Arrival, status: int = 200, stamp: bytes = STAMP_HEADER) -> bytes:
+    """Return the status line and headers of an answer that only its connection ends."""
+    request_id = (arrival.get("request-id") or "").encode()
+    return b"HTTP/1.1 %d X\r\nRequest-Id: %b\r\n%b\r\n" % (status, request_id, stamp)
+
+
 def event(number: int) -> bytes:
     """Return a server-sent event with this id."""
     return b"id: %d\ndata: piece %d\n\n" % (number, number)
@@ -182,13 +188,22 @@
 
 @dataclass(slots=True)
 class CallerAnswer:
-    """An answer as a caller read it; `whole` is set if its framing shows that it is complete."""
+    """An answer as a caller read it; `whole` is set if nothing shows that it broke off.
+
+    An answer is `framed` if a length or its last chunk shows where it ends. The connection of any
+    other one has to end in order.
+    """
 
     status: int = 0
     headers: dict[str, str] = field(default_factory=dict)
     body: bytes = b""
     whole: bool = False
 
+    @property
+    def framed(self) -> bool:
+        """Return whether the answer has a length or chunks."""
+        return "content-length" in self.headers or "transfer-encoding" in self.headers
+
 
 class GatewayWorld:
     """A forwarder behind a real listener, and the backend servers in its list.
@@ -344,8 +359,11 @@
                 result.body += data[:-2]
                 if size == 0:
                     break
-        else:
+        elif result.framed:
             result.body = await reader.readexactly(int(result.headers["content-length"]))
+        else:
+            while data := await reader.read(65_536):
+                result.body += data
         result.whole = True
     except (asyncio.IncompleteReadError, ConnectionError, ValueError):
         pass
