Claim no answer complete whose server did not: no framing, no framing passed on

Callers got status 200 with a short body that was framed as complete: streams that their server had broken off after 4.1 and 0.4 s.

Cause: the end of a connection was taken for the end of an answer that has neither a length nor chunks, and the node then framed it itself, with a last chunk or a length. HTTP has no better mark for such answers, so an orderly end proves nothing, and a node that adds framing claims what nobody said. What was left of an event was sent as if it were one.

Change: an answer keeps the framing that its server gave it. Without any, its caller's connection closes after it; until the answer is finished, SO_LINGER makes every other end of the connection a reset, also when the process is killed. A stream that ends inside an event is broken off whatever its framing, and so is an unframed one without any event. After an answer was begun in chunks, an unframed rest ends it only if it has all events that its caller allows. A node checks events of relayed streams, too, as peers of former builds frame them as complete.

--- a/src/moledale/gateway/answers.py
+++ b/src/moledale/gateway/answers.py
@@ -7,14 +7,15 @@
 from moledale.gateway.balance import LoadBalancer
 from moledale.gateway.dialect import Dialect
 from moledale.gateway.job import Attempt, AttemptOutcome, Job
-from moledale.gateway.messages import AnswerFacts, AnswerHead, InboundRequest, Refusal
+from moledale.gateway.messages import AnswerFacts, AnswerHead, Framing, InboundRequest, Refusal
 from moledale.gateway.plan import Kind
-from moledale.gateway.reply import CHUNKED, Reply
+from moledale.gateway.reply import Reply
 from moledale.gateway.request_guard import RequestGuard
 from moledale.gateway.server_notices import MISDIRECTED_REQUEST
 from moledale.gateway.server_view import Placement, ServerView, record_answer, record_silence
 from moledale.gateway.sharing import Sharing
 from moledale.gateway.upstream import AnswerCut, Cut, UpstreamConnection
+from moledale.scheduling.expected_ends import max_events_of
 from moledale.scheduling.stream_runs import StreamRun
 
 MAX_BUFFERED_BYTES = 1_048_576
@@ -185,7 +186,7 @@
         if failed and whole and job.route.repeatable and job.sends < job.route.max_servers:
             return Attempt(AttemptOutcome.FAILED, head, body, why=str(head.status))
         if whole:
-            self.relay(job, head, body)
+            await self.relay(job, head, body)
         else:
             await self._relay_long_body(job, connection, head, body)
         return Attempt(AttemptOutcome.ANSWERED)
@@ -205,26 +206,29 @@
     async def _relay_long_body(
         self, job: Job, connection: UpstreamConnection, head: AnswerHead, first_part: bytes
     ) -> None:
-        """Relay a long response in chunks as it arrives.
-
-        With chunked encoding the caller can tell a response that was cut off from a complete one.
-        """
-        job.reply.start(head.status, self._dialect.answer_headers(head), CHUNKED)
+        """Relay a long response as it arrives."""
+        self._start_reply(job, head)
         job.reply.send(first_part)
         while (data := await connection.chunk()) is not None:
             job.reply.send(data)
             await job.reply.drain()
-        job.reply.finish()
+        await job.reply.finish()
 
-    def relay(self, job: Job, head: AnswerHead, body: bytes) -> None:
+    async def relay(self, job: Job, head: AnswerHead, body: bytes) -> None:
         """Relay a whole response, or a 502 if its status promises that the request did not run.
 
-        This node cannot vouch for such a promise.
+        This node cannot vouch for such a promise. It cannot vouch either for the length of a
+        response that ended only with its connection.
         """
         if head.status in NOT_RUN_STATUSES:
             self._refuse(job.reply, job.request, Refusal(502, "the server's answer is unclear"))
             return
-        job.reply.send_whole(head.status, self._dialect.answer_headers(head), body)
+        if head.framing is not Framing.CLOSE:
+            job.reply.send_whole(head.status, self._dialect.answer_headers(head), body)
+            return
+        self._start_reply(job, head)
+        job.reply.send(body)
+        await job.reply.finish()
 
     async def _relay_stream(
         self, job: Job, connection: UpstreamConnection, run: StreamRun, head: AnswerHead
@@ -249,20 +253,45 @@
                 self._start_reply(job, head)
                 job.reply.send(whole)
                 await job.reply.drain()
-        if (run.stopping or run.sent_elsewhere) and connection.ends_on_close:
-            # The connection was closed by the move or by this node, so the end may be missing.
+        if job.splitter.partial_bytes or self._may_lack_events(job, run, head):
             raise AnswerCut(Cut.CLOSED)
         self._start_reply(job, head)
-        partial_bytes = job.splitter.partial_bytes
-        job.reply.send(job.splitter.flush())
-        job.reply.finish()
+        await job.reply.finish()
         self._balancer.record_completion(placement, self._now())
         self._balancer.record_pace(placement, run.server_events, self._now())
-        return Attempt(AttemptOutcome.ANSWERED, partial_bytes=partial_bytes)
+        return Attempt(AttemptOutcome.ANSWERED)
+
+    def _may_lack_events(self, job: Job, run: StreamRun, head: AnswerHead) -> bool:
+        """Return whether a stream that ended after a whole event may have broken off there.
+
+        Without framing, the end of a connection says nothing if a move or this node closed it, or
+        if no event came. Otherwise the caller gets the end as it came, unless the answer was begun
+        in chunks: the last chunk would state that it is complete.
+        """
+        if head.framing is not Framing.CLOSE:
+            return False
+        if run.stopping or run.sent_elsewhere:
+            return True
+        if not job.splitter.event_count:
+            return not job.facts.resumed_after
+        return job.reply.framing is Framing.CHUNKED and not self._has_all_events(job, run)
+
+    def _has_all_events(self, job: Job, run: StreamRun) -> bool:
+        """Return whether an answer has as many events as its caller allows."""
+        if job.facts.resumed_after or not job.facts.answer_tokens:
+            return False
+        max_events = max_events_of(job.facts.answer_tokens, run.event_tokens)
+        return job.splitter.event_count >= max_events
 
     def _start_reply(self, job: Job, head: AnswerHead) -> None:
-        if not job.reply.started:
-            job.reply.start(head.status, self._dialect.answer_headers(head), CHUNKED)
+        """Start a response whose length is not known, framed as that of the server.
+
+        If that had a length, the last chunk shows the caller that the response is complete.
+        """
+        if job.reply.started:
+            return
+        framing = Framing.CLOSE if head.framing is Framing.CLOSE else Framing.CHUNKED
+        job.reply.start(head.status, self._dialect.answer_headers(head), framing)
 
     def handle_cut(self, job: Job, placement: Placement, cut: Cut) -> Attempt:
         """Record a response that was cut off; its request may have run."""
--- a/src/moledale/gateway/events.py
+++ b/src/moledale/gateway/events.py
@@ -30,13 +30,8 @@
         """Return the size of the event that is not complete yet."""
         return len(self._partial)
 
-    def flush(self) -> bytes:
-        """Return the remaining data of a stream that has ended completely."""
-        rest, self._partial = self._partial, b""
-        return rest
-
     def discard_partial(self) -> None:
-        """Drop the partial event, since the stream continues from another server."""
+        """Drop the partial event, since its server broke off."""
         self._partial = b""
 
     def _record_events(self, whole: bytes) -> None:
--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -245,7 +245,6 @@
             gap_ms=round(job.route.gap_s * 1000),
             ms=round((now - job.request.arrived_at) * 1000),
             framing=attempt.framing,
-            partial_bytes=attempt.partial_bytes,
             leaving=attempt.statement.leaving,
             server_limit=attempt.statement.limit_per_s,
         )
@@ -303,7 +302,7 @@
                 return
             if not self._may_retry(job, attempt):
                 break
-        self._end_without_answer(job, last)
+        await self._end_without_answer(job, last)
 
     def _may_relay(self, job: Job) -> bool:
         """Return whether a request may be relayed: it was sent to no server, and none is reached.
@@ -326,7 +325,8 @@
             self._refund(job)
         if outcome is RelayOutcome.BROKEN:
             job.may_have_run = True
-            self._end_without_answer(job, Attempt(AttemptOutcome.BROKEN, why="the peer broke off"))
+            broken = Attempt(AttemptOutcome.BROKEN, why="the peer broke off")
+            await self._end_without_answer(job, broken)
         return outcome is not RelayOutcome.NOT_RUN
 
     def _record_stream_end(self, job: Job, placement: Placement) -> None:
@@ -736,7 +736,7 @@
         data = self._dialect.attempt_head(head, facts, len(body)) + body
         connection.send(data, bodiless=head.bodiless)
 
-    def _end_without_answer(self, job: Job, last: Attempt) -> None:
+    async def _end_without_answer(self, job: Job, last: Attempt) -> None:
         """Send the final response at once: a server's failure, or a refusal of this node."""
         if job.reply.started:
             job.reply.abort()
@@ -748,7 +748,7 @@
                 why=last.why,
             )
         elif last.head is not None:
-            self._answers.relay(job, last.head, last.body)
+            await self._answers.relay(job, last.head, last.body)
         elif job.may_have_run:
             self._give_up(job, Refusal(502, "the server broke off"))
         else:
--- a/src/moledale/gateway/relay.py
+++ b/src/moledale/gateway/relay.py
@@ -14,8 +14,8 @@
 from moledale.gateway.job import Job
 from moledale.gateway.messages import AnswerHead
 from moledale.gateway.peers import NodeState, Standing
-from moledale.gateway.reply import CHUNKED
-from moledale.gateway.upstream import AnswerCut, ConnectFailed, UpstreamConnection, connect
+from moledale.gateway.plan import Kind
+from moledale.gateway.upstream import AnswerCut, ConnectFailed, Cut, UpstreamConnection, connect
 from moledale.log import Event, emit
 
 UNREACHABLE_HEADER = b"X-Moledale-Unreachable"
@@ -129,11 +129,18 @@
         return RelayOutcome.ANSWERED
 
     async def _pass_on(self, connection: UpstreamConnection, job: Job, answer: AnswerHead) -> None:
-        """Pass an answer on as it arrives, with the framing that it has."""
-        length = answer.get(b"content-length")
+        """Pass an answer on as it arrives, with the framing that it has.
+
+        Of a stream, whole events are passed on. Peers of former builds frame one that broke off
+        inside an event as complete.
+        """
+        length = int(answer.get(b"content-length") or b"0")
+        is_stream = job.route.kind is Kind.STREAM and answer.status < 300
         headers = self._dialect.answer_headers(answer)
-        job.reply.start(answer.status, headers, CHUNKED if length is None else int(length))
+        job.reply.start(answer.status, headers, answer.framing, length)
         while (data := await connection.chunk()) is not None:
-            job.reply.send(data)
+            job.reply.send(job.splitter.feed(data) if is_stream else data)
             await job.reply.drain()
-        job.reply.finish()
+        if job.splitter.partial_bytes:
+            raise AnswerCut(Cut.CLOSED)
+        await job.reply.finish()
--- a/src/moledale/gateway/reply.py
+++ b/src/moledale/gateway/reply.py
@@ -1,12 +1,15 @@
 """The response to one caller's request: written once, framed exactly, never falsely complete."""
 
 import asyncio
+import socket
+import struct
 from http import HTTPStatus
 
-from moledale.gateway.messages import Headers
+from moledale.gateway.messages import Framing, Headers
 
-CHUNKED = None
-"""Length of a response whose end is marked by its last chunk."""
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+SEND_ON_CLOSE = struct.pack("ii", 0, 0)
+"""Values of `SO_LINGER`: whether closing a socket resets the connection or sends what is left."""
 
 
 class CallerGone(Exception):
@@ -27,7 +30,7 @@
         self.close_after = close_after
         self.status = 0
         self.complete = False
-        self._chunked = False
+        self._framing = Framing.LENGTH
         self._writable = asyncio.Event()
         self._writable.set()
 
@@ -36,19 +39,31 @@
         """Return whether the head of the response was sent."""
         return self.status != 0
 
-    def start(self, status: int, headers: Headers, length: int | None) -> None:
-        """Send the head of the response; `length` is `CHUNKED` for a body of unknown length."""
+    @property
+    def framing(self) -> Framing:
+        """Return how the body is framed, once the response has started."""
+        return self._framing
+
+    def start(self, status: int, headers: Headers, framing: Framing, length: int = 0) -> None:
+        """Send the head of the response; `length` is that of a body framed by it.
+
+        With `Framing.CLOSE`, the connection is reset if it ends before `finish`, even if this
+        process is killed. An orderly end would make the response look complete.
+        """
         self.status = status
+        self._framing = framing
         lines = [f"HTTP/1.1 {status} {_phrase(status)}".encode()]
         lines.extend(name + b": " + value for name, value in headers)
         if self._bodiless:
             # The length that GET would return is not known here; HEAD may omit it.
             pass
-        elif length is None:
-            self._chunked = True
+        elif framing is Framing.CHUNKED:
             lines.append(b"Transfer-Encoding: chunked")
-        else:
+        elif framing is Framing.LENGTH:
             lines.append(b"Content-Length: %d" % length)
+        else:
+            self.close_after = True
+            self._set_linger(RESET_ON_CLOSE)
         if self.close_after:
             lines.append(b"Connection: close")
         self._transport.write(b"\r\n".join(lines) + b"\r\n\r\n")
@@ -57,19 +72,23 @@
         """Send a part of the body."""
         if not data or self._bodiless:
             return
-        if self._chunked:
+        if self._framing is Framing.CHUNKED:
             data = b"%x\r\n%b\r\n" % (len(data), data)
         self._transport.write(data)
 
-    def finish(self) -> None:
+    async def finish(self) -> None:
         """Mark the response as complete."""
-        if self._chunked:
+        if self._framing is Framing.CHUNKED and not self._bodiless:
             self._transport.write(b"0\r\n\r\n")
+        elif self._framing is Framing.CLOSE:
+            self._transport.set_write_buffer_limits(high=0)
+            await self.drain()
+            self._set_linger(SEND_ON_CLOSE)
         self.complete = True
 
     def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a response whose body is complete."""
-        self.start(status, headers, len(body))
+        self.start(status, headers, Framing.LENGTH, len(body))
         self.send(body)
         self.complete = True
 
@@ -82,6 +101,10 @@
         """Wait until the transport's buffer has room, if the caller reads slowly."""
         await self._writable.wait()
 
+    def _set_linger(self, value: bytes) -> None:
+        connection = self._transport.get_extra_info("socket")
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
+
     def pause(self) -> None:
         """Record that the transport's buffer is full."""
         self._writable.clear()
--- a/src/moledale/gateway/upstream.py
+++ b/src/moledale/gateway/upstream.py
@@ -71,7 +71,6 @@
         self._unread_bytes = 0
         self._complete = False
         self._cut: Cut | None = None
-        self._ends_on_close = False
         self._request_sent = False
         self._interim = False
         self._bodiless = False
@@ -121,9 +120,9 @@
         return self._head.framing if self._head is not None else None
 
     @property
-    def ends_on_close(self) -> bool:
+    def _ends_on_close(self) -> bool:
         """Return whether only the end of the connection marks the end of the response."""
-        return self._ends_on_close
+        return self.framing is Framing.CLOSE
 
     def finish(self, now: float) -> bool:
         """End an exchange; return whether the connection may carry another request."""
@@ -143,8 +142,10 @@
             self.transport.close()
 
     def abort(self) -> None:
-        """Close at once, so that the server stops its work."""
+        """Close at once, so that the server stops its work; a response in progress is cut off."""
         self.usable = False
+        if not self._complete and self._cut is None:
+            self._cut = Cut.CLOSED
         if self.transport is not None and not self.closed:
             self.transport.abort()
 
@@ -178,7 +179,7 @@
 
     def _end_of_data(self) -> None:
         if not self._complete and self._cut is None:
-            if self._ends_on_close and self._head is not None:
+            if self._ends_on_close:
                 self._complete = True
             else:
                 self._cut = Cut.CLOSED
@@ -205,12 +206,10 @@
             return
         self._interim = False
         names = {name.lower() for name, _ in self._headers}
-        framing = self._framing(names, status)
-        self._ends_on_close = framing is Framing.CLOSE
         self._complete = self._bodiless
-        self._head = AnswerHead(status, self._headers, framing)
+        self._head = AnswerHead(status, self._headers, self._read_framing(names, status))
 
-    def _framing(self, names: set[bytes], status: int) -> Framing:
+    def _read_framing(self, names: set[bytes], status: int) -> Framing:
         """Return how the body is framed, given the lower-case names of the headers."""
         if b"transfer-encoding" in names:
             return Framing.CHUNKED
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -156,10 +156,30 @@
     def test_stream_without_framing_that_ends_between_events_is_not_framed(self) -> None:
         async def work() -> None:
             async with GatewayWorld(make_plan()) as world:
-                for body in (event(1) + event(2), b""):
-                    await world.start_server("s1", "model", unframed(body))
-                    got = await world.send_request("/draft/")
-                    self.assertEqual((got.status, got.body, got.framed), (200, body, False))
+                body = event(1) + event(2)
+                await world.start_server("s1", "model", unframed(body))
+                got = await world.send_request("/draft/")
+                self.assertEqual((got.status, got.body, got.framed), (200, body, False))
+
+        run_quietly(work())
+
+    def test_stream_without_framing_that_ends_before_its_first_event_is_no_success(self) -> None:
+        async def work() -> None:
+            async with GatewayWorld(make_plan()) as world:
+                await world.start_server("s1", "model", unframed(b""))
+                self.assertEqual((await world.send_request("/draft/")).status, 502)
+                await world.start_server("s2", "model", chunked_rest)
+                got = await world.send_request("/review/")
+                self.assertEqual((got.status, got.body, got.whole), (200, ALL_EVENTS, True))
+
+        run_quietly(work())
+
+    def test_caller_that_has_all_events_gets_the_empty_rest_of_its_stream(self) -> None:
+        async def work() -> None:
+            async with GatewayWorld(make_plan()) as world:
+                await world.start_server("s1", "model", unframed(b""))
+                got = await world.send_request("/review/", headers={"Last-Event-Id": "5"})
+                self.assertEqual((got.status, got.body, got.whole), (200, b"", True))
 
         run_quietly(work())
 
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -181,7 +181,7 @@
         for first in range(len(text)):
             splitter = EventSplitter()
             out = splitter.feed(text[:first]) + splitter.feed(text[first:])
-            self.assertEqual((out + splitter.flush(), splitter.last_id), (text, "30"))
+            self.assertEqual((out, splitter.last_id, splitter.partial_bytes), (text, "30", 0))
 
     def test_partial_event_is_discarded_before_a_stream_continues(self) -> None:
         splitter = EventSplitter()
--- a/tools/without_gateway.py
+++ b/tools/without_gateway.py
@@ -41,7 +41,7 @@
 from moledale.gateway.forwarder import Forwarder
 from moledale.gateway.inbound import InboundConnection
 from moledale.gateway.lease_keeper import LeaseKeeper
-from moledale.gateway.messages import AnswerFacts, AnswerHead
+from moledale.gateway.messages import AnswerFacts, AnswerHead, Framing
 from moledale.gateway.neighbours import Neighbours
 from moledale.gateway.node import GatewayNode
 from moledale.gateway.outside import StateRow
@@ -74,6 +74,7 @@
 from moledale.platform.headers import PlatformHeaders
 
 FORWARDING = "tests.test_gateway_forwarding"
+CUT_ANSWERS = "tests.test_cut_answers"
 NODES = "tests.test_gateway_nodes"
 RESTORED = "tests.test_store_restored tests.test_store_era"
 LEASE = "tests.test_gateway_lease"
@@ -98,6 +99,8 @@
 _finish_answer = UpstreamConnection.finish
 _read_answer = PlatformHeaders.read_answer
 _data_received = UpstreamConnection.data_received
+_start_reply = Reply.start
+CHUNKED_FOR = {Framing.CLOSE: Framing.CHUNKED}
 _on_renewal = LeaseKeeper.on_renewal
 _record_work = WorkMeter.record
 
@@ -146,7 +149,14 @@
 
 def _finish_as_complete(self: Reply) -> None:
     """End a truncated answer as if it were complete."""
-    self.finish()
+    self._transport.write(b"0\r\n\r\n")
+    self.complete = True
+
+
+def _frame_as_chunked(self: Reply, *arguments: Any) -> None:
+    """Frame an answer that only its connection ends in chunks."""
+    status, headers, framing, *length = arguments
+    _start_reply(self, status, headers, CHUNKED_FOR.get(framing, framing), *length)
 
 
 def _ignore_disconnect(self: InboundConnection, exc: Exception | None) -> None:
@@ -244,6 +254,12 @@
     ("only whole events pass", EventSplitter, "feed", _pass_partial_events,
      f"{FORWARDING} {STATE}"),
     ("a cut answer ends visibly", Reply, "abort", _finish_as_complete, FORWARDING),
+    ("an answer without framing gets none", Reply, "start", _frame_as_chunked, CUT_ANSWERS),
+    ("an unframed answer that is not finished is reset", Reply, "_set_linger", lambda *_: None,
+     CUT_ANSWERS),
+    ("a stream inside an event is not complete", EventSplitter, "partial_bytes", 0, CUT_ANSWERS),
+    ("the last chunk follows no end that may be a cut", AnswerReader, "_may_lack_events",
+     lambda *_: False, CUT_ANSWERS),
     ("a caller that leaves is heeded", InboundConnection, "connection_lost", _ignore_disconnect,
      FORWARDING),
     ("what may have run is not repeated", Forwarder, "_may_retry", lambda *_: True, FORWARDING),
