Take no copy of a run from an answer that names none

An answer of an engine to a move that breaks off, or that can't be read, with status 200 counted as a copy without a handle: the run went on from the address with an empty handle, which its target refuses, or its caller's stream ended there.

Cause: the same as for answers to callers, the end of a connection taken for the end of an answer. The test fails without the change at the first of 24 sizes (Ok with handle ""). It also shows that an answer of the store that breaks off at any place is a failed call whose effect is uncertain, which holds before, too.

--- a/src/moledale/platform/engines.py
+++ b/src/moledale/platform/engines.py
@@ -49,7 +49,7 @@
             record = msgspec.json.decode(answer.body or b"{}", type=MoveRecord)
         except msgspec.DecodeError:
             record = MoveRecord()
-        if answer.status == 200:
+        if answer.status == 200 and record.handle:
             return Ok(Moved(record.handle, record.made))
         return Err(MoveRefused(f"status {answer.status}", record.handle, answer.status))
 
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -3,12 +3,18 @@
 import asyncio
 import unittest
 
+from result import Err
+
+from moledale.platform.engines import PlatformEngines
+from moledale.platform.store import PlatformStore
+from moledale.scheduling.stream_runs import Moved
 from tests.cut_world import Cut, start_cluster
 from tests.gateway_world import (
     LAST_CHUNK,
     Arrival,
     GatewayWorld,
     Script,
+    ScriptedServer,
     answer_ok,
     chunk,
     event,
@@ -276,6 +282,49 @@
         run_quietly(work())
 
 
+class CutOrdersTest(unittest.TestCase):
+    """Answers of engines and of the store whose connection ends in order inside them."""
+
+    WHOLE_MOVE = b'{"handle":"h1","made":3}'
+    WHOLE_ROWS = b'{"rows":[],"more":false,"ver":5,"now_ms":1000}'
+
+    async def _serve(self, body: bytes) -> tuple[ScriptedServer, str]:
+        server = ScriptedServer("s1", unframed(body))
+        await server.start()
+        return server, server.address
+
+    def test_move_whose_answer_breaks_off_has_no_copy_to_go_on_from(self) -> None:
+        async def work() -> None:
+            for size in range(len(self.WHOLE_MOVE)):
+                server, address = await self._serve(self.WHOLE_MOVE[:size])
+                outcome = await PlatformEngines().move(address, "r1", "t:1", True, 1.0)
+                self.assertIsInstance(outcome, Err)
+                self.assertTrue(outcome.unwrap_err().sent)
+                server.stop()
+            server, address = await self._serve(self.WHOLE_MOVE)
+            outcome = await PlatformEngines().move(address, "r1", "t:1", True, 1.0)
+            self.assertEqual(outcome.unwrap(), Moved("h1", 3))
+            server.stop()
+
+        run_quietly(work())
+
+    def test_answer_of_the_store_that_breaks_off_is_a_failed_call(self) -> None:
+        async def work() -> None:
+            for size in range(len(self.WHOLE_ROWS)):
+                server, address = await self._serve(self.WHOLE_ROWS[:size])
+                store = PlatformStore(address)
+                read = await store.read("t", 1.0)
+                written = await store.write("t", "k", b"v", 0, 1.0)
+                failures = [read.unwrap_err(), written.unwrap_err()]
+                self.assertEqual([each.uncertain for each in failures], [True, True])
+                server.stop()
+            server, address = await self._serve(self.WHOLE_ROWS)
+            self.assertEqual((await PlatformStore(address).read("t", 1.0)).unwrap().version, 5)
+            server.stop()
+
+        run_quietly(work())
+
+
 class RelayedCutAnswersTest(unittest.TestCase):
     """Answers that reach a node through a peer."""
 
