Count answers without framing as failed calls in the daemon, not as empty ones

The client library gives the body of an answer without a length or chunks as empty, whole or not: a plain service's "hello" reached its caller as status 200 with nothing in it, framed as complete, and an object of the store was read as empty.

Cause: the same as in the gateway, an answer whose end nobody marks taken for a complete one. The daemon's own answers always have a length or chunks, so it can't pass on what it can't vouch for: such a call fails, and may have run. The new test fails without the change (Ok with an empty body, twice).

--- a/src/moledale/backing/http.py
+++ b/src/moledale/backing/http.py
@@ -23,7 +23,7 @@
     TransactionOutcome,
     WeightGrant,
 )
-from moledale.http_failures import CALL_FAILURES
+from moledale.http_failures import CALL_FAILURES, check_framing
 from moledale.settings import PlatformSection
 
 T = TypeVar("T")
@@ -55,6 +55,8 @@
                 data=body,
                 timeouts=self._timeouts,
             )
+            if not is_write:
+                check_framing(response)
             content = await response.content()
         except ConnectionRefusedError:
             return Err(PlatformFailure(self._part, "connection refused", uncertain=False))
--- a/src/moledale/servers/http.py
+++ b/src/moledale/servers/http.py
@@ -12,7 +12,7 @@
 from aiosonic.timeout import Timeouts
 from result import Err, Ok, Result
 
-from moledale.http_failures import CALL_FAILURES
+from moledale.http_failures import CALL_FAILURES, check_framing
 from moledale.http_fields import RETRY_AFTER, retry_after_s
 from moledale.servers.types import (
     CacheEvent,
@@ -180,6 +180,7 @@
                     timeouts=timeouts,
                     follow=False,
                 )
+                check_framing(response)
                 body = await response.content()
             except (ConnectionRefusedError, ConnectTimeout) as error:
                 return Err(ServerFailure(type(error).__name__, may_have_run=False))
--- a/tests/test_supervisor.py
+++ b/tests/test_supervisor.py
@@ -5,12 +5,12 @@
 
 import logbook
 
-from moledale.backing.http import HttpTable
+from moledale.backing.http import HttpObjects, HttpTable
 from moledale.backing.types import Part, Transaction
 from moledale.node.mailbox import Mailbox
 from moledale.node.supervisor import RestartLimit, Supervisor
-from moledale.servers.http import HttpModelServers, make_client
-from moledale.servers.types import GenerateCall, ServerError
+from moledale.servers.http import HttpModelServers, HttpPlainServices, make_client
+from moledale.servers.types import GenerateCall, ServerError, ServiceCall
 from tests.world import ManualClock
 
 
@@ -111,6 +111,26 @@
                 outcome = asyncio.run(self.outcome_of(answer))
                 self.assertEqual(outcome, ("ServerError", True))
 
+    def test_answer_without_framing_is_not_taken_for_an_empty_one(self) -> None:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nhalf of it")
+            await writer.drain()
+            writer.close()
+
+        async def work() -> None:
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            base = f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}"
+            call = ServiceCall("plain", "POST", "/x", [], b"")
+            answer = (await HttpPlainServices().call(base, call, 1.0)).unwrap_err()
+            self.assertEqual((answer.detail, answer.may_have_run), ("UnframedAnswer", True))
+            async with make_client() as client:
+                objects = HttpObjects(client, Part.OBJECTS, base, 1.0)
+                self.assertEqual((await objects.get("o")).unwrap_err().detail, "UnframedAnswer")
+            server.close()
+
+        asyncio.run(work())
+
 
 if __name__ == "__main__":
     unittest.main()
