Answers without framing in the soak; resets that are resets

Model and plain servers of the soak answer without a length or chunks in 15 of 100 cases; a stream that breaks off there ends in order inside an event, everything else is reset. Links and servers that fail reset their connections now: what asyncio calls abort sends an orderly end if nothing is left to read, which an unframed answer can't be told from. Nodes of former builds get none of it, as they frame such answers.

--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -105,9 +105,10 @@
 
 
 def reset(writer: asyncio.StreamWriter) -> None:
-    """Close a connection with a TCP reset."""
+    """Close a connection with a TCP reset; one that is closed already stays as it is."""
     sock = writer.get_extra_info("socket")
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    if sock.fileno() >= 0:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     writer.transport.abort()
 
 
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -96,7 +96,7 @@
             f"seed {seed}: {len(result.findings)} findings, {result.attempts} attempts, "
             f"{result.served} served, {len(result.faults)} events, "
             f"{result.former_starts} starts of the former build, "
-            f"{result.continued} continued runs",
+            f"{result.continued} continued runs, {result.unframed} answers without framing",
             flush=True,
         )
         failed += report_findings(result.findings, result.folder, result.faults + result.stalls)
--- a/tests/soak/backend.py
+++ b/tests/soak/backend.py
@@ -20,6 +20,10 @@
 RETRY_AFTER_S = 1.8
 """Retry-After of a rejecting server, which should get no requests before it has passed."""
 
+UNFRAMED_PROBABILITY = 0.15
+"""Share of answers with neither a length nor chunks, which end with their connection. A stream that
+breaks off then ends in order inside an event, any other answer is reset."""
+
 GUILTY_PREFIX = b"the request that ends servers"
 """Prefix of the request bodies that crash every server."""
 
@@ -70,6 +74,9 @@
         self.link = Link("")
         self._ledger = ledger
         self._rng = rng
+        # A separate generator, so that framing doesn't change what else a seed draws.
+        self.unframed_probability = UNFRAMED_PROBABILITY
+        self._framing_rng = random.Random(f"{name} framing")
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self.address = ""
@@ -94,7 +101,7 @@
         if self._server is not None:
             self._server.close()
         for writer in list(self._writers):
-            writer.transport.abort()
+            reset(writer)
 
     async def _crash_if_guilty(self, arrival: Arrival) -> None:
         """Crash if the request is one that crashes servers; otherwise do nothing."""
@@ -146,6 +153,16 @@
         else:
             await self._answer_plain(arrival, writer, faulty)
 
+    def _is_unframed(self) -> bool:
+        """Return whether the next answer has neither a length nor chunks."""
+        return self._framing_rng.random() < self.unframed_probability
+
+    async def _end_unframed(self, writer: asyncio.StreamWriter) -> None:
+        """End an answer without framing, or break a stream off, by closing its connection."""
+        await writer.drain()
+        writer.close()
+        raise ConnectionResetError
+
     def _record_run(self, arrival: Arrival, continued: bool = False) -> None:
         tokens = arrival.get("token-count") or "5,5"
         (self._ledger.continued if continued else self._ledger.runs).append(
@@ -193,14 +210,19 @@
         failed = self.mode is ServerMode.GRAY_FAILURE and faulty
         request = arrival.get("request-id") or ""
         body = b"failed" if failed else plain_body(request, self.id)
-        fields = f"Server-Stamp: {self.id}\r\nContent-Length: {len(body)}\r\n"
+        unframed = self._is_unframed()
+        fields = f"Server-Stamp: {self.id}\r\n"
+        if not unframed:
+            fields += f"Content-Length: {len(body)}\r\n"
         data = self._head(arrival, 500 if failed else 200, fields) + body
         if self.mode is ServerMode.TRUNCATES and faulty:
             writer.write(data[: -len(body) // 2])
-            await writer.drain()
-            writer.close()
-            raise ConnectionResetError
+            if unframed:
+                reset(writer)
+            await self._end_unframed(writer)
         writer.write(data)
+        if unframed:
+            await self._end_unframed(writer)
         if self.mode is ServerMode.ANSWERS_TWICE and faulty:
             writer.write(self._head(arrival, 200, fields) + body)
 
@@ -246,10 +268,10 @@
             reset(writer)
             raise ConnectionResetError
         request = arrival.get("request-id") or ""
-        fields = (
-            f"Server-Stamp: {self.id}\r\nContent-Type: text/event-stream\r\n"
-            "Transfer-Encoding: chunked\r\n"
-        )
+        unframed = self._is_unframed()
+        fields = f"Server-Stamp: {self.id}\r\nContent-Type: text/event-stream\r\n"
+        if not unframed:
+            fields += "Transfer-Encoding: chunked\r\n"
         writer.write(self._head(arrival, 200, fields))
         breaks_at = (
             EVENTS_PER_STREAM // 2
@@ -264,13 +286,18 @@
             if run is not None:
                 run.made = number
             data = event_of(request, self.id if run is None else run.origin, number)
+            if number == breaks_at and unframed:
+                writer.write(data[:-9])
+                await self._end_unframed(writer)
             if number == breaks_at:
                 writer.write(chunk(data)[:-9])
                 await writer.drain()
                 reset(writer)
                 raise ConnectionResetError
-            writer.write(chunk(data))
+            writer.write(data if unframed else chunk(data))
             await writer.drain()
+        if unframed:
+            await self._end_unframed(writer)
         writer.write(LAST_CHUNK)
         if self.mode is ServerMode.ANSWERS_TWICE and faulty:
             writer.write(self._head(arrival, 200, "Content-Length: 0\r\n"))
--- a/tests/soak/link.py
+++ b/tests/soak/link.py
@@ -3,6 +3,8 @@
 import asyncio
 from enum import StrEnum
 
+from tests.gateway_world import reset
+
 SLOW_DELAY_S = 0.15
 CHUNK_BYTES = 65_536
 
@@ -49,17 +51,17 @@
     def reset_all(self) -> None:
         """Reset all open connections."""
         for writer in list(self._open):
-            writer.transport.abort()
+            reset(writer)
 
     async def _forward(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if self.mode is LinkMode.RESET:
-            writer.transport.abort()
+            reset(writer)
             return
         host, _, port = self.target.rpartition(":")
         try:
             target_reader, target_writer = await asyncio.open_connection(host, int(port))
         except OSError:
-            writer.transport.abort()
+            reset(writer)
             return
         pair = {writer, target_writer}
         self._open |= pair
@@ -91,7 +93,7 @@
                 await writer.drain()
             await self._wait_until_released(to_client)
         except ConnectionError:
-            writer.transport.abort()
+            reset(writer)
 
     async def _wait_until_released(self, to_client: bool) -> None:
         """Wait until the mode lets bytes of this direction pass."""
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -63,6 +63,11 @@
     probe: bool = False
     returns_from: str = ""
 
+    @property
+    def framed(self) -> bool:
+        """Return whether the answer has a length or chunks."""
+        return "content-length" in self.headers or "transfer-encoding" in self.headers
+
 
 @dataclass(slots=True)
 class Fault:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -104,7 +104,10 @@
 
 @dataclass(slots=True)
 class SoakResult:
-    """Findings of the checks, and counts and events of the soak."""
+    """Findings of the checks, and counts and events of the soak.
+
+    `unframed` counts the answers that only the end of their connection marks as complete.
+    """
 
     findings: list[str]
     attempts: int
@@ -115,6 +118,7 @@
     former_starts: int
     stalls: list[str]
     continued: int = 0
+    unframed: int = 0
 
 
 class Soak:
@@ -161,6 +165,7 @@
             len(ledger.former_builds),
             stall_lines(self._world.folder, ledger.began),
             len(ledger.continued),
+            sum(attempt.whole and not attempt.framed for attempt in attempts),
         )
 
     async def _run_phases(self) -> None:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -140,6 +140,9 @@
         self._servers_started += 1
         backend = Backend(name or f"s{self._servers_started}", service, self.ledger, self.rng)
         backend.on_guilty_crash = self._on_guilty_crash
+        if len(self.builds) > 1:
+            # Former builds frame unframed answers that break off as complete.
+            backend.unframed_probability = 0.0
         await backend.start(link)
         if self.scheduling:
             backend.hall = HALLS[self._servers_started % len(HALLS)]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -514,6 +514,7 @@
         result = run_soak(SoakPlan(SEED, nodes=4, planned_s=4.0, chaos_s=5.0, rounds=1))
         self.assertEqual(result.findings, [], result.faults)
         self.assertGreater(result.served, 300)
+        self.assertGreater(result.unframed, 20)
         shutil.rmtree(result.folder, ignore_errors=True)
 
     def test_short_soak_with_store_restores_finds_nothing(self) -> None:
