Log the software version of servers, and which request began a resumed stream

The logs of the play could not tell a caller that takes a stream up from a new one, nor name the version of a server.

--- a/src/moledale/gateway/evacuation.py
+++ b/src/moledale/gateway/evacuation.py
@@ -666,6 +666,8 @@
             request=run.facts.id,
             source=server.id,
             target=target.view.server.id,
+            source_version=server.version,
+            target_version=target.view.server.version,
             tokens=run.tokens(),
             events=run.events,
             outcome=outcome,
--- a/src/moledale/gateway/messages.py
+++ b/src/moledale/gateway/messages.py
@@ -83,8 +83,9 @@
 
     `key` is the API key, `deadline_s` the time left until the caller's deadline, `parts` are the
     shareable parts of the prompt, and `resumed_after` is the id of the last event that the caller
-    received of a stream that it resumes. `hint_tokens` is the caller's estimate of the tokens of
-    the answer, 0 without one.
+    received of a stream that it resumes. `resumes` is the id of the request that brought the first
+    event of that stream. `hint_tokens` is the caller's estimate of the tokens of the answer, 0
+    without one.
     """
 
     id: str = ""
@@ -95,6 +96,12 @@
     parts: tuple[PromptPart, ...] = ()
     resumed_after: str = ""
     hint_tokens: int = 0
+    resumes: str = ""
+
+    @property
+    def resumed(self) -> bool:
+        """Return whether the caller resumes a stream of which it has events."""
+        return bool(self.resumed_after or self.resumes)
 
     @property
     def tokens(self) -> int:
