--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -265,18 +265,22 @@
             server.stop()
 
     async def start_server(
-        self, name: str, service: str, script: Script, slots: int = 4
+        self, name: str, service: str, script: Script, slots: int = 4, version: str = ""
     ) -> ScriptedServer:
         """Start a server with a script, and add it to the list."""
         server = ScriptedServer(name, script)
-        await self.add_server(server, service, slots)
+        await self.add_server(server, service, slots, version)
         return server
 
-    async def add_server(self, server: ScriptedServer, service: str, slots: int = 4) -> None:
+    async def add_server(
+        self, server: ScriptedServer, service: str, slots: int = 4, version: str = ""
+    ) -> None:
         """Start an existing server object, and add it to the list."""
         await server.start()
         self.servers[server.id] = server
-        self._listed.append(Server(server.id, service, server.address, "hall-a", slots))
+        self._listed.append(
+            Server(server.id, service, server.address, "hall-a", slots, version=version)
+        )
         self.balancer.apply(self._listed)
 
     def update_listed(self, name: str, **changes: object) -> None:
--- a/tests/test_gateway_placements.py
+++ b/tests/test_gateway_placements.py
@@ -220,6 +220,21 @@
         self.assertEqual(other.fetched, 10_000)
         self.assertEqual(other.uncached, 100)
 
+    def test_prefix_is_not_fetched_from_a_server_of_another_version(self) -> None:
+        """Guards against KV caches that two versions of the software don't share."""
+        balancer = LoadBalancer("hall-a")
+        versions = [
+            msgspec.structs.replace(server, version=f"v{number}")
+            for number, server in enumerate(SERVERS)
+        ]
+        balancer.apply(versions)
+        home = balancer.place("model", make_facts("a", "x"), FAST_LINKS, 1.0)
+        assert home is not None
+        excluded = frozenset({home.view.server.id})
+        other = balancer.place("model", make_facts("a", "y"), FAST_LINKS, 1.0, excluded)
+        assert other is not None
+        self.assertEqual((other.fetch_from, other.uncached), ("", 10_100))
+
     def test_prefix_is_computed_where_links_are_slow_or_servers_cannot_move_it(self) -> None:
         for engine in (SLOW_LINKS, ENGINE):
             with self.subTest(engine=engine):
