Let streams go on only at the software version that began them, within a node

Callers got one answer with events of two versions: streams that were moved with their KV cache, and streams that went on after their server had broken off.

Cause: a version was a property of roll-outs only.

A stream is bound to the version of the server that sent its first event. Moves, coordinated or not, continuations of stopped runs, backups, retries and the check whether another server is left leave other versions out, and no request is sent to one in any case ("the server runs another version"). Roll-outs moved streams off old servers to the new version; those end where they are. Callers that come back at another node are a fault of its own and are not covered yet.

--- a/src/moledale/gateway/answers.py
+++ b/src/moledale/gateway/answers.py
@@ -158,7 +158,8 @@
     def may_try_elsewhere(self, job: Job) -> bool:
         """Return whether another server and the retry budget allow one more send."""
         now = self._now()
-        other = self._balancer.has_alternative(job.service, now, job.tried)
+        excluded = job.tried | self._balancer.other_versions(job.service, job.version)
+        other = self._balancer.has_alternative(job.service, now, excluded)
         return other and self._sharing.may_retry(job.service, now)
 
     async def _read_whole(self, connection: UpstreamConnection) -> bytes:
@@ -242,6 +243,7 @@
             if is_first:
                 is_first = False
                 self._balancer.record_first_event(placement, self._now())
+                self._record_version(job, placement)
                 job.may_have_run = True
                 self._count_usage(job)
                 record_answer(placement.view, False, self._now() - placement.sent_at)
@@ -261,6 +263,11 @@
         self._balancer.record_pace(placement, run.server_events, self._now())
         return Attempt(AttemptOutcome.ANSWERED)
 
+    def _record_version(self, job: Job, placement: Placement) -> None:
+        """Bind a stream to the version of the server that begins it."""
+        if job.version is None:
+            job.version = placement.view.server.version
+
     def _may_lack_events(self, job: Job, run: StreamRun, head: AnswerHead) -> bool:
         """Return whether a stream that ended after a whole event may have broken off there.
 
--- a/src/moledale/gateway/evacuation.py
+++ b/src/moledale/gateway/evacuation.py
@@ -160,13 +160,6 @@
             known.ends_at = now + left_s
             self._start(known)
 
-    def evacuate_by(self, servers: Iterable[Server], ends_at: float) -> None:
-        """Start to evacuate servers that end at a known time, as those of a former version do."""
-        for server in servers:
-            engine = self._engine(server.service)
-            if engine is not None and engine.moves and server.id not in self._leaving:
-                self._start(Leaving(server, engine, ends_at, stated=True))
-
     def track(self, run: StreamRun) -> None:
         """Track a stream that was sent to a server, which may be leaving already."""
         self._serial += 1
@@ -194,6 +187,11 @@
             if each.server.service == service and each.may_serve(now)
         }
 
+    def version_of(self, name: str) -> str | None:
+        """Return the software version of a leaving server, None if it is not known to leave."""
+        leaving = self._leaving.get(name)
+        return None if leaving is None else leaving.server.version
+
     def leaving_loads(self, service: str) -> list[LeavingLoad]:
         """Return the requests of all nodes on the servers of a service that leave at present."""
         now = self._now()
@@ -431,13 +429,18 @@
     def _may_queue(self, run: StreamRun, server: Server, engine: Engine) -> bool:
         """Return whether a run that is stopped now would get a slot before its caller leaves."""
         now = self._now()
-        choice = self._balancer.choose(run.service, run.facts, engine, now, frozenset({server.id}))
+        excluded = self._excluded(run.service, server)
+        choice = self._balancer.choose(run.service, run.facts, engine, now, excluded)
         if choice is None:
             return False
         hold_s = self._balancer.estimator(run.service).speed(now).hold_s
         queue_s = slot_wait_s(choice.view.total_running, engine.slots, hold_s)
         return may_queue(queue_s, run.deadline_at - now)
 
+    def _excluded(self, service: str, server: Server) -> frozenset[str]:
+        """Return where a run of a server may not go on: there, and at other versions."""
+        return self._balancer.other_versions(service, server.version) | {server.id}
+
     def _is_coordinated(self, service: str) -> bool:
         return self.coordination is not None and self.coordination.applies(service)
 
@@ -457,6 +460,8 @@
         view = self._balancer.views.get(name)
         if view is None or view.limit_per_s is not None or view.is_closed(now):
             return None
+        if view.server.version != run.placement.view.server.version:
+            return None
         choice = self._balancer.choose(
             run.service, run.facts, engine, now, only=view, demand=run.placement.demand
         )
@@ -467,7 +472,8 @@
         refused_by = run.refused_by
         run.refusals = {}
         while not run.done and self._may_serve(server):
-            target = await self._place(run, engine, refused_by | {server.id})
+            excluded = refused_by | self._excluded(run.service, server)
+            target = await self._place(run, engine, excluded)
             if target is None:
                 return
             copy_s = _copy_s(run, engine, target.view.server.hall != server.hall)
@@ -596,8 +602,10 @@
         placement = None
         again_s = PRECOPY_MIN_TIME_FACTOR * _copy_s(run, engine, other_hall=True)
         if elsewhere or self._left_s(server) < again_s:
-            excluded = frozenset() if elsewhere else refused_by
-            placement = await self._place(run, engine, excluded | {server.id})
+            excluded = self._excluded(run.service, server)
+            placement = await self._place(
+                run, engine, excluded if elsewhere else excluded | refused_by
+            )
         if placement is None:
             stay = Choice(run.placement.view, run.facts, demand=run.placement.demand)
             placement = self._balancer.reserve(stay, self._now())
@@ -618,7 +626,8 @@
         placement = None
         if not refused.refusals:
             service, demand = source.server.service, refused.placement.demand
-            request = PlacementRequest(service, facts, engine, tried, moved=True, demand=demand)
+            excluded = tried | self._excluded(service, source.server)
+            request = PlacementRequest(service, facts, engine, excluded, moved=True, demand=demand)
             placement = await self._placer.place(request)
         if placement is None:
             stay = Choice(source, facts, demand=refused.placement.demand)
--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -24,7 +24,7 @@
 from moledale.gateway.reply import Reply
 from moledale.gateway.request_guard import RequestGuard
 from moledale.gateway.server_notices import SERVICE_UNAVAILABLE
-from moledale.gateway.server_view import Placement, record_silence
+from moledale.gateway.server_view import Placement, ServerView, record_silence
 from moledale.gateway.settings import Scheduling
 from moledale.gateway.sharing import Sharing
 from moledale.gateway.turns import PERMIT_TIMEOUT_SHARE, RetryScheduler, max_queue_wait_s
@@ -54,6 +54,8 @@
 OTHER_NODE_RETRY_S = 0.05
 """Retry delay when other nodes are known to be able to serve; it only spreads callers a little."""
 
+OTHER_VERSION = "the server runs another version than the one that began the stream"
+
 NO_EVENT_ID = "0"
 """Last event id that is sent for a stream without any event yet."""
 
@@ -444,8 +446,8 @@
                 job.service,
                 job.facts,
                 engine,
-                job.tried,
-                share,
+                job.tried | self._balancer.other_versions(job.service, job.version),
+                share if job.version is None else 0.0,
                 max_wait_s=max_wait_s,
                 permit_timeout_s=permit_timeout_s,
                 check=self._first_send_check(job),
@@ -584,6 +586,10 @@
                 record_silence(view, self._now())
                 emit(Event.CONNECT_FAILED, request=job.facts.id, server=server.id, why=str(error))
                 return Attempt(AttemptOutcome.NOT_SENT, why=NO_CONNECTION)
+            if not self._may_run(job, view):
+                self._pool.release_unused(server.id, connection)
+                connection = None
+                return Attempt(AttemptOutcome.NOT_SENT, why=OTHER_VERSION)
             if continuation is None and not view.is_open(self._now()):
                 # The server announced this while the connection was being made.
                 self._pool.release_unused(server.id, connection)
@@ -617,6 +623,10 @@
             self._record_unanswered(job, placement)
             placement.end()
 
+    def _may_run(self, job: Job, view: ServerView) -> bool:
+        """Return whether a server runs the version that began a stream, if any has."""
+        return job.version is None or view.server.version == job.version
+
     async def _still_permitted(self, placement: Placement) -> bool:
         """Return whether a server may still get a request that was placed on it.
 
--- a/src/moledale/gateway/job.py
+++ b/src/moledale/gateway/job.py
@@ -66,7 +66,9 @@
     sent to any server. `retry_counted` is set while its next send is counted in the retry budget
     already. `longest_pause_s` is the longest time between two relayed events. `charge` is what it
     was charged to its account's limit, if that is taken back when the request is refused.
-    `relay_tried` is set once peers were asked to take the request.
+    `relay_tried` is set once peers were asked to take the request. `version` is the software
+    version of the server that began the stream, the only one at which it may go on. It is None
+    until the first event.
     """
 
     request: InboundRequest
@@ -87,6 +89,7 @@
     longest_pause_s: float = 0.0
     charge: Charge | None = None
     relay_tried: bool = False
+    version: str | None = None
     _fingerprint: bytes = b""
 
     @property
--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from moledale.clock import SystemClock, monotonic
-from moledale.core.rollouts import Exposure, Phase, RolloutNews
+from moledale.core.rollouts import Exposure, RolloutNews
 from moledale.gateway.balance import LoadBalancer
 from moledale.gateway.builds import FORMATS, BuildWatch
 from moledale.gateway.cold_start import ColdStart
@@ -85,11 +85,6 @@
 PLACEMENT_BATCH_S = 0.02
 """Placements are batched for this long before they are sent to other nodes."""
 
-OLD_SERVERS_END_SHARE = 0.9
-"""Share of a roll-out's duration after which servers of the old version should be empty. Streams
-that would run longer are moved. The rest is left for the last copies and for reporting to the
-operator."""
-
 STOPPING_RETRY_AFTER_S = 0.05
 """Retry-After of requests that a draining node rejects. It is short because other nodes serve
 immediately."""
@@ -662,24 +657,11 @@
             self.plans.fetch.add_source(state.control, version, state.power, now)
 
     def _on_rollout_changed(self, rollout: RolloutNews) -> None:
-        """Broadcast a changed roll-out; drain old servers once requests move to the new ones."""
-        if rollout.phase is Phase.MOVING:
-            self._drain_old_servers(rollout)
+        """Broadcast a changed roll-out."""
         if self._gossip is not None and self._rollouts_sent.get(rollout.order.service) != rollout:
             self._rollouts_sent[rollout.order.service] = rollout
             self._send_state()
 
-    def _drain_old_servers(self, rollout: RolloutNews) -> None:
-        """Drain servers of the old version before the roll-out's duration is over."""
-        order = rollout.order
-        now = monotonic()
-        ordered_at = self.sharing.true_time.to_local(order.ordered_s)
-        began_at = now if ordered_at is None else ordered_at
-        end_at = max(now, began_at + OLD_SERVERS_END_SHARE * order.duration_s)
-        views = self.balancer.group(order.service).views.values()
-        old = [view.server for view in views if view.server.version != order.target]
-        self.forwarder.evacuation.evacuate_by(old, end_at)
-
     def _serving_count(self) -> int:
         """Return how many nodes serve, or 0 if this one does not."""
         if not self.neighbours.serving:
--- a/src/moledale/gateway/server_group.py
+++ b/src/moledale/gateway/server_group.py
@@ -268,6 +268,12 @@
         """Return whether there are servers of a version that are not leaving."""
         return version in self._present_since
 
+    def other_versions(self, version: str) -> frozenset[str]:
+        """Return the ids of the servers that run another version of the software."""
+        return frozenset(
+            name for name, view in self.views.items() if view.server.version != version
+        )
+
     def trial_servers(self, share: float, excluded: frozenset[str]) -> list[ServerView]:
         """Return the servers of a new version that take its share of the requests.
 
--- a/src/moledale/scheduling/backup_runs.py
+++ b/src/moledale/scheduling/backup_runs.py
@@ -140,7 +140,7 @@
         control = self._controls.setdefault(service, BackupControl(now))
         decision = control.decide(
             stream,
-            lambda: self._targets(service, engine, facts, now),
+            lambda: self._targets(source.server, engine, facts, now),
             hazards.hazard(now),
             fleet,
             now,
@@ -224,10 +224,10 @@
             hazards.update([view.server for view in views], (), now)
         return hazards
 
-    def _holders(self, service: str, now: float) -> list[ServerView]:
-        """Return servers that may hold backups, a sample of those if there are many."""
-        group = self._balancer.group(service)
-        views = list(group.views.values())
+    def _holders(self, source: Server, now: float) -> list[ServerView]:
+        """Return servers that may hold backups of a server, a sample of those if there are many."""
+        group = self._balancer.group(source.service)
+        views = [each for each in group.views.values() if each.server.version == source.version]
         if len(views) > MAX_TARGETS:
             views = self._rng.sample(views, MAX_TARGETS)
         return [
@@ -240,13 +240,13 @@
         ]
 
     def _targets(
-        self, service: str, engine: Engine, facts: RequestFacts, now: float
+        self, source: Server, engine: Engine, facts: RequestFacts, now: float
     ) -> list[BackupTarget]:
-        """Return the servers with their room.
+        """Return the servers for backups of a server with their room.
 
         Each request there counts as many tokens as this node's streams have in the mean.
         """
-        mean_tokens = self._mean_tokens(service) or facts.tokens
+        mean_tokens = self._mean_tokens(source.service) or facts.tokens
         return [
             BackupTarget(
                 view.server.id,
@@ -254,7 +254,7 @@
                 engine.cache_tokens - view.total_running * mean_tokens,
                 engine.slots - view.total_running,
             )
-            for view in self._holders(service, now)
+            for view in self._holders(source, now)
         ]
 
 
--- a/src/moledale/scheduling/evacuation_sharing.py
+++ b/src/moledale/scheduling/evacuation_sharing.py
@@ -119,7 +119,8 @@
         if found is None or found.engine is None:
             return
         now = self._now()
-        result = self._coordinator.plan(server, self._cluster_view(service, found.engine), now)
+        cluster = self._cluster_view(server, service, found.engine)
+        result = self._coordinator.plan(server, cluster, now)
         if result.again_in_s is not None:
             loop = asyncio.get_running_loop()
             loop.call_later(result.again_in_s, self._plan_again, server, service, now)
@@ -143,15 +144,18 @@
         if self._coordinator.planned_at(server) == planned_at:
             self._plan(server, service)
 
-    def _cluster_view(self, service: str, engine: Engine) -> ClusterView:
+    def _cluster_view(self, server: str, service: str, engine: Engine) -> ClusterView:
+        """Return what is known of the servers to which streams of a leaving server may move."""
         now = self._now()
         leaving = self._evacuation.leaving_halls(service)
+        version = self._evacuation.version_of(server)
+        excluded = self._balancer.other_versions(service, version) | leaving.keys()
         stream_tokens = self._evacuation.mean_final_tokens(service)
         views = self._balancer.group(service).views.values()
         targets = [
             _free_room(view, engine, stream_tokens, self._balancer.claims.at(view.server.id))
             for view in views
-            if view.server.id not in leaving and _takes_streams(view, now)
+            if view.server.id not in excluded and _takes_streams(view, now)
         ]
         nodes = frozenset({self._own_id, *(each.id for each in self._members.alive(now))})
         return ClusterView(targets, leaving, nodes, link_of(engine))
