Know at any node which software version began a stream that its caller resumes

Cause: which version began a stream was known, if at all, to the node where it began, and a caller comes back at any node, also after that one is gone.

The adapter reads `Resumes`, and a node binds such a stream to the version that began it. While a service has had one version for as long as streams live, that is it, by the list, and nothing is sent; a node that was started again asks others. While there are several, a node tells the version of each stream that begins, and of those that run as a second version appears: to all of a small cluster, to three serving nodes drawn by a hash in a large one. A node that does not know asks, for 0.15 s at most. What nobody knows, or what no server of the version is left for, is refused at once with 503; it never goes on elsewhere. Nodes of former builds are neither told nor asked, and what began there is refused while versions are mixed.

--- a/src/moledale/gateway/answers.py
+++ b/src/moledale/gateway/answers.py
@@ -44,7 +44,8 @@
 class AnswerReader:
     """Reads responses of servers; `refuse` responds in place of one that must not be relayed.
 
-    `on_leaving` is called with the id of a server whose response states that it is leaving.
+    `on_leaving` is called with the id of a server whose response states that it is leaving, and
+    `on_begun` with the request of a stream at its first event.
     """
 
     def __init__(
@@ -56,8 +57,10 @@
         now: Callable[[], float],
         guard: RequestGuard,
         on_leaving: Callable[[str], None],
+        on_begun: Callable[[Job], None],
     ) -> None:
         self._on_leaving = on_leaving
+        self._on_begun = on_begun
         self._dialect = dialect
         self._guard = guard
         self._balancer = balancer
@@ -267,6 +270,7 @@
         """Bind a stream to the version of the server that begins it."""
         if job.version is None:
             job.version = placement.view.server.version
+            self._on_begun(job)
 
     def _may_lack_events(self, job: Job, run: StreamRun, head: AnswerHead) -> bool:
         """Return whether a stream that ended after a whole event may have broken off there.
--- a/src/moledale/gateway/balance.py
+++ b/src/moledale/gateway/balance.py
@@ -40,6 +40,7 @@
 from moledale.scheduling.expected_ends import load_delay_s
 from moledale.scheduling.performance import ServerSpeeds
 from moledale.scheduling.unheard_delay import UnheardDelays
+from moledale.streams.version_history import VersionHistory
 
 MIN_EXPECTED_S = 0.01
 """Minimum expected time to a first event: one step of an engine takes 6 ms."""
@@ -68,6 +69,10 @@
     """Ignore a silent server."""
 
 
+def _ignore_versions(_: str) -> None:
+    """Ignore that a service has got another version."""
+
+
 def _ignore_outcome(_: Placement, _series: str, _failed: bool, _took: float) -> None:
     """Ignore an outcome."""
 
@@ -93,9 +98,12 @@
     `placed_work` is all prefill work that this node placed so far, by service. Requests refused for
     lack of capacity are included: it is the demand from which servers are rented.
     `expects_unheard_load` returns whether delays due to load that is not heard count for a service.
+
+    `versions` are the software versions that were listed lately, and `on_versions_mixed` is called
+    with a service that has got one beside another.
     """
 
-    def __init__(self, hall: str) -> None:
+    def __init__(self, hall: str, versions: VersionHistory | None = None) -> None:
         self.views: dict[str, ServerView] = {}
         self.placed_work: dict[str, int] = {}
         self.estimators: dict[str, SpeedEstimator] = {}
@@ -114,6 +122,8 @@
         self.notices = ServerNotices(self.views, self.group)
         self.reachability = Reachability()
         self.server_speeds = ServerSpeeds()
+        self.versions = versions or VersionHistory()
+        self.on_versions_mixed: Callable[[str], None] = _ignore_versions
         self._own_rooms = OwnRooms()
         self._bounded_services: set[str] = set()
         self.claims = EngineClaims()
@@ -138,6 +148,10 @@
                     # It gets its share in the next round.
                     view.set_rooms(engine_room(view.server.slots), None if view.has_engine else 1)
                 self._add_peer_loads(view)
+        for service in self.versions.observe(
+            (each.server.service, each.server.version) for each in self.views.values()
+        ):
+            self.on_versions_mixed(service)
         self.server_speeds.set_listed(
             {name: (each.server.service, each.server.address) for name, each in self.views.items()}
         )
--- a/src/moledale/gateway/evacuation.py
+++ b/src/moledale/gateway/evacuation.py
@@ -172,6 +172,17 @@
         if leaving is not None:
             self._start(leaving)
 
+    def running_versions(self, service: str) -> dict[str, str]:
+        """Return the requests whose streams of a service have begun, with the versions of both.
+
+        A resumed stream is that of the request which began it.
+        """
+        return {
+            run.facts.resumes or run.facts.id: run.placement.view.server.version
+            for run in self.runs
+            if run.service == service and (run.events or run.facts.resumed)
+        }
+
     def _start(self, leaving: Leaving) -> None:
         self._leaving[leaving.server.id] = leaving
         if not leaving.active and self._runs_on(leaving.server):
--- a/src/moledale/gateway/fleet_watch.py
+++ b/src/moledale/gateway/fleet_watch.py
@@ -227,13 +227,13 @@
         Return False if it is still too old and other nodes have a newer one, so that they can
         serve. If no node has a newer one because the store is down, the last list is used.
         """
-        if self._is_fresh():
+        if self.is_fresh():
             return True
         if self._may_read_for_request():
             read_task = self._start_read()
             left_s = self._read_started_at + REFRESH_WAIT_S - self._now()
             await asyncio.wait([read_task], timeout=max(0.0, left_s))
-        return self._is_fresh() or not self.fetch.is_behind(self._now())
+        return self.is_fresh() or not self.fetch.is_behind(self._now())
 
     def read_now(self) -> None:
         """Start to read the list before it is due, unless a read just failed or is in progress."""
@@ -300,7 +300,7 @@
         if lapsed:
             self._publish()
 
-    def _is_fresh(self) -> bool:
+    def is_fresh(self) -> bool:
         """Return whether the list is recent enough for requests to rely on it."""
         return self._now() - self._fresh_at <= self._max_list_age_s
 
@@ -349,7 +349,7 @@
     def _on_stale_read(self, listed: StoredList) -> None:
         """Record a read that returned an older list, so that requests pause before the next one."""
         now = self._now()
-        if self._is_fresh():
+        if self.is_fresh():
             return
         if now - self._stale_read_at > FAILED_READ_COOLDOWN_S:
             emit(Event.LIST_OLDER, read=listed.at, here=self.list.era_version)
--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -24,7 +24,7 @@
 from moledale.gateway.reply import Reply
 from moledale.gateway.request_guard import RequestGuard
 from moledale.gateway.server_notices import SERVICE_UNAVAILABLE
-from moledale.gateway.server_view import Placement, ServerView, record_silence
+from moledale.gateway.server_view import Placement, record_silence
 from moledale.gateway.settings import Scheduling
 from moledale.gateway.sharing import Sharing
 from moledale.gateway.turns import PERMIT_TIMEOUT_SHARE, RetryScheduler, max_queue_wait_s
@@ -45,6 +45,7 @@
     StreamRun,
 )
 from moledale.scheduling.switches import Feature, Switches
+from moledale.streams.origins import StreamOrigins, standalone_origins
 
 MAX_UNREACHABLE_SERVERS = 6
 """Servers that may fail to accept a connection before a request is given up. Nothing was sent to
@@ -54,7 +55,11 @@
 OTHER_NODE_RETRY_S = 0.05
 """Retry delay when other nodes are known to be able to serve; it only spreads callers a little."""
 
-OTHER_VERSION = "the server runs another version than the one that began the stream"
+UNKNOWN_ORIGIN = "it is not known which version began the stream"
+VERSION_GONE = "no server runs the version that began the stream"
+
+UNKNOWN_ORIGIN_RETRY_S = 0.2
+"""Retry delay while a node that may know the version did not answer."""
 
 NO_EVENT_ID = "0"
 """Last event id that is sent for a stream without any event yet."""
@@ -103,6 +108,7 @@
         starting_nodes: Callable[[], int] = lambda: 1,
         permits: PermitClient | None = None,
         switches: Switches | None = None,
+        origins: StreamOrigins | None = None,
     ) -> None:
         limits = AccountLimits(
             first_start, sharing.limit_window_s, sharing.limit_tolerance, starting_nodes
@@ -140,6 +146,7 @@
         self._list_is_current = list_is_current
         self._trial_share = trial_share
         self._switches = switches or Switches(Scheduling())
+        self._origins = origins or standalone_origins(balancer.versions, sharing.members, now)
         self._engine_priorities = EnginePriorities()
         self.overload = OverloadGate()
         self.move_slots = MoveSlotGate(
@@ -149,7 +156,14 @@
         self.refuse = self._refusals.refuse
         self.refusal_metrics = self._refusals.counts.metrics
         self._answers = AnswerReader(
-            dialect, balancer, sharing, self.refuse, now, self.guard, self.handle_leaving_server
+            dialect,
+            balancer,
+            sharing,
+            self.refuse,
+            now,
+            self.guard,
+            self.handle_leaving_server,
+            self._on_stream_begun,
         )
 
     @property
@@ -261,6 +275,8 @@
         """
         if await self._relayed(job):
             return
+        if not await self._bind_resumed(job):
+            return
         self._sharing.record_request(job.service, self._now())
         self._sharing.record_offered(job.service, job.caller.account, job.facts.tokens)
         last = Attempt(AttemptOutcome.NOT_SENT, why=NO_SERVER)
@@ -308,6 +324,29 @@
                 break
         await self._end_without_answer(job, last)
 
+    async def _bind_resumed(self, job: Job) -> bool:
+        """Bind a stream that its caller resumes to the version that began it.
+
+        Return False if that is not known or no server of it is left, and the request is refused.
+        """
+        if job.route.kind is not Kind.STREAM or not job.facts.resumed:
+            return True
+        origin = await self._origins.find(job.facts.resumes, job.service)
+        job.version = origin.version
+        if origin.version is None:
+            retry_s = UNKNOWN_ORIGIN_RETRY_S if origin.retry else None
+            self._give_up(job, Refusal(503, UNKNOWN_ORIGIN, retry_s))
+            return False
+        if not self._balancer.group(job.service).has_version(origin.version):
+            self._give_up(job, Refusal(503, VERSION_GONE))
+            return False
+        return True
+
+    def _on_stream_begun(self, job: Job) -> None:
+        """Record the version that began a stream."""
+        if job.version is not None:
+            self._origins.record(job.facts.id, job.service, job.version)
+
     def _may_relay(self, job: Job) -> bool:
         """Return whether a request may be relayed: it was sent to no server, and none is reached.
 
@@ -586,10 +625,6 @@
                 record_silence(view, self._now())
                 emit(Event.CONNECT_FAILED, request=job.facts.id, server=server.id, why=str(error))
                 return Attempt(AttemptOutcome.NOT_SENT, why=NO_CONNECTION)
-            if not self._may_run(job, view):
-                self._pool.release_unused(server.id, connection)
-                connection = None
-                return Attempt(AttemptOutcome.NOT_SENT, why=OTHER_VERSION)
             if continuation is None and not view.is_open(self._now()):
                 # The server announced this while the connection was being made.
                 self._pool.release_unused(server.id, connection)
@@ -623,10 +658,6 @@
             self._record_unanswered(job, placement)
             placement.end()
 
-    def _may_run(self, job: Job, view: ServerView) -> bool:
-        """Return whether a server runs the version that began a stream, if any has."""
-        return job.version is None or view.server.version == job.version
-
     async def _still_permitted(self, placement: Placement) -> bool:
         """Return whether a server may still get a request that was placed on it.
 
--- a/src/moledale/gateway/gossip.py
+++ b/src/moledale/gateway/gossip.py
@@ -18,6 +18,7 @@
 from moledale.gateway.server_list import ServerChange
 from moledale.log import Event, emit
 from moledale.scheduling.evacuation_coordinator import EvacuationOrder, EvacuationReport
+from moledale.streams.origins import OriginAnswer, OriginAsk, OriginNews
 
 
 class StateNews(msgspec.Struct, array_like=True, tag="state"):
@@ -57,6 +58,9 @@
     | PermitAnswer
     | EvacuationReport
     | EvacuationOrder
+    | OriginNews
+    | OriginAsk
+    | OriginAnswer
 )
 MESSAGES: tuple[type[msgspec.Struct], ...] = get_args(Message)
 
--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -66,6 +66,14 @@
 from moledale.scheduling.evacuation_sharing import EvacuationSharing
 from moledale.scheduling.stream_runs import Engines
 from moledale.scheduling.switches import Feature, Switches
+from moledale.streams.origins import (
+    OriginAnswer,
+    OriginAsk,
+    OriginMessage,
+    OriginNews,
+    StreamOrigins,
+)
+from moledale.streams.version_history import DEFAULT_LIFETIME_S, VersionHistory
 
 POOL_SWEEP_INTERVAL_S = 0.5
 """Interval between closing of connections that have been idle for too long."""
@@ -97,6 +105,10 @@
 """A node that lost a service waits for this long before it takes what peers state for evidence that
 they still reach it: longer than `REACHED_RECENTLY_S` and a gossip round."""
 
+RESUMPTION_MARGIN_S = 5.0
+"""Streams may be resumed this much later than the longest time limit of their routes: callers count
+their deadline from the first attempt, which may have been refused."""
+
 MAX_LOGGED_NODES = 16
 """Nodes in the log line of those that callers are directed to."""
 
@@ -129,7 +141,9 @@
         self.incarnation = int.from_bytes(os.urandom(6), "big")
         self.members = Membership(node.id, self.incarnation)
         self.sharing = Sharing(self.members, settings.bounds)
-        self.balancer = LoadBalancer(node.hall)
+        self.balancer = LoadBalancer(
+            node.hall, VersionHistory(node.first_start, self._stream_lifetime_s)
+        )
         self.pool = ConnectionPool(monotonic)
         self.rollouts = Rollouts(
             self.balancer,
@@ -145,6 +159,15 @@
         self.server_limits = LimitSharing(
             node.id, node.hall, node.peers, self.balancer, self.members, self._send_to
         )
+        self._origins = StreamOrigins(
+            node.peers,
+            self.balancer.versions,
+            self.members,
+            self._send_origins,
+            self._knows_versions,
+            lambda service: self.forwarder.evacuation.running_versions(service),
+        )
+        self.balancer.on_versions_mixed = self._origins.on_versions_mixed
         self.forwarder = Forwarder(
             dialect,
             self.balancer,
@@ -158,6 +181,7 @@
             starting_nodes=lambda: max(1, len(node.halls), self._serving_count()),
             permits=self.server_limits.permits,
             switches=self.switches,
+            origins=self._origins,
         )
         self.forwarder.overload.account_excess = self.account_excess
         self.sharing.has_fair_shares = lambda service: self.switches.applies(
@@ -317,6 +341,19 @@
             "server_speed_max_percent": round(100 * speeds.largest),
         }
 
+    def _stream_lifetime_s(self) -> float:
+        """Return for how long after its first event a stream may be resumed."""
+        index = self.forwarder.index
+        return DEFAULT_LIFETIME_S if index is None else index.max_stream_s + RESUMPTION_MARGIN_S
+
+    def _knows_versions(self) -> bool:
+        """Return whether no version serves that this node's list lacks."""
+        return self.fleet.is_fresh() or self.members.reachable_share(monotonic()) > 0.5
+
+    def _send_origins(self, message: OriginMessage, addresses: list[str]) -> None:
+        if self._gossip is not None:
+            self._gossip.send(message, addresses)
+
     def _uses_unheard_load(self, service: str) -> bool:
         return self.switches.applies(Feature.UNHEARD_LOAD, self.forwarder.index, service)
 
@@ -476,6 +513,7 @@
             reached=self.balancer.reachability.reached_recently(now),
             cut_off=self._cut_off,
             brittle=self.balancer.notices.brittle.to_broadcast(now),
+            origins=True,
         )
 
     def _send_state(self, everyone: bool = True) -> None:
@@ -606,6 +644,9 @@
         if isinstance(message, EvacuationReport | EvacuationOrder):
             self.evacuation.on_message(message)
             return
+        if isinstance(message, OriginNews | OriginAsk | OriginAnswer):
+            self._origins.on_message(message)
+            return
         if isinstance(message, PlacementNews):
             self.server_limits.on_placed(message)
             self.sharing.apply_placements(message, self.balancer, self._engine_of)
--- a/src/moledale/gateway/peers.py
+++ b/src/moledale/gateway/peers.py
@@ -106,7 +106,8 @@
     peers on connections to `peer`. `unreachable` are the services of which it reaches no server,
     and `reached` those of which it reached one recently. `cut_off` is set if it does not reach a
     service that other nodes reach. `brittle` are the statements of brittle servers that it received
-    itself, by service.
+    itself, by service. `origins` is set if the node reads which versions began streams (see
+    `streams.origins`).
     Two builds exchange states during a rolling replacement, so new fields are added last with a
     default, and none is ever removed.
     """
@@ -152,6 +153,7 @@
     reached: list[str] = []
     cut_off: bool = False
     brittle: dict[str, BrittleNews] = {}
+    origins: bool = False
 
     def without_counts(self) -> "NodeState":
         """Return a brief state without most counts, for nodes that only need the membership.
--- a/src/moledale/gateway/plan.py
+++ b/src/moledale/gateway/plan.py
@@ -145,7 +145,10 @@
 
 
 class PlanIndex:
-    """Looks up the routes, services and accounts of a plan."""
+    """Looks up the routes, services and accounts of a plan.
+
+    `max_stream_s` is the longest time limit of a route of streams, 0 without one.
+    """
 
     def __init__(self, plan: Plan) -> None:
         self.plan = plan
@@ -155,6 +158,8 @@
         self.has_accounts = bool(plan.accounts)
         self.accounts = {account.name: account for account in plan.accounts}
         self._by_key = {key: account for account in plan.accounts for key in account.keys}
+        limits_s = [each.time_limit_s for each in plan.routes if each.kind is Kind.STREAM]
+        self.max_stream_s = max(limits_s, default=0.0)
         self._hosts: dict[str, dict[str, Route]] = {}
         for route in plan.routes:
             self._hosts.setdefault(route.host.lower(), {})[route.prefix] = route
--- a/src/moledale/log.py
+++ b/src/moledale/log.py
@@ -135,6 +135,11 @@
         480, logbook.WARNING, "This node reaches no server of a service that has some."
     )
     SERVICE_REACHED = EventSpec(481, logbook.INFO, "This node reaches the servers again.")
+    ORIGIN_ASKED = EventSpec(
+        490,
+        logbook.INFO,
+        "Other nodes were asked which software version began a stream that its caller resumes.",
+    )
     RELAYED = EventSpec(
         483, logbook.INFO, "A request was sent to a peer, since no server was reached from here."
     )
--- a/src/moledale/platform/engines.py
+++ b/src/moledale/platform/engines.py
@@ -6,11 +6,10 @@
 from result import Err, Ok, Result
 
 from moledale.gateway.calls import HttpCaller
-from moledale.gateway.messages import Headers
 from moledale.platform.records import encode
+from moledale.platform.store import JSON_TYPE
 from moledale.scheduling.stream_runs import Moved, MoveRefused
 
-JSON_TYPE: Headers = [(b"Content-Type", b"application/json")]
 RELEASE_TIMEOUT_S = 1.0
 """Timeout of releasing a copy; a copy that is not released expires by itself."""
 
--- a/src/moledale/platform/headers.py
+++ b/src/moledale/platform/headers.py
@@ -49,7 +49,6 @@
     }
 )
 LAST_EVENT_ID_HEADER = b"last-event-id"
-RESUMES_HEADER = b"resumes"
 LENGTH_HINT_HEADER = "length-hint"
 LEAVING_HEADER = "server-leaving"
 SERVER_LIMIT_HEADER = "server-limit"
@@ -74,7 +73,7 @@
             _prompt_parts(found.get(b"prompt-prefix")),
             decode_value(found.get(LAST_EVENT_ID_HEADER)),
             first_count(head.headers, LENGTH_HINT_HEADER) or 0,
-            decode_value(found.get(RESUMES_HEADER)),
+            decode_value(found.get(b"resumes")),
         )
 
     def attempt_head(self, head: RequestHead, facts: AttemptFacts, length: int) -> bytes:
--- /dev/null
+++ b/src/moledale/streams/origins.py
@@ -0,0 +1,254 @@
+"""Which software version began a stream, as nodes tell each other while several versions serve.
+
+A caller resumes a stream at any node and names the request that brought its first event. What two
+versions write does not fit together, so that stream may go on only at the version that began it.
+While a service has one version, nothing is sent: each node knows it from the list of servers. While
+it has several, the node where a stream begins tells the version to others, so that it is known
+after the node is gone. A node that does not know a version asks those that were told.
+"""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from itertools import count
+
+import msgspec
+import xxhash
+from cachetools import TTLCache
+
+from moledale.clock import monotonic
+from moledale.core.hashing import ranked
+from moledale.gateway.peers import Membership, NodeState
+from moledale.log import Event, emit
+from moledale.streams.version_history import DEFAULT_LIFETIME_S, VersionHistory
+
+DIGEST_BYTES = 8
+MAX_KNOWN = 32_768
+"""Maximum streams whose version is kept: a large deployment begins some thousands a second, of
+which a node is told a small part."""
+
+MAX_MESH_PEERS = 16
+"""Up to this many other nodes, all are told of each stream."""
+
+KEEPERS = 3
+"""Nodes that are told of a stream in a larger cluster, drawn by a hash of its request."""
+
+BATCH_S = 0.02
+"""Streams that begin within this time are told together."""
+
+MAX_STREAMS_PER_MESSAGE = 128
+"""Streams in one message: 1 KB, which fits a datagram."""
+
+ASK_TIMEOUT_S = 0.15
+"""A node that asks waits this long for answers: several round trips between nodes that are slow."""
+
+
+class OriginNews(msgspec.Struct, array_like=True, tag="origins"):
+    """Streams that began, by version: the digests of their requests, eight bytes each."""
+
+    streams: dict[str, bytes]
+
+
+class OriginAsk(msgspec.Struct, array_like=True, tag="ask-origin"):
+    """A question which version began a stream of a service; `peer` is the address that asks."""
+
+    number: int
+    peer: str
+    service: str
+    stream: bytes
+
+
+class OriginAnswer(msgspec.Struct, array_like=True, tag="origin"):
+    """What a node knows of a stream: its version, or else the only one that may have begun it."""
+
+    number: int
+    version: str | None = None
+    sole: str | None = None
+
+
+OriginMessage = OriginNews | OriginAsk | OriginAnswer
+
+
+class Origin(msgspec.Struct, frozen=True):
+    """The version that began a stream, None if it is not known; `retry` if it may be known soon."""
+
+    version: str | None
+    retry: bool = False
+
+
+class _Question(msgspec.Struct, eq=False):
+    """A question in progress: how many answers are due, and what they say."""
+
+    due: int
+    found: asyncio.Future[str | None]
+    sole: set[str] = msgspec.field(default_factory=set)
+
+
+def standalone_origins(
+    history: VersionHistory, members: Membership, now: Callable[[], float]
+) -> "StreamOrigins":
+    """Return origins for a forwarder that runs without a node."""
+    return StreamOrigins("", history, members, lambda *_: None, lambda: True, lambda _: {}, now)
+
+
+def digest_of(request: str) -> bytes:
+    """Return the digest by which nodes name a request."""
+    return xxhash.xxh3_64_digest(request.encode())
+
+
+def keepers_of(stream: bytes, alive: Iterable[NodeState]) -> list[str]:
+    """Return the addresses of the nodes that are told of a stream and asked about it."""
+    peers = {each.id: each for each in alive if each.origins}
+    if len(peers) <= MAX_MESH_PEERS:
+        return [each.peer for each in peers.values()]
+    serving = [name for name, each in peers.items() if each.serving]
+    return [peers[name].peer for name in ranked(stream.hex(), serving)[:KEEPERS]]
+
+
+class StreamOrigins:
+    """Keeps, tells and finds the versions that began streams.
+
+    `history` knows the versions of the list. `is_list_current` returns whether that can be relied
+    on: a node cut off from the store and from its peers may miss a version. `send` sends a message
+    to addresses, of which `own_peer` is this node's. `running` returns the streams of a service
+    that run at this node, by the request that began them, with their versions.
+    """
+
+    def __init__(
+        self,
+        own_peer: str,
+        history: VersionHistory,
+        members: Membership,
+        send: Callable[[OriginMessage, list[str]], None],
+        is_list_current: Callable[[], bool],
+        running: Callable[[str], dict[str, str]],
+        now: Callable[[], float] = monotonic,
+    ) -> None:
+        self._own_peer = own_peer
+        self._history = history
+        self._members = members
+        self._send = send
+        self._is_list_current = is_list_current
+        self._running = running
+        self._now = now
+        self._known: TTLCache[bytes, str] = TTLCache(MAX_KNOWN, DEFAULT_LIFETIME_S, timer=now)
+        self._untold: dict[bytes, str] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self._questions: dict[int, _Question] = {}
+        self._numbers = count(1)
+
+    def record(self, request: str, service: str, version: str) -> None:
+        """Record the version that began a stream, and tell others while there are several."""
+        stream = digest_of(request)
+        self._known[stream] = version
+        if self._history.is_mixed(service):
+            self._tell({stream: version})
+
+    def on_versions_mixed(self, service: str) -> None:
+        """Tell others of the streams that run here, as the service has got another version."""
+        running = {digest_of(name): version for name, version in self._running(service).items()}
+        self._known.update(running)
+        self._tell(running)
+
+    async def find(self, request: str, service: str) -> Origin:
+        """Return the version that began a stream, which other nodes are asked for if need be."""
+        stream = digest_of(request)
+        version = self._known.get(stream) if request else None
+        if version is None:
+            version = self._sole_version(service)
+        if version is not None:
+            return Origin(version)
+        origin = await self._ask(stream, service)
+        if origin.version is not None and request:
+            self._known[stream] = origin.version
+        emit(
+            Event.ORIGIN_ASKED,
+            resumes=request,
+            service=service,
+            version=origin.version,
+            versions=sorted(self._history.recent(service)),
+        )
+        return origin
+
+    def on_message(self, message: OriginMessage) -> None:
+        """Handle a message of another node."""
+        if isinstance(message, OriginNews):
+            self._store(message)
+        elif isinstance(message, OriginAsk):
+            version = self._known.get(message.stream)
+            sole = self._sole_version(message.service) if version is None else None
+            self._send(OriginAnswer(message.number, version, sole), [message.peer])
+        else:
+            self._on_answer(message)
+
+    def _sole_version(self, service: str) -> str | None:
+        return self._history.sole_version(service) if self._is_list_current() else None
+
+    def _store(self, news: OriginNews) -> None:
+        for version, packed in news.streams.items():
+            for start in range(0, len(packed) - DIGEST_BYTES + 1, DIGEST_BYTES):
+                self._known[packed[start : start + DIGEST_BYTES]] = version
+
+    def _tell(self, streams: dict[bytes, str]) -> None:
+        """Tell the keepers of streams after a short while, together with others."""
+        self._untold.update(streams)
+        if self._timer is None and self._untold:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(BATCH_S, self._send_untold)
+
+    def _send_untold(self) -> None:
+        self._timer = None
+        untold, self._untold = self._untold, {}
+        alive = self._members.alive(self._now())
+        by_target: dict[str, list[bytes]] = {}
+        for stream in untold:
+            for target in keepers_of(stream, alive):
+                by_target.setdefault(target, []).append(stream)
+        for target, streams in by_target.items():
+            for start in range(0, len(streams), MAX_STREAMS_PER_MESSAGE):
+                part = streams[start : start + MAX_STREAMS_PER_MESSAGE]
+                self._send(_news_of(part, untold), [target])
+
+    async def _ask(self, stream: bytes, service: str) -> Origin:
+        """Ask the nodes that may know a stream; the first that does decides."""
+        targets = keepers_of(stream, self._members.alive(self._now()))
+        if not targets:
+            return Origin(None)
+        number = next(self._numbers)
+        question = _Question(len(targets), asyncio.get_running_loop().create_future())
+        self._questions[number] = question
+        self._send(OriginAsk(number, self._own_peer, service, stream), targets)
+        try:
+            async with asyncio.timeout(ASK_TIMEOUT_S):
+                found = await question.found
+            return Origin(found or self._agreed_version(question, service))
+        except TimeoutError:
+            version = self._agreed_version(question, service)
+            return Origin(version, retry=version is None)
+        finally:
+            del self._questions[number]
+
+    def _on_answer(self, answer: OriginAnswer) -> None:
+        question = self._questions.get(answer.number)
+        if question is None or question.found.done():
+            return
+        question.due -= 1
+        if answer.sole is not None:
+            question.sole.add(answer.sole)
+        if answer.version is not None:
+            question.found.set_result(answer.version)
+        elif question.due <= 0:
+            question.found.set_result(None)
+
+    def _agreed_version(self, question: _Question, service: str) -> str | None:
+        """Return the only version that may have begun a stream by all answers and the own list."""
+        versions = question.sole | self._history.recent(service)
+        return next(iter(versions)) if question.sole and len(versions) == 1 else None
+
+
+def _news_of(part: Iterable[bytes], versions: dict[bytes, str]) -> OriginNews:
+    """Return the news of some streams, by version."""
+    streams: dict[str, bytes] = {}
+    for stream in part:
+        version = versions[stream]
+        streams[version] = streams.get(version, b"") + stream
+    return OriginNews(streams)
--- a/tests/test_formats.py
+++ b/tests/test_formats.py
@@ -33,11 +33,19 @@
     "moledale.scheduling.evacuation_coordinator:EvacuationOrder",
 }
 
+ORIGIN_TYPES = {
+    "moledale.streams.origins:OriginNews",
+    "moledale.streams.origins:OriginAsk",
+    "moledale.streams.origins:OriginAnswer",
+}
+
 TYPES_UNKNOWN_TO_BUILD = {
-    "eba5d79": PERMIT_TYPES | EVACUATION_TYPES,
-    "ed5dc3f": PERMIT_TYPES | EVACUATION_TYPES,
-    "c96abaf": EVACUATION_TYPES,
-    "f416f8c": EVACUATION_TYPES,
+    "eba5d79": PERMIT_TYPES | EVACUATION_TYPES | ORIGIN_TYPES,
+    "ed5dc3f": PERMIT_TYPES | EVACUATION_TYPES | ORIGIN_TYPES,
+    "c96abaf": EVACUATION_TYPES | ORIGIN_TYPES,
+    "f416f8c": EVACUATION_TYPES | ORIGIN_TYPES,
+    "d538459": ORIGIN_TYPES,
+    "0f5ed68": ORIGIN_TYPES,
 }
 """Messages that are newer than a build. Its nodes are not sent them, and would drop them."""
 
--- a/tests/test_server_versions.py
+++ b/tests/test_server_versions.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from moledale.gateway.messages import Server
 from standins.rows import StoreMode
@@ -205,6 +206,36 @@
 
         run_on_cluster(work)
 
+    def test_streams_whose_node_was_killed_after_a_second_version_came_go_on(self) -> None:
+        async def work(cluster: Cluster) -> None:
+            world = VersionCluster(cluster)
+            await world.start(3, {"v1": 2})
+            for server in world.servers["v1"]:
+                server.script = VersionScript("v1", interval_s=0.4)
+            opened = [await world.open("n1") for _ in range(4)]
+            await world.add_server("v2")
+            await asyncio.sleep(1.5)
+            cluster.kill("n1")
+            for server in world.servers["v1"]:
+                server.script = VersionScript("v1")
+            for number, stream in enumerate(opened):
+                got = await world.resume(stream, f"n{number % 2 + 2}")
+                self.assertTrue(goes_on(stream, got), (stream, got))
+
+        run_on_cluster(work)
+
+    def test_streams_go_on_though_the_news_of_them_were_lost(self) -> None:
+        async def work(cluster: Cluster) -> None:
+            world = VersionCluster(cluster)
+            await world.start(2, TWO_VERSIONS)
+            with mock.patch.object(cluster.nodes["n2"]._origins, "_store"):
+                streams = [await world.begin("n1") for _ in range(STREAMS)]
+                for stream in streams:
+                    got = await world.resume(stream, "n2")
+                    self.assertTrue(goes_on(stream, got), (stream, got))
+
+        run_on_cluster(work)
+
     def test_streams_of_a_version_that_is_gone_are_refused_at_once(self) -> None:
         async def work(cluster: Cluster) -> None:
             world = VersionCluster(cluster)
--- a/tests/versions_world.py
+++ b/tests/versions_world.py
@@ -42,6 +42,7 @@
 
     version: str
     breaks_at: int | None = None
+    interval_s: float = EVENT_INTERVAL_S
 
     async def __call__(
         self, arrival: Arrival, _: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -50,7 +51,7 @@
         after = int(arrival.get("last-event-id") or 0)
         writer.write(stream_head(arrival))
         for number in range(after + 1, EVENTS + 1):
-            await asyncio.sleep(EVENT_INTERVAL_S)
+            await asyncio.sleep(self.interval_s)
             if number == self.breaks_at and not after:
                 await writer.drain()
                 reset(writer)
@@ -75,6 +76,7 @@
 
     cluster: Cluster
     servers: dict[str, list[ScriptedServer]] = field(default_factory=dict)
+    _open: list[asyncio.StreamWriter] = field(default_factory=list)
     _numbers: "itertools.count[int]" = field(default_factory=lambda: itertools.count(1))
 
     async def start(self, nodes: int, versions: dict[str, int]) -> None:
@@ -129,6 +131,18 @@
         (version,) = versions_in(data)
         return BrokenStream(request, events, version)
 
+    async def open(self, node: str) -> BrokenStream:
+        """Begin a stream that stays open after its first event, for as long as its node lives."""
+        request = f"{node}-{next(self._numbers)}"
+        host, port = self.cluster.nodes[node].settings.node.callers.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(request_bytes("/check/", request_id=request))
+        async with asyncio.timeout(3):
+            data = await reader.readuntil(b"id: 1\n") + await reader.readuntil(b"\n\n")
+        self._open.append(writer)
+        (version,) = versions_in(data)
+        return BrokenStream(request, 1, version)
+
     async def resume(self, stream: BrokenStream, node: str) -> CallerAnswer:
         """Take a stream up again at a node."""
         headers = {"Last-Event-Id": str(stream.last_event), "Resumes": stream.request}
--- a/tools/record_formats.py
+++ b/tools/record_formats.py
@@ -25,6 +25,9 @@
     "moledale.gateway.permits:PermitAnswer",
     "moledale.scheduling.evacuation_coordinator:EvacuationReport",
     "moledale.scheduling.evacuation_coordinator:EvacuationOrder",
+    "moledale.streams.origins:OriginNews",
+    "moledale.streams.origins:OriginAsk",
+    "moledale.streams.origins:OriginAnswer",
     "moledale.gateway.document_archive:DocumentPiece",
     "moledale.gateway.messages:Server",
 )
--- a/tools/without_gateway.py
+++ b/tools/without_gateway.py
@@ -72,9 +72,12 @@
 from moledale.platform import entries, store
 from moledale.platform.entries import EntryReader
 from moledale.platform.headers import PlatformHeaders
+from moledale.streams.origins import Origin, StreamOrigins
+from moledale.streams.version_history import VersionHistory
 
 FORWARDING = "tests.test_gateway_forwarding"
 CUT_ANSWERS = "tests.test_cut_answers"
+STREAM_VERSIONS = "tests.test_server_versions tests.test_stream_origins"
 NODES = "tests.test_gateway_nodes"
 RESTORED = "tests.test_store_restored tests.test_store_era"
 LEASE = "tests.test_gateway_lease"
@@ -159,6 +162,11 @@
     _start_reply(self, status, headers, CHUNKED_FOR.get(framing, framing), *length)
 
 
+async def _ask_nobody(_self: StreamOrigins, _stream: bytes, _service: str) -> Origin:
+    """Find no version that other nodes know."""
+    return Origin(None)
+
+
 def _ignore_disconnect(self: InboundConnection, exc: Exception | None) -> None:
     """Continue the work for a caller that has disconnected."""
     self._listener.connections.discard(self)
@@ -258,6 +266,14 @@
     ("an unframed answer that is not finished is reset", Reply, "_set_linger", lambda *_: None,
      CUT_ANSWERS),
     ("a stream inside an event is not complete", EventSplitter, "partial_bytes", 0, CUT_ANSWERS),
+    ("a stream goes on at its version", LoadBalancer, "other_versions", lambda *_: frozenset(),
+     STREAM_VERSIONS),
+    ("other nodes are told what began a stream", StreamOrigins, "_tell", lambda *_: None,
+     STREAM_VERSIONS),
+    ("other nodes are asked what began a stream", StreamOrigins, "_ask", _ask_nobody,
+     STREAM_VERSIONS),
+    ("only a long history tells the only version", VersionHistory, "_covers_lifetime",
+     lambda *_: True, STREAM_VERSIONS),
     ("the last chunk follows no end that may be a cut", AnswerReader, "_may_lack_events",
      lambda *_: False, CUT_ANSWERS),
     ("a caller that leaves is heeded", InboundConnection, "connection_lost", _ignore_disconnect,
