Bind a stream to a version at its first whole event, not at the first bytes

A stream whose server broke off inside the first event was bound to that server's version though its caller had no event, and was cut if no other server ran it. The test breaks off inside the event now and fails without the change.

--- a/src/moledale/gateway/answers.py
+++ b/src/moledale/gateway/answers.py
@@ -246,7 +246,6 @@
             if is_first:
                 is_first = False
                 self._balancer.record_first_event(placement, self._now())
-                self._record_version(job, placement)
                 job.may_have_run = True
                 self._count_usage(job)
                 record_answer(placement.view, False, self._now() - placement.sent_at)
@@ -255,6 +254,7 @@
             if whole:
                 run.record_events(job.splitter.event_count - events_before, self._now())
                 job.record_event(self._now())
+                self._record_version(job, placement)
                 self._start_reply(job, head)
                 job.reply.send(whole)
                 await job.reply.drain()
--- a/tests/versions_world.py
+++ b/tests/versions_world.py
@@ -36,7 +36,7 @@
 class VersionScript:
     """The script of a server of one version: it streams the events after the last event id.
 
-    A stream that does not go on from an event is reset before the event `breaks_at`, if that is
+    A stream that does not go on from an event is reset inside the event `breaks_at`, if that is
     set.
     """
 
@@ -53,7 +53,9 @@
         for number in range(after + 1, EVENTS + 1):
             await asyncio.sleep(self.interval_s)
             if number == self.breaks_at and not after:
+                writer.write(chunk(versioned_event(number, self.version)[:9]))
                 await writer.drain()
+                await asyncio.sleep(EVENT_INTERVAL_S)
                 reset(writer)
                 raise ConnectionResetError
             writer.write(chunk(versioned_event(number, self.version)))
