Two software versions side by side in the soak, and callers that resume streams

Every second model server of a soak has another version. Callers lose a quarter of their resumable streams after three events and take them, and those that broke off, up again with Resumes. Checked: a stream has events of one version over all tries, and resumed streams go on at least half as often as new ones begin. Streams that a caller dropped itself don't count as cut.

--- a/tests/soak/backend.py
+++ b/tests/soak/backend.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import random
+import re
 import time
 from collections.abc import Callable
 from enum import StrEnum
@@ -55,6 +56,16 @@
     return f"id: {number}\ndata: {request} {server} piece {number}\n\n".encode()
 
 
+EVENT_PATTERN = re.compile(rb"id: (\d+)\ndata: (\S+) (\S+) piece (\d+)\n\n")
+"""A whole event: its number, the request, the server, and the number again."""
+
+
+def last_event_of(answer: bytes) -> int:
+    """Return the number of the last whole event of an answer, 0 without one."""
+    events = EVENT_PATTERN.findall(answer)
+    return int(events[-1][0]) if events else 0
+
+
 class Backend:
     """One incarnation of a server, which callers reach through a `Link`."""
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -84,6 +84,30 @@
             if check is not checks.served_after_healing:
                 self.assert_finding_count(check, 0)
 
+    def add_stream(self, request: str, server: str, resumes: str = "", **changes: object) -> None:
+        """Add an attempt of a stream with two events of a server."""
+        first = 3 if resumes else 1
+        answer = b"".join(event_of(request, server, number) for number in (first, first + 1))
+        self.ledger.server_versions.update(s1="v1", s2="v2", s3="v1")
+        fields = {"status": 200, "answer": answer, "resumes": resumes, **changes}
+        self.ledger.attempts.append(make_attempt(request, "review", **fields))
+
+    def test_finds_streams_with_events_of_two_versions(self) -> None:
+        self.add_stream("r1", "s1")
+        self.add_stream("r2", "s3", resumes="r1")
+        self.assert_finding_count(checks.streams_keep_their_version, 0)
+        self.add_stream("r3", "s2", resumes="r1")
+        self.assert_finding_count(checks.streams_keep_their_version)
+
+    def test_finds_resumed_streams_that_seldom_go_on(self) -> None:
+        for number in range(checks.MIN_RESUMED_STREAMS):
+            self.add_stream(f"a{number}", "s1")
+            status = 200 if number < checks.MIN_RESUMED_STREAMS // 2 else 503
+            self.add_stream(f"b{number}", "s1", resumes=f"a{number}", status=status)
+        self.assert_finding_count(checks.resumed_streams_go_on, 0)
+        self.ledger.attempts[1].status = 503
+        self.assert_finding_count(checks.resumed_streams_go_on)
+
     def test_finds_requests_to_a_server_after_its_answer_announced_leaving(self) -> None:
         headers = {"server-leaving": "1", "server-stamp": "s1"}
         self.ledger.attempts += [
@@ -515,6 +539,7 @@
         self.assertEqual(result.findings, [], result.faults)
         self.assertGreater(result.served, 300)
         self.assertGreater(result.unframed, 20)
+        self.assertGreater(result.resumed, 5)
         shutil.rmtree(result.folder, ignore_errors=True)
 
     def test_short_soak_with_store_restores_finds_nothing(self) -> None:
