--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -266,6 +266,28 @@
 
         run_quietly(work())
 
+    def test_long_safe_answer_that_breaks_off_gets_no_second_answer_inside(self) -> None:
+        async def break_off(arrival: Arrival, _: Reader, writer: Writer) -> None:
+            writer.write(stream_head(arrival) + chunk(b"x" * LONG_BODY_BYTES))
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            reset(writer)
+
+        async def work() -> None:
+            async with GatewayWorld(make_plan()) as world:
+                await world.start_server("s1", "plain", break_off)
+                second = await world.start_server("s2", "plain", answer_ok)
+                reader, writer = await world.connect()
+                writer.write(request_bytes("/check/"))
+                async with asyncio.timeout(5):
+                    got = await reader.read(-1)
+                self.assertEqual(got.count(b"HTTP/1.1 "), 1)
+                self.assertFalse(got.endswith(LAST_CHUNK))
+                self.assertEqual(second.arrivals, [])
+                writer.close()
+
+        run_quietly(work())
+
     def test_next_request_of_the_connection_is_not_started(self) -> None:
         async def work() -> None:
             async with GatewayWorld(make_plan()) as world:
