Offer another try where a service has no server at all; keep versions for a minute

A resumed stream was refused for good when no server was listed, also where the service has one version only and its servers come back; now that is the usual refusal with a time. Versions of streams were kept for 30 s, less than a plan with longer limits needs.

--- a/src/moledale/gateway/evacuation.py
+++ b/src/moledale/gateway/evacuation.py
@@ -173,9 +173,9 @@
             self._start(leaving)
 
     def running_versions(self, service: str) -> dict[str, str]:
-        """Return the requests whose streams of a service have begun, with the versions of both.
+        """Return the streams of a service that run here, with the versions of their servers.
 
-        A resumed stream is that of the request which began it.
+        Each is named by the request that began it.
         """
         return {
             run.facts.resumes or run.facts.id: run.placement.view.server.version
--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -327,7 +327,8 @@
     async def _bind_resumed(self, job: Job) -> bool:
         """Bind a stream that its caller resumes to the version that began it.
 
-        Return False if that is not known or no server of it is left, and the request is refused.
+        Return False if the request is refused, since that is not known or only other versions have
+        servers. A service without any server may get some of that version again.
         """
         if job.route.kind is not Kind.STREAM or not job.facts.resumed:
             return True
@@ -337,7 +338,7 @@
             retry_s = UNKNOWN_ORIGIN_RETRY_S if origin.retry else None
             self._give_up(job, Refusal(503, UNKNOWN_ORIGIN, retry_s))
             return False
-        if not self._balancer.group(job.service).has_version(origin.version):
+        if self._balancer.group(job.service).has_only_other_versions(origin.version):
             self._give_up(job, Refusal(503, VERSION_GONE))
             return False
         return True
--- a/src/moledale/gateway/server_group.py
+++ b/src/moledale/gateway/server_group.py
@@ -268,6 +268,10 @@
         """Return whether there are servers of a version that are not leaving."""
         return version in self._present_since
 
+    def has_only_other_versions(self, version: str) -> bool:
+        """Return whether there are servers that are not leaving, and none of this version."""
+        return bool(self._present_since) and not self.has_version(version)
+
     def other_versions(self, version: str) -> frozenset[str]:
         """Return the ids of the servers that run another version of the software."""
         return frozenset(
--- a/src/moledale/streams/origins.py
+++ b/src/moledale/streams/origins.py
@@ -19,13 +19,16 @@
 from moledale.core.hashing import ranked
 from moledale.gateway.peers import Membership, NodeState
 from moledale.log import Event, emit
-from moledale.streams.version_history import DEFAULT_LIFETIME_S, VersionHistory
+from moledale.streams.version_history import VersionHistory
 
 DIGEST_BYTES = 8
 MAX_KNOWN = 32_768
 """Maximum streams whose version is kept: a large deployment begins some thousands a second, of
 which a node is told a small part."""
 
+KNOWN_TTL_S = 60.0
+"""Time for which a stream's version is kept: longer than streams live."""
+
 MAX_MESH_PEERS = 16
 """Up to this many other nodes, all are told of each stream."""
 
@@ -130,7 +133,7 @@
         self._is_list_current = is_list_current
         self._running = running
         self._now = now
-        self._known: TTLCache[bytes, str] = TTLCache(MAX_KNOWN, DEFAULT_LIFETIME_S, timer=now)
+        self._known: TTLCache[bytes, str] = TTLCache(MAX_KNOWN, KNOWN_TTL_S, timer=now)
         self._untold: dict[bytes, str] = {}
         self._timer: asyncio.TimerHandle | None = None
         self._questions: dict[int, _Question] = {}
--- a/tests/test_server_versions.py
+++ b/tests/test_server_versions.py
@@ -254,6 +254,19 @@
 
         run_on_cluster(work)
 
+    def test_streams_of_a_service_without_servers_may_be_tried_again(self) -> None:
+        async def work(cluster: Cluster) -> None:
+            world = VersionCluster(cluster)
+            await world.start(1, {"v1": 2})
+            stream = await world.begin("n1")
+            world.drop_version("v1")
+            await asyncio.sleep(1.5)
+            got = await world.resume(stream, "n1")
+            self.assertEqual(got.status, 503)
+            self.assertIn("retry-after", got.headers)
+
+        run_on_cluster(work)
+
     def test_node_that_can_not_know_the_version_does_not_mix(self) -> None:
         async def work(cluster: Cluster) -> None:
             world = VersionCluster(cluster)
