--- a/src/moledale/streams/origins.py
+++ b/src/moledale/streams/origins.py
@@ -17,7 +17,7 @@
 
 from moledale.clock import monotonic
 from moledale.core.hashing import ranked
-from moledale.gateway.peers import Membership, NodeState
+from moledale.gateway.peers import MAX_MESH_MEMBERS, Membership, NodeState
 from moledale.log import Event, emit
 from moledale.streams.version_history import VersionHistory
 
@@ -29,9 +29,6 @@
 KNOWN_TTL_S = 60.0
 """Time for which a stream's version is kept: longer than streams live."""
 
-MAX_MESH_PEERS = 16
-"""Up to this many other nodes, all are told of each stream."""
-
 KEEPERS = 3
 """Nodes that are told of a stream in a larger cluster, drawn by a hash of its request."""
 
@@ -101,7 +98,7 @@
 def keepers_of(stream: bytes, alive: Iterable[NodeState]) -> list[str]:
     """Return the addresses of the nodes that are told of a stream and asked about it."""
     peers = {each.id: each for each in alive if each.origins}
-    if len(peers) <= MAX_MESH_PEERS:
+    if len(peers) <= MAX_MESH_MEMBERS:
         return [each.peer for each in peers.values()]
     serving = [name for name, each in peers.items() if each.serving]
     return [peers[name].peer for name in ranked(stream.hex(), serving)[:KEEPERS]]
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -82,6 +82,12 @@
     await unframed(rest)(arrival, _, writer)
 
 
+async def one_unframed_event(arrival: Arrival, reader: Reader, writer: Writer) -> None:
+    """Send one event without a length or chunks, and keep the connection open."""
+    writer.write(unframed_head(arrival) + event(1))
+    await reader.read()
+
+
 TWO_EVENTS_AND_A_HALF = event(1) + event(2) + event(3)[:7]
 
 
@@ -199,13 +205,9 @@
         run_quietly(work())
 
     def test_node_that_is_killed_resets_the_unframed_streams_of_its_callers(self) -> None:
-        async def stall(arrival: Arrival, reader: Reader, writer: Writer) -> None:
-            writer.write(unframed_head(arrival) + event(1))
-            await reader.read()
-
         async def work() -> None:
             async with GatewayWorld(make_plan()) as world:
-                await world.start_server("s1", "model", stall)
+                await world.start_server("s1", "model", one_unframed_event)
                 reader, writer = await world.connect()
                 writer.write(request_bytes("/draft/"))
                 await reader.readuntil(event(1))
@@ -220,13 +222,9 @@
         run_quietly(work())
 
     def test_caller_of_an_unframed_stream_sees_a_reset_at_its_time_limit(self) -> None:
-        async def stall(arrival: Arrival, reader: Reader, writer: Writer) -> None:
-            writer.write(unframed_head(arrival) + event(1))
-            await reader.read()
-
         async def work() -> None:
             async with GatewayWorld(make_plan()) as world:
-                await world.start_server("s1", "model", stall)
+                await world.start_server("s1", "model", one_unframed_event)
                 got = await world.send_request("/draft/", headers={"Deadline-Ms": "300"})
                 self.assertEqual((got.status, got.whole), (200, False))
 
