Use servers again that a list without an era, or a confirmation, names again

Cause: changes of a node without eras set no version, and the marks that they leave on servers that are gone were only covered by a version. A server whose entry lapsed in an outage and came back stayed hidden, while each confirmation renewed the age of the list, so no node of this build read it from the store. Found beside it: marks that a confirmation covers were dropped, but the list was not published before its next change.

Marks are covered by the version that such a change counts as, without the list taking it over, and a confirmation that drops marks publishes the list.

--- a/src/moledale/gateway/fleet_watch.py
+++ b/src/moledale/gateway/fleet_watch.py
@@ -263,9 +263,11 @@
             return
         self._record_outage_end(head)
         self._record_head(head)
+        marks_before = self.list.marks
         if self.list.confirm_head(head):
             self._reset_on_restore()
             self._on_confirmed(head)
+            self._publish_without_marks(marks_before)
         elif head.era_version > self.list.era_version:
             self.fetch.add_source(control, head.era_version, power, self._now())
 
@@ -275,10 +277,12 @@
             return
         self._record_outage_end(change.head)
         self._record_head(change.head)
+        marks_before = self.list.marks
         result = self.list.apply_change(change)
         self._reset_on_restore()
         if result.confirmed:
             self._on_confirmed(change.head)
+            self._publish_without_marks(marks_before)
         if result.servers_differ:
             self._on_changed(from_store=False)
         if result.is_new:
@@ -287,6 +291,11 @@
         if result.needs_fetch:
             self.fetch.add_source(change.source, change.head.era_version, 1.0, self._now())
 
+    def _publish_without_marks(self, marks_before: int) -> None:
+        """Publish the list if a confirmation dropped marks of servers that are listed again."""
+        if self.list.marks < marks_before:
+            self._publish()
+
     def drop_lapsed(self) -> None:
         """Drop servers still missing after an outage; accept remaining entries of a restored store.
 
--- a/src/moledale/gateway/server_list.py
+++ b/src/moledale/gateway/server_list.py
@@ -182,11 +182,16 @@
             return None
         return _delta_between(before, listed)
 
+    @property
+    def marks(self) -> int:
+        """Return the number of departures that the list does not contain."""
+        return len(self._departure_marks)
+
     def confirm_version(self, era_version: EraVersion) -> bool:
         """Adopt the version of an unchanged list; return whether that removed any marks."""
-        marks_before = len(self._departure_marks)
+        marks_before = self.marks
         self._advance_to(max(era_version, self.era_version))
-        return len(self._departure_marks) < marks_before
+        return self.marks < marks_before
 
     def update_from_peer(self, raw: bytes, era_version: EraVersion) -> bool:
         """Adopt a peer's encoded list; return whether it differs.
@@ -214,6 +219,8 @@
         if head.digest != self.digest or self.version < 0 or self.is_from_older_era(head):
             return False
         self._advance_to(max(self.era_version, head.era_version))
+        # Heads of former builds have no era and advance no version, but cover marks all the same.
+        self._drop_marks(self._comparable_version(head))
         return True
 
     def apply_change(self, change: ServerChange) -> ChangeResult:
@@ -263,6 +270,7 @@
         if digest_of(_encode(servers)) != head.digest:
             return False
         self._replace(servers, max(self.era_version, head.era_version))
+        self._drop_marks(self._comparable_version(head))
         return True
 
     def _mark_departures(self, change: ServerChange, version: EraVersion) -> bool:
@@ -304,8 +312,12 @@
         if era_version.is_restored_since(self.era_version):
             self._departure_log.on_store_restored(self.servers)
         self.era_version = era_version
+        self._drop_marks(era_version)
+
+    def _drop_marks(self, covered: EraVersion) -> None:
+        """Drop the departure marks that a list of a version contains or contradicts."""
         self._departure_marks = {
-            name: mark for name, mark in self._departure_marks.items() if mark.version > era_version
+            name: mark for name, mark in self._departure_marks.items() if mark.version > covered
         }
 
 
--- a/tests/test_server_list.py
+++ b/tests/test_server_list.py
@@ -265,6 +265,34 @@
         self.assertEqual(set(self.usable()), {each.id for each in listed})
         self.assertEqual(self.list.era_version, era_version(100))
 
+    def former_change(self, former: ServerList, listed: list[Server], version: int) -> ServerChange:
+        """Return the change that a node of a build without eras sends after a read."""
+        base = former.digest
+        difference = former.update_from_store(listed, EraVersion(0, version))
+        assert difference is not None
+        (change,) = split_into_packets(
+            ListHead(version, former.digest, 0.0), base, "n2:3", difference
+        )
+        return change
+
+    def test_server_that_is_listed_again_by_a_build_without_eras_is_used(self) -> None:
+        former = ServerList()
+        former.update_from_store(self.servers.values(), EraVersion(0, 100))
+        listed = [make_server(0), make_server(2), make_server(3)]
+        self.list.apply_change(self.former_change(former, listed, 101))
+        back = self.former_change(former, list(self.servers.values()), 102)
+        self.assertTrue(self.list.apply_change(back).servers_differ)
+        self.assertEqual(set(self.usable()), set(self.servers))
+
+    def test_confirmation_of_a_build_without_eras_covers_marks(self) -> None:
+        marks = ServerChange(ListHead(101, 1, 0.0), 0, "n2:3", gone=[make_server(0).id])
+        self.list.apply_change(marks)
+        self.assertNotIn(make_server(0).id, self.usable())
+        self.assertTrue(self.list.confirm_head(ListHead(100, self.list.digest, 0.0)))
+        self.assertNotIn(make_server(0).id, self.usable())
+        self.assertTrue(self.list.confirm_head(ListHead(102, self.list.digest, 0.0)))
+        self.assertEqual(set(self.usable()), set(self.servers))
+
     def test_list_without_an_era_does_not_replace_one_with_an_era(self) -> None:
         result = self.list.apply_change(ServerChange(ListHead(900, 5, 0.0), 4, "n2:3"))
         self.assertFalse(result.needs_fetch)
@@ -494,6 +522,17 @@
         self.assertEqual(self.store.reads, 2)
         self.assertLess(MAX_LIST_AGE_SHARE * LEAVE_S + REFRESH_WAIT_S, LEAVE_S - 1.0)
 
+    def test_servers_that_a_confirmation_shows_to_be_back_are_used_at_once(self) -> None:
+        self.true_time.record_store_clock(self.now, self.now, self.now)
+        self.assertTrue(self.current())
+        known, digest = self.applied_lists[-1], self.watch.list.digest
+        version, era = self.watch.list.version, self.watch.list.era_version.era
+        gone = ListHead(version + 1, 1, self.now, era=era)
+        self.watch.on_change(ServerChange(gone, 0, "n2:3", gone=[known[0].id]))
+        self.assertEqual(self.applied_lists[-1], known[1:])
+        self.watch.on_head(ListHead(version + 2, digest, self.now, era=era), "n2:3", 1.0)
+        self.assertEqual(self.applied_lists[-1], known)
+
     def test_first_list_from_a_peer_has_the_age_that_the_peer_reported(self) -> None:
         self.true_time.record_store_clock(self.now, self.now, self.now)
         self.store.version = 5
