Pass whole answers of another type than events on, also on routes of streams

A plain answer with a length on a route of streams, as a notice in text, became 502 "the server broke off": its bytes counted as an event without an end. Only what states no type, or text/event-stream, is split into events now; any other answer is relayed as on other routes. The new test fails without the change.

--- a/src/moledale/gateway/answers.py
+++ b/src/moledale/gateway/answers.py
@@ -117,7 +117,7 @@
             # The answer is about the continuation only; the caller gets what ended the run before.
             await self._read_whole(connection)
             return Attempt(AttemptOutcome.FAILED, why=str(head.status))
-        if job.route.kind is Kind.STREAM and head.status < 300:
+        if job.route.kind is Kind.STREAM and head.status < 300 and head.may_be_events:
             return await self._relay_stream(job, connection, run, head)
         return await self._relay_answer(job, connection, run.placement, head)
 
--- a/src/moledale/gateway/messages.py
+++ b/src/moledale/gateway/messages.py
@@ -6,6 +6,9 @@
 
 Headers = list[tuple[bytes, bytes]]
 
+EVENT_STREAM = b"text/event-stream"
+"""Media type of a series of server-sent events."""
+
 
 class RequestHead(msgspec.Struct):
     """The request line and headers of a caller's request, as received."""
@@ -42,6 +45,12 @@
     headers: Headers
     framing: Framing = Framing.LENGTH
 
+    @property
+    def may_be_events(self) -> bool:
+        """Return whether the body is a series of events, unless the answer states another type."""
+        stated = self.get(b"content-type")
+        return stated is None or stated.partition(b";")[0].strip().lower() == EVENT_STREAM
+
     def get(self, name: bytes) -> bytes | None:
         """Return the first value of a header, given its lower-case name; None if it is missing."""
         return first_header(self.headers, name)
--- a/src/moledale/gateway/relay.py
+++ b/src/moledale/gateway/relay.py
@@ -135,7 +135,7 @@
         inside an event as complete.
         """
         length = int(answer.get(b"content-length") or b"0")
-        is_stream = job.route.kind is Kind.STREAM and answer.status < 300
+        is_stream = job.route.kind is Kind.STREAM and answer.status < 300 and answer.may_be_events
         headers = self._dialect.answer_headers(answer)
         job.reply.start(answer.status, headers, answer.framing, length)
         while (data := await connection.chunk()) is not None:
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -128,6 +128,16 @@
                 with self.subTest(body=body, framing=framing.__name__):
                     run_quietly(self._continues(framing(body), chunked_rest))
 
+    def test_whole_answer_of_another_type_is_not_taken_for_a_cut_event(self) -> None:
+        async def work() -> None:
+            async with GatewayWorld(make_plan()) as world:
+                await world.start_server("s1", "model", answer_ok)
+                for path in ("/draft/", "/review/"):
+                    got = await world.send_request(path)
+                    self.assertEqual((got.status, got.body, got.whole), (200, b"fine", True))
+
+        run_quietly(work())
+
     def test_rest_of_a_stream_may_come_without_framing(self) -> None:
         for first in (unframed(TWO_EVENTS_AND_A_HALF), chunked(TWO_EVENTS_AND_A_HALF)):
             run_quietly(self._continues(first, unframed_rest, TOKENS_OF_FIVE_EVENTS))
