--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,13 +1,15 @@
-"""A gateway is stopped as planned while clients on slow lines still read their answers.
+"""The holder of the duties is partitioned from the store, and the next one is stopped as planned.
 
-All answers would be read before `graceS` has passed, so the stop must not cut any of them.
+The first holder then takes the lease back at once, so that the platform sees both within `leaseMs`
+in the order A, B, A.
 """
 
 import asyncio
+import json
 import signal
-import socket
 import sys
 import time
+from dataclasses import dataclass
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -17,134 +19,187 @@
     BOUNDS,
     HALLS,
     HOST,
+    CloudStandIn,
+    Gateway,
     Lab,
     Message,
     PlainServer,
+    Record,
     answer_bytes,
     exit_with,
     run_case,
 )
 
-CLIENTS = 6
-ANSWER_BYTES = 1000 * 1024
-LINE_BYTES_PER_S = 150 * 1024
-"""Speed of a client's line: its answer takes 6.7 s, `graceS` is 8 s, the deadline 15 s."""
-READ_INTERVAL_S = 0.02
-SEGMENT_BYTES = 1400
-"""Largest segment of the clients' lines, as on any Ethernet path; loopback has 64 KB."""
-RECEIVE_BUFFER_BYTES = 8192
-"""The pages give links small windows (DEPLOY.md, Network)."""
-STOP_AFTER_S = 0.5
-KEY = "key-of-north"
+CUT_AFTER_ORDER_S = 1.3
+CUT_S = 2.6
+"""Length of the partition of one machine; the pages have up to 5.5 s (`core_cut`)."""
+THAW_S = 0.3
+STOP_AFTER_ORDER_S = 0.1
+STOP_AFTER_HEAL_S = 0.6
+WATCH_S = 8.0
 CONFIG = {
     "version": 3,
     "routes": [
         {
-            "name": "order-submit",
+            "name": "mandate-draft",
             "host": HOST,
-            "pathPrefix": "/order/",
-            "service": "orderdesk-app",
-            "kind": "unsafe",
-            "maxAttempts": 1,
+            "pathPrefix": "/draft/",
+            "service": "moledale-pool",
+            "kind": "streaming",
+            "maxAttempts": 2,
             "timeoutMs": 15000,
-            "sloMs": 400,
-            "priority": 2,
+            "sloMs": 1000,
+            "priority": 0,
+            "sticky": True,
+            "resumable": True,
+            "gapTargetMs": 500,
+        }
+    ],
+    "services": [
+        {
+            "name": "moledale-pool",
+            "maxConns": 370,
+            "engine": {
+                "slots": 64,
+                "kvCapacity": 542663,
+                "kvTokenBytes": 327680.0,
+                "linkMbps": 270000.0,
+                "moves": True,
+                "backups": True,
+                "handleS": 5.0,
+                "stride": 3,
+            },
+            "scaling": {
+                "min": 1,
+                "max": 10,
+                "bootS": 4.0,
+                "spotPrice": 0.22,
+                "zonePrices": dict(zip(HALLS, (1.0, 0.8, 1.25, 0.9), strict=True)),
+            },
         }
     ],
-    "services": [{"name": "orderdesk-app", "maxConns": 110}],
     "limits": {
         "maxHeaderBytes": 16384,
         "maxBodyBytes": 4194304,
         "headerTimeoutMs": 3000,
         "idleTimeoutMs": 15000,
     },
-    "tenants": [{"name": "north", "apiKeys": [KEY]}],
+    "tenants": [{"name": "north", "apiKeys": ["key-of-north"]}],
 }
 
 
-class OrderServer(PlainServer):
-    """Answers each order at once with a long confirmation."""
-
-    async def answer(self, request: Message, name: str, writer: asyncio.StreamWriter) -> None:
-        """Answer a request."""
-        head = f"Request-Id: {name}\r\nServer-Stamp: {self.id}.1\r\n"
-        writer.write(answer_bytes(200, body_of(name), head))
-
-
-def body_of(name: str) -> bytes:
-    """Return the whole body of a request's answer."""
-    line = f"confirmation of {name}\n".encode()
-    return (line * (ANSWER_BYTES // len(line) + 1))[:ANSWER_BYTES]
-
-
-async def order(lab: Lab, address: str, name: str) -> bool:
-    """Send one order and read its answer slowly; return whether it is whole."""
-    loop = asyncio.get_running_loop()
-    host, port = address.split(":")
-    sock = socket.socket()
-    sock.setblocking(False)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
-    began = time.monotonic()
-    data = b""
-    ending = "by its length"
-    try:
-        await loop.sock_connect(sock, (host, int(port)))
-        await loop.sock_sendall(
-            sock,
-            f"POST /order/{name} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {name}\r\n"
-            f"Authorization: Bearer {KEY}\r\nDeadline-Ms: 15000\r\n"
-            "Content-Length: 5\r\n\r\norder".encode(),
+@dataclass(frozen=True)
+class Order:
+    """An order as the platform got it; `subject` is a service with a zone."""
+
+    at: float
+    holder: str
+    fence: int
+    subject: tuple[str, str]
+
+
+class Cloud(CloudStandIn):
+    """The platform's API: no servers are to be had at present, so orders are refused with 409."""
+
+    def __init__(self, record: Record) -> None:
+        super().__init__(record)
+        self.orders: list[Order] = []
+
+    async def handle(self, request: Message, writer: asyncio.StreamWriter) -> None:
+        """Record an order and refuse it."""
+        if " /scale " not in request.line:
+            await super().handle(request, writer)
+            return
+        body = json.loads(request.body)
+        order = Order(
+            time.monotonic(),
+            request.headers["duty-holder"],
+            int(request.headers["fence-token"]),
+            (body["service"], body["zone"]),
+        )
+        self.orders.append(order)
+        kind = "spot" if body.get("spot") else "on demand"
+        self._record.write(
+            f"order of {order.holder} with fence {order.fence}: {body['desired']} {kind} of "
+            f"{body['service']} in {body['zone']}"
         )
-        lab.record.write(f"{name} sent to {address}")
-        while len(data.partition(b"\r\n\r\n")[2]) < ANSWER_BYTES:
-            allowed = int(LINE_BYTES_PER_S * (time.monotonic() - began)) - len(data)
-            if allowed > 0:
-                part = await asyncio.wait_for(loop.sock_recv(sock, allowed), 10.0)
-                if not part:
-                    ending = "by the end of the connection"
-                    break
-                data += part
-            await asyncio.sleep(READ_INTERVAL_S)
-    except (OSError, TimeoutError) as error:
-        ending = repr(error)
-    finally:
-        sock.close()
-    body = data.partition(b"\r\n\r\n")[2]
-    whole = body == body_of(name)
-    lab.record.write(
-        f"{name}: {len(body)} of {ANSWER_BYTES} bytes of the body after "
-        f"{time.monotonic() - began:.1f} s, ended {ending}{'' if whole else ': CUT'}"
-    )
-    return whole
+        writer.write(answer_bytes(409, b"{}", "Content-Type: application/json\r\n"))
+
+    async def next_order(self, unlike: str = "") -> Order:
+        """Return the next order, of another holder than `unlike`."""
+        known = len(self.orders)
+        while True:
+            for order in self.orders[known:]:
+                if order.holder != unlike:
+                    return order
+            await asyncio.sleep(0.005)
+
+
+def returns(orders: list[Order], healed_at: float) -> list[tuple[Order, Order, Order]]:
+    """Return orders of holders A, B, A on one subject within `leaseMs`.
+
+    Orders that arrive within `thawMs` after a link of their sender healed do not count.
+    """
+    found = []
+    counted = [each for each in orders if not 0 <= each.at - healed_at <= THAW_S]
+    for third in counted:
+        within = [
+            each
+            for each in counted
+            if each.subject == third.subject
+            and third.at - BOUNDS["leaseMs"] / 1000 <= each.at < third.at
+        ]
+        for number, first in enumerate(within):
+            between = [each for each in within[number + 1 :] if each.holder != first.holder]
+            if first.holder == third.holder and between:
+                found.append((first, between[0], third))
+                break
+    return found
 
 
 async def case(lab: Lab) -> bool:
-    """Return whether an answer was cut by the planned stop of its gateway."""
+    """Return whether holders acted in the order A, B, A within `leaseMs`."""
+    cloud = Cloud(lab.record)
+    await cloud.listen()
+    lab.cloud = cloud
     lab.store.put("op", "config", CONFIG)
-    for number in range(4):
+    for number in range(2):
         await lab.add_server(
-            OrderServer(f"i-{number}c9d", "orderdesk-app", HALLS[number], lab.record)
+            PlainServer(f"i-{number}d5c", "moledale-pool", HALLS[number], lab.record)
         )
-    await lab.start_gateways([HALLS[0], HALLS[1], HALLS[2]])
-    await asyncio.sleep(BOUNDS["contactMs"] / 1000)
-    gateway = lab.gateways[0]
-    orders = [asyncio.create_task(order(lab, gateway.front, f"o{n}")) for n in range(CLIENTS)]
-    await asyncio.sleep(STOP_AFTER_S)
-    if lab.trouble and gateway.process is not None:
-        stopped_at = time.monotonic()
-        gateway.send(signal.SIGTERM)
-        lab.record.write(f"SIGTERM to {gateway.name}")
-        async with asyncio.timeout(BOUNDS["graceS"] + 1):
-            code = await gateway.process.wait()
+    await lab.start_gateways([HALLS[0], HALLS[1]])
+    await asyncio.sleep(BOUNDS["contactMs"] / 1000 + 4)
+
+    order = await cloud.next_order()
+    first = gateway_of(lab, order.holder)
+    await asyncio.sleep(CUT_AFTER_ORDER_S)
+    healed_at = -1e9
+    if lab.trouble:
+        first.store_link.cut_with_resets()
+        lab.record.write(f"{first.name} is partitioned from the store; its connections are reset")
+        taken = asyncio.create_task(cloud.next_order(unlike=first.name))
+        await asyncio.sleep(CUT_S)
+        first.store_link.heal()
+        healed_at = time.monotonic()
+        lab.record.write("the partition ends")
+        second = gateway_of(lab, (await taken).holder)
+        await asyncio.sleep(
+            max(STOP_AFTER_ORDER_S, healed_at + STOP_AFTER_HEAL_S - time.monotonic())
+        )
+        second.send(signal.SIGTERM)
+        lab.record.write(f"SIGTERM to {second.name}, as in a roll through the machines")
+    await asyncio.sleep(WATCH_S)
+    for each in returns(cloud.orders, healed_at):
+        spans = ", ".join(f"{one.holder} with fence {one.fence}" for one in each)
         lab.record.write(
-            f"{gateway.name} ended by itself with {code}, {time.monotonic() - stopped_at:.1f} s "
-            f"after SIGTERM; graceS is {BOUNDS['graceS']} s"
+            f"orders for {each[0].subject} in {each[2].at - each[0].at:.3f} s: {spans}"
         )
-    whole = await asyncio.gather(*orders)
-    ran = sum(len(server.runs) for server in lab.servers)
-    lab.record.write(f"orders run: {ran}; whole answers: {sum(whole)} of {CLIENTS}")
-    return not all(whole)
+    return bool(returns(cloud.orders, healed_at))
+
+
+def gateway_of(lab: Lab, name: str) -> Gateway:
+    """Return the gateway with a name."""
+    return next(each for each in lab.gateways if each.name == name)
 
 
 if __name__ == "__main__":
--- a/review/lab.py
+++ b/review/lab.py
@@ -297,7 +297,8 @@
 class Link:
     """A proxy on a loopback address that can fall silent, as a partition without a reset does.
 
-    While it is silent, bytes are held back and new connections get no answer.
+    While it is silent, bytes are held back and new connections get no answer. Bytes that are held
+    back are lost if their sender closes the connection meanwhile.
     """
 
     def __init__(self, target: Callable[[], str]) -> None:
@@ -306,6 +307,8 @@
         self._target = target
         self._open = asyncio.Event()
         self._open.set()
+        self._resets = False
+        self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
 
     async def listen(self) -> None:
@@ -317,11 +320,28 @@
         """Fall silent."""
         self._open.clear()
 
+    def cut_with_resets(self) -> None:
+        """Reset all connections, and all new ones until the link heals."""
+        self._resets = True
+        for writer in list(self._writers):
+            writer.transport.abort()
+
     def heal(self) -> None:
         """Pass bytes on again."""
+        self._resets = False
         self._open.set()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self._resets:
+            writer.transport.abort()
+            return
+        self._writers.add(writer)
+        try:
+            await self._connect(reader, writer)
+        finally:
+            self._writers.discard(writer)
+
+    async def _connect(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await self._open.wait()
         host, port = self._target().split(":")
         try:
@@ -337,7 +357,10 @@
     async def _pump(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             while data := await reader.read(65536):
-                await self._open.wait()
+                if not self._open.is_set():
+                    await self._open.wait()
+                    if reader.at_eof() or reader.exception() is not None:
+                        break
                 writer.write(data)
                 await writer.drain()
             await self._open.wait()
