--- a/review/3/case.py
+++ b/review/3/case.py
@@ -30,7 +30,7 @@
     run_case,
 )
 
-CUT_AFTER_ORDER_S = 1.3
+CUT_AFTER_ORDER_S = 1.6
 CUT_S = 2.6
 """Length of the partition of one machine; the pages have up to 5.5 s (`core_cut`)."""
 THAW_S = 0.3
