Let no former holder of the lease act again within the time to live

Cause: the time to live separates two holders in a row only where a lease expires. A released one counts as expired, which is right for any node but the one that held it before the releasing one. Nothing kept who that was: neither the node itself, nor the row, nor the renewals that holders broadcast.

Change: a node that held the lease before another one acquires it again only a time to live after its own tenure ended (`LeaseHistory`). It knows that from its own memory, and, as a node that starts again has none, from the row and the renewals, which list the ends of recent tenures. Earlier builds ignore that field and write none; then a node counts from its last tenure, or from its start. Any other node takes a released lease at once, as before, and so does the last holder itself. A node that waits says so (E504).

Same cause elsewhere: a node that is stopped and started again under its name while the next one is stopped. The leases of `moledaled` are never released, so there a former holder always waits out the next holder's time to live.

--- a/src/moledale/core/leases.py
+++ b/src/moledale/core/leases.py
@@ -22,7 +22,8 @@
 
     Where the table returns a steady clock, `renewed_s` is that clock's time, never earlier than the
     time from which the holder counts; a candidate then need not watch the row for a whole TTL.
-    `era` is the store's era as known to the writer, 0 where there is none.
+    `era` is the store's era as known to the writer, 0 where there is none. `former` has the end of
+    each recent tenure of another holder on the table's clock, None if some may be missing.
     """
 
     holder: str
@@ -30,6 +31,7 @@
     operation: str
     renewed_s: float | None = None
     era: int = 0
+    former: dict[str, float] | None = None
 
 
 class LeaseAction(StrEnum):
@@ -80,6 +82,11 @@
             ],
         )
 
+    @property
+    def hold_s(self) -> float:
+        """Return for how long after a renewal its holder may act."""
+        return self._ttl_s * (1 - MARGIN_SHARE)
+
     def decide(self, now: float) -> LeaseAction:
         """Return the action that is due at `now`."""
         if self.state == HELD:
@@ -87,7 +94,7 @@
                 self._observe()  # type: ignore[attr-defined]
                 self._unchanged_since = now
                 return LeaseAction.READ
-            renew_at = self._held_until - self._ttl_s * (1 - MARGIN_SHARE) * 0.66
+            renew_at = self._held_until - self.hold_s * 0.66
             return LeaseAction.RENEW if now >= renew_at else LeaseAction.WAIT
         if self.state == VACANT:
             return LeaseAction.ACQUIRE
@@ -121,7 +128,7 @@
             self._held_since = sent_at
         self.row = row
         self.version = version
-        self._held_until = sent_at + self._ttl_s * (1 - MARGIN_SHARE)
+        self._held_until = sent_at + self.hold_s
         self._hold()  # type: ignore[attr-defined]
 
     def record_read(self, row: LeaseRow | None, version: int, now: float) -> None:
--- a/src/moledale/gateway/lease_keeper.py
+++ b/src/moledale/gateway/lease_keeper.py
@@ -9,6 +9,9 @@
 from the row while a grant is still valid, and versions are issued again. Therefore a row counts as
 renewed only now unless it was written in the era in which it is read, a write yields no grant if
 its condition was read in another era, and fences are numbered by era.
+
+A planned stop releases the lease early. `LeaseHistory` keeps a node that held it before the last
+holder from acquiring it again at once.
 """
 
 import random
@@ -18,6 +21,7 @@
 
 from moledale.clock import monotonic
 from moledale.core.leases import Grant, Lease, LeaseAction, LeaseRow
+from moledale.gateway.lease_history import LeaseHistory
 from moledale.gateway.outside import ABSENT_VERSION, StateRow, Store
 from moledale.gateway.peers import HeldLease, LeaseNews
 from moledale.gateway.settings import Bounds
@@ -99,6 +103,8 @@
         self._pending_sent_at = 0.0
         self._renewed_at = 0.0
         self._started_at = monotonic()
+        self._history = LeaseHistory(node, self._ttl_s, self._started_at, first_start)
+        self._logged_deferral_until = -1e9
         self._last_renewal_at = -1e9
         self._direct_renewal_at = -1e9
         self._next_read_at = -1e9
@@ -116,8 +122,10 @@
         grant = self.grant()
         if grant is None:
             return None
-        age = monotonic() - self._renewed_at
-        return LeaseNews(grant.epoch, self.lease.version, age, self._version_era)
+        now = monotonic()
+        age_s = now - self._renewed_at
+        former = self._former_ages(self._node, now)
+        return LeaseNews(grant.epoch, self.lease.version, age_s, self._version_era, former)
 
     def lease_to_relay(self, now: float) -> HeldLease | None:
         """Return the lease as received from its holder, for nodes that the holder cannot reach.
@@ -135,7 +143,8 @@
             or self.grant() is not None
         ):
             return None
-        update = LeaseNews(row.epoch, self.lease.version, age_s, self._version_era)
+        former = self._former_ages(self.holder, now)
+        update = LeaseNews(row.epoch, self.lease.version, age_s, self._version_era, former)
         return HeldLease(self.holder, update)
 
     def on_renewal(self, holder: str, update: LeaseNews, now: float, relayed: bool = False) -> None:
@@ -143,8 +152,14 @@
         self._highest_fence = max(self._highest_fence, update.fence)
         self._enter_era(update.era, now)
         received = EraVersion(update.era or self._era, update.version)
-        if self.grant() is not None or received < self._known_version():
+        known = self._known_version()
+        if self.grant() is not None or received < known:
             return
+        if update.former is not None:
+            self._history.replace({node: now - age for node, age in update.former.items()})
+        elif received > known:
+            self._history.is_complete = False
+        self._history.record_tenure(holder, now - update.age_s + self.lease.hold_s)
         self.holder = holder
         self._version_era = received.era
         self._last_renewal_at = max(self._last_renewal_at, now - update.age_s)
@@ -158,6 +173,28 @@
         """Return the last known version of the row, with its era."""
         return EraVersion(self._version_era, self.lease.version)
 
+    def _former_tenures(self, holder: str, now: float) -> dict[str, float] | None:
+        """Return the ends of recent tenures before that of `holder`, None if some may be missing.
+
+        The ends are on the monotonic clock.
+        """
+        if not self._history.is_complete:
+            return None
+        recent = self._history.recent(now)
+        return {node: at for node, at in recent.items() if node != holder}
+
+    def _former_ages(self, holder: str, now: float) -> dict[str, float] | None:
+        """Return the same as seconds since the ends, for peers."""
+        former = self._former_tenures(holder, now)
+        return None if former is None else {node: now - at for node, at in former.items()}
+
+    def _former_on_store_clock(self, holder: str, now: float) -> dict[str, float] | None:
+        """Return the same with the ends on the store's clock, for the row."""
+        former, store_s = self._former_tenures(holder, now), self._clock.upper_bound(now)
+        if former is None or store_s is None:
+            return None
+        return {node: store_s - (now - at) for node, at in former.items()}
+
     def on_lease_lost(self, node: str, now: float) -> None:
         """Record that a node's state no longer reports the lease."""
         if node != self.holder or self.grant() is not None:
@@ -192,19 +229,38 @@
         if now - last_renewal_at < self._ttl_s + rank * RANK_DELAY_S:
             return
         if action is LeaseAction.ACQUIRE and self.lease.row is not None:
-            await self._write(now)
+            if self._may_hold_again(now):
+                await self._write(now)
         elif now >= self._next_read_at:
             self._next_read_at = now + READ_INTERVAL_S * backoff_scale * (0.5 + self._rng.random())
             await self._read()
 
+    def _may_hold_again(self, now: float) -> bool:
+        """Return whether enough time has passed since this node held the lease before another."""
+        may_acquire_at = self._history.may_acquire_at()
+        if now >= may_acquire_at:
+            return True
+        if may_acquire_at != self._logged_deferral_until:
+            self._logged_deferral_until = may_acquire_at
+            emit(Event.LEASE_DEFERRED, lease=LEASE_KEY, wait_s=round(may_acquire_at - now, 3))
+        return False
+
     async def release(self) -> None:
         """Release the lease at a planned stop, so that a candidate can acquire it at once."""
         if self.grant() is None or self.lease.row is None:
             return
-        row = LeaseRow(NO_HOLDER, self.lease.row.epoch, f"{self._nonce}/end", era=self._era)
+        now = monotonic()
+        self._history.record_tenure(self._node, now)
+        row = LeaseRow(
+            NO_HOLDER,
+            self.lease.row.epoch,
+            f"{self._nonce}/end",
+            era=self._era,
+            former=self._former_on_store_clock(NO_HOLDER, now),
+        )
         version = self.lease.version
-        self.lease.record_read(row, version + 1, monotonic())
-        self._log_change(monotonic())
+        self.lease.record_read(row, version + 1, now)
+        self._log_change(now)
         value = msgspec.json.encode(row)
         await self._store.write(LEASE_TABLE, LEASE_KEY, value, version, CALL_TIMEOUT_S)
 
@@ -222,7 +278,9 @@
                 self._observe_row(row, snapshot.store_s, now)
                 return
         self.lease.record_read(None, ABSENT_VERSION, now)
-        if self._may_acquire_without_row(now):
+        if self._first_start and not self._restored:
+            self._history.replace({})
+        if self._may_acquire_without_row(now) and self._may_hold_again(now):
             await self._write(now)
 
     def _may_acquire_without_row(self, now: float) -> bool:
@@ -245,6 +303,7 @@
             self._renew_at_once = True
             return
         self.lease.reset()
+        self._history.is_complete = False
         self._version_era = self._era
         self.holder = NO_HOLDER
         self._last_renewal_at = max(self._last_renewal_at, now - self._ttl_s + RESTORE_GRACE_S)
@@ -267,6 +326,7 @@
             self._record_write(row, stored.version, self._pending_sent_at)
             return
         self.holder = row.holder
+        self._record_former(row.former if is_current else None, store_s, now)
         if not is_current:
             renewed_at = now
         elif row.holder == NO_HOLDER:
@@ -275,9 +335,18 @@
             renewed_at = now - max(0.0, store_s - row.renewed_s)
         else:
             renewed_at = now
+        if is_current and row.holder != NO_HOLDER:
+            self._history.record_tenure(row.holder, renewed_at + self.lease.hold_s)
         self.lease.record_read(row, stored.version, renewed_at)
         self._version_era = self._era
 
+    def _record_former(self, former: dict[str, float] | None, store_s: float, now: float) -> None:
+        """Record the tenures that a row lists, on the store's clock, which shows `store_s` now."""
+        if former is None:
+            self._history.is_complete = False
+        else:
+            self._history.replace({node: now - (store_s - at) for node, at in former.items()})
+
     def _schedule_renewal(self, version: int) -> None:
         """Have this node's lease renewed at once, on top of the row at `version`."""
         self.lease.set_version(version)
@@ -291,6 +360,10 @@
         self._highest_fence = max(self._highest_fence, row.epoch)
         self._renewed_at = sent_at
         self.holder = self._node
+        self._history.record_tenure(self._node, sent_at + self.lease.hold_s)
+        grant = self.lease.grant(sent_at)
+        if grant is not None and sent_at - grant.since >= self._ttl_s:
+            self._history.is_complete = True
 
     async def _write(self, now: float) -> None:
         self._write_count += 1
@@ -302,6 +375,7 @@
             self.lease.next_row(self._pending_operation, min_fence),
             renewed_s=self._clock.upper_bound(now),
             era=era,
+            former=self._former_on_store_clock(self._node, now),
         )
         outcome = await self._store.write(
             LEASE_TABLE, LEASE_KEY, msgspec.json.encode(row), self.lease.version, CALL_TIMEOUT_S
--- a/src/moledale/gateway/peers.py
+++ b/src/moledale/gateway/peers.py
@@ -47,13 +47,15 @@
 class LeaseNews(msgspec.Struct, array_like=True):
     """The lease as its holder last wrote it; `age_s` counts from before the write was sent.
 
-    `era` is the store era of `version`, unknown in messages of earlier builds.
+    `era` is the store era of `version`, unknown in messages of earlier builds. `former` has the
+    seconds since the end of each recent tenure of another holder, None if some may be missing.
     """
 
     fence: int
     version: int
     age_s: float
     era: int = UNKNOWN_ERA
+    former: dict[str, float] | None = None
 
     @property
     def at(self) -> EraVersion:
--- a/src/moledale/log.py
+++ b/src/moledale/log.py
@@ -62,6 +62,9 @@
     ORDER_FAILED = EventSpec(408, logbook.WARNING, "An order to a backend server failed.")
     LEASE_WON = EventSpec(500, logbook.INFO, "This node holds a lease.")
     LEASE_LOST = EventSpec(501, logbook.WARNING, "This node no longer holds a lease.")
+    LEASE_DEFERRED = EventSpec(
+        504, logbook.INFO, "This node held the lease too recently to acquire it again."
+    )
     RENT_DECIDED = EventSpec(502, logbook.INFO, "Instances are rented or returned.")
     RENT_REFUSED = EventSpec(503, logbook.WARNING, "The cloud refused an instance.")
     REFUSED = EventSpec(410, logbook.INFO, "A request got a final answer of the node's own.")
--- a/tools/without_gateway.py
+++ b/tools/without_gateway.py
@@ -45,6 +45,7 @@
 from moledale.gateway.fleet_watch import FleetWatch
 from moledale.gateway.forwarder import Forwarder
 from moledale.gateway.inbound import InboundConnection
+from moledale.gateway.lease_history import LeaseHistory
 from moledale.gateway.lease_keeper import LeaseKeeper
 from moledale.gateway.messages import AnswerFacts, AnswerHead, Framing
 from moledale.gateway.neighbours import Neighbours
@@ -425,6 +426,8 @@
     ("fences are numbered by era", lease_keeper, "FENCES_PER_ERA", 0, LEASE),
     ("a holder goes on over a return of the store", LeaseKeeper, "_schedule_renewal",
      lambda *_: None, LEASE),
+    ("a former holder waits for the time to live", LeaseHistory, "may_acquire_at",
+     lambda _: -1e9, "tests.test_lease_returns"),
     ("a missing row is no free lease", LeaseKeeper, "_may_acquire_without_row",
      lambda *_: True, LEASE),
     ("what is known of a row ends with its era", LeaseKeeper, "_enter_era", lambda *_: None, LEASE),
