Have a plan in force in time though all nodes that watch the store lose it

Cause: three nodes watch the store for all others, in long polls of 3 s, and the others trust a watch for 5 s after its last answer. A node that is partitioned from the store without a reset finds out when its poll should have ended, 3.7 s after it began, and until then no other node asks the store. Which nodes watch is fixed by their names and a change of the plan starts all polls anew, so one partition silences all three at once.

Change: the silence of a watch now counts, whatever its reason. A poll lasts 0.3 of `bounds.apply_s`, and a watch is trusted for 0.5 of it after the store's last answer, which ages between a node's states. If too few are trusted, the other nodes begin one after another, the last of them at 0.7 (`WatchTurn`, E205). Two nodes watch in place of three, as a lost one is replaced in time. Where more than 16 nodes serve, states go to other halls once a second only; the nodes that watch send `PlanCheck` there, some 60 bytes after each answer. Former builds drop it (counted, logged once) and beside them more nodes watch.

Same cause elsewhere: the list of servers is read in turn each 0.8 s and was in time; roll-out orders come by the same watch; keys and limits are parts of the plan; blocks are told by nodes, and the store is read for them at a start only. In a large cluster a node in reserve still relies on the serving nodes: if all of these lose the store, it begins after 1.5 of `apply_s` and its own jitter.

Tests: `test_few_nodes_watch_the_store...` asks for the number of watchers that is meant (two), counted by the time for which a watch is trusted (1 s, 3.5 s before); the test of nodes in reserve asks the new interface the same questions.

--- a/src/moledale/gateway/gossip.py
+++ b/src/moledale/gateway/gossip.py
@@ -47,11 +47,20 @@
     placed: list[Placed]
 
 
+class PlanCheck(msgspec.Struct, array_like=True, tag="plan check"):
+    """States that the store answered a node's watch for plans `age_s` ago."""
+
+    id: str
+    life: int
+    age_s: float
+
+
 Message = (
     StateNews
     | PackedState
     | ServerChange
     | PlacementNews
+    | PlanCheck
     | EndNews
     | PartNews
     | ClearedNews
--- a/src/moledale/gateway/neighbours.py
+++ b/src/moledale/gateway/neighbours.py
@@ -14,6 +14,7 @@
 from moledale.core.hashing import ring_successors
 from moledale.gateway.directory import serving_nodes, should_serve, wanted_nodes
 from moledale.gateway.peers import Membership, NodeState, Standing
+from moledale.gateway.watch_turn import WATCHER_COUNT, Watchers
 
 GOSSIP_INTERVAL_S = 0.2
 """Time between two gossip rounds. Views of loads are half as old on average; placements are sent
@@ -32,11 +33,8 @@
 PROMOTION_JITTER_S = 0.5
 """Nodes in reserve wait a random time up to this long before one replaces a silent node."""
 
-STORE_REACHABLE_S = 5.0
-"""A node counts as reaching the store if its watch was answered within this time."""
-
-NO_WATCH_RANK = 16
-"""Rank of a node that need not watch the store, above those of the nodes that do."""
+SLOW_ROUND_S = 1.0
+"""Time between two slow rounds."""
 
 BUSY_S = 3.0
 """A node counts as busy for this long after a request: callers cache addresses for 2 s and
@@ -285,21 +283,32 @@
         order = [(each.serving == reserve_first, each.id) for each in (own, *alive)]
         return sorted(order).index((own.serving == reserve_first, own.id))
 
-    def watch_rank(self, own: NodeState, now: float) -> int:
-        """Return how many live nodes that reach the store rank before this one as its watchers.
+    def watchers(self, max_age_s: float, now: float) -> Watchers:
+        """Return which other nodes watch the store; their last answers may be `max_age_s` old.
 
-        In a large cluster nodes in reserve get no states of each other. There one serving node that
-        reaches the store is enough, or else all of them would watch where few nodes serve.
+        In a large cluster nodes in reserve get no states of each other, and those of serving nodes
+        once a second. There one serving node that the store answers is enough, or else all of them
+        would watch where few nodes serve.
         """
-        before = [
-            each
-            for each in self.members.alive(now)
-            if each.store_age_s < STORE_REACHABLE_S
-            and (not each.serving, each.id) < (not own.serving, own.id)
-        ]
-        if self.is_large(now) and not self.serving and before:
-            return NO_WATCH_RANK
-        return len(before)
+        own = (not self.serving, self.members.own_id)
+        in_large_reserve = self.is_large(now) and not self.serving
+        if in_large_reserve:
+            max_age_s += SLOW_ROUND_S
+        recent = self.members.answered_since(now - max_age_s, now)
+        alive = self.members.alive(now)
+        return Watchers(
+            len(recent),
+            sum((not each.serving, each.id) < own for each in recent),
+            1 if in_large_reserve else WATCHER_COUNT,
+            sum((not each.serving, each.id) < own for each in alive),
+        )
+
+    def check_targets(self, hall: str, now: float) -> list[str]:
+        """Return the serving nodes of other halls, if so many serve that states go there seldom."""
+        serving = [each for each in self.members.alive(now) if each.serving]
+        if len(serving) <= MAX_MESH_PEERS:
+            return []
+        return [each.peer for each in serving if each.hall != hall]
 
     def backoff_scale(self, own: NodeState) -> float:
         """Return the factor by which this node lengthens the pauses between failed calls.
--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -24,6 +24,7 @@
     Message,
     PackedState,
     PlacementNews,
+    PlanCheck,
     StateNews,
     open_gossip,
 )
@@ -60,6 +61,7 @@
 from moledale.gateway.state_packing import StatePacker, StateUnpacker, pack_snapshot
 from moledale.gateway.store_era import EraVersion
 from moledale.gateway.suspension import SuspensionWatch
+from moledale.gateway.watch_turn import Watchers, max_check_age_s
 from moledale.log import Event, emit
 from moledale.node.supervisor import Supervisor
 from moledale.quarantine.server_checks import (
@@ -274,13 +276,15 @@
         self.plans = PlanWatch(
             store,
             self.sharing.true_time,
-            self._plan_watch_rank,
+            self._plan_watchers,
             self._adopt,
             self._announce_plan,
             self._backoff_scale,
             node.link_mbps,
             lambda stored: self.rollouts.apply_order(stored.order, stored.phase),
             cold_start,
+            self._send_plan_check,
+            settings.bounds.apply_s,
         )
         self.fleet = FleetWatch(
             store,
@@ -672,6 +676,7 @@
             StateNews: lambda message: self._on_state(message, monotonic()),
             PackedState: self._on_packed_state,
             PlacementNews: self._on_placements,
+            PlanCheck: self._on_plan_check,
             ServerChange: self.fleet.on_change,
             EndNews: self.quarantine.on_message,
             PartNews: self.quarantine.on_message,
@@ -696,6 +701,10 @@
         self.server_limits.on_placed(message)
         self.sharing.apply_placements(message, self.balancer, self._engine_of)
 
+    def _on_plan_check(self, message: PlanCheck) -> None:
+        at = monotonic() - message.age_s
+        self.members.record_store_check(message.id, message.life, at)
+
     def _on_packed_state(self, message: PackedState) -> None:
         """Unpack a peer's state; one whose base is not here only shows that the peer is alive."""
         now = monotonic()
@@ -779,8 +788,18 @@
     def _backoff_scale(self) -> float:
         return self.neighbours.backoff_scale(self._own_state())
 
-    def _plan_watch_rank(self) -> int:
-        return self.neighbours.watch_rank(self._own_state(), monotonic())
+    def _plan_watchers(self) -> Watchers:
+        max_age_s = max_check_age_s(self.settings.bounds.apply_s)
+        return self.neighbours.watchers(max_age_s, monotonic())
+
+    def _send_plan_check(self) -> None:
+        """Tell serving nodes that get few states of this node that the store answered its watch."""
+        if self._gossip is None:
+            return
+        now = monotonic()
+        targets = self.neighbours.check_targets(self.settings.node.hall, now)
+        age_s = now - self.plans.store_reached_at
+        self._gossip.send(PlanCheck(self.settings.node.id, self.incarnation, age_s), targets)
 
     def _list_read_rank(self) -> int:
         """Return this node's rank among the readers of the server list, serving nodes first."""
--- a/src/moledale/gateway/peers.py
+++ b/src/moledale/gateway/peers.py
@@ -208,13 +208,20 @@
     """The last state of another node and when it was last heard from.
 
     `received_at` is when the state arrived; later ones may not have been readable. `counted_at` is
-    when its counts arrived; brief states since then have none.
+    when its counts arrived; brief states since then have none. `check_told_at` is when the store
+    last answered the node's watch, by a message of its own.
     """
 
     state: NodeState
     last_seen_at: float
     received_at: float = 0.0
     counted_at: float = NEVER
+    check_told_at: float = NEVER
+
+    @property
+    def store_answered_at(self) -> float:
+        """Return when the store last answered the node's watch."""
+        return max(self.received_at - self.state.store_age_s, self.check_told_at)
 
 
 class Membership(msgspec.Struct):
@@ -264,6 +271,17 @@
         if known is not None and known.state.life == incarnation:
             known.last_seen_at = now
 
+    def record_store_check(self, node: str, incarnation: int, at: float) -> None:
+        """Record when the store answered a node's watch, as the node told between its states."""
+        known = self.members.get(node)
+        if known is not None and known.state.life == incarnation:
+            known.check_told_at = max(known.check_told_at, at)
+
+    def answered_since(self, at: float, now: float) -> list[NodeState]:
+        """Return the live nodes whose watch the store answered at a time or later."""
+        alive = self._alive_members(now)
+        return [each.state for each in alive if each.store_answered_at >= at]
+
     def state_of(self, node: str, incarnation: int, sequence: int) -> NodeState | None:
         """Return a node's state if it is of this incarnation and not newer than `sequence`."""
         known = self.members.get(node)
--- a/src/moledale/gateway/settings.py
+++ b/src/moledale/gateway/settings.py
@@ -50,9 +50,10 @@
     """Times and ratios that the whole system observes; times are in seconds.
 
     `stop_s` is the maximum duration of a planned stop, `leave_s` the time after which a leaving
-    server may get no new work, `address_ttl_s` the time for which callers cache an answer of the
-    directory, and `lease_s` the minimum time between two holders of a duty. Retries within
-    `retry_window_s` are limited to `retry_ratio` of the requests plus `retry_slack`.
+    server may get no new work, `apply_s` the time within which a plan is in force, `address_ttl_s`
+    the time for which callers cache an answer of the directory, and `lease_s` the minimum time
+    between two holders of a duty. Retries within `retry_window_s` are limited to
+    `retry_ratio` of the requests plus `retry_slack`.
 
     Within each `limit_window_s` an account may use its rate over that time plus its burst; with 0.0
     the burst is granted only once. The total of a window may be exceeded by the fraction
--- a/src/moledale/log.py
+++ b/src/moledale/log.py
@@ -36,6 +36,9 @@
     TASK_GAVE_UP = EventSpec(111, logbook.CRITICAL, "A task failed too often; the node stops.")
     MAILBOX_FULL = EventSpec(112, logbook.WARNING, "A mailbox was full and a message refused.")
     BUNDLE_ADOPTED = EventSpec(200, logbook.INFO, "A newer bundle version is in force here.")
+    WATCH_BEGUN = EventSpec(
+        205, logbook.INFO, "This node watches the store for plans, since too few others do."
+    )
     BUNDLE_REFUSED = EventSpec(201, logbook.ERROR, "A bundle was refused; the old one stays.")
     BUNDLE_ROLLED = EventSpec(202, logbook.INFO, "This node moved the bundle head for operators.")
     BUNDLE_OLDER = EventSpec(203, logbook.WARNING, "A head older than the floor was ignored.")
--- a/tests/test_backoff.py
+++ b/tests/test_backoff.py
@@ -17,6 +17,7 @@
 from moledale.gateway.plan_watch import PlanWatch
 from moledale.gateway.store_era import EraVersion
 from moledale.gateway.usage import TrueTime
+from moledale.gateway.watch_turn import WATCHER_COUNT, Watchers
 from moledale.platform.records import read_config
 from tests.gateway_world import run_quietly
 from tests.plan_world import config_bytes
@@ -46,7 +47,7 @@
     return PlanWatch(
         store,  # type: ignore[arg-type]
         TrueTime(),
-        lambda: 0,
+        lambda: Watchers(0, 0, WATCHER_COUNT, 0),
         lambda plan: True,
         lambda from_store: None,
         lambda: backoff_scale,
--- a/tests/test_gateway_membership.py
+++ b/tests/test_gateway_membership.py
@@ -23,7 +23,6 @@
     TOKENS,
     Account,
 )
-from moledale.gateway.plan_watch import WATCHER_COUNT
 from moledale.gateway.rate import Rate
 from moledale.gateway.settings import Bounds
 from moledale.gateway.sharing import Sharing
@@ -234,12 +233,13 @@
         neighbours = Neighbours(members, "n0:2", 0.0)
         for number in range(1, 40):
             neighbours.addresses.add(f"n{number}:2", 10.0)
-        own = make_state("n0")
-        self.assertEqual(neighbours.watch_rank(own, 10.0), 0)
+        self.assertEqual(neighbours.watchers(1.0, 10.0).recent, 0)
         members.merge(make_state("n1", serving=True, store_age_s=0.2), 10.0)
-        self.assertGreaterEqual(neighbours.watch_rank(own, 10.0), WATCHER_COUNT)
+        watchers = neighbours.watchers(1.0, 10.0)
+        self.assertGreaterEqual(watchers.recent, watchers.wanted)
+        self.assertGreaterEqual(watchers.before, watchers.wanted)
         members.merge(make_state("n1", serving=True, sequence=2, store_age_s=60.0), 10.0)
-        self.assertEqual(neighbours.watch_rank(own, 10.0), 0)
+        self.assertEqual(neighbours.watchers(1.0, 10.0).recent, 0)
 
     def test_brief_state_changes_no_counts(self) -> None:
         members = Membership("n1", 1)
--- a/tests/test_gateway_nodes.py
+++ b/tests/test_gateway_nodes.py
@@ -15,8 +15,8 @@
 from moledale.gateway.node import GatewayNode
 from moledale.gateway.outside import ABSENT_VERSION
 from moledale.gateway.peers import Standing
-from moledale.gateway.plan_watch import WATCH_TIMEOUT_S
 from moledale.gateway.settings import Bounds, GatewaySettings, Identity, Outside, load, parse
+from moledale.gateway.watch_turn import MAX_CHECK_AGE_SHARE, WATCHER_COUNT
 from moledale.platform.cloud import PlatformCloud
 from moledale.platform.engines import PlatformEngines
 from moledale.platform.headers import PlatformEntry, PlatformHeaders
@@ -34,6 +34,8 @@
 )
 
 BOUNDS = Bounds(stop_s=3.0, lease_s=0.6, usage_window_s=1.0)
+UNNOTICED_S = 3.3
+"""Longer than a node may take to notice that the store is silent."""
 
 
 def make_config(
@@ -77,8 +79,11 @@
 class Cluster:
     """Runs nodes, a store and backend servers, one of them at first."""
 
-    def __init__(self, bounds: Bounds = BOUNDS) -> None:
+    def __init__(
+        self, bounds: Bounds = BOUNDS, store_type: type[PlatformStore] = PlatformStore
+    ) -> None:
         self.platform = RowsPlatform()
+        self._store_type = store_type
         self.backend = ScriptedServer("s1", answer_ok)
         self.servers = [self.backend]
         self.nodes: dict[str, GatewayNode] = {}
@@ -145,7 +150,7 @@
             settings,
             PlatformHeaders(),
             PlatformEntry(),
-            PlatformStore(store),
+            self._store_type(store),
             PlatformCloud(store),
             PlatformEngines(),
         )
@@ -231,6 +236,11 @@
     return node.forwarder.index.version if node.forwarder.index is not None else 0
 
 
+def is_watching(node: GatewayNode) -> bool:
+    """Return whether the store answered the node's watch recently."""
+    return monotonic() - node.plans.store_reached_at < MAX_CHECK_AGE_SHARE * BOUNDS.apply_s
+
+
 def run_on_cluster(work: Callable[[Cluster], Awaitable[None]], bounds: Bounds = BOUNDS) -> None:
     """Run a test on a cluster."""
 
@@ -286,7 +296,7 @@
             silent = RowsPlatform(mode=StoreMode.SILENT)
             await silent.start()
             second.plans._store = PlatformStore(silent.address)
-            await asyncio.sleep(WATCH_TIMEOUT_S + 0.3)
+            await asyncio.sleep(UNNOTICED_S)
             cluster.platform.put("op", "config", make_config(4))
             await wait_until(lambda: plan_version_of(second) == 4, 2.0)
             await silent.stop()
@@ -299,8 +309,7 @@
             for node in nodes:
                 await wait_until(ready(node))
             await asyncio.sleep(7.5)
-            watching = [node for node in nodes if monotonic() - node.plans.store_reached_at < 3.5]
-            self.assertEqual(len(watching), 3)
+            self.assertEqual(len([node for node in nodes if is_watching(node)]), WATCHER_COUNT)
             cluster.platform.put("op", "config", make_config(4))
             await wait_until(lambda: all(plan_version_of(node) == 4 for node in nodes), 0.8)
 
@@ -312,12 +321,7 @@
             for node in nodes.values():
                 await wait_until(ready(node))
             await asyncio.sleep(7.5)
-            watching = [
-                name
-                for name, node in nodes.items()
-                if monotonic() - node.plans.store_reached_at < 3.5
-            ]
-            for name in watching:
+            for name in [name for name, node in nodes.items() if is_watching(node)]:
                 cluster.kill(name)
                 del nodes[name]
             cluster.platform.put("op", "config", make_config(4))
--- a/tools/record_formats.py
+++ b/tools/record_formats.py
@@ -17,6 +17,7 @@
     "moledale.gateway.gossip:StateNews",
     "moledale.gateway.gossip:PackedState",
     "moledale.gateway.gossip:PlacementNews",
+    "moledale.gateway.gossip:PlanCheck",
     "moledale.gateway.server_list:ServerChange",
     "moledale.gateway.quarantine_sharing:EndNews",
     "moledale.gateway.quarantine_sharing:PartNews",
--- a/tools/without_gateway.py
+++ b/tools/without_gateway.py
@@ -27,6 +27,7 @@
     quarantine_sharing,
     registration,
     renting,
+    watch_turn,
 )
 from moledale.gateway.accounts import AccountLimits, RecentSpending
 from moledale.gateway.admission import Admission
@@ -428,6 +429,8 @@
      lambda *_: None, LEASE),
     ("a former holder waits for the time to live", LeaseHistory, "may_acquire_at",
      lambda _: -1e9, "tests.test_lease_returns"),
+    ("a silent watch is not trusted", watch_turn, "MAX_CHECK_AGE_SHARE", 10.0,
+     "tests.test_plan_watchers"),
     ("a missing row is no free lease", LeaseKeeper, "_may_acquire_without_row",
      lambda *_: True, LEASE),
     ("what is known of a row ends with its era", LeaseKeeper, "_enter_era", lambda *_: None, LEASE),
