Let nothing but more of a stream follow what its caller has of it

Where the second server answered without framing or with 204, the stream even looked complete.

Cause: whether a response may follow a head that was sent was asked for one class of them, statuses of 500 and above. Any other one that is no stream of events went the way of a first answer: `relay` sends it whole, or a refusal of this node in its place, and `Reply` wrote whatever it was given.

Change: one question with one place, `Job.may_follow`, asked before anything of a response is used: events follow events under the head that the caller has; nothing else follows. Such a response counts as a failed attempt, so another server is tried where that is allowed, or the stream is broken off. `Reply` refuses a second head, whoever writes it; its connection is reset (E419).

Same cause elsewhere: a long answer of another type on a route of streams that broke off in its middle was continued with the events of another server; only relayed events may go on now (`Job.may_go_on`). Moves and backups go through the same place. Relays between nodes end with the first answer that began, and refusals of this node ask whether a reply has started, by reading. `moledaled` encodes streams itself and has one response per request, by reading.

--- a/src/moledale/gateway/answers.py
+++ b/src/moledale/gateway/answers.py
@@ -121,6 +121,8 @@
             # The answer is about the continuation only; the caller gets what ended the run before.
             await self._read_to_end(connection)
             return Attempt(AttemptOutcome.FAILED, why=str(head.status))
+        if not job.may_follow(head):
+            return await self._discard_answer(job, connection, run.placement, head)
         if job.route.kind is Kind.STREAM and head.status < 300 and head.may_be_events:
             return await self._relay_stream(job, connection, run, head)
         return await self._relay_answer(job, connection, run.placement, head)
@@ -178,6 +180,24 @@
                 connection.abort()
                 return
 
+    async def _discard_answer(
+        self, job: Job, connection: UpstreamConnection, placement: Placement, head: AnswerHead
+    ) -> Attempt:
+        """Read a response that can't follow what the caller has of its answer."""
+        await self._read_to_end(connection)
+        self._record_whole_answer(job, placement, head)
+        return Attempt(AttemptOutcome.FAILED, why=f"{head.status} inside a stream")
+
+    def _record_whole_answer(self, job: Job, placement: Placement, head: AnswerHead) -> bool:
+        """Record a response that is no stream; return whether it reports a failure."""
+        now = self._now()
+        failed = head.status >= 500
+        record_answer(placement.view, failed, now - placement.sent_at)
+        self._balancer.record_outcome(placement, failed, now - placement.sent_at, now)
+        job.may_have_run = True
+        self._count_usage(job)
+        return failed
+
     async def _relay_answer(
         self,
         job: Job,
@@ -186,14 +206,7 @@
         head: AnswerHead,
     ) -> Attempt:
         body, whole = await self._read_up_to_limit(connection)
-        now = self._now()
-        failed = head.status >= 500
-        record_answer(placement.view, failed, now - placement.sent_at)
-        self._balancer.record_outcome(placement, failed, now - placement.sent_at, now)
-        job.may_have_run = True
-        self._count_usage(job)
-        if failed and job.reply.started:
-            return Attempt(AttemptOutcome.FAILED, head, body, why=str(head.status))
+        failed = self._record_whole_answer(job, placement, head)
         if failed and whole and job.route.repeatable and job.sends < job.route.max_servers:
             return Attempt(AttemptOutcome.FAILED, head, body, why=str(head.status))
         if whole:
@@ -270,6 +283,7 @@
                 job.record_event(self._now())
                 self._record_version(job, placement)
                 self._start_reply(job, head)
+                job.stream_head = job.stream_head or head
                 job.reply.send(whole)
                 await job.reply.drain()
         if job.splitter.partial_bytes or self._may_lack_events(job, run, head):
--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -574,7 +574,7 @@
         server_left = job.sends < job.route.max_servers
         if job.may_have_run and not (server_left and job.route.repeatable):
             return False
-        if job.reply.started and job.route.kind is not Kind.STREAM:
+        if not job.may_go_on:
             return False
         if attempt.outcome is AttemptOutcome.NOT_SENT:
             return len(job.tried) - job.sends < MAX_UNREACHABLE_SERVERS
--- a/src/moledale/gateway/inbound.py
+++ b/src/moledale/gateway/inbound.py
@@ -13,8 +13,9 @@
 
 from moledale.gateway.messages import Headers, InboundRequest, RequestHead, first_header
 from moledale.gateway.plan import Limits
-from moledale.gateway.reply import Reply
+from moledale.gateway.reply import Reply, ReplyStarted
 from moledale.http_overhead import OverheadMeter
+from moledale.log import Event, emit
 
 SWEEP_INTERVAL_S = 0.25
 """Interval of the check for callers that are too slow; the limits in force are of seconds."""
@@ -204,6 +205,8 @@
     async def _run(self, request: InboundRequest, reply: Reply) -> None:
         try:
             await self._listener.handle(request, reply)
+        except ReplyStarted as error:
+            emit(Event.SECOND_REPLY, why=str(error))
         finally:
             self._finish_request(reply)
 
--- a/src/moledale/gateway/job.py
+++ b/src/moledale/gateway/job.py
@@ -68,7 +68,8 @@
     was charged to its account's limit, if that is taken back when the request is refused.
     `relay_tried` is set once peers were asked to take the request. `version` is the software
     version of the server that began the stream, the only one at which it may go on. It is None
-    until the first event.
+    until the first event. `stream_head` is the head of the response that began the relayed stream,
+    None unless events were relayed.
     """
 
     request: InboundRequest
@@ -90,6 +91,7 @@
     charge: Charge | None = None
     relay_tried: bool = False
     version: str | None = None
+    stream_head: AnswerHead | None = None
     _fingerprint: bytes = b""
     _part_digests: tuple[bytes, ...] | None = None
 
@@ -107,6 +109,22 @@
             self._part_digests = part_digests(self.facts.shared_parts)
         return self._part_digests
 
+    @property
+    def may_go_on(self) -> bool:
+        """Return whether the response of another server may follow what was relayed."""
+        return not self.reply.started or self.stream_head is not None
+
+    def may_follow(self, head: AnswerHead) -> bool:
+        """Return whether a response may follow what was relayed.
+
+        Anything may follow nothing. Events are followed only by more events, under the head that
+        the caller has. A server that continues a stream need not state their type again.
+        """
+        if not self.reply.started:
+            return True
+        begun = self.stream_head
+        return begun is not None and begun.status == head.status and head.may_be_events
+
     def record_event(self, now: float) -> None:
         """Record that events were relayed, to track the longest pause between two."""
         if self.last_event_at is not None:
--- a/src/moledale/gateway/messages.py
+++ b/src/moledale/gateway/messages.py
@@ -52,8 +52,13 @@
     @property
     def may_be_events(self) -> bool:
         """Return whether the body is a series of events, unless the answer states another type."""
+        return self.media_type in (None, EVENT_STREAM)
+
+    @property
+    def media_type(self) -> bytes | None:
+        """Return the type of the body without its parameters, None if it is not stated."""
         stated = self.get(b"content-type")
-        return stated is None or stated.partition(b";")[0].strip().lower() == EVENT_STREAM
+        return None if stated is None else stated.partition(b";")[0].strip().lower()
 
     def get(self, name: bytes) -> bytes | None:
         """Return the first value of a header, given its lower-case name; None if it is missing."""
--- a/src/moledale/gateway/reply.py
+++ b/src/moledale/gateway/reply.py
@@ -16,6 +16,10 @@
     """The caller closed the connection."""
 
 
+class ReplyStarted(Exception):
+    """A second response was begun inside one whose head was sent already."""
+
+
 class Reply:
     """Writes one response to a transport; with `bodiless` only its head, as for HEAD.
 
@@ -49,7 +53,12 @@
 
         With `Framing.CLOSE`, the connection is reset if it ends before `finish`, even if this
         process is killed. An orderly end would make the response look complete.
+
+        Raise `ReplyStarted` if the head of a response was sent already; the caller can't tell the
+        two apart, so the connection has to be aborted.
         """
+        if self.started:
+            raise ReplyStarted(f"status {status} after {self.status}")
         self.status = status
         self._framing = framing
         lines = [f"HTTP/1.1 {status} {_phrase(status)}".encode()]
--- a/src/moledale/log.py
+++ b/src/moledale/log.py
@@ -74,6 +74,9 @@
     CONNECT_FAILED = EventSpec(411, logbook.WARNING, "A server took no connection.")
     ATTEMPT_ENDED = EventSpec(412, logbook.WARNING, "A send brought no answer to pass on.")
     STREAM_BROKEN = EventSpec(413, logbook.WARNING, "A stream that had begun was broken off.")
+    SECOND_REPLY = EventSpec(
+        419, logbook.ERROR, "A second response was begun inside another one and was not sent."
+    )
     CALLER_GONE = EventSpec(414, logbook.INFO, "A caller left; its request was cancelled.")
     LIMITED = EventSpec(415, logbook.INFO, "A request was refused by its account's limit.")
     SERVED = EventSpec(416, logbook.INFO, "A request got a server's whole answer.")
--- a/tools/without_gateway.py
+++ b/tools/without_gateway.py
@@ -46,6 +46,7 @@
 from moledale.gateway.fleet_watch import FleetWatch
 from moledale.gateway.forwarder import Forwarder
 from moledale.gateway.inbound import InboundConnection
+from moledale.gateway.job import Job
 from moledale.gateway.lease_history import LeaseHistory
 from moledale.gateway.lease_keeper import LeaseKeeper
 from moledale.gateway.messages import AnswerFacts, AnswerHead, Framing
@@ -431,6 +432,8 @@
      lambda _: -1e9, "tests.test_lease_returns"),
     ("a silent watch is not trusted", watch_turn, "MAX_CHECK_AGE_SHARE", 10.0,
      "tests.test_plan_watchers"),
+    ("no other answer follows events", Job, "may_follow", lambda *_: True,
+     "tests.test_second_answers"),
     ("a missing row is no free lease", LeaseKeeper, "_may_acquire_without_row",
      lambda *_: True, LEASE),
     ("what is known of a row ends with its era", LeaseKeeper, "_enter_era", lambda *_: None, LEASE),
