Wait at a planned stop until callers have read their responses

Cause: a drain waits for requests in progress, and a request is done when its response was handed to the transport. What the transport still holds, since the caller reads slowly, ends with the process.

Change: a connection whose transport holds unsent bytes keeps the drain open, as a request does, up to the same end. `stop_s` bounds it as before.

--- a/src/moledale/gateway/inbound.py
+++ b/src/moledale/gateway/inbound.py
@@ -49,6 +49,10 @@
         """Return the number of connections with a request in progress."""
         return sum(1 for connection in self.connections if connection.busy)
 
+    def has_unsent(self) -> bool:
+        """Return whether a caller still has to read a part of its response."""
+        return any(connection.has_unsent for connection in self.connections)
+
     def sweep(self) -> None:
         """Close connections that have been idle, or sending a head, for too long."""
         limits = self.limits()
@@ -92,6 +96,11 @@
         """Return whether a request is in progress or being read."""
         return self._task is not None or self._head_started_at is not None
 
+    @property
+    def has_unsent(self) -> bool:
+        """Return whether the process, and not the kernel yet, holds a part of a response."""
+        return self._transport is not None and self._transport.get_write_buffer_size() > 0
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection."""
         self._transport = transport  # type: ignore[assignment]
--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -458,7 +458,7 @@
         self.switches.settings = settings.scheduling
 
     async def _drain(self) -> None:
-        """Leave the directory, finish requests in flight and stop within `bounds.stop_s`."""
+        """Leave the directory, finish responses in flight and stop within `bounds.stop_s`."""
         began_at = monotonic()
         self.standing = Standing.LEAVING
         self._leaving_since = began_at
@@ -469,8 +469,9 @@
         end_at = began_at + max(0.5, self.settings.bounds.stop_s - STOP_MARGIN_S)
         earliest_end_at = began_at + min_stop_s(self.settings.bounds)
         quiet_since = monotonic()
+        listeners = (self._caller_listener, self._relay_listener)
         while (now := monotonic()) < end_at:
-            if self._caller_listener.busy() or self._relay_listener.busy():
+            if any(listener.busy() or listener.has_unsent() for listener in listeners):
                 quiet_since = now
             elif now >= earliest_end_at and now - quiet_since >= STOP_QUIET_S:
                 break
@@ -478,8 +479,8 @@
         release.cancel()
         for server in self._tcp_servers:
             server.close()
-        self._caller_listener.close_idle()
-        self._relay_listener.close_idle()
+        for listener in listeners:
+            listener.close_idle()
         await self.supervisor.stop()
         self._send_state()
         emit(Event.STOPPED, node=self.settings.node.id)
--- a/tools/without_gateway.py
+++ b/tools/without_gateway.py
@@ -45,7 +45,7 @@
 from moledale.gateway.events import EventSplitter
 from moledale.gateway.fleet_watch import FleetWatch
 from moledale.gateway.forwarder import Forwarder
-from moledale.gateway.inbound import InboundConnection
+from moledale.gateway.inbound import InboundConnection, Listener
 from moledale.gateway.job import Job
 from moledale.gateway.lease_history import LeaseHistory
 from moledale.gateway.lease_keeper import LeaseKeeper
@@ -434,6 +434,8 @@
      "tests.test_plan_watchers"),
     ("no other answer follows events", Job, "may_follow", lambda *_: True,
      "tests.test_second_answers"),
+    ("a stop waits for slow readers", Listener, "has_unsent", lambda _: False,
+     "tests.test_slow_readers"),
     ("a missing row is no free lease", LeaseKeeper, "_may_acquire_without_row",
      lambda *_: True, LEASE),
     ("what is known of a row ends with its era", LeaseKeeper, "_enter_era", lambda *_: None, LEASE),
