Name the fields of what a node sees of the watching nodes

Cause: what a reader stumbles over in the change: positional fields, an untyped parameter of a test, a method that prunes without saying so. Nothing that runs differs.

--- a/src/moledale/gateway/lease_history.py
+++ b/src/moledale/gateway/lease_history.py
@@ -38,7 +38,7 @@
         self.is_complete = True
 
     def recent(self, now: float) -> dict[str, float]:
-        """Return the ends of the tenures that ended within the last TTL, and of the current one."""
+        """Drop tenures that ended more than a TTL ago, and return the ends of the others."""
         self._ended_at = {node: at for node, at in self._ended_at.items() if at + self._ttl_s > now}
         return self._ended_at
 
--- a/src/moledale/gateway/neighbours.py
+++ b/src/moledale/gateway/neighbours.py
@@ -284,7 +284,7 @@
         return sorted(order).index((own.serving == reserve_first, own.id))
 
     def watchers(self, max_age_s: float, now: float) -> Watchers:
-        """Return which other nodes watch the store; their last answers may be `max_age_s` old.
+        """Return which other nodes the store answered within the last `max_age_s`.
 
         In a large cluster nodes in reserve get no states of each other, and those of serving nodes
         once a second. There one serving node that the store answers is enough, or else all of them
@@ -297,10 +297,10 @@
         recent = self.members.answered_since(now - max_age_s, now)
         alive = self.members.alive(now)
         return Watchers(
-            len(recent),
-            sum((not each.serving, each.id) < own for each in recent),
-            1 if in_large_reserve else WATCHER_COUNT,
-            sum((not each.serving, each.id) < own for each in alive),
+            recent=len(recent),
+            before=sum((not each.serving, each.id) < own for each in recent),
+            wanted=1 if in_large_reserve else WATCHER_COUNT,
+            rank=sum((not each.serving, each.id) < own for each in alive),
         )
 
     def check_targets(self, hall: str, now: float) -> list[str]:
--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -283,8 +283,8 @@
             node.link_mbps,
             lambda stored: self.rollouts.apply_order(stored.order, stored.phase),
             cold_start,
-            self._send_plan_check,
-            settings.bounds.apply_s,
+            on_checked=self._send_plan_check,
+            apply_s=settings.bounds.apply_s,
         )
         self.fleet = FleetWatch(
             store,
--- a/src/moledale/gateway/plan_watch.py
+++ b/src/moledale/gateway/plan_watch.py
@@ -48,7 +48,7 @@
     """Ignore a roll-out."""
 
 
-def _do_nothing() -> None:
+def _ignore_check() -> None:
     """Ignore an answer to a watch."""
 
 
@@ -77,7 +77,7 @@
         link_mbps: float,
         on_rollout: Callable[[StoredRollout], None] = _no_rollout,
         cold_start: ColdStart | None = None,
-        on_checked: Callable[[], None] = _do_nothing,
+        on_checked: Callable[[], None] = _ignore_check,
         apply_s: float = Bounds().apply_s,
     ) -> None:
         self.archive = DocumentArchive(link_mbps, monotonic)
--- a/tests/test_plan_watchers.py
+++ b/tests/test_plan_watchers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from collections.abc import Awaitable, Callable
 
 import logbook
 from result import Err, Result
@@ -100,10 +101,12 @@
 
 
 class SilentWatchersTest(unittest.TestCase):
-    def run_nodes(self, work: object, count: int = 9) -> None:
+    def run_nodes(
+        self, work: Callable[[Cluster, list[GatewayNode]], Awaitable[None]], count: int = 9
+    ) -> None:
         async def run() -> None:
             async with Cluster(BOUNDS, SilencedStore) as cluster:
-                await work(cluster, await start_nodes(cluster, count))  # type: ignore[operator]
+                await work(cluster, await start_nodes(cluster, count))
 
         run_quietly(run())
 
@@ -157,6 +160,11 @@
         self.run_nodes(work)
 
 
+def make_watchers(recent: int, before: int, rank: int) -> Watchers:
+    """Return what a node of a small cluster sees of the watching nodes."""
+    return Watchers(recent, before, WATCHER_COUNT, rank)
+
+
 class WatchTurnTest(unittest.TestCase):
     def setUp(self) -> None:
         quiet = logbook.NullHandler().applicationbound()
@@ -176,23 +184,23 @@
         delays = []
         for rank in range(MAX_DELAY_RANK + 3):
             self.setUp()
-            delays.append(self.begins_after(Watchers(1, 1, WATCHER_COUNT, rank)))
+            delays.append(self.begins_after(make_watchers(1, 1, rank)))
         for rank, delay_s in enumerate(delays):
             self.assertAlmostEqual(delay_s, min(rank, MAX_DELAY_RANK) * RANK_DELAY_S, delta=0.02)
         self.assertLess(MAX_AGE_S + max(delays), 0.8 * APPLY_S)
 
     def test_node_does_not_begin_if_others_did_meanwhile(self) -> None:
-        missing = Watchers(1, 1, WATCHER_COUNT, MAX_DELAY_RANK)
+        missing = make_watchers(1, 1, MAX_DELAY_RANK)
         self.assertFalse(self.turn.is_due(missing))
         self.now += 2 * RANK_DELAY_S
-        self.assertFalse(self.turn.is_due(Watchers(2, 0, WATCHER_COUNT, MAX_DELAY_RANK)))
+        self.assertFalse(self.turn.is_due(make_watchers(2, 0, MAX_DELAY_RANK)))
         self.now += 3 * RANK_DELAY_S
         self.assertFalse(self.turn.is_due(missing))
 
     def test_node_that_watches_goes_on_until_enough_nodes_before_it_do(self) -> None:
-        self.assertTrue(self.turn.is_due(Watchers(0, 0, WATCHER_COUNT, 0)))
-        self.assertTrue(self.turn.is_due(Watchers(5, 1, WATCHER_COUNT, 3)))
-        self.assertFalse(self.turn.is_due(Watchers(5, 2, WATCHER_COUNT, 3)))
+        self.assertTrue(self.turn.is_due(make_watchers(0, 0, 0)))
+        self.assertTrue(self.turn.is_due(make_watchers(5, 1, 3)))
+        self.assertFalse(self.turn.is_due(make_watchers(5, 2, 3)))
 
 
 class WatchersTest(unittest.TestCase):
