Soak: nodes cut from the store while the configuration changes; answers that are no stream

Its checks of versions excuse every node while anything unplanned goes on, and none of its servers answers a request that continues a stream with anything but events or a plain rejection.

A phase between planned work and faults cuts four of five nodes from the store without a reset, and a version is published meanwhile. The check of versions now excuses only the nodes that the partition names. A rejecting server answers a request that continues a stream with 200, 204, 302, 404 or 429 in place of its rejection at times. Callers record bytes that are no part of an answer.

--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -191,14 +191,16 @@
 class CallerAnswer:
     """An answer as a caller read it; `whole` is set if nothing shows that it broke off.
 
-    An answer is `framed` if a length or its last chunk shows where it ends. The connection of any
-    other one has to end in order.
+    `garbled` is set if bytes came where the size of a chunk is due. An answer is `framed` if a
+    length or its last chunk shows where it ends. The connection of any other one has to end in
+    order.
     """
 
     status: int = 0
     headers: dict[str, str] = field(default_factory=dict)
     body: bytes = b""
     whole: bool = False
+    garbled: bool = False
 
     @property
     def framed(self) -> bool:
@@ -346,6 +348,16 @@
     return f"{method} {path} HTTP/1.1\r\n{text}\r\n".encode() + body
 
 
+async def read_chunk_size(reader: asyncio.StreamReader, result: CallerAnswer) -> int:
+    """Read the size of the next chunk; raise ValueError if there is none."""
+    line = (await reader.readline()).strip()
+    try:
+        return int(line, 16)
+    except ValueError:
+        result.garbled = bool(line)
+        raise
+
+
 async def read_answer(
     reader: asyncio.StreamReader, result: CallerAnswer | None = None
 ) -> CallerAnswer:
@@ -361,7 +373,7 @@
         }
         if result.headers.get("transfer-encoding") == "chunked":
             while True:
-                size = int((await reader.readline()).strip() or b"x", 16)
+                size = await read_chunk_size(reader, result)
                 data = await reader.readexactly(size + 2)
                 result.body += data[:-2]
                 if size == 0:
--- a/tests/soak/backend.py
+++ b/tests/soak/backend.py
@@ -38,6 +38,12 @@
 """A server crashes this long after it started to run a request that crashes servers."""
 
 
+NO_CONTENT = 204
+ODD_STATUSES = (200, NO_CONTENT, 302, 404, 429)
+ODD_ANSWER_PROBABILITY = 0.7
+"""Answers of a rejecting server to requests that continue a stream, and how likely they are."""
+
+
 class ServerMode(StrEnum):
     """How a server responds to its requests; most failures affect only a share of them."""
 
@@ -165,7 +171,10 @@
         if expected is not None and expected != self.id:
             self._reject(arrival, writer, 421)
         elif self.mode is ServerMode.REJECTS and faulty:
-            self._reject(arrival, writer, 503)
+            if arrival.get("last-event-id") is not None and self._answers_oddly():
+                writer.write(self._odd_answer(arrival))
+            else:
+                self._reject(arrival, writer, 503)
         elif self.mode is ServerMode.REJECTS_WITH_RETRY_AFTER and faulty:
             name = arrival.get("request-id") or ""
             self._ledger.declined.append(Declined(name, self.id, time.monotonic(), RETRY_AFTER_S))
@@ -175,6 +184,18 @@
         else:
             await self._answer_plain(arrival, writer, faulty)
 
+    def _answers_oddly(self) -> bool:
+        """Return whether the next request that continues a stream gets no stream of events."""
+        return self._framing_rng.random() < ODD_ANSWER_PROBABILITY
+
+    def _odd_answer(self, arrival: Arrival) -> bytes:
+        """Return an answer that is no stream, and does not say that the request did not run."""
+        status = self._framing_rng.choice(ODD_STATUSES)
+        fields = f"Server-Stamp: {self.id}\r\nContent-Type: application/json\r\n"
+        if status == NO_CONTENT:
+            return self._head(arrival, status, fields)
+        return self._head(arrival, status, f"{fields}Content-Length: 2\r\n") + b"{}"
+
     def _is_unframed(self) -> bool:
         """Return whether the next answer has neither a length nor chunks."""
         return self._framing_rng.random() < self.unframed_probability
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -216,6 +216,7 @@
             attempt.status, attempt.whole = answer.status, answer.whole
             attempt.answer, attempt.headers = answer.body, answer.headers
             attempt.dropped = drops and not answer.whole
+            attempt.garbled = answer.garbled
         except (OSError, TimeoutError):
             pass
         attempt.ended_at = time.monotonic()
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -108,6 +108,13 @@
         yield f"{attempt.request}: a stream that may not be resumed has events of {senders}"
 
 
+def nothing_but_answers(ledger: Ledger) -> Iterable[str]:
+    """No caller gets bytes that are no part of an answer."""
+    for attempt in ledger.attempts:
+        if attempt.garbled:
+            yield f"{attempt.request}: bytes that are no answer after {attempt.answer[-60:]!r}"
+
+
 def streams_keep_their_version(ledger: Ledger) -> Iterable[str]:
     """All events of a stream, over its caller's tries, are from one version of the software."""
     versions: dict[str, set[str]] = defaultdict(set)
@@ -301,6 +308,7 @@
 def versions_in_force(ledger: Ledger) -> Iterable[str]:
     """Without unplanned faults each node applies a version within `APPLY_S` of its acknowledgement.
 
+    It does so, too, while other nodes are cut from the store.
     The route `only-N` exists in version N only, so a probe of it shows which version a node has.
     """
     for attempt in ledger.attempts:
@@ -310,7 +318,7 @@
         acked = [v for v in ledger.versions if v.acked_at + APPLY_S < attempt.sent_at]
         written = [v for v in ledger.versions if v.acked_at <= attempt.ended_at]
         if not acked or ledger.unplanned_between(
-            acked[-1].acked_at - SETTLE_TIME_S, attempt.ended_at
+            acked[-1].acked_at - SETTLE_TIME_S, attempt.ended_at, attempt.node
         ):
             continue
         allowed = {v.number for v in written if v.number >= acked[-1].number}
@@ -472,6 +480,7 @@
 CHECKS: tuple[Callable[[Ledger], Iterable[str]], ...] = (
     own_whole_answers,
     cut_streams_are_in_order,
+    nothing_but_answers,
     streams_keep_their_version,
     resumed_streams_go_on,
     at_most_once,
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -13,6 +13,10 @@
 """Faults with the same effect on all nodes."""
 
 
+PARTITION = "partition"
+"""Kind of a fault that cuts the nodes that its detail names from the store, and no others."""
+
+
 @dataclass(slots=True)
 class Run:
     """A request that a backend server started to run."""
@@ -45,7 +49,7 @@
 
     `returns_from` is the refused request whose caller came back with this one, and `resumes` the
     one that began the stream which this one takes up again. `dropped` is set if the caller itself
-    broke the answer off.
+    broke the answer off, and `garbled` if bytes came that are no part of an answer.
     """
 
     request: str
@@ -66,6 +70,7 @@
     returns_from: str = ""
     resumes: str = ""
     dropped: bool = False
+    garbled: bool = False
 
     @property
     def framed(self) -> bool:
@@ -187,9 +192,13 @@
         spans = [(each.begins, each.ends) for each in self.faults if each.kind == SOAK_STALL]
         return sum(max(0.0, min(ends, end) - max(begins, begin)) for begins, ends in spans)
 
-    def unplanned_between(self, begin: float, end: float) -> bool:
-        """Return whether any unplanned fault overlaps a span."""
+    def unplanned_between(self, begin: float, end: float, node: str = "") -> bool:
+        """Return whether any unplanned fault overlaps a span.
+
+        With `node`, a partition of other nodes does not count.
+        """
         return any(
             not fault.planned and fault.begins <= end and fault.ends >= begin
             for fault in self.faults
+            if not (node and fault.kind == PARTITION and node not in fault.detail.split())
         )
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -131,6 +131,7 @@
         self._rng = random.Random(plan.seed)
         # A separate generator, so that restores don't change what else a seed draws.
         self._restore_rng = random.Random(f"{plan.seed} restores")
+        self._partition_rng = random.Random(f"{plan.seed} partitions")
         self._world = SoakWorld(folder, self._rng, builds=plan.builds, scheduling=plan.scheduling)
         self._injector = FaultInjector(self._world)
         self._probes = 0
@@ -198,6 +199,7 @@
                 self._start_job(self._injector.reclaim_hall())
             await self._phase(self._plan.planned_s, self._injector.planned(), PLANNED_INTERVAL_S)
             await self._wait_for_jobs()
+            await self._partition_store()
             restores = asyncio.create_task(self._restore_repeatedly())
             await self._phase(self._plan.chaos_s, self._injector.unplanned(), UNPLANNED_INTERVAL_S)
             await restores
@@ -244,6 +246,15 @@
             for job in done:
                 job.result()
 
+    async def _partition_store(self) -> None:
+        """Cut some nodes from the store between planned work and other faults.
+
+        Nodes of a former build notice that later.
+        """
+        if self._plan.former_build is None:
+            self._start_job(self._injector.partition_store(self._partition_rng))
+            await self._wait_for_jobs()
+
     @property
     def _restores_enabled(self) -> bool:
         """Return whether store restores are injected; a former build may not handle them."""
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -15,8 +15,9 @@
     ServerMode,
 )
 from tests.soak.callers import probe
+from tests.soak.checks import SETTLE_TIME_S
 from tests.soak.link import Link, LinkMode
-from tests.soak.records import Leaving, Limit
+from tests.soak.records import PARTITION, Leaving, Limit
 from tests.soak.world import ACCOUNTS, SoakWorld
 
 DRAIN_S = 3.2
@@ -51,6 +52,12 @@
 """A request that crashes servers is sent this many times at this mean interval: for 8 s, longer
 than all servers of a service need to crash and restart."""
 
+PARTITION_SHARE = 0.8
+PARTITION_DELAY_S = 1.0
+PARTITION_S = 4.5
+"""Share of the nodes that a partition cuts from the store, how long after its begin at most the
+configuration changes, and its duration."""
+
 LIMITS_PER_S = (0.4, 1.0, 4.0)
 LIMIT_DURATION_S = 9.0
 ALL_LIMITED_PROBABILITY = 0.3
@@ -171,6 +178,28 @@
         old.crash()
         old.link.close()
 
+    async def partition_store(self, rng: random.Random) -> None:
+        """Cut nodes from the store without a reset while the configuration changes, and heal them.
+
+        All values are drawn before waiting until nothing else disturbs the nodes.
+        """
+        nodes = rng.sample(
+            self._world.nodes, max(1, round(PARTITION_SHARE * len(self._world.nodes)))
+        )
+        delay_s = PARTITION_DELAY_S * rng.random()
+        await asyncio.sleep(SETTLE_TIME_S)
+        names = " ".join(node.name for node in nodes)
+        fault = self._world.ledger.record_fault(PARTITION, names)
+        for node in nodes:
+            node.store_link.set_mode(LinkMode.SILENT)
+        await asyncio.sleep(delay_s)
+        await self._change_config()
+        await asyncio.sleep(PARTITION_S - delay_s)
+        for node in nodes:
+            node.store_link.set_mode(LinkMode.HEALTHY)
+        self._world.resumed_at.append(asyncio.get_running_loop().time())
+        fault.ends = time.monotonic()
+
     def unplanned(self) -> list[Disruption]:
         """Return unplanned faults, mixed with some planned work."""
         return [
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -21,9 +21,11 @@
 from tests.soak.former import FORMER_COMMIT, extract_sources
 from tests.soak.process import ROOT, EndRequest, NodeProcess
 from tests.soak.records import (
+    PARTITION,
     Attempt,
     Declined,
     Exit,
+    Fault,
     Leaving,
     Ledger,
     Limit,
@@ -302,6 +304,19 @@
         ]
         self.assert_finding_count(checks.versions_in_force, 2)
 
+    def test_partition_excuses_only_the_nodes_that_it_cuts(self) -> None:
+        self.ledger.versions.append(Version(5, 90.0, frozenset({"k"})))
+        self.ledger.faults.append(Fault(PARTITION, "n2 n3", False, 89.0, 101.0))
+        self.ledger.attempts += [
+            make_attempt(node, "only-5", probe=True, whole=True, status=404, node=node)
+            for node in ("n1", "n2", "n3")
+        ]
+        self.assert_finding_count(checks.versions_in_force, 1)
+
+    def test_finds_bytes_that_are_no_answer(self) -> None:
+        self.ledger.attempts.append(make_attempt("r1", "review", status=200, garbled=True))
+        self.assert_finding_count(checks.nothing_but_answers)
+
     def test_finds_version_that_reverts(self) -> None:
         self.ledger.attempts += [
             make_attempt("r1", "only-5", probe=True, whole=True, status=200),
