--- a/tests/test_lease_returns.py
+++ b/tests/test_lease_returns.py
@@ -3,12 +3,15 @@
 import asyncio
 import random
 import unittest
+from collections import deque
+from unittest import mock
 
 import msgspec
 from result import Err, Result
 
 from moledale.clock import monotonic
 from moledale.core.leases import LeaseRow
+from moledale.gateway import lease_keeper
 from moledale.gateway.lease_keeper import LEASE_KEY, NO_HOLDER, LeaseKeeper
 from moledale.gateway.outside import Failure, StateRow, TableSnapshot, WriteResult
 from moledale.gateway.peers import LeaseNews
@@ -19,6 +22,8 @@
 RUN_S = 8.0
 SEEDS = (1, 2, 3)
 NODES = ("one", "two", "three")
+COPIES = 3
+"""Copies of the row that a restore of the store may go back to; one is taken at each fault."""
 
 
 def make_keeper(
@@ -177,9 +182,13 @@
 class Cluster:
     """Nodes that hold the lease in turn: cut from the store, stopped, killed and started again."""
 
-    def __init__(self, seed: int, names: tuple[str, ...]) -> None:
+    def __init__(self, seed: int, names: tuple[str, ...], restores: bool = False) -> None:
         self.rng = random.Random(seed)
         self.store = SingleRowStore()
+        self._faults = ["cut", "stop", "stop", "kill"] + ["restore"] * (2 * restores)
+        self._copies: deque[tuple[StateRow | None, int]] = deque(maxlen=COPIES)
+        if restores:
+            self.store.era.observe(1)
         self.links = {name: CutOffStore(self.store) for name in names}
         self.keepers = {name: self._start(name, True) for name in names}
         self.tenures: list[tuple[str, float, float]] = []
@@ -231,13 +240,17 @@
                 keeper.on_lease_lost(name, monotonic())
 
     async def inject_faults(self) -> None:
-        """Cut the holder from the store, stop it as planned or kill it, again and again."""
+        """Disturb the holder or the store, again and again."""
         while True:
             await asyncio.sleep(0.1 + 0.4 * self.rng.random())
             if not self.tenures:
                 continue
             holder = self.tenures[-1][0]
-            kind = self.rng.choice(("cut", "stop", "stop", "kill"))
+            kind = self.rng.choice(self._faults)
+            self._copies.append((self.store.row, self.store.version))
+            if kind == "restore":
+                self.store.restore(*self._copies[0])
+                continue
             if kind == "cut":
                 self.links[holder].cut_until = monotonic() + 2 * TTL_S * self.rng.random()
                 continue
@@ -273,7 +286,14 @@
 
 class HoldersInTurnTest(unittest.TestCase):
     def test_no_holder_returns_within_the_lease_whatever_stops_the_others(self) -> None:
-        clusters = [Cluster(seed, NODES[: 2 + seed % 2]) for seed in SEEDS]
+        self.check(restores=False)
+
+    @mock.patch.object(lease_keeper, "RESTORE_GRACE_S", 0.02)
+    def test_no_holder_returns_within_the_lease_though_the_store_loses_its_row(self) -> None:
+        self.check(restores=True)
+
+    def check(self, restores: bool) -> None:
+        clusters = [Cluster(seed, NODES[: 2 + seed % 2], restores) for seed in SEEDS]
 
         async def run_clusters() -> None:
             await asyncio.gather(*(self.run_cluster(cluster) for cluster in clusters))
--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 from collections.abc import Callable
+from dataclasses import dataclass
 from unittest import mock
 
 import msgspec
@@ -16,23 +17,31 @@
     LAST_CHUNK,
     STAMP_HEADER,
     Arrival,
+    CallerAnswer,
     GatewayWorld,
     Script,
     chunk,
     event,
     make_plan,
+    read_answer,
     request_bytes,
     reset,
     run_quietly,
     stream_head,
 )
+from tests.test_gateway_backups import FIRST_EVENTS as EVENTS_BEFORE_CRASH
+from tests.test_gateway_backups import CrashingPair
+from tests.test_gateway_backups import make_world as make_world_with_backups
+from tests.test_gateway_backups import play as play_crash
+from tests.test_gateway_evacuation import ALL_EVENTS as MOVED_EVENTS
+from tests.test_gateway_evacuation import EnginePair, start_stream
 
 Reader = asyncio.StreamReader
 Writer = asyncio.StreamWriter
 
 BUSY = b'{"error":"busy"}'
-SEVERAL_EVENTS = 5
-ALL_EVENTS = b"".join(event(number) for number in range(1, SEVERAL_EVENTS + 1))
+EVENTS = 5
+ALL_EVENTS = b"".join(event(number) for number in range(1, EVENTS + 1))
 EVENTS_OF_FIRST_SERVER = event(1) + event(2)
 
 
@@ -82,6 +91,12 @@
 """Answers of a server that should continue a stream, none of which says that it did not run."""
 
 
+ODD_ANSWERS_OF_OPEN_CONNECTIONS = [
+    name for name in ODD_ANSWERS if name not in ("421", "200 without framing")
+]
+"""Those that neither close their connection nor tell that another server may take the request."""
+
+
 def answer_oddly(answer: Callable[[Arrival], bytes]) -> Script:
     """Return a script that sends an answer; one without framing ends with its connection."""
 
@@ -105,7 +120,7 @@
 async def send_rest(arrival: Arrival, _: Reader, writer: Writer) -> None:
     """Send the events after the last event id."""
     after = int(arrival.get("last-event-id") or 0)
-    rest = b"".join(event(number) for number in range(after + 1, SEVERAL_EVENTS + 1))
+    rest = b"".join(event(number) for number in range(after + 1, EVENTS + 1))
     writer.write(stream_head(arrival) + chunk(rest) + LAST_CHUNK)
 
 
@@ -141,6 +156,30 @@
     return got
 
 
+@dataclass
+class OddMoves(EnginePair):
+    """Servers that move runs, but answer oddly to the request that continues a moved one."""
+
+    odd: Callable[[Arrival], bytes] = in_chunks
+
+    async def _stream(self, arrival: Arrival, writer: Writer) -> None:
+        if arrival.get("kv-from") is None:
+            await super()._stream(arrival, writer)
+            return
+        self.continued.append(arrival)
+        writer.write(self.odd(arrival))
+
+
+@dataclass
+class OddBackup(CrashingPair):
+    """A server that crashes in the middle of a stream, and a backup that answers oddly."""
+
+    odd: Callable[[Arrival], bytes] = in_chunks
+
+    async def _continue(self, arrival: Arrival, _: Reader, writer: Writer) -> None:
+        writer.write(self.odd(arrival))
+
+
 class SecondAnswersTest(unittest.TestCase):
     def assert_broken_off(self, got: bytes) -> None:
         """Assert that a caller got the first server's events, and sees that more is missing."""
@@ -176,6 +215,43 @@
 
                 run_quietly(work())
 
+    def assert_cut_between_events(self, got: CallerAnswer, events: bytes) -> None:
+        """Assert that an answer has only whole events of a stream, and does not look complete."""
+        self.assertFalse(got.garbled, got)
+        self.assertFalse(got.whole)
+        self.assertTrue(got.body and events.startswith(got.body), got.body)
+
+    def test_answer_that_is_no_stream_is_not_written_into_a_moved_stream(self) -> None:
+        for name in ODD_ANSWERS_OF_OPEN_CONNECTIONS:
+            with self.subTest(answer=name):
+
+                async def work(name: str = name) -> None:
+                    pair = OddMoves(odd=ODD_ANSWERS[name])
+                    async with GatewayWorld(make_plan()) as world:
+                        _, reader, writer = await start_stream(world, pair)
+                        world.update_listed("s1", leaving=True)
+                        got = await asyncio.wait_for(read_answer(reader), 2.0)
+                        writer.close()
+                        self.assertEqual(len(pair.continued), 1)
+                        self.assert_cut_between_events(got, MOVED_EVENTS)
+
+                run_quietly(work())
+
+    def test_answer_that_is_no_stream_is_not_written_into_one_that_goes_on_at_its_backup(
+        self,
+    ) -> None:
+        for name in ODD_ANSWERS_OF_OPEN_CONNECTIONS:
+            with self.subTest(answer=name):
+
+                async def work(name: str = name) -> None:
+                    pair = OddBackup(odd=ODD_ANSWERS[name])
+                    async with make_world_with_backups() as world:
+                        got, arrivals = await play_crash(world, pair)
+                        self.assertEqual(len(arrivals), 1)
+                        self.assert_cut_between_events(got, EVENTS_BEFORE_CRASH)
+
+                run_quietly(work())
+
     def test_answer_of_another_type_that_breaks_off_is_not_continued_by_events(self) -> None:
         async def break_off(arrival: Arrival, _: Reader, writer: Writer) -> None:
             fields = b"Content-Type: application/json\r\nTransfer-Encoding: chunked\r\n"
