Keep the known end of a node's own tenure, whatever late messages say

Cause: a holder's list of former tenures states ages, which seem younger by the time that a message took. The latest end counted, so a message that arrived late, as after a freeze, made a former holder wait longer than it has to.

--- a/src/moledale/gateway/lease_history.py
+++ b/src/moledale/gateway/lease_history.py
@@ -30,11 +30,12 @@
         self._ended_at[holder] = ended_at
 
     def replace(self, ended_at: dict[str, float]) -> None:
-        """Replace the known tenures by a complete list; a later end of this node's own is kept."""
-        own = max(self._own_end(), ended_at.get(self._node, -math.inf))
-        self._ended_at = dict(ended_at)
-        if own > -math.inf:
-            self._ended_at[self._node] = own
+        """Replace the known tenures by a complete list, but for the known end of this node's own.
+
+        Each message makes an end seem later by the time that it took to arrive.
+        """
+        own = {node: at for node, at in self._ended_at.items() if node == self._node}
+        self._ended_at = {**ended_at, **own}
         self.is_complete = True
 
     def recent(self, now: float) -> dict[str, float]:
--- a/tests/test_lease_returns.py
+++ b/tests/test_lease_returns.py
@@ -110,6 +110,16 @@
 
         run_quietly(work())
 
+    def test_late_messages_of_the_next_holder_do_not_prolong_the_wait(self) -> None:
+        async def work() -> None:
+            ended_at = await self.hand_over()
+            update = self.two.lease_update()
+            assert update is not None
+            self.one.on_renewal("two", update, monotonic() + 5 * TTL_S)
+            self.assertAlmostEqual(self.one._history.may_acquire_at(), ended_at + TTL_S, delta=0.01)
+
+        run_quietly(work())
+
     def test_holder_that_learnt_of_the_lease_from_others_lists_the_former_one(self) -> None:
         async def work() -> None:
             await acquire(self.one)
