--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -158,6 +158,20 @@
     writer.write(answer(arrival))
 
 
+def send_and_reset(data: Callable[[Arrival], bytes]) -> Script:
+    """Return a script that sends a part of an answer and resets the connection."""
+
+    async def script(
+        arrival: Arrival, _: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(data(arrival))
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        reset(writer)
+
+    return script
+
+
 def make_plan(version: int = 1, **changes: object) -> Plan:
     """Return a plan with a route of each kind, with some fields changed."""
     routes = (
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -20,8 +20,8 @@
     event,
     make_plan,
     request_bytes,
-    reset,
     run_quietly,
+    send_and_reset,
     stream_head,
     unframed_head,
 )
@@ -50,13 +50,7 @@
 def unframed_then_reset(body: bytes) -> Script:
     """Return a script that answers without a length or chunks, and resets the connection."""
 
-    async def script(arrival: Arrival, _: Reader, writer: Writer) -> None:
-        writer.write(unframed_head(arrival) + body)
-        await writer.drain()
-        await asyncio.sleep(0.05)
-        reset(writer)
-
-    return script
+    return send_and_reset(lambda arrival: unframed_head(arrival) + body)
 
 
 def chunked(body: bytes) -> Script:
@@ -275,11 +269,9 @@
         run_quietly(work())
 
     def test_long_safe_answer_that_breaks_off_gets_no_second_answer_inside(self) -> None:
-        async def break_off(arrival: Arrival, _: Reader, writer: Writer) -> None:
-            writer.write(stream_head(arrival) + chunk(b"x" * LONG_BODY_BYTES))
-            await writer.drain()
-            await asyncio.sleep(0.05)
-            reset(writer)
+        break_off = send_and_reset(
+            lambda arrival: stream_head(arrival) + chunk(b"x" * LONG_BODY_BYTES)
+        )
 
         async def work() -> None:
             async with GatewayWorld(make_plan()) as world:
--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -25,8 +25,8 @@
     make_plan,
     read_answer,
     request_bytes,
-    reset,
     run_quietly,
+    send_and_reset,
     stream_head,
 )
 from tests.test_gateway_backups import FIRST_EVENTS as EVENTS_BEFORE_CRASH
@@ -43,6 +43,7 @@
 EVENTS = 5
 ALL_EVENTS = b"".join(event(number) for number in range(1, EVENTS + 1))
 EVENTS_OF_FIRST_SERVER = event(1) + event(2)
+LONG_BODY_BYTES = 3_000_000
 
 
 def head(arrival: Arrival, status: int, extra: bytes) -> bytes:
@@ -109,12 +110,10 @@
     return script
 
 
-async def begin_and_reset(arrival: Arrival, _: Reader, writer: Writer) -> None:
-    """Send two events and break off."""
-    writer.write(stream_head(arrival) + chunk(EVENTS_OF_FIRST_SERVER))
-    await writer.drain()
-    await asyncio.sleep(0.05)
-    reset(writer)
+begin_and_reset = send_and_reset(
+    lambda arrival: stream_head(arrival) + chunk(EVENTS_OF_FIRST_SERVER)
+)
+"""Script that sends two events and breaks off."""
 
 
 async def send_rest(arrival: Arrival, _: Reader, writer: Writer) -> None:
@@ -253,12 +252,10 @@
                 run_quietly(work())
 
     def test_answer_of_another_type_that_breaks_off_is_not_continued_by_events(self) -> None:
-        async def break_off(arrival: Arrival, _: Reader, writer: Writer) -> None:
-            fields = b"Content-Type: application/json\r\nTransfer-Encoding: chunked\r\n"
-            writer.write(head(arrival, 200, fields) + chunk(b"x" * 3_000_000))
-            await writer.drain()
-            await asyncio.sleep(0.05)
-            reset(writer)
+        fields = b"Content-Type: application/json\r\nTransfer-Encoding: chunked\r\n"
+        break_off = send_and_reset(
+            lambda arrival: head(arrival, 200, fields) + chunk(b"x" * LONG_BODY_BYTES)
+        )
 
         async def work() -> None:
             async with GatewayWorld(make_plan()) as world:
