--- a/src/moledale/gateway/plan_watch.py
+++ b/src/moledale/gateway/plan_watch.py
@@ -116,6 +116,7 @@
             if self._version < 0:
                 self._turn.begin()
             elif not self._turn.is_due(self._watchers()):
+                position = None
                 await asyncio.sleep(self._poll_interval_s())
                 continue
             sent_at = monotonic()
@@ -123,9 +124,6 @@
                 outcome = await self._store.plan(CALL_TIMEOUT_S)
             else:
                 outcome = await self._store.watch_plan(position, self._wait_s)
-            if isinstance(outcome, Err) and position is not None and outcome.err_value.history_gone:
-                position = None
-                continue
             if isinstance(outcome, Err):
                 position = None
                 self.store_reached_at = -1e9
--- a/tests/test_plan_watchers.py
+++ b/tests/test_plan_watchers.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 from collections.abc import Awaitable, Callable
+from unittest import mock
 
 import logbook
 from result import Err, Result
@@ -30,6 +31,7 @@
     make_config,
     plan_version_of,
     ready,
+    run_on_cluster,
     wait_until,
 )
 
@@ -160,6 +162,20 @@
         self.run_nodes(work)
 
 
+class LostHistoryTest(unittest.TestCase):
+    def test_store_that_lost_its_history_is_not_called_without_a_pause(self) -> None:
+        async def work(cluster: Cluster) -> None:
+            node = await cluster.start("n1")
+            await wait_until(ready(node))
+            cluster.platform.history_from = cluster.platform.version + 1_000
+            store = node.plans._store
+            with mock.patch.object(store, "plan", wraps=store.plan) as read_plan:
+                await asyncio.sleep(APPLY_S)
+            self.assertLess(read_plan.call_count, 20)
+
+        run_on_cluster(work)
+
+
 def make_watchers(recent: int, before: int, rank: int) -> Watchers:
     """Return what a node of a small cluster sees of the watching nodes."""
     return Watchers(recent, before, WATCHER_COUNT, rank)
