Rule out other versions of a stream by the store, not by a list

Cause: an observation that may be older than the event it is held against. A node took the only version of its list for the one that began any stream while the list was at most 1.2 s old, or while it heard over half of the serving nodes. A server may join, begin a stream and break within that time, and a silent node may know what the others don't.

Change: a row of the store for each service has the versions that may have begun streams. A node begins streams at a version only once the row names it, and a node that does not know a stream reads the row after the stream came back, so whatever began it is named. Without the store all known nodes have to answer and to have seen one version only. Nodes of former builds begin streams without a row, so they are asked as before.

--- a/bench/stream_origins.py
+++ b/bench/stream_origins.py
@@ -63,6 +63,11 @@
         self.datagrams += len(addresses)
 
 
+async def _read_recent(_service: str) -> frozenset[str]:
+    """Return the versions as a store does that names them all."""
+    return frozenset(VERSIONS)
+
+
 async def measure(scenario: Scenario, seed: int = 1) -> Meter:
     """Return what one serving node sends while streams begin there."""
     rng = random.Random(seed)
@@ -73,7 +78,7 @@
         members.merge(state_of(number, scenario), 0.0)
     meter = Meter()
     origins = StreamOrigins(
-        "n0:2", history, members, meter.send, lambda: True, lambda _: {}, lambda: 0.0
+        "n0:2", history, members, meter.send, _read_recent, lambda _: {}, lambda: 0.0
     )
     expected = scenario.streams_per_s / scenario.serving * BATCH_S
     for batch in range(round(RUN_DURATION_S / BATCH_S)):
--- a/src/moledale/gateway/balance.py
+++ b/src/moledale/gateway/balance.py
@@ -299,6 +299,13 @@
         """
         return frozenset() if version is None else self.group(service).other_versions(version)
 
+    def servers_of_versions(self, service: str, versions: set[str]) -> frozenset[str]:
+        """Return the servers of a service that run one of some versions of the software."""
+        if not versions:
+            return frozenset()
+        views = self.group(service).views
+        return frozenset(name for name, view in views.items() if view.server.version in versions)
+
     def choose(
         self,
         service: str,
--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -46,6 +46,7 @@
 )
 from moledale.scheduling.switches import Feature, Switches
 from moledale.streams.origins import StreamOrigins, standalone_origins
+from moledale.streams.version_register import any_version
 
 MAX_UNREACHABLE_SERVERS = 6
 """Servers that may fail to accept a connection before a request is given up. Nothing was sent to
@@ -90,7 +91,8 @@
     to serve at the same time. `newer_plan` returns whether a newer plan is known to exist, and
     `list_is_current` whether requests may rely on the list of servers. `first_start` is set when
     the whole system starts for the first time. `switches` tells which scheduling features apply;
-    none do without it. `handled` counts the requests of callers.
+    none do without it. `may_begin` returns whether streams of a service may begin at a version.
+    `handled` counts the requests of callers.
     """
 
     def __init__(
@@ -109,6 +111,7 @@
         permits: PermitClient | None = None,
         switches: Switches | None = None,
         origins: StreamOrigins | None = None,
+        may_begin: Callable[[str, str], bool] = any_version,
     ) -> None:
         limits = AccountLimits(
             first_start, sharing.limit_window_s, sharing.limit_tolerance, starting_nodes
@@ -147,6 +150,7 @@
         self._trial_share = trial_share
         self._switches = switches or Switches(Scheduling())
         self._origins = origins or standalone_origins(balancer.versions, sharing.members, now)
+        self._may_begin = may_begin
         self._engine_priorities = EnginePriorities()
         self.overload = OverloadGate()
         self.move_slots = MoveSlotGate(
@@ -181,6 +185,10 @@
         if self.index is not None:
             self.limits.reset(self.index.plan.accounts, self._now())
 
+    def has_streams(self, service: str) -> bool:
+        """Return whether a route of streams leads to a service."""
+        return self.index is not None and service in self.index.stream_services
+
     def adopt(self, plan: Plan) -> bool:
         """Put a plan in force if it is newer than the current one; return whether it was."""
         return self.admission.adopt(plan)
@@ -495,7 +503,7 @@
                 job.service,
                 job.facts,
                 engine,
-                job.tried | self._balancer.other_versions(job.service, job.version),
+                job.tried | self._closed_versions(job),
                 share if job.version is None else 0.0,
                 max_wait_s=max_wait_s,
                 permit_timeout_s=permit_timeout_s,
@@ -505,6 +513,21 @@
             )
         )
 
+    def _closed_versions(self, job: Job) -> frozenset[str]:
+        """Return the servers that a request may not go to because of their version."""
+        if job.version is not None:
+            return self._balancer.other_versions(job.service, job.version)
+        if job.route.kind is not Kind.STREAM:
+            return frozenset()
+        return self._balancer.servers_of_versions(
+            job.service,
+            {
+                version
+                for version in self._balancer.versions.listed(job.service)
+                if not self._may_begin(job.service, version)
+            },
+        )
+
     def _first_send_check(self, job: Job) -> PlacementCheck | None:
         """Return the checks of a request's first send where scheduling features apply."""
         overload_check = self._overload_check(job)
--- a/src/moledale/gateway/gossip.py
+++ b/src/moledale/gateway/gossip.py
@@ -20,6 +20,7 @@
 from moledale.quarantine.server_checks import ServerAnswer, ServerAsk
 from moledale.scheduling.evacuation_coordinator import EvacuationOrder, EvacuationReport
 from moledale.streams.origins import OriginAnswer, OriginAsk, OriginNews
+from moledale.streams.version_register import VersionNews
 
 
 class StateNews(msgspec.Struct, array_like=True, tag="state"):
@@ -74,6 +75,7 @@
     | OriginNews
     | OriginAsk
     | OriginAnswer
+    | VersionNews
 )
 MESSAGES: tuple[type[msgspec.Struct], ...] = get_args(Message)
 
--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -86,6 +86,7 @@
     StreamOrigins,
 )
 from moledale.streams.version_history import DEFAULT_LIFETIME_S, VersionHistory
+from moledale.streams.version_register import VersionNews, VersionRegister
 
 POOL_SWEEP_INTERVAL_S = 0.5
 """Interval between closing of connections that have been idle for too long."""
@@ -171,12 +172,22 @@
         self.server_limits = LimitSharing(
             node.id, node.hall, node.peers, self.balancer, self.members, self._send_to
         )
+        self._register = VersionRegister(
+            store,
+            self.balancer.versions,
+            self.sharing.true_time,
+            lambda service: self.forwarder.has_streams(service),
+            self._send_versions,
+            self._list_read_rank,
+            self._backoff_scale,
+            self._stream_lifetime_s,
+        )
         self._origins = StreamOrigins(
             node.peers,
             self.balancer.versions,
             self.members,
             self._send_origins,
-            self._knows_versions,
+            self._register.recent,
             lambda service: self.forwarder.evacuation.running_versions(service),
         )
         self.balancer.on_versions_mixed = self._origins.on_versions_mixed
@@ -194,6 +205,7 @@
             permits=self.server_limits.permits,
             switches=self.switches,
             origins=self._origins,
+            may_begin=self._register.may_begin,
         )
         self.forwarder.overload.account_excess = self.account_excess
         self.sharing.has_fair_shares = lambda service: self.switches.applies(
@@ -268,6 +280,7 @@
         self._request_rate = Rate()
         self._sequence = 0
         self._cut_off = False
+        self._list_was_fresh = True
         self._logged_addresses: list[str] = []
         self._packer = StatePacker()
         self._unpacker = StateUnpacker()
@@ -370,9 +383,11 @@
         index = self.forwarder.index
         return DEFAULT_LIFETIME_S if index is None else index.max_stream_s + RESUMPTION_MARGIN_S
 
-    def _knows_versions(self) -> bool:
-        """Return whether no version serves that this node's list lacks."""
-        return self.fleet.is_fresh() or self.members.reachable_share(monotonic()) > 0.5
+    def _send_versions(self, news: VersionNews) -> None:
+        """Send the row of a service's versions to all nodes that read it."""
+        if self._gossip is not None:
+            alive = self.members.alive(monotonic())
+            self._gossip.send(news, [each.peer for each in alive if each.registers])
 
     def _send_origins(self, message: OriginMessage, addresses: list[str]) -> None:
         if self._gossip is not None:
@@ -435,6 +450,7 @@
         )
         start = self.supervisor.start
         start("gossip", self._gossip_forever)
+        start("versions", self._register.run)
         start("plan", self.plans.watch)
         start("plan of peers", self.plans.fetch.run)
         start("fleet", self.fleet.watch)
@@ -541,6 +557,7 @@
             origins=True,
             part_news=True,
             server_checks=True,
+            registers=True,
         )
 
     def _send_state(self, everyone: bool = True) -> None:
@@ -634,6 +651,7 @@
             if slept_s := suspension.slept_s():
                 emit(Event.WOKEN, node=self.settings.node.id, slept_s=round(slept_s, 3))
             now = monotonic()
+            self._note_list_gap()
             self._request_rate.observe(self.forwarder.handled, now)
             self._update_cut_off(now)
             changed = self.neighbours.update_serving(self._own_state(), now)
@@ -652,6 +670,14 @@
             self._log_addresses()
             await asyncio.sleep(GOSSIP_INTERVAL_S)
 
+    def _note_list_gap(self) -> None:
+        """Note that versions may have come and gone unseen if the list was out of date for long."""
+        if not self.fleet.known:
+            return
+        was_fresh, self._list_was_fresh = self._list_was_fresh, self.fleet.is_fresh()
+        if self._list_was_fresh and not was_fresh:
+            self.balancer.versions.interrupt()
+
     def _refresh_rooms(self, now: float) -> None:
         """Bound the requests at brittle servers by the nodes that serve now."""
         serving = [each.id for each in self.members.alive(now) if each.serving]
@@ -692,6 +718,7 @@
             OriginNews: self._origins.on_message,
             OriginAsk: self._origins.on_message,
             OriginAnswer: self._origins.on_message,
+            VersionNews: self._register.on_news,
         }
 
     def _on_message(self, message: Message) -> None:
@@ -726,6 +753,9 @@
             self._gossip.send(
                 StateNews(self._own_state(), self.neighbours.hints(now)), [state.peer]
             )
+            if state.registers and not self.neighbours.is_large(now):
+                for news in self._register.known_rows():
+                    self._gossip.send(news, [state.peer])
         for name in state.leaving:
             self.forwarder.handle_leaving_server(name, source=state.id)
         self.balancer.notices.brittle.merge(state.brittle, state.id, now)
@@ -775,6 +805,7 @@
         """Adopt a plan unless a newer one is in force; return whether it is in force now."""
         if not self.forwarder.adopt(plan):
             return False
+        self._register.on_list_changed()
         self._update_readiness()
         return True
 
@@ -809,6 +840,7 @@
     def _apply_servers(self, servers: list[Server]) -> None:
         """Apply a changed server list to the balancer, the pool and the evacuation."""
         gone = self.balancer.apply(servers)
+        self._register.on_list_changed()
         for server in gone:
             self.pool.discard(server.id)
         self.forwarder.evacuation.servers_changed(gone)
--- a/src/moledale/gateway/peers.py
+++ b/src/moledale/gateway/peers.py
@@ -110,7 +110,8 @@
     service that other nodes reach. `brittle` are the statements of brittle servers that it received
     itself, by service. `origins` is set if the node reads which versions began streams (see
     `streams.origins`), and `part_news` if it reads which parts of prompts may crash servers.
-    `server_checks` is set if it answers whether a server takes connections.
+    `server_checks` is set if it answers whether a server takes connections, and `registers` if it
+    begins streams only at versions that the store names (see `streams.version_register`).
     Two builds exchange states during a rolling replacement, so new fields are added last with a
     default, and none is ever removed.
     """
@@ -159,6 +160,7 @@
     origins: bool = False
     part_news: bool = False
     server_checks: bool = False
+    registers: bool = False
 
     def without_counts(self) -> "NodeState":
         """Return a brief state without most counts, for nodes that only need the membership.
@@ -317,6 +319,11 @@
         reachable = sum(serves(state) for state in self.alive(now))
         return (1 + reachable) / (1 + known)
 
+    def any_silent(self, now: float) -> bool:
+        """Return whether a known node fell silent without leaving."""
+        silent = self.members.keys() - {state.id for state in self.alive(now)}
+        return any(self.members[name].state.standing != Standing.LEAVING for name in silent)
+
     def all_states(self) -> list[NodeState]:
         """Return the last state of each incarnation of each node that is still kept."""
         return [each.state for each in (*self.members.values(), *self.former)]
--- a/src/moledale/gateway/plan.py
+++ b/src/moledale/gateway/plan.py
@@ -147,7 +147,8 @@
 class PlanIndex:
     """Looks up the routes, services and accounts of a plan.
 
-    `max_stream_s` is the longest time limit of a route of streams, 0 without one.
+    `max_stream_s` is the longest time limit of a route of streams, 0 without one, and
+    `stream_services` are the services that such routes lead to.
     """
 
     def __init__(self, plan: Plan) -> None:
@@ -160,6 +161,12 @@
         self._by_key = {key: account for account in plan.accounts for key in account.keys}
         limits_s = [each.time_limit_s for each in plan.routes if each.kind is Kind.STREAM]
         self.max_stream_s = max(limits_s, default=0.0)
+        self.stream_services = frozenset(
+            share.service
+            for each in plan.routes
+            if each.kind is Kind.STREAM
+            for share in each.split
+        )
         self._hosts: dict[str, dict[str, Route]] = {}
         for route in plan.routes:
             self._hosts.setdefault(route.host.lower(), {})[route.prefix] = route
--- a/src/moledale/log.py
+++ b/src/moledale/log.py
@@ -160,6 +160,11 @@
         logbook.INFO,
         "Other nodes were asked which software version began a stream that its caller resumes.",
     )
+    VERSIONS_REGISTERED = EventSpec(
+        491,
+        logbook.INFO,
+        "The store names these software versions as those that may have begun streams.",
+    )
     RELAYED = EventSpec(
         483, logbook.INFO, "A request was sent to a peer, since no server was reached from here."
     )
--- a/src/moledale/streams/origins.py
+++ b/src/moledale/streams/origins.py
@@ -2,13 +2,13 @@
 
 A caller resumes a stream at any node and names the request that brought its first event. What two
 versions write does not fit together, so that stream may go on only at the version that began it.
-While a service has one version, nothing is sent: each node knows it from the list of servers. While
-it has several, the node where a stream begins tells the version to others, so that it is known
-after the node is gone. A node that does not know a version asks those that were told.
+While a service has one version, nothing is sent: the store names it (`version_register`). While it
+has several, the node where a stream begins tells the version to others, so that it is known after
+the node is gone. A node that does not know a version asks those that were told.
 """
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from itertools import count
 
 import msgspec
@@ -58,11 +58,17 @@
 
 
 class OriginAnswer(msgspec.Struct, array_like=True, tag="origin"):
-    """What a node knows of a stream: its version, or else the only one that may have begun it."""
+    """What a node knows of a stream: its version, or else the only one that may have begun it.
+
+    `recent` are the versions that the node has seen listed within the life of a stream; `complete`
+    is set if it has seen all that were.
+    """
 
     number: int
     version: str | None = None
     sole: str | None = None
+    recent: list[str] = []
+    complete: bool = False
 
 
 OriginMessage = OriginNews | OriginAsk | OriginAnswer
@@ -76,18 +82,28 @@
 
 
 class _Question(msgspec.Struct, eq=False):
-    """A question in progress: how many answers are due, and what they say."""
+    """A question in progress: how many answers are due, and what they say.
+
+    `recent` and `complete` are those of the answers and of the node that asks.
+    """
 
     due: int
     found: asyncio.Future[str | None]
+    recent: set[str]
+    complete: bool
     sole: set[str] = msgspec.field(default_factory=set)
 
 
+async def _never_read(_service: str) -> frozenset[str] | None:
+    """Answer as a store that can't be read."""
+    return None
+
+
 def standalone_origins(
     history: VersionHistory, members: Membership, now: Callable[[], float]
 ) -> "StreamOrigins":
     """Return origins for a forwarder that runs without a node."""
-    return StreamOrigins("", history, members, lambda *_: None, lambda: True, lambda _: {}, now)
+    return StreamOrigins("", history, members, lambda *_: None, _never_read, lambda _: {}, now)
 
 
 def digest_of(request: str) -> bytes:
@@ -107,10 +123,10 @@
 class StreamOrigins:
     """Keeps, tells and finds the versions that began streams.
 
-    `history` knows the versions of the list. `is_list_current` returns whether that can be relied
-    on: a node cut off from the store and from its peers may miss a version. `send` sends a message
-    to addresses, of which `own_peer` is this node's. `running` returns the streams of a service
-    that run at this node, by the request that began them, with their versions.
+    `history` knows the versions of the list. `read_recent` reads from the store which versions may
+    have begun the streams of a service, None if it does not answer. `send` sends a message to
+    addresses, of which `own_peer` is this node's. `running` returns the streams of a service that
+    run at this node, by the request that began them, with their versions.
     """
 
     def __init__(
@@ -119,7 +135,7 @@
         history: VersionHistory,
         members: Membership,
         send: Callable[[OriginMessage, list[str]], None],
-        is_list_current: Callable[[], bool],
+        read_recent: Callable[[str], Awaitable[frozenset[str] | None]],
         running: Callable[[str], dict[str, str]],
         now: Callable[[], float] = monotonic,
     ) -> None:
@@ -127,7 +143,7 @@
         self._history = history
         self._members = members
         self._send = send
-        self._is_list_current = is_list_current
+        self._read_recent = read_recent
         self._running = running
         self._now = now
         self._known: TTLCache[bytes, str] = TTLCache(MAX_KNOWN, KNOWN_TTL_S, timer=now)
@@ -135,6 +151,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._questions: dict[int, _Question] = {}
         self._numbers = count(1)
+        self._answering: set[asyncio.Task[None]] = set()
 
     def record(self, request: str, service: str, version: str) -> None:
         """Record the version that began a stream, and tell others while there are several."""
@@ -150,14 +167,21 @@
         self._tell(running)
 
     async def find(self, request: str, service: str) -> Origin:
-        """Return the version that began a stream, which other nodes are asked for if need be."""
+        """Return the version that began a stream.
+
+        Other nodes are asked if several versions may have, or if the store does not answer. So they
+        are while some of them are of a former build, which begins streams at versions that the
+        store does not name yet.
+        """
         stream = digest_of(request)
         version = self._known.get(stream) if request else None
-        if version is None:
-            version = self._sole_version(service)
         if version is not None:
             return Origin(version)
-        origin = await self._ask(stream, service)
+        stored = await self._read_recent(service)
+        sole = self._sole_version(service, stored)
+        if sole is not None and self._all_register():
+            return Origin(sole)
+        origin = await self._ask(stream, service, stored)
         if origin.version is not None and request:
             self._known[stream] = origin.version
         emit(
@@ -165,23 +189,50 @@
             resumes=request,
             service=service,
             version=origin.version,
+            sole=sole,
             versions=sorted(self._history.recent(service)),
         )
-        return origin
+        return origin if sole is None or origin.version is not None else Origin(sole)
 
     def on_message(self, message: OriginMessage) -> None:
         """Handle a message of another node."""
         if isinstance(message, OriginNews):
             self._store(message)
         elif isinstance(message, OriginAsk):
-            version = self._known.get(message.stream)
-            sole = self._sole_version(message.service) if version is None else None
-            self._send(OriginAnswer(message.number, version, sole), [message.peer])
+            task = asyncio.create_task(self._answer(message))
+            self._answering.add(task)
+            task.add_done_callback(self._answering.discard)
         else:
             self._on_answer(message)
 
-    def _sole_version(self, service: str) -> str | None:
-        return self._history.sole_version(service) if self._is_list_current() else None
+    async def _answer(self, ask: OriginAsk) -> None:
+        """Answer a question of another node."""
+        version = self._known.get(ask.stream)
+        stored = await self._read_recent(ask.service) if version is None else None
+        answer = OriginAnswer(
+            ask.number,
+            version,
+            self._sole_version(ask.service, stored),
+            sorted(self._seen(ask.service, stored)),
+            self._history.covers_lifetime(),
+        )
+        self._send(answer, [ask.peer])
+
+    def _seen(self, service: str, stored: frozenset[str] | None) -> frozenset[str]:
+        """Return the versions that the list or the store named lately."""
+        return self._history.recent(service) | (stored or frozenset())
+
+    def _sole_version(self, service: str, stored: frozenset[str] | None) -> str | None:
+        """Return the only version that may have begun a stream, by what the store names.
+
+        None means that several may, or that the store did not answer.
+        """
+        versions = self._seen(service, stored)
+        return next(iter(versions)) if stored is not None and len(versions) == 1 else None
+
+    def _all_register(self) -> bool:
+        """Return whether all nodes in touch have the store name a version before they use it."""
+        return all(each.registers for each in self._members.alive(self._now()))
 
     def _store(self, news: OriginNews) -> None:
         for version, packed in news.streams.items():
@@ -208,21 +259,26 @@
                 part = streams[start : start + MAX_STREAMS_PER_MESSAGE]
                 self._send(_news_of(part, untold), [target])
 
-    async def _ask(self, stream: bytes, service: str) -> Origin:
+    async def _ask(self, stream: bytes, service: str, stored: frozenset[str] | None) -> Origin:
         """Ask the nodes that may know a stream; the first that does decides."""
         targets = keepers_of(stream, self._members.alive(self._now()))
+        question = _Question(
+            len(targets),
+            asyncio.get_running_loop().create_future(),
+            set(self._seen(service, stored)),
+            self._history.covers_lifetime(),
+        )
         if not targets:
-            return Origin(None)
+            return Origin(self._agreed_version(question))
         number = next(self._numbers)
-        question = _Question(len(targets), asyncio.get_running_loop().create_future())
         self._questions[number] = question
         self._send(OriginAsk(number, self._own_peer, service, stream), targets)
         try:
             async with asyncio.timeout(ASK_TIMEOUT_S):
                 found = await question.found
-            return Origin(found or self._agreed_version(question, service))
+            return Origin(found or self._agreed_version(question))
         except TimeoutError:
-            version = self._agreed_version(question, service)
+            version = self._agreed_version(question)
             return Origin(version, retry=version is None)
         finally:
             del self._questions[number]
@@ -232,6 +288,8 @@
         if question is None or question.found.done():
             return
         question.due -= 1
+        question.recent.update(answer.recent)
+        question.complete = question.complete or answer.complete
         if answer.sole is not None:
             question.sole.add(answer.sole)
         if answer.version is not None:
@@ -239,10 +297,21 @@
         elif question.due <= 0:
             question.found.set_result(None)
 
-    def _agreed_version(self, question: _Question, service: str) -> str | None:
-        """Return the only version that may have begun a stream by all answers and the own list."""
-        versions = question.sole | self._history.recent(service)
-        return next(iter(versions)) if question.sole and len(versions) == 1 else None
+    def _agreed_version(self, question: _Question) -> str | None:
+        """Return the only version that may have begun a stream by all answers and the own list.
+
+        It is one that another node learnt from the store, or else the only one that any node has
+        seen: a silent node may be alive behind a network partition, and know another one.
+        """
+        versions = question.sole | question.recent
+        unanimous = question.complete and self._is_answered_by_all(question)
+        return next(iter(versions)) if len(versions) == 1 and (question.sole or unanimous) else None
+
+    def _is_answered_by_all(self, question: _Question) -> bool:
+        """Return whether each node that may begin streams has answered."""
+        now = self._now()
+        asked_all = len(self._members.alive(now)) <= MAX_MESH_MEMBERS
+        return question.due <= 0 and asked_all and not self._members.any_silent(now)
 
 
 def _news_of(part: Iterable[bytes], versions: dict[bytes, str]) -> OriginNews:
--- a/src/moledale/streams/version_history.py
+++ b/src/moledale/streams/version_history.py
@@ -58,6 +58,20 @@
         }
         self._listed[service] = versions
 
+    def interrupt(self) -> None:
+        """Record that versions may have come and gone unnoticed, as this process stood still."""
+        self._complete = False
+        self._listed_since = None if self._listed_since is None else self._now()
+
+    def services(self) -> list[str]:
+        """Return the services that have or had servers."""
+        return list(self._listed)
+
+    def gone_s(self, service: str, version: str) -> float:
+        """Return for how long a version has not been listed, or since the first list if never."""
+        at = self._gone_at.get(service, {}).get(version, self._listed_since)
+        return 0.0 if at is None else self._now() - at
+
     def listed(self, service: str) -> frozenset[str]:
         """Return the versions of the servers that are listed, those that leave included."""
         return self._listed.get(service, frozenset())
@@ -78,11 +92,12 @@
         That takes a history as long as the life of a stream.
         """
         recent = self.recent(service)
-        if len(recent) != 1 or not self._covers_lifetime():
+        if len(recent) != 1 or not self.covers_lifetime():
             return None
         return next(iter(recent))
 
-    def _covers_lifetime(self) -> bool:
+    def covers_lifetime(self) -> bool:
+        """Return whether no version is missing that was listed within a stream's life."""
         if self._listed_since is None:
             return False
         return self._complete or self._now() - self._listed_since >= self._lifetime_s()
--- a/tests/test_formats.py
+++ b/tests/test_formats.py
@@ -47,7 +47,14 @@
 
 WATCH_TYPES = {"moledale.gateway.gossip:PlanCheck"}
 
-TYPES_BEFORE_PARTS = QUARANTINE_TYPES | WATCH_TYPES
+REGISTER_TYPES = {
+    "moledale.streams.version_register:VersionNews",
+    "moledale.streams.version_register:VersionRow",
+}
+
+TYPES_BEFORE_WATCH = WATCH_TYPES | REGISTER_TYPES
+
+TYPES_BEFORE_PARTS = QUARANTINE_TYPES | TYPES_BEFORE_WATCH
 
 TYPES_UNKNOWN_TO_BUILD = {
     "eba5d79": TYPES_BEFORE_PARTS | PERMIT_TYPES | EVACUATION_TYPES | ORIGIN_TYPES,
@@ -57,7 +64,8 @@
     "d538459": TYPES_BEFORE_PARTS | ORIGIN_TYPES,
     "0f5ed68": TYPES_BEFORE_PARTS | ORIGIN_TYPES,
     "a598c75": TYPES_BEFORE_PARTS,
-    "06eaade": WATCH_TYPES,
+    "06eaade": TYPES_BEFORE_WATCH,
+    "e2ba247": REGISTER_TYPES,
 }
 """Messages that are newer than a build. Its nodes are not sent them, and would drop them."""
 
--- a/tools/record_formats.py
+++ b/tools/record_formats.py
@@ -32,6 +32,7 @@
     "moledale.streams.origins:OriginNews",
     "moledale.streams.origins:OriginAsk",
     "moledale.streams.origins:OriginAnswer",
+    "moledale.streams.version_register:VersionNews",
     "moledale.gateway.document_archive:DocumentPiece",
     "moledale.gateway.messages:Server",
 )
@@ -42,6 +43,7 @@
     "moledale.core.rollouts:RolloutNews",
     "moledale.gateway.duties:WindowRow",
     "moledale.gateway.quarantine_store:StoredBlock",
+    "moledale.streams.version_register:VersionRow",
 )
 """Types of the rows in the store, encoded as JSON."""
 
