Keep the life of streams when a plan shortens the time limits

Cause: how long a version counts after it left, and how long a started node may not rely on what it sees, followed from the time limits of the plan in force. Callers count their own deadline, so streams that began under the former limits are taken up for longer than that.

Evidence: the test failed before (8.0 s became 5.5 s).

--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -379,9 +379,13 @@
         }
 
     def _stream_lifetime_s(self) -> float:
-        """Return for how long after its first event a stream may be resumed."""
+        """Return for how long after its first event a stream may be resumed.
+
+        A plan that shortens the time limits does not shorten the deadlines of callers.
+        """
         index = self.forwarder.index
-        return DEFAULT_LIFETIME_S if index is None else index.max_stream_s + RESUMPTION_MARGIN_S
+        longest_s = 0.0 if index is None else index.max_stream_s + RESUMPTION_MARGIN_S
+        return max(DEFAULT_LIFETIME_S, longest_s)
 
     def _send_versions(self, news: VersionNews) -> None:
         """Send the row of a service's versions to all nodes that read it."""
--- a/tests/test_server_versions.py
+++ b/tests/test_server_versions.py
@@ -8,7 +8,7 @@
 from standins.rows import StoreMode
 from tests.gateway_world import GatewayWorld, ScriptedServer, make_plan, run_quietly
 from tests.test_gateway_evacuation import TOKEN_HEADERS, EnginePair
-from tests.test_gateway_nodes import Cluster, run_on_cluster
+from tests.test_gateway_nodes import Cluster, run_on_cluster, wait_until
 from tests.versions_world import (
     BrokenStream,
     VersionCluster,
@@ -299,6 +299,19 @@
 
         run_on_cluster(work)
 
+    def test_plan_with_shorter_time_limits_does_not_shorten_the_life_of_streams(self) -> None:
+        async def work(cluster: Cluster) -> None:
+            world = VersionCluster(cluster)
+            await world.start(1, TWO_VERSIONS)
+            node = cluster.nodes["n1"]
+            before_s = node._stream_lifetime_s()
+            world.change_time_limit(500)
+            index = node.forwarder.index
+            await wait_until(lambda: node.forwarder.index is not index)
+            self.assertEqual(node._stream_lifetime_s(), before_s)
+
+        run_on_cluster(work)
+
     def test_streams_of_the_only_version_go_on_whoever_began_them(self) -> None:
         async def work(cluster: Cluster) -> None:
             world = VersionCluster(cluster)
--- a/tests/versions_world.py
+++ b/tests/versions_world.py
@@ -83,10 +83,7 @@
 
     async def start(self, nodes: int, versions: dict[str, int]) -> None:
         """Start nodes, and servers of each version in the place of the cluster's own one."""
-        config = make_config(2)
-        assert isinstance(config, dict)
-        config["routes"][0].update({"kind": "streaming", "resumable": True, "timeoutMs": 3000})
-        self.cluster.platform.put("op", "config", config)
+        self._put_plan(2, 3000)
         self.cluster.platform.drop("servers", self.cluster.backend.id)
         for version, number in versions.items():
             for _ in range(number):
@@ -95,6 +92,16 @@
             await self.start_node(f"n{number}")
         await wait_until(lambda: all(self._knows_others(name) for name in self.cluster.nodes))
 
+    def _put_plan(self, version: int, limit_ms: int) -> None:
+        config = make_config(version)
+        assert isinstance(config, dict)
+        config["routes"][0].update({"kind": "streaming", "resumable": True, "timeoutMs": limit_ms})
+        self.cluster.platform.put("op", "config", config)
+
+    def change_time_limit(self, limit_ms: int) -> None:
+        """Put a plan in force whose route of streams has another time limit."""
+        self._put_plan(3, limit_ms)
+
     async def start_node(self, name: str) -> None:
         """Start a node and wait until it is ready."""
         seeds = tuple(node.settings.node.control for node in self.cluster.nodes.values())
