Keep in the store which version began a stream

What callers saw: after all nodes were killed at once while a service had two versions, every stream that they took up again was refused ("it is not known which version began the stream").

Cause: what is needed to go on was kept in the memory of the nodes only, and all of them may end at the same moment.

--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -78,6 +78,7 @@
 from moledale.scheduling.evacuation_sharing import EvacuationSharing
 from moledale.scheduling.stream_runs import Engines
 from moledale.scheduling.switches import Feature, Switches
+from moledale.streams.origin_log import OriginLog
 from moledale.streams.origins import (
     OriginAnswer,
     OriginAsk,
@@ -189,6 +190,15 @@
             self._send_origins,
             self._register.recent,
             lambda service: self.forwarder.evacuation.running_versions(service),
+            log=lambda streams: self._origin_log.add(streams),
+            read_log=lambda: self._origin_log.read(),
+        )
+        self._origin_log = OriginLog(
+            store,
+            self.sharing.true_time,
+            self._writes_origins,
+            self._origins.keep,
+            self._stream_lifetime_s,
         )
         self.balancer.on_versions_mixed = self._origins.on_versions_mixed
         self.forwarder = Forwarder(
@@ -387,6 +397,10 @@
         longest_s = 0.0 if index is None else index.max_stream_s + RESUMPTION_MARGIN_S
         return max(DEFAULT_LIFETIME_S, longest_s)
 
+    def _writes_origins(self) -> bool:
+        """Return whether this node writes down which versions began streams, for all nodes."""
+        return not self.neighbours.is_large(monotonic()) and self._list_read_rank() == 0
+
     def _send_versions(self, news: VersionNews) -> None:
         """Send the row of a service's versions to all nodes that read it."""
         if self._gossip is not None:
@@ -455,6 +469,7 @@
         start = self.supervisor.start
         start("gossip", self._gossip_forever)
         start("versions", self._register.run)
+        start("origins", self._origin_log.run)
         start("plan", self.plans.watch)
         start("plan of peers", self.plans.fetch.run)
         start("fleet", self.fleet.watch)
--- a/src/moledale/streams/origins.py
+++ b/src/moledale/streams/origins.py
@@ -19,9 +19,9 @@
 from moledale.core.hashing import ranked
 from moledale.gateway.peers import MAX_MESH_MEMBERS, Membership, NodeState
 from moledale.log import Event, emit
+from moledale.streams.origin_log import Streams, by_version, digests_in
 from moledale.streams.version_history import VersionHistory
 
-DIGEST_BYTES = 8
 MAX_KNOWN = 32_768
 """Maximum streams whose version is kept: a large deployment begins some thousands a second, of
 which a node is told a small part."""
@@ -45,7 +45,7 @@
 class OriginNews(msgspec.Struct, array_like=True, tag="origins"):
     """Streams that began, by version: the digests of their requests, eight bytes each."""
 
-    streams: dict[str, bytes]
+    streams: Streams
 
 
 class OriginAsk(msgspec.Struct, array_like=True, tag="ask-origin"):
@@ -99,6 +99,14 @@
     return None
 
 
+async def _read_nothing() -> None:
+    """Find no stream that other processes wrote down."""
+
+
+def _log_nothing(_: dict[bytes, str]) -> None:
+    """Write down no streams."""
+
+
 def standalone_origins(
     history: VersionHistory, members: Membership, now: Callable[[], float]
 ) -> "StreamOrigins":
@@ -126,7 +134,8 @@
     `history` knows the versions of the list. `read_recent` reads from the store which versions may
     have begun the streams of a service, None if it does not answer. `send` sends a message to
     addresses, of which `own_peer` is this node's. `running` returns the streams of a service that
-    run at this node, by the request that began them, with their versions.
+    run at this node, by the request that began them, with their versions. `log` writes streams down
+    on behalf of all nodes, and `read_log` hands what was written down to `keep`.
     """
 
     def __init__(
@@ -138,6 +147,8 @@
         read_recent: Callable[[str], Awaitable[frozenset[str] | None]],
         running: Callable[[str], dict[str, str]],
         now: Callable[[], float] = monotonic,
+        log: Callable[[dict[bytes, str]], None] = _log_nothing,
+        read_log: Callable[[], Awaitable[None]] = _read_nothing,
     ) -> None:
         self._own_peer = own_peer
         self._history = history
@@ -146,6 +157,8 @@
         self._read_recent = read_recent
         self._running = running
         self._now = now
+        self._log = log
+        self._read_log = read_log
         self._known: TTLCache[bytes, str] = TTLCache(MAX_KNOWN, KNOWN_TTL_S, timer=now)
         self._untold: dict[bytes, str] = {}
         self._timer: asyncio.TimerHandle | None = None
@@ -182,6 +195,9 @@
         if sole is not None and self._all_register():
             return Origin(sole)
         origin = await self._ask(stream, service, stored)
+        if origin.version is None and sole is None and request:
+            await self._read_log()
+            origin = Origin(self._known.get(stream), origin.retry)
         if origin.version is not None and request:
             self._known[stream] = origin.version
         emit(
@@ -197,7 +213,8 @@
     def on_message(self, message: OriginMessage) -> None:
         """Handle a message of another node."""
         if isinstance(message, OriginNews):
-            self._store(message)
+            self.keep(message.streams)
+            self._log(_by_digest(message.streams))
         elif isinstance(message, OriginAsk):
             task = asyncio.create_task(self._answer(message))
             self._answering.add(task)
@@ -234,14 +251,14 @@
         """Return whether all nodes in touch have the store name a version before they use it."""
         return all(each.registers for each in self._members.alive(self._now()))
 
-    def _store(self, news: OriginNews) -> None:
-        for version, packed in news.streams.items():
-            for start in range(0, len(packed) - DIGEST_BYTES + 1, DIGEST_BYTES):
-                self._known[packed[start : start + DIGEST_BYTES]] = version
+    def keep(self, streams: Streams) -> None:
+        """Keep the versions that began streams, as others know them."""
+        self._known.update(_by_digest(streams))
 
     def _tell(self, streams: dict[bytes, str]) -> None:
         """Tell the keepers of streams after a short while, together with others."""
         self._untold.update(streams)
+        self._log(streams)
         if self._timer is None and self._untold:
             loop = asyncio.get_running_loop()
             self._timer = loop.call_later(BATCH_S, self._send_untold)
@@ -316,8 +333,9 @@
 
 def _news_of(part: Iterable[bytes], versions: dict[bytes, str]) -> OriginNews:
     """Return the news of some streams, by version."""
-    streams: dict[str, bytes] = {}
-    for stream in part:
-        version = versions[stream]
-        streams[version] = streams.get(version, b"") + stream
-    return OriginNews(streams)
+    return OriginNews(by_version({stream: versions[stream] for stream in part}))
+
+
+def _by_digest(streams: Streams) -> dict[bytes, str]:
+    """Return the versions that began streams, by digest."""
+    return {stream: version for version, packed in streams.items() for stream in digests_in(packed)}
--- a/tests/test_formats.py
+++ b/tests/test_formats.py
@@ -50,6 +50,7 @@
 REGISTER_TYPES = {
     "moledale.streams.version_register:VersionNews",
     "moledale.streams.version_register:VersionRow",
+    "moledale.streams.origin_log:OriginRow",
 }
 
 TYPES_BEFORE_WATCH = WATCH_TYPES | REGISTER_TYPES
--- a/tests/test_server_versions.py
+++ b/tests/test_server_versions.py
@@ -228,7 +228,7 @@
         async def work(cluster: Cluster) -> None:
             world = VersionCluster(cluster)
             await world.start(2, TWO_VERSIONS)
-            with mock.patch.object(cluster.nodes["n2"]._origins, "_store"):
+            with mock.patch.object(cluster.nodes["n2"]._origins, "keep"):
                 streams = [await world.begin("n1") for _ in range(STREAMS)]
                 for stream in streams:
                     got = await world.resume(stream, "n2")
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -8,8 +8,8 @@
 
 from moledale.clock import monotonic
 from moledale.gateway.peers import Membership, NodeState, Standing
+from moledale.streams.origin_log import DIGEST_BYTES
 from moledale.streams.origins import (
-    DIGEST_BYTES,
     KEEPERS,
     OriginAnswer,
     OriginAsk,
--- a/tests/test_streams_after_kills.py
+++ b/tests/test_streams_after_kills.py
@@ -32,6 +32,20 @@
 
         run_on_cluster(work)
 
+    def test_streams_of_several_versions_go_on_after_all_nodes_were_killed(self) -> None:
+        async def work(cluster: Cluster) -> None:
+            world = VersionCluster(cluster)
+            await world.start(3, {"v1": 2, "v2": 2})
+            streams = [await world.begin(NODES[number % 3]) for number in range(STREAMS)]
+            await asyncio.sleep(1.0)
+            for _ in range(2):
+                await restart_all(world)
+                for number, stream in enumerate(streams):
+                    got = await world.resume(stream, NODES[number % 3])
+                    self.assertTrue(goes_on(stream, got), (stream, got))
+
+        run_on_cluster(work)
+
     def test_streams_of_a_version_that_left_just_before_are_not_mixed(self) -> None:
         async def work(cluster: Cluster) -> None:
             world = VersionCluster(cluster)
--- a/tools/record_formats.py
+++ b/tools/record_formats.py
@@ -44,6 +44,7 @@
     "moledale.gateway.duties:WindowRow",
     "moledale.gateway.quarantine_store:StoredBlock",
     "moledale.streams.version_register:VersionRow",
+    "moledale.streams.origin_log:OriginRow",
 )
 """Types of the rows in the store, encoded as JSON."""
 
