--- a/src/moledale/streams/origin_log.py
+++ b/src/moledale/streams/origin_log.py
@@ -22,10 +22,10 @@
 DIGEST_BYTES = 8
 """Size of the digest that names a stream."""
 
-WRITE_INTERVAL_S = 0.25
-"""Streams that begin within this time are written together."""
+WRITE_INTERVAL_S = 0.1
+"""Streams that begin within this time are written together, and lost if all nodes end meanwhile."""
 
-SLOTS = 128
+SLOTS = 320
 """Rows of the table. A row is replaced after so many intervals, which is longer than callers resume
 a stream."""
 
