--- a/tools/without_gateway.py
+++ b/tools/without_gateway.py
@@ -83,12 +83,15 @@
 from moledale.platform.headers import PlatformHeaders
 from moledale.quarantine.part_guard import PartGuard
 from moledale.quarantine.server_checks import ServerChecks
+from moledale.streams.origin_log import OriginLog
 from moledale.streams.origins import Origin, StreamOrigins
 from moledale.streams.version_history import VersionHistory
+from moledale.streams.version_register import VersionRegister
 
 FORWARDING = "tests.test_gateway_forwarding"
 CUT_ANSWERS = "tests.test_cut_answers"
 STREAM_VERSIONS = "tests.test_server_versions tests.test_stream_origins"
+OUT_OF_STEP = "tests.test_streams_out_of_step tests.test_streams_after_kills"
 NODES = "tests.test_gateway_nodes"
 RESTORED = "tests.test_store_restored tests.test_store_era"
 LEASE = "tests.test_gateway_lease"
@@ -180,7 +183,11 @@
     _start_reply(self, status, headers, CHUNKED_FOR.get(framing, framing), *length)
 
 
-async def _ask_nobody(_self: StreamOrigins, _stream: bytes, _service: str) -> Origin:
+async def _read_no_versions(_: VersionRegister, _service: str) -> None:
+    """Read nothing from the store."""
+
+
+async def _ask_nobody(_self: StreamOrigins, *_: object) -> Origin:
     """Find no version that other nodes know."""
     return Origin(None)
 
@@ -290,8 +297,15 @@
      STREAM_VERSIONS),
     ("other nodes are asked what began a stream", StreamOrigins, "_ask", _ask_nobody,
      STREAM_VERSIONS),
-    ("only a long history tells the only version", VersionHistory, "_covers_lifetime",
+    ("only a long history tells the only version", VersionHistory, "covers_lifetime",
      lambda *_: True, STREAM_VERSIONS),
+    ("streams begin at versions that the store names", VersionRegister, "may_begin",
+     lambda *_: True, "tests.test_version_register"),
+    ("the store tells which versions began streams", VersionRegister, "recent", _read_no_versions,
+     OUT_OF_STEP),
+    ("a silent node may know another version", Membership, "any_silent", lambda *_: False,
+     f"{OUT_OF_STEP} {STREAM_VERSIONS}"),
+    ("the store keeps what began streams", OriginLog, "add", lambda *_: None, OUT_OF_STEP),
     ("the last chunk follows no end that may be a cut", AnswerReader, "_may_lack_events",
      lambda *_: False, CUT_ANSWERS),
     ("a caller that leaves is heeded", InboundConnection, "connection_lost", _ignore_disconnect,
