Tell which version began streams while the store names several

What callers would see: all nodes end at once just after a version left, and again within the life of its streams; every stream that began in between is refused ("it is not known which version began the stream").

Cause: a node tells others of streams, and writes them to the store, while its own list had several versions lately. A started node has not seen the one that left before, but the row of the store names it, so the streams are refused for want of what nobody told.

Change: streams are told while the row or the list has several versions.

--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -192,6 +192,7 @@
             lambda service: self.forwarder.evacuation.running_versions(service),
             log=lambda streams: self._origin_log.add(streams),
             read_log=lambda: self._origin_log.read(),
+            is_mixed=self._register.is_mixed,
         )
         self._origin_log = OriginLog(
             store,
--- a/src/moledale/streams/origins.py
+++ b/src/moledale/streams/origins.py
@@ -135,7 +135,9 @@
     have begun the streams of a service, None if it does not answer. `send` sends a message to
     addresses, of which `own_peer` is this node's. `running` returns the streams of a service that
     run at this node, by the request that began them, with their versions. `log` writes streams down
-    on behalf of all nodes, and `read_log` hands what was written down to `keep`.
+    on behalf of all nodes, and `read_log` hands what was written down to `keep`. `is_mixed` returns
+    whether resumed streams of a service may have begun at several versions; without it, `history`
+    tells.
     """
 
     def __init__(
@@ -149,6 +151,7 @@
         now: Callable[[], float] = monotonic,
         log: Callable[[dict[bytes, str]], None] = _log_nothing,
         read_log: Callable[[], Awaitable[None]] = _read_nothing,
+        is_mixed: Callable[[str], bool] | None = None,
     ) -> None:
         self._own_peer = own_peer
         self._history = history
@@ -159,6 +162,7 @@
         self._now = now
         self._log = log
         self._read_log = read_log
+        self._is_mixed = is_mixed or history.is_mixed
         self._known: TTLCache[bytes, str] = TTLCache(MAX_KNOWN, KNOWN_TTL_S, timer=now)
         self._untold: dict[bytes, str] = {}
         self._timer: asyncio.TimerHandle | None = None
@@ -170,7 +174,7 @@
         """Record the version that began a stream, and tell others while there are several."""
         stream = digest_of(request)
         self._known[stream] = version
-        if self._history.is_mixed(service):
+        if self._is_mixed(service):
             self._tell({stream: version})
 
     def on_versions_mixed(self, service: str) -> None:
--- a/src/moledale/streams/version_register.py
+++ b/src/moledale/streams/version_register.py
@@ -138,6 +138,18 @@
         known = self._rows.get(service)
         return known is not None and known.row.versions.get(version, 0.0) is None
 
+    def is_mixed(self, service: str) -> bool:
+        """Return whether resumed streams may have begun at several versions, as far as is known.
+
+        The row also names versions that left before this node got its first list.
+        """
+        versions = self._history.recent(service)
+        known = self._rows.get(service)
+        store_s = self._true_time.to_store(self._now())
+        if known is not None and store_s is not None:
+            versions |= known.row.recent(store_s, self._lifetime_s())
+        return len(versions) > 1
+
     def on_list_changed(self) -> None:
         """Bring the rows up to date with the listed versions soon."""
         self._changed.set()
