Send the named versions to a node that is started again

What callers would see: a node that ends and is started again while the store does not answer refuses each new stream until the store answers, although it is ready and has the plan and the list from its peers.

Cause: what is unknown is taken for absent. The node has no rows, so it begins streams at no version.

Change: peers send their rows to each new start of a node. In large clusters they are sent to none, as before.

--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -765,7 +765,9 @@
     def _on_state(self, message: StateNews, now: float) -> None:
         """Merge a peer's state unless it is outdated; answer an unknown peer with the own state."""
         state = message.state
-        unknown = state.id not in self.members.members
+        known = self.members.members.get(state.id)
+        unknown = known is None
+        started = known is None or known.state.life != state.life
         if not self.sharing.merge_state(state, self.forwarder.limits):
             return
         self._builds.check(state)
@@ -773,9 +775,8 @@
             self._gossip.send(
                 StateNews(self._own_state(), self.neighbours.hints(now)), [state.peer]
             )
-            if state.registers and not self.neighbours.is_large(now):
-                for news in self._register.known_rows():
-                    self._gossip.send(news, [state.peer])
+        if started and state.registers:
+            self._send_known_versions(state, now)
         for name in state.leaving:
             self.forwarder.handle_leaving_server(name, source=state.id)
         self.balancer.notices.brittle.merge(state.brittle, state.id, now)
@@ -802,6 +803,12 @@
             version = EraVersion(number=state.plan_version)
             self.plans.fetch.add_source(state.control, version, state.power, now)
 
+    def _send_known_versions(self, started: NodeState, now: float) -> None:
+        """Send the rows of the versions of services to a node that was started just now."""
+        if self._gossip is not None and not self.neighbours.is_large(now):
+            for news in self._register.known_rows():
+                self._gossip.send(news, [started.peer])
+
     def _on_rollout_changed(self, rollout: RolloutNews) -> None:
         """Broadcast a changed roll-out."""
         if self._gossip is not None and self._rollouts_sent.get(rollout.order.service) != rollout:
--- a/tests/test_stream_review.py
+++ b/tests/test_stream_review.py
@@ -3,7 +3,8 @@
 import asyncio
 import unittest
 
-from tests.test_gateway_nodes import Cluster, run_on_cluster
+from standins.rows import StoreMode
+from tests.test_gateway_nodes import Cluster, run_on_cluster, wait_until
 from tests.test_streams_after_kills import NODES, STREAMS, restart_all
 from tests.versions_world import VersionCluster, goes_on
 
@@ -27,5 +28,20 @@
         run_on_cluster(work)
 
 
+class RestartInOutageTest(unittest.TestCase):
+    def test_node_that_starts_again_while_the_store_is_down_begins_streams(self) -> None:
+        async def work(cluster: Cluster) -> None:
+            world = VersionCluster(cluster)
+            await world.start(3, {"v1": 2})
+            cluster.platform.mode = StoreMode.BUSY
+            cluster.kill("n3")
+            await world.start_node("n3")
+            await wait_until(lambda: cluster.nodes["n3"]._register.may_begin("plain", "v1"))
+            stream = await world.begin("n3")
+            self.assertEqual(stream.version, "v1")
+
+        run_on_cluster(work)
+
+
 if __name__ == "__main__":
     unittest.main()
