Keep each unwritten stream for as long as is stated

What callers would see: the node that writes which version began streams ends, and all nodes end soon after; streams that began around the first end are refused for want of knowledge, though each node was told.

Cause: a node that does not write forgot all streams at once two seconds after the first one came, those of the last moments included. The next writer notices the end of the former one after a second, so it may have forgotten what nobody wrote.

Change: each stream is dropped two seconds after it was added, or at the end of its life while writes fail.

--- a/src/moledale/streams/origin_log.py
+++ b/src/moledale/streams/origin_log.py
@@ -46,6 +46,13 @@
     streams: Streams
 
 
+class _Begun(msgspec.Struct, frozen=True):
+    """A stream that is not written yet: its version, and when it was added."""
+
+    version: str
+    added_at: float
+
+
 class OriginLog:
     """Writes the versions that began streams, and reads them where no node knows them.
 
@@ -68,17 +75,15 @@
         self._keep = keep
         self._lifetime_s = lifetime_s
         self._now = now
-        self._unwritten: dict[bytes, str] = {}
-        self._since = 0.0
+        self._unwritten: dict[bytes, _Begun] = {}
         self._added = asyncio.Event()
         self._health = StoreHealth("origins of streams")
         self._read_task: asyncio.Task[None] | None = None
 
     def add(self, streams: dict[bytes, str]) -> None:
         """Add streams that began, by digest."""
-        if not self._unwritten:
-            self._since = self._now()
-        self._unwritten.update(streams)
+        now = self._now()
+        self._unwritten.update({stream: _Begun(each, now) for stream, each in streams.items()})
         self._added.set()
 
     async def run(self) -> None:
@@ -89,8 +94,8 @@
             await asyncio.sleep(WRITE_INTERVAL_S)
             if self._is_writer():
                 await self._write()
-            elif self._now() - self._since > MAX_KEPT_S:
-                self._unwritten.clear()
+            else:
+                self._drop_older(MAX_KEPT_S)
             if not self._unwritten:
                 self._added.clear()
 
@@ -120,19 +125,23 @@
         store_s = self._true_time.to_store(self._now())
         if store_s is None:
             return
-        written = dict(self._unwritten)
+        written = {stream: each.version for stream, each in self._unwritten.items()}
         key = f"{int(store_s / WRITE_INTERVAL_S) % SLOTS:03}"
         value = msgspec.json.encode(OriginRow(store_s, by_version(written)))
         failure = await self._store.put(ORIGIN_TABLE, key, value, CALL_TIMEOUT_S)
         if failure is not None:
             self._health.record_failure(failure.detail)
-            if self._now() - self._since > self._lifetime_s():
-                self._unwritten.clear()
+            self._drop_older(self._lifetime_s())
             return
         self._health.record_success()
         for stream in written:
             self._unwritten.pop(stream, None)
-        self._since = self._now()
+
+    def _drop_older(self, age_s: float) -> None:
+        """Drop streams that were added longer ago than `age_s`."""
+        oldest = self._now() - age_s
+        kept = {stream: each for stream, each in self._unwritten.items() if each.added_at > oldest}
+        self._unwritten = kept
 
 
 def by_version(streams: dict[bytes, str]) -> Streams:
--- a/tests/test_stream_review.py
+++ b/tests/test_stream_review.py
@@ -2,8 +2,16 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
-from standins.rows import StoreMode
+from moledale.clock import monotonic
+from moledale.gateway.usage import TrueTime
+from moledale.platform.store import PlatformStore
+from moledale.streams import origin_log
+from moledale.streams.origin_log import OriginLog, Streams, digests_in
+from moledale.streams.origins import digest_of
+from standins.rows import RowsPlatform, StoreMode
+from tests.gateway_world import run_quietly
 from tests.test_gateway_nodes import Cluster, run_on_cluster, wait_until
 from tests.test_streams_after_kills import NODES, STREAMS, restart_all
 from tests.versions_world import VersionCluster, goes_on
@@ -43,5 +51,43 @@
         run_on_cluster(work)
 
 
+class BecomingWriterTest(unittest.TestCase):
+    def test_node_that_becomes_the_writer_writes_all_that_it_heard_lately(self) -> None:
+        is_writer = False
+
+        async def work() -> None:
+            nonlocal is_writer
+            platform = RowsPlatform()
+            await platform.start()
+            true_time = TrueTime()
+            true_time.record_store_clock(platform._now_ms() / 1000, monotonic(), monotonic())
+            kept: Streams = {}
+            log = OriginLog(
+                PlatformStore(platform.address),
+                true_time,
+                lambda: is_writer,
+                kept.update,
+                lambda: 30.0,
+            )
+            task = asyncio.create_task(log.run())
+            added: dict[bytes, float] = {}
+            started_at = monotonic()
+            while monotonic() - started_at < 1.3:
+                stream = digest_of(f"r{len(added)}")
+                log.add({stream: "v1"})
+                added[stream] = monotonic()
+                await asyncio.sleep(0.01)
+            is_writer = True
+            lately = {stream for stream, at in added.items() if monotonic() - at < 0.4}
+            await wait_until(lambda: not log._unwritten)
+            await log.read()
+            task.cancel()
+            await platform.stop()
+            self.assertLessEqual(lately, set(digests_in(kept.get("v1", b""))))
+
+        with mock.patch.object(origin_log, "MAX_KEPT_S", 1.0):
+            run_quietly(work())
+
+
 if __name__ == "__main__":
     unittest.main()
