Write a version as gone only after its delay, with any row

What callers would see: new streams are refused at a version whose servers lapsed for a moment, or that the writing node has not got in its list yet, if another version is listed meanwhile. A node that misses the news goes on beginning streams there, and once the life of a stream has passed they may be joined with another version (ORDER).

Cause: a row that is written for the sake of one version named all others as gone that the writer's list did not have at that moment.

Change: a version stays in the row until it was not listed for GONE_DELAY_S.

Evidence: test_version_that_lapsed_is_not_written_as_gone_with_another_ version failed before (one run) and passes; the mixed stream is reasoned, no run showed it.

--- a/src/moledale/streams/version_register.py
+++ b/src/moledale/streams/version_register.py
@@ -217,8 +217,8 @@
         if known is None or service in self._lost:
             return True
         current, listed = known.row.current(), self._history.listed(service)
-        gone = (self._history.gone_s(service, version) for version in current - listed)
-        return bool(listed - current) or any(gone_s >= GONE_DELAY_S for gone_s in gone)
+        gone = (not self._lapsed(service, version) for version in current - listed)
+        return bool(listed - current) or any(gone)
 
     async def _write(self, service: str) -> bool:
         """Write a service's row on top of the one known here; return whether the store answered.
@@ -264,7 +264,14 @@
         dated = {name: store_s if at is None else at for name, at in versions.items()}
         kept_s = self._lifetime_s()
         kept = {name: at for name, at in dated.items() if store_s - at < kept_s}
-        return VersionRow(kept | dict.fromkeys(listed))
+        lapsed = {
+            name for name, at in versions.items() if at is None and self._lapsed(service, name)
+        }
+        return VersionRow(kept | dict.fromkeys(listed | lapsed))
+
+    def _lapsed(self, service: str, version: str) -> bool:
+        """Return whether a version may be listed again soon, as its servers left just before."""
+        return self._history.gone_s(service, version) < GONE_DELAY_S
 
     def _forget(self, service: str, known: _KnownRow) -> None:
         """Drop a row that the store has no more, but not what it named."""
--- a/tests/test_stream_review.py
+++ b/tests/test_stream_review.py
@@ -2,18 +2,20 @@
 
 import asyncio
 import unittest
+from collections.abc import Awaitable, Callable
 from unittest import mock
 
 from moledale.clock import monotonic
 from moledale.gateway.usage import TrueTime
 from moledale.platform.store import PlatformStore
-from moledale.streams import origin_log
+from moledale.streams import origin_log, version_register
 from moledale.streams.origin_log import OriginLog, Streams, digests_in
 from moledale.streams.origins import digest_of
 from standins.rows import RowsPlatform, StoreMode
 from tests.gateway_world import run_quietly
 from tests.test_gateway_nodes import Cluster, run_on_cluster, wait_until
 from tests.test_streams_after_kills import NODES, STREAMS, restart_all
+from tests.test_version_register import Node
 from tests.versions_world import VersionCluster, goes_on
 
 
@@ -89,5 +91,44 @@
             run_quietly(work())
 
 
+class RegisterTest(unittest.TestCase):
+    def run_with(self, work: Callable[[RowsPlatform], Awaitable[None]]) -> None:
+        """Run `work` with a store, and end the nodes that it started."""
+        self.nodes: list[Node] = []
+
+        async def run() -> None:
+            platform = RowsPlatform()
+            await platform.start()
+            try:
+                await work(platform)
+            finally:
+                for node in self.nodes:
+                    node.task.cancel()
+                await platform.stop()
+
+        with (
+            mock.patch.object(version_register, "GONE_DELAY_S", 0.5),
+            mock.patch.object(version_register, "POLL_INTERVAL_S", 0.1),
+        ):
+            run_quietly(run())
+
+    def node(self, platform: RowsPlatform, first_start: bool = True) -> Node:
+        """Start a node."""
+        self.nodes.append(Node(platform, first_start))
+        return self.nodes[-1]
+
+    def test_version_that_lapsed_is_not_written_as_gone_with_another_version(self) -> None:
+        async def work(platform: RowsPlatform) -> None:
+            node = self.node(platform)
+            node.see("v1", "v2")
+            await wait_until(lambda: node.begins("v2"))
+            node.see("v1", "v3")
+            await wait_until(lambda: node.begins("v3"))
+            self.assertTrue(node.begins("v2"))
+            await wait_until(lambda: not node.begins("v2"))
+
+        self.run_with(work)
+
+
 if __name__ == "__main__":
     unittest.main()
