Write the row of versions anew after a call without an answer

The store says that a version is gone whose servers are listed again and get streams; once their row's time has passed, after a kill of all nodes, the streams go on at the other version.

Cause: an observation older than the event. A write that failed here may have taken effect, or may do so later. If the version was listed again meanwhile, the known row seemed up to date, and it was not written again.

Change: a service whose write got no answer is written until one does. A commit raises the version of the row, so a late call fails its condition.

Evidence: test_write_that_took_effect_without_an_answer_hides_no_listed_ version failed before (the row was wrong for 5 s, one run) and passes. No run showed the mixed stream itself. Other nodes still rely on their row if the writer ends before it gets an answer.

--- a/src/moledale/streams/version_register.py
+++ b/src/moledale/streams/version_register.py
@@ -126,6 +126,8 @@
         self._rows: dict[str, _KnownRow] = {}
         # Versions that a row named before the store lost it, until it names them again.
         self._lost: dict[str, frozenset[str]] = {}
+        # Services whose row may have been written by a call without an answer, or may be yet.
+        self._uncertain: set[str] = set()
         self._changed = asyncio.Event()
         self._health = StoreHealth("versions of streams")
         self._backoff = Backoff(RETRY_INITIAL_S, RETRY_MAX_S, backoff_scale)
@@ -214,7 +216,7 @@
 
     def _is_outdated(self, service: str) -> bool:
         known = self._rows.get(service)
-        if known is None or service in self._lost:
+        if known is None or service in self._lost or service in self._uncertain:
             return True
         current, listed = known.row.current(), self._history.listed(service)
         gone = (not self._lapsed(service, version) for version in current - listed)
@@ -236,9 +238,13 @@
         value = msgspec.json.encode(row)
         outcome = await self._store.write(VERSION_TABLE, service, value, expected, CALL_TIMEOUT_S)
         if isinstance(outcome, Err):
+            if outcome.err_value.uncertain:
+                self._uncertain.add(service)
             self._health.record_failure(outcome.err_value.detail)
             return False
         self._health.record_success()
+        # Whichever version the row has now, a call before can't take effect any more.
+        self._uncertain.discard(service)
         result = outcome.ok_value
         if result.committed:
             self._lost.pop(service, None)
--- a/tests/test_stream_review.py
+++ b/tests/test_stream_review.py
@@ -11,11 +11,12 @@
 from moledale.streams import origin_log, version_register
 from moledale.streams.origin_log import OriginLog, Streams, digests_in
 from moledale.streams.origins import digest_of
+from moledale.streams.version_register import VERSION_TABLE
 from standins.rows import RowsPlatform, StoreMode
 from tests.gateway_world import run_quietly
 from tests.test_gateway_nodes import Cluster, run_on_cluster, wait_until
 from tests.test_streams_after_kills import NODES, STREAMS, restart_all
-from tests.test_version_register import Node
+from tests.test_version_register import SERVICE, Node
 from tests.versions_world import VersionCluster, goes_on
 
 
@@ -91,6 +92,10 @@
             run_quietly(work())
 
 
+BOTH = {"versions": {"v1": None, "v2": None}}
+"""The row of a service with two listed versions."""
+
+
 class RegisterTest(unittest.TestCase):
     def run_with(self, work: Callable[[RowsPlatform], Awaitable[None]]) -> None:
         """Run `work` with a store, and end the nodes that it started."""
@@ -129,6 +134,21 @@
 
         self.run_with(work)
 
+    def test_write_that_took_effect_without_an_answer_hides_no_listed_version(self) -> None:
+        async def work(platform: RowsPlatform) -> None:
+            node = self.node(platform)
+            node.see("v1", "v2")
+            await wait_until(lambda: node.begins("v2"))
+            node.see("v1")
+            platform.mode = StoreMode.LOSES_WRITE_ANSWERS
+            await wait_until(lambda: platform.body(VERSION_TABLE, SERVICE) != BOTH)
+            node.see("v1", "v2")
+            await asyncio.sleep(version_register.CALL_TIMEOUT_S)
+            platform.mode = StoreMode.HEALTHY
+            await wait_until(lambda: platform.body(VERSION_TABLE, SERVICE) == BOTH)
+
+        self.run_with(work)
+
 
 if __name__ == "__main__":
     unittest.main()
