Name in a row of versions the era of the store that it was written in

What callers would see: a stream joined from two versions (ORDER), after the store came back from an older copy and all nodes were started again: the row that named the version of the stream is lost, and no node knows that it was there.

Cause: what is unknown is taken for absent. Nodes that see the restore rule no version out for the life of a stream, but a node that starts after it takes the older row for current.

Change: the row has the era in which it was written. A node that finds a row of a former era, and has not known the later one, rules no version out, and writes the row anew with that.

The check of the whole row in test_version_register has the new field.

--- a/src/moledale/streams/version_register.py
+++ b/src/moledale/streams/version_register.py
@@ -19,7 +19,7 @@
 from moledale.gateway.backoff import Backoff
 from moledale.gateway.outside import ABSENT_VERSION, StateRow, Store, TableSnapshot
 from moledale.gateway.state_rows import decode_row
-from moledale.gateway.store_era import EraVersion
+from moledale.gateway.store_era import UNKNOWN_ERA, EraVersion
 from moledale.gateway.store_health import StoreHealth
 from moledale.gateway.usage import TrueTime
 from moledale.log import Event, emit
@@ -62,9 +62,16 @@
     """The versions of a service that may have begun streams.
 
     The value is when a version was last listed, in seconds of the store's clock, None while it is.
+    `era` is the era of the store in which the row was written: if the store was restored since, it
+    may have lost what the row named later.
     """
 
     versions: dict[str, float | None] = {}
+    era: int = UNKNOWN_ERA
+
+    def is_of_era_before(self, era: int) -> bool:
+        """Return whether the row was written before the store was restored to a later era."""
+        return UNKNOWN_ERA < self.era < era
 
     def current(self) -> frozenset[str]:
         """Return the versions that streams may begin at."""
@@ -218,6 +225,8 @@
         known = self._rows.get(service)
         if known is None or service in self._lost or service in self._uncertain:
             return True
+        if known.row.is_of_era_before(self._store.era.number):
+            return True
         current, listed = known.row.current(), self._history.listed(service)
         gone = (not self._lapsed(service, version) for version in current - listed)
         return bool(listed - current) or any(gone)
@@ -273,7 +282,7 @@
         lapsed = {
             name for name, at in versions.items() if at is None and self._lapsed(service, name)
         }
-        return VersionRow(kept | dict.fromkeys(listed | lapsed))
+        return VersionRow(kept | dict.fromkeys(listed | lapsed), self._store.era.number)
 
     def _lapsed(self, service: str, version: str) -> bool:
         """Return whether a version may be listed again soon, as its servers left just before."""
@@ -295,10 +304,16 @@
         self._changed.set()
 
     def _learn_stored(self, stored: StateRow, era: int, store_s: float) -> None:
-        """Keep a row as the store has it; an unreadable one may have named any version."""
+        """Keep a row as the store has it.
+
+        An unreadable one may have named any version, and so may one that a restored store lost
+        unless it is known here what that named.
+        """
         row = decode_row(VERSION_TABLE, stored, VersionRow)
         if row is None:
             row = VersionRow({UNRECORDED: store_s})
+        elif row.is_of_era_before(era) and stored.key not in self._lost:
+            row = VersionRow(row.versions | {UNRECORDED: store_s}, row.era)
         self._learn(stored.key, _KnownRow(EraVersion(era, stored.version), row))
 
     async def _read_after_now(self) -> bool:
--- a/tests/test_stream_review.py
+++ b/tests/test_stream_review.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 from collections.abc import Awaitable, Callable
+from functools import partial
 from unittest import mock
 
 from moledale.clock import monotonic
@@ -16,7 +17,7 @@
 from tests.gateway_world import run_quietly
 from tests.test_gateway_nodes import Cluster, run_on_cluster, wait_until
 from tests.test_streams_after_kills import NODES, STREAMS, restart_all
-from tests.test_version_register import SERVICE, Node
+from tests.test_version_register import LIFETIME_S, SERVICE, Node
 from tests.versions_world import VersionCluster, goes_on
 
 
@@ -92,8 +93,8 @@
             run_quietly(work())
 
 
-BOTH = {"versions": {"v1": None, "v2": None}}
-"""The row of a service with two listed versions."""
+BOTH = {"versions": {"v1": None, "v2": None}, "era": 2}
+"""The row of a service with two listed versions; the first era of a store is known as 2."""
 
 
 class RegisterTest(unittest.TestCase):
@@ -149,6 +150,26 @@
 
         self.run_with(work)
 
+    def test_node_that_starts_after_the_store_was_restored_rules_no_version_out(self) -> None:
+        async def work(platform: RowsPlatform) -> None:
+            before = self.node(platform)
+            before.see("v1")
+            await wait_until(lambda: before.begins("v1"))
+            older = platform.snapshot()
+            before.see("v1", "v2")
+            await wait_until(lambda: before.begins("v2"))
+            before.task.cancel()
+            platform.restore(older)
+            one, two = self.node(platform, False), self.node(platform, False)
+            for node in (one, two):
+                node.see("v1")
+                await wait_until(partial(node.begins, "v1"))
+                self.assertIsNone(await node.recent())
+            await asyncio.sleep(LIFETIME_S)
+            self.assertEqual(await one.recent(), {"v1"})
+
+        self.run_with(work)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_version_register.py
+++ b/tests/test_version_register.py
@@ -88,8 +88,8 @@
             self.assertFalse(node.begins("v2"))
             platform.mode = StoreMode.HEALTHY
             await wait_until(lambda: node.begins("v2"))
-            versions = {"v1": None, "v2": None}
-            self.assertEqual(platform.body(VERSION_TABLE, SERVICE), {"versions": versions})
+            row = {"versions": {"v1": None, "v2": None}, "era": node.store.era.number}
+            self.assertEqual(platform.body(VERSION_TABLE, SERVICE), row)
 
         self.run_with(work)
 
