Count forgotten nodes as silent ones

What callers would see: a stream of a new version that is taken up at a node which has been cut off from the store and from all nodes for over 40 s is answered 200 and goes on at the old version (ORDER).

Cause: what is unknown is taken for absent. Without the store a node takes a version for the only one if no known node is silent. After 40 s it forgets the silent nodes, asks nobody, and all of nobody have answered.

Change: a node that fell silent without leaving counts as silent until it is heard again, also when its state is dropped.

Evidence: test_node_that_has_forgotten_the_others_in_isolation_does_not_mix (retention shortened to 1.5 s) failed before (events of v1 after a stream of v2, 200) and passes, one run each.

--- a/src/moledale/gateway/peers.py
+++ b/src/moledale/gateway/peers.py
@@ -227,12 +227,16 @@
 
 
 class Membership(msgspec.Struct):
-    """All known nodes except this one; former incarnations are kept for their counts."""
+    """All known nodes except this one; former incarnations are kept for their counts.
+
+    `_lost` has the ids of forgotten nodes that fell silent without leaving.
+    """
 
     own_id: str
     own_incarnation: int
     members: dict[str, Member] = msgspec.field(default_factory=dict)
     former: list[Member] = msgspec.field(default_factory=list)
+    _lost: set[str] = msgspec.field(default_factory=set)
 
     def merge(self, state: NodeState, now: float) -> NodeState | None:
         """Merge a newer state; return the previous one of the same incarnation.
@@ -244,6 +248,7 @@
             if state.life != self.own_incarnation:
                 self._record_former(state, now)
             return None
+        self._lost.discard(state.id)
         known = self.members.get(state.id)
         if known is None:
             self.members[state.id] = Member(state, now, now, _counted_at(state, now))
@@ -320,9 +325,16 @@
         return (1 + reachable) / (1 + known)
 
     def any_silent(self, now: float) -> bool:
-        """Return whether a known node fell silent without leaving."""
+        """Return whether a node fell silent without leaving, a forgotten one included.
+
+        It may be alive behind a network partition for longer than it is kept.
+        """
         silent = self.members.keys() - {state.id for state in self.alive(now)}
-        return any(self.members[name].state.standing != Standing.LEAVING for name in silent)
+        return bool(self._lost) or any(self._is_unexplained(name) for name in silent)
+
+    def _is_unexplained(self, name: str) -> bool:
+        """Return whether a silent node did not say that it leaves."""
+        return self.members[name].state.standing != Standing.LEAVING
 
     def all_states(self) -> list[NodeState]:
         """Return the last state of each incarnation of each node that is still kept."""
@@ -336,5 +348,6 @@
             for name, each in self.members.items()
             if now - each.last_seen_at > MEMBER_RETENTION_S
         ]
+        self._lost.update(filter(self._is_unexplained, gone))
         for name in gone:
             del self.members[name]
--- a/tests/test_stream_review.py
+++ b/tests/test_stream_review.py
@@ -3,10 +3,12 @@
 import asyncio
 import unittest
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from functools import partial
 from unittest import mock
 
 from moledale.clock import monotonic
+from moledale.gateway import peers, server_group
 from moledale.gateway.usage import TrueTime
 from moledale.platform.store import PlatformStore
 from moledale.streams import origin_log, version_register
@@ -17,8 +19,9 @@
 from tests.gateway_world import run_quietly
 from tests.test_gateway_nodes import Cluster, run_on_cluster, wait_until
 from tests.test_streams_after_kills import NODES, STREAMS, restart_all
+from tests.test_streams_out_of_step import add_version, cut_from_nodes, cut_from_store
 from tests.test_version_register import LIFETIME_S, SERVICE, Node
-from tests.versions_world import VersionCluster, goes_on
+from tests.versions_world import BrokenStream, VersionCluster, goes_on, mixes
 
 
 class KilledTwiceTest(unittest.TestCase):
@@ -171,5 +174,37 @@
         self.run_with(work)
 
 
+class IsolatedNodeTest(unittest.TestCase):
+    def test_node_that_has_forgotten_the_others_in_isolation_does_not_mix(self) -> None:
+        async def work(cluster: Cluster) -> None:
+            world = VersionCluster(cluster)
+            await world.start(3, {"v1": 2})
+            late = cluster.nodes["n3"]
+            cut_from_nodes(late)
+            cut_from_store(late)
+            await wait_until(lambda: not late.members.members)
+            await add_version(world, "n1")
+            stream = await begin_at(world, "n1", "v2")
+            got = await world.resume(stream, "n3")
+            self.assertFalse(mixes(stream, got), (stream, got))
+
+        with (
+            mock.patch.object(peers, "MEMBER_RETENTION_S", 1.5),
+            mock.patch.object(server_group, "UNORDERED_VERSION_DELAY_S", 0.0),
+        ):
+            run_on_cluster(work)
+
+
+async def begin_at(world: VersionCluster, node: str, version: str) -> BrokenStream:
+    """Begin a stream at a version as soon as a node sends streams there."""
+    async with asyncio.timeout(3):
+        while True:
+            with suppress(asyncio.IncompleteReadError, ConnectionError):
+                stream = await world.begin(node)
+                if stream.version == version:
+                    return stream
+            await asyncio.sleep(0.01)
+
+
 if __name__ == "__main__":
     unittest.main()
