Show that streams are refused if a version joins while all nodes are down

What callers see: one version serves, all nodes end at once, and a second version is listed before they are back.

Cause: streams are told and written only while several versions count, so nothing is known of those that began before.

Not mended: writing streams always costs up to ten calls a second. Another way is to name in the row since when a version may begin streams, and to take an unknown stream for an older one where every node has run since then and answers.

--- a/tests/test_stream_review.py
+++ b/tests/test_stream_review.py
@@ -43,6 +43,25 @@
         run_on_cluster(work)
 
 
+class VersionJoinsTest(unittest.TestCase):
+    def test_streams_of_the_only_version_go_on_though_another_joins_while_all_nodes_are_down(
+        self,
+    ) -> None:
+        async def work(cluster: Cluster) -> None:
+            world = VersionCluster(cluster)
+            await world.start(3, {"v1": 2})
+            streams = [await world.begin(NODES[number % 3]) for number in range(STREAMS)]
+            await asyncio.sleep(1.0)
+            for _ in range(2):
+                await world.add_server("v2")
+            await restart_all(world)
+            for number, stream in enumerate(streams):
+                got = await world.resume(stream, NODES[number % 3])
+                self.assertTrue(goes_on(stream, got), (stream, got))
+
+        run_on_cluster(work)
+
+
 class RestartInOutageTest(unittest.TestCase):
     def test_node_that_starts_again_while_the_store_is_down_begins_streams(self) -> None:
         async def work(cluster: Cluster) -> None:
