Mark unrecorded versions by a name that no server has

What callers see: while one server of a service has an empty `version` in its entry, streams of that service that no node knows are refused, of whichever version, and for the life of a stream after it.

Cause: an empty name stood in rows for versions that are not recorded, so an entry with that version was taken for a row that may lack some.

Change: the mark is a control character.

Evidence: test_server_that_names_no_version_hides_no_other failed before (None instead of two versions) and passes, one run each.

--- a/src/moledale/streams/version_register.py
+++ b/src/moledale/streams/version_register.py
@@ -27,8 +27,9 @@
 
 VERSION_TABLE = "stream_versions"
 
-UNRECORDED = ""
-"""Stands in a row for versions that no row named: other builds, or before a row was lost."""
+UNRECORDED = "\0"
+"""Stands in a row for versions that no row named: other builds, or before a row was lost. No server
+has such a version; an empty one may occur."""
 
 CALL_TIMEOUT_S = 0.8
 """Timeout of a store call; 200 times its usual duration."""
--- a/tests/test_stream_review.py
+++ b/tests/test_stream_review.py
@@ -157,6 +157,15 @@
 
         self.run_with(work)
 
+    def test_server_that_names_no_version_hides_no_other(self) -> None:
+        async def work(platform: RowsPlatform) -> None:
+            node = self.node(platform)
+            node.see("v1", "")
+            await wait_until(lambda: node.begins("v1") and node.begins(""))
+            self.assertEqual(await node.recent(), {"v1", ""})
+
+        self.run_with(work)
+
     def test_write_that_took_effect_without_an_answer_hides_no_listed_version(self) -> None:
         async def work(platform: RowsPlatform) -> None:
             node = self.node(platform)
