Rule no version out by a row that names none

What callers would see: a stream joined from two versions (ORDER), after another writer emptied the row of a service (`{}`): a node whose list has one version takes that for the only one.

Cause: what is unknown is taken for absent. No node needs to write such a row, but it was read as one that names all versions.

Change: a row without versions counts as unreadable, and a service that had no server lately gets no row.

Evidence: test_row_that_lost_its_versions_rules_none_out failed before (an empty set instead of None, one run) and passes.

--- a/src/moledale/streams/version_register.py
+++ b/src/moledale/streams/version_register.py
@@ -224,8 +224,10 @@
 
     def _is_outdated(self, service: str) -> bool:
         known = self._rows.get(service)
-        if known is None or service in self._lost or service in self._uncertain:
+        if service in self._lost or service in self._uncertain:
             return True
+        if known is None:
+            return bool(self._history.recent(service))
         if known.row.is_of_era_before(self._store.era.number):
             return True
         current, listed = known.row.current(), self._history.listed(service)
@@ -307,11 +309,11 @@
     def _learn_stored(self, stored: StateRow, era: int, store_s: float) -> None:
         """Keep a row as the store has it.
 
-        An unreadable one may have named any version, and so may one that a restored store lost
-        unless it is known here what that named.
+        An unreadable one may have named any version, and so may one that names none, which no node
+        writes, or one that a restored store lost unless it is known here what that named.
         """
         row = decode_row(VERSION_TABLE, stored, VersionRow)
-        if row is None:
+        if row is None or not row.versions:
             row = VersionRow({UNRECORDED: store_s})
         elif row.is_of_era_before(era) and stored.key not in self._lost:
             row = VersionRow(row.versions | {UNRECORDED: store_s}, row.era)
--- a/tests/test_stream_review.py
+++ b/tests/test_stream_review.py
@@ -166,6 +166,20 @@
 
         self.run_with(work)
 
+    def test_row_that_lost_its_versions_rules_none_out(self) -> None:
+        async def work(platform: RowsPlatform) -> None:
+            node = self.node(platform)
+            node.see("v1", "v2")
+            await wait_until(lambda: node.begins("v2"))
+            platform.put(VERSION_TABLE, SERVICE, {})
+            late = self.node(platform, False)
+            late.see("v1")
+            self.assertIsNone(await late.recent())
+            await wait_until(lambda: late.begins("v1"))
+            self.assertIsNone(await late.recent())
+
+        self.run_with(work)
+
     def test_write_that_took_effect_without_an_answer_hides_no_listed_version(self) -> None:
         async def work(platform: RowsPlatform) -> None:
             node = self.node(platform)
