--- a/src/moledale/streams/version_register.py
+++ b/src/moledale/streams/version_register.py
@@ -19,7 +19,7 @@
 from moledale.gateway.backoff import Backoff
 from moledale.gateway.outside import ABSENT_VERSION, StateRow, Store, TableSnapshot
 from moledale.gateway.state_rows import decode_row
-from moledale.gateway.store_era import EraVersion
+from moledale.gateway.store_era import UNKNOWN_ERA, EraVersion
 from moledale.gateway.store_health import StoreHealth
 from moledale.gateway.usage import TrueTime
 from moledale.log import Event, emit
@@ -27,8 +27,9 @@
 
 VERSION_TABLE = "stream_versions"
 
-UNRECORDED = ""
-"""Stands in a row for versions that no row named: other builds, or before a row was lost."""
+UNRECORDED = "\0"
+"""Stands in a row for versions that no row named: other builds, or before a row was lost. No server
+has such a version; an empty one may occur."""
 
 CALL_TIMEOUT_S = 0.8
 """Timeout of a store call; 200 times its usual duration."""
@@ -62,9 +63,16 @@
     """The versions of a service that may have begun streams.
 
     The value is when a version was last listed, in seconds of the store's clock, None while it is.
+    `era` is the era of the store in which the row was written: if the store was restored since, it
+    may have lost what the row named later.
     """
 
     versions: dict[str, float | None] = {}
+    era: int = UNKNOWN_ERA
+
+    def is_of_era_before(self, era: int) -> bool:
+        """Return whether the row was written before the store was restored to a later era."""
+        return UNKNOWN_ERA < self.era < era
 
     def current(self) -> frozenset[str]:
         """Return the versions that streams may begin at."""
@@ -126,6 +134,8 @@
         self._rows: dict[str, _KnownRow] = {}
         # Versions that a row named before the store lost it, until it names them again.
         self._lost: dict[str, frozenset[str]] = {}
+        # Services whose row may have been written by a call without an answer, or may be yet.
+        self._uncertain: set[str] = set()
         self._changed = asyncio.Event()
         self._health = StoreHealth("versions of streams")
         self._backoff = Backoff(RETRY_INITIAL_S, RETRY_MAX_S, backoff_scale)
@@ -138,6 +148,18 @@
         known = self._rows.get(service)
         return known is not None and known.row.versions.get(version, 0.0) is None
 
+    def is_mixed(self, service: str) -> bool:
+        """Return whether resumed streams may have begun at several versions, as far as is known.
+
+        The row also names versions that left before this node got its first list.
+        """
+        versions = self._history.recent(service)
+        known = self._rows.get(service)
+        store_s = self._true_time.to_store(self._now())
+        if known is not None and store_s is not None:
+            versions |= known.row.recent(store_s, self._lifetime_s())
+        return len(versions) > 1
+
     def on_list_changed(self) -> None:
         """Bring the rows up to date with the listed versions soon."""
         self._changed.set()
@@ -202,11 +224,15 @@
 
     def _is_outdated(self, service: str) -> bool:
         known = self._rows.get(service)
-        if known is None or service in self._lost:
+        if service in self._lost or service in self._uncertain:
+            return True
+        if known is None:
+            return bool(self._history.recent(service))
+        if known.row.is_of_era_before(self._store.era.number):
             return True
         current, listed = known.row.current(), self._history.listed(service)
-        gone = (self._history.gone_s(service, version) for version in current - listed)
-        return bool(listed - current) or any(gone_s >= GONE_DELAY_S for gone_s in gone)
+        gone = (not self._lapsed(service, version) for version in current - listed)
+        return bool(listed - current) or any(gone)
 
     async def _write(self, service: str) -> bool:
         """Write a service's row on top of the one known here; return whether the store answered.
@@ -224,9 +250,13 @@
         value = msgspec.json.encode(row)
         outcome = await self._store.write(VERSION_TABLE, service, value, expected, CALL_TIMEOUT_S)
         if isinstance(outcome, Err):
+            if outcome.err_value.uncertain:
+                self._uncertain.add(service)
             self._health.record_failure(outcome.err_value.detail)
             return False
         self._health.record_success()
+        # Whichever version the row has now, a call before can't take effect any more.
+        self._uncertain.discard(service)
         result = outcome.ok_value
         if result.committed:
             self._lost.pop(service, None)
@@ -252,7 +282,14 @@
         dated = {name: store_s if at is None else at for name, at in versions.items()}
         kept_s = self._lifetime_s()
         kept = {name: at for name, at in dated.items() if store_s - at < kept_s}
-        return VersionRow(kept | dict.fromkeys(listed))
+        lapsed = {
+            name for name, at in versions.items() if at is None and self._lapsed(service, name)
+        }
+        return VersionRow(kept | dict.fromkeys(listed | lapsed), self._store.era.number)
+
+    def _lapsed(self, service: str, version: str) -> bool:
+        """Return whether a version may be listed again soon, as its servers left just before."""
+        return self._history.gone_s(service, version) < GONE_DELAY_S
 
     def _forget(self, service: str, known: _KnownRow) -> None:
         """Drop a row that the store has no more, but not what it named."""
@@ -270,10 +307,16 @@
         self._changed.set()
 
     def _learn_stored(self, stored: StateRow, era: int, store_s: float) -> None:
-        """Keep a row as the store has it; an unreadable one may have named any version."""
+        """Keep a row as the store has it.
+
+        An unreadable one may have named any version, and so may one that names none, which no node
+        writes, or one that a restored store lost unless it is known here what that named.
+        """
         row = decode_row(VERSION_TABLE, stored, VersionRow)
-        if row is None:
+        if row is None or not row.versions:
             row = VersionRow({UNRECORDED: store_s})
+        elif row.is_of_era_before(era) and stored.key not in self._lost:
+            row = VersionRow(row.versions | {UNRECORDED: store_s}, row.era)
         self._learn(stored.key, _KnownRow(EraVersion(era, stored.version), row))
 
     async def _read_after_now(self) -> bool:
