Decode what others write in one place

One entry with deeply nested lists, even in an unknown field, ended every node that read it. msgspec raises RecursionError for it, which is no ValueError, so the reading task failed until its supervisor gave up. tomllib raises RecursionError and a plain ValueError likewise.

All seams decode through moledale.decoding, which raises the documented error of the library only.

The new tests DeepNestingTest and NestedRowsTest and the nested plan of PlanOfOthersTest fail with the code before (2 failures, 5 errors of 9).

--- a/src/moledale/backing/http.py
+++ b/src/moledale/backing/http.py
@@ -23,6 +23,7 @@
     TransactionOutcome,
     WeightGrant,
 )
+from moledale.decoding import decode_json
 from moledale.http_client import read_content
 from moledale.http_failures import CALL_FAILURES, check_framing
 from moledale.settings import PlatformSection
@@ -80,7 +81,7 @@
         if isinstance(outcome, Err):
             return outcome
         try:
-            return Ok(msgspec.json.decode(outcome.ok_value or b"", type=response_type))
+            return Ok(decode_json(outcome.ok_value or b"", response_type))
         except msgspec.DecodeError as error:
             return Err(PlatformFailure(self._part, f"odd answer: {error}", method != "GET"))
 
--- a/src/moledale/bundle/schema.py
+++ b/src/moledale/bundle/schema.py
@@ -8,6 +8,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
 from result import Err, Ok, Result
 
+from moledale.decoding import decode_toml
 from moledale.findings import Finding, from_validation
 from moledale.settings import Name, Url
 
@@ -209,7 +210,7 @@
 def parse(source: str, body: bytes) -> Result[Bundle, list[Finding]]:
     """Parse and validate a bundle; each finding names the key that is wrong."""
     try:
-        data = tomllib.loads(body.decode("utf-8"))
+        data = decode_toml(body.decode("utf-8"))
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
         return Err([Finding(source, "", f"not valid TOML: {error}")])
     try:
--- a/src/moledale/bundle/store.py
+++ b/src/moledale/bundle/store.py
@@ -16,6 +16,7 @@
 )
 from moledale.bundle import schema
 from moledale.bundle.signing import Signature, digest, verify_signatures
+from moledale.decoding import decode_json
 from moledale.findings import Finding
 from moledale.settings import OperatorsSection
 
@@ -92,7 +93,7 @@
     if outcome.ok_value is None:
         return Err("the object store does not hold the bundle")
     try:
-        signed = msgspec.json.decode(outcome.ok_value, type=SignedBundle)
+        signed = decode_json(outcome.ok_value, SignedBundle)
     except msgspec.DecodeError as error:
         return Err(f"the stored bundle is damaged: {error}")
     if digest(signed.body.encode()) != head.digest:
@@ -191,11 +192,11 @@
 async def history(platform: Platform) -> Result[list[Head], PlatformFailure]:
     """Return the accepted versions, oldest first, at most `MAX_HISTORY_ROWS`."""
     outcome = await platform.table.scan(HISTORY_TABLE, "", MAX_HISTORY_ROWS)
-    return outcome.map(lambda rows: [msgspec.json.decode(row.value, type=Head) for row in rows])
+    return outcome.map(lambda rows: [decode_json(row.value, Head) for row in rows])
 
 
 def _decode_head(row: Row | None) -> tuple[Head | None, int]:
     """Return the head that a row holds, and the version of the row."""
     if row is None:
         return None, ABSENT
-    return msgspec.json.decode(row.value, type=Head), row.version
+    return decode_json(row.value, Head), row.version
--- /dev/null
+++ b/src/moledale/decoding.py
@@ -0,0 +1,68 @@
+"""Decoding of JSON, MessagePack and TOML that others wrote.
+
+The libraries raise further errors for some inputs, such as RecursionError for deep nesting, which
+would end the task that reads them. Here each of them is a ValueError.
+"""
+
+import tomllib
+from typing import Protocol, TypeVar
+
+import msgspec
+
+T = TypeVar("T")
+T_co = TypeVar("T_co", covariant=True)
+
+UNDECODABLE = (ArithmeticError, RecursionError, MemoryError, ValueError)
+"""Errors that decoders raise for some inputs beside the documented one."""
+
+
+class Decoder(Protocol[T_co]):
+    """A decoder of msgspec for one type."""
+
+    def decode(self, buf: bytes, /) -> T_co:
+        """Return the value of an encoded message."""
+        ...
+
+
+def decode_with(decoder: Decoder[T], raw: bytes) -> T:
+    """Decode a message; raise `msgspec.DecodeError`, a ValueError, if it can't be read."""
+    try:
+        return decoder.decode(raw)
+    except msgspec.DecodeError:
+        raise
+    except UNDECODABLE as error:
+        raise msgspec.DecodeError(_describe(error)) from error
+
+
+def decode_json(raw: bytes | str, value_type: type[T]) -> T:
+    """Decode JSON; raise `msgspec.DecodeError`, a ValueError, if it can't be read."""
+    try:
+        return msgspec.json.decode(raw, type=value_type)
+    except msgspec.DecodeError:
+        raise
+    except UNDECODABLE as error:
+        raise msgspec.DecodeError(_describe(error)) from error
+
+
+def decode_msgpack(raw: bytes, value_type: type[T]) -> T:
+    """Decode MessagePack; raise `msgspec.DecodeError`, a ValueError, if it can't be read."""
+    try:
+        return msgspec.msgpack.decode(raw, type=value_type)
+    except msgspec.DecodeError:
+        raise
+    except UNDECODABLE as error:
+        raise msgspec.DecodeError(_describe(error)) from error
+
+
+def decode_toml(text: str) -> dict[str, object]:
+    """Decode TOML; raise `tomllib.TOMLDecodeError`, a ValueError, if it can't be read."""
+    try:
+        return tomllib.loads(text)
+    except tomllib.TOMLDecodeError:
+        raise
+    except UNDECODABLE as error:
+        raise tomllib.TOMLDecodeError(_describe(error)) from error
+
+
+def _describe(error: BaseException) -> str:
+    return f"{type(error).__name__}: {error}"
--- a/src/moledale/edge/callers.py
+++ b/src/moledale/edge/callers.py
@@ -10,6 +10,7 @@
 
 from moledale import problems
 from moledale.bundle.schema import Account
+from moledale.decoding import decode_json
 from moledale.edge import sse
 from moledale.edge.answers import JSON_MEDIA_TYPE, json_response, problem_response
 from moledale.edge.requests import (
@@ -363,7 +364,7 @@
 
 def _once_completion_body(request: GenerationRequest, answer: ServiceAnswer) -> bytes:
     """Return the completion body for the stored answer of a non-repeatable generation."""
-    reason, *tokens = msgspec.json.decode(answer.body, type=list[str])
+    reason, *tokens = decode_json(answer.body, list[str])
     return sse.encode_completion(request, tokens, reason, sse.Usage(len(tokens)))
 
 
--- a/src/moledale/edge/operators.py
+++ b/src/moledale/edge/operators.py
@@ -11,6 +11,7 @@
 from moledale import problems
 from moledale.build import build_id
 from moledale.bundle import store
+from moledale.decoding import decode_json
 from moledale.edge.answers import json_response, problem_response
 from moledale.edge.requests import bearer, read_body
 from moledale.node.node import Node
@@ -89,7 +90,7 @@
         if isinstance(body, Err):
             return problem_response(body.err_value)
         try:
-            signed = msgspec.json.decode(body.ok_value, type=store.SignedBundle)
+            signed = decode_json(body.ok_value, store.SignedBundle)
         except msgspec.DecodeError as error:
             return problem_response(problems.bad_request(f"body: {error}"))
         outcome = await self._node.roll(signed)
@@ -120,7 +121,7 @@
         body = await self._node.platform.objects.get(store.OBJECT_PREFIX + head.digest)
         if isinstance(body, Err) or body.ok_value is None:
             return problem_response(problems.unavailable("the object store does not answer", 2))
-        signed = msgspec.json.decode(body.ok_value, type=store.SignedBundle)
+        signed = decode_json(body.ok_value, store.SignedBundle)
         return json_response({"head": head, "bundle": signed})
 
     def _is_authorized(self, request: Request) -> bool:
--- a/src/moledale/edge/requests.py
+++ b/src/moledale/edge/requests.py
@@ -10,6 +10,7 @@
 
 from moledale import problems
 from moledale.bundle.schema import Account, Bundle, Priority
+from moledale.decoding import decode_json
 from moledale.node.node import Node
 from moledale.node.streams import GenerationRequest
 from moledale.problems import Problem
@@ -94,11 +95,11 @@
     """Validate a completion or chat completion against the bundle in force."""
     try:
         if chat:
-            chat_body = msgspec.json.decode(body, type=ChatBody)
+            chat_body = decode_json(body, ChatBody)
             prompt = "\n".join(f"{m.role}: {m.content}" for m in chat_body.messages)
             model, max_tokens, stream = chat_body.model, chat_body.max_tokens, chat_body.stream
         else:
-            completion = msgspec.json.decode(body, type=CompletionBody)
+            completion = decode_json(body, CompletionBody)
             prompt = completion.prompt
             model, max_tokens, stream = completion.model, completion.max_tokens, completion.stream
     except msgspec.DecodeError as error:
--- a/src/moledale/gateway/document_fetch.py
+++ b/src/moledale/gateway/document_fetch.py
@@ -15,6 +15,7 @@
 from result import Err, Ok, Result
 
 from moledale.clock import monotonic
+from moledale.decoding import decode_msgpack
 from moledale.gateway.calls import HttpCaller
 from moledale.gateway.document_archive import DocumentArchive, DocumentPiece, PieceRequest
 from moledale.gateway.document_codec import DocumentUnreadable, decode
@@ -211,7 +212,7 @@
         if outcome.ok_value.status != 200:
             return Err(BUSY_RETRY_S * (1.0 + self._rng.random()))
         try:
-            return Ok(msgspec.msgpack.decode(outcome.ok_value.body, type=DocumentPiece))
+            return Ok(decode_msgpack(outcome.ok_value.body, DocumentPiece))
         except msgspec.DecodeError as error:
             emit(Event.PEER_FETCH_FAILED, what=self._path, peer=control, why=str(error))
             return Err(FAILED_RETRY_S)
--- a/src/moledale/gateway/gossip.py
+++ b/src/moledale/gateway/gossip.py
@@ -7,10 +7,11 @@
 import asyncio
 from collections import Counter
 from collections.abc import Callable
-from typing import get_args
+from typing import Any, get_args
 
 import msgspec
 
+from moledale.decoding import decode_msgpack, decode_with
 from moledale.gateway.messages import Placed
 from moledale.gateway.peers import NodeState
 from moledale.gateway.permits import PermitAnswer, PermitAsk
@@ -99,10 +100,10 @@
 def claimed_kind(data: bytes) -> str:
     """Return the kind that an unreadable message claims to be, `NO_KIND` if it names none."""
     try:
-        parts = msgspec.msgpack.decode(data)
+        parts = decode_msgpack(data, list[Any])
     except msgspec.DecodeError:
         return NO_KIND
-    if isinstance(parts, list) and parts and isinstance(parts[0], str):
+    if parts and isinstance(parts[0], str):
         return parts[0][:MAX_KIND_CHARS]
     return NO_KIND
 
@@ -122,7 +123,7 @@
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Decode a message; an unreadable one is counted by kind and dropped."""
         try:
-            message = _decoder.decode(data)
+            message = decode_with(_decoder, data)
         except msgspec.DecodeError as error:
             self._record_unreadable(claimed_kind(data), addr[0], str(error))
             return
--- a/src/moledale/gateway/server_list.py
+++ b/src/moledale/gateway/server_list.py
@@ -11,6 +11,7 @@
 import msgspec
 import xxhash
 
+from moledale.decoding import decode_msgpack
 from moledale.gateway.ended_servers import Departure, DepartureLog
 from moledale.gateway.messages import Server
 from moledale.gateway.store_era import UNKNOWN_ERA, EraVersion
@@ -198,7 +199,7 @@
 
         Raise ValueError if it can't be decoded.
         """
-        servers = msgspec.msgpack.decode(raw, type=list[Server])
+        servers = decode_msgpack(raw, list[Server])
         if era_version < self.era_version:
             return False
         return self._replace({server.id: server for server in servers}, era_version)
--- a/src/moledale/gateway/settings.py
+++ b/src/moledale/gateway/settings.py
@@ -7,6 +7,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from moledale.decoding import decode_toml
 from moledale.findings import Finding
 
 
@@ -111,7 +112,7 @@
 def parse(source: str, text: str) -> Result[GatewaySettings, list[Finding]]:
     """Parse and validate TOML text; `source` is the file name reported in findings."""
     try:
-        data = tomllib.loads(text)
+        data = decode_toml(text)
     except tomllib.TOMLDecodeError as error:
         return Err([Finding(source, "", f"not valid TOML: {error}")])
     try:
--- a/src/moledale/gateway/state_packing.py
+++ b/src/moledale/gateway/state_packing.py
@@ -12,6 +12,7 @@
 import msgspec
 import zstandard
 
+from moledale.decoding import decode_with
 from moledale.gateway.gossip import PackedState, StateNews
 
 ROUNDS_PER_SNAPSHOT = 5
@@ -86,8 +87,8 @@
                 return None
         try:
             raw = _decompressor(base).decompress(packed.frame, max_output_size=MAX_UNPACKED_BYTES)
-            message = _decoder.decode(raw)
-        except (zstandard.ZstdError, msgspec.DecodeError):
+            message = decode_with(_decoder, raw)
+        except (zstandard.ZstdError, MemoryError, msgspec.DecodeError):
             return None
         if packed.base == NO_BASE and not message.state.brief:
             self._store_snapshot(message, raw)
--- a/src/moledale/gateway/state_rows.py
+++ b/src/moledale/gateway/state_rows.py
@@ -3,8 +3,7 @@
 from collections.abc import Callable
 from typing import TypeVar
 
-import msgspec
-
+from moledale.decoding import decode_json
 from moledale.gateway.outside import StateRow
 from moledale.log import Event, emit
 
@@ -22,4 +21,4 @@
 
 def decode_row(table: str, row: StateRow, value_type: type[T]) -> T | None:
     """Decode the JSON value of a row that nodes wrote; None, logged, if it is corrupt."""
-    return parse_or_log(table, row.key, lambda: msgspec.json.decode(row.value, type=value_type))
+    return parse_or_log(table, row.key, lambda: decode_json(row.value, value_type))
--- a/src/moledale/node/hall_duty.py
+++ b/src/moledale/node/hall_duty.py
@@ -22,6 +22,7 @@
 from moledale.bundle.schema import Bundle
 from moledale.clock import Clock
 from moledale.core.leases import Grant, Lease, LeaseAction, LeaseRow, may_send_order
+from moledale.decoding import decode_json
 from moledale.log import Event, emit
 from moledale.node.fleet import Fleet
 from moledale.node.hall_renting import HallRenting
@@ -141,7 +142,7 @@
         if isinstance(outcome, Err):
             return
         row = outcome.ok_value
-        decoded = None if row is None else msgspec.json.decode(row.value, type=LeaseRow)
+        decoded = None if row is None else decode_json(row.value, LeaseRow)
         version = ABSENT if row is None else row.version
         self.lease.record_read(decoded, version, self._clock.monotonic())
 
@@ -169,7 +170,7 @@
         found = outcome.ok_value
         if found is None:
             return
-        held = msgspec.json.decode(found.value, type=LeaseRow)
+        held = decode_json(found.value, LeaseRow)
         if held.operation == row.operation:
             self.lease.record_write(row, found.version, sent_at)
         else:
--- a/src/moledale/node/hall_renting.py
+++ b/src/moledale/node/hall_renting.py
@@ -24,6 +24,7 @@
 from moledale.clock import Clock
 from moledale.core.leases import Grant
 from moledale.core.renting import HeldInstance, Rent, RentRefusal, RentView, Return, plan
+from moledale.decoding import decode_json
 from moledale.log import Event, emit
 from moledale.node.fleet import Fleet
 from moledale.node.messages import ServerLeaving
@@ -240,4 +241,4 @@
 
 
 def _decode(row: Row) -> HallDemand:
-    return msgspec.json.decode(row.value, type=HallDemand)
+    return decode_json(row.value, HallDemand)
--- a/src/moledale/node/jobs.py
+++ b/src/moledale/node/jobs.py
@@ -22,6 +22,7 @@
 )
 from moledale.clock import Clock
 from moledale.core.hashing import first_ranked
+from moledale.decoding import decode_json
 from moledale.log import Event, emit
 from moledale.node.dispatcher import Dispatcher
 from moledale.node.journal import Entry, Journal, Outcome, new_operation
@@ -235,7 +236,7 @@
             return 0
         adopted = 0
         for row in scanned.ok_value:
-            job = msgspec.json.decode(row.value, type=Job)
+            job = decode_json(row.value, Job)
             if adopted >= MAX_ADOPTIONS_PER_SCAN or len(self._owned) >= MAX_OWNED_JOBS:
                 break
             if self._is_orphan(job, is_live) and await self._adopt(job, row):
@@ -369,7 +370,7 @@
             row = read.ok_value
             if row is None:
                 continue
-            job = msgspec.json.decode(row.value, type=kind)
+            job = decode_json(row.value, kind)
             if job.account != account:
                 return Err(problems.not_found(f"job {job_id!r}"))
             return Ok((row, job))
--- a/src/moledale/node/journal.py
+++ b/src/moledale/node/journal.py
@@ -11,6 +11,7 @@
 
 from moledale.backing.types import Condition, TableService, Transaction, Write
 from moledale.clock import Clock
+from moledale.decoding import decode_json
 from moledale.log import Event, emit
 from moledale.node.mailbox import Mailbox
 
@@ -178,7 +179,7 @@
             row = outcome.ok_value
             if row is None:
                 return Outcome.CONFLICT
-            if msgspec.json.decode(row.value, type=JournaledRow).operation == entry.operation:
+            if decode_json(row.value, JournaledRow).operation == entry.operation:
                 entry.versions = [row.version if w is write else 0 for w in entry.writes]
                 return Outcome.COMMITTED
             return Outcome.CONFLICT
--- a/src/moledale/node/node.py
+++ b/src/moledale/node/node.py
@@ -21,6 +21,7 @@
 from moledale.core.freshness import Freshness, Verdict, decide_verdict
 from moledale.core.hashing import ranked
 from moledale.core.routing import LoadTracker
+from moledale.decoding import decode_json
 from moledale.log import Event, emit
 from moledale.node.accounts import Accounts
 from moledale.node.background import BackgroundTasks
@@ -480,7 +481,7 @@
         return await self.once.run(call)
 
     async def _dispatch_once(self, call: OnceCall) -> Result[ServiceAnswer, Problem]:
-        work = msgspec.json.decode(call.encoded, type=OnceWork)
+        work = decode_json(call.encoded, OnceWork)
         if work.service is not None:
             return await self.services.call(work.service)
         assert work.generation is not None, "exactly one field is set"
--- a/src/moledale/node/once.py
+++ b/src/moledale/node/once.py
@@ -15,6 +15,7 @@
 from moledale import problems
 from moledale.backing.types import ABSENT, Condition, TableService, Write
 from moledale.clock import Clock
+from moledale.decoding import decode_json
 from moledale.node.background import BackgroundTasks
 from moledale.node.journal import Entry, Journal, Outcome, new_operation
 from moledale.problems import Problem, Ran
@@ -222,7 +223,7 @@
             )
             self._settle(call, state, outcome, keep=False)
             return outcome
-        claim = msgspec.json.decode(read.ok_value.value, type=Claim)
+        claim = decode_json(read.ok_value.value, Claim)
         if claim.fingerprint != call.fingerprint:
             outcome = Err(problems.key_reused("it came with another call"))
         elif claim.answer is not None:
--- a/src/moledale/peers/grpc_link.py
+++ b/src/moledale/peers/grpc_link.py
@@ -7,6 +7,7 @@
 from result import Err, Ok, Result
 
 from moledale import problems
+from moledale.decoding import decode_json
 from moledale.node.once import OnceCall
 from moledale.node.streams import StreamRecord
 from moledale.peers.auth import METADATA_KEY, PeerTokens
@@ -86,7 +87,7 @@
             detail = f"the node that took the key does not answer: {error.code().name}"
             return Err(problems.outcome_unknown(detail))
         if reply.ran:
-            body = msgspec.json.decode(reply.body, type=dict[str, str])
+            body = decode_json(reply.body, dict[str, str])
             return Err(
                 Problem(body["kind"], reply.status, body["title"], body["detail"], Ran(reply.ran))
             )
--- a/src/moledale/peers/server.py
+++ b/src/moledale/peers/server.py
@@ -6,6 +6,7 @@
 import msgspec
 from result import Err
 
+from moledale.decoding import decode_json
 from moledale.log import Event, emit
 from moledale.node.once import OnceCall
 from moledale.node.streams import StreamRecord
@@ -53,7 +54,7 @@
         """Run a non-repeatable call; `ran` is set in the reply only for a problem."""
         await self._authenticate(context)
         try:
-            call = msgspec.json.decode(request.call, type=OnceCall)
+            call = decode_json(request.call, OnceCall)
         except msgspec.DecodeError as error:
             await context.abort(grpc.StatusCode.INVALID_ARGUMENT, f"damaged call: {error}")
             raise AssertionError("abort raises") from error
--- a/src/moledale/peers/wire.py
+++ b/src/moledale/peers/wire.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from moledale.decoding import decode_msgpack
 from moledale.node.streams import GenerationRequest
 
 
@@ -12,4 +13,4 @@
 
 def decode_request(body: bytes) -> GenerationRequest:
     """Decode a request from a peer; raise `msgspec.DecodeError` if it is malformed."""
-    return msgspec.msgpack.decode(body, type=GenerationRequest)
+    return decode_msgpack(body, GenerationRequest)
--- a/src/moledale/platform/engines.py
+++ b/src/moledale/platform/engines.py
@@ -5,6 +5,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from moledale.decoding import decode_json
 from moledale.gateway.calls import HttpCaller
 from moledale.platform.records import encode
 from moledale.platform.store import JSON_TYPE
@@ -45,7 +46,7 @@
             return Err(MoveRefused(failed.detail, sent=failed.sent))
         answer = outcome.ok_value
         try:
-            record = msgspec.json.decode(answer.body or b"{}", type=MoveRecord)
+            record = decode_json(answer.body or b"{}", MoveRecord)
         except msgspec.DecodeError:
             record = MoveRecord()
         if answer.status == 200 and record.handle:
--- a/src/moledale/platform/entries.py
+++ b/src/moledale/platform/entries.py
@@ -5,6 +5,7 @@
 import msgspec
 from cachetools import LRUCache
 
+from moledale.decoding import decode_json
 from moledale.gateway.messages import Server
 from moledale.log import Event, emit
 from moledale.platform.records import Record, RowRecord
@@ -53,7 +54,7 @@
 
 def read_server(row: RowRecord) -> Server:
     """Decode an entry; raise `msgspec.DecodeError` or `ValueError` if it can't be read."""
-    record = msgspec.json.decode(row.body(), type=ServerRecord)
+    record = decode_json(row.body(), ServerRecord)
     return Server(
         row.key if record.born is None else f"{row.key}{INCARNATION_SEPARATOR}{record.born}",
         record.service,
--- a/src/moledale/platform/records.py
+++ b/src/moledale/platform/records.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from moledale.core.rollouts import Phase, RolloutNews, RolloutOrder
+from moledale.decoding import decode_json
 from moledale.gateway import plan
 from moledale.gateway.store_era import UNKNOWN_ERA, EraVersion
 
@@ -156,7 +157,7 @@
 
 def read_config(raw: bytes) -> plan.Plan:
     """Decode a configuration into a plan; raise ValueError if it can't be read."""
-    record = msgspec.json.decode(raw, type=ConfigRecord)
+    record = decode_json(raw, ConfigRecord)
     return plan.Plan(
         record.version,
         tuple(_route(each) for each in record.routes),
@@ -226,13 +227,13 @@
 
 def read_rollout(row: RowRecord, now_s: float, era: int) -> RolloutOrder:
     """Decode a rollout order from its row; raise ValueError if it can't be read."""
-    body = msgspec.json.decode(row.body(), type=RolloutRecord)
+    body = decode_json(row.body(), RolloutRecord)
     return RolloutOrder(body.service, row.ver, body.target_version, body.duration_s, now_s, era)
 
 
 def read_phase(row: RowRecord, order: RolloutOrder) -> Phase | None:
     """Return the phase of an order from a status row, or None if that is of another order."""
-    record = msgspec.json.decode(row.body(), type=StatusRecord)
+    record = decode_json(row.body(), StatusRecord)
     if row.ver < order.revision or record.target_version != order.target:
         return None
     return PHASE_BY_STATE.get(record.state, Phase.TRIAL)
--- a/src/moledale/platform/store.py
+++ b/src/moledale/platform/store.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from moledale.core.rollouts import Phase, RolloutNews, RolloutOrder
+from moledale.decoding import decode_json
 from moledale.gateway.calls import HttpCaller
 from moledale.gateway.messages import Headers, Server
 from moledale.gateway.outside import (
@@ -268,7 +269,7 @@
             gone = response.status == STATUS_HISTORY_GONE
             return Err(Failure(f"status {response.status}", uncertain=False, history_gone=gone))
         try:
-            rows = msgspec.json.decode(response.body, type=RowsRecord)
+            rows = decode_json(response.body, RowsRecord)
         except msgspec.DecodeError as error:
             return Err(Failure(f"an answer that can't be read: {error}"))
         return Ok(Answer(response.status, msgspec.structs.replace(rows, era=era)))
--- a/src/moledale/servers/http.py
+++ b/src/moledale/servers/http.py
@@ -10,6 +10,7 @@
 from aiosonic.timeout import Timeouts
 from result import Err, Ok, Result
 
+from moledale.decoding import decode_json, decode_with
 from moledale.http_client import AnswerTooLong, make_client, read_content
 from moledale.http_failures import CALL_FAILURES, check_framing
 from moledale.http_fields import RETRY_AFTER, retry_after_s
@@ -82,7 +83,7 @@
                     if len(pending) > MAX_EVENT_BYTES:
                         raise AnswerTooLong
                     for event in events:
-                        yield _event_decoder.decode(event.removeprefix(_DATA_PREFIX))
+                        yield decode_with(_event_decoder, event.removeprefix(_DATA_PREFIX))
         except (ConnectionRefusedError, ConnectTimeout) as error:
             raise ServerError(type(error).__name__, may_have_run=False) from error
         except CALL_FAILURES as error:
@@ -144,7 +145,7 @@
         if isinstance(outcome, Err):
             return outcome
         try:
-            return Ok(msgspec.json.decode(outcome.ok_value, type=response_type))
+            return Ok(decode_json(outcome.ok_value, response_type))
         except msgspec.DecodeError as error:
             return Err(ServerFailure(f"undecodable response: {error}", may_have_run=True))
 
--- a/src/moledale/settings.py
+++ b/src/moledale/settings.py
@@ -8,6 +8,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator, model_validator
 from result import Err, Ok, Result
 
+from moledale.decoding import decode_toml
 from moledale.findings import Finding, from_validation
 
 HostPort = Annotated[str, Field(pattern=r"^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$")]
@@ -176,7 +177,7 @@
 def parse(source: str, text: str) -> Result[Settings, list[Finding]]:
     """Parse and validate TOML text; `source` is the file name to put into findings."""
     try:
-        data = tomllib.loads(text)
+        data = decode_toml(text)
     except tomllib.TOMLDecodeError as error:
         return Err([Finding(source, "", f"not valid TOML: {error}")])
     try:
--- a/src/moledale/ui/bundle_commands.py
+++ b/src/moledale/ui/bundle_commands.py
@@ -4,12 +4,14 @@
 import os
 import sys
 from pathlib import Path
+from typing import Any
 
 import msgspec
 from result import Err, Ok, Result
 
 from moledale.bundle import schema, signing, store
 from moledale.bundle.diff import changes
+from moledale.decoding import decode_json
 from moledale.findings import Finding
 from moledale.ui.client import Answer, NodeClient
 from moledale.ui.output import Exit, print_error, print_json, print_table, report_findings
@@ -88,7 +90,7 @@
     """Return the bundle in a node's response, or None if none has been rolled yet."""
     if answer.status == 404:
         return None
-    data = msgspec.json.decode(answer.body)
+    data = decode_json(answer.body, dict[str, Any])
     return schema.parse("head", data["bundle"]["body"].encode()).unwrap()
 
 
@@ -127,7 +129,7 @@
     if not path.exists():
         return Ok([])
     try:
-        return Ok(msgspec.json.decode(path.read_bytes(), type=list[signing.Signature]))
+        return Ok(decode_json(path.read_bytes(), list[signing.Signature]))
     except (OSError, msgspec.DecodeError) as error:
         return Err([Finding(str(path), "", f"is not a list of signatures: {error}")])
 
@@ -151,7 +153,7 @@
 
 def _report_roll(answer: Answer, as_json: bool) -> Exit:
     if answer.status == 201:
-        head = msgspec.json.decode(answer.body, type=store.Head)
+        head = decode_json(answer.body, store.Head)
         if as_json:
             print_json(head)
         else:
@@ -160,7 +162,7 @@
     if answer.status not in (409, 422, 503):
         return _report_unexpected_status(answer)
     try:
-        refusal = msgspec.json.decode(answer.body, type=store.RollRefusal)
+        refusal = decode_json(answer.body, store.RollRefusal)
     except msgspec.DecodeError:
         return _report_unexpected_status(answer)
     if as_json:
@@ -183,7 +185,7 @@
         return Exit.FAILED
     if answer.ok_value.status != 200:
         return _report_unexpected_status(answer.ok_value)
-    heads = msgspec.json.decode(answer.ok_value.body, type=list[store.Head])
+    heads = decode_json(answer.ok_value.body, list[store.Head])
     if options.json:
         print_json(heads)
     else:
--- a/src/moledale/ui/explain_command.py
+++ b/src/moledale/ui/explain_command.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from moledale.decoding import decode_json
 from moledale.log import Event
 from moledale.ui.output import Exit, print_json
 
@@ -64,7 +65,7 @@
             continue
         named = NODE_PREFIX_PATTERN.match(line)
         try:
-            fields = msgspec.json.decode(match["fields"], type=dict[str, object])
+            fields = decode_json(match["fields"], dict[str, object])
         except msgspec.DecodeError:
             continue
         if match["name"] == "starting" and isinstance(fields.get("node"), str):
--- a/src/moledale/ui/fleet_commands.py
+++ b/src/moledale/ui/fleet_commands.py
@@ -3,11 +3,12 @@
 import argparse
 import time
 from pathlib import Path
+from typing import Any
 
-import msgspec
 from result import Err, Ok, Result
 
 from moledale.bundle.schema import Bundle, parse
+from moledale.decoding import decode_json
 from moledale.edge.operators import NodeStatus
 from moledale.node.burn import WINDOWS_S, BurnCount, BurnPage, BurnRow, burn_rows
 from moledale.ui.client import NodeClient
@@ -23,12 +24,12 @@
         return first
     if first.ok_value.status != 200:
         return Err(f"{first.ok_value.node} answered {first.ok_value.status}")
-    listing = msgspec.json.decode(first.ok_value.body, type=NodeStatus)
+    listing = decode_json(first.ok_value.body, NodeStatus)
     addresses = list(listing.nodes.values()) or [first.ok_value.node]
     statuses, failures = [], []
     for answer in client.get_each(addresses, STATUS_PATH):
         if isinstance(answer, Ok) and answer.ok_value.status == 200:
-            statuses.append(msgspec.json.decode(answer.ok_value.body, type=NodeStatus))
+            statuses.append(decode_json(answer.ok_value.body, NodeStatus))
         elif isinstance(answer, Ok):
             failures.append(f"{answer.ok_value.node} answered {answer.ok_value.status}")
         else:
@@ -158,7 +159,7 @@
     failures: list[str] = []
     for answer in client.get_each(addresses, "/admin/v1/burn"):
         if isinstance(answer, Ok) and answer.ok_value.status == 200:
-            counts.extend(msgspec.json.decode(answer.ok_value.body, type=BurnPage).counts)
+            counts.extend(decode_json(answer.ok_value.body, BurnPage).counts)
         else:
             failures.append(str(answer.err_value if isinstance(answer, Err) else answer.ok_value))
     known = [c for c in counts if c.account in {a.name for a in bundle.accounts}]
@@ -166,7 +167,7 @@
 
 
 def _parse_head(body: bytes) -> Bundle:
-    return parse("head", msgspec.json.decode(body)["bundle"]["body"].encode()).unwrap()
+    return parse("head", decode_json(body, dict[str, Any])["bundle"]["body"].encode()).unwrap()
 
 
 def _plot(rows: list[BurnRow], target: Path) -> None:
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -7,16 +7,39 @@
 
 import logbook
 import msgspec
+import zstandard
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from moledale.gateway.gossip import GossipSocket, Message, StateNews
+from moledale import settings as daemon_settings
+from moledale.bundle import schema
+from moledale.core.leases import LeaseRow
+from moledale.core.rollouts import RolloutNews
+from moledale.decoding import decode_json, decode_msgpack, decode_toml
+from moledale.gateway import settings as gateway_settings
+from moledale.gateway.document_archive import DocumentPiece
+from moledale.gateway.duties import WindowRow
+from moledale.gateway.gossip import (
+    NO_KIND,
+    GossipSocket,
+    Message,
+    PackedState,
+    StateNews,
+    claimed_kind,
+)
 from moledale.gateway.messages import AnswerHead, RequestHead, Server
-from moledale.gateway.state_packing import pack_snapshot
+from moledale.gateway.outside import StateRow
+from moledale.gateway.quarantine_store import StoredBlock
+from moledale.gateway.server_list import ServerList
+from moledale.gateway.state_packing import NO_BASE, StateUnpacker, pack_snapshot
+from moledale.gateway.state_rows import decode_row
+from moledale.gateway.store_era import EraVersion
 from moledale.http_fields import retry_after_s
 from moledale.platform.entries import EntryReader
 from moledale.platform.headers import PlatformHeaders
 from moledale.platform.records import RowRecord, read_config, read_phase, read_rollout
+from moledale.streams.origin_log import OriginRow
+from moledale.streams.version_register import VersionRow
 from tests.gateway_states import make_state
 
 FUZZ = settings(max_examples=400, deadline=None, derandomize=True)
@@ -46,6 +69,14 @@
     "service": "plain", "address": "10.0.0.1:80", "zone": "a", "version": "v1", "slots": 4,
     "state": "ready", "seq": 1, "born": 1_700_000_000_000,
 }  # fmt: skip
+STORED_ROWS = (LeaseRow, RolloutNews, StoredBlock, WindowRow, OriginRow, VersionRow)
+"""Types of the rows that nodes write themselves."""
+
+DEPTH = 5_000
+"""Nested lists; decoders give up at a depth of about a thousand."""
+
+JSON_LISTS = b"[" * DEPTH + b"]" * DEPTH
+MSGPACK_LISTS = b"\x91" * DEPTH + b"\x90"
 
 
 def make_row(value: bytes) -> RowRecord:
@@ -150,3 +181,68 @@
         before = self.socket.unreadable.total()
         self.socket.datagram_received(data, ("", 0))
         self.assertEqual(len(self.received) + self.socket.unreadable.total() - before, 1)
+
+
+class DeepNestingTest(unittest.TestCase):
+    """Values that are nested deeply make decoders raise errors that end the reading task."""
+
+    def setUp(self) -> None:
+        handler = logbook.NullHandler()
+        handler.push_application()
+        self.addCleanup(handler.pop_application)
+
+    def assert_unreadable_everywhere(self, value: bytes) -> None:
+        """Check that each seam refuses a JSON value with its documented error."""
+        row = make_row(value)
+        body = {"service": "s", "targetVersion": "v2", "durationS": 8.0}
+        order = read_rollout(make_row(msgspec.json.encode(body)), 1.0, 1)
+        self.assertIsNone(EntryReader().read(row))
+        for name, read in (
+            ("plan", lambda: read_config(value)),
+            ("order", lambda: read_rollout(row, 1.0, 1)),
+            ("status", lambda: read_phase(row, order)),
+            ("answer", lambda: decode_json(value, dict[str, object])),
+        ):
+            with self.subTest(name), self.assertRaises(ValueError):
+                read()
+        for stored in STORED_ROWS:
+            with self.subTest(stored.__name__):
+                self.assertIsNone(decode_row("table", StateRow("k", value, 1), stored))
+
+    def test_json_of_lists(self) -> None:
+        self.assert_unreadable_everywhere(JSON_LISTS)
+
+    def test_json_that_is_nested_in_an_unknown_field(self) -> None:
+        self.assert_unreadable_everywhere(
+            msgspec.json.encode(ENTRY)[:-1] + b',"x":' + JSON_LISTS + b"}"
+        )
+
+    def test_json_of_objects(self) -> None:
+        self.assert_unreadable_everywhere(b'{"x":' * DEPTH + b"1" + b"}" * DEPTH)
+
+    def test_datagrams(self) -> None:
+        received: list[Message] = []
+        socket = GossipSocket(received.append)
+        socket.datagram_received(MSGPACK_LISTS, ("", 0))
+        socket.datagram_received(b"\x92\xa5state" + MSGPACK_LISTS, ("", 0))
+        self.assertEqual((received, socket.unreadable.total()), ([], 2))
+        self.assertEqual(claimed_kind(MSGPACK_LISTS), NO_KIND)
+
+    def test_compressed_states_of_peers(self) -> None:
+        frame = zstandard.ZstdCompressor().compress(MSGPACK_LISTS)
+        self.assertIsNone(StateUnpacker().unpack(PackedState("n1", 1, NO_BASE, frame)))
+
+    def test_documents_of_peers(self) -> None:
+        with self.assertRaises(ValueError):
+            ServerList().update_from_peer(MSGPACK_LISTS, EraVersion(1, 1))
+        with self.assertRaises(msgspec.DecodeError):
+            decode_msgpack(MSGPACK_LISTS, DocumentPiece)
+
+    def test_settings_and_bundles(self) -> None:
+        for text in ("a = " + "[" * DEPTH + "]" * DEPTH, "a = " + "9" * DEPTH):
+            with self.subTest(text[:8]):
+                self.assertTrue(gateway_settings.parse("file", text).is_err())
+                self.assertTrue(daemon_settings.parse("file", text).is_err())
+                self.assertTrue(schema.parse("file", text.encode()).is_err())
+                with self.assertRaises(ValueError):
+                    decode_toml(text)
--- a/tests/test_rows_of_others.py
+++ b/tests/test_rows_of_others.py
@@ -20,6 +20,9 @@
 
 NOT_AN_OBJECT = b'["not an object"]'
 NOT_BASE64 = "a"
+DEPTH = 5_000
+NESTED_DEEPLY = b'{"x":' + b"[" * DEPTH + b"]" * DEPTH + b"}"
+"""A JSON object with an unknown field that decoders can't follow."""
 
 LONG_LEASE = Bounds(stop_s=3.0, lease_s=2.0, usage_window_s=1.0)
 """With a lease this long, renewals come well before it expires even on a slow machine."""
@@ -68,6 +71,11 @@
             lambda platform: put_corrupt_row(platform, "op", "config", NOT_BASE64)
         )
 
+    def test_plan_that_is_nested_deeply_leaves_the_previous_one_in_force(self) -> None:
+        self._assert_plan_survives(
+            lambda platform: put_corrupt_row(platform, "op", "config", NESTED_DEEPLY)
+        )
+
     def test_plan_with_an_unknown_kind_of_route_leaves_the_previous_one_in_force(
         self,
     ) -> None:
@@ -77,6 +85,32 @@
         self._assert_plan_survives(lambda platform: platform.put("op", "config", plan))
 
 
+class NestedRowsTest(unittest.TestCase):
+    def test_rows_of_all_tables_that_are_nested_deeply_end_no_task(self) -> None:
+        async def work(cluster: Cluster) -> None:
+            for table, key in (
+                ("servers", "s2"),
+                ("op", "rollout/plain"),
+                ("status", "rollout/plain"),
+                ("rollouts", "plain"),
+                ("members", "n9"),
+                ("leases", "duties"),
+                ("blocks", "00" * 16),
+                ("usage", "1"),
+                ("stream_versions", "plain"),
+                ("stream_origins", "001"),
+            ):
+                put_corrupt_row(cluster.platform, table, key, NESTED_DEEPLY)
+            node = await cluster.start("n1")
+            await wait_until(ready(node))
+            await asyncio.sleep(2.0)
+            self.assertEqual((await cluster.ask("n1")).status, 200)
+            await wait_until(lambda: node.keeper.grant() is not None, 10.0)
+            self.assertEqual(task_failures(node), {})
+
+        run_on_cluster(work)
+
+
 class LeaseOfOthersTest(unittest.TestCase):
     def test_unreadable_lease_is_acquired_after_the_ttl(self) -> None:
         async def work(cluster: Cluster) -> None:
