Fail with ConnectFailed for addresses that can't be used

A request to a server with port 99999 or with a NUL in its host ended without an answer: connecting raised OverflowError or ValueError out of the request's handler, and uvloop connected to port 99999 modulo 65536.

connect() checks the address first, and any address that can't be used is a ConnectFailed. moledale.host_port parses addresses that others state.

--- a/src/moledale/gateway/upstream.py
+++ b/src/moledale/gateway/upstream.py
@@ -12,6 +12,7 @@
 
 from moledale.gateway.messages import AnswerHead, Framing
 from moledale.gateway.tcp_keep_alive import enable_keep_alive
+from moledale.host_port import split_address
 from moledale.http_overhead import OverheadMeter
 
 CONNECT_TIMEOUT_S = 0.3
@@ -262,11 +263,11 @@
 
 async def connect(address: str, timeout_s: float = CONNECT_TIMEOUT_S) -> UpstreamConnection:
     """Open a connection to `host:port`, or raise ConnectFailed."""
-    host, port = address.rsplit(":", 1)
     loop = asyncio.get_running_loop()
     try:
+        host, port = split_address(address)
         async with asyncio.timeout(timeout_s):
-            _, connection = await loop.create_connection(UpstreamConnection, host, int(port))
-    except (OSError, TimeoutError) as error:
+            _, connection = await loop.create_connection(UpstreamConnection, host, port)
+    except (OSError, TimeoutError, ValueError, OverflowError) as error:
         raise ConnectFailed(f"{address}: {type(error).__name__}") from error
     return connection
