Refuse entries of servers with values that fail later

One entry with slots of 2**70 ended every node that read it: the entry was accepted, and encoding the list for peers raised OverflowError. Port 99999, a host with a NUL, and ids with line breaks were accepted too, and failed when a request was sent. A key with "#" hid the server named before it.

Records bound their numbers, times and texts; such an entry is logged once and skipped. Rows and answers of the store bound their versions and times.

test_odd_entries_of_servers_hide_no_other_server, test_entries_with_values_that_fail_later, test_entries_with_keys_that_are_no_ids and test_accepted_entries_can_be_sent_to_peers fail with the code before.

--- a/src/moledale/host_port.py
+++ b/src/moledale/host_port.py
@@ -2,6 +2,8 @@
 
 MAX_PORT = 65_535
 MAX_PORT_DIGITS = 5
+MAX_SHOWN_CHARS = 80
+"""Longest prefix of an address in an error."""
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -11,11 +13,11 @@
     """
     host, _, digits = address.rpartition(":")
     if not digits.isdecimal() or not digits.isascii() or len(digits) > MAX_PORT_DIGITS:
-        raise ValueError(f"{address!r} is not host:port")
+        raise ValueError(f"{address[:MAX_SHOWN_CHARS]!r} is not host:port")
     port = int(digits)
     if not 0 < port <= MAX_PORT:
-        raise ValueError(f"{address!r} has a port out of range")
+        raise ValueError(f"{address[:MAX_SHOWN_CHARS]!r} has a port out of range")
     if not host or not host.isprintable() or " " in host:
-        raise ValueError(f"{address!r} has no valid host")
+        raise ValueError(f"{address[:MAX_SHOWN_CHARS]!r} has no valid host")
     host.encode("idna")
     return host, port
--- a/src/moledale/platform/entries.py
+++ b/src/moledale/platform/entries.py
@@ -7,8 +7,9 @@
 
 from moledale.decoding import decode_json
 from moledale.gateway.messages import Server
+from moledale.host_port import split_address
 from moledale.log import Event, emit
-from moledale.platform.records import Record, RowRecord
+from moledale.platform.records import HeaderText, Milliseconds, Record, RowRecord, Text, Whole
 
 INCARNATION_SEPARATOR = "#"
 """Separates a server's id from the start time of its process. A server that restarts under the same
@@ -17,22 +18,25 @@
 MAX_LOGGED_ENTRIES = 1_000
 """Maximum unreadable entries that are remembered as already logged: 0.1 MB."""
 
-Address = Annotated[str, msgspec.Meta(pattern=r"^[^:\s]+:[1-9][0-9]{0,4}$")]
+MAX_SLOTS = 1_000_000
+"""Most slots of a server that are accepted: sums over all servers stay exact."""
+
+Address = Annotated[str, msgspec.Meta(max_length=261, pattern=r"\A[^:\s]+:[1-9][0-9]{0,4}\Z")]
 
 
 class ServerRecord(Record, frozen=True):
     """An entry; `born` is when the server's process started, in Unix milliseconds."""
 
-    service: Annotated[str, msgspec.Meta(min_length=1)]
+    service: Annotated[Text, msgspec.Meta(min_length=1)]
     address: Address
-    zone: str
-    version: str
-    slots: Annotated[int, msgspec.Meta(ge=1)]
+    zone: Text
+    version: HeaderText
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
     state: Literal["ready", "draining"]
     seq: int
     spot: bool = False
-    leaves_ms: float | None = msgspec.field(default=None, name="leaves_ms")
-    born: Annotated[int, msgspec.Meta(ge=0)] | None = None
+    leaves_ms: Milliseconds | None = msgspec.field(default=None, name="leaves_ms")
+    born: Whole | None = None
 
 
 class EntryReader:
@@ -45,7 +49,7 @@
         """Return the server that an entry describes, or None if it can't be read."""
         try:
             return read_server(row)
-        except (msgspec.DecodeError, ValueError) as error:
+        except ValueError as error:
             if self._logged.get(row.key) != row.ver:
                 self._logged[row.key] = row.ver
                 emit(Event.ROW_UNREADABLE, table=row.table, key=row.key, why=str(error))
@@ -53,10 +57,14 @@
 
 
 def read_server(row: RowRecord) -> Server:
-    """Decode an entry; raise `msgspec.DecodeError` or `ValueError` if it can't be read."""
+    """Decode an entry; raise ValueError if it can't be read."""
     record = decode_json(row.body(), ServerRecord)
+    split_address(record.address)
+    server_id = msgspec.convert(row.key, HeaderText)
+    if not server_id or INCARNATION_SEPARATOR in server_id:
+        raise ValueError("the key is no id of a server")
     return Server(
-        row.key if record.born is None else f"{row.key}{INCARNATION_SEPARATOR}{record.born}",
+        server_id if record.born is None else f"{server_id}{INCARNATION_SEPARATOR}{record.born}",
         record.service,
         record.address,
         record.zone,
--- a/src/moledale/platform/records.py
+++ b/src/moledale/platform/records.py
@@ -1,7 +1,7 @@
 """Records in the platform's wire format, and their conversion to the gateway's own types."""
 
 import base64
-from typing import Any, Literal
+from typing import Annotated, Any, Literal
 
 import msgspec
 
@@ -16,6 +16,24 @@
 
 KIND_BY_NAME = {"safe": plan.Kind.SAFE, "unsafe": plan.Kind.ONCE, "streaming": plan.Kind.STREAM}
 
+MAX_TEXT_CHARS = 255
+"""Longest id or name. Several of them have to fit a datagram together."""
+
+MAX_COUNT = 1_000_000_000_000
+"""Largest count that is accepted. Sums of many still fit 64 bits, as messages to peers require."""
+
+MAX_TIME_MS = 1e15
+"""Longest time that is accepted, 31,000 years: multiples of it stay finite and fit 64 bits."""
+
+Whole = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+Milliseconds = Annotated[float, msgspec.Meta(ge=-MAX_TIME_MS, le=MAX_TIME_MS)]
+Text = Annotated[str, msgspec.Meta(max_length=MAX_TEXT_CHARS, pattern=r"\A[^\x00-\x1f\x7f]*\Z")]
+HeaderText = Annotated[
+    str, msgspec.Meta(max_length=MAX_TEXT_CHARS, pattern=r"\A[ -~\u00a0-\u00ff]*\Z")
+]
+"""Text that is sent in headers: it has no control characters and only those of Latin-1."""
+
 
 class Record(msgspec.Struct, frozen=True, rename="camel"):
     """Base class of records: names in camel case, unknown fields are ignored."""
@@ -131,7 +149,7 @@
     table: str
     key: str
     value: str = ""
-    ver: int = 0
+    ver: Whole = 0
     part: str = ""
     gone: bool = False
 
@@ -145,8 +163,8 @@
 
     rows: tuple[RowRecord, ...] = ()
     more: bool = False
-    ver: int = 0
-    now_ms: float = 0.0
+    ver: Whole = 0
+    now_ms: Milliseconds = 0.0
     era: int = UNKNOWN_ERA
 
     @property
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -2,8 +2,11 @@
 
 import base64
 import contextlib
+import json
 import math
+import sys
 import unittest
+from collections.abc import Iterator
 
 import logbook
 import msgspec
@@ -34,6 +37,7 @@
 from moledale.gateway.state_packing import NO_BASE, StateUnpacker, pack_snapshot
 from moledale.gateway.state_rows import decode_row
 from moledale.gateway.store_era import EraVersion
+from moledale.host_port import split_address
 from moledale.http_fields import retry_after_s
 from moledale.platform.entries import EntryReader
 from moledale.platform.headers import PlatformHeaders
@@ -79,6 +83,23 @@
 MSGPACK_LISTS = b"\x91" * DEPTH + b"\x90"
 
 
+def encode_json(value: object) -> bytes:
+    """Encode JSON with whole numbers of any size."""
+    with whole_numbers_of_any_size():
+        return json.dumps(value).encode()
+
+
+@contextlib.contextmanager
+def whole_numbers_of_any_size() -> Iterator[None]:
+    """Lift the limit on the digits of whole numbers that are written."""
+    before = sys.get_int_max_str_digits()
+    sys.set_int_max_str_digits(0)
+    try:
+        yield
+    finally:
+        sys.set_int_max_str_digits(before)
+
+
 def make_row(value: bytes) -> RowRecord:
     """Return a row of the server table with a value."""
     return RowRecord("servers", "s1", base64.b64encode(value).decode(), 3)
@@ -145,6 +166,69 @@
             self.assertGreaterEqual(server.slots, 1)
             self.assertTrue(server.leaves_s is None or math.isfinite(server.leaves_s))
 
+    def test_entries_with_values_that_fail_later(self) -> None:
+        """Encoding the list for peers, connecting, or sending the id in a header would fail."""
+        for field, value in (
+            ("slots", 2**70),
+            ("slots", 10**400),
+            ("seq", 10**4_500),
+            ("born", 2**63),
+            ("leaves_ms", 1e300),
+            ("address", "10.0.0.1:99999"),
+            ("address", "10.0.0.1:65536"),
+            ("address", "10.0.0.1:80\n"),
+            ("address", "a\0b:80"),
+            ("address", "a..b:80"),
+            ("address", "a" * 300 + ":80"),
+            ("version", "v1\r\nX: 1"),
+            ("version", "v\0"),
+            ("version", "v\u2603"),
+            ("version", "v" * 100_000),
+            ("zone", "a\n"),
+            ("zone", "a" * 100_000),
+            ("service", "s" * 100_000),
+            ("service", ""),
+        ):
+            with self.subTest(entry=encode_json({field: value})[:40]):
+                self.assert_refused(make_row(encode_json({**ENTRY, field: value})))
+
+    def test_entries_with_keys_that_are_no_ids(self) -> None:
+        for key in ("", "s1#7", "s\r\n1", "s\0", "s\u2603", "s" * 100_000):
+            with self.subTest(key=key[:20]):
+                row = make_row(encode_json(ENTRY))
+                self.assert_refused(msgspec.structs.replace(row, key=key))
+
+    def assert_refused(self, entry: RowRecord) -> None:
+        """Check that an entry is skipped, and logged once however often it is read."""
+        reader = EntryReader()
+        with logbook.TestHandler().applicationbound() as log:
+            self.assertIsNone(reader.read(entry))
+            self.assertIsNone(reader.read(entry))
+        self.assertEqual(len(log.records), 1)
+
+    @FUZZ
+    @given(
+        st.fixed_dictionaries(
+            {},
+            optional={
+                "slots": st.integers(1, 2**70) | st.integers(1, 100),
+                "born": st.integers(0, 2**70),
+                "leaves_ms": st.floats(allow_nan=False, allow_infinity=False),
+                "zone": st.text(),
+                "version": st.text(),
+                "address": st.text(max_size=20).map(lambda host: f"{host}:80"),
+            },
+        )
+    )
+    def test_accepted_entries_can_be_sent_to_peers(self, fields: dict[str, object]) -> None:
+        with logbook.NullHandler().applicationbound():
+            server = EntryReader().read(make_row(encode_json({**ENTRY, **fields})))
+        if server is not None:
+            servers = ServerList()
+            servers.update_from_store([server], EraVersion(1, 1))
+            split_address(server.address)
+            f"{server.id} {server.version}".encode("latin-1")
+
     @FUZZ
     @given(JSON)
     def test_plans_and_orders(self, value: object) -> None:
--- a/tests/test_rows_of_others.py
+++ b/tests/test_rows_of_others.py
@@ -14,7 +14,7 @@
 from moledale.gateway.outside import StateRow
 from moledale.gateway.settings import Bounds
 from standins.rows import RowsPlatform, StoreMode
-from tests.gateway_world import run_quietly
+from tests.gateway_world import ScriptedServer, answer_ok, run_quietly
 from tests.test_gateway_lease import SingleRowStore, make_keeper
 from tests.test_gateway_nodes import Cluster, make_config, ready, run_on_cluster, wait_until
 
@@ -85,6 +85,35 @@
         self._assert_plan_survives(lambda platform: platform.put("op", "config", plan))
 
 
+class EntriesOfOthersTest(unittest.TestCase):
+    def test_odd_entries_of_servers_hide_no_other_server(self) -> None:
+        async def work(cluster: Cluster) -> None:
+            for number, odd in enumerate(
+                (
+                    {"slots": 2**70},
+                    {"address": "127.0.0.1:99999"},
+                    {"address": "a\0b:80"},
+                    {"address": "a..b:80"},
+                    {"version": "v1\r\n"},
+                    {"born": 2**63},
+                )
+            ):
+                cluster.list_server(ScriptedServer(f"odd-{number}", answer_ok), "ready", **odd)
+            node = await cluster.start("n1")
+            await wait_until(ready(node))
+            for _ in range(20):
+                self.assertEqual((await cluster.ask("n1")).status, 200)
+            late = ScriptedServer("s2", answer_ok)
+            cluster.servers.append(late)
+            await late.start()
+            cluster.list_server(late, "ready")
+            await wait_until(lambda: "s2" in node.fleet.list.servers)
+            self.assertEqual(sorted(node.fleet.list.servers), ["s1", "s2"])
+            self.assertEqual(task_failures(node), {})
+
+        run_on_cluster(work)
+
+
 class NestedRowsTest(unittest.TestCase):
     def test_rows_of_all_tables_that_are_nested_deeply_end_no_task(self) -> None:
         async def work(cluster: Cluster) -> None:
