Bound the numbers in headers of callers and servers

A caller's Token-Count of 400 digits ended its request without an answer, as the account's limit computes with fractions (OverflowError). A server's limit of rejections of 1e308 became a whole number of 309 digits, which the next state of the node could not carry, and a date with a huge number in Retry-After raised OverflowError.

Counts have an upper bound, limits and times of servers are cut to one, and such dates count as unreadable.

test_counts_that_fail_later_are_rejected, test_huge_numbers_of_servers_can_be_sent_to_peers, test_dates_with_huge_numbers_are_ignored and test_era_of_the_store_that_peers_cannot_be_sent_is_ignored fail with the code before.

--- a/src/moledale/http_fields.py
+++ b/src/moledale/http_fields.py
@@ -12,6 +12,13 @@
 MAX_LOGGED_CHARS = 64
 """Longest prefix of an unreadable value that is logged."""
 
+MAX_COUNT = 1_000_000_000
+"""Largest count in a field. Sums over many requests still fit 64 bits, as messages require."""
+
+MAX_SECONDS = 1_000_000_000.0
+MAX_LIMIT = 1_000_000_000.0
+"""Longer times, of 30 years, and higher limits of a server are cut to these."""
+
 HOP_BY_HOP = frozenset(
     {
         b"connection",
@@ -84,22 +91,22 @@
     return number
 
 
-def parse_count(value: bytes) -> int:
-    """Return a value as a non-negative integer; raise ValueError if it is not one."""
+def parse_count(value: bytes, largest: int = MAX_COUNT) -> int:
+    """Return a value as an integer from 0 to `largest`; raise ValueError if it is not one."""
     number = int(value)
-    if number < 0:
-        raise ValueError("count is negative")
+    if not 0 <= number <= largest:
+        raise ValueError("count is out of range")
     return number
 
 
-def first_count(fields: Fields, name: str) -> int | None:
+def first_count(fields: Fields, name: str, largest: int = MAX_COUNT) -> int | None:
     """Return the first valid count in the fields of a lower-case name, None if there is none.
 
     Invalid values are logged and skipped.
     """
     for text in field_values(fields, name):
         try:
-            return parse_count(text.encode())
+            return parse_count(text.encode(), largest)
         except ValueError:
             emit(Event.HEADER_UNREADABLE, header=name, value=text[:MAX_LOGGED_CHARS])
     return None
@@ -130,7 +137,7 @@
         seconds = float(value)
     except ValueError:
         return None
-    return seconds if math.isfinite(seconds) else None
+    return min(seconds, MAX_SECONDS) if math.isfinite(seconds) else None
 
 
 def retry_after_s(values: Iterable[str], date: str | None) -> float | None:
@@ -149,7 +156,7 @@
     except ValueError:
         seconds = _seconds_between_dates(text, date)
     if math.isfinite(seconds) and seconds >= 0:
-        return seconds
+        return min(seconds, MAX_SECONDS)
     emit(Event.HEADER_UNREADABLE, header=RETRY_AFTER, value=text[:MAX_LOGGED_CHARS])
     return None
 
@@ -169,7 +176,7 @@
     except ValueError:
         limit = math.nan
     if math.isfinite(limit) and limit >= 0:
-        return limit
+        return min(limit, MAX_LIMIT)
     emit(Event.HEADER_UNREADABLE, header=name, value=text[:MAX_LOGGED_CHARS])
     return None
 
@@ -180,6 +187,6 @@
         return math.nan
     try:
         delta = parsedate_to_datetime(text) - parsedate_to_datetime(date)
-    except (ValueError, TypeError):
+    except (ValueError, TypeError, OverflowError):
         return math.nan
     return max(0.0, delta.total_seconds())
--- a/src/moledale/platform/store.py
+++ b/src/moledale/platform/store.py
@@ -38,6 +38,9 @@
 
 JSON_TYPE: Headers = [(b"Content-Type", b"application/json")]
 ERA_HEADER = "store-era"
+MAX_ERA = 2**62
+"""Messages to peers carry numbers of 64 bits."""
+
 CONFIG_TABLE = "op"
 CONFIG_KEY = "config"
 ROLLOUT_PREFIX = "rollout/"
@@ -262,7 +265,7 @@
         if isinstance(outcome, Err):
             return Err(Failure(outcome.err_value.detail, uncertain=outcome.err_value.sent))
         response = outcome.ok_value
-        count = first_count(response.headers, ERA_HEADER)
+        count = first_count(response.headers, ERA_HEADER, MAX_ERA)
         era = UNKNOWN_ERA if count is None else count + 1  # a count of 0 is valid, unlike era 0
         self.era.observe(era)
         if response.status not in expected_statuses:
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -38,10 +38,11 @@
 from moledale.gateway.state_rows import decode_row
 from moledale.gateway.store_era import EraVersion
 from moledale.host_port import split_address
-from moledale.http_fields import retry_after_s
+from moledale.http_fields import first_count, retry_after_s
 from moledale.platform.entries import EntryReader
 from moledale.platform.headers import PlatformHeaders
 from moledale.platform.records import RowRecord, read_config, read_phase, read_rollout
+from moledale.platform.store import ERA_HEADER, MAX_ERA
 from moledale.streams.origin_log import OriginRow
 from moledale.streams.version_register import VersionRow
 from tests.gateway_states import make_state
@@ -50,7 +51,7 @@
 HEADER_NAMES = (
     "Retry-After", "Server-Leaving", "Request-Id", "Keep-Alive", "Connection", "Date",
     "Not-Executed", "Server-Stamp", "Token-Count", "Prompt-Prefix", "Deadline-Ms",
-    "Authorization", "Last-Event-Id", "Server-Limit",
+    "Authorization", "Last-Event-Id", "Server-Limit", "Server-Brittle", "Length-Hint",
 )  # fmt: skip
 HEADERS = st.lists(
     st.tuples(
@@ -139,6 +140,47 @@
                 head = RequestHead(b"POST", b"/x", [(name.encode(), value.encode())])
                 PlatformHeaders().read_request(head)
 
+    def test_counts_that_fail_later_are_rejected(self) -> None:
+        """Limits are computed with fractions, and sums of tokens are sent to peers in 64 bits."""
+        for name, value in (
+            ("Token-Count", "9" * 400),
+            ("Token-Count", "10," + "9" * 400),
+            ("Token-Count", "9" * 5_000),
+            ("Token-Count", str(2**62)),
+            ("Prompt-Prefix", "a1:" + "9" * 400),
+            ("Prompt-Prefix", f"a1:{2**62}"),
+        ):
+            with self.subTest(name=name, digits=len(value)), self.assertRaises(ValueError):
+                head = RequestHead(b"POST", b"/x", [(name.encode(), value.encode())])
+                PlatformHeaders().read_request(head)
+
+    def test_huge_numbers_of_servers_can_be_sent_to_peers(self) -> None:
+        for value in (b"1e308", b"9" * 300, b"9" * 5_000, str(2**70).encode()):
+            headers = [
+                (name, value)
+                for name in (b"Server-Limit", b"Server-Brittle", b"Retry-After", b"Length-Hint")
+            ]
+            with logbook.NullHandler().applicationbound():
+                facts = PlatformHeaders().read_answer(AnswerHead(503, headers))
+            msgspec.msgpack.encode(facts)
+
+    def test_dates_with_huge_numbers_are_ignored(self) -> None:
+        for date in (
+            f"Wed, 21 Oct {10**20} 07:28:00 GMT",
+            f"Wed, {10**20} Oct 2026 07:28:00 GMT",
+            f"Wed, 21 Oct 2026 07:{10**20}:00 GMT",
+            f"Wed, 21 Oct 2026 07:28:00 +{10**20}",
+        ):
+            with self.subTest(date), logbook.NullHandler().applicationbound():
+                self.assertIsNone(retry_after_s([date], "Wed, 21 Oct 2026 07:28:00 GMT"))
+                self.assertIsNone(retry_after_s(["Wed, 21 Oct 2026 07:28:00 GMT"], date))
+
+    def test_era_of_the_store_that_peers_cannot_be_sent_is_ignored(self) -> None:
+        with logbook.NullHandler().applicationbound():
+            self.assertIsNone(
+                first_count([(b"Store-Era", str(2**64).encode())], ERA_HEADER, MAX_ERA)
+            )
+
     @FUZZ
     @given(st.lists(st.text(max_size=40), max_size=3), st.one_of(st.none(), st.text(max_size=40)))
     def test_times_to_retry(self, values: list[str], date: str | None) -> None:
