Never fail for a log line that can't be encoded

emit() raised for text with surrogates, whole numbers of thousands of digits, deeply nested values and objects without a text, so that what was logged failed, too. Such a value is now replaced by the name of its error.

--- a/src/moledale/log.py
+++ b/src/moledale/log.py
@@ -216,10 +216,27 @@
 
 
 def emit(event: Event, **fields: object) -> None:
-    """Log an event, with its fields as JSON; `fields` must not contain secrets."""
+    """Log an event, with its fields as JSON; `fields` must not contain secrets.
+
+    A value that can't be encoded is replaced by the name of the error, so no caller fails by it.
+    """
     spec = event.value
-    text = msgspec.json.encode(fields, enc_hook=str).decode()
-    _logger.log(spec.level, f"E{spec.number} {event.name.lower()} {text}")
+    _logger.log(spec.level, f"E{spec.number} {event.name.lower()} {_encode_fields(fields)}")
+
+
+def _encode_fields(fields: dict[str, object]) -> str:
+    try:
+        return msgspec.json.encode(fields, enc_hook=str).decode()
+    except Exception:
+        pairs = (f"{_encode_value(name)}:{_encode_value(fields[name])}" for name in fields)
+        return "{" + ",".join(pairs) + "}"
+
+
+def _encode_value(value: object) -> str:
+    try:
+        return msgspec.json.encode(value, enc_hook=str).decode()
+    except Exception as error:
+        return f'"{type(value).__name__}: {type(error).__name__}"'
 
 
 def log_to_stderr(level: str) -> logbook.Handler:
