Refuse rows with numbers that peers can't be sent

A lease with an epoch of 2**64 - 1 ended the node that took it: the next epoch did not fit the state that it sends to others. A block of more than 1,025 times, or of 2**32, ended every node that read it: computing its duration or its digest raised OverflowError.

Rows that nodes write are decoded with a check that messages can carry them, a lease bounds its epoch and era, and the duration of a block is computed for any count. Blocks whose count has no place in the digest are not adopted.

test_rows_with_huge_numbers_end_no_task (tasks of gossip and blocks failed until the process ended), test_rows_with_numbers_that_peers_cannot_be_sent and test_blocks_with_any_count_fail_nothing fail with the code before.

--- a/src/moledale/core/leases.py
+++ b/src/moledale/core/leases.py
@@ -13,6 +13,9 @@
 VACANT = "vacant"
 OBSERVED = "observed"
 HELD = "held"
+MAX_EPOCH = 2**62
+"""Largest epoch that is read: later ones still fit 64 bits, as messages require."""
+
 MARGIN_SHARE = 0.2
 """Share of the TTL by which a holder stops early, to allow for unequal clock rates."""
 
@@ -33,6 +36,10 @@
     era: int = 0
     former: dict[str, float] | None = None
 
+    def __post_init__(self) -> None:
+        if not (0 <= self.epoch <= MAX_EPOCH and 0 <= self.era <= MAX_EPOCH):
+            raise ValueError("the epoch or era is out of range")
+
 
 class LeaseAction(StrEnum):
     """What a node should do about a lease now."""
--- a/src/moledale/core/quarantine.py
+++ b/src/moledale/core/quarantine.py
@@ -36,6 +36,12 @@
 """Duration of a request's first block, and the maximum. After a block the request is let through
 once, as its servers may have been repaired. If it crashes another one, the duration doubles."""
 
+MAX_DOUBLINGS = 8
+"""Doublings of a block's duration; the maximum is reached before."""
+
+MAX_TIMES = 2**32 - 1
+"""Blocks of a request that count; other nodes may state any number."""
+
 MAX_CRASHES = 256
 """Crashes that are remembered, with up to 64 requests each: 0.3 MB."""
 
@@ -241,6 +247,8 @@
         return self.block(fingerprint, now)
 
     def _add_block(self, block: Block) -> bool:
+        if not 0 < block.times <= MAX_TIMES:
+            return False
         if block.fingerprint not in self.blocks and len(self.blocks) >= MAX_BLOCKS:
             return False
         self.blocks[block.fingerprint] = block
@@ -255,4 +263,5 @@
 
 def _block_duration_s(times: int) -> float:
     """Return the duration of a request's n-th block."""
-    return min(INITIAL_BLOCK_S * 2.0 ** (times - 1), MAX_BLOCK_S)
+    doublings = min(max(0, times - 1), MAX_DOUBLINGS)
+    return min(INITIAL_BLOCK_S * 2.0**doublings, MAX_BLOCK_S)
--- a/src/moledale/decoding.py
+++ b/src/moledale/decoding.py
@@ -54,6 +54,16 @@
         raise msgspec.DecodeError(_describe(error)) from error
 
 
+def decode_sendable_json(raw: bytes | str, value_type: type[T]) -> T:
+    """Decode JSON like `decode_json`; refuse values that messages to peers can't carry."""
+    value = decode_json(raw, value_type)
+    try:
+        msgspec.msgpack.encode(value)
+    except (*UNDECODABLE, msgspec.EncodeError) as error:
+        raise msgspec.DecodeError(_describe(error)) from error
+    return value
+
+
 def decode_toml(text: str) -> dict[str, object]:
     """Decode TOML; raise `tomllib.TOMLDecodeError`, a ValueError, if it can't be read."""
     try:
--- a/src/moledale/gateway/state_rows.py
+++ b/src/moledale/gateway/state_rows.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import TypeVar
 
-from moledale.decoding import decode_json
+from moledale.decoding import decode_sendable_json
 from moledale.gateway.outside import StateRow
 from moledale.log import Event, emit
 
@@ -20,5 +20,8 @@
 
 
 def decode_row(table: str, row: StateRow, value_type: type[T]) -> T | None:
-    """Decode the JSON value of a row that nodes wrote; None, logged, if it is corrupt."""
-    return parse_or_log(table, row.key, lambda: decode_json(row.value, value_type))
+    """Decode the JSON value of a row that nodes wrote; None, logged, if it is corrupt.
+
+    Whole numbers that messages to peers can't carry count as corrupt.
+    """
+    return parse_or_log(table, row.key, lambda: decode_sendable_json(row.value, value_type))
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -17,6 +17,7 @@
 from moledale import settings as daemon_settings
 from moledale.bundle import schema
 from moledale.core.leases import LeaseRow
+from moledale.core.quarantine import Block, Quarantine
 from moledale.core.rollouts import RolloutNews
 from moledale.decoding import decode_json, decode_msgpack, decode_toml
 from moledale.gateway import settings as gateway_settings
@@ -287,6 +288,34 @@
         with contextlib.suppress(ValueError):
             read_phase(make_row(msgspec.json.encode(value)), order)
 
+    def test_rows_with_numbers_that_peers_cannot_be_sent(self) -> None:
+        lease = {"holder": "n1", "epoch": 1, "operation": "x"}
+        order = ["s", 2**70, "v2", 8.0, 1.0]
+        for row_type, value in (
+            (LeaseRow, {**lease, "epoch": 2**63}),
+            (LeaseRow, {**lease, "epoch": 2**64 - 1}),
+            (LeaseRow, {**lease, "epoch": 10**400}),
+            (LeaseRow, {**lease, "epoch": -1}),
+            (LeaseRow, {**lease, "era": 2**70}),
+            (StoredBlock, {"until_s": 1.0, "times": 2**70}),
+            (WindowRow, {"window": 2**70, "counts": {}}),
+            (WindowRow, {"window": 1, "counts": {"a": 2**70}}),
+            (RolloutNews, [order]),
+        ):
+            with self.subTest(row_type.__name__), logbook.NullHandler().applicationbound():
+                row = StateRow("k", encode_json(value), 1)
+                self.assertIsNone(decode_row("table", row, row_type))
+
+    def test_blocks_with_any_count_fail_nothing(self) -> None:
+        quarantine = Quarantine()
+        for times in (-(2**40), -1, 0, 1, 1_100, 2**32 - 1, 2**32, 2**63):
+            with self.subTest(times=times):
+                block = Block(b"f" * 16, 1.0, times)
+                self.assertTrue(block.is_expired(1e9))
+                quarantine.merge_block(block)
+                quarantine.digest()
+                quarantine.block(b"f" * 16, 1.0)
+
 
 class DatagramsTest(unittest.TestCase):
     """Messages between nodes: unreadable datagrams are counted and otherwise ignored."""
--- a/tests/test_rows_of_others.py
+++ b/tests/test_rows_of_others.py
@@ -140,6 +140,27 @@
         run_on_cluster(work)
 
 
+class NumbersOfOthersTest(unittest.TestCase):
+    def test_rows_with_huge_numbers_end_no_task(self) -> None:
+        async def work(cluster: Cluster) -> None:
+            lease = {"holder": "n9", "epoch": 2**64 - 1, "operation": "x"}
+            cluster.platform.put("leases", "duties", lease)
+            for number, times in enumerate((2_000, 2**32, 2**70, -5)):
+                block = {"until_s": 1e6, "times": times}
+                cluster.platform.put("blocks", f"{number:032x}", block)
+            cluster.platform.put("stream_versions", "plain", {"versions": {"v0": 1e300}})
+            cluster.platform.put("stream_origins", "001", {"at_s": 1e300, "streams": {"v0": ""}})
+            cluster.platform.put("usage", "1", {"window": 2**70, "counts": {"north": 2**70}})
+            node = await cluster.start("n1")
+            await wait_until(ready(node))
+            await wait_until(lambda: node.keeper.grant() is not None, 10.0)
+            await asyncio.sleep(1.0)
+            self.assertEqual((await cluster.ask("n1")).status, 200)
+            self.assertEqual(task_failures(node), {})
+
+        run_on_cluster(work)
+
+
 class LeaseOfOthersTest(unittest.TestCase):
     def test_unreadable_lease_is_acquired_after_the_ttl(self) -> None:
         async def work(cluster: Cluster) -> None:
