--- a/src/moledale/platform/store.py
+++ b/src/moledale/platform/store.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from moledale.core.rollouts import Phase, RolloutNews, RolloutOrder
+from moledale.decoding import decode_json
 from moledale.gateway.calls import HttpCaller
 from moledale.gateway.messages import Headers, Server
 from moledale.gateway.outside import (
@@ -37,6 +38,9 @@
 
 JSON_TYPE: Headers = [(b"Content-Type", b"application/json")]
 ERA_HEADER = "store-era"
+MAX_ERA = 2**62
+"""Messages to peers carry numbers of 64 bits."""
+
 CONFIG_TABLE = "op"
 CONFIG_KEY = "config"
 ROLLOUT_PREFIX = "rollout/"
@@ -261,14 +265,14 @@
         if isinstance(outcome, Err):
             return Err(Failure(outcome.err_value.detail, uncertain=outcome.err_value.sent))
         response = outcome.ok_value
-        count = first_count(response.headers, ERA_HEADER)
+        count = first_count(response.headers, ERA_HEADER, MAX_ERA)
         era = UNKNOWN_ERA if count is None else count + 1  # a count of 0 is valid, unlike era 0
         self.era.observe(era)
         if response.status not in expected_statuses:
             gone = response.status == STATUS_HISTORY_GONE
             return Err(Failure(f"status {response.status}", uncertain=False, history_gone=gone))
         try:
-            rows = msgspec.json.decode(response.body, type=RowsRecord)
+            rows = decode_json(response.body, RowsRecord)
         except msgspec.DecodeError as error:
             return Err(Failure(f"an answer that can't be read: {error}"))
         return Ok(Answer(response.status, msgspec.structs.replace(rows, era=era)))
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -2,28 +2,57 @@
 
 import base64
 import contextlib
+import json
 import math
+import sys
 import unittest
+from collections.abc import Iterator
 
 import logbook
 import msgspec
+import zstandard
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from moledale.gateway.gossip import GossipSocket, Message, StateNews
+from moledale import settings as daemon_settings
+from moledale.bundle import schema
+from moledale.core.leases import LeaseRow
+from moledale.core.quarantine import Block, Quarantine
+from moledale.core.rollouts import RolloutNews
+from moledale.decoding import decode_json, decode_msgpack, decode_toml
+from moledale.gateway import settings as gateway_settings
+from moledale.gateway.document_archive import DocumentPiece
+from moledale.gateway.duties import WindowRow
+from moledale.gateway.gossip import (
+    NO_KIND,
+    GossipSocket,
+    Message,
+    PackedState,
+    StateNews,
+    claimed_kind,
+)
 from moledale.gateway.messages import AnswerHead, RequestHead, Server
-from moledale.gateway.state_packing import pack_snapshot
-from moledale.http_fields import retry_after_s
+from moledale.gateway.outside import StateRow
+from moledale.gateway.quarantine_store import StoredBlock
+from moledale.gateway.server_list import ServerList
+from moledale.gateway.state_packing import NO_BASE, StateUnpacker, pack_snapshot
+from moledale.gateway.state_rows import decode_row
+from moledale.gateway.store_era import EraVersion
+from moledale.host_port import split_address
+from moledale.http_fields import first_count, retry_after_s
 from moledale.platform.entries import EntryReader
 from moledale.platform.headers import PlatformHeaders
 from moledale.platform.records import RowRecord, read_config, read_phase, read_rollout
+from moledale.platform.store import ERA_HEADER, MAX_ERA
+from moledale.streams.origin_log import OriginRow
+from moledale.streams.version_register import VersionRow
 from tests.gateway_states import make_state
 
 FUZZ = settings(max_examples=400, deadline=None, derandomize=True)
 HEADER_NAMES = (
     "Retry-After", "Server-Leaving", "Request-Id", "Keep-Alive", "Connection", "Date",
     "Not-Executed", "Server-Stamp", "Token-Count", "Prompt-Prefix", "Deadline-Ms",
-    "Authorization", "Last-Event-Id", "Server-Limit",
+    "Authorization", "Last-Event-Id", "Server-Limit", "Server-Brittle", "Length-Hint",
 )  # fmt: skip
 HEADERS = st.lists(
     st.tuples(
@@ -46,6 +75,31 @@
     "service": "plain", "address": "10.0.0.1:80", "zone": "a", "version": "v1", "slots": 4,
     "state": "ready", "seq": 1, "born": 1_700_000_000_000,
 }  # fmt: skip
+STORED_ROWS = (LeaseRow, RolloutNews, StoredBlock, WindowRow, OriginRow, VersionRow)
+"""Types of the rows that nodes write themselves."""
+
+DEPTH = 5_000
+"""Nested lists; decoders give up at a depth of about a thousand."""
+
+JSON_LISTS = b"[" * DEPTH + b"]" * DEPTH
+MSGPACK_LISTS = b"\x91" * DEPTH + b"\x90"
+
+
+def encode_json(value: object) -> bytes:
+    """Encode JSON with whole numbers of any size."""
+    with whole_numbers_of_any_size():
+        return json.dumps(value).encode()
+
+
+@contextlib.contextmanager
+def whole_numbers_of_any_size() -> Iterator[None]:
+    """Lift the limit on the digits of whole numbers that are written."""
+    before = sys.get_int_max_str_digits()
+    sys.set_int_max_str_digits(0)
+    try:
+        yield
+    finally:
+        sys.set_int_max_str_digits(before)
 
 
 def make_row(value: bytes) -> RowRecord:
@@ -87,6 +141,47 @@
                 head = RequestHead(b"POST", b"/x", [(name.encode(), value.encode())])
                 PlatformHeaders().read_request(head)
 
+    def test_counts_that_fail_later_are_rejected(self) -> None:
+        """Limits are computed with fractions, and sums of tokens are sent to peers in 64 bits."""
+        for name, value in (
+            ("Token-Count", "9" * 400),
+            ("Token-Count", "10," + "9" * 400),
+            ("Token-Count", "9" * 5_000),
+            ("Token-Count", str(2**62)),
+            ("Prompt-Prefix", "a1:" + "9" * 400),
+            ("Prompt-Prefix", f"a1:{2**62}"),
+        ):
+            with self.subTest(name=name, digits=len(value)), self.assertRaises(ValueError):
+                head = RequestHead(b"POST", b"/x", [(name.encode(), value.encode())])
+                PlatformHeaders().read_request(head)
+
+    def test_huge_numbers_of_servers_can_be_sent_to_peers(self) -> None:
+        for value in (b"1e308", b"9" * 300, b"9" * 5_000, str(2**70).encode()):
+            headers = [
+                (name, value)
+                for name in (b"Server-Limit", b"Server-Brittle", b"Retry-After", b"Length-Hint")
+            ]
+            with logbook.NullHandler().applicationbound():
+                facts = PlatformHeaders().read_answer(AnswerHead(503, headers))
+            msgspec.msgpack.encode(facts)
+
+    def test_dates_with_huge_numbers_are_ignored(self) -> None:
+        for date in (
+            f"Wed, 21 Oct {10**20} 07:28:00 GMT",
+            f"Wed, {10**20} Oct 2026 07:28:00 GMT",
+            f"Wed, 21 Oct 2026 07:{10**20}:00 GMT",
+            f"Wed, 21 Oct 2026 07:28:00 +{10**20}",
+        ):
+            with self.subTest(date), logbook.NullHandler().applicationbound():
+                self.assertIsNone(retry_after_s([date], "Wed, 21 Oct 2026 07:28:00 GMT"))
+                self.assertIsNone(retry_after_s(["Wed, 21 Oct 2026 07:28:00 GMT"], date))
+
+    def test_era_of_the_store_that_peers_cannot_be_sent_is_ignored(self) -> None:
+        with logbook.NullHandler().applicationbound():
+            self.assertIsNone(
+                first_count([(b"Store-Era", str(2**64).encode())], ERA_HEADER, MAX_ERA)
+            )
+
     @FUZZ
     @given(st.lists(st.text(max_size=40), max_size=3), st.one_of(st.none(), st.text(max_size=40)))
     def test_times_to_retry(self, values: list[str], date: str | None) -> None:
@@ -114,6 +209,69 @@
             self.assertGreaterEqual(server.slots, 1)
             self.assertTrue(server.leaves_s is None or math.isfinite(server.leaves_s))
 
+    def test_entries_with_values_that_fail_later(self) -> None:
+        """Encoding the list for peers, connecting, or sending the id in a header would fail."""
+        for field, value in (
+            ("slots", 2**70),
+            ("slots", 10**400),
+            ("seq", 10**4_500),
+            ("born", 2**63),
+            ("leaves_ms", 1e300),
+            ("address", "10.0.0.1:99999"),
+            ("address", "10.0.0.1:65536"),
+            ("address", "10.0.0.1:80\n"),
+            ("address", "a\0b:80"),
+            ("address", "a..b:80"),
+            ("address", "a" * 300 + ":80"),
+            ("version", "v1\r\nX: 1"),
+            ("version", "v\0"),
+            ("version", "v\u2603"),
+            ("version", "v" * 100_000),
+            ("zone", "a\n"),
+            ("zone", "a" * 100_000),
+            ("service", "s" * 100_000),
+            ("service", ""),
+        ):
+            with self.subTest(entry=encode_json({field: value})[:40]):
+                self.assert_refused(make_row(encode_json({**ENTRY, field: value})))
+
+    def test_entries_with_keys_that_are_no_ids(self) -> None:
+        for key in ("", "s1#7", "s\r\n1", "s\0", "s\u2603", "s" * 100_000):
+            with self.subTest(key=key[:20]):
+                row = make_row(encode_json(ENTRY))
+                self.assert_refused(msgspec.structs.replace(row, key=key))
+
+    def assert_refused(self, entry: RowRecord) -> None:
+        """Check that an entry is skipped, and logged once however often it is read."""
+        reader = EntryReader()
+        with logbook.TestHandler().applicationbound() as log:
+            self.assertIsNone(reader.read(entry))
+            self.assertIsNone(reader.read(entry))
+        self.assertEqual(len(log.records), 1)
+
+    @FUZZ
+    @given(
+        st.fixed_dictionaries(
+            {},
+            optional={
+                "slots": st.integers(1, 2**70) | st.integers(1, 100),
+                "born": st.integers(0, 2**70),
+                "leaves_ms": st.floats(allow_nan=False, allow_infinity=False),
+                "zone": st.text(),
+                "version": st.text(),
+                "address": st.text(max_size=20).map(lambda host: f"{host}:80"),
+            },
+        )
+    )
+    def test_accepted_entries_can_be_sent_to_peers(self, fields: dict[str, object]) -> None:
+        with logbook.NullHandler().applicationbound():
+            server = EntryReader().read(make_row(encode_json({**ENTRY, **fields})))
+        if server is not None:
+            servers = ServerList()
+            servers.update_from_store([server], EraVersion(1, 1))
+            split_address(server.address)
+            f"{server.id} {server.version}".encode("latin-1")
+
     @FUZZ
     @given(JSON)
     def test_plans_and_orders(self, value: object) -> None:
@@ -130,6 +288,34 @@
         with contextlib.suppress(ValueError):
             read_phase(make_row(msgspec.json.encode(value)), order)
 
+    def test_rows_with_numbers_that_peers_cannot_be_sent(self) -> None:
+        lease = {"holder": "n1", "epoch": 1, "operation": "x"}
+        order = ["s", 2**70, "v2", 8.0, 1.0]
+        for row_type, value in (
+            (LeaseRow, {**lease, "epoch": 2**63}),
+            (LeaseRow, {**lease, "epoch": 2**64 - 1}),
+            (LeaseRow, {**lease, "epoch": 10**400}),
+            (LeaseRow, {**lease, "epoch": -1}),
+            (LeaseRow, {**lease, "era": 2**70}),
+            (StoredBlock, {"until_s": 1.0, "times": 2**70}),
+            (WindowRow, {"window": 2**70, "counts": {}}),
+            (WindowRow, {"window": 1, "counts": {"a": 2**70}}),
+            (RolloutNews, [order]),
+        ):
+            with self.subTest(row_type.__name__), logbook.NullHandler().applicationbound():
+                row = StateRow("k", encode_json(value), 1)
+                self.assertIsNone(decode_row("table", row, row_type))
+
+    def test_blocks_with_any_count_fail_nothing(self) -> None:
+        quarantine = Quarantine()
+        for times in (-(2**40), -1, 0, 1, 1_100, 2**32 - 1, 2**32, 2**63):
+            with self.subTest(times=times):
+                block = Block(b"f" * 16, 1.0, times)
+                self.assertTrue(block.is_expired(1e9))
+                quarantine.merge_block(block)
+                quarantine.digest()
+                quarantine.block(b"f" * 16, 1.0)
+
 
 class DatagramsTest(unittest.TestCase):
     """Messages between nodes: unreadable datagrams are counted and otherwise ignored."""
@@ -150,3 +336,68 @@
         before = self.socket.unreadable.total()
         self.socket.datagram_received(data, ("", 0))
         self.assertEqual(len(self.received) + self.socket.unreadable.total() - before, 1)
+
+
+class DeepNestingTest(unittest.TestCase):
+    """Values that are nested deeply make decoders raise errors that end the reading task."""
+
+    def setUp(self) -> None:
+        handler = logbook.NullHandler()
+        handler.push_application()
+        self.addCleanup(handler.pop_application)
+
+    def assert_unreadable_everywhere(self, value: bytes) -> None:
+        """Check that each seam refuses a JSON value with its documented error."""
+        row = make_row(value)
+        body = {"service": "s", "targetVersion": "v2", "durationS": 8.0}
+        order = read_rollout(make_row(msgspec.json.encode(body)), 1.0, 1)
+        self.assertIsNone(EntryReader().read(row))
+        for name, read in (
+            ("plan", lambda: read_config(value)),
+            ("order", lambda: read_rollout(row, 1.0, 1)),
+            ("status", lambda: read_phase(row, order)),
+            ("answer", lambda: decode_json(value, dict[str, object])),
+        ):
+            with self.subTest(name), self.assertRaises(ValueError):
+                read()
+        for stored in STORED_ROWS:
+            with self.subTest(stored.__name__):
+                self.assertIsNone(decode_row("table", StateRow("k", value, 1), stored))
+
+    def test_json_of_lists(self) -> None:
+        self.assert_unreadable_everywhere(JSON_LISTS)
+
+    def test_json_that_is_nested_in_an_unknown_field(self) -> None:
+        self.assert_unreadable_everywhere(
+            msgspec.json.encode(ENTRY)[:-1] + b',"x":' + JSON_LISTS + b"}"
+        )
+
+    def test_json_of_objects(self) -> None:
+        self.assert_unreadable_everywhere(b'{"x":' * DEPTH + b"1" + b"}" * DEPTH)
+
+    def test_datagrams(self) -> None:
+        received: list[Message] = []
+        socket = GossipSocket(received.append)
+        socket.datagram_received(MSGPACK_LISTS, ("", 0))
+        socket.datagram_received(b"\x92\xa5state" + MSGPACK_LISTS, ("", 0))
+        self.assertEqual((received, socket.unreadable.total()), ([], 2))
+        self.assertEqual(claimed_kind(MSGPACK_LISTS), NO_KIND)
+
+    def test_compressed_states_of_peers(self) -> None:
+        frame = zstandard.ZstdCompressor().compress(MSGPACK_LISTS)
+        self.assertIsNone(StateUnpacker().unpack(PackedState("n1", 1, NO_BASE, frame)))
+
+    def test_documents_of_peers(self) -> None:
+        with self.assertRaises(ValueError):
+            ServerList().update_from_peer(MSGPACK_LISTS, EraVersion(1, 1))
+        with self.assertRaises(msgspec.DecodeError):
+            decode_msgpack(MSGPACK_LISTS, DocumentPiece)
+
+    def test_settings_and_bundles(self) -> None:
+        for text in ("a = " + "[" * DEPTH + "]" * DEPTH, "a = " + "9" * DEPTH):
+            with self.subTest(text[:8]):
+                self.assertTrue(gateway_settings.parse("file", text).is_err())
+                self.assertTrue(daemon_settings.parse("file", text).is_err())
+                self.assertTrue(schema.parse("file", text.encode()).is_err())
+                with self.assertRaises(ValueError):
+                    decode_toml(text)
--- a/tests/test_rows_of_others.py
+++ b/tests/test_rows_of_others.py
@@ -14,12 +14,15 @@
 from moledale.gateway.outside import StateRow
 from moledale.gateway.settings import Bounds
 from standins.rows import RowsPlatform, StoreMode
-from tests.gateway_world import run_quietly
+from tests.gateway_world import ScriptedServer, answer_ok, run_quietly
 from tests.test_gateway_lease import SingleRowStore, make_keeper
 from tests.test_gateway_nodes import Cluster, make_config, ready, run_on_cluster, wait_until
 
 NOT_AN_OBJECT = b'["not an object"]'
 NOT_BASE64 = "a"
+DEPTH = 5_000
+NESTED_DEEPLY = b'{"x":' + b"[" * DEPTH + b"]" * DEPTH + b"}"
+"""A JSON object with an unknown field that decoders can't follow."""
 
 LONG_LEASE = Bounds(stop_s=3.0, lease_s=2.0, usage_window_s=1.0)
 """With a lease this long, renewals come well before it expires even on a slow machine."""
@@ -68,6 +71,11 @@
             lambda platform: put_corrupt_row(platform, "op", "config", NOT_BASE64)
         )
 
+    def test_plan_that_is_nested_deeply_leaves_the_previous_one_in_force(self) -> None:
+        self._assert_plan_survives(
+            lambda platform: put_corrupt_row(platform, "op", "config", NESTED_DEEPLY)
+        )
+
     def test_plan_with_an_unknown_kind_of_route_leaves_the_previous_one_in_force(
         self,
     ) -> None:
@@ -77,6 +85,82 @@
         self._assert_plan_survives(lambda platform: platform.put("op", "config", plan))
 
 
+class EntriesOfOthersTest(unittest.TestCase):
+    def test_odd_entries_of_servers_hide_no_other_server(self) -> None:
+        async def work(cluster: Cluster) -> None:
+            for number, odd in enumerate(
+                (
+                    {"slots": 2**70},
+                    {"address": "127.0.0.1:99999"},
+                    {"address": "a\0b:80"},
+                    {"address": "a..b:80"},
+                    {"version": "v1\r\n"},
+                    {"born": 2**63},
+                )
+            ):
+                cluster.list_server(ScriptedServer(f"odd-{number}", answer_ok), "ready", **odd)
+            node = await cluster.start("n1")
+            await wait_until(ready(node))
+            for _ in range(20):
+                self.assertEqual((await cluster.ask("n1")).status, 200)
+            late = ScriptedServer("s2", answer_ok)
+            cluster.servers.append(late)
+            await late.start()
+            cluster.list_server(late, "ready")
+            await wait_until(lambda: "s2" in node.fleet.list.servers)
+            self.assertEqual(sorted(node.fleet.list.servers), ["s1", "s2"])
+            self.assertEqual(task_failures(node), {})
+
+        run_on_cluster(work)
+
+
+class NestedRowsTest(unittest.TestCase):
+    def test_rows_of_all_tables_that_are_nested_deeply_end_no_task(self) -> None:
+        async def work(cluster: Cluster) -> None:
+            for table, key in (
+                ("servers", "s2"),
+                ("op", "rollout/plain"),
+                ("status", "rollout/plain"),
+                ("rollouts", "plain"),
+                ("members", "n9"),
+                ("leases", "duties"),
+                ("blocks", "00" * 16),
+                ("usage", "1"),
+                ("stream_versions", "plain"),
+                ("stream_origins", "001"),
+            ):
+                put_corrupt_row(cluster.platform, table, key, NESTED_DEEPLY)
+            node = await cluster.start("n1")
+            await wait_until(ready(node))
+            await asyncio.sleep(2.0)
+            self.assertEqual((await cluster.ask("n1")).status, 200)
+            await wait_until(lambda: node.keeper.grant() is not None, 10.0)
+            self.assertEqual(task_failures(node), {})
+
+        run_on_cluster(work)
+
+
+class NumbersOfOthersTest(unittest.TestCase):
+    def test_rows_with_huge_numbers_end_no_task(self) -> None:
+        async def work(cluster: Cluster) -> None:
+            lease = {"holder": "n9", "epoch": 2**64 - 1, "operation": "x"}
+            cluster.platform.put("leases", "duties", lease)
+            for number, times in enumerate((2_000, 2**32, 2**70, -5)):
+                block = {"until_s": 1e6, "times": times}
+                cluster.platform.put("blocks", f"{number:032x}", block)
+            cluster.platform.put("stream_versions", "plain", {"versions": {"v0": 1e300}})
+            cluster.platform.put("stream_origins", "001", {"at_s": 1e300, "streams": {"v0": ""}})
+            cluster.platform.put("usage", "1", {"window": 2**70, "counts": {"north": 2**70}})
+            node = await cluster.start("n1")
+            await wait_until(ready(node))
+            await wait_until(lambda: node.keeper.grant() is not None, 10.0)
+            await asyncio.sleep(1.0)
+            self.assertEqual((await cluster.ask("n1")).status, 200)
+            self.assertEqual(task_failures(node), {})
+
+        run_on_cluster(work)
+
+
 class LeaseOfOthersTest(unittest.TestCase):
     def test_unreadable_lease_is_acquired_after_the_ttl(self) -> None:
         async def work(cluster: Cluster) -> None:
