Supervisor: a task that keeps failing no longer ends the process

Callers saw: processes ended by themselves, again and again. A task that failed six times within a minute made its supervisor give up, and the whole process drained and ended, though the others could serve on; whatever made the task fail was there again after the start.

--- a/src/moledale/gateway/duties.py
+++ b/src/moledale/gateway/duties.py
@@ -7,6 +7,7 @@
 from result import Err
 
 from moledale.clock import monotonic
+from moledale.faults import await_step
 from moledale.gateway.lease_keeper import LeaseKeeper
 from moledale.gateway.outside import ABSENT_VERSION, CloudOrders, Store
 from moledale.gateway.renting_duty import RentingDuty
@@ -108,9 +109,11 @@
             self._rollouts.reset()
         async with self.step_lock:
             await asyncio.gather(
-                self._report_usage(),
-                self._renting.step(),
-                self._rollouts.step(lambda: self._keeper.grant() is not None),
+                await_step("usage", self._report_usage()),
+                await_step("renting", self._renting.step()),
+                await_step(
+                    "roll-outs", self._rollouts.step(lambda: self._keeper.grant() is not None)
+                ),
             )
 
     async def _report_usage(self) -> None:
--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -10,6 +10,7 @@
 from moledale.clock import SystemClock, monotonic
 from moledale.core.hashing import first_ranked
 from moledale.core.rollouts import Exposure, RolloutNews
+from moledale.faults import faults, run_step
 from moledale.gateway.balance import LoadBalancer
 from moledale.gateway.builds import FORMATS, BuildWatch
 from moledale.gateway.cold_start import ColdStart
@@ -363,6 +364,9 @@
         unreadable = self._gossip.unreadable.total() if self._gossip is not None else 0
         speeds = self.balancer.server_speeds.summary()
         return {
+            "task_failures_total": self.supervisor.failures,
+            "tasks_failing": len(self.supervisor.failing()),
+            "unexpected_errors_total": faults.total,
             "servers_limited": self.balancer.limited_count(),
             "services_brittle": self.balancer.notices.brittle.count(),
             "services_unreachable": len(self.balancer.reachability.unreachable()),
@@ -446,7 +450,7 @@
         return self.settings.bounds.stop_s * STOP_ADMISSION_SHARE
 
     async def run(self, stop: asyncio.Event) -> int:
-        """Serve until `stop` is set or a task gives up, then drain; return the exit code."""
+        """Serve until `stop` is set, whatever fails meanwhile, then drain; return the exit code."""
         node = self.settings.node
         self._gossip = await open_gossip(node.peers, self._on_message)
         for address in {node.control, node.directory, node.readiness}:
@@ -481,11 +485,9 @@
         start("callers", lambda: sweep_forever(self._caller_listener))
         start("questions", lambda: sweep_forever(self._control_listener))
         start("relayed", lambda: sweep_forever(self._relay_listener))
-        gave_up = asyncio.create_task(self.supervisor.gave_up.wait())
-        stopping = asyncio.create_task(stop.wait())
-        await asyncio.wait([gave_up, stopping], return_when=asyncio.FIRST_COMPLETED)
+        await stop.wait()
         await self._drain()
-        return EXIT_OK if stop.is_set() else 1
+        return EXIT_OK
 
     def reload(self, settings: GatewaySettings) -> None:
         """Apply changed settings; the node's identity and listen addresses stay as they are."""
@@ -669,26 +671,36 @@
         while True:
             if slept_s := suspension.slept_s():
                 emit(Event.WOKEN, node=self.settings.node.id, slept_s=round(slept_s, 3))
-            now = monotonic()
-            self._note_list_gap()
-            self._request_rate.observe(self.forwarder.handled, now)
-            self._update_cut_off(now)
-            changed = self.neighbours.update_serving(self._own_state(), now)
-            if changed and self.neighbours.promoted_without_counts(now):
-                self.forwarder.reset_limits()
-            self._send_state(everyone=changed)
-            self.sharing.apply_peers(self.balancer)
-            self.sharing.update_shares(self.forwarder.index)
-            self.server_limits.refresh(self.neighbours.serving)
-            self.rollouts.step()
-            self.forwarder.guard.block_suspects()
-            self.fleet.drop_lapsed()
-            self._refresh_rooms(now)
-            self.balancer.tick(now)
-            self.members.forget_old(now)
-            self._log_addresses()
+            for step in self._round_steps(monotonic()):
+                run_step("gossip round", step)
             await asyncio.sleep(GOSSIP_INTERVAL_S)
 
+    def _round_steps(self, now: float) -> tuple[Callable[[], object], ...]:
+        """Return what is due in a gossip round; an error in one step leaves out no other."""
+        return (
+            self._note_list_gap,
+            lambda: self._request_rate.observe(self.forwarder.handled, now),
+            lambda: self._update_cut_off(now),
+            lambda: self._share_state(now),
+            lambda: self.sharing.apply_peers(self.balancer),
+            lambda: self.sharing.update_shares(self.forwarder.index),
+            lambda: self.server_limits.refresh(self.neighbours.serving),
+            self.rollouts.step,
+            self.forwarder.guard.block_suspects,
+            self.fleet.drop_lapsed,
+            lambda: self._refresh_rooms(now),
+            lambda: self.balancer.tick(now),
+            lambda: self.members.forget_old(now),
+            self._log_addresses,
+        )
+
+    def _share_state(self, now: float) -> None:
+        """Send the own state, to everyone if this node begins or ceases to serve."""
+        changed = self.neighbours.update_serving(self._own_state(), now)
+        if changed and self.neighbours.promoted_without_counts(now):
+            self.forwarder.reset_limits()
+        self._send_state(everyone=changed)
+
     def _note_list_gap(self) -> None:
         """Note that versions may have come and gone unseen if the list was out of date for long."""
         if not self.fleet.known:
--- a/src/moledale/log.py
+++ b/src/moledale/log.py
@@ -24,7 +24,7 @@
 
 
 class Event(Enum):
-    """All events that are logged. Numbers are never reused."""
+    """All events that are logged. Numbers are never reused; 111 is retired."""
 
     STARTING = EventSpec(100, logbook.INFO, "The daemon starts with these settings.")
     LISTENING = EventSpec(101, logbook.INFO, "The caller and peer addresses are bound.")
@@ -32,8 +32,10 @@
     NOT_READY = EventSpec(103, logbook.WARNING, "The node stopped taking new requests.")
     DRAINING = EventSpec(104, logbook.INFO, "A planned stop began; accepted requests go on.")
     STOPPED = EventSpec(105, logbook.INFO, "The daemon stopped.")
-    TASK_FAILED = EventSpec(110, logbook.ERROR, "A task failed and is started again.")
-    TASK_GAVE_UP = EventSpec(111, logbook.CRITICAL, "A task failed too often; the node stops.")
+    TASK_FAILED = EventSpec(110, logbook.ERROR, "A task failed and is started again after a pause.")
+    UNEXPECTED_ERROR = EventSpec(
+        113, logbook.ERROR, "An unexpected error ended one request, message or callback."
+    )
     MAILBOX_FULL = EventSpec(112, logbook.WARNING, "A mailbox was full and a message refused.")
     BUNDLE_ADOPTED = EventSpec(200, logbook.INFO, "A newer bundle version is in force here.")
     WATCH_BEGUN = EventSpec(
--- a/src/moledale/node/background.py
+++ b/src/moledale/node/background.py
@@ -4,7 +4,7 @@
 from collections.abc import Coroutine
 from typing import Any
 
-from moledale.log import Event, emit
+from moledale.faults import record_fault
 
 
 class BackgroundTasks:
@@ -22,5 +22,6 @@
 
     def _on_done(self, task: asyncio.Task[Any]) -> None:
         self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            emit(Event.TASK_FAILED, task=self._name, error=repr(task.exception()))
+        error = None if task.cancelled() else task.exception()
+        if error is not None:
+            record_fault(self._name, error)
--- a/src/moledale/node/node.py
+++ b/src/moledale/node/node.py
@@ -21,6 +21,7 @@
 from moledale.core.freshness import Freshness, Verdict, decide_verdict
 from moledale.core.hashing import ranked
 from moledale.core.routing import LoadTracker
+from moledale.faults import faults
 from moledale.log import Event, emit
 from moledale.node.accounts import Accounts
 from moledale.node.background import BackgroundTasks
@@ -314,6 +315,10 @@
         self.fleet.node_loads[self.id] = self.dispatcher.open_requests
         return addresses_for(session, self.fleet.node_views())
 
+    def failing_tasks(self) -> int:
+        """Return how many of the supervised tasks fail again and again."""
+        return len(self.supervisor.failing()) + len(self._duty_supervisor.failing())
+
     async def _report_readiness(self) -> None:
         while True:
             verdict = self.verdict()
@@ -329,6 +334,8 @@
                 )
             self.metrics.gauge("open_requests", self.dispatcher.open_requests)
             self.metrics.gauge("waiting", self.dispatcher.waiting)
+            self.metrics.gauge("tasks_failing", self.failing_tasks())
+            self.metrics.gauge("unexpected_errors", faults.total)
             await self.clock.sleep(STATE_POLL_INTERVAL_S)
 
     async def _check_isolation(self) -> None:
--- a/src/moledale/ui/daemon.py
+++ b/src/moledale/ui/daemon.py
@@ -52,7 +52,7 @@
 
 
 async def _run(settings: Settings, secrets: Secrets) -> int:
-    """Serve until a signal comes or a task gives up, then drain and stop."""
+    """Serve until a signal comes or the listener ends, then drain and stop."""
     emit(Event.STARTING, node=settings.node.id, hall=settings.node.hall, version=__version__)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -79,9 +79,8 @@
     server = make_server(make_app(node))
     serving = asyncio.create_task(server.serve(sockets=[sock]))
     emit(Event.LISTENING, port=sock.getsockname()[1], peer_port=peer_port)
-    gave_up = asyncio.create_task(node.supervisor.gave_up.wait())
     stopping = asyncio.create_task(stop.wait())
-    await asyncio.wait([stopping, gave_up, serving], return_when=asyncio.FIRST_COMPLETED)
+    await asyncio.wait([stopping, serving], return_when=asyncio.FIRST_COMPLETED)
     await node.drain()
     server.should_exit = True
     await serving
--- a/src/moledale/ui/explain_command.py
+++ b/src/moledale/ui/explain_command.py
@@ -32,6 +32,7 @@
         Event.LEASE_LOST,
         Event.EVACUATION,
         Event.TASK_FAILED,
+        Event.UNEXPECTED_ERROR,
     )
 )
 """Events about a node's own state, shown as context if logged during the request."""
