Unexpected errors: contain each to one request, message or callback

Callers saw: connections that closed without an answer. An error in the handler of a request aborted its connection, and showed on standard error only when its task was collected. An error in a callback of a parser was taken for a malformed request (400) or answer, without a line. An address of a peer that is no address kept a message from the nodes after it, and with asyncio's own loop a name that can't be looked up closed the gossip socket for good.

The event loop has an exception handler; each error is logged with task, error and place (E113), once in 30 s for a place, and counted. The caller gets 503 if the request was sent to no server, 502 if it was, and 500 if the error met the connection; a stream is broken off. Errors in a planned stop, a reload, one connection's timeouts, a roll of the bundle and a call with a key are contained and logged, too; those of the last two were dropped without a line.

--- a/src/moledale/edge/app.py
+++ b/src/moledale/edge/app.py
@@ -3,6 +3,7 @@
 import contextlib
 import socket
 from collections.abc import Iterator
+from typing import Any
 
 import uvicorn
 from starlette.applications import Starlette
@@ -17,6 +18,7 @@
 from moledale.edge.bounded_protocol import BoundedHttpProtocol
 from moledale.edge.callers import CallerApi
 from moledale.edge.operators import OperatorApi
+from moledale.faults import record_fault
 from moledale.node.node import Node
 
 LISTEN_BACKLOG = 2048
@@ -66,7 +68,11 @@
         *CallerApi(node).routes(),
         *OperatorApi(node).routes(),
     ]
-    app = Starlette(routes=routes, exception_handlers={HTTPException: _http_problem})
+    handlers: dict[type[Exception], Any] = {
+        HTTPException: _http_problem,
+        Exception: _internal_problem,
+    }
+    app = Starlette(routes=routes, exception_handlers=handlers)
     return HeaderLimit(app, node.settings.limits.header_bytes)
 
 
@@ -80,6 +86,15 @@
     )
 
 
+async def _internal_problem(_: Request, error: Exception) -> Response:
+    """Record an unexpected error, and return it as a problem that leaves open what ran."""
+    record_fault("request", error)
+    detail = "internal error"
+    return problem_response(
+        problems.Problem("internal", 500, "Internal error", detail, problems.Ran.UNKNOWN)
+    )
+
+
 class CallerServer(uvicorn.Server):
     """A uvicorn server without signal handlers: the daemon handles signals and stops it."""
 
--- a/src/moledale/faults.py
+++ b/src/moledale/faults.py
@@ -121,7 +121,7 @@
 
     The message may name an object with its address, so only its first words are used.
     """
-    why = str(context.get("message", "")).partition("<")[0].partition("(")[0][:MAX_TEXT_CHARS]
+    why = str(context.get("message") or "").partition("<")[0].partition("(")[0][:MAX_TEXT_CHARS]
     error = context.get("exception")
     failed = context.get("task") or context.get("future")
     task = LOOP
--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -5,6 +5,7 @@
 from functools import partial
 
 from moledale.clock import monotonic
+from moledale.faults import record_fault
 from moledale.gateway.accounts import AccountLimits
 from moledale.gateway.admission import BLOCKED_REASON, Admission
 from moledale.gateway.answers import CRASH_CUTS, AnswerReader
@@ -21,7 +22,7 @@
 from moledale.gateway.reach_probe import ReachProber
 from moledale.gateway.refusals import NO_CONNECTION, NO_SERVER, NOT_RUN_RETRY_S, Refusals
 from moledale.gateway.relay import Relay, RelayOutcome
-from moledale.gateway.reply import Reply
+from moledale.gateway.reply import Reply, ReplyStarted
 from moledale.gateway.request_guard import RequestGuard
 from moledale.gateway.server_notices import SERVICE_UNAVAILABLE
 from moledale.gateway.server_view import Placement, record_silence
@@ -56,6 +57,10 @@
 OTHER_NODE_RETRY_S = 0.05
 """Retry delay when other nodes are known to be able to serve; it only spreads callers a little."""
 
+INTERNAL_ERROR = "internal error"
+NOT_RUN_AFTER_FAULT = Refusal(503, INTERNAL_ERROR, NOT_RUN_RETRY_S)
+"""Answer to a request that met an unexpected error before it was sent to any server."""
+
 UNKNOWN_ORIGIN = "it is not known which version began the stream"
 VERSION_GONE = "no server runs the version that began the stream"
 
@@ -203,7 +208,7 @@
     async def handle(self, request: InboundRequest, reply: Reply) -> None:
         """Handle one request, and write its final response to `reply`."""
         self.handled += 1
-        job = self.admission.admit(request, reply)
+        job = self._admit(request, reply)
         if isinstance(job, Refusal):
             self.refuse(reply, request, job, job.request)
             return
@@ -222,6 +227,21 @@
             if not job.was_sent:
                 self._refund(job)
             raise
+        except ReplyStarted:
+            raise
+        except Exception as error:
+            record_fault("request", error)
+            # A 503 promises that the request did not run.
+            refusal = Refusal(502, INTERNAL_ERROR) if job.was_sent else NOT_RUN_AFTER_FAULT
+            self._give_up(job, refusal)
+
+    def _admit(self, request: InboundRequest, reply: Reply) -> Job | Refusal:
+        """Return the job of a request, or why it is refused."""
+        try:
+            return self.admission.admit(request, reply)
+        except Exception as error:
+            record_fault("admission", error)
+            return NOT_RUN_AFTER_FAULT
 
     def _peers_reach(self, service: str) -> bool:
         """Return whether a peer states that it reached a service recently."""
--- a/src/moledale/gateway/gossip.py
+++ b/src/moledale/gateway/gossip.py
@@ -7,10 +7,13 @@
 import asyncio
 from collections import Counter
 from collections.abc import Callable
+from functools import lru_cache
+from ipaddress import IPv4Address
 from typing import get_args
 
 import msgspec
 
+from moledale.faults import record_fault
 from moledale.gateway.messages import Placed
 from moledale.gateway.peers import NodeState
 from moledale.gateway.permits import PermitAnswer, PermitAsk
@@ -92,6 +95,11 @@
 OTHER_KINDS = "others"
 """Kind under which messages are counted beyond `MAX_UNREADABLE_KINDS`."""
 
+MAX_ADDRESSES = 4_096
+"""Parsed addresses of peers that are remembered."""
+
+MAX_PORT = 65_535
+
 NO_KIND = "no message"
 """Kind of datagrams that name none."""
 
@@ -107,6 +115,23 @@
     return NO_KIND
 
 
+@lru_cache(MAX_ADDRESSES)
+def _socket_address(address: str) -> tuple[str, int] | None:
+    """Return `host:port` as a socket takes it, or None, once logged, if it is no such address.
+
+    The event loop would look a name up, and close the socket when that fails.
+    """
+    host, _, port = address.rpartition(":")
+    try:
+        ip, number = str(IPv4Address(host)), int(port)
+        if not 0 < number <= MAX_PORT:
+            raise ValueError(f"no port: {port[:MAX_KIND_CHARS]}")
+    except ValueError as error:
+        record_fault("gossip address", error)
+        return None
+    return ip, number
+
+
 class GossipSocket(asyncio.DatagramProtocol):
     """UDP endpoint that encodes and sends messages, and decodes received ones."""
 
@@ -126,7 +151,10 @@
         except msgspec.DecodeError as error:
             self._record_unreadable(claimed_kind(data), addr[0], str(error))
             return
-        self._on_message(message)
+        try:
+            self._on_message(message)
+        except Exception as error:
+            record_fault(f"message {type(message).__name__}", error)
 
     def _record_unreadable(self, kind: str, sender: str, why: str) -> None:
         """Count an unreadable message and log the first of its kind.
@@ -139,6 +167,11 @@
         if self.unreadable[kind] == 1:
             emit(Event.FORMAT_REFUSED, kind=kind, sender=sender, why=why)
 
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Record that the socket closed because of an error."""
+        if exc is not None:
+            record_fault("gossip socket", exc)
+
     def error_received(self, exc: Exception) -> None:
         """Ignore errors such as a closed port of a peer; a silent peer is detected by a timeout."""
 
@@ -148,8 +181,9 @@
             return
         data = _encoder.encode(message)
         for address in addresses:
-            host, _, port = address.rpartition(":")
-            self._transport.sendto(data, (host, int(port)))
+            target = _socket_address(address)
+            if target is not None:
+                self._transport.sendto(data, target)
 
     def close(self) -> None:
         """Close the socket."""
--- a/src/moledale/gateway/inbound.py
+++ b/src/moledale/gateway/inbound.py
@@ -7,10 +7,12 @@
 import asyncio
 from collections import deque
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 import httptools
 import msgspec
 
+from moledale.faults import record_fault, run_step
 from moledale.gateway.messages import Headers, InboundRequest, RequestHead, first_header
 from moledale.gateway.plan import Limits
 from moledale.gateway.reply import Reply, ReplyStarted
@@ -28,6 +30,9 @@
 readers.
 """
 
+INTERNAL_ERROR = b"internal error"
+"""Reason in the answer to a request that met an unexpected error."""
+
 JSON_TYPE = (b"Content-Type", b"application/json")
 
 Handler = Callable[[InboundRequest, Reply], Awaitable[None]]
@@ -58,7 +63,7 @@
         limits = self.limits()
         now = self.now()
         for connection in list(self.connections):
-            connection.enforce_timeouts(now, limits)
+            run_step("timeouts", partial(connection.enforce_timeouts, now, limits))
 
     def close_idle(self) -> None:
         """Close connections without a request in progress."""
@@ -141,6 +146,9 @@
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._refuse(400, b"upgrades are not supported")
+        except httptools.HttpParserCallbackError as error:
+            record_fault("caller's connection", error.__context__ or error)
+            self._refuse(500, INTERNAL_ERROR)
         except httptools.HttpParserError:
             self._refuse(400, b"not a valid HTTP/1.1 request")
         if not self._in_body and self._head_bytes > self._listener.limits().header_bytes:
@@ -216,6 +224,10 @@
             await self._listener.handle(request, reply)
         except ReplyStarted as error:
             emit(Event.SECOND_REPLY, why=str(error))
+        except Exception as error:
+            record_fault("request", error)
+            if not reply.started:
+                reply.send_whole(500, [JSON_TYPE], b'{"error":"%s"}' % INTERNAL_ERROR)
         finally:
             self._finish_request(reply)
 
--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -501,7 +501,7 @@
         self._leaving_since = began_at
         emit(Event.DRAINING, node=self.settings.node.id)
         self._caller_listener.closing = True
-        self._send_state()
+        run_step("stop", self._send_state)
         release = asyncio.create_task(self._release_lease())
         end_at = began_at + max(0.5, self.settings.bounds.stop_s - STOP_MARGIN_S)
         earliest_end_at = began_at + min_stop_s(self.settings.bounds)
@@ -519,7 +519,7 @@
         for listener in listeners:
             listener.close_idle()
         await self.supervisor.stop()
-        self._send_state()
+        run_step("stop", self._send_state)
         emit(Event.STOPPED, node=self.settings.node.id)
 
     async def _release_lease(self) -> None:
--- a/src/moledale/gateway/upstream.py
+++ b/src/moledale/gateway/upstream.py
@@ -10,6 +10,7 @@
 
 import httptools
 
+from moledale.faults import record_fault
 from moledale.gateway.messages import AnswerHead, Framing
 from moledale.gateway.tcp_keep_alive import enable_keep_alive
 from moledale.http_overhead import OverheadMeter
@@ -160,6 +161,9 @@
         body_before = self._body_bytes
         try:
             self._parser.feed_data(data)
+        except httptools.HttpParserCallbackError as error:
+            record_fault("server's connection", error.__context__ or error)
+            self._end_garbled()
         except httptools.HttpParserError:
             self._end_garbled()
         self._overhead.record(len(data), self._body_bytes - body_before)
--- a/src/moledale/node/node.py
+++ b/src/moledale/node/node.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 import uuid
-from contextlib import suppress
 
 import msgspec
 from cachetools import LRUCache
@@ -21,7 +20,7 @@
 from moledale.core.freshness import Freshness, Verdict, decide_verdict
 from moledale.core.hashing import ranked
 from moledale.core.routing import LoadTracker
-from moledale.faults import faults
+from moledale.faults import await_step, faults
 from moledale.log import Event, emit
 from moledale.node.accounts import Accounts
 from moledale.node.background import BackgroundTasks
@@ -516,7 +515,6 @@
         )
         if isinstance(outcome, Ok):
             emit(Event.BUNDLE_ROLLED, version=outcome.ok_value.version)
-            with suppress(Exception):
-                await self.bundles.poll()
+            await await_step("bundle", self.bundles.poll())
             self.gossip_soon()
         return outcome
--- a/src/moledale/node/once.py
+++ b/src/moledale/node/once.py
@@ -15,6 +15,7 @@
 from moledale import problems
 from moledale.backing.types import ABSENT, Condition, TableService, Write
 from moledale.clock import Clock
+from moledale.faults import describe, record_fault
 from moledale.node.background import BackgroundTasks
 from moledale.node.journal import Entry, Journal, Outcome, new_operation
 from moledale.problems import Problem, Ran
@@ -253,7 +254,8 @@
             )
             raise
         except Exception as error:
-            outcome = Err(problems.outcome_unknown(f"internal error: {error!r}"))
+            record_fault("call with a key", error)
+            outcome = Err(problems.outcome_unknown(f"internal error: {describe(error)}"))
         # After "did not run" this request has failed, but the same key may be retried.
         did_not_run = isinstance(outcome, Err) and outcome.err_value.ran is Ran.NO
         self._settle(call, state, outcome, keep=not did_not_run)
--- a/src/moledale/ui/daemon.py
+++ b/src/moledale/ui/daemon.py
@@ -14,6 +14,7 @@
 from moledale.backing.http import http_platform
 from moledale.clock import SystemClock
 from moledale.edge.app import bind_listener, make_app, make_server
+from moledale.faults import watch_loop
 from moledale.findings import Finding
 from moledale.http_client import make_client
 from moledale.log import Event, emit, log_to_stderr
@@ -56,6 +57,7 @@
     emit(Event.STARTING, node=settings.node.id, hall=settings.node.hall, version=__version__)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
+    watch_loop(loop)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     try:
--- a/src/moledale/ui/gateway.py
+++ b/src/moledale/ui/gateway.py
@@ -4,11 +4,13 @@
 import signal
 import sys
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 
 import uvloop
 from result import Err
 
+from moledale.faults import run_step, watch_loop
 from moledale.gateway.dialect import Dialect
 from moledale.gateway.entry import EntryDialect
 from moledale.gateway.node import GatewayNode
@@ -47,9 +49,10 @@
 async def _run(node: GatewayNode, path: Path) -> int:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
+    watch_loop(loop)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, _reload, node, path)
+    loop.add_signal_handler(signal.SIGHUP, run_step, "reload", partial(_reload, node, path))
     # Logged only now, so that this first line shows that the signal handlers are installed.
     emit(Event.STARTING, node=node.settings.node.id, life=node.incarnation)
     return await node.run(stop)
