--- a/src/moledale/node/node.py
+++ b/src/moledale/node/node.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 import uuid
-from contextlib import suppress
 
 import msgspec
 from cachetools import LRUCache
@@ -22,6 +21,7 @@
 from moledale.core.hashing import ranked
 from moledale.core.routing import LoadTracker
 from moledale.decoding import decode_json
+from moledale.faults import await_step, faults
 from moledale.log import Event, emit
 from moledale.node.accounts import Accounts
 from moledale.node.background import BackgroundTasks
@@ -315,6 +315,10 @@
         self.fleet.node_loads[self.id] = self.dispatcher.open_requests
         return addresses_for(session, self.fleet.node_views())
 
+    def failing_tasks(self) -> int:
+        """Return how many of the supervised tasks fail again and again."""
+        return len(self.supervisor.failing()) + len(self._duty_supervisor.failing())
+
     async def _report_readiness(self) -> None:
         while True:
             verdict = self.verdict()
@@ -330,6 +334,8 @@
                 )
             self.metrics.gauge("open_requests", self.dispatcher.open_requests)
             self.metrics.gauge("waiting", self.dispatcher.waiting)
+            self.metrics.gauge("tasks_failing", self.failing_tasks())
+            self.metrics.gauge("unexpected_errors", faults.total)
             await self.clock.sleep(STATE_POLL_INTERVAL_S)
 
     async def _check_isolation(self) -> None:
@@ -510,7 +516,6 @@
         )
         if isinstance(outcome, Ok):
             emit(Event.BUNDLE_ROLLED, version=outcome.ok_value.version)
-            with suppress(Exception):
-                await self.bundles.poll()
+            await await_step("bundle", self.bundles.poll())
             self.gossip_soon()
         return outcome
--- a/src/moledale/ui/daemon.py
+++ b/src/moledale/ui/daemon.py
@@ -14,6 +14,7 @@
 from moledale.backing.http import http_platform
 from moledale.clock import SystemClock
 from moledale.edge.app import bind_listener, make_app, make_server
+from moledale.faults import watch_loop
 from moledale.findings import Finding
 from moledale.http_client import make_client
 from moledale.log import Event, emit, log_to_stderr
@@ -52,10 +53,11 @@
 
 
 async def _run(settings: Settings, secrets: Secrets) -> int:
-    """Serve until a signal comes or a task gives up, then drain and stop."""
+    """Serve until a signal comes or the listener ends, then drain and stop."""
     emit(Event.STARTING, node=settings.node.id, hall=settings.node.hall, version=__version__)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
+    watch_loop(loop)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     try:
@@ -79,9 +81,8 @@
     server = make_server(make_app(node))
     serving = asyncio.create_task(server.serve(sockets=[sock]))
     emit(Event.LISTENING, port=sock.getsockname()[1], peer_port=peer_port)
-    gave_up = asyncio.create_task(node.supervisor.gave_up.wait())
     stopping = asyncio.create_task(stop.wait())
-    await asyncio.wait([stopping, gave_up, serving], return_when=asyncio.FIRST_COMPLETED)
+    await asyncio.wait([stopping, serving], return_when=asyncio.FIRST_COMPLETED)
     await node.drain()
     server.should_exit = True
     await serving
