Soak: odd rows that another writer leaves in the store

Another writer leaves, in series and beside all other troubles, entries of servers that are nested deeply, with numbers of 2^70, ports out of range and hosts with a NUL, and rows nested deeply in the tables op, leases, blocks, members, stream_versions and stream_origins. Each is removed after 1 to 4 s, also where a restore of the store brings it back. A nested plan, which has no routes, is written only once the newest valid one has to be in force, and stays until that one or the next is written.

They count as planned work, so they excuse no finding: no process may end by itself (ends_as_asked), the former plan stays in force (versions_in_force), servers that leave get nothing (leaving_servers_rest), and by a new check servers that are listed get a request within 4 s (joining_servers_get_requests).

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -41,6 +41,11 @@
     parser.add_argument(
         "--overload", action="store_true", help="run the drill for overload and fair shares"
     )
+    parser.add_argument(
+        "--without-odd-rows",
+        action="store_true",
+        help="let no other writer leave odd rows; with --from none does",
+    )
     arguments = parser.parse_args()
     if arguments.overload:
         return run_drills(arguments)
@@ -90,6 +95,7 @@
                 rounds=arguments.rounds,
                 former_build=former,
                 scheduling=arguments.scheduling,
+                odd_rows=former is None and not arguments.without_odd_rows,
             )
         )
         print(
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -24,6 +24,9 @@
 # These four are bounds in the settings of the nodes, see `SETTINGS_TEMPLATE` in process.py.
 APPLY_S = 2.0
 LEAVE_S = 2.0
+JOIN_S = 4.0
+"""A listed server gets a request within this time: callers send over ten a second per service."""
+
 LEASE_S = 1.5
 STOP_S = 5.0
 
@@ -207,6 +210,23 @@
                 yield f"{run.request} reached {run.server} {late:.2f} s too late"
 
 
+def joining_servers_get_requests(ledger: Ledger) -> Iterable[str]:
+    """Without unplanned faults a server that is listed gets a request within `JOIN_S`."""
+    last_sent_at = max((attempt.sent_at for attempt in ledger.attempts), default=0.0)
+    arrived: dict[str, list[float]] = defaultdict(list)
+    for run in ledger.runs:
+        arrived[run.server].append(run.at)
+    for joined in ledger.joined:
+        end = joined.at + JOIN_S
+        if end > last_sent_at or ledger.unplanned_between(joined.at - SETTLE_TIME_S, end):
+            continue
+        leaves = any(
+            each.server == joined.server and each.acked_at < end for each in ledger.leaving
+        )
+        if not leaves and not any(joined.at <= at <= end for at in arrived[joined.server]):
+            yield f"{joined.server} was listed and got no request within {JOIN_S:.0f} s"
+
+
 def own_word_of_leaving_counts(ledger: Ledger) -> Iterable[str]:
     """A node that forwarded a server's Server-Leaving field sends it nothing after `LEAVE_S`."""
     sent = {attempt.request: attempt for attempt in ledger.attempts}
@@ -488,6 +508,7 @@
     nothing_unasked,
     attempts_bounded,
     leaving_servers_rest,
+    joining_servers_get_requests,
     own_word_of_leaving_counts,
     stated_retry_times_are_kept,
     named_limits_are_kept,
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -106,6 +106,14 @@
     acked_at: float
 
 
+@dataclass(slots=True)
+class Joined:
+    """A server that was listed at `at`, of a service and version that other servers have, too."""
+
+    server: str
+    at: float
+
+
 @dataclass(slots=True)
 class Limit:
     """A limit that a server states in its answers, in requests per second from all nodes."""
@@ -146,6 +154,7 @@
     faults: list[Fault] = field(default_factory=list)
     versions: list[Version] = field(default_factory=list)
     leaving: list[Leaving] = field(default_factory=list)
+    joined: list[Joined] = field(default_factory=list)
     limits: list[Limit] = field(default_factory=list)
     exits: list[Exit] = field(default_factory=list)
     starts: list[tuple[str, float]] = field(default_factory=list)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -12,6 +12,7 @@
 from tests.soak.backend import EVENTS_PER_STREAM
 from tests.soak.callers import ANSWER_TOKENS, SoakCaller, probe
 from tests.soak.checks import CHECKS, RECOVERY_S, duties_by_one, limits_hold
+from tests.soak.odd_rows import OddRowWriter
 from tests.soak.process import ROOT
 from tests.soak.records import SOAK_STALL, Ledger
 from tests.soak.stalls import stall_lines
@@ -59,7 +60,7 @@
 
     With a `former_build`, a folder of sources, each start of a node runs either these sources or
     the tested ones. With `scheduling` nodes run with all scheduling features, model servers act as
-    engines, and some are reclaimed.
+    engines, and some are reclaimed. With `odd_rows` another writer leaves odd rows in the store.
     """
 
     seed: int
@@ -69,6 +70,7 @@
     rounds: int = 2
     former_build: Path | None = None
     scheduling: bool = False
+    odd_rows: bool = False
 
     @property
     def builds(self) -> tuple[Path, ...]:
@@ -193,6 +195,10 @@
         work.append(asyncio.create_task(self._watch_own_stalls()))
         work.append(asyncio.create_task(self._snapshot_forever()))
         work.append(asyncio.create_task(self._heartbeat_forever()))
+        if self._plan.odd_rows:
+            # A separate generator, so that odd rows don't change what else a seed draws.
+            writer = OddRowWriter(self._world, random.Random(f"{self._plan.seed} odd rows"))
+            work.append(asyncio.create_task(writer.run(over)))
         for _ in range(self._plan.rounds):
             self._restore_before_planned_work()
             if scheduling:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -1,6 +1,7 @@
 """The environment of a soak: the store, backend servers, node processes and configurations."""
 
 import asyncio
+import base64
 import os
 import random
 import time
@@ -16,7 +17,7 @@
 from tests.soak.engine import MAX_PAUSE_MS, SLOTS, EngineGroup, SoakEngine
 from tests.soak.link import Link
 from tests.soak.process import ROOT, NodeProcess
-from tests.soak.records import Ledger, Version
+from tests.soak.records import Joined, Ledger, Version
 
 HALLS = ("hall-a", "hall-b")
 ACCOUNTS = (Account("north", "key-n"), Account("south", "key-s"), Account("small", "key-t"))
@@ -150,10 +151,17 @@
             if service == "model":
                 backend.engine = SoakEngine(backend.id, self.engines)
                 self.engines.by_address[backend.link.address] = backend.engine
+        known = any(self._is_alike(each, backend) for each in self.backends)
         self.backends.append(backend)
         self.list_backend(backend, "ready")
+        if known:
+            self.ledger.joined.append(Joined(backend.id, time.monotonic()))
         return backend
 
+    def _is_alike(self, one: Backend, other: Backend) -> bool:
+        versions = self.ledger.server_versions
+        return one.service == other.service and versions[one.id] == versions[other.id]
+
     def _next_version(self, service: str) -> str:
         """Return the software version of a new server: every second model server has another one.
 
@@ -218,6 +226,17 @@
             entry["seq"] = int(str(entry["seq"])) + 1
             self.platform.put("servers", name, entry)
 
+    def put_bytes(self, table: str, key: str, value: bytes) -> str:
+        """Write a row with any bytes as another writer may; return its encoded value."""
+        self.platform.put(table, key, {})
+        row = self.platform.rows[(table, "", key)]
+        row.value = base64.b64encode(value).decode()
+        return row.value
+
+    def rewrite_config(self) -> None:
+        """Write the newest valid configuration again."""
+        self.platform.put("op", "config", self._config)
+
     def take_snapshot(self) -> None:
         """Keep a snapshot that the store may be restored from, and drop expired ones."""
         now = time.monotonic()
@@ -235,7 +254,7 @@
 
     def rewrite_entries(self) -> None:
         """Rewrite the configuration and entries, as the operator and servers do after a restore."""
-        self.platform.put("op", "config", self._config)
+        self.rewrite_config()
         for name, entry in self.listed.items():
             self.platform.put("servers", name, entry)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -19,6 +19,7 @@
 from tests.soak import checks, overload_checks
 from tests.soak.backend import EVENTS_PER_STREAM, GUILTY_PREFIX, Backend, event_of, plain_body
 from tests.soak.former import FORMER_COMMIT, extract_sources
+from tests.soak.odd_rows import OddRowWriter
 from tests.soak.process import ROOT, EndRequest, NodeProcess
 from tests.soak.records import (
     PARTITION,
@@ -26,6 +27,7 @@
     Declined,
     Exit,
     Fault,
+    Joined,
     Leaving,
     Ledger,
     Limit,
@@ -284,6 +286,17 @@
         self.ledger.record_fault("cut", "").begins = 101.0
         self.assert_finding_count(checks.leaving_servers_rest, 0)
 
+    def test_finds_listed_server_that_gets_no_requests(self) -> None:
+        self.ledger.joined += [Joined("s1", 100.0), Joined("s2", 100.0), Joined("s3", 100.0)]
+        self.ledger.leaving.append(Leaving("s3", 102.0))
+        self.ledger.runs += [make_run("r1", "s1", at=103.9), make_run("r2", "s2", at=104.1)]
+        self.ledger.attempts.append(make_attempt("r3", sent_at=103.0))
+        self.assert_finding_count(checks.joining_servers_get_requests, 0)
+        self.ledger.attempts.append(make_attempt("r4", sent_at=110.0))
+        self.assert_finding_count(checks.joining_servers_get_requests)
+        self.ledger.record_fault("kill", "").begins = 103.0
+        self.assert_finding_count(checks.joining_servers_get_requests, 0)
+
     def test_finds_request_that_failed_without_a_fault(self) -> None:
         self.ledger.attempts.append(make_attempt("r1"))
         self.ledger.runs.append(make_run("r1", "s1"))
@@ -576,6 +589,49 @@
         self.assertGreaterEqual(restore.begins, world.ledger.faults[0].ends)
 
 
+class OddRowsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.world = SoakWorld(Path(), random.Random(1))
+        self.world.publish_version()
+        self.world.ledger.versions[-1].acked_at -= checks.APPLY_S
+        self.writer = OddRowWriter(self.world, random.Random(1))
+
+    def test_odd_rows_of_all_tables_are_removed_and_the_valid_plan_comes_back(self) -> None:
+        """Guards against odd rows that outlive their time, also if a restore brings them back."""
+        valid = self.world.platform.body("op", "config")
+        for _ in range(200):
+            self.writer.write()
+        details = " ".join(each.detail for each in self.world.ledger.faults)
+        tables = ("servers", "op", "leases", "blocks", "members", "stream_versions")
+        for table in (*tables, "stream_origins"):
+            self.assertIn(f"{table}/", details)
+        for what in ("nested", "of 2^70", ":99999", "\\x00", "plan nested"):
+            self.assertIn(what, details)
+        former = self.world.platform.snapshot()
+        self.writer.sweep(float("inf"))
+        self.world.platform.restore(former)
+        self.writer.sweep(float("inf"))
+        left = [row for row in self.world.platform.rows.values() if not row.gone]
+        self.assertEqual([(row.table, row.key) for row in left], [("op", "config")])
+        self.assertEqual(self.world.platform.body("op", "config"), valid)
+
+    def test_rows_that_nodes_wrote_over_odd_ones_stay(self) -> None:
+        while not self.world.platform.rows.get(("leases", "", "duties")):
+            self.writer.write()
+        self.world.platform.put("leases", "duties", {"holder": "n1"})
+        self.writer.sweep(float("inf"))
+        self.assertEqual(self.world.platform.body("leases", "duties"), {"holder": "n1"})
+
+    def test_odd_plan_waits_until_the_newest_one_is_in_force(self) -> None:
+        self.world.publish_version()
+        for _ in range(100):
+            self.writer.write()
+        number = self.world.ledger.versions[-1].number
+        body = self.world.platform.body("op", "config")
+        assert isinstance(body, dict)
+        self.assertEqual(body["version"], number)
+
+
 class ShortSoakTest(unittest.TestCase):
     def test_short_soak_with_a_fixed_seed_finds_nothing(self) -> None:
         result = run_soak(SoakPlan(SEED, nodes=4, planned_s=4.0, chaos_s=5.0, rounds=1))
