Log lines of attempts in a module of their own

The forwarder reads as one class with many jobs. `attempt_log` writes the line of a served request and that of a send without a usable response. Both are now functions; their text is unchanged.

Order of events: the two calls stand where the methods were called. The time of ATTEMPT_ENDED is taken before the fingerprint is computed instead of after; nothing is awaited in between.

--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -8,6 +8,7 @@
 from moledale.gateway.accounts import AccountLimits
 from moledale.gateway.admission import BLOCKED_REASON, Admission
 from moledale.gateway.answers import CRASH_CUTS, AnswerReader
+from moledale.gateway.attempt_log import log_served, log_unanswered
 from moledale.gateway.balance import LoadBalancer
 from moledale.gateway.choice import Choice, PlacementRefused
 from moledale.gateway.dialect import Dialect
@@ -247,35 +248,6 @@
         if job.charge is not None:
             self.limits.refund(job.charge, self._now())
 
-    def _log_served(self, job: Job, placement: Placement, attempt: Attempt) -> None:
-        now = self._now()
-        first_at = placement.first_at or now
-        emit(
-            Event.SERVED,
-            request=job.facts.id,
-            route=job.route.name,
-            account=job.caller.account,
-            server=placement.view.server.id,
-            version=placement.view.server.version,
-            resumes=job.facts.resumes,
-            parts=job.facts.logged_parts,
-            sends=job.sends,
-            status=job.reply.status,
-            tokens=job.facts.prompt_tokens,
-            uncached=placement.uncached,
-            fetched=placement.fetched,
-            ahead=placement.queued_ahead,
-            beside=placement.concurrent,
-            first_ms=round((first_at - job.request.arrived_at) * 1000),
-            target_ms=round(job.route.target_s * 1000),
-            pause_ms=round(job.longest_pause_s * 1000),
-            gap_ms=round(job.route.gap_s * 1000),
-            ms=round((now - job.request.arrived_at) * 1000),
-            framing=attempt.framing,
-            leaving=attempt.statement.leaving,
-            server_limit=attempt.statement.limit_per_s,
-        )
-
     async def _forward(self, job: Job) -> None:
         """Try servers until one responds or no further attempt is allowed.
 
@@ -329,7 +301,7 @@
                     self.guard.record_served(job)
                 if former is None:
                     self._observe_duration(job, placement)
-                self._log_served(job, placement, attempt)
+                log_served(job, placement, attempt, self._now())
                 self._record_stream_end(job, placement)
                 return
             if continuation is not None:
@@ -687,7 +659,7 @@
                 attempt = await self._after_cut(job, run, error)
             attempt.framing = connection.framing
             if attempt.outcome is not AttemptOutcome.ANSWERED:
-                self._log_unanswered(job, placement, attempt)
+                log_unanswered(job, placement, attempt, self._now())
             self._pool.release(server.id, connection)
             connection = None
             return attempt
@@ -706,34 +678,6 @@
             return True
         return await self._permits.take(placement.view)
 
-    def _log_unanswered(self, job: Job, placement: Placement, attempt: Attempt) -> None:
-        """Log a send without a usable response.
-
-        If the response broke off, the line includes the request's fingerprint. The parts of the
-        prompt tell what broken-off requests have in common.
-        """
-        broken = attempt.outcome is AttemptOutcome.BROKEN
-        emit(
-            Event.ATTEMPT_ENDED,
-            request=job.facts.id,
-            fingerprint=job.fingerprint.hex() if broken else "",
-            route=job.route.name,
-            account=job.caller.account,
-            server=placement.view.server.id,
-            version=placement.view.server.version,
-            resumes=job.facts.resumes,
-            parts=job.facts.logged_parts,
-            sends=job.sends,
-            ending=attempt.outcome.value,
-            why=attempt.why,
-            ms=round((self._now() - placement.sent_at) * 1000),
-            framing=attempt.framing,
-            partial_bytes=attempt.partial_bytes,
-            leaving=attempt.statement.leaving,
-            server_again_s=attempt.statement.retry_after_s,
-            server_limit=attempt.statement.limit_per_s,
-        )
-
     def _record_unanswered(self, job: Job, placement: Placement) -> None:
         """Count a failure of the server's version if the target passed without an outcome.
 
