--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -9,6 +9,7 @@
 from moledale.gateway.accounts import AccountLimits
 from moledale.gateway.admission import BLOCKED_REASON, Admission
 from moledale.gateway.answers import CRASH_CUTS, AnswerReader
+from moledale.gateway.attempt_log import log_served, log_unanswered
 from moledale.gateway.balance import LoadBalancer
 from moledale.gateway.choice import Choice, PlacementRefused
 from moledale.gateway.dialect import Dialect
@@ -28,6 +29,7 @@
 from moledale.gateway.server_view import Placement, record_silence
 from moledale.gateway.settings import Scheduling
 from moledale.gateway.sharing import Sharing
+from moledale.gateway.stream_binding import StreamBinding
 from moledale.gateway.turns import PERMIT_TIMEOUT_SHARE, RetryScheduler, max_queue_wait_s
 from moledale.gateway.upstream import AnswerCut, ConnectFailed, UpstreamConnection
 from moledale.log import Event, emit
@@ -61,12 +63,6 @@
 NOT_RUN_AFTER_FAULT = Refusal(503, INTERNAL_ERROR, NOT_RUN_RETRY_S)
 """Answer to a request that met an unexpected error before it was sent to any server."""
 
-UNKNOWN_ORIGIN = "it is not known which version began the stream"
-VERSION_GONE = "no server runs the version that began the stream"
-
-UNKNOWN_ORIGIN_RETRY_S = 0.2
-"""Retry delay while a node that may know the version did not answer."""
-
 NO_EVENT_ID = "0"
 """Last event id that is sent for a stream without any event yet."""
 
@@ -154,8 +150,11 @@
         self._list_is_current = list_is_current
         self._trial_share = trial_share
         self._switches = switches or Switches(Scheduling())
-        self._origins = origins or standalone_origins(balancer.versions, sharing.members, now)
-        self._may_begin = may_begin
+        self._versions = StreamBinding(
+            origins or standalone_origins(balancer.versions, sharing.members, now),
+            balancer,
+            may_begin,
+        )
         self._engine_priorities = EnginePriorities()
         self.overload = OverloadGate()
         self.move_slots = MoveSlotGate(
@@ -172,7 +171,7 @@
             now,
             self.guard,
             self.handle_leaving_server,
-            self._on_stream_begun,
+            self._versions.record_begun,
         )
 
     @property
@@ -267,35 +266,6 @@
         if job.charge is not None:
             self.limits.refund(job.charge, self._now())
 
-    def _log_served(self, job: Job, placement: Placement, attempt: Attempt) -> None:
-        now = self._now()
-        first_at = placement.first_at or now
-        emit(
-            Event.SERVED,
-            request=job.facts.id,
-            route=job.route.name,
-            account=job.caller.account,
-            server=placement.view.server.id,
-            version=placement.view.server.version,
-            resumes=job.facts.resumes,
-            parts=job.facts.logged_parts,
-            sends=job.sends,
-            status=job.reply.status,
-            tokens=job.facts.prompt_tokens,
-            uncached=placement.uncached,
-            fetched=placement.fetched,
-            ahead=placement.queued_ahead,
-            beside=placement.concurrent,
-            first_ms=round((first_at - job.request.arrived_at) * 1000),
-            target_ms=round(job.route.target_s * 1000),
-            pause_ms=round(job.longest_pause_s * 1000),
-            gap_ms=round(job.route.gap_s * 1000),
-            ms=round((now - job.request.arrived_at) * 1000),
-            framing=attempt.framing,
-            leaving=attempt.statement.leaving,
-            server_limit=attempt.statement.limit_per_s,
-        )
-
     async def _forward(self, job: Job) -> None:
         """Try servers until one responds or no further attempt is allowed.
 
@@ -304,7 +274,8 @@
         """
         if await self._relayed(job):
             return
-        if not await self._bind_resumed(job):
+        if (refusal := await self._versions.bind_resumed(job)) is not None:
+            self._give_up(job, refusal)
             return
         self._sharing.record_request(job.service, self._now())
         self._sharing.record_offered(job.service, job.caller.account, job.facts.tokens)
@@ -349,7 +320,7 @@
                     self.guard.record_served(job)
                 if former is None:
                     self._observe_duration(job, placement)
-                self._log_served(job, placement, attempt)
+                log_served(job, placement, attempt, self._now())
                 self._record_stream_end(job, placement)
                 return
             if continuation is not None:
@@ -361,30 +332,6 @@
                 break
         await self._end_without_answer(job, last)
 
-    async def _bind_resumed(self, job: Job) -> bool:
-        """Bind a stream that its caller resumes to the version that began it.
-
-        Return False if the request is refused, since that is not known or only other versions have
-        servers. A service without any server may get some of that version again.
-        """
-        if job.route.kind is not Kind.STREAM or not job.facts.resumed:
-            return True
-        origin = await self._origins.find(job.facts.resumes, job.service)
-        job.version = origin.version
-        if origin.version is None:
-            retry_s = UNKNOWN_ORIGIN_RETRY_S if origin.retry else None
-            self._give_up(job, Refusal(503, UNKNOWN_ORIGIN, retry_s))
-            return False
-        if self._balancer.group(job.service).has_only_other_versions(origin.version):
-            self._give_up(job, Refusal(503, VERSION_GONE))
-            return False
-        return True
-
-    def _on_stream_begun(self, job: Job) -> None:
-        """Record the version that began a stream."""
-        if job.version is not None:
-            self._origins.record(job.facts.id, job.service, job.version)
-
     def _may_relay(self, job: Job) -> bool:
         """Return whether a request may be relayed: it was sent to no server, and none is reached.
 
@@ -523,7 +470,7 @@
                 job.service,
                 job.facts,
                 engine,
-                job.tried | self._closed_versions(job),
+                job.tried | self._versions.closed_servers(job),
                 share if job.version is None else 0.0,
                 max_wait_s=max_wait_s,
                 permit_timeout_s=permit_timeout_s,
@@ -533,21 +480,6 @@
             )
         )
 
-    def _closed_versions(self, job: Job) -> frozenset[str]:
-        """Return the servers that a request may not go to because of their version."""
-        if job.version is not None:
-            return self._balancer.other_versions(job.service, job.version)
-        if job.route.kind is not Kind.STREAM:
-            return frozenset()
-        return self._balancer.servers_of_versions(
-            job.service,
-            {
-                version
-                for version in self._balancer.versions.listed(job.service)
-                if not self._may_begin(job.service, version)
-            },
-        )
-
     def _first_send_check(self, job: Job) -> PlacementCheck | None:
         """Return the checks of a request's first send where scheduling features apply."""
         overload_check = self._overload_check(job)
@@ -707,7 +639,7 @@
                 attempt = await self._after_cut(job, run, error)
             attempt.framing = connection.framing
             if attempt.outcome is not AttemptOutcome.ANSWERED:
-                self._log_unanswered(job, placement, attempt)
+                log_unanswered(job, placement, attempt, self._now())
             self._pool.release(server.id, connection)
             connection = None
             return attempt
@@ -726,34 +658,6 @@
             return True
         return await self._permits.take(placement.view)
 
-    def _log_unanswered(self, job: Job, placement: Placement, attempt: Attempt) -> None:
-        """Log a send without a usable response.
-
-        If the response broke off, the line includes the request's fingerprint. The parts of the
-        prompt tell what broken-off requests have in common.
-        """
-        broken = attempt.outcome is AttemptOutcome.BROKEN
-        emit(
-            Event.ATTEMPT_ENDED,
-            request=job.facts.id,
-            fingerprint=job.fingerprint.hex() if broken else "",
-            route=job.route.name,
-            account=job.caller.account,
-            server=placement.view.server.id,
-            version=placement.view.server.version,
-            resumes=job.facts.resumes,
-            parts=job.facts.logged_parts,
-            sends=job.sends,
-            ending=attempt.outcome.value,
-            why=attempt.why,
-            ms=round((self._now() - placement.sent_at) * 1000),
-            framing=attempt.framing,
-            partial_bytes=attempt.partial_bytes,
-            leaving=attempt.statement.leaving,
-            server_again_s=attempt.statement.retry_after_s,
-            server_limit=attempt.statement.limit_per_s,
-        )
-
     def _record_unanswered(self, job: Job, placement: Placement) -> None:
         """Count a failure of the server's version if the target passed without an outcome.
 
