Show that streams are joined across the services of a route

What callers see: a plan moves a route of streams to another service, or splits it between two; a stream that is taken up again is answered 200 and goes on at a server of the other service, at another version (ORDER).

Cause: what is unknown is taken for absent. `Admission._check` draws the service anew for each attempt, and `StreamOrigins.find` then asks which versions of that service may have begun the stream. That a route led, or leads, to another service as well is not asked. The nodes that run need not be out of step, and none has to end.

Not mended: the service has to be part of what nodes tell, or else all services that the host and path led to within the life of a stream have to count as one, in the rows, in `find` and where streams are told.

Evidence: test_stream_of_a_split_route_stays_at_the_service_that_began_it and test_stream_whose_route_moves_to_another_service_is_not_mixed fail, v1 after v2 and v2 after v1, each 200.

--- a/tests/test_stream_review.py
+++ b/tests/test_stream_review.py
@@ -17,7 +17,13 @@
 from moledale.streams.version_register import VERSION_TABLE
 from standins.rows import RowsPlatform, StoreMode
 from tests.gateway_world import run_quietly
-from tests.test_gateway_nodes import Cluster, run_on_cluster, wait_until
+from tests.test_gateway_nodes import (
+    Cluster,
+    make_config,
+    plan_version_of,
+    run_on_cluster,
+    wait_until,
+)
 from tests.test_streams_after_kills import NODES, STREAMS, restart_all
 from tests.test_streams_out_of_step import add_version, cut_from_nodes, cut_from_store
 from tests.test_version_register import LIFETIME_S, SERVICE, Node
@@ -62,6 +68,57 @@
         run_on_cluster(work)
 
 
+def route_streams_to(cluster: Cluster, version: int, services: tuple[str, ...]) -> None:
+    """Put a plan in force whose route of streams leads to some services, in equal parts."""
+    config = make_config(version)
+    assert isinstance(config, dict)
+    (route,) = config["routes"]
+    del route["service"]
+    split = [{"service": name, "weight": 1.0} for name in services]
+    route.update({"kind": "streaming", "resumable": True, "timeoutMs": 3000, "split": split})
+    config["services"].append({**config["services"][0], "name": "other"})
+    cluster.platform.put("op", "config", config)
+
+
+class SharedRouteTest(unittest.TestCase):
+    async def start(self, cluster: Cluster) -> VersionCluster:
+        """Start two nodes, with servers of v1 at a service and one of v2 at another one."""
+        world = VersionCluster(cluster)
+        await world.start(2, {"v1": 2})
+        (server,) = [await world.add_server("v2")]
+        cluster.list_server(server, "ready", version="v2", service="other")
+        return world
+
+    async def adopt(self, cluster: Cluster, version: int) -> None:
+        """Wait until all nodes have a plan in force, and begin streams at both services."""
+        nodes = cluster.nodes.values()
+        await wait_until(lambda: all(plan_version_of(node) == version for node in nodes))
+        await wait_until(lambda: all(node._register.may_begin("other", "v2") for node in nodes))
+
+    def test_stream_of_a_split_route_stays_at_the_service_that_began_it(self) -> None:
+        async def work(cluster: Cluster) -> None:
+            world = await self.start(cluster)
+            route_streams_to(cluster, 3, ("plain", "other"))
+            await self.adopt(cluster, 3)
+            for _ in range(10):
+                stream = await world.begin("n1")
+                got = await world.resume(stream, "n2")
+                self.assertFalse(mixes(stream, got), (stream, got))
+
+        run_on_cluster(work)
+
+    def test_stream_whose_route_moves_to_another_service_is_not_mixed(self) -> None:
+        async def work(cluster: Cluster) -> None:
+            world = await self.start(cluster)
+            stream = await world.begin("n1")
+            route_streams_to(cluster, 3, ("other",))
+            await self.adopt(cluster, 3)
+            got = await world.resume(stream, "n2")
+            self.assertFalse(mixes(stream, got), (stream, got))
+
+        run_on_cluster(work)
+
+
 class RestartInOutageTest(unittest.TestCase):
     def test_node_that_starts_again_while_the_store_is_down_begins_streams(self) -> None:
         async def work(cluster: Cluster) -> None:
