Show that two writers of origins replace each other's rows

What callers would see: while the nodes are in two parts that both reach the store, or before nodes that start together have heard each other, and all of them end: streams that were written down are refused as unknown.

Cause: the key of a row is the interval in which it is written, whoever writes it, and `OriginLog._write` puts it without a condition. Each part has a node of rank 0, so two nodes write the same row.

Not mended: a key for each writer has a node read up to 320 rows of each, and a condition costs a second call wherever the writer changes.

--- a/tests/test_stream_review.py
+++ b/tests/test_stream_review.py
@@ -172,6 +172,39 @@
             run_quietly(work())
 
 
+class TwoWritersTest(unittest.TestCase):
+    def test_two_writers_on_two_sides_of_a_partition_lose_no_stream(self) -> None:
+        async def work() -> None:
+            platform = RowsPlatform()
+            await platform.start()
+            true_time = TrueTime()
+            true_time.record_store_clock(platform._now_ms() / 1000, monotonic(), monotonic())
+            kept: set[bytes] = set()
+            logs = [
+                OriginLog(
+                    PlatformStore(platform.address),
+                    true_time,
+                    lambda: True,
+                    lambda streams: kept.update(digests_in(streams.get("v1", b""))),
+                    lambda: 30.0,
+                )
+                for _ in range(2)
+            ]
+            tasks = [asyncio.create_task(log.run()) for log in logs]
+            added = [digest_of(f"r{number}") for number in range(40)]
+            for number, stream in enumerate(added):
+                logs[number % 2].add({stream: "v1"})
+                await asyncio.sleep(0.02)
+            await wait_until(lambda: not any(log._unwritten for log in logs))
+            await logs[0].read()
+            for task in tasks:
+                task.cancel()
+            await platform.stop()
+            self.assertEqual(set(added) - kept, set())
+
+        run_quietly(work())
+
+
 BOTH = {"versions": {"v1": None, "v2": None}, "era": 2}
 """The row of a service with two listed versions; the first era of a store is known as 2."""
 
