Keep sending when others state values that can't be sent

An address of a peer with a port out of range raised out of the task that sends states, and with asyncio it closed the socket for good. A number beyond 64 bits that reached a node's state did the same. NaN in a peer's clock or times was taken over. A compressed state could state any size, which was allocated.

Addresses are checked, what can't be sent is logged once (E604), messages with NaN or infinity count as unreadable, and frames that state more than the maximum are not unpacked.

SendingTest (3 tests), test_numbers_that_are_not_finite_are_refused and test_frames_that_state_a_huge_size_are_not_unpacked fail with the code before.

--- a/src/moledale/gateway/gossip.py
+++ b/src/moledale/gateway/gossip.py
@@ -7,16 +7,18 @@
 import asyncio
 from collections import Counter
 from collections.abc import Callable
+from functools import lru_cache
 from typing import Any, get_args
 
 import msgspec
 
-from moledale.decoding import decode_msgpack, decode_with
+from moledale.decoding import decode_finite, decode_msgpack
 from moledale.gateway.messages import Placed
 from moledale.gateway.peers import NodeState
 from moledale.gateway.permits import PermitAnswer, PermitAsk
 from moledale.gateway.quarantine_sharing import BlockNews, ClearedNews, EndNews, PartNews
 from moledale.gateway.server_list import ServerChange
+from moledale.host_port import split_address
 from moledale.log import Event, emit
 from moledale.quarantine.server_checks import ServerAnswer, ServerAsk
 from moledale.scheduling.evacuation_coordinator import EvacuationOrder, EvacuationReport
@@ -90,6 +92,14 @@
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
 
+UNENCODABLE = (ArithmeticError, RecursionError, TypeError, ValueError, msgspec.EncodeError)
+"""Errors of the encoder for values that it can't encode, as numbers beyond 64 bits."""
+
+MAX_UNSENT = 64
+"""Messages and addresses that are logged as unsendable."""
+
+_destination = lru_cache(1_024)(split_address)
+
 OTHER_KINDS = "others"
 """Kind under which messages are counted beyond `MAX_UNREADABLE_KINDS`."""
 
@@ -115,6 +125,7 @@
         self._on_message = on_message
         self._transport: asyncio.DatagramTransport | None = None
         self.unreadable: Counter[str] = Counter()
+        self._unsent: set[str] = set()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
@@ -123,7 +134,7 @@
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Decode a message; an unreadable one is counted by kind and dropped."""
         try:
-            message = decode_with(_decoder, data)
+            message = decode_finite(_decoder, data)
         except msgspec.DecodeError as error:
             self._record_unreadable(claimed_kind(data), addr[0], str(error))
             return
@@ -144,13 +155,29 @@
         """Ignore errors such as a closed port of a peer; a silent peer is detected by a timeout."""
 
     def send(self, message: Message, addresses: list[str]) -> None:
-        """Send a message to each address; do nothing while the socket is not open."""
+        """Send a message to each address; do nothing while the socket is not open.
+
+        A message that can't be encoded, or an address that can't be sent to, is logged and left
+        out: others may have stated either.
+        """
         if self._transport is None or self._transport.is_closing():
             return
-        data = _encoder.encode(message)
+        try:
+            data = _encoder.encode(message)
+        except UNENCODABLE as error:
+            self._record_unsent(type(message).__name__, error)
+            return
         for address in addresses:
-            host, _, port = address.rpartition(":")
-            self._transport.sendto(data, (host, int(port)))
+            try:
+                self._transport.sendto(data, _destination(address))
+            except (ValueError, OverflowError, OSError) as error:
+                self._record_unsent(address, error)
+
+    def _record_unsent(self, what: str, error: Exception) -> None:
+        """Log a message or address that can't be sent, once each while there are few."""
+        if what not in self._unsent and len(self._unsent) < MAX_UNSENT:
+            self._unsent.add(what)
+            emit(Event.MESSAGE_UNSENT, what=what, why=f"{type(error).__name__}: {error}")
 
     def close(self) -> None:
         """Close the socket."""
--- a/src/moledale/gateway/registration.py
+++ b/src/moledale/gateway/registration.py
@@ -14,10 +14,9 @@
 from moledale.gateway.outside import StateRow, Store
 from moledale.gateway.state_rows import parse_or_log
 from moledale.gateway.usage import TrueTime
+from moledale.host_port import split_address
 
 MEMBER_TABLE = "members"
-MAX_PORT = 65_535
-
 CALL_TIMEOUT_S = 0.8
 """Timeout of a store call; 200 times its usual duration."""
 
@@ -99,8 +98,6 @@
 def _parse_address(row: StateRow) -> str:
     """Return the address `IP:port` in a row; raise ValueError if it is malformed."""
     address = row.value.decode("ascii")
-    host, _, port = address.rpartition(":")
+    host, _ = split_address(address)
     ipaddress.ip_address(host)
-    if not 0 < int(port) <= MAX_PORT:
-        raise ValueError(f"port out of range: {port}")
     return address
--- a/src/moledale/gateway/state_packing.py
+++ b/src/moledale/gateway/state_packing.py
@@ -12,8 +12,8 @@
 import msgspec
 import zstandard
 
-from moledale.decoding import decode_with
-from moledale.gateway.gossip import PackedState, StateNews
+from moledale.decoding import decode_finite
+from moledale.gateway.gossip import UNENCODABLE, PackedState, StateNews
 
 ROUNDS_PER_SNAPSHOT = 5
 """Rounds from one snapshot to the next: one second."""
@@ -34,9 +34,15 @@
 _decoder = msgspec.msgpack.Decoder(StateNews)
 
 
-def pack_snapshot(message: StateNews) -> PackedState:
-    """Return a state compressed as a snapshot, which can be read without another one."""
-    return _compress(message, _encoder.encode(message), NO_BASE, b"")
+def pack_snapshot(message: StateNews) -> PackedState | StateNews:
+    """Return a state compressed as a snapshot, which can be read without another one.
+
+    One that can't be encoded is returned as it is.
+    """
+    try:
+        return _compress(message, _encoder.encode(message), NO_BASE, b"")
+    except UNENCODABLE:
+        return message
 
 
 class StatePacker(msgspec.Struct):
@@ -47,13 +53,16 @@
     _rounds_since_snapshot: int = 0
     _snapshot_targets: set[str] = msgspec.field(default_factory=set)
 
-    def pack(self, message: StateNews, targets: Iterable[str]) -> PackedState:
-        """Return a state packed for some addresses.
+    def pack(self, message: StateNews, targets: Iterable[str]) -> PackedState | StateNews:
+        """Return a state packed for some addresses, or as it is if it can't be encoded.
 
         It is a delta, or a snapshot if one is due or a target did not get the last one, such as a
         node that has just become the lease holder.
         """
-        raw = _encoder.encode(message)
+        try:
+            raw = _encoder.encode(message)
+        except UNENCODABLE:
+            return message  # sending it logs the error
         self._rounds_since_snapshot += 1
         if self._rounds_since_snapshot < ROUNDS_PER_SNAPSHOT and self._snapshot_targets.issuperset(
             targets
@@ -86,8 +95,10 @@
             if (incarnation, sequence) != (packed.life, packed.base):
                 return None
         try:
+            if zstandard.frame_content_size(packed.frame) > MAX_UNPACKED_BYTES:
+                return None
             raw = _decompressor(base).decompress(packed.frame, max_output_size=MAX_UNPACKED_BYTES)
-            message = decode_with(_decoder, raw)
+            message = decode_finite(_decoder, raw)
         except (zstandard.ZstdError, MemoryError, msgspec.DecodeError):
             return None
         if packed.base == NO_BASE and not message.state.brief:
--- a/src/moledale/log.py
+++ b/src/moledale/log.py
@@ -208,6 +208,11 @@
     FORMAT_REFUSED = EventSpec(
         602, logbook.WARNING, "A message of a kind that can't be read was dropped; logged once."
     )
+    MESSAGE_UNSENT = EventSpec(
+        604,
+        logbook.WARNING,
+        "A message can't be encoded, or can't be sent to an address; logged once each.",
+    )
     BUILDS_DIFFER = EventSpec(
         603,
         logbook.INFO,
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -1,15 +1,18 @@
 """Fuzz tests: for any external input a decoder returns a valid value or the error it documents."""
 
+import asyncio
 import base64
 import contextlib
 import json
 import math
 import sys
 import unittest
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
+from unittest import mock
 
 import logbook
 import msgspec
+import uvloop
 import zstandard
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -28,14 +31,16 @@
     GossipSocket,
     Message,
     PackedState,
+    PlanCheck,
     StateNews,
     claimed_kind,
+    open_gossip,
 )
 from moledale.gateway.messages import AnswerHead, RequestHead, Server
 from moledale.gateway.outside import StateRow
 from moledale.gateway.quarantine_store import StoredBlock
 from moledale.gateway.server_list import ServerList
-from moledale.gateway.state_packing import NO_BASE, StateUnpacker, pack_snapshot
+from moledale.gateway.state_packing import NO_BASE, StatePacker, StateUnpacker, pack_snapshot
 from moledale.gateway.state_rows import decode_row
 from moledale.gateway.store_era import EraVersion
 from moledale.host_port import split_address
@@ -47,6 +52,7 @@
 from moledale.streams.origin_log import OriginRow
 from moledale.streams.version_register import VersionRow
 from tests.gateway_states import make_state
+from tests.test_gateway_nodes import random_loopback_address
 
 FUZZ = settings(max_examples=400, deadline=None, derandomize=True)
 HEADER_NAMES = (
@@ -329,6 +335,28 @@
         self.socket.datagram_received(msgspec.msgpack.encode(packed), ("", 0))
         self.assertEqual((len(self.received), self.socket.unreadable.total()), (1, 0))
 
+    def test_numbers_that_are_not_finite_are_refused(self) -> None:
+        """A clock that is off by NaN would count usage in no window, and stop the duties."""
+        for number in (math.nan, math.inf, -math.inf):
+            state = make_state("n1")
+            state.offset_s = number
+            packed = pack_snapshot(StateNews(state, []))
+            self.assertIsNone(StateUnpacker().unpack(packed))
+            raw = msgspec.msgpack.encode(PlanCheck("n1", 1, number))
+            self.socket.datagram_received(raw, ("", 0))
+        self.assertEqual((self.received, self.socket.unreadable.total()), ([], 3))
+
+    def test_texts_with_the_bytes_of_such_numbers_are_delivered(self) -> None:
+        frame = PackedState("n1", 1, 1, b"\xcb\x7f\xf8\0\0\0\0\0\0")
+        self.socket.datagram_received(msgspec.msgpack.encode(frame), ("", 0))
+        self.assertEqual(self.received, [frame])
+
+    def test_frames_that_state_a_huge_size_are_not_unpacked(self) -> None:
+        frame = zstandard.ZstdCompressor().compress(b"\0" * 2**24)
+        with mock.patch("moledale.gateway.state_packing._decompressor") as decompressor:
+            self.assertIsNone(StateUnpacker().unpack(PackedState("n1", 1, NO_BASE, frame)))
+        decompressor.assert_not_called()
+
     @FUZZ
     @given(st.binary(max_size=120))
     def test_any_bytes(self, data: bytes) -> None:
@@ -338,6 +366,71 @@
         self.assertEqual(len(self.received) + self.socket.unreadable.total() - before, 1)
 
 
+class SendingTest(unittest.TestCase):
+    """Addresses and values that others stated must not end the task that sends to all."""
+
+    def run_with_sockets(self, work: Callable[[GossipSocket, str], None]) -> None:
+        """Run a test with a sending socket and another one's address, on both event loops."""
+
+        async def run() -> None:
+            received: list[Message] = []
+            host = random_loopback_address()
+            address = f"{host}:7100"
+            receiver = await open_gossip(address, received.append)
+            sender = await open_gossip(f"{host}:7101", lambda _: None)
+            try:
+                with logbook.NullHandler().applicationbound():
+                    work(sender, address)
+                    await asyncio.sleep(0.05)
+                    sender.send(PlanCheck("last", 1, 0.0), [address])
+                    await asyncio.sleep(0.05)
+            finally:
+                sender.close()
+                receiver.close()
+            self.assertEqual([each.id for each in received], ["last"])
+
+        for runner in (asyncio.run, uvloop.run):
+            runner(run())
+
+    def test_addresses_that_cannot_be_sent_to(self) -> None:
+        addresses = (
+            "a",
+            "a:b",
+            "127.0.0.1:99999",
+            f"127.0.0.1:{2**70}",
+            "a\0b:7",
+            "a..b:7",
+            "::1:7",
+        )
+
+        def work(sender: GossipSocket, _: str) -> None:
+            for address in addresses:
+                sender.send(PlanCheck("n1", 1, 0.0), [address])
+
+        self.run_with_sockets(work)
+
+    def test_states_that_cannot_be_packed(self) -> None:
+        state = make_state("n1")
+        state.work["s"] = 2**70
+
+        def work(sender: GossipSocket, address: str) -> None:
+            for packed in (
+                pack_snapshot(StateNews(state, [])),
+                StatePacker().pack(StateNews(state, []), ()),
+            ):
+                sender.send(packed, [address])
+
+        self.run_with_sockets(work)
+
+    def test_messages_that_cannot_be_encoded(self) -> None:
+        def work(sender: GossipSocket, address: str) -> None:
+            sender.send(PlanCheck("n1", 2**70, 0.0), [address])
+            sender.send(PlanCheck("\ud800", 1, 0.0), [address])
+            sender.send(PlanCheck("n" * 70_000, 1, 0.0), [address])
+
+        self.run_with_sockets(work)
+
+
 class DeepNestingTest(unittest.TestCase):
     """Values that are nested deeply make decoders raise errors that end the reading task."""
 
--- a/tests/test_rows_of_others.py
+++ b/tests/test_rows_of_others.py
@@ -226,7 +226,17 @@
     def test_unreadable_registrations_hide_no_other_node(self) -> None:
         async def work(cluster: Cluster) -> None:
             for number, value in enumerate(
-                (b"\xff\xfe", b"word", b"host:7", b"1.2.3.4:0", NOT_BASE64)
+                (
+                    b"\xff\xfe",
+                    b"word",
+                    b"host:7",
+                    b"1.2.3.4:0",
+                    b"1.2.3.4:99999",
+                    b"1.2.3.4:8_0",
+                    b"1.2.3.4:" + b"9" * 5_000,
+                    b"::1:7",
+                    NOT_BASE64,
+                )
             ):
                 put_corrupt_row(cluster.platform, "members", f"spoilt-{number}", value)
             one, two = await cluster.start("n1"), await cluster.start("n2")
