Bound the calls of the rows of versions and origins

What callers would see: nothing yet. Found by reading after the review: a store whose versions go back without a new era had the row of a service written in a tight loop; 390 nodes that start at once read both tables at the same moment; a node whose store is silent answered the questions of others later than they wait; two nodes that write origins on two sides of a partition replaced each other's rows, whose streams are refused after a kill of all nodes (LOST).

Cause: calls whose number or duration followed from what the store does, and a write without a condition.

Change: a pause while a row stays out of date, and the row that a write conflicts with is taken over whatever its version; starting nodes read as for the other documents (ColdStart), and no origins where none are kept; a read for a stream lasts 0.1 s at most; rows of origins are written conditionally, and one of another writer in the same round stays.

--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -174,6 +174,7 @@
         self.server_limits = LimitSharing(
             node.id, node.hall, node.peers, self.balancer, self.members, self._send_to
         )
+        cold_start = ColdStart(self._backoff_scale)
         self._register = VersionRegister(
             store,
             self.balancer.versions,
@@ -183,6 +184,7 @@
             self._list_read_rank,
             self._backoff_scale,
             self._stream_lifetime_s,
+            cold_start,
         )
         self._origins = StreamOrigins(
             node.peers,
@@ -199,6 +201,7 @@
             store,
             self.sharing.true_time,
             self._writes_origins,
+            self._reads_origins,
             self._origins.keep,
             self._stream_lifetime_s,
         )
@@ -297,7 +300,6 @@
         self._packer = StatePacker()
         self._unpacker = StateUnpacker()
         self._builds = BuildWatch()
-        cold_start = ColdStart(self._backoff_scale)
         self.plans = PlanWatch(
             store,
             self.sharing.true_time,
@@ -404,7 +406,11 @@
 
     def _writes_origins(self) -> bool:
         """Return whether this node writes down which versions began streams, for all nodes."""
-        return not self.neighbours.is_large(monotonic()) and self._list_read_rank() == 0
+        return self._reads_origins() and self._list_read_rank() == 0
+
+    def _reads_origins(self) -> bool:
+        """Return whether the cluster is small enough for the origins of its streams to be kept."""
+        return not self.neighbours.is_large(monotonic())
 
     def _send_versions(self, news: VersionNews) -> None:
         """Send the row of a service's versions to all nodes that read it."""
--- a/src/moledale/streams/origin_log.py
+++ b/src/moledale/streams/origin_log.py
@@ -12,7 +12,7 @@
 from result import Err
 
 from moledale.clock import monotonic
-from moledale.gateway.outside import StateRow, Store
+from moledale.gateway.outside import ABSENT_VERSION, StateRow, Store, WriteResult
 from moledale.gateway.state_rows import decode_row
 from moledale.gateway.store_health import StoreHealth
 from moledale.gateway.usage import TrueTime
@@ -56,7 +56,8 @@
 class OriginLog:
     """Writes the versions that began streams, and reads them where no node knows them.
 
-    `is_writer` returns whether this node writes on behalf of all. `keep` takes over what was read.
+    `is_writer` returns whether this node writes on behalf of all, and `is_used` whether any node
+    does. `keep` takes over what was read.
     `lifetime_s` returns for how long after its first event a stream may be resumed.
     """
 
@@ -65,6 +66,7 @@
         store: Store,
         true_time: TrueTime,
         is_writer: Callable[[], bool],
+        is_used: Callable[[], bool],
         keep: Callable[[Streams], None],
         lifetime_s: Callable[[], float],
         now: Callable[[], float] = monotonic,
@@ -72,11 +74,13 @@
         self._store = store
         self._true_time = true_time
         self._is_writer = is_writer
+        self._is_used = is_used
         self._keep = keep
         self._lifetime_s = lifetime_s
         self._now = now
         self._unwritten: dict[bytes, _Begun] = {}
         self._added = asyncio.Event()
+        self._versions: dict[str, int] = {}
         self._health = StoreHealth("origins of streams")
         self._read_task: asyncio.Task[None] | None = None
 
@@ -101,6 +105,8 @@
 
     async def read(self) -> None:
         """Read what nodes wrote and hand it to `keep`; calls at the same time share one read."""
+        if not self._is_used():
+            return
         if self._read_task is None or self._read_task.done():
             self._read_task = asyncio.create_task(self._read())
         await asyncio.shield(self._read_task)
@@ -112,6 +118,7 @@
             return
         self._health.record_success()
         snapshot = outcome.ok_value
+        self._versions = {row.key: row.version for row in snapshot.rows}
         for row in snapshot.rows:
             self._keep_row(row, snapshot.store_s)
 
@@ -127,16 +134,45 @@
             return
         written = {stream: each.version for stream, each in self._unwritten.items()}
         key = f"{int(store_s / WRITE_INTERVAL_S) % SLOTS:03}"
-        value = msgspec.json.encode(OriginRow(store_s, by_version(written)))
-        failure = await self._store.put(ORIGIN_TABLE, key, value, CALL_TIMEOUT_S)
-        if failure is not None:
-            self._health.record_failure(failure.detail)
+        row = OriginRow(store_s, by_version(written))
+        result = await self._put(key, row)
+        if result is not None and self._is_of_former_round(result.conflicting_row, row):
+            result = await self._put(key, row)
+        if result is None or not result.committed:
             self._drop_older(self._lifetime_s())
             return
-        self._health.record_success()
         for stream in written:
             self._unwritten.pop(stream, None)
 
+    async def _put(self, key: str, row: OriginRow) -> WriteResult | None:
+        """Write a row unless there is one that this node does not know; None without an answer."""
+        value = msgspec.json.encode(row)
+        expected = self._versions.get(key, ABSENT_VERSION)
+        outcome = await self._store.write(ORIGIN_TABLE, key, value, expected, CALL_TIMEOUT_S)
+        if isinstance(outcome, Err):
+            self._health.record_failure(outcome.err_value.detail)
+            return None
+        self._health.record_success()
+        result = outcome.ok_value
+        conflicting = result.conflicting_row
+        if result.committed:
+            self._versions[key] = result.version
+        elif conflicting is not None:
+            self._versions[key] = conflicting.version
+        else:
+            self._versions.pop(key, None)
+        return result
+
+    def _is_of_former_round(self, stored: StateRow | None, row: OriginRow) -> bool:
+        """Return whether a stored row may be replaced: it is unreadable, or of an earlier round.
+
+        One of this round is that of another writer, which this node may not hear.
+        """
+        if stored is None:
+            return False
+        found = decode_row(ORIGIN_TABLE, stored, OriginRow)
+        return found is None or row.at_s - found.at_s > WRITE_INTERVAL_S * SLOTS / 2
+
     def _drop_older(self, age_s: float) -> None:
         """Drop streams that were added longer ago than `age_s`."""
         oldest = self._now() - age_s
--- a/src/moledale/streams/version_register.py
+++ b/src/moledale/streams/version_register.py
@@ -17,6 +17,7 @@
 
 from moledale.clock import monotonic
 from moledale.gateway.backoff import Backoff
+from moledale.gateway.cold_start import ColdStart
 from moledale.gateway.outside import ABSENT_VERSION, StateRow, Store, TableSnapshot
 from moledale.gateway.state_rows import decode_row
 from moledale.gateway.store_era import UNKNOWN_ERA, EraVersion
@@ -34,8 +35,9 @@
 CALL_TIMEOUT_S = 0.8
 """Timeout of a store call; 200 times its usual duration."""
 
-READ_TIMEOUT_S = 0.3
-"""Timeout of a read that a resumed stream waits for."""
+READ_TIMEOUT_S = 0.1
+"""Timeout of a read that a resumed stream waits for, or the question of another node: shorter than
+that node waits for the answer."""
 
 FAILED_READ_COOLDOWN_S = 1.0
 """Resumed streams wait for no read for this long after a failed one."""
@@ -106,7 +108,7 @@
     `history` has the versions that are listed, and `needs_row` returns whether streams may begin at
     a service. `send` sends news of a written row to all nodes. `rank` is this node's place among
     those that may write, and `lifetime_s` for how long after its first event a stream may be
-    resumed.
+    resumed. `cold_start` decides when a starting node reads the rows.
     """
 
     def __init__(
@@ -119,9 +121,11 @@
         rank: Callable[[], int],
         backoff_scale: Callable[[], float],
         lifetime_s: Callable[[], float],
+        cold_start: ColdStart,
         now: Callable[[], float] = monotonic,
     ) -> None:
         self._store = store
+        self._cold_start = cold_start
         self._history = history
         self._true_time = true_time
         self._needs_row = needs_row
@@ -190,18 +194,17 @@
 
     async def run(self) -> None:
         """Read the rows once, and then write what the list of servers adds to them, forever."""
-        was_read = False
+        await self._cold_start.wait(lambda: bool(self._rows), lambda: False)
+        is_done = await self._read(CALL_TIMEOUT_S)
         while True:
-            if was_read:
-                await self._wait_for_work()
-                answers = [await self._write(service) for service in self._outdated()]
-            else:
-                was_read = await self._read(CALL_TIMEOUT_S)
-                answers = [was_read]
-            if all(answers):
+            if is_done:
                 self._backoff.reset()
             else:
                 await asyncio.sleep(self._backoff.next_s())
+            await self._wait_for_work()
+            for service in self._outdated():
+                await self._write(service)
+            is_done = not self._outdated()
 
     async def _wait_for_work(self) -> None:
         """Wait until a row is out of date, and then for the news that another node wrote it."""
@@ -234,15 +237,15 @@
         gone = (not self._lapsed(service, version) for version in current - listed)
         return bool(listed - current) or any(gone)
 
-    async def _write(self, service: str) -> bool:
-        """Write a service's row on top of the one known here; return whether the store answered.
+    async def _write(self, service: str) -> None:
+        """Write a service's row on top of the one known here.
 
         After a conflict the row of the other writer is known.
         """
         known = self._rows.get(service)
         store_s = self._true_time.to_store(self._now())
         if store_s is None:
-            return False
+            return
         row = self._next_row(service, known, store_s)
         expected = ABSENT_VERSION
         if known is not None and known.at.era == self._store.era.number:
@@ -253,7 +256,7 @@
             if outcome.err_value.uncertain:
                 self._uncertain.add(service)
             self._health.record_failure(outcome.err_value.detail)
-            return False
+            return
         self._health.record_success()
         # Whichever version the row has now, a call before can't take effect any more.
         self._uncertain.discard(service)
@@ -263,11 +266,12 @@
             at = EraVersion(result.era, result.version)
             self._learn(service, _KnownRow(at, row))
             self._send(VersionNews(service, at, row))
-        elif result.conflicting_row is not None:
-            self._learn_stored(result.conflicting_row, result.era, result.store_s)
-        elif known is not None:
+            return
+        stored = result.conflicting_row
+        if known is not None and (stored is None or stored.version < known.at.number):
             self._forget(service, known)
-        return True
+        if stored is not None:
+            self._learn_stored(stored, result.era, result.store_s)
 
     def _next_row(self, service: str, known: _KnownRow | None, store_s: float) -> VersionRow:
         """Return a row with the listed versions, and those that are gone but may be resumed."""
--- a/tests/test_origin_log.py
+++ b/tests/test_origin_log.py
@@ -21,6 +21,7 @@
     def setUp(self) -> None:
         self.kept: Streams = {}
         self.is_writer = True
+        self.is_used = True
 
     def run_with(self, work) -> None:  # type: ignore[no-untyped-def]
         async def run() -> None:
@@ -32,6 +33,7 @@
                 PlatformStore(platform.address),
                 true_time,
                 lambda: self.is_writer,
+                lambda: self.is_used,
                 self.kept.update,
                 lambda: LIFETIME_S,
             )
@@ -112,6 +114,16 @@
         with mock.patch.object(origin_log, "SLOTS", 2):
             self.run_with(work)
 
+    def test_nothing_is_read_where_nothing_is_written(self) -> None:
+        async def work(platform: RowsPlatform, log: OriginLog) -> None:
+            await log.read()
+            calls = platform.calls
+            self.is_used = False
+            await log.read()
+            self.assertEqual(platform.calls, calls)
+
+        self.run_with(work)
+
     def test_unreadable_row_hides_no_other(self) -> None:
         async def work(platform: RowsPlatform, log: OriginLog) -> None:
             platform.put(ORIGIN_TABLE, "odd", {"at_s": 1e99, "streams": {"v1": 7}})
--- a/tests/test_stream_review.py
+++ b/tests/test_stream_review.py
@@ -149,6 +149,7 @@
                 PlatformStore(platform.address),
                 true_time,
                 lambda: is_writer,
+                lambda: True,
                 kept.update,
                 lambda: 30.0,
             )
@@ -185,6 +186,7 @@
                     PlatformStore(platform.address),
                     true_time,
                     lambda: True,
+                    lambda: True,
                     lambda streams: kept.update(digests_in(streams.get("v1", b""))),
                     lambda: 30.0,
                 )
--- a/tests/test_version_register.py
+++ b/tests/test_version_register.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 from moledale.clock import monotonic
+from moledale.gateway.cold_start import ColdStart
 from moledale.gateway.usage import TrueTime
 from moledale.platform.store import PlatformStore
 from moledale.streams import version_register
@@ -41,6 +42,7 @@
             lambda: rank,
             lambda: 1.0,
             lambda: LIFETIME_S,
+            ColdStart(lambda: 1.0),
         )
         self.task = asyncio.create_task(self.register.run())
 
@@ -196,6 +198,22 @@
 
         self.run_with(work)
 
+    def test_store_whose_versions_went_back_is_not_written_in_a_loop(self) -> None:
+        async def work(platform: RowsPlatform) -> None:
+            node = self.node(platform)
+            platform.version = 50
+            node.see("v1")
+            await wait_until(lambda: node.begins("v1"))
+            row = platform.rows[(VERSION_TABLE, "", SERVICE)]
+            row.ver = platform.version = 20
+            calls = platform.calls
+            node.see("v1", "v2")
+            await wait_until(lambda: node.begins("v2"))
+            await asyncio.sleep(0.5)
+            self.assertLess(platform.calls - calls, 6)
+
+        self.run_with(work)
+
     def test_row_that_was_removed_is_written_again(self) -> None:
         async def work(platform: RowsPlatform) -> None:
             node = self.node(platform)
