Refuse plans and orders with values that fail later

A plan was accepted with a version or slots of 2**70 (which peers can't be sent), times of 1e300, names with line breaks (sent in headers), and with a stride or slots of 0, by which requests divide.

Records of plans, orders and states bound these, so that such a plan is logged and the former one stays. Slots and a stride of 0 count as 1.

test_plans_with_values_that_fail_later, test_engines_without_slots_or_stride_count_as_one and test_rollout_orders_with_values_that_fail_later fail with the code before.

--- a/src/moledale/platform/entries.py
+++ b/src/moledale/platform/entries.py
@@ -9,7 +9,15 @@
 from moledale.gateway.messages import Server
 from moledale.host_port import split_address
 from moledale.log import Event, emit
-from moledale.platform.records import HeaderText, Milliseconds, Record, RowRecord, Text, Whole
+from moledale.platform.records import (
+    MAX_SLOTS,
+    HeaderText,
+    Milliseconds,
+    Record,
+    RowRecord,
+    Text,
+    Whole,
+)
 
 INCARNATION_SEPARATOR = "#"
 """Separates a server's id from the start time of its process. A server that restarts under the same
@@ -18,9 +26,6 @@
 MAX_LOGGED_ENTRIES = 1_000
 """Maximum unreadable entries that are remembered as already logged: 0.1 MB."""
 
-MAX_SLOTS = 1_000_000
-"""Most slots of a server that are accepted: sums over all servers stay exact."""
-
 Address = Annotated[str, msgspec.Meta(max_length=261, pattern=r"\A[^:\s]+:[1-9][0-9]{0,4}\Z")]
 
 
--- a/src/moledale/platform/records.py
+++ b/src/moledale/platform/records.py
@@ -19,6 +19,15 @@
 MAX_TEXT_CHARS = 255
 """Longest id or name. Several of them have to fit a datagram together."""
 
+MAX_LONG_TEXT_CHARS = 16_384
+"""Longest path or API key, that of the head of a request by default."""
+
+MAX_SLOTS = 1_000_000
+"""Most slots of a server that are accepted: sums over all servers stay exact."""
+
+MAX_SERVERS = 1_000_000
+MAX_PRIORITY = 1_000_000
+
 MAX_COUNT = 1_000_000_000_000
 """Largest count that is accepted. Sums of many still fit 64 bits, as messages to peers require."""
 
@@ -27,8 +36,14 @@
 
 Whole = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+SlotCount = Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)]
+ServerCount = Annotated[int, msgspec.Meta(ge=0, le=MAX_SERVERS)]
+Priority = Annotated[int, msgspec.Meta(ge=-MAX_PRIORITY, le=MAX_PRIORITY)]
+Amount = Annotated[float, msgspec.Meta(ge=0.0, le=float(MAX_COUNT))]
+Seconds = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_TIME_MS / 1000)]
 Milliseconds = Annotated[float, msgspec.Meta(ge=-MAX_TIME_MS, le=MAX_TIME_MS)]
 Text = Annotated[str, msgspec.Meta(max_length=MAX_TEXT_CHARS, pattern=r"\A[^\x00-\x1f\x7f]*\Z")]
+LongText = Annotated[str, msgspec.Meta(max_length=MAX_LONG_TEXT_CHARS)]
 HeaderText = Annotated[
     str, msgspec.Meta(max_length=MAX_TEXT_CHARS, pattern=r"\A[ -~\u00a0-\u00ff]*\Z")
 ]
@@ -42,57 +57,60 @@
 class SplitRecord(Record, frozen=True):
     """A service and its weight in a route's traffic split."""
 
-    service: str
-    weight: float = 1.0
+    service: Text
+    weight: Amount = 1.0
 
 
 class RouteRecord(Record, frozen=True):
     """A route of a configuration."""
 
-    name: str
-    host: str
-    path_prefix: str
+    name: Text
+    host: Text
+    path_prefix: LongText
     kind: Literal["safe", "unsafe", "streaming"]
-    timeout_ms: float
-    slo_ms: float = 0.0
-    priority: int = 5
-    service: str = ""
+    timeout_ms: Milliseconds
+    slo_ms: Milliseconds = 0.0
+    priority: Priority = 5
+    service: Text = ""
     split: tuple[SplitRecord, ...] = ()
-    max_attempts: int = 1
+    max_attempts: Count = 1
     public: bool = False
     sticky: bool = False
     resumable: bool = False
-    gap_target_ms: float = 0.0
+    gap_target_ms: Milliseconds = 0.0
 
 
 class EngineRecord(Record, frozen=True):
-    """Properties of a service's model servers; `stride` is the number of tokens per event."""
+    """Properties of a service's model servers; `stride` is the number of tokens per event.
+
+    Slots and a stride of 0 count as 1.
+    """
 
-    slots: int = 1
-    kv_capacity: int = 0
-    kv_token_bytes: float = 0.0
-    link_mbps: float = 0.0
+    slots: SlotCount = 1
+    kv_capacity: Count = 0
+    kv_token_bytes: Amount = 0.0
+    link_mbps: Amount = 0.0
     moves: bool = False
     backups: bool = False
-    handle_s: float = 5.0
-    stride: int = 1
+    handle_s: Seconds = 5.0
+    stride: Count = 1
 
 
 class ScalingRecord(Record, frozen=True):
     """Minimum and maximum number of a service's servers, their boot time and their prices."""
 
-    min: int = 0
-    max: int = 0
-    boot_s: float = 0.0
-    spot_price: float = 1.0
-    zone_prices: dict[str, float] = {}
+    min: ServerCount = 0
+    max: ServerCount = 0
+    boot_s: Seconds = 0.0
+    spot_price: Amount = 1.0
+    zone_prices: dict[Text, Amount] = {}
 
 
 class ServiceRecord(Record, frozen=True):
     """A service of a configuration."""
 
-    name: str
-    max_conns: int = 100
+    name: Text
+    max_conns: Count = 100
     engine: EngineRecord | None = None
     scaling: ScalingRecord | None = None
 
@@ -100,28 +118,28 @@
 class LimitsRecord(Record, frozen=True):
     """Limits on the requests of clients."""
 
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
-    header_timeout_ms: float = 3_000.0
-    idle_timeout_ms: float = 15_000.0
+    max_header_bytes: Count = 16_384
+    max_body_bytes: Count = 4_194_304
+    header_timeout_ms: Milliseconds = 3_000.0
+    idle_timeout_ms: Milliseconds = 15_000.0
 
 
 class TenantRecord(Record, frozen=True):
     """A tenant, which is a client account of the gateway."""
 
-    name: str
-    api_keys: tuple[str, ...] = ()
-    priority: int | None = None
-    unit: str = ""
-    plain_tokens: float = 1.0
-    rate_per_s: float = 0.0
-    burst: float = 0.0
+    name: HeaderText
+    api_keys: tuple[LongText, ...] = ()
+    priority: Priority | None = None
+    unit: Text = ""
+    plain_tokens: Amount = 1.0
+    rate_per_s: Amount = 0.0
+    burst: Amount = 0.0
 
 
 class ConfigRecord(Record, frozen=True):
     """A configuration, from which the gateway's plan is made."""
 
-    version: int
+    version: Whole
     routes: tuple[RouteRecord, ...] = ()
     services: tuple[ServiceRecord, ...] = ()
     limits: LimitsRecord = LimitsRecord()
@@ -131,16 +149,16 @@
 class RolloutRecord(Record, frozen=True):
     """An order to move a service's requests to servers of another version."""
 
-    service: str
-    target_version: str
-    duration_s: float
+    service: Text
+    target_version: HeaderText
+    duration_s: Seconds
 
 
 class StatusRecord(Record, frozen=True):
     """The status of a rollout."""
 
-    state: str
-    target_version: str
+    state: Text
+    target_version: HeaderText
 
 
 class RowRecord(msgspec.Struct, frozen=True):
@@ -214,14 +232,14 @@
     if record.engine is not None:
         properties = record.engine
         engine = plan.Engine(
-            properties.slots,
+            max(1, properties.slots),
             properties.kv_capacity,
             int(properties.kv_token_bytes),
             properties.link_mbps,
             properties.moves,
             properties.backups,
             properties.handle_s,
-            properties.stride,
+            max(1, properties.stride),
         )
     if record.scaling is not None:
         scaling = record.scaling
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -286,6 +286,61 @@
             with contextlib.suppress(ValueError):
                 read()
 
+    def test_plans_with_values_that_fail_later(self) -> None:
+        """Times are computed with, and names and numbers are sent to servers and peers."""
+        route = {
+            "name": "r", "host": "h", "pathPrefix": "/", "kind": "safe", "timeoutMs": 1000,
+            "service": "s",
+        }  # fmt: skip
+        tenant, service = {"name": "north", "apiKeys": ["k"]}, {"name": "s"}
+        engine, scaling = {"slots": 4}, {"min": 1, "max": 2}
+        plan = {"version": 1, "routes": [route], "services": [service], "tenants": [tenant]}
+        read_config(encode_json(plan))
+        for change in (
+            {"version": 2**70},
+            {"version": -1},
+            {"routes": [{**route, "timeoutMs": 1e300}]},
+            {"routes": [{**route, "priority": 2**70}]},
+            {"routes": [{**route, "maxAttempts": 2**70}]},
+            {"routes": [{**route, "name": "r" * 100_000}]},
+            {"routes": [{**route, "split": [{"service": "s", "weight": 1e308}] * 2}]},
+            {"routes": [{**route, "split": [{"service": "s", "weight": -1.0}]}]},
+            {"tenants": [{**tenant, "name": "north\r\nX: 1"}]},
+            {"tenants": [{**tenant, "name": "\u2603"}]},
+            {"tenants": [{**tenant, "ratePerS": 1e308}]},
+            {"tenants": [{**tenant, "priority": 2**70}]},
+            {"services": [{**service, "maxConns": 2**70}]},
+            {"services": [{**service, "engine": {**engine, "slots": 2**70}}]},
+            {"services": [{**service, "engine": {**engine, "kvTokenBytes": 1e308}}]},
+            {"services": [{**service, "scaling": {**scaling, "max": 2**70}}]},
+            {"services": [{**service, "scaling": {**scaling, "bootS": 1e300}}]},
+            {"limits": {"maxBodyBytes": 2**70}},
+            {"limits": {"idleTimeoutMs": 1e300}},
+        ):
+            with self.subTest(encode_json(change)[:80]), self.assertRaises(ValueError):
+                read_config(encode_json({**plan, **change}))
+
+    def test_engines_without_slots_or_stride_count_as_one(self) -> None:
+        """Waiting times and numbers of events are divided by both."""
+        engine = {"slots": 0, "stride": 0}
+        raw = encode_json({"version": 1, "services": [{"name": "s", "engine": engine}]})
+        read = read_config(raw).services[0].engine
+        assert read is not None
+        self.assertEqual((read.slots, read.event_tokens), (1, 1))
+
+    def test_rollout_orders_with_values_that_fail_later(self) -> None:
+        order = {"service": "s", "targetVersion": "v2", "durationS": 8.0}
+        for field, value in (
+            ("service", "s" * 100_000),
+            ("targetVersion", "v2\r\n"),
+            ("targetVersion", "v" * 100_000),
+            ("durationS", 1e300),
+            ("durationS", -1.0),
+        ):
+            row = make_row(encode_json({**order, field: value}))
+            with self.subTest(field), self.assertRaises(ValueError):
+                read_rollout(row, 1.0, 1)
+
     @FUZZ
     @given(JSON)
     def test_rollout_phases(self, value: object) -> None:
