End reads of the store whose pages do not end

A store that repeated a page with more=true, or whose feed always stated another change, was read forever, with the rows kept in memory: each call has a time limit, but not their number. A handle of a copy with line breaks would have been sent in a header.

Pages must proceed and are bounded; a feed that doesn't end makes the whole list be read. Handles are bounded like other header texts.

EndlessAnswersTest fails with the code before (3 tests time out after 20 s, 4 subtests fail).

--- a/src/moledale/platform/engines.py
+++ b/src/moledale/platform/engines.py
@@ -7,7 +7,7 @@
 
 from moledale.decoding import decode_json
 from moledale.gateway.calls import HttpCaller
-from moledale.platform.records import encode
+from moledale.platform.records import Count, HeaderText, encode
 from moledale.platform.store import JSON_TYPE
 from moledale.scheduling.stream_runs import Moved, MoveRefused
 
@@ -21,8 +21,8 @@
 class MoveRecord(msgspec.Struct, frozen=True):
     """The response to a move: the handle of the copy and the number of events produced."""
 
-    handle: str = ""
-    made: int = 0
+    handle: HeaderText = ""
+    made: Count = 0
 
 
 class PlatformEngines:
--- a/src/moledale/platform/store.py
+++ b/src/moledale/platform/store.py
@@ -57,6 +57,12 @@
 MAX_PAGE_ROWS = 500
 """Maximum rows of a response, as the platform documents it."""
 
+MAX_PAGES = 1_000
+"""Pages of one read: 500,000 rows. Without a bound a store that repeats itself is read forever."""
+
+PAGES_ENDLESS = Failure("pages that don't end", uncertain=False)
+FEED_ENDLESS = Failure("changes that don't end", uncertain=False, history_gone=True)
+
 FULL_FEED_ROWS = 100
 """A feed response with this many changes may be incomplete, so the rest is requested."""
 
@@ -149,7 +155,7 @@
         """Return an earlier list with the changes since applied."""
         changes: dict[str, Server | None] = {}
         position = before.version
-        while True:
+        for _ in range(MAX_PAGES):
             path = f"/v1/rows-feed?table={SERVER_TABLE}&startAfter={position}&waitMs=0"
             answer = await self._call("GET", path, timeout_s)
             outcome = answer.and_then(lambda answer: answer.rows_if_era(before.era))
@@ -161,6 +167,8 @@
             if len(record.rows) < FULL_FEED_ROWS or record.ver <= position:
                 break
             position = record.ver
+        else:
+            return Err(FEED_ENDLESS)
         now_s = record.now_ms / 1000
         if not changes:
             return Ok(ServerList(before.servers, record.ver, now_s, False, before.era))
@@ -235,7 +243,7 @@
         rows: list[RowRecord] = []
         start = ""
         first: RowsRecord | None = None
-        while True:
+        for _ in range(MAX_PAGES):
             path = f"/v1/rows-get?table={table}&part=" + (f"&from={quote(start)}" if start else "")
             outcome = await self._call("GET", path, timeout_s)
             if isinstance(outcome, Err):
@@ -247,7 +255,10 @@
             rows.extend(page.rows)
             if not page.more or not page.rows:
                 return Ok(msgspec.structs.replace(first, rows=tuple(rows), more=False))
+            if page.rows[-1].key < start:
+                return Err(PAGES_ENDLESS)
             start = page.rows[-1].key + "\x00"
+        return Err(PAGES_ENDLESS)
 
     async def _commit(self, body: dict[str, object], timeout_s: float) -> Failure | None:
         outcome = await self._call("POST", "/v1/rows-tx", timeout_s, encode(body))
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -9,14 +9,16 @@
 import msgspec
 from hypothesis import given
 from hypothesis import strategies as st
+from result import Err, Ok, Result
 
 from moledale.core.rollouts import Phase, RolloutNews, RolloutOrder
+from moledale.gateway.calls import CallAnswer, CallFailed
 from moledale.gateway.messages import AttemptFacts, RequestHead
 from moledale.gateway.outside import ServerList
 from moledale.platform.entries import EntryReader, platform_id
 from moledale.platform.headers import PlatformHeaders
 from moledale.platform.records import RowRecord
-from moledale.platform.store import PlatformStore
+from moledale.platform.store import FULL_FEED_ROWS, PAGES_ENDLESS, PlatformStore
 from standins.rows import RowsPlatform
 
 
@@ -260,3 +262,67 @@
             self.assertTrue(next(each for each in got.servers if each.id == "s0000").leaving)
 
         asyncio.run(run())
+
+
+class ScriptedCaller:
+    """Answers each call with what `answer` returns for its path, at once."""
+
+    def __init__(self, answer: Callable[[str], object]) -> None:
+        self._answer = answer
+
+    async def call(self, _method: str, path: str, *_: object) -> Result[CallAnswer, CallFailed]:
+        await asyncio.sleep(0)
+        return Ok(CallAnswer(200, msgspec.json.encode(self._answer(path)), 0.0, 0.0))
+
+
+class EndlessAnswersTest(unittest.TestCase):
+    """A store whose pages never end would be read forever, with ever more memory."""
+
+    def read(self, answer: Callable[[str], object], before: ServerList | None = None) -> object:
+        store = PlatformStore("127.0.0.1:1")
+        store._calls = ScriptedCaller(answer)  # type: ignore[assignment]
+
+        async def bounded() -> object:
+            async with asyncio.timeout(20):
+                return await store.servers(1.0, before)
+
+        with logbook.NullHandler().applicationbound():
+            return asyncio.run(bounded())
+
+    def test_page_that_repeats_itself(self) -> None:
+        rows = [{"table": "servers", "key": "s1", "value": "", "ver": 1}]
+        outcome = self.read(lambda _: {"rows": rows, "more": True, "ver": 1})
+        self.assertEqual(outcome, Err(PAGES_ENDLESS))
+
+    def test_pages_without_end(self) -> None:
+        def answer(path: str) -> object:
+            key = path.partition("from=")[2].removesuffix("%00") + "a"
+            rows = [{"table": "servers", "key": key, "value": "", "ver": 1}]
+            return {"rows": rows, "more": True, "ver": 1}
+
+        self.assertEqual(self.read(answer), Err(PAGES_ENDLESS))
+
+    def test_feed_without_end(self) -> None:
+        rows = [{"table": "servers", "key": "s1", "value": "", "ver": 1}] * FULL_FEED_ROWS
+
+        def answer(path: str) -> object:
+            if "rows-get" in path:
+                return {"rows": [], "ver": 7}
+            position = int(path.partition("startAfter=")[2].partition("&")[0])
+            return {"rows": rows, "ver": position + 1}
+
+        listed = self.read(answer, ServerList((), 1, 0.0))
+        assert isinstance(listed, Ok)
+        self.assertEqual(listed.ok_value.version, 7)
+
+    def test_answers_that_cannot_be_read(self) -> None:
+        for page in (
+            {"ver": 2**70},
+            {"now_ms": 1e300},
+            {"ver": -1},
+            {"rows": [{"table": "servers", "key": "s1", "ver": 2**64}]},
+            {"rows": None},
+            [],
+        ):
+            with self.subTest(page):
+                self.assertIsInstance(self.read(lambda _, page=page: page), Err)
