Report settings that can't be used as findings

An address with a port of thousands of digits, or with a digit that is no decimal one, raised ValueError out of the settings' check, and so did a path with a NUL. NaN and infinity passed for bounds and time limits, and line breaks for the node's id, which is sent in headers.

Each is a finding now, in the settings of both daemons and in bundles.

SettingsTest fails with the code before (9 subtests fail, 4 raise).

--- a/src/moledale/bundle/schema.py
+++ b/src/moledale/bundle/schema.py
@@ -33,7 +33,7 @@
 class BundleSection(BaseModel):
     """Base of the TOML tables of a bundle; unknown keys are validation errors."""
 
-    model_config = ConfigDict(extra="forbid", frozen=True)
+    model_config = ConfigDict(extra="forbid", frozen=True, allow_inf_nan=False)
 
 
 class Model(BundleSection):
--- a/src/moledale/gateway/settings.py
+++ b/src/moledale/gateway/settings.py
@@ -9,6 +9,10 @@
 
 from moledale.decoding import decode_toml
 from moledale.findings import Finding
+from moledale.host_port import split_address
+
+MAX_NAME_CHARS = 255
+"""Longest id, hall or region: messages to peers and headers carry them."""
 
 
 class Table(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -128,7 +132,7 @@
     """Read and validate a settings file."""
     try:
         text = path.read_text("utf-8")
-    except (OSError, UnicodeDecodeError) as error:
+    except (OSError, ValueError) as error:
         return Err([Finding(str(path), "", f"can't be read: {type(error).__name__}")])
     return parse(str(path), text)
 
@@ -144,16 +148,35 @@
         "node.peers": node.peers,
         "outside.store": settings.outside.store,
     }
+    if settings.outside.cloud:
+        addresses["outside.cloud"] = settings.outside.cloud
     for path, address in addresses.items():
-        host, _, port = address.rpartition(":")
-        if not host or not port.isdigit() or int(port) > 65_535:
+        if not _is_address(address):
             findings.append(Finding(source, path, f"{address!r} is not host:port"))
-    for name in Bounds.__struct_fields__:
-        if getattr(settings.bounds, name) < 0:
-            findings.append(Finding(source, f"bounds.{name}", "must not be negative"))
+    numbers = {
+        f"bounds.{name}": getattr(settings.bounds, name) for name in Bounds.__struct_fields__
+    }
+    numbers |= {"node.cores": node.cores, "node.link_mbps": node.link_mbps}
+    for path, number in numbers.items():
+        if not 0 <= number < inf:
+            findings.append(Finding(source, path, "must be a finite number, 0 or more"))
+    names = {"node.id": node.id, "node.hall": node.hall, "node.region": node.region}
+    for path, name in names.items():
+        if not name.isprintable() or len(name) > MAX_NAME_CHARS:
+            findings.append(Finding(source, path, f"{name[:MAX_NAME_CHARS]!r} is not a name"))
     return findings + _check_scheduling(source, settings.scheduling)
 
 
+def _is_address(address: str) -> bool:
+    """Return whether an address can be bound or connected to; port 0 is any free one."""
+    host, _, port = address.rpartition(":")
+    try:
+        split_address(f"{host}:1" if port == "0" else address)
+    except ValueError:
+        return False
+    return True
+
+
 def _check_scheduling(source: str, scheduling: Scheduling) -> list[Finding]:
     if not 0 <= scheduling.max_pause_s < inf:
         why = "must be a number of seconds, 0 or more"
--- a/src/moledale/settings.py
+++ b/src/moledale/settings.py
@@ -20,7 +20,7 @@
 class Section(BaseModel):
     """Base of the TOML tables; unknown keys are errors and types are not coerced."""
 
-    model_config = ConfigDict(extra="forbid", strict=True, frozen=True)
+    model_config = ConfigDict(extra="forbid", strict=True, frozen=True, allow_inf_nan=False)
 
 
 class NodeSection(Section):
@@ -79,9 +79,9 @@
         else:
             try:
                 value = Path(str(self.file)).read_text("utf-8").strip()
-            except (OSError, UnicodeDecodeError) as error:
+            except (OSError, ValueError) as error:
                 return Err(f"file can't be read: {type(error).__name__}")
-        if len(value.encode()) < MIN_SECRET_BYTES:
+        if len(value.encode(errors="surrogateescape")) < MIN_SECRET_BYTES:
             return Err(f"secret is shorter than {MIN_SECRET_BYTES} bytes")
         return Ok(value)
 
@@ -190,7 +190,7 @@
     """Read and validate a settings file."""
     try:
         text = path.read_text("utf-8")
-    except (OSError, UnicodeDecodeError) as error:
+    except (OSError, ValueError) as error:
         return Err([Finding(str(path), "", f"can't be read: {type(error).__name__}")])
     return parse(str(path), text)
 
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -6,8 +6,10 @@
 import json
 import math
 import sys
+import tempfile
 import unittest
 from collections.abc import Callable, Iterator
+from pathlib import Path
 from unittest import mock
 
 import logbook
@@ -486,6 +488,66 @@
         self.run_with_sockets(work)
 
 
+GATEWAY_SETTINGS = """
+cores = 1.0
+[outside]
+store = "127.0.0.1:6"
+cloud = "127.0.0.1:7"
+[bounds]
+lease_s = 1.0
+"""
+
+
+class SettingsTest(unittest.TestCase):
+    """Settings that can't be used are findings, at the start and when they are read again."""
+
+    def make_text(self, old: str = "", new: str = "") -> str:
+        """Return valid settings with one part replaced."""
+        names = ("callers", "control", "directory", "readiness", "peers")
+        addresses = (f'{name} = "127.0.0.1:{port}"' for port, name in enumerate(names))
+        node = ("[node]", 'id = "n1"', 'hall = "a"', 'region = "r"', *addresses)
+        text = "\n".join(node) + GATEWAY_SETTINGS
+        self.assertIn(old, text)
+        return text.replace(old, new, 1)
+
+    def test_values_that_fail_later_are_findings(self) -> None:
+        self.assertTrue(gateway_settings.parse("file", self.make_text()).is_ok())
+        for old, new in (
+            ("127.0.0.1:1", "127.0.0.1:\u00b2"),
+            ("127.0.0.1:1", "127.0.0.1:65536"),
+            ("127.0.0.1:1", "127.0.0.1:" + "9" * DEPTH),
+            ("127.0.0.1:1", "a\\u0000b:1"),
+            ("127.0.0.1:6", "a..b:6"),
+            ("127.0.0.1:7", "127.0.0.1:99999"),
+            ('"n1"', '"n1\\r\\nX: 1"'),
+            ('"n1"', '"' + "n" * 100_000 + '"'),
+            ("lease_s = 1.0", "lease_s = nan"),
+            ("lease_s = 1.0", "lease_s = inf"),
+            ("lease_s = 1.0", "lease_s = -1.0"),
+            ("lease_s = 1.0", "lease_s = " + "9" * 400),
+            ("lease_s = 1.0", "lease_s = " + "9" * DEPTH),
+            ("lease_s = 1.0", "lease_s = [[[[1]]]]"),
+            ("cores = 1.0", "cores = nan"),
+        ):
+            with self.subTest(old=old, new=new[:24]):
+                self.assertTrue(gateway_settings.parse("file", self.make_text(old, new)).is_err())
+
+    def test_files_that_cannot_be_read_are_findings(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            unreadable = Path(folder, "unreadable")
+            unreadable.write_bytes(b"\xff\xfe\x00")
+            for path in (Path(folder), Path(folder, "absent"), unreadable, Path("a\0b")):
+                with self.subTest(str(path)[-12:]):
+                    self.assertTrue(gateway_settings.load(path).is_err())
+                    self.assertTrue(daemon_settings.load(path).is_err())
+                    self.assertTrue(daemon_settings.SecretSource(file=str(path)).read().is_err())
+
+    def test_limits_of_the_daemon_are_finite(self) -> None:
+        for number in (math.nan, math.inf):
+            with self.subTest(number), self.assertRaises(ValueError):
+                daemon_settings.TimesSection(lease_ttl_s=number)
+
+
 class DeepNestingTest(unittest.TestCase):
     """Values that are nested deeply make decoders raise errors that end the reading task."""
 
