--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -6,8 +6,10 @@
 import json
 import math
 import sys
+import tempfile
 import unittest
 from collections.abc import Callable, Iterator
+from pathlib import Path
 from unittest import mock
 
 import logbook
@@ -286,6 +288,61 @@
             with contextlib.suppress(ValueError):
                 read()
 
+    def test_plans_with_values_that_fail_later(self) -> None:
+        """Times are computed with, and names and numbers are sent to servers and peers."""
+        route = {
+            "name": "r", "host": "h", "pathPrefix": "/", "kind": "safe", "timeoutMs": 1000,
+            "service": "s",
+        }  # fmt: skip
+        tenant, service = {"name": "north", "apiKeys": ["k"]}, {"name": "s"}
+        engine, scaling = {"slots": 4}, {"min": 1, "max": 2}
+        plan = {"version": 1, "routes": [route], "services": [service], "tenants": [tenant]}
+        read_config(encode_json(plan))
+        for change in (
+            {"version": 2**70},
+            {"version": -1},
+            {"routes": [{**route, "timeoutMs": 1e300}]},
+            {"routes": [{**route, "priority": 2**70}]},
+            {"routes": [{**route, "maxAttempts": 2**70}]},
+            {"routes": [{**route, "name": "r" * 100_000}]},
+            {"routes": [{**route, "split": [{"service": "s", "weight": 1e308}] * 2}]},
+            {"routes": [{**route, "split": [{"service": "s", "weight": -1.0}]}]},
+            {"tenants": [{**tenant, "name": "north\r\nX: 1"}]},
+            {"tenants": [{**tenant, "name": "\u2603"}]},
+            {"tenants": [{**tenant, "ratePerS": 1e308}]},
+            {"tenants": [{**tenant, "priority": 2**70}]},
+            {"services": [{**service, "maxConns": 2**70}]},
+            {"services": [{**service, "engine": {**engine, "slots": 2**70}}]},
+            {"services": [{**service, "engine": {**engine, "kvTokenBytes": 1e308}}]},
+            {"services": [{**service, "scaling": {**scaling, "max": 2**70}}]},
+            {"services": [{**service, "scaling": {**scaling, "bootS": 1e300}}]},
+            {"limits": {"maxBodyBytes": 2**70}},
+            {"limits": {"idleTimeoutMs": 1e300}},
+        ):
+            with self.subTest(encode_json(change)[:80]), self.assertRaises(ValueError):
+                read_config(encode_json({**plan, **change}))
+
+    def test_engines_without_slots_or_stride_count_as_one(self) -> None:
+        """Waiting times and numbers of events are divided by both."""
+        engine = {"slots": 0, "stride": 0}
+        raw = encode_json({"version": 1, "services": [{"name": "s", "engine": engine}]})
+        read = read_config(raw).services[0].engine
+        assert read is not None
+        self.assertEqual((read.slots, read.event_tokens), (1, 1))
+
+    def test_rollout_orders_with_values_that_fail_later(self) -> None:
+        order = {"service": "s", "targetVersion": "v2", "durationS": 8.0}
+        for field, value in (
+            ("service", "s" * 100_000),
+            ("targetVersion", "v2\r\n"),
+            ("targetVersion", "v" * 100_000),
+            ("durationS", 1e300),
+            ("durationS", -1.0),
+        ):
+            row = make_row(encode_json({**order, field: value}))
+            with self.subTest(field), self.assertRaises(ValueError):
+                read_rollout(row, 1.0, 1)
+
     @FUZZ
     @given(JSON)
     def test_rollout_phases(self, value: object) -> None:
@@ -431,6 +488,66 @@
         self.run_with_sockets(work)
 
 
+GATEWAY_SETTINGS = """
+cores = 1.0
+[outside]
+store = "127.0.0.1:6"
+cloud = "127.0.0.1:7"
+[bounds]
+lease_s = 1.0
+"""
+
+
+class SettingsTest(unittest.TestCase):
+    """Settings that can't be used are findings, at the start and when they are read again."""
+
+    def make_text(self, old: str = "", new: str = "") -> str:
+        """Return valid settings with one part replaced."""
+        names = ("callers", "control", "directory", "readiness", "peers")
+        addresses = (f'{name} = "127.0.0.1:{port}"' for port, name in enumerate(names))
+        node = ("[node]", 'id = "n1"', 'hall = "a"', 'region = "r"', *addresses)
+        text = "\n".join(node) + GATEWAY_SETTINGS
+        self.assertIn(old, text)
+        return text.replace(old, new, 1)
+
+    def test_values_that_fail_later_are_findings(self) -> None:
+        self.assertTrue(gateway_settings.parse("file", self.make_text()).is_ok())
+        for old, new in (
+            ("127.0.0.1:1", "127.0.0.1:\u00b2"),
+            ("127.0.0.1:1", "127.0.0.1:65536"),
+            ("127.0.0.1:1", "127.0.0.1:" + "9" * DEPTH),
+            ("127.0.0.1:1", "a\\u0000b:1"),
+            ("127.0.0.1:6", "a..b:6"),
+            ("127.0.0.1:7", "127.0.0.1:99999"),
+            ('"n1"', '"n1\\r\\nX: 1"'),
+            ('"n1"', '"' + "n" * 100_000 + '"'),
+            ("lease_s = 1.0", "lease_s = nan"),
+            ("lease_s = 1.0", "lease_s = inf"),
+            ("lease_s = 1.0", "lease_s = -1.0"),
+            ("lease_s = 1.0", "lease_s = " + "9" * 400),
+            ("lease_s = 1.0", "lease_s = " + "9" * DEPTH),
+            ("lease_s = 1.0", "lease_s = [[[[1]]]]"),
+            ("cores = 1.0", "cores = nan"),
+        ):
+            with self.subTest(old=old, new=new[:24]):
+                self.assertTrue(gateway_settings.parse("file", self.make_text(old, new)).is_err())
+
+    def test_files_that_cannot_be_read_are_findings(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            unreadable = Path(folder, "unreadable")
+            unreadable.write_bytes(b"\xff\xfe\x00")
+            for path in (Path(folder), Path(folder, "absent"), unreadable, Path("a\0b")):
+                with self.subTest(str(path)[-12:]):
+                    self.assertTrue(gateway_settings.load(path).is_err())
+                    self.assertTrue(daemon_settings.load(path).is_err())
+                    self.assertTrue(daemon_settings.SecretSource(file=str(path)).read().is_err())
+
+    def test_limits_of_the_daemon_are_finite(self) -> None:
+        for number in (math.nan, math.inf):
+            with self.subTest(number), self.assertRaises(ValueError):
+                daemon_settings.TimesSection(lease_ttl_s=number)
+
+
 class DeepNestingTest(unittest.TestCase):
     """Values that are nested deeply make decoders raise errors that end the reading task."""
 
