Start: wait for an address that is still in use

Callers saw: the system did not start. A process that was started while the one before still held an address, for example in its planned stop, ended at once.

A stop meanwhile ends the process with exit code 0; nothing was served. uvloop tells the reason of a failed UDP bind only in the cause of its error.

The bind of moledaled's peer address has no test.

--- a/src/moledale/gateway/node.py
+++ b/src/moledale/gateway/node.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 import msgspec
@@ -63,6 +64,7 @@
 from moledale.gateway.store_era import EraVersion
 from moledale.gateway.suspension import SuspensionWatch
 from moledale.gateway.watch_turn import Watchers, max_check_age_s
+from moledale.listening import bind_patiently, completes_before
 from moledale.log import Event, emit
 from moledale.node.supervisor import Supervisor
 from moledale.quarantine.server_checks import (
@@ -452,11 +454,10 @@
     async def run(self, stop: asyncio.Event) -> int:
         """Serve until `stop` is set, whatever fails meanwhile, then drain; return the exit code."""
         node = self.settings.node
-        self._gossip = await open_gossip(node.peers, self._on_message)
-        for address in {node.control, node.directory, node.readiness}:
-            self._tcp_servers.append(await listen(address, self._control_listener))
-        self._tcp_servers.append(await listen(node.callers, self._caller_listener))
-        self._tcp_servers.append(await listen(node.peers, self._relay_listener))
+        if not await completes_before(stop, self._open_listeners()):
+            self._close_listeners()
+            emit(Event.STOPPED, node=node.id)
+            return EXIT_OK
         emit(Event.LISTENING, node=node.id, hall=node.hall)
         now = monotonic()
         port = node.peers.rpartition(":")[2]
@@ -489,6 +490,28 @@
         await self._drain()
         return EXIT_OK
 
+    async def _open_listeners(self) -> None:
+        """Bind all addresses, those of callers last."""
+        node = self.settings.node
+        self._gossip = await bind_patiently(
+            node.peers, lambda: open_gossip(node.peers, self._on_message)
+        )
+        control = {node.control, node.directory, node.readiness}
+        listeners = [
+            *((address, self._control_listener) for address in control),
+            (node.peers, self._relay_listener),
+            (node.callers, self._caller_listener),
+        ]
+        for address, listener in listeners:
+            server = await bind_patiently(address, partial(listen, address, listener))
+            self._tcp_servers.append(server)
+
+    def _close_listeners(self) -> None:
+        if self._gossip is not None:
+            self._gossip.close()
+        for server in self._tcp_servers:
+            server.close()
+
     def reload(self, settings: GatewaySettings) -> None:
         """Apply changed settings; the node's identity and listen addresses stay as they are."""
         self.settings = msgspec.structs.replace(settings, node=self.settings.node)
--- a/src/moledale/log.py
+++ b/src/moledale/log.py
@@ -32,6 +32,9 @@
     NOT_READY = EventSpec(103, logbook.WARNING, "The node stopped taking new requests.")
     DRAINING = EventSpec(104, logbook.INFO, "A planned stop began; accepted requests go on.")
     STOPPED = EventSpec(105, logbook.INFO, "The daemon stopped.")
+    ADDRESS_IN_USE = EventSpec(
+        108, logbook.WARNING, "An address is not free yet; it is tried again for some seconds."
+    )
     TASK_FAILED = EventSpec(110, logbook.ERROR, "A task failed and is started again after a pause.")
     UNEXPECTED_ERROR = EventSpec(
         113, logbook.ERROR, "An unexpected error ended one request, message or callback."
--- a/src/moledale/peers/grpc_link.py
+++ b/src/moledale/peers/grpc_link.py
@@ -1,5 +1,7 @@
 """Implementation of the link to other nodes over gRPC."""
 
+import errno
+from functools import partial
 from typing import Any
 
 import grpc
@@ -7,6 +9,7 @@
 from result import Err, Ok, Result
 
 from moledale import problems
+from moledale.listening import bind_patiently
 from moledale.node.once import OnceCall
 from moledale.node.streams import StreamRecord
 from moledale.peers.auth import METADATA_KEY, PeerTokens
@@ -39,9 +42,16 @@
 
     async def serve(self, handler: PeerHandler) -> int:
         """Start the service for peers and return its port."""
-        self._server, port = await start(handler, self._tokens, self._listen)
+        self._server, port = await bind_patiently(self._listen, partial(self._start, handler))
         return port
 
+    async def _start(self, handler: PeerHandler) -> tuple[Any, int]:
+        """Start the service; raise OSError if it can't be bound, as gRPC tells no reason."""
+        try:
+            return await start(handler, self._tokens, self._listen)
+        except RuntimeError as error:
+            raise OSError(errno.EADDRINUSE, str(error)) from error
+
     async def digest(
         self, address: str, message: peers_pb2.DigestMessage
     ) -> Result[peers_pb2.DigestMessage, str]:
--- a/src/moledale/ui/daemon.py
+++ b/src/moledale/ui/daemon.py
@@ -4,7 +4,9 @@
 import asyncio
 import random
 import signal
+import socket
 import sys
+from functools import partial
 from pathlib import Path
 
 import uvloop
@@ -17,6 +19,7 @@
 from moledale.faults import watch_loop
 from moledale.findings import Finding
 from moledale.http_client import make_client
+from moledale.listening import bind_patiently
 from moledale.log import Event, emit, log_to_stderr
 from moledale.node.node import Node
 from moledale.peers.auth import PeerTokens
@@ -52,6 +55,10 @@
     return EXIT_SETTINGS
 
 
+async def _bind(address: str) -> socket.socket:
+    return bind_listener(address)
+
+
 async def _run(settings: Settings, secrets: Secrets) -> int:
     """Serve until a signal comes or the listener ends, then drain and stop."""
     emit(Event.STARTING, node=settings.node.id, hall=settings.node.hall, version=__version__)
@@ -61,7 +68,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     try:
-        sock = bind_listener(settings.node.listen)
+        sock = await bind_patiently(settings.node.listen, partial(_bind, settings.node.listen))
     except OSError as error:
         return _report([Finding("settings", "node.listen", f"can't be bound: {error}")])
     platform_client, server_client = make_client(), make_client()
