Start: serve with closed standard streams

Callers saw: the system did not start. With standard output closed, sys.stdout is None and the process ended with a traceback.

The log drops and counts lines if its descriptor is closed.

Evidence: StandardStreamTest of tests.test_process_start, with the code before: the node ended in all three cases of closed streams; now it serves. The test of a reader that is gone passed before, too.

--- a/src/moledale/log.py
+++ b/src/moledale/log.py
@@ -15,6 +15,10 @@
 """Lines kept while the reader of the log is slow; further lines are dropped."""
 
 
+STDOUT = 1
+"""Descriptor of standard output."""
+
+
 class EventSpec(msgspec.Struct, frozen=True):
     """Number, level and meaning of an event; `meaning` is printed in docs/EVENTS.md."""
 
@@ -248,20 +252,23 @@
     def __init__(self, descriptor: int, level: str) -> None:
         super().__init__(level=level.upper())
         self.dropped = 0
-        self._descriptor = descriptor
+        self._descriptor: int | None = descriptor
         self._buffer: deque[bytes] = deque()
-        os.set_blocking(descriptor, False)
+        try:
+            os.set_blocking(descriptor, False)
+        except OSError:
+            self._descriptor = None
 
     def emit(self, record: logbook.LogRecord) -> None:
         """Write a line, or buffer it until the descriptor is writable."""
-        if len(self._buffer) >= MAX_BUFFERED_LINES:
+        if self._descriptor is None or len(self._buffer) >= MAX_BUFFERED_LINES:
             self.dropped += 1
             return
         self._buffer.append(f"{time.time():.3f} {record.message}\n".encode())
         self._flush()
 
     def _flush(self) -> None:
-        while self._buffer:
+        while self._buffer and self._descriptor is not None:
             line = self._buffer[0]
             try:
                 written = os.write(self._descriptor, line)
@@ -277,7 +284,10 @@
 
 
 def log_to_stdout(level: str) -> NonBlockingHandler:
-    """Log events of at least `level` to standard output, never blocking on a slow reader."""
-    handler = NonBlockingHandler(sys.stdout.fileno(), level)
+    """Log events of at least `level` to standard output, never blocking on a slow reader.
+
+    If it is closed, the lines are dropped and counted.
+    """
+    handler = NonBlockingHandler(STDOUT, level)
     handler.push_application()
     return handler
--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -138,5 +138,39 @@
         self.assertNotIn("Traceback", self.lines())
 
 
+class StandardStreamTest(StartCase):
+    def test_node_serves_with_closed_standard_streams(self) -> None:
+        for redirections in (">&-", "<&- >&- 2>&-", '>&- 2> "$LOG"'):
+            with self.subTest(redirections):
+                process = self.start(redirections)
+                self.wait_until_serving(process)
+                process.send_signal(signal.SIGHUP)
+                time.sleep(0.2)
+                self.assertTrue(self.is_serving())
+                self.assert_stops(process)
+
+    def test_node_serves_on_after_the_reader_of_its_log_is_gone(self) -> None:
+        read_end, write_end = os.pipe()
+        process = subprocess.Popen(
+            [sys.executable, str(LAUNCHER)],
+            stdout=write_end,
+            stderr=write_end,
+            env={
+                **os.environ,
+                "PYTHONPATH": str(ROOT / "src"),
+                "MOLEDALE_NODE_FILE": str(self.settings),
+            },
+        )
+        self.addCleanup(self.end, process)
+        os.close(write_end)
+        os.close(read_end)
+        self.wait_until_serving(process)
+        for _ in range(5):
+            process.send_signal(signal.SIGHUP)
+            time.sleep(0.02)
+        self.assertTrue(self.is_serving())
+        self.assert_stops(process)
+
+
 if __name__ == "__main__":
     unittest.main()
