Start: wait for settings that are not there yet, and stop in order

Callers saw: the system did not start. A process whose file of settings was not there yet, or half written, ended with exit code 2. SIGTERM during the imports ended it by the signal, and an unknown log_level with a traceback.

The gateway reads the file again for 5 s, with a log line (E109), before it reports the findings. Until the event loop has its handlers, SIGTERM and SIGINT end the process with exit code 0. An unknown log_level is a finding.

A file that is cut where it is still valid can't be told from a whole one.

Evidence: SettingsFileTest and SignalTest of tests.test_process_start, with the code before: four cases of missing or half-written settings and the stop failed, and the test of hang-ups, whose settings come late. Those of a reload without its file and of lasting findings passed before, too.

--- a/deploy/launch.py
+++ b/deploy/launch.py
@@ -9,6 +9,10 @@
 # Ignoring it loses no reload: the settings are read only after this line.
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
+# A stop during the imports is in order, as nothing is served yet.
+for number in (signal.SIGTERM, signal.SIGINT):
+    signal.signal(number, lambda *_: os._exit(0))
+
 # A socket would get the number of a closed standard stream, and then what is written to that.
 for descriptor in range(3):
     try:
--- a/src/moledale/gateway/settings.py
+++ b/src/moledale/gateway/settings.py
@@ -9,6 +9,8 @@
 
 from moledale.findings import Finding
 
+LOG_LEVELS = ("debug", "info", "notice", "warning", "error", "critical")
+
 
 class Table(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Base of the tables in the file; unknown keys are reported as findings."""
@@ -150,6 +152,8 @@
     for name in Bounds.__struct_fields__:
         if getattr(settings.bounds, name) < 0:
             findings.append(Finding(source, f"bounds.{name}", "must not be negative"))
+    if settings.log_level.lower() not in LOG_LEVELS:
+        findings.append(Finding(source, "log_level", f"must be one of {', '.join(LOG_LEVELS)}"))
     return findings + _check_scheduling(source, settings.scheduling)
 
 
--- a/src/moledale/log.py
+++ b/src/moledale/log.py
@@ -39,6 +39,9 @@
     ADDRESS_IN_USE = EventSpec(
         108, logbook.WARNING, "An address is not free yet; it is tried again for some seconds."
     )
+    SETTINGS_AWAITED = EventSpec(
+        109, logbook.WARNING, "The settings can't be read yet; they are for some seconds."
+    )
     TASK_FAILED = EventSpec(110, logbook.ERROR, "A task failed and is started again after a pause.")
     UNEXPECTED_ERROR = EventSpec(
         113, logbook.ERROR, "An unexpected error ended one request, message or callback."
--- a/src/moledale/ui/gateway.py
+++ b/src/moledale/ui/gateway.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import signal
-import sys
 from collections.abc import Callable
 from functools import partial
 from pathlib import Path
@@ -18,9 +17,13 @@
 from moledale.gateway.settings import GatewaySettings, load
 from moledale.log import Event, emit, log_to_stdout
 from moledale.scheduling.stream_runs import Engines
+from moledale.ui.process import await_settings, report
 
 EXIT_SETTINGS = 2
 
+LEVEL_AT_START = "info"
+"""Level of the log until the settings are known."""
+
 
 def run_gateway(
     path: Path,
@@ -34,13 +37,13 @@
 
     `store` and `orders` create the adapters for the store and the cloud from the settings.
     """
-    settings = load(path)
+    handler = log_to_stdout(LEVEL_AT_START)
+    settings = await_settings(path, load)
     if isinstance(settings, Err):
-        for finding in settings.err_value:
-            print(finding, file=sys.stderr)
+        report(settings.err_value)
         return EXIT_SETTINGS
     value = settings.ok_value
-    log_to_stdout(value.log_level)
+    handler.level_name = value.log_level.upper()
     node = GatewayNode(value, dialect, entry, store(value), orders(value), engines)
     code: int = uvloop.run(_run(node, path))
     return code
--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -138,6 +138,62 @@
         self.assertNotIn("Traceback", self.lines())
 
 
+class SettingsFileTest(StartCase):
+    def test_node_waits_for_settings_that_are_missing_or_half_written(self) -> None:
+        for text in (None, "", self.text[:100], self.text[:-90]):
+            with self.subTest(text):
+                self.log.unlink(missing_ok=True)
+                self.settings.unlink(missing_ok=True)
+                if text is not None:
+                    self.settings.write_text(text)
+                process = self.start()
+                self.wait_for_line_or_end("E109", process)
+                self.settings.write_text(self.text)
+                self.wait_for(self.is_serving)
+                self.assert_stops(process)
+
+    def test_settings_with_findings_end_the_start_after_a_while(self) -> None:
+        self.settings.write_text(self.text + "unknown = 1\n")
+        process = self.start()
+        self.assertEqual(process.wait(WITHIN_S), 2)
+        self.assertIn("unknown", self.lines().splitlines()[-1])
+
+    def test_reload_of_settings_that_are_gone_changes_nothing(self) -> None:
+        process = self.start()
+        self.wait_for(self.is_serving)
+        self.settings.unlink()
+        process.send_signal(signal.SIGHUP)
+        self.wait_for_line("E106")
+        self.assertTrue(self.is_serving())
+        self.assert_stops(process)
+
+
+class SignalTest(StartCase):
+    def test_stop_before_the_event_loop_runs_ends_with_0(self) -> None:
+        self.settings.unlink()
+        process = self.start()
+        self.wait_for_line_or_end("E109", process)
+        self.assert_stops(process)
+
+    def test_hangup_and_broken_pipe_signals_during_the_start_and_after_end_nothing(self) -> None:
+        self.settings.unlink()
+        process = self.start()
+        self.wait_for_line("E109")
+        for _ in range(5):
+            process.send_signal(signal.SIGHUP)
+            process.send_signal(signal.SIGPIPE)
+            time.sleep(0.02)
+        self.settings.write_text(self.text)
+        self.wait_for(self.is_serving)
+        for _ in range(5):
+            process.send_signal(signal.SIGHUP)
+            process.send_signal(signal.SIGPIPE)
+            time.sleep(0.02)
+        self.wait_for_line("E106")
+        self.assertTrue(self.is_serving())
+        self.assert_stops(process)
+
+
 class StandardStreamTest(StartCase):
     def test_node_serves_with_closed_standard_streams(self) -> None:
         for redirections in (">&-", "<&- >&- 2>&-", '>&- 2> "$LOG"'):
