Start: serve on asyncio's own loop where uvloop can't be loaded

Callers saw: the system did not start. A uvloop that was built for another machine, or is missing, ended each process at its imports.

uvloop is loaded when the loop is made; if that fails, asyncio's own loop serves, with a log line (E114). moledaled ignores SIGHUP, which ended it.

Evidence: EventLoopTest of tests.test_process_start failed with the code before (ImportError at the start), and passes now. The SIGHUP of moledaled has no test.

--- a/src/moledale/log.py
+++ b/src/moledale/log.py
@@ -46,6 +46,9 @@
     UNEXPECTED_ERROR = EventSpec(
         113, logbook.ERROR, "An unexpected error ended one request, message or callback."
     )
+    LOOP_REPLACED = EventSpec(
+        114, logbook.WARNING, "uvloop can't be loaded; asyncio's own event loop is used."
+    )
     MAILBOX_FULL = EventSpec(112, logbook.WARNING, "A mailbox was full and a message refused.")
     BUNDLE_ADOPTED = EventSpec(200, logbook.INFO, "A newer bundle version is in force here.")
     WATCH_BEGUN = EventSpec(
--- a/src/moledale/ui/daemon.py
+++ b/src/moledale/ui/daemon.py
@@ -9,7 +9,6 @@
 from functools import partial
 from pathlib import Path
 
-import uvloop
 from result import Err
 
 from moledale import __version__
@@ -26,6 +25,7 @@
 from moledale.peers.grpc_link import GrpcLink
 from moledale.servers.http import HttpModelServers, HttpPlainServices
 from moledale.settings import Secrets, Settings, load, read_secrets
+from moledale.ui.process import report, run_loop
 
 EXIT_OK = 0
 EXIT_FAILED = 1
@@ -38,6 +38,7 @@
     parser.add_argument("--settings", required=True, type=Path, metavar="FILE")
     parser.add_argument("--version", action="version", version=f"moledaled {__version__}")
     options = parser.parse_args(arguments)
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     settings = load(options.settings)
     if isinstance(settings, Err):
         return _report(settings.err_value)
@@ -45,13 +46,11 @@
     if isinstance(secrets, Err):
         return _report(secrets.err_value)
     log_to_stderr(settings.ok_value.log.level)
-    code: int = uvloop.run(_run(settings.ok_value, secrets.ok_value))
-    return code
+    return run_loop(_run(settings.ok_value, secrets.ok_value))
 
 
 def _report(findings: list[Finding]) -> int:
-    for finding in findings:
-        print(finding, file=sys.stderr)
+    report(findings)
     return EXIT_SETTINGS
 
 
--- a/src/moledale/ui/gateway.py
+++ b/src/moledale/ui/gateway.py
@@ -6,7 +6,6 @@
 from functools import partial
 from pathlib import Path
 
-import uvloop
 from result import Err
 
 from moledale.faults import run_step, watch_loop
@@ -17,7 +16,7 @@
 from moledale.gateway.settings import GatewaySettings, load
 from moledale.log import Event, emit, log_to_stdout
 from moledale.scheduling.stream_runs import Engines
-from moledale.ui.process import await_settings, report
+from moledale.ui.process import await_settings, report, run_loop
 
 EXIT_SETTINGS = 2
 
@@ -45,8 +44,7 @@
     value = settings.ok_value
     handler.level_name = value.log_level.upper()
     node = GatewayNode(value, dialect, entry, store(value), orders(value), engines)
-    code: int = uvloop.run(_run(node, path))
-    return code
+    return run_loop(_run(node, path))
 
 
 async def _run(node: GatewayNode, path: Path) -> int:
--- a/src/moledale/ui/process.py
+++ b/src/moledale/ui/process.py
@@ -1,13 +1,15 @@
-"""What the daemons do before they can serve: wait for their settings, and report findings."""
+"""What the daemons do before they can serve: wait for their settings, and choose an event loop."""
 
+import asyncio
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from pathlib import Path
-from typing import TypeVar
+from typing import Any, TypeVar
 
 from result import Err, Result
 
+from moledale.faults import describe
 from moledale.findings import Finding
 from moledale.log import Event, emit
 
@@ -41,3 +43,21 @@
     """Write findings to standard error, if it is open."""
     for finding in findings:
         print(finding, file=sys.stderr)
+
+
+def _make_loop() -> asyncio.AbstractEventLoop:
+    """Return an event loop of uvloop, or of asyncio where uvloop can't be loaded."""
+    try:
+        import uvloop
+
+        loop: asyncio.AbstractEventLoop = uvloop.new_event_loop()
+    except Exception as error:
+        emit(Event.LOOP_REPLACED, error=describe(error))
+        return asyncio.new_event_loop()
+    return loop
+
+
+def run_loop(work: Coroutine[Any, Any, int]) -> int:
+    """Run a daemon in an event loop; return its exit code."""
+    with asyncio.Runner(loop_factory=_make_loop) as runner:
+        return runner.run(work)
--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -228,5 +228,18 @@
         self.assert_stops(process)
 
 
+class EventLoopTest(StartCase):
+    def replace_uvloop(self) -> str:
+        """Return a path on which uvloop can't be loaded."""
+        (self.folder / "uvloop.py").write_text('raise ImportError("wrong ELF class")')
+        return f"{self.folder}:{ROOT / 'src'}"
+
+    def test_node_serves_where_uvloop_cannot_be_loaded(self) -> None:
+        process = self.start(PYTHONPATH=self.replace_uvloop())
+        self.wait_until_serving(process)
+        self.assertIn("E114", self.lines())
+        self.assert_stops(process)
+
+
 if __name__ == "__main__":
     unittest.main()
