--- a/src/moledale/gateway/settings.py
+++ b/src/moledale/gateway/settings.py
@@ -14,6 +14,8 @@
 MAX_NAME_CHARS = 255
 """Longest id, hall or region: messages to peers and headers carry them."""
 
+LOG_LEVELS = ("debug", "info", "notice", "warning", "error", "critical")
+
 
 class Table(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Base of the tables in the file; unknown keys are reported as findings."""
@@ -164,6 +166,8 @@
     for path, name in names.items():
         if not name.isprintable() or len(name) > MAX_NAME_CHARS:
             findings.append(Finding(source, path, f"{name[:MAX_NAME_CHARS]!r} is not a name"))
+    if settings.log_level.lower() not in LOG_LEVELS:
+        findings.append(Finding(source, "log_level", f"must be one of {', '.join(LOG_LEVELS)}"))
     return findings + _check_scheduling(source, settings.scheduling)
 
 
--- a/src/moledale/log.py
+++ b/src/moledale/log.py
@@ -15,6 +15,10 @@
 """Lines kept while the reader of the log is slow; further lines are dropped."""
 
 
+STDOUT = 1
+"""Descriptor of standard output."""
+
+
 class EventSpec(msgspec.Struct, frozen=True):
     """Number, level and meaning of an event; `meaning` is printed in docs/EVENTS.md."""
 
@@ -32,10 +36,19 @@
     NOT_READY = EventSpec(103, logbook.WARNING, "The node stopped taking new requests.")
     DRAINING = EventSpec(104, logbook.INFO, "A planned stop began; accepted requests go on.")
     STOPPED = EventSpec(105, logbook.INFO, "The daemon stopped.")
+    ADDRESS_IN_USE = EventSpec(
+        108, logbook.WARNING, "An address is not free yet; it is tried again for some seconds."
+    )
+    SETTINGS_AWAITED = EventSpec(
+        109, logbook.WARNING, "The settings can't be read yet; they are for some seconds."
+    )
     TASK_FAILED = EventSpec(110, logbook.ERROR, "A task failed and is started again after a pause.")
     UNEXPECTED_ERROR = EventSpec(
         113, logbook.ERROR, "An unexpected error ended one request, message or callback."
     )
+    LOOP_REPLACED = EventSpec(
+        114, logbook.WARNING, "uvloop can't be loaded; asyncio's own event loop is used."
+    )
     MAILBOX_FULL = EventSpec(112, logbook.WARNING, "A mailbox was full and a message refused.")
     BUNDLE_ADOPTED = EventSpec(200, logbook.INFO, "A newer bundle version is in force here.")
     WATCH_BEGUN = EventSpec(
@@ -267,20 +280,23 @@
     def __init__(self, descriptor: int, level: str) -> None:
         super().__init__(level=level.upper())
         self.dropped = 0
-        self._descriptor = descriptor
+        self._descriptor: int | None = descriptor
         self._buffer: deque[bytes] = deque()
-        os.set_blocking(descriptor, False)
+        try:
+            os.set_blocking(descriptor, False)
+        except OSError:
+            self._descriptor = None
 
     def emit(self, record: logbook.LogRecord) -> None:
         """Write a line, or buffer it until the descriptor is writable."""
-        if len(self._buffer) >= MAX_BUFFERED_LINES:
+        if self._descriptor is None or len(self._buffer) >= MAX_BUFFERED_LINES:
             self.dropped += 1
             return
         self._buffer.append(f"{time.time():.3f} {record.message}\n".encode())
         self._flush()
 
     def _flush(self) -> None:
-        while self._buffer:
+        while self._buffer and self._descriptor is not None:
             line = self._buffer[0]
             try:
                 written = os.write(self._descriptor, line)
@@ -296,7 +312,10 @@
 
 
 def log_to_stdout(level: str) -> NonBlockingHandler:
-    """Log events of at least `level` to standard output, never blocking on a slow reader."""
-    handler = NonBlockingHandler(sys.stdout.fileno(), level)
+    """Log events of at least `level` to standard output, never blocking on a slow reader.
+
+    If it is closed, the lines are dropped and counted.
+    """
+    handler = NonBlockingHandler(STDOUT, level)
     handler.push_application()
     return handler
--- a/src/moledale/ui/daemon.py
+++ b/src/moledale/ui/daemon.py
@@ -4,10 +4,11 @@
 import asyncio
 import random
 import signal
+import socket
 import sys
+from functools import partial
 from pathlib import Path
 
-import uvloop
 from result import Err
 
 from moledale import __version__
@@ -17,12 +18,14 @@
 from moledale.faults import watch_loop
 from moledale.findings import Finding
 from moledale.http_client import make_client
+from moledale.listening import bind_patiently
 from moledale.log import Event, emit, log_to_stderr
 from moledale.node.node import Node
 from moledale.peers.auth import PeerTokens
 from moledale.peers.grpc_link import GrpcLink
 from moledale.servers.http import HttpModelServers, HttpPlainServices
 from moledale.settings import Secrets, Settings, load, read_secrets
+from moledale.ui.process import report, run_loop
 
 EXIT_OK = 0
 EXIT_FAILED = 1
@@ -35,6 +38,7 @@
     parser.add_argument("--settings", required=True, type=Path, metavar="FILE")
     parser.add_argument("--version", action="version", version=f"moledaled {__version__}")
     options = parser.parse_args(arguments)
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     settings = load(options.settings)
     if isinstance(settings, Err):
         return _report(settings.err_value)
@@ -42,16 +46,18 @@
     if isinstance(secrets, Err):
         return _report(secrets.err_value)
     log_to_stderr(settings.ok_value.log.level)
-    code: int = uvloop.run(_run(settings.ok_value, secrets.ok_value))
-    return code
+    return run_loop(_run(settings.ok_value, secrets.ok_value))
 
 
 def _report(findings: list[Finding]) -> int:
-    for finding in findings:
-        print(finding, file=sys.stderr)
+    report(findings)
     return EXIT_SETTINGS
 
 
+async def _bind(address: str) -> socket.socket:
+    return bind_listener(address)
+
+
 async def _run(settings: Settings, secrets: Secrets) -> int:
     """Serve until a signal comes or the listener ends, then drain and stop."""
     emit(Event.STARTING, node=settings.node.id, hall=settings.node.hall, version=__version__)
@@ -61,7 +67,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     try:
-        sock = bind_listener(settings.node.listen)
+        sock = await bind_patiently(settings.node.listen, partial(_bind, settings.node.listen))
     except OSError as error:
         return _report([Finding("settings", "node.listen", f"can't be bound: {error}")])
     platform_client, server_client = make_client(), make_client()
