Soak: drills of versions, with all nodes killed twice and a node out of step

Each drill has a service of its own with resumable streams, and callers that lose streams and take them up again.

- Out of step, at the begin of each round: one node is stopped by SIGSTOP, or cut off from the store, from the other nodes or from both, for 1 to 4 s.
Servers of a new version join within 0.4 s, under an order that all nodes know; callers begin streams at the others and take those of the new version up at that node, while it is out of step and the moment it is back.
A proxy on loopback forwards the datagrams between nodes, and cuts nodes off.
- Killed twice, at the end of each round: all nodes are killed twice, 1 to 4 s apart, while servers of a version come and go before, meanwhile and after.
Some callers keep streams over both kills until nodes have been running for 3 s.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -46,6 +46,11 @@
         action="store_true",
         help="let no other writer leave odd rows; with --from none does",
     )
+    parser.add_argument(
+        "--without-drills",
+        action="store_true",
+        help="leave out the drills of versions; with --from or --scheduling there are none",
+    )
     arguments = parser.parse_args()
     if arguments.overload:
         return run_drills(arguments)
@@ -96,6 +101,7 @@
                 former_build=former,
                 scheduling=arguments.scheduling,
                 odd_rows=former is None and not arguments.without_odd_rows,
+                version_drills=not (former or arguments.scheduling or arguments.without_drills),
             )
         )
         print(
--- a/tests/soak/process.py
+++ b/tests/soak/process.py
@@ -96,6 +96,7 @@
         self.directory_address = f"{self.host}:{BASE_PORT + 2}"
         self.process: asyncio.subprocess.Process | None = None
         self.paused = False
+        self.gossip_port = 0
         self._end = EndRequest()
         self._folder = folder
         self._scheduling = scheduling
@@ -164,6 +165,8 @@
             "SOAK_STEP_FILE": str(self._folder / f"{self.name}.step"),
             "SOAK_STALL_FILE": str(self._folder / f"{self.name}.stalls"),
         }
+        if self.gossip_port:
+            environment["SOAK_GOSSIP_PORT"] = str(self.gossip_port)
         with (self._folder / f"{self.name}.log").open("ab") as log:
             self._log_offset = log.tell()
             self.process = await asyncio.create_subprocess_exec(
