Binding of streams to their version in a module of its own

`stream_binding` finds the version of a resumed stream, records that of a new one and names the servers that a request may not go to because of it. It returns a refusal, which the forwarder sends.

Order of events: the same three bodies, moved. The refusal is sent where the method sent it before it returned False; nothing is awaited in between.

--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -28,6 +28,7 @@
 from moledale.gateway.server_view import Placement, record_silence
 from moledale.gateway.settings import Scheduling
 from moledale.gateway.sharing import Sharing
+from moledale.gateway.stream_binding import StreamBinding
 from moledale.gateway.turns import PERMIT_TIMEOUT_SHARE, RetryScheduler, max_queue_wait_s
 from moledale.gateway.upstream import AnswerCut, ConnectFailed, UpstreamConnection
 from moledale.log import Event, emit
@@ -57,12 +58,6 @@
 OTHER_NODE_RETRY_S = 0.05
 """Retry delay when other nodes are known to be able to serve; it only spreads callers a little."""
 
-UNKNOWN_ORIGIN = "it is not known which version began the stream"
-VERSION_GONE = "no server runs the version that began the stream"
-
-UNKNOWN_ORIGIN_RETRY_S = 0.2
-"""Retry delay while a node that may know the version did not answer."""
-
 NO_EVENT_ID = "0"
 """Last event id that is sent for a stream without any event yet."""
 
@@ -150,8 +145,11 @@
         self._list_is_current = list_is_current
         self._trial_share = trial_share
         self._switches = switches or Switches(Scheduling())
-        self._origins = origins or standalone_origins(balancer.versions, sharing.members, now)
-        self._may_begin = may_begin
+        self._versions = StreamBinding(
+            origins or standalone_origins(balancer.versions, sharing.members, now),
+            balancer,
+            may_begin,
+        )
         self._engine_priorities = EnginePriorities()
         self.overload = OverloadGate()
         self.move_slots = MoveSlotGate(
@@ -168,7 +166,7 @@
             now,
             self.guard,
             self.handle_leaving_server,
-            self._on_stream_begun,
+            self._versions.record_begun,
         )
 
     @property
@@ -256,7 +254,8 @@
         """
         if await self._relayed(job):
             return
-        if not await self._bind_resumed(job):
+        if (refusal := await self._versions.bind_resumed(job)) is not None:
+            self._give_up(job, refusal)
             return
         self._sharing.record_request(job.service, self._now())
         self._sharing.record_offered(job.service, job.caller.account, job.facts.tokens)
@@ -313,30 +312,6 @@
                 break
         await self._end_without_answer(job, last)
 
-    async def _bind_resumed(self, job: Job) -> bool:
-        """Bind a stream that its caller resumes to the version that began it.
-
-        Return False if the request is refused, since that is not known or only other versions have
-        servers. A service without any server may get some of that version again.
-        """
-        if job.route.kind is not Kind.STREAM or not job.facts.resumed:
-            return True
-        origin = await self._origins.find(job.facts.resumes, job.service)
-        job.version = origin.version
-        if origin.version is None:
-            retry_s = UNKNOWN_ORIGIN_RETRY_S if origin.retry else None
-            self._give_up(job, Refusal(503, UNKNOWN_ORIGIN, retry_s))
-            return False
-        if self._balancer.group(job.service).has_only_other_versions(origin.version):
-            self._give_up(job, Refusal(503, VERSION_GONE))
-            return False
-        return True
-
-    def _on_stream_begun(self, job: Job) -> None:
-        """Record the version that began a stream."""
-        if job.version is not None:
-            self._origins.record(job.facts.id, job.service, job.version)
-
     def _may_relay(self, job: Job) -> bool:
         """Return whether a request may be relayed: it was sent to no server, and none is reached.
 
@@ -475,7 +450,7 @@
                 job.service,
                 job.facts,
                 engine,
-                job.tried | self._closed_versions(job),
+                job.tried | self._versions.closed_servers(job),
                 share if job.version is None else 0.0,
                 max_wait_s=max_wait_s,
                 permit_timeout_s=permit_timeout_s,
@@ -485,21 +460,6 @@
             )
         )
 
-    def _closed_versions(self, job: Job) -> frozenset[str]:
-        """Return the servers that a request may not go to because of their version."""
-        if job.version is not None:
-            return self._balancer.other_versions(job.service, job.version)
-        if job.route.kind is not Kind.STREAM:
-            return frozenset()
-        return self._balancer.servers_of_versions(
-            job.service,
-            {
-                version
-                for version in self._balancer.versions.listed(job.service)
-                if not self._may_begin(job.service, version)
-            },
-        )
-
     def _first_send_check(self, job: Job) -> PlacementCheck | None:
         """Return the checks of a request's first send where scheduling features apply."""
         overload_check = self._overload_check(job)
