Placing of a caller's request in a module of its own

`job_placing` builds what a request needs of a server and the checks of its first send. `plan_lookup` answers what the plan and the features state of a service, and `job_charges` publishes and refunds charges; both are needed by several parts.

--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -10,14 +10,17 @@
 from moledale.gateway.answers import CRASH_CUTS, AnswerReader
 from moledale.gateway.attempt_log import log_served, log_unanswered
 from moledale.gateway.balance import LoadBalancer
-from moledale.gateway.choice import Choice, PlacementRefused
+from moledale.gateway.choice import PlacementRefused
 from moledale.gateway.dialect import Dialect
 from moledale.gateway.evacuation import Evacuation
 from moledale.gateway.job import Attempt, AttemptOutcome, Job
+from moledale.gateway.job_charges import JobCharges
+from moledale.gateway.job_placing import JobPlacer, TrialShare
 from moledale.gateway.messages import AttemptFacts, Framing, InboundRequest, Refusal
-from moledale.gateway.permits import PERMIT_TIMEOUT_S, PermitClient, standalone_permit_client
-from moledale.gateway.placing import PlacementCheck, PlacementRequest, Placer
+from moledale.gateway.permits import PermitClient, standalone_permit_client
+from moledale.gateway.placing import Placer
 from moledale.gateway.plan import Engine, Kind, Plan, PlanIndex
+from moledale.gateway.plan_lookup import PlanLookup
 from moledale.gateway.pool import ConnectionPool
 from moledale.gateway.reach_probe import ReachProber
 from moledale.gateway.refusals import NO_CONNECTION, NO_SERVER, NOT_RUN_RETRY_S, Refusals
@@ -29,18 +32,15 @@
 from moledale.gateway.settings import Scheduling
 from moledale.gateway.sharing import Sharing
 from moledale.gateway.stream_binding import StreamBinding
-from moledale.gateway.turns import PERMIT_TIMEOUT_SHARE, RetryScheduler, max_queue_wait_s
+from moledale.gateway.turns import RetryScheduler
 from moledale.gateway.upstream import AnswerCut, ConnectFailed, UpstreamConnection
 from moledale.log import Event, emit
 from moledale.scheduling.backup_runs import Backups
 from moledale.scheduling.backups import BackupCopy
-from moledale.scheduling.engine_memory import Demand
-from moledale.scheduling.engine_priority import EnginePriorities, clamped_priority
 from moledale.scheduling.expected_ends import EndedStream, max_events_of
 from moledale.scheduling.move_slot_gate import MoveSlotGate
-from moledale.scheduling.overload_gate import FirstSend, OverloadGate
+from moledale.scheduling.overload_gate import OverloadGate
 from moledale.scheduling.stream_runs import (
-    DEFAULT_PRIORITY,
     BrokenRun,
     Continuation,
     Engines,
@@ -102,13 +102,15 @@
         newer_plan: Callable[[], bool] = lambda: False,
         list_is_current: Callable[[], Awaitable[bool]] = _list_always_current,
         first_start: bool = False,
-        trial_share: Callable[[str, str, bool], float] = _no_trial,
+        trial_share: TrialShare = _no_trial,
         starting_nodes: Callable[[], int] = lambda: 1,
         permits: PermitClient | None = None,
         switches: Switches | None = None,
         origins: StreamOrigins | None = None,
         may_begin: Callable[[str, str], bool] = any_version,
     ) -> None:
+        self._switches = switches or Switches(Scheduling())
+        self._plan = PlanLookup(lambda: self.index, self._switches)
         limits = AccountLimits(
             first_start, sharing.limit_window_s, sharing.limit_tolerance, starting_nodes
         )
@@ -120,8 +122,9 @@
             self.prober.links_lost,
         )
         self.admission = Admission(
-            dialect, now, newer_plan, limits, self.guard.wait_s, self._may_refuse
+            dialect, now, newer_plan, limits, self.guard.wait_s, self._plan.may_refuse
         )
+        self._charges = JobCharges(limits, now)
         self._dialect = dialect
         self._balancer = balancer
         pool.on_connect = self.prober.record_connect
@@ -130,9 +133,9 @@
         self._pool = pool
         self._sharing = sharing
         self._permits = permits or standalone_permit_client(balancer, now)
-        self._placer = Placer(balancer, self._permits, now)
+        placer = Placer(balancer, self._permits, now)
         self.evacuation = Evacuation(
-            engines, balancer, lambda: self.index, sharing.leave_s, now, self._placer
+            engines, balancer, lambda: self.index, sharing.leave_s, now, placer
         )
         self.backups = Backups(
             balancer,
@@ -143,18 +146,26 @@
         self.handled = 0
         self._now = now
         self._list_is_current = list_is_current
-        self._trial_share = trial_share
-        self._switches = switches or Switches(Scheduling())
         self._versions = StreamBinding(
             origins or standalone_origins(balancer.versions, sharing.members, now),
             balancer,
             may_begin,
         )
-        self._engine_priorities = EnginePriorities()
         self.overload = OverloadGate()
         self.move_slots = MoveSlotGate(
             balancer, self.evacuation, self._switches, lambda: self.index, now
         )
+        self._job_placer = JobPlacer(
+            placer,
+            balancer,
+            self._plan,
+            self._versions,
+            self._charges,
+            self.overload,
+            self.move_slots,
+            trial_share,
+            now,
+        )
         self._refusals = Refusals(dialect, balancer, RetryScheduler(starting_nodes, now), now)
         self.refuse = self._refusals.refuse
         self.refusal_metrics = self._refusals.counts.metrics
@@ -219,7 +230,7 @@
                 sends=job.sends,
             )
             if not job.was_sent:
-                self._refund(job)
+                self._charges.refund(job)
             raise
 
     def _peers_reach(self, service: str) -> bool:
@@ -232,20 +243,6 @@
         self._pool.discard(server)
         self.prober.record_silence(server)
 
-    def _may_refuse(self, service: str) -> bool:
-        """Return whether overload control decides on requests for a service."""
-        return self._switches.applies(Feature.OVERLOAD, self.index, service)
-
-    def _publish_charge(self, job: Job) -> None:
-        """Tell peers of a request's charge, since the request was accepted."""
-        if job.charge is not None:
-            self.limits.publish(job.charge, self._now())
-
-    def _refund(self, job: Job) -> None:
-        """Take back the charge of a request that did not run and never will."""
-        if job.charge is not None:
-            self.limits.refund(job.charge, self._now())
-
     async def _forward(self, job: Job) -> None:
         """Try servers until one responds or no further attempt is allowed.
 
@@ -278,7 +275,9 @@
                 raise TimeoutError
             try:
                 placement = (
-                    await self._place(job) if continuation is None else continuation.placement
+                    await self._job_placer.place(job)
+                    if continuation is None
+                    else continuation.placement
                 )
             except PlacementRefused as refused:
                 self._give_up(job, Refusal(503, refused.reason, refused.retry_after_s))
@@ -327,10 +326,10 @@
         if not self._may_relay(job):
             return False
         job.relay_tried = True
-        self._publish_charge(job)
+        self._charges.publish(job)
         outcome = await self.relay.relay(job)
         if job.reply.status == SERVICE_UNAVAILABLE:
-            self._refund(job)
+            self._charges.refund(job)
         if outcome is RelayOutcome.BROKEN:
             job.may_have_run = True
             broken = Attempt(AttemptOutcome.BROKEN, why="the peer broke off")
@@ -339,7 +338,7 @@
 
     def _record_stream_end(self, job: Job, placement: Placement) -> None:
         """Tell overload control how long a stream took that had all its events from one server."""
-        engine = self._engine(job.service)
+        engine = self._plan.engine(job.service)
         events = job.splitter.event_count
         whole = job.sends == 1 and not job.facts.resumed_after
         if engine is None or job.last_event_at is None or not events or not whole:
@@ -366,7 +365,7 @@
             return attempt.continuation
         if attempt.outcome not in (AttemptOutcome.NOT_SENT, AttemptOutcome.NOT_RUN):
             return None
-        engine = self._engine(job.service)
+        engine = self._plan.engine(job.service)
         if engine is None:
             return None
         return await self.evacuation.continue_elsewhere(refused, job.facts, engine, job.tried)
@@ -418,9 +417,9 @@
         """Return the engine of a stream that may get a backup, None if it may not."""
         if job.route.kind is not Kind.STREAM or job.route.repeatable:
             return None
-        if not self._switches.applies(Feature.BACKUPS, self.index, job.service):
+        if not self._plan.applies(Feature.BACKUPS, job.service):
             return None
-        engine = self._engine(job.service)
+        engine = self._plan.engine(job.service)
         return engine if engine is not None and engine.backups else None
 
     def _choose_backup(self, job: Job, placement: Placement) -> BackupCopy | None:
@@ -437,93 +436,6 @@
             took_s = self._now() - placement.sent_at
             self.backups.observe(job.facts, job.route, engine, took_s)
 
-    async def _place(self, job: Job) -> Placement | None:
-        share = self._trial_share(job.service, job.route.name, not job.tried)
-        max_wait_s = max_queue_wait_s(job, self._now())
-        permit_timeout_s = min(PERMIT_TIMEOUT_S, PERMIT_TIMEOUT_SHARE * job.route.target_s)
-        engine = self._engine(job.service)
-        if self._balancer.group(job.service).limited.names:
-            # The request may wait for a permit, and peers must know of its charge meanwhile.
-            self._publish_charge(job)
-        return await self._placer.place(
-            PlacementRequest(
-                job.service,
-                job.facts,
-                engine,
-                job.tried | self._versions.closed_servers(job),
-                share if job.version is None else 0.0,
-                max_wait_s=max_wait_s,
-                permit_timeout_s=permit_timeout_s,
-                check=self._first_send_check(job),
-                avoided=self.move_slots.full_servers(job.service, engine),
-                demand=self._demand(job),
-            )
-        )
-
-    def _first_send_check(self, job: Job) -> PlacementCheck | None:
-        """Return the checks of a request's first send where scheduling features apply."""
-        overload_check = self._overload_check(job)
-        engine = self._engine(job.service)
-        if job.tried or job.facts.resumed_after or engine is None:
-            return overload_check
-        return self.move_slots.checked(job.service, engine, overload_check)
-
-    def _overload_check(self, job: Job) -> PlacementCheck | None:
-        """Return the check of a request's first send where overload control applies.
-
-        A stream that its caller resumes was accepted before, so it is not checked.
-        """
-        first_send = not job.tried and not job.facts.resumed_after
-        if not first_send or not self._may_refuse(job.service):
-            self._publish_charge(job)
-            return None
-        now = self._now()
-        first = FirstSend(
-            job.service,
-            job.caller.account,
-            job.route,
-            self._priority(job) or 0,
-            now - job.request.arrived_at,
-            job.left_s(now),
-        )
-
-        def check(choice: Choice, at: float) -> Callable[[float, float], None]:
-            record_first_event = self.overload.check(first, choice, at)
-            self._publish_charge(job)
-            return record_first_event
-
-        return check
-
-    def _demand(self, job: Job) -> Demand | None:
-        """Return what a request asks of an engine, where what requests take of engines counts."""
-        if not self._switches.applies(Feature.ENGINE_MEMORY, self.index, job.service):
-            return None
-        facts = job.facts
-        priority = self._priority(job)
-        spent_s = self._now() - job.request.arrived_at
-        return Demand(
-            job.route.name,
-            DEFAULT_PRIORITY if priority is None else clamped_priority(priority),
-            max(0.0, job.route.target_s - spent_s),
-            facts.prompt_tokens,
-            facts.answer_tokens,
-            facts.hint_tokens,
-            bool(facts.resumed_after),
-        )
-
-    def _engine(self, name: str) -> Engine | None:
-        index = self.index
-        assert index is not None
-        service = index.services.get(name)
-        return service.engine if service is not None else None
-
-    def _priority(self, job: Job) -> int | None:
-        """Return the priority that is sent to the servers with a request."""
-        index = self.index
-        if index is None or not self._switches.applies(Feature.OVERLOAD, index, job.service):
-            return job.caller.priority
-        return self._engine_priorities.level(index, job.service, job.caller.priority, job.route)
-
     def _may_retry(self, job: Job, attempt: Attempt) -> bool:
         """Return whether the request may be sent to another server."""
         server_left = job.sends < job.route.max_servers
@@ -546,7 +458,7 @@
 
         A stream that was moved there continues from `continuation`.
         """
-        engine = self._engine(job.service)
+        engine = self._plan.engine(job.service)
         event_tokens = engine.event_tokens if engine is not None else 1
         run = StreamRun(
             job.facts,
@@ -558,7 +470,7 @@
             resumable=job.route.repeatable,
             deadline_at=job.deadline_at,
         )
-        priority = self._priority(job)
+        priority = self._plan.priority(job)
         if priority is not None:
             run.priority = priority
         run.from_backup = continuation is not None and continuation.cut_at is not None
@@ -697,7 +609,7 @@
         continuation: Continuation | None,
     ) -> None:
         now = self._now()
-        self._publish_charge(job)
+        self._charges.publish(job)
         placement = run.placement
         if not job.sends:
             self._sharing.record_placed(job.service, job.caller.account, job.facts.tokens)
@@ -713,7 +625,7 @@
             placement.view.server.id,
             job.caller.account,
             job.left_s(now),
-            self._priority(job),
+            self._plan.priority(job),
             after_event=after_event,
             continued_from=(
                 f"{continuation.source}/{continuation.handle}" if continuation is not None else ""
@@ -765,5 +677,5 @@
         if not job.was_sent and refusal.status == 504:
             refusal = Refusal(503, refusal.reason, NOT_RUN_RETRY_S)
         if refusal.status == 503:
-            self._refund(job)
+            self._charges.refund(job)
         self.refuse(job.reply, job.request, refusal, job.facts.id, job.caller.account)
