--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -13,6 +13,7 @@
 from moledale.gateway.choice import PlacementRefused
 from moledale.gateway.dialect import Dialect
 from moledale.gateway.evacuation import Evacuation
+from moledale.gateway.final_responses import FinalResponses
 from moledale.gateway.job import Attempt, AttemptOutcome, Job
 from moledale.gateway.job_charges import JobCharges
 from moledale.gateway.job_placing import JobPlacer, TrialShare
@@ -23,7 +24,7 @@
 from moledale.gateway.plan_lookup import PlanLookup
 from moledale.gateway.pool import ConnectionPool
 from moledale.gateway.reach_probe import ReachProber
-from moledale.gateway.refusals import NO_CONNECTION, NO_SERVER, NOT_RUN_RETRY_S, Refusals
+from moledale.gateway.refusals import NO_CONNECTION, NO_SERVER, Refusals
 from moledale.gateway.relay import Relay, RelayOutcome
 from moledale.gateway.reply import Reply
 from moledale.gateway.request_guard import RequestGuard
@@ -179,6 +180,7 @@
             self.handle_leaving_server,
             self._versions.record_begun,
         )
+        self._final = FinalResponses(self._refusals, self._answers, self._charges)
 
     @property
     def index(self) -> PlanIndex | None:
@@ -221,7 +223,7 @@
             async with asyncio.timeout(max(0.0, job.left_s(self._now()))):
                 await self._forward(job)
         except TimeoutError:
-            self._give_up(job, Refusal(504, "the time limit was reached"))
+            self._final.give_up(job, Refusal(504, "the time limit was reached"))
         except asyncio.CancelledError:
             emit(
                 Event.CALLER_GONE,
@@ -252,7 +254,7 @@
         if await self._relayed(job):
             return
         if (refusal := await self._versions.bind_resumed(job)) is not None:
-            self._give_up(job, refusal)
+            self._final.give_up(job, refusal)
             return
         self._sharing.record_request(job.service, self._now())
         self._sharing.record_offered(job.service, job.caller.account, job.facts.tokens)
@@ -266,7 +268,7 @@
             if blocked_s := self.guard.job_wait_s(job):
                 if continuation is not None:
                     self._release_unused(continuation)
-                await self._end_blocked(job, last, blocked_s)
+                await self._final.end_blocked(job, last, blocked_s)
                 return
             # Timers do not advance while the machine is suspended, so the timeout may fire late.
             if job.left_s(self._now()) <= 0:
@@ -280,7 +282,7 @@
                     else continuation.placement
                 )
             except PlacementRefused as refused:
-                self._give_up(job, Refusal(503, refused.reason, refused.retry_after_s))
+                self._final.give_up(job, Refusal(503, refused.reason, refused.retry_after_s))
                 return
             if placement is None:
                 if last.why == NO_SERVER:
@@ -309,7 +311,7 @@
                 return
             if not self._may_retry(job, attempt):
                 break
-        await self._end_without_answer(job, last)
+        await self._final.end_without_answer(job, last)
 
     def _may_relay(self, job: Job) -> bool:
         """Return whether a request may be relayed: it was sent to no server, and none is reached.
@@ -333,7 +335,7 @@
         if outcome is RelayOutcome.BROKEN:
             job.may_have_run = True
             broken = Attempt(AttemptOutcome.BROKEN, why="the peer broke off")
-            await self._end_without_answer(job, broken)
+            await self._final.end_without_answer(job, broken)
         return outcome is not RelayOutcome.NOT_RUN
 
     def _record_stream_end(self, job: Job, placement: Placement) -> None:
@@ -637,45 +639,3 @@
         head = job.request.head
         data = self._dialect.attempt_head(head, facts, len(body)) + body
         connection.send(data, bodiless=head.bodiless)
-
-    async def _end_blocked(self, job: Job, last: Attempt, blocked_s: float) -> None:
-        """Reject a request that was blocked after it was accepted."""
-        if job.may_have_run or job.reply.started:
-            await self._end_without_answer(job, last)
-        else:
-            self._give_up(job, Refusal(503, BLOCKED_REASON, blocked_s))
-
-    async def _end_without_answer(self, job: Job, last: Attempt) -> None:
-        """Send the final response at once: a server's failure, or a refusal of this node."""
-        if job.reply.started:
-            job.reply.abort()
-            emit(
-                Event.STREAM_BROKEN,
-                request=job.facts.id,
-                account=job.caller.account,
-                events=job.splitter.event_count,
-                why=last.why,
-            )
-        elif last.head is not None:
-            await self._answers.relay(job, last.head, last.body)
-        elif job.may_have_run:
-            self._give_up(job, Refusal(502, "the server broke off"))
-        else:
-            self._give_up(job, self._refusals.not_run_refusal(job, last))
-
-    def _give_up(self, job: Job, refusal: Refusal) -> None:
-        if job.reply.started:
-            if not job.reply.complete:
-                job.reply.abort()
-                emit(
-                    Event.STREAM_BROKEN,
-                    request=job.facts.id,
-                    account=job.caller.account,
-                    why=refusal.reason,
-                )
-            return
-        if not job.was_sent and refusal.status == 504:
-            refusal = Refusal(503, refusal.reason, NOT_RUN_RETRY_S)
-        if refusal.status == 503:
-            self._charges.refund(job)
-        self.refuse(job.reply, job.request, refusal, job.facts.id, job.caller.account)
