Continuations, backups and served requests in modules of their own

`continuation_finder` finds where a stream goes on after an attempt, `stream_backups` applies backups to callers' requests, and `served_requests` records what is learnt of a request that was served.

Order of events: the bodies were moved by a script that only renames the attributes they use. The records of a served request are made in the order in which the loop made them: guard, duration, log line, end of the stream.

--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -8,19 +8,20 @@
 from moledale.gateway.accounts import AccountLimits
 from moledale.gateway.admission import BLOCKED_REASON, Admission
 from moledale.gateway.answers import CRASH_CUTS, AnswerReader
-from moledale.gateway.attempt_log import log_served, log_unanswered
+from moledale.gateway.attempt_log import log_unanswered
 from moledale.gateway.balance import LoadBalancer
 from moledale.gateway.choice import PlacementRefused
+from moledale.gateway.continuation_finder import ContinuationFinder
 from moledale.gateway.dialect import Dialect
 from moledale.gateway.evacuation import Evacuation
 from moledale.gateway.final_responses import FinalResponses
 from moledale.gateway.job import Attempt, AttemptOutcome, Job
 from moledale.gateway.job_charges import JobCharges
 from moledale.gateway.job_placing import JobPlacer, TrialShare
-from moledale.gateway.messages import AttemptFacts, Framing, InboundRequest, Refusal
+from moledale.gateway.messages import AttemptFacts, InboundRequest, Refusal
 from moledale.gateway.permits import PermitClient, standalone_permit_client
 from moledale.gateway.placing import Placer
-from moledale.gateway.plan import Engine, Kind, Plan, PlanIndex
+from moledale.gateway.plan import Kind, Plan, PlanIndex
 from moledale.gateway.plan_lookup import PlanLookup
 from moledale.gateway.pool import ConnectionPool
 from moledale.gateway.reach_probe import ReachProber
@@ -28,17 +29,17 @@
 from moledale.gateway.relay import Relay, RelayOutcome
 from moledale.gateway.reply import Reply
 from moledale.gateway.request_guard import RequestGuard
+from moledale.gateway.served_requests import ServedRequests
 from moledale.gateway.server_notices import SERVICE_UNAVAILABLE
 from moledale.gateway.server_view import Placement, record_silence
 from moledale.gateway.settings import Scheduling
 from moledale.gateway.sharing import Sharing
+from moledale.gateway.stream_backups import StreamBackups
 from moledale.gateway.stream_binding import StreamBinding
 from moledale.gateway.turns import RetryScheduler
 from moledale.gateway.upstream import AnswerCut, ConnectFailed, UpstreamConnection
 from moledale.log import Event, emit
 from moledale.scheduling.backup_runs import Backups
-from moledale.scheduling.backups import BackupCopy
-from moledale.scheduling.expected_ends import EndedStream, max_events_of
 from moledale.scheduling.move_slot_gate import MoveSlotGate
 from moledale.scheduling.overload_gate import OverloadGate
 from moledale.scheduling.stream_runs import (
@@ -47,7 +48,7 @@
     Engines,
     StreamRun,
 )
-from moledale.scheduling.switches import Feature, Switches
+from moledale.scheduling.switches import Switches
 from moledale.streams.origins import StreamOrigins, standalone_origins
 from moledale.streams.version_register import any_version
 
@@ -144,6 +145,10 @@
             self.evacuation.mean_final_tokens,
             now,
         )
+        self._stream_backups = StreamBackups(self.backups, self._plan, now)
+        self._continuations = ContinuationFinder(
+            self._plan, self.evacuation, self.backups, self.guard, sharing, now
+        )
         self.handled = 0
         self._now = now
         self._list_is_current = list_is_current
@@ -180,6 +185,9 @@
             self.handle_leaving_server,
             self._versions.record_begun,
         )
+        self._served = ServedRequests(
+            self._plan, self.guard, self._stream_backups, self.overload, now
+        )
         self._final = FinalResponses(self._refusals, self._answers, self._charges)
 
     @property
@@ -267,13 +275,13 @@
                 break
             if blocked_s := self.guard.job_wait_s(job):
                 if continuation is not None:
-                    self._release_unused(continuation)
+                    self._continuations.release_unused(continuation)
                 await self._final.end_blocked(job, last, blocked_s)
                 return
             # Timers do not advance while the machine is suspended, so the timeout may fire late.
             if job.left_s(self._now()) <= 0:
                 if continuation is not None:
-                    self._release_unused(continuation)
+                    self._continuations.release_unused(continuation)
                 raise TimeoutError
             try:
                 placement = (
@@ -291,18 +299,11 @@
             placement.route = job.route.name
             attempt = await self._attempt(job, placement, continuation)
             former = continuation
-            continuation = await self._next_continuation(job, attempt, former)
+            continuation = await self._continuations.find(job, attempt, former)
             if former is not None and former.cut_at is not None:
-                self._record_backup_used(job, attempt, former.cut_at, placement)
+                self._continuations.record_backup_used(job, attempt, former.cut_at, placement)
             if attempt.outcome is AttemptOutcome.ANSWERED:
-                if attempt.framing is Framing.CLOSE:
-                    self.guard.record_unframed_end(job, placement)
-                else:
-                    self.guard.record_served(job)
-                if former is None:
-                    self._observe_duration(job, placement)
-                log_served(job, placement, attempt, self._now())
-                self._record_stream_end(job, placement)
+                self._served.record(job, placement, attempt, former is not None)
                 return
             if continuation is not None:
                 continue
@@ -338,106 +339,6 @@
             await self._final.end_without_answer(job, broken)
         return outcome is not RelayOutcome.NOT_RUN
 
-    def _record_stream_end(self, job: Job, placement: Placement) -> None:
-        """Tell overload control how long a stream took that had all its events from one server."""
-        engine = self._plan.engine(job.service)
-        events = job.splitter.event_count
-        whole = job.sends == 1 and not job.facts.resumed_after
-        if engine is None or job.last_event_at is None or not events or not whole:
-            return
-        stream = EndedStream(
-            job.route.name,
-            max_events_of(job.facts.answer_tokens, engine.event_tokens),
-            events,
-            (job.last_event_at - placement.first_at) / max(1, events - 1),
-            placement.concurrent,
-        )
-        self.overload.record_end(job.service, stream, self._now())
-
-    async def _next_continuation(
-        self, job: Job, attempt: Attempt, refused: Continuation | None
-    ) -> Continuation | None:
-        """Return where a stream that was stopped continues after an attempt, None if nowhere.
-
-        If the server did not take a stopped run, the cache at its source is still unused.
-        """
-        if attempt.broken_run is not None:
-            return await self._continue_at_backup(job, attempt.broken_run)
-        if attempt.continuation is not None or refused is None or refused.cut_at is not None:
-            return attempt.continuation
-        if attempt.outcome not in (AttemptOutcome.NOT_SENT, AttemptOutcome.NOT_RUN):
-            return None
-        engine = self._plan.engine(job.service)
-        if engine is None:
-            return None
-        return await self.evacuation.continue_elsewhere(refused, job.facts, engine, job.tried)
-
-    async def _continue_at_backup(self, job: Job, broken: BrokenRun) -> Continuation | None:
-        """Return the continuation of a run whose server has ended, None if it may not go on.
-
-        The send is counted in the retry budget at once, so that the other runs of the server find
-        the budget as it will be.
-        """
-        placement = broken.placement
-        why = ""
-        continuation = None
-        if not await self.guard.await_server_end(placement, broken.cut_at):
-            why = "the server has not ended"
-        elif job.splitter.event_count and not job.splitter.last_id:
-            why = "the events have no ids"
-        elif not self.guard.may_retry(job):
-            why = "the request is blocked"
-        elif not self._sharing.may_retry(job.service, self._now()):
-            why = "the retry budget is used up"
-        else:
-            continuation = self.backups.continuation(broken, job.facts)
-            why = "the backup takes no work"
-        if continuation is None:
-            self.backups.record_failed(job.facts, broken.copy.backup.target, why)
-            return None
-        self._sharing.record_retry(job.service, self._now())
-        job.retry_counted = True
-        return continuation
-
-    def _record_backup_used(
-        self, job: Job, attempt: Attempt, cut_at: float, placement: Placement
-    ) -> None:
-        """Count the result of a continuation from a backup, unless it was moved since."""
-        if attempt.outcome is AttemptOutcome.ANSWERED:
-            self.backups.record_continued(job.facts, placement, cut_at)
-        elif attempt.outcome is not AttemptOutcome.MOVED:
-            self.backups.record_failed(job.facts, placement.view.server.id, attempt.why)
-
-    def _release_unused(self, continuation: Continuation) -> None:
-        """Stop counting a continuation that is not used; a backup can't be released."""
-        if continuation.cut_at is None:
-            self.evacuation.release_unused(continuation)
-        else:
-            continuation.placement.end()
-
-    def _backup_engine(self, job: Job) -> Engine | None:
-        """Return the engine of a stream that may get a backup, None if it may not."""
-        if job.route.kind is not Kind.STREAM or job.route.repeatable:
-            return None
-        if not self._plan.applies(Feature.BACKUPS, job.service):
-            return None
-        engine = self._plan.engine(job.service)
-        return engine if engine is not None and engine.backups else None
-
-    def _choose_backup(self, job: Job, placement: Placement) -> BackupCopy | None:
-        """Choose the backup of a stream that is about to be sent, where backups apply."""
-        engine = self._backup_engine(job)
-        if engine is None:
-            return None
-        return self.backups.choose(job.facts, job.route, engine, placement.view)
-
-    def _observe_duration(self, job: Job, placement: Placement) -> None:
-        """Record the duration of a stream that was completed by its first server."""
-        engine = self._backup_engine(job)
-        if engine is not None:
-            took_s = self._now() - placement.sent_at
-            self.backups.observe(job.facts, job.route, engine, took_s)
-
     def _may_retry(self, job: Job, attempt: Attempt) -> bool:
         """Return whether the request may be sent to another server."""
         server_left = job.sends < job.route.max_servers
@@ -483,13 +384,7 @@
         finally:
             self.evacuation.forget(run)
             if run.backup is not None:
-                self._release_backup(run.backup, attempt)
-
-    def _release_backup(self, copy: BackupCopy, attempt: Attempt | None) -> None:
-        """Stop counting a backup; only a run that completed or never began leaves no copy."""
-        outcome = attempt.outcome if attempt is not None else None
-        freed = outcome in (AttemptOutcome.ANSWERED, AttemptOutcome.NOT_RUN)
-        self.backups.release(copy, freed)
+                self._stream_backups.release(run.backup, attempt)
 
     async def _send_and_read(
         self, job: Job, run: StreamRun, continuation: Continuation | None
@@ -518,7 +413,7 @@
                 connection = None
                 return Attempt(AttemptOutcome.NOT_SENT, why="the server named a limit")
             if continuation is None:
-                run.backup = self._choose_backup(job, placement)
+                run.backup = self._stream_backups.choose(job, placement)
             if not self.guard.take_send(job):
                 self._pool.release_unused(server.id, connection)
                 connection = None
