Attempts at one server in modules of their own

`attempts` connects, sends and reads, `job_sender` counts and sends a request, and `cut_attempts` tells how an attempt goes on whose response broke off. The long methods are split: a new run, the connection, the reasons not to send, sending and reading; counting a send and what the server is told.

Order of events: read line by line against the code before. The three reasons not to send are asked in the same order (open, permit, guard), the backup is chosen after the permit and before the guard, and a connection that is not used is released before the placement ends. A method that awaits nothing else does not yield, so that no other request runs in between.

--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -2,51 +2,48 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from functools import partial
 
 from moledale.clock import monotonic
 from moledale.gateway.accounts import AccountLimits
-from moledale.gateway.admission import BLOCKED_REASON, Admission
-from moledale.gateway.answers import CRASH_CUTS, AnswerReader
-from moledale.gateway.attempt_log import log_unanswered
+from moledale.gateway.admission import Admission
+from moledale.gateway.answers import AnswerReader
+from moledale.gateway.attempts import AttemptRunner
 from moledale.gateway.balance import LoadBalancer
 from moledale.gateway.choice import PlacementRefused
 from moledale.gateway.continuation_finder import ContinuationFinder
+from moledale.gateway.cut_attempts import CutAttempts
 from moledale.gateway.dialect import Dialect
 from moledale.gateway.evacuation import Evacuation
 from moledale.gateway.final_responses import FinalResponses
 from moledale.gateway.job import Attempt, AttemptOutcome, Job
 from moledale.gateway.job_charges import JobCharges
 from moledale.gateway.job_placing import JobPlacer, TrialShare
-from moledale.gateway.messages import AttemptFacts, InboundRequest, Refusal
+from moledale.gateway.job_sender import JobSender
+from moledale.gateway.messages import InboundRequest, Refusal
 from moledale.gateway.permits import PermitClient, standalone_permit_client
 from moledale.gateway.placing import Placer
-from moledale.gateway.plan import Kind, Plan, PlanIndex
+from moledale.gateway.plan import Plan, PlanIndex
 from moledale.gateway.plan_lookup import PlanLookup
 from moledale.gateway.pool import ConnectionPool
 from moledale.gateway.reach_probe import ReachProber
-from moledale.gateway.refusals import NO_CONNECTION, NO_SERVER, Refusals
+from moledale.gateway.refusals import NO_SERVER, Refusals
 from moledale.gateway.relay import Relay, RelayOutcome
 from moledale.gateway.reply import Reply
 from moledale.gateway.request_guard import RequestGuard
 from moledale.gateway.served_requests import ServedRequests
 from moledale.gateway.server_notices import SERVICE_UNAVAILABLE
-from moledale.gateway.server_view import Placement, record_silence
 from moledale.gateway.settings import Scheduling
 from moledale.gateway.sharing import Sharing
 from moledale.gateway.stream_backups import StreamBackups
 from moledale.gateway.stream_binding import StreamBinding
 from moledale.gateway.turns import RetryScheduler
-from moledale.gateway.upstream import AnswerCut, ConnectFailed, UpstreamConnection
 from moledale.log import Event, emit
 from moledale.scheduling.backup_runs import Backups
 from moledale.scheduling.move_slot_gate import MoveSlotGate
 from moledale.scheduling.overload_gate import OverloadGate
 from moledale.scheduling.stream_runs import (
-    BrokenRun,
     Continuation,
     Engines,
-    StreamRun,
 )
 from moledale.scheduling.switches import Switches
 from moledale.streams.origins import StreamOrigins, standalone_origins
@@ -60,9 +57,6 @@
 OTHER_NODE_RETRY_S = 0.05
 """Retry delay when other nodes are known to be able to serve; it only spreads callers a little."""
 
-NO_EVENT_ID = "0"
-"""Last event id that is sent for a stream without any event yet."""
-
 
 def _stale_list_attempt() -> Attempt:
     """Return the attempt of a request that another node can serve at once."""
@@ -127,15 +121,14 @@
             dialect, now, newer_plan, limits, self.guard.wait_s, self._plan.may_refuse
         )
         self._charges = JobCharges(limits, now)
-        self._dialect = dialect
         self._balancer = balancer
         pool.on_connect = self.prober.record_connect
         balancer.on_silent = self._on_silent
         self.relay = Relay(dialect, lambda: sharing.members.alive(now()), now)
         self._pool = pool
         self._sharing = sharing
-        self._permits = permits or standalone_permit_client(balancer, now)
-        placer = Placer(balancer, self._permits, now)
+        permits = permits or standalone_permit_client(balancer, now)
+        placer = Placer(balancer, permits, now)
         self.evacuation = Evacuation(
             engines, balancer, lambda: self.index, sharing.leave_s, now, placer
         )
@@ -185,6 +178,19 @@
             self.handle_leaving_server,
             self._versions.record_begun,
         )
+        self._attempts = AttemptRunner(
+            balancer,
+            pool,
+            permits,
+            self._plan,
+            self.guard,
+            self.evacuation,
+            self._stream_backups,
+            JobSender(dialect, sharing, self._plan, self._charges, now),
+            self._answers,
+            CutAttempts(self._answers, self.guard, sharing, now),
+            now,
+        )
         self._served = ServedRequests(
             self._plan, self.guard, self._stream_backups, self.overload, now
         )
@@ -297,7 +303,7 @@
                     last = self._refusals.no_server_attempt(job)
                 break
             placement.route = job.route.name
-            attempt = await self._attempt(job, placement, continuation)
+            attempt = await self._attempts.run(job, placement, continuation)
             former = continuation
             continuation = await self._continuations.find(job, attempt, former)
             if former is not None and former.cut_at is not None:
@@ -353,184 +359,3 @@
         if not self.guard.may_retry(job):
             return False
         return job.retry_counted or self._sharing.may_retry(job.service, self._now())
-
-    async def _attempt(
-        self, job: Job, placement: Placement, continuation: Continuation | None
-    ) -> Attempt:
-        """Send the request to one server and relay its response.
-
-        A stream that was moved there continues from `continuation`.
-        """
-        engine = self._plan.engine(job.service)
-        event_tokens = engine.event_tokens if engine is not None else 1
-        run = StreamRun(
-            job.facts,
-            job.service,
-            placement,
-            event_tokens,
-            events=job.splitter.event_count,
-            gap_s=job.route.gap_s,
-            resumable=job.route.repeatable,
-            deadline_at=job.deadline_at,
-        )
-        priority = self._plan.priority(job)
-        if priority is not None:
-            run.priority = priority
-        run.from_backup = continuation is not None and continuation.cut_at is not None
-        attempt: Attempt | None = None
-        try:
-            attempt = await self._send_and_read(job, run, continuation)
-            return attempt
-        finally:
-            self.evacuation.forget(run)
-            if run.backup is not None:
-                self._stream_backups.release(run.backup, attempt)
-
-    async def _send_and_read(
-        self, job: Job, run: StreamRun, continuation: Continuation | None
-    ) -> Attempt:
-        placement = run.placement
-        view = placement.view
-        server = view.server
-        job.tried |= {server.id}
-        connection: UpstreamConnection | None = None
-        try:
-            try:
-                connection = await self._pool.acquire(server.id, server.address)
-            except ConnectFailed as error:
-                record_silence(view, self._now())
-                emit(Event.CONNECT_FAILED, request=job.facts.id, server=server.id, why=str(error))
-                return Attempt(AttemptOutcome.NOT_SENT, why=NO_CONNECTION)
-            if continuation is None and not view.is_open(self._now()):
-                # The server announced this while the connection was being made.
-                self._pool.release_unused(server.id, connection)
-                connection = None
-                return Attempt(
-                    AttemptOutcome.NOT_SENT, why="the server leaves or asked for a later retry"
-                )
-            if continuation is None and not await self._still_permitted(placement):
-                self._pool.release_unused(server.id, connection)
-                connection = None
-                return Attempt(AttemptOutcome.NOT_SENT, why="the server named a limit")
-            if continuation is None:
-                run.backup = self._stream_backups.choose(job, placement)
-            if not self.guard.take_send(job):
-                self._pool.release_unused(server.id, connection)
-                connection = None
-                return Attempt(AttemptOutcome.NOT_SENT, why=BLOCKED_REASON)
-            self._send(job, connection, run, continuation)
-            if job.route.kind is Kind.STREAM:
-                run.resend = partial(self._cut_off_queued, job, run, connection)
-                self.evacuation.track(run)
-            try:
-                attempt = await self._answers.read(job, connection, run)
-            except AnswerCut as error:
-                attempt = await self._after_cut(job, run, error)
-            attempt.framing = connection.framing
-            if attempt.outcome is not AttemptOutcome.ANSWERED:
-                log_unanswered(job, placement, attempt, self._now())
-            self._pool.release(server.id, connection)
-            connection = None
-            return attempt
-        finally:
-            if connection is not None:
-                connection.abort()
-            self._record_unanswered(job, placement)
-            placement.end()
-
-    async def _still_permitted(self, placement: Placement) -> bool:
-        """Return whether a server may still get a request that was placed on it.
-
-        Many requests may be waiting for a connection at the moment when the server states a limit.
-        """
-        if placement.permitted or placement.view.limit_per_s is None:
-            return True
-        return await self._permits.take(placement.view)
-
-    def _record_unanswered(self, job: Job, placement: Placement) -> None:
-        """Count a failure of the server's version if the target passed without an outcome.
-
-        An outcome that was recorded already is not counted again.
-        """
-        waited_s = self._now() - placement.sent_at
-        if job.was_sent and waited_s >= job.route.target_s:
-            self._balancer.record_outcome(placement, True, waited_s, self._now())
-
-    def _cut_off_queued(self, job: Job, run: StreamRun, connection: UpstreamConnection) -> bool:
-        """End an attempt without an event, to send the request elsewhere, if it may be."""
-        if job.splitter.event_count or not job.route.repeatable:
-            return False
-        if job.sends >= job.route.max_servers or not self.guard.may_retry(job):
-            return False
-        if not self._answers.may_try_elsewhere(job):
-            return False
-        # Counted before the send, so that the next queued request finds the budget as it will be.
-        self._sharing.record_retry(job.service, self._now())
-        job.retry_counted = True
-        run.sent_elsewhere = True
-        connection.abort()
-        return True
-
-    async def _after_cut(self, job: Job, run: StreamRun, error: AnswerCut) -> Attempt:
-        """Return the attempt of a stream that was cut off, maybe by this node itself."""
-        if run.sent_elsewhere:
-            job.may_have_run = True
-            job.splitter.discard_partial()
-            return Attempt(AttemptOutcome.BROKEN, why="queued at a server that leaves")
-        cut_at = self._now()
-        moved = await self._await_move(job, run)
-        if moved is not None:
-            return moved
-        attempt = self._answers.handle_cut(job, run.placement, error.cut)
-        if run.backup is not None and error.cut in CRASH_CUTS:
-            attempt.broken_run = BrokenRun(run.backup, run.placement, cut_at)
-        return attempt
-
-    async def _await_move(self, job: Job, run: StreamRun) -> Attempt | None:
-        """Return the attempt that continues a stream which was stopped to be moved, or None."""
-        if not run.stopping:
-            return None
-        continuation = await run.continuation
-        if continuation is None:
-            return None
-        run.continuation = asyncio.get_running_loop().create_future()
-        job.splitter.discard_partial()
-        job.may_have_run = True
-        return Attempt(AttemptOutcome.MOVED, why="moved", continuation=continuation)
-
-    def _send(
-        self,
-        job: Job,
-        connection: UpstreamConnection,
-        run: StreamRun,
-        continuation: Continuation | None,
-    ) -> None:
-        now = self._now()
-        self._charges.publish(job)
-        placement = run.placement
-        if not job.sends:
-            self._sharing.record_placed(job.service, job.caller.account, job.facts.tokens)
-        elif not job.retry_counted:
-            self._sharing.record_retry(job.service, now)
-        job.retry_counted = False
-        job.sends += 1
-        job.was_sent = True
-        after_event = job.splitter.last_id if job.splitter.event_count else ""
-        if continuation is not None:
-            after_event = job.splitter.last_id or NO_EVENT_ID
-        facts = AttemptFacts(
-            placement.view.server.id,
-            job.caller.account,
-            job.left_s(now),
-            self._plan.priority(job),
-            after_event=after_event,
-            continued_from=(
-                f"{continuation.source}/{continuation.handle}" if continuation is not None else ""
-            ),
-            fetch_from=placement.fetch_from if continuation is None else "",
-            backup_at=run.backup.address if run.backup is not None else "",
-        )
-        body = job.request.body
-        head = job.request.head
-        data = self._dialect.attempt_head(head, facts, len(body)) + body
-        connection.send(data, bodiless=head.bodiless)
