Keep epochs of leases within their bound

Since the bound on epochs, a lease with the largest one could not be acquired, and a peer's renewal with a larger fence raised out of the handler of its state. Epochs stay at the bound, and fences of peers are cut to it.

test_lease_with_the_largest_epoch_is_acquired and test_renewals_of_peers_with_any_fence_are_applied fail with the code before.

--- a/src/moledale/core/leases.py
+++ b/src/moledale/core/leases.py
@@ -14,7 +14,7 @@
 OBSERVED = "observed"
 HELD = "held"
 MAX_EPOCH = 2**62
-"""Largest epoch that is read: later ones still fit 64 bits, as messages require."""
+"""Largest epoch; messages carry 64 bits. Nothing but a corrupt row comes near it."""
 
 MARGIN_SHARE = 0.2
 """Share of the TTL by which a holder stops early, to allow for unequal clock rates."""
@@ -112,12 +112,12 @@
     def next_row(self, operation: str, min_epoch: int = 1) -> LeaseRow:
         """Return the row to write to acquire or renew the lease.
 
-        Acquiring raises the epoch by one, and to at least `min_epoch`.
+        Acquiring raises the epoch by one, and to at least `min_epoch`, up to `MAX_EPOCH`.
         """
         if self.state == HELD and self.row is not None:
             return LeaseRow(self._node, self.row.epoch, operation)
         epoch = self.row.epoch + 1 if self.row is not None else 1
-        return LeaseRow(self._node, max(epoch, min_epoch), operation)
+        return LeaseRow(self._node, min(max(epoch, min_epoch), MAX_EPOCH), operation)
 
     def set_version(self, version: int) -> None:
         """Set the row version that the next write replaces, if another write has changed it."""
--- a/src/moledale/gateway/lease_keeper.py
+++ b/src/moledale/gateway/lease_keeper.py
@@ -20,7 +20,7 @@
 from result import Err
 
 from moledale.clock import monotonic
-from moledale.core.leases import Grant, Lease, LeaseAction, LeaseRow
+from moledale.core.leases import MAX_EPOCH, Grant, Lease, LeaseAction, LeaseRow
 from moledale.gateway.lease_history import LeaseHistory
 from moledale.gateway.outside import ABSENT_VERSION, StateRow, Store
 from moledale.gateway.peers import HeldLease, LeaseNews
@@ -149,7 +149,8 @@
 
     def on_renewal(self, holder: str, update: LeaseNews, now: float, relayed: bool = False) -> None:
         """Apply a holder's renewal, received from the holder itself or relayed by a peer."""
-        self._highest_fence = max(self._highest_fence, update.fence)
+        fence = min(max(0, update.fence), MAX_EPOCH)
+        self._highest_fence = max(self._highest_fence, fence)
         self._enter_era(update.era, now)
         received = EraVersion(update.era or self._era, update.version)
         known = self._known_version()
@@ -166,7 +167,9 @@
         if not relayed:
             self._direct_renewal_at = now - update.age_s
         self.lease.record_read(
-            LeaseRow(holder, update.fence, ""), update.version, now - update.age_s
+            LeaseRow(holder, fence, ""),
+            update.version,
+            now - update.age_s,
         )
 
     def _known_version(self) -> EraVersion:
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -21,7 +21,8 @@
 
 from moledale import settings as daemon_settings
 from moledale.bundle import schema
-from moledale.core.leases import LeaseRow
+from moledale.clock import monotonic
+from moledale.core.leases import MAX_EPOCH, Lease, LeaseRow
 from moledale.core.quarantine import Block, Quarantine
 from moledale.core.rollouts import RolloutNews
 from moledale.decoding import decode_json, decode_msgpack, decode_toml
@@ -40,6 +41,7 @@
 )
 from moledale.gateway.messages import AnswerHead, RequestHead, Server
 from moledale.gateway.outside import StateRow
+from moledale.gateway.peers import LeaseNews
 from moledale.gateway.quarantine_store import StoredBlock
 from moledale.gateway.server_list import ServerList
 from moledale.gateway.state_packing import NO_BASE, StatePacker, StateUnpacker, pack_snapshot
@@ -54,6 +56,8 @@
 from moledale.streams.origin_log import OriginRow
 from moledale.streams.version_register import VersionRow
 from tests.gateway_states import make_state
+from tests.gateway_world import run_quietly
+from tests.test_gateway_lease import SingleRowStore, make_keeper
 from tests.test_gateway_nodes import random_loopback_address
 
 FUZZ = settings(max_examples=400, deadline=None, derandomize=True)
@@ -369,6 +373,21 @@
                 row = StateRow("k", encode_json(value), 1)
                 self.assertIsNone(decode_row("table", row, row_type))
 
+    def test_lease_with_the_largest_epoch_is_acquired(self) -> None:
+        lease = Lease("duties", "n1", 1.0)
+        lease.record_read(LeaseRow("n9", MAX_EPOCH, "x"), 7, 0.0)
+        self.assertEqual(lease.next_row("y", 2**64).epoch, MAX_EPOCH)
+
+    def test_renewals_of_peers_with_any_fence_are_applied(self) -> None:
+        async def work() -> None:
+            for fence in (2**64 - 1, -1):
+                keeper = make_keeper(SingleRowStore(), "n1")
+                keeper.on_renewal("n9", LeaseNews(fence, 3, 0.0), monotonic())
+                self.assertEqual(keeper.holder, "n9")
+                keeper.lease.next_row("x", keeper._highest_fence + 1)
+
+        run_quietly(work())
+
     def test_blocks_with_any_count_fail_nothing(self) -> None:
         quarantine = Quarantine()
         for times in (-(2**40), -1, 0, 1, 1_100, 2**32 - 1, 2**32, 2**63):
