Keep the daemon running over rows that it can't read

A row of the table service that another writer corrupted (the head of the bundle, a hall's lease, its demand, a job, a claim) raised out of the task that read it until its supervisor gave up.

Such a row is logged: a lease expires like that of a lost holder, the head counts as a failed read and never as none, and other rows are skipped or their request gets a problem.

--- a/src/moledale/bundle/store.py
+++ b/src/moledale/bundle/store.py
@@ -5,9 +5,11 @@
 import msgspec
 from result import Err, Ok, Result
 
+from moledale.backing.stored_rows import decode_row
 from moledale.backing.types import (
     ABSENT,
     Condition,
+    Part,
     Platform,
     PlatformFailure,
     Row,
@@ -80,7 +82,7 @@
 async def read_head(platform: Platform) -> Result[tuple[Head | None, int], PlatformFailure]:
     """Return the head (None if there is none) and the version of its row."""
     outcome = await platform.table.read(HEAD_TABLE, HEAD_KEY)
-    return outcome.map(_decode_head)
+    return outcome.and_then(_decode_head)
 
 
 async def fetch(
@@ -170,7 +172,10 @@
     if isinstance(history, Err):
         detail = "the head moved, but the table did not say by whom"
         return Err(RollRefusal("platform", detail, uncertain=True))
-    winner, _ = _decode_head(history.ok_value)
+    decoded = _decode_head(history.ok_value)
+    if isinstance(decoded, Err):
+        return Err(RollRefusal("platform", decoded.err_value.detail, uncertain=True))
+    winner, _ = decoded.ok_value
     if winner is not None and winner.operation == new.operation:
         return Ok(winner)
     who = f" by {winner.rolled_by}" if winner is not None else ""
@@ -192,11 +197,20 @@
 async def history(platform: Platform) -> Result[list[Head], PlatformFailure]:
     """Return the accepted versions, oldest first, at most `MAX_HISTORY_ROWS`."""
     outcome = await platform.table.scan(HISTORY_TABLE, "", MAX_HISTORY_ROWS)
-    return outcome.map(lambda rows: [decode_json(row.value, Head) for row in rows])
+    if isinstance(outcome, Err):
+        return outcome
+    heads = (decode_row(HISTORY_TABLE, row, Head) for row in outcome.ok_value)
+    return Ok([head for head in heads if head is not None])
+
 
+def _decode_head(row: Row | None) -> Result[tuple[Head | None, int], PlatformFailure]:
+    """Return the head that a row holds and the version of the row; a failure if it can't be read.
 
-def _decode_head(row: Row | None) -> tuple[Head | None, int]:
-    """Return the head that a row holds, and the version of the row."""
+    A head that can't be read must not pass for none: another version would be rolled over it.
+    """
     if row is None:
-        return None, ABSENT
-    return decode_json(row.value, Head), row.version
+        return Ok((None, ABSENT))
+    head = decode_row(HEAD_TABLE, row, Head)
+    if head is None:
+        return Err(PlatformFailure(Part.TABLE, "the head can't be read", uncertain=False))
+    return Ok((head, row.version))
--- a/src/moledale/node/hall_duty.py
+++ b/src/moledale/node/hall_duty.py
@@ -10,19 +10,20 @@
 import msgspec
 from result import Err
 
+from moledale.backing.stored_rows import decode_row
 from moledale.backing.types import (
     ABSENT,
     Condition,
     Instance,
     InstanceState,
     Platform,
+    Row,
     Transaction,
     Write,
 )
 from moledale.bundle.schema import Bundle
 from moledale.clock import Clock
 from moledale.core.leases import Grant, Lease, LeaseAction, LeaseRow, may_send_order
-from moledale.decoding import decode_json
 from moledale.log import Event, emit
 from moledale.node.fleet import Fleet
 from moledale.node.hall_renting import HallRenting
@@ -32,6 +33,7 @@
 from moledale.settings import TimesSection
 
 LEASE_TABLE = "lease"
+UNREADABLE_LEASE = LeaseRow("unreadable", 0, "")
 HOLDER_POLLS_PER_TTL = 10
 CANDIDATE_POLLS_PER_TTL = 3
 """Lease checks per lease TTL; a holder also does one round of duty per check interval."""
@@ -93,6 +95,7 @@
         self._renting = self._new_renting()
         self._was_holder = False
         self._round = 0
+        self._highest_epoch = 0
 
     def _new_renting(self) -> HallRenting:
         return HallRenting(self.hall, self._platform, self._fleet, self._announce, self._clock)
@@ -142,13 +145,13 @@
         if isinstance(outcome, Err):
             return
         row = outcome.ok_value
-        decoded = None if row is None else decode_json(row.value, LeaseRow)
+        decoded = None if row is None else self._decode_lease(row)
         version = ABSENT if row is None else row.version
         self.lease.record_read(decoded, version, self._clock.monotonic())
 
     async def _write_row(self) -> None:
         sent_at = self._clock.monotonic()
-        row = self.lease.next_row(uuid.uuid4().hex)
+        row = self.lease.next_row(uuid.uuid4().hex, self._highest_epoch + 1)
         name = self.lease.name
         outcome = await self._platform.table.transact(
             Transaction(
@@ -170,12 +173,18 @@
         found = outcome.ok_value
         if found is None:
             return
-        held = decode_json(found.value, LeaseRow)
+        held = self._decode_lease(found)
         if held.operation == row.operation:
             self.lease.record_write(row, found.version, sent_at)
         else:
             self.lease.record_read(held, found.version, self._clock.monotonic())
 
+    def _decode_lease(self, row: Row) -> LeaseRow:
+        """Return the lease in a row; one that can't be read expires like that of a lost holder."""
+        lease = decode_row(LEASE_TABLE, row, LeaseRow) or UNREADABLE_LEASE
+        self._highest_epoch = max(self._highest_epoch, lease.epoch)
+        return lease
+
     def _on_lease_change(self, grant: Grant | None) -> None:
         if (grant is not None) == self._was_holder:
             return
--- a/src/moledale/node/hall_renting.py
+++ b/src/moledale/node/hall_renting.py
@@ -10,6 +10,7 @@
 import msgspec
 from result import Err
 
+from moledale.backing.stored_rows import decode_row
 from moledale.backing.types import (
     ABSENT,
     Condition,
@@ -24,7 +25,6 @@
 from moledale.clock import Clock
 from moledale.core.leases import Grant
 from moledale.core.renting import HeldInstance, Rent, RentRefusal, RentView, Return, plan
-from moledale.decoding import decode_json
 from moledale.log import Event, emit
 from moledale.node.fleet import Fleet
 from moledale.node.messages import ServerLeaving
@@ -128,7 +128,8 @@
         if read.ok_value is not None:
             self._row_version = read.ok_value.version
             row = _decode(read.ok_value)
-            self._pending, self._refusals = list(row.coming), list(row.refused)
+            if row is not None:
+                self._pending, self._refusals = list(row.coming), list(row.refused)
         return True
 
     async def _write_row(self, tokens_per_s: float, idle: list[str]) -> HallDemand:
@@ -156,7 +157,7 @@
         if isinstance(outcome, Err):
             return None
         rows = [_decode(row) for row in outcome.ok_value]
-        return [own, *(row for row in rows if row.hall != self._hall)]
+        return [own, *(row for row in rows if row is not None and row.hall != self._hall)]
 
     def _rent_view(self, demands: list[HallDemand]) -> RentView:
         now = self._clock.wall()
@@ -240,5 +241,5 @@
         self._refusals = [refusal for refusal in self._refusals if refusal.until > now]
 
 
-def _decode(row: Row) -> HallDemand:
-    return decode_json(row.value, HallDemand)
+def _decode(row: Row) -> HallDemand | None:
+    return decode_row(DEMAND_TABLE, row, HallDemand)
--- a/src/moledale/node/jobs.py
+++ b/src/moledale/node/jobs.py
@@ -10,6 +10,7 @@
 from result import Err, Ok, Result
 
 from moledale import problems
+from moledale.backing.stored_rows import decode_row
 from moledale.backing.types import (
     ABSENT,
     Condition,
@@ -22,7 +23,6 @@
 )
 from moledale.clock import Clock
 from moledale.core.hashing import first_ranked
-from moledale.decoding import decode_json
 from moledale.log import Event, emit
 from moledale.node.dispatcher import Dispatcher
 from moledale.node.journal import Entry, Journal, Outcome, new_operation
@@ -40,6 +40,7 @@
 MAX_ADOPTIONS_PER_SCAN = 50
 MAX_OWNED_JOBS = 200
 UNOWNED = ""
+UNREADABLE_RETRY_S = 2
 """Owner of a job that its node released; any node may adopt it."""
 
 RETRY_INITIAL_S = 0.5
@@ -236,7 +237,9 @@
             return 0
         adopted = 0
         for row in scanned.ok_value:
-            job = decode_json(row.value, Job)
+            job = decode_row(JOB_TABLE, row, Job)
+            if job is None:
+                continue
             if adopted >= MAX_ADOPTIONS_PER_SCAN or len(self._owned) >= MAX_OWNED_JOBS:
                 break
             if self._is_orphan(job, is_live) and await self._adopt(job, row):
@@ -370,7 +373,9 @@
             row = read.ok_value
             if row is None:
                 continue
-            job = decode_json(row.value, kind)
+            job = decode_row(table, row, kind)
+            if job is None:
+                return Err(problems.unavailable("the stored job can't be read", UNREADABLE_RETRY_S))
             if job.account != account:
                 return Err(problems.not_found(f"job {job_id!r}"))
             return Ok((row, job))
--- a/src/moledale/node/journal.py
+++ b/src/moledale/node/journal.py
@@ -9,9 +9,9 @@
 import msgspec
 from result import Err
 
+from moledale.backing.stored_rows import decode_row
 from moledale.backing.types import Condition, TableService, Transaction, Write
 from moledale.clock import Clock
-from moledale.decoding import decode_json
 from moledale.log import Event, emit
 from moledale.node.mailbox import Mailbox
 
@@ -179,7 +179,8 @@
             row = outcome.ok_value
             if row is None:
                 return Outcome.CONFLICT
-            if decode_json(row.value, JournaledRow).operation == entry.operation:
+            found = decode_row(write.table, row, JournaledRow)
+            if found is not None and found.operation == entry.operation:
                 entry.versions = [row.version if w is write else 0 for w in entry.writes]
                 return Outcome.COMMITTED
             return Outcome.CONFLICT
--- a/src/moledale/node/once.py
+++ b/src/moledale/node/once.py
@@ -13,9 +13,9 @@
 from result import Err, Ok, Result
 
 from moledale import problems
+from moledale.backing.stored_rows import decode_row
 from moledale.backing.types import ABSENT, Condition, TableService, Write
 from moledale.clock import Clock
-from moledale.decoding import decode_json
 from moledale.node.background import BackgroundTasks
 from moledale.node.journal import Entry, Journal, Outcome, new_operation
 from moledale.problems import Problem, Ran
@@ -223,7 +223,11 @@
             )
             self._settle(call, state, outcome, keep=False)
             return outcome
-        claim = decode_json(read.ok_value.value, Claim)
+        claim = decode_row(CLAIM_TABLE, read.ok_value, Claim)
+        if claim is None:
+            outcome = Err(problems.outcome_unknown("the claim of the key can't be read"))
+            self._settle(call, state, outcome, keep=False)
+            return outcome
         if claim.fingerprint != call.fingerprint:
             outcome = Err(problems.key_reused("it came with another call"))
         elif claim.answer is not None:
