Reject numbers that the daemon can't convert or compute with

A deadline, a count or an event id of thousands of digits raised ValueError in the handler of the request, which was answered 500. A peer's problem that couldn't be decoded did the same. Reports of servers were accepted with numbers that digests for peers can't carry, and settings with a port out of range, whose bind raises OverflowError.

--- a/src/moledale/edge/callers.py
+++ b/src/moledale/edge/callers.py
@@ -21,6 +21,7 @@
     parse_generation,
     read_body,
 )
+from moledale.http_fields import parse_decimal
 from moledale.node.jobs import JobState, JobStatus, keyed_job_id, new_job_id
 from moledale.node.node import Node, OnceWork
 from moledale.node.once import OnceCall, fingerprint
@@ -268,14 +269,15 @@
         if isinstance(account, Err):
             return problem_response(account.err_value)
         text = request.query_params.get("count", "1")
-        if not text.isdecimal() or not 1 <= int(text) <= MAX_KEYS_PER_REQUEST:
+        number = parse_decimal(text)
+        if number is None or not 1 <= number <= MAX_KEYS_PER_REQUEST:
             return problem_response(
                 problems.bad_request(f"count: a number of 1 to {MAX_KEYS_PER_REQUEST}")
             )
         refusal = self._node.refusal()
         if refusal is not None:
             return problem_response(refusal)
-        keys = [self._node.once.issue(account.ok_value.name) for _ in range(int(text))]
+        keys = [self._node.once.issue(account.ok_value.name) for _ in range(number)]
         return json_response({"keys": keys, "node": self._node.id})
 
     async def service(self, request: Request) -> Response:
--- a/src/moledale/edge/requests.py
+++ b/src/moledale/edge/requests.py
@@ -11,6 +11,7 @@
 from moledale import problems
 from moledale.bundle.schema import Account, Bundle, Priority
 from moledale.decoding import decode_json
+from moledale.http_fields import MAX_LOGGED_CHARS, parse_decimal
 from moledale.node.node import Node
 from moledale.node.streams import GenerationRequest
 from moledale.problems import Problem
@@ -161,7 +162,9 @@
     text = request.headers.get(DEADLINE_HEADER)
     if text is None:
         return Ok(bundle.target(priority).deadline_s)
-    if not text.isdecimal() or not 0 < int(text) <= MAX_DEADLINE_MS:
-        detail = f"{DEADLINE_HEADER}: {text!r} is not a number of 1 to {MAX_DEADLINE_MS}"
+    deadline_ms = parse_decimal(text)
+    if deadline_ms is None or not 0 < deadline_ms <= MAX_DEADLINE_MS:
+        shown = text[:MAX_LOGGED_CHARS]
+        detail = f"{DEADLINE_HEADER}: {shown!r} is not a number of 1 to {MAX_DEADLINE_MS}"
         return Err(problems.bad_request(detail))
-    return Ok(int(text) / 1000)
+    return Ok(deadline_ms / 1000)
--- a/src/moledale/edge/sse.py
+++ b/src/moledale/edge/sse.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from moledale.http_fields import parse_decimal
 from moledale.node.streams import GenerationRequest, StreamRecord
 
 
@@ -27,9 +28,10 @@
 def resume_index(request_id: str, last_event_id: str) -> int | None:
     """Return the token index to resume at, or None if the id isn't one of this stream."""
     stream_id, _, index = last_event_id.rpartition(".")
-    if stream_id != request_id or not index.isdecimal():
+    number = parse_decimal(index)
+    if stream_id != request_id or number is None:
         return None
-    return int(index) + 1
+    return number + 1
 
 
 async def events(record: StreamRecord, start: int) -> AsyncIterator[bytes]:
--- a/src/moledale/http_fields.py
+++ b/src/moledale/http_fields.py
@@ -15,6 +15,9 @@
 MAX_COUNT = 1_000_000_000
 """Largest count in a field. Sums over many requests still fit 64 bits, as messages require."""
 
+MAX_DECIMALS = 18
+"""Longest number that is read: those of thousands of digits can't be converted."""
+
 MAX_SECONDS = 1_000_000_000.0
 MAX_LIMIT = 1_000_000_000.0
 """Longer times, of 30 years, and higher limits of a server are cut to these."""
@@ -91,6 +94,11 @@
     return number
 
 
+def parse_decimal(text: str) -> int | None:
+    """Return a text of decimal digits as a number, None for any other or a longer one."""
+    return int(text) if text.isdecimal() and len(text) <= MAX_DECIMALS else None
+
+
 def parse_count(value: bytes, largest: int = MAX_COUNT) -> int:
     """Return a value as an integer from 0 to `largest`; raise ValueError if it is not one."""
     number = int(value)
--- a/src/moledale/peers/grpc_link.py
+++ b/src/moledale/peers/grpc_link.py
@@ -87,10 +87,11 @@
             detail = f"the node that took the key does not answer: {error.code().name}"
             return Err(problems.outcome_unknown(detail))
         if reply.ran:
-            body = decode_json(reply.body, dict[str, str])
-            return Err(
-                Problem(body["kind"], reply.status, body["title"], body["detail"], Ran(reply.ran))
-            )
+            try:
+                return Err(_decode_problem(reply))
+            except (ValueError, KeyError) as error:
+                detail = f"the node that took the key gave an unreadable answer: {error}"
+                return Err(problems.outcome_unknown(detail))
         return Ok(ServiceAnswer(reply.status, reply.content_type, reply.body))
 
     async def close(self) -> None:
@@ -113,3 +114,9 @@
 
     def _metadata(self) -> tuple[tuple[str, str], ...]:
         return ((METADATA_KEY, self._tokens.token()),)
+
+
+def _decode_problem(reply: peers_pb2.OnceReply) -> Problem:
+    """Return the problem in a reply; raise ValueError or KeyError if it can't be read."""
+    body = decode_json(reply.body, dict[str, str])
+    return Problem(body["kind"], reply.status, body["title"], body["detail"], Ran(reply.ran))
--- a/src/moledale/servers/types.py
+++ b/src/moledale/servers/types.py
@@ -1,11 +1,16 @@
 """Messages and interfaces of backend servers: model engines and plain services."""
 
 from collections.abc import AsyncGenerator
-from typing import Protocol
+from typing import Annotated, Protocol
 
 import msgspec
 from result import Result
 
+Count = Annotated[int, msgspec.Meta(ge=0, le=1_000_000_000_000)]
+"""Counts that servers report; sums over all servers fit 64 bits, as messages to peers require."""
+
+Seconds = Annotated[float, msgspec.Meta(ge=-1e9, le=1e9)]
+
 
 class GenerateCall(msgspec.Struct, frozen=True):
     """One attempt at a generation; `resume` has the tokens that the caller already received."""
@@ -23,20 +28,20 @@
     """A server's report of its load; it may be out of date, and `sequence` orders reports."""
 
     server: str
-    sequence: int
-    running: int
-    waiting: int
-    pending_prefill_tokens: int
-    decode_tokens: int
+    sequence: Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
+    running: Count
+    waiting: Count
+    pending_prefill_tokens: Count
+    decode_tokens: Count
     models: list[str]
     leaving: bool = False
-    seconds_left: float | None = None
+    seconds_left: Seconds | None = None
 
 
 class Token(msgspec.Struct, frozen=True, tag="token", tag_field="k"):
     """One generated token `t` and its index `i` in the whole answer."""
 
-    i: int
+    i: Count
     t: str
 
 
@@ -48,8 +53,8 @@
     """
 
     reason: str
-    cached_tokens: int
-    computed_tokens: int
+    cached_tokens: Count
+    computed_tokens: Count
     load: LoadReport
 
 
--- a/src/moledale/settings.py
+++ b/src/moledale/settings.py
@@ -5,13 +5,34 @@
 from pathlib import Path
 from typing import Annotated, Literal
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator, model_validator
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    ConfigDict,
+    Field,
+    ValidationError,
+    field_validator,
+    model_validator,
+)
 from result import Err, Ok, Result
 
 from moledale.decoding import decode_toml
 from moledale.findings import Finding, from_validation
 
-HostPort = Annotated[str, Field(pattern=r"^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$")]
+MAX_PORT = 65_535
+
+
+def _check_port(address: str) -> str:
+    if int(address.rpartition(":")[2]) > MAX_PORT:
+        raise ValueError("the port is out of range")
+    return address
+
+
+HostPort = Annotated[
+    str,
+    Field(pattern=r"^([0-9]{1,3}(\.[0-9]{1,3}){3}|\[[0-9a-fA-F:]+\]):[0-9]{1,5}$"),
+    AfterValidator(_check_port),
+]
 Url = Annotated[str, Field(pattern=r"^https?://[^\s/]+$")]
 Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
 MIN_SECRET_BYTES = 16
