Fetch documents whatever capacity their sources state

A state of a peer that stated no capacity, a negative or a huge one ended the task that fetches plans and lists: the weights of the choice between sources had no positive, finite sum. The capacity is kept within bounds.

test_sources_of_documents_may_state_any_capacity fails with the code before.

--- a/src/moledale/gateway/document_fetch.py
+++ b/src/moledale/gateway/document_fetch.py
@@ -45,6 +45,10 @@
 """Maximum random delay added to `STORE_FALLBACK_S`: with it, 390 nodes read the store at most 650
 times a second."""
 
+MIN_POWER = 1e-6
+MAX_POWER = 1e9
+"""Bounds of a source's capacity, which it states itself: a choice needs a positive, finite sum."""
+
 NEWER_VERSION_TTL_S = 5.0
 """Sources of a newer document are discarded if none delivers it within this time."""
 
@@ -169,7 +173,7 @@
         free = [name for name, each in sources.items() if each.paused_until <= now]
         if not free:
             return None
-        weights = [sources[name].power for name in free]
+        weights = [min(max(sources[name].power, MIN_POWER), MAX_POWER) for name in free]
         return self._rng.choices(free, weights)[0]
 
     async def _fetch_piece(self, control: str) -> bool:
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -27,7 +27,8 @@
 from moledale.core.rollouts import RolloutNews
 from moledale.decoding import decode_json, decode_msgpack, decode_toml
 from moledale.gateway import settings as gateway_settings
-from moledale.gateway.document_archive import DocumentPiece
+from moledale.gateway.document_archive import DocumentArchive, DocumentPiece
+from moledale.gateway.document_fetch import DocumentFetch
 from moledale.gateway.duties import WindowRow
 from moledale.gateway.gossip import (
     NO_KIND,
@@ -622,6 +623,18 @@
         with self.assertRaises(msgspec.DecodeError):
             decode_msgpack(MSGPACK_LISTS, DocumentPiece)
 
+    def test_sources_of_documents_may_state_any_capacity(self) -> None:
+        async def read_store() -> bool:
+            return True
+
+        for powers in ((0.0, 0.0), (1e308, 1e308), (-1.0, 1.0), (-1.0, -1.0)):
+            archive = DocumentArchive(1.0, monotonic)
+            fetch = DocumentFetch("/x", archive, EraVersion, lambda *_: None, read_store)
+            for name, power in zip("ab", powers, strict=True):
+                fetch.add_source(name, EraVersion(1, 1), power, 0.0)
+            with self.subTest(powers):
+                self.assertIn(fetch._choose(fetch._newer_sources(), 1.0), ("a", "b"))
+
     def test_settings_and_bundles(self) -> None:
         for text in ("a = " + "[" * DEPTH + "]" * DEPTH, "a = " + "9" * DEPTH):
             with self.subTest(text[:8]):
