Move bounds of fields out of the platform's package

The types of bounded fields, the log of unreadable rows and the bounds of reads know no names of the platform.

--- a/src/moledale/gateway/outside.py
+++ b/src/moledale/gateway/outside.py
@@ -13,6 +13,12 @@
 ABSENT_VERSION = 0
 """Version of a row that does not exist."""
 
+MAX_PAGES = 1_000
+"""Pages of one read: 500,000 rows. Without a bound a store that repeats itself is read forever."""
+
+MAX_ERA = 2**62
+"""Messages to peers carry numbers of 64 bits."""
+
 
 class Failure(msgspec.Struct, frozen=True):
     """A failed call; if `uncertain`, its effect may have happened or may still happen.
@@ -25,6 +31,10 @@
     history_gone: bool = False
 
 
+PAGES_ENDLESS = Failure("pages that don't end", uncertain=False)
+FEED_ENDLESS = Failure("changes that don't end", uncertain=False, history_gone=True)
+
+
 class StateRow(msgspec.Struct, frozen=True):
     """A row that this system stores."""
 
--- a/src/moledale/platform/engines.py
+++ b/src/moledale/platform/engines.py
@@ -6,8 +6,9 @@
 from result import Err, Ok, Result
 
 from moledale.decoding import decode_json
+from moledale.field_types import Count, HeaderText
 from moledale.gateway.calls import HttpCaller
-from moledale.platform.records import Count, HeaderText, encode
+from moledale.platform.records import encode
 from moledale.platform.store import JSON_TYPE
 from moledale.scheduling.stream_runs import Moved, MoveRefused
 
--- a/src/moledale/platform/records.py
+++ b/src/moledale/platform/records.py
@@ -1,10 +1,11 @@
 """Records in the platform's wire format, and their conversion to the gateway's own types."""
 
 import base64
-from typing import Annotated, Any, Literal
+from typing import Any, Literal
 
 import msgspec
 
+from moledale import field_types as fields
 from moledale.core.rollouts import Phase, RolloutNews, RolloutOrder
 from moledale.decoding import decode_json
 from moledale.gateway import plan
@@ -16,39 +17,6 @@
 
 KIND_BY_NAME = {"safe": plan.Kind.SAFE, "unsafe": plan.Kind.ONCE, "streaming": plan.Kind.STREAM}
 
-MAX_TEXT_CHARS = 255
-"""Longest id or name. Several of them have to fit a datagram together."""
-
-MAX_LONG_TEXT_CHARS = 16_384
-"""Longest path or API key, that of the head of a request by default."""
-
-MAX_SLOTS = 1_000_000
-"""Most slots of a server that are accepted: sums over all servers stay exact."""
-
-MAX_SERVERS = 1_000_000
-MAX_PRIORITY = 1_000_000
-
-MAX_COUNT = 1_000_000_000_000
-"""Largest count that is accepted. Sums of many still fit 64 bits, as messages to peers require."""
-
-MAX_TIME_MS = 1e15
-"""Longest time that is accepted, 31,000 years: multiples of it stay finite and fit 64 bits."""
-
-Whole = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
-Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
-SlotCount = Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)]
-ServerCount = Annotated[int, msgspec.Meta(ge=0, le=MAX_SERVERS)]
-Priority = Annotated[int, msgspec.Meta(ge=-MAX_PRIORITY, le=MAX_PRIORITY)]
-Amount = Annotated[float, msgspec.Meta(ge=0.0, le=float(MAX_COUNT))]
-Seconds = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_TIME_MS / 1000)]
-Milliseconds = Annotated[float, msgspec.Meta(ge=-MAX_TIME_MS, le=MAX_TIME_MS)]
-Text = Annotated[str, msgspec.Meta(max_length=MAX_TEXT_CHARS, pattern=r"\A[^\x00-\x1f\x7f]*\Z")]
-LongText = Annotated[str, msgspec.Meta(max_length=MAX_LONG_TEXT_CHARS)]
-HeaderText = Annotated[
-    str, msgspec.Meta(max_length=MAX_TEXT_CHARS, pattern=r"\A[ -~\u00a0-\u00ff]*\Z")
-]
-"""Text that is sent in headers: it has no control characters and only those of Latin-1."""
-
 
 class Record(msgspec.Struct, frozen=True, rename="camel"):
     """Base class of records: names in camel case, unknown fields are ignored."""
@@ -57,60 +25,57 @@
 class SplitRecord(Record, frozen=True):
     """A service and its weight in a route's traffic split."""
 
-    service: Text
-    weight: Amount = 1.0
+    service: fields.Text
+    weight: fields.Amount = 1.0
 
 
 class RouteRecord(Record, frozen=True):
     """A route of a configuration."""
 
-    name: Text
-    host: Text
-    path_prefix: LongText
+    name: fields.Text
+    host: fields.Text
+    path_prefix: fields.LongText
     kind: Literal["safe", "unsafe", "streaming"]
-    timeout_ms: Milliseconds
-    slo_ms: Milliseconds = 0.0
-    priority: Priority = 5
-    service: Text = ""
+    timeout_ms: fields.Milliseconds
+    slo_ms: fields.Milliseconds = 0.0
+    priority: fields.Priority = 5
+    service: fields.Text = ""
     split: tuple[SplitRecord, ...] = ()
-    max_attempts: Count = 1
+    max_attempts: fields.Count = 1
     public: bool = False
     sticky: bool = False
     resumable: bool = False
-    gap_target_ms: Milliseconds = 0.0
+    gap_target_ms: fields.Milliseconds = 0.0
 
 
 class EngineRecord(Record, frozen=True):
-    """Properties of a service's model servers; `stride` is the number of tokens per event.
-
-    Slots and a stride of 0 count as 1.
-    """
+    """Properties of a service's model servers; `stride` is the number of tokens per event."""
 
-    slots: SlotCount = 1
-    kv_capacity: Count = 0
-    kv_token_bytes: Amount = 0.0
-    link_mbps: Amount = 0.0
+    slots: fields.SlotCount = 1
+    kv_capacity: fields.Count = 0
+    kv_token_bytes: fields.Amount = 0.0
+    link_mbps: fields.Amount = 0.0
     moves: bool = False
     backups: bool = False
-    handle_s: Seconds = 5.0
-    stride: Count = 1
+    handle_s: fields.Seconds = 5.0
+    stride: fields.Count = 1
 
 
 class ScalingRecord(Record, frozen=True):
     """Minimum and maximum number of a service's servers, their boot time and their prices."""
 
-    min: ServerCount = 0
-    max: ServerCount = 0
-    boot_s: Seconds = 0.0
-    spot_price: Amount = 1.0
-    zone_prices: dict[Text, Amount] = {}
+    min: fields.ServerCount = 0
+    max: fields.ServerCount = 0
+    boot_s: fields.Seconds = 0.0
+    spot_price: fields.Amount = 1.0
+    zone_prices: dict[fields.Text, fields.Amount] = {}
 
 
 class ServiceRecord(Record, frozen=True):
     """A service of a configuration."""
 
-    name: Text
-    max_conns: Count = 100
+    name: fields.Text
+    max_conns: fields.Count = 100
     engine: EngineRecord | None = None
     scaling: ScalingRecord | None = None
 
@@ -118,28 +83,28 @@
 class LimitsRecord(Record, frozen=True):
     """Limits on the requests of clients."""
 
-    max_header_bytes: Count = 16_384
-    max_body_bytes: Count = 4_194_304
-    header_timeout_ms: Milliseconds = 3_000.0
-    idle_timeout_ms: Milliseconds = 15_000.0
+    max_header_bytes: fields.Count = 16_384
+    max_body_bytes: fields.Count = 4_194_304
+    header_timeout_ms: fields.Milliseconds = 3_000.0
+    idle_timeout_ms: fields.Milliseconds = 15_000.0
 
 
 class TenantRecord(Record, frozen=True):
     """A tenant, which is a client account of the gateway."""
 
-    name: HeaderText
-    api_keys: tuple[LongText, ...] = ()
-    priority: Priority | None = None
-    unit: Text = ""
-    plain_tokens: Amount = 1.0
-    rate_per_s: Amount = 0.0
-    burst: Amount = 0.0
+    name: fields.HeaderText
+    api_keys: tuple[fields.LongText, ...] = ()
+    priority: fields.Priority | None = None
+    unit: fields.Text = ""
+    plain_tokens: fields.Amount = 1.0
+    rate_per_s: fields.Amount = 0.0
+    burst: fields.Amount = 0.0
 
 
 class ConfigRecord(Record, frozen=True):
     """A configuration, from which the gateway's plan is made."""
 
-    version: Whole
+    version: fields.Whole
     routes: tuple[RouteRecord, ...] = ()
     services: tuple[ServiceRecord, ...] = ()
     limits: LimitsRecord = LimitsRecord()
@@ -149,16 +114,16 @@
 class RolloutRecord(Record, frozen=True):
     """An order to move a service's requests to servers of another version."""
 
-    service: Text
-    target_version: HeaderText
-    duration_s: Seconds
+    service: fields.Text
+    target_version: fields.HeaderText
+    duration_s: fields.Seconds
 
 
 class StatusRecord(Record, frozen=True):
     """The status of a rollout."""
 
-    state: Text
-    target_version: HeaderText
+    state: fields.Text
+    target_version: fields.HeaderText
 
 
 class RowRecord(msgspec.Struct, frozen=True):
@@ -167,7 +132,7 @@
     table: str
     key: str
     value: str = ""
-    ver: Whole = 0
+    ver: fields.Whole = 0
     part: str = ""
     gone: bool = False
 
@@ -181,8 +146,8 @@
 
     rows: tuple[RowRecord, ...] = ()
     more: bool = False
-    ver: Whole = 0
-    now_ms: Milliseconds = 0.0
+    ver: fields.Whole = 0
+    now_ms: fields.Milliseconds = 0.0
     era: int = UNKNOWN_ERA
 
     @property
--- a/src/moledale/platform/store.py
+++ b/src/moledale/platform/store.py
@@ -9,6 +9,7 @@
 
 from moledale.core.rollouts import Phase, RolloutNews, RolloutOrder
 from moledale.decoding import decode_json
+from moledale.gateway import outside
 from moledale.gateway.calls import HttpCaller
 from moledale.gateway.messages import Headers, Server
 from moledale.gateway.outside import (
@@ -38,9 +39,6 @@
 
 JSON_TYPE: Headers = [(b"Content-Type", b"application/json")]
 ERA_HEADER = "store-era"
-MAX_ERA = 2**62
-"""Messages to peers carry numbers of 64 bits."""
-
 CONFIG_TABLE = "op"
 CONFIG_KEY = "config"
 ROLLOUT_PREFIX = "rollout/"
@@ -57,12 +55,6 @@
 MAX_PAGE_ROWS = 500
 """Maximum rows of a response, as the platform documents it."""
 
-MAX_PAGES = 1_000
-"""Pages of one read: 500,000 rows. Without a bound a store that repeats itself is read forever."""
-
-PAGES_ENDLESS = Failure("pages that don't end", uncertain=False)
-FEED_ENDLESS = Failure("changes that don't end", uncertain=False, history_gone=True)
-
 FULL_FEED_ROWS = 100
 """A feed response with this many changes may be incomplete, so the rest is requested."""
 
@@ -155,7 +147,7 @@
         """Return an earlier list with the changes since applied."""
         changes: dict[str, Server | None] = {}
         position = before.version
-        for _ in range(MAX_PAGES):
+        for _ in range(outside.MAX_PAGES):
             path = f"/v1/rows-feed?table={SERVER_TABLE}&startAfter={position}&waitMs=0"
             answer = await self._call("GET", path, timeout_s)
             outcome = answer.and_then(lambda answer: answer.rows_if_era(before.era))
@@ -168,7 +160,7 @@
                 break
             position = record.ver
         else:
-            return Err(FEED_ENDLESS)
+            return Err(outside.FEED_ENDLESS)
         now_s = record.now_ms / 1000
         if not changes:
             return Ok(ServerList(before.servers, record.ver, now_s, False, before.era))
@@ -243,7 +235,7 @@
         rows: list[RowRecord] = []
         start = ""
         first: RowsRecord | None = None
-        for _ in range(MAX_PAGES):
+        for _ in range(outside.MAX_PAGES):
             path = f"/v1/rows-get?table={table}&part=" + (f"&from={quote(start)}" if start else "")
             outcome = await self._call("GET", path, timeout_s)
             if isinstance(outcome, Err):
@@ -256,9 +248,9 @@
             if not page.more or not page.rows:
                 return Ok(msgspec.structs.replace(first, rows=tuple(rows), more=False))
             if page.rows[-1].key < start:
-                return Err(PAGES_ENDLESS)
+                return Err(outside.PAGES_ENDLESS)
             start = page.rows[-1].key + "\x00"
-        return Err(PAGES_ENDLESS)
+        return Err(outside.PAGES_ENDLESS)
 
     async def _commit(self, body: dict[str, object], timeout_s: float) -> Failure | None:
         outcome = await self._call("POST", "/v1/rows-tx", timeout_s, encode(body))
@@ -276,7 +268,7 @@
         if isinstance(outcome, Err):
             return Err(Failure(outcome.err_value.detail, uncertain=outcome.err_value.sent))
         response = outcome.ok_value
-        count = first_count(response.headers, ERA_HEADER, MAX_ERA)
+        count = first_count(response.headers, ERA_HEADER, outside.MAX_ERA)
         era = UNKNOWN_ERA if count is None else count + 1  # a count of 0 is valid, unlike era 0
         self.era.observe(era)
         if response.status not in expected_statuses:
@@ -293,10 +285,10 @@
     plan, raw = None, b""
     now_s = record.now_ms / 1000
     rollouts = []
-    present = [row for row in record.rows if not row.gone]
-    for row in present:
+    for row in (each for each in record.rows if not each.gone):
         if row.key == CONFIG_KEY:
-            plan = parse_or_log(row.table, row.key, partial(_read_plan, row))
+            read_plan = partial(lambda plan_row: read_config(plan_row.body()), row)
+            plan = parse_or_log(row.table, row.key, read_plan)
             raw = b"" if plan is None else row.body()
         elif row.key.startswith(ROLLOUT_PREFIX):
             read = partial(read_rollout, row, now_s, record.era)
@@ -306,10 +298,6 @@
     return PlanUpdate(plan, raw, record.era_version, now_s, tuple(rollouts))
 
 
-def _read_plan(row: RowRecord) -> Plan:
-    return read_config(row.body())
-
-
 def _state_row(row: RowRecord) -> StateRow:
     """Decode a row that nodes write; one that another writer corrupted gets an empty value."""
     return StateRow(row.key, parse_or_log(row.table, row.key, row.body) or b"", row.ver)
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -41,7 +41,7 @@
     open_gossip,
 )
 from moledale.gateway.messages import AnswerHead, RequestHead, Server
-from moledale.gateway.outside import StateRow
+from moledale.gateway.outside import MAX_ERA, StateRow
 from moledale.gateway.peers import LeaseNews
 from moledale.gateway.quarantine_store import StoredBlock
 from moledale.gateway.server_list import ServerList
@@ -53,7 +53,7 @@
 from moledale.platform.entries import EntryReader
 from moledale.platform.headers import PlatformHeaders
 from moledale.platform.records import RowRecord, read_config, read_phase, read_rollout
-from moledale.platform.store import ERA_HEADER, MAX_ERA
+from moledale.platform.store import ERA_HEADER
 from moledale.streams.origin_log import OriginRow
 from moledale.streams.version_register import VersionRow
 from tests.gateway_states import make_state
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -14,11 +14,11 @@
 from moledale.core.rollouts import Phase, RolloutNews, RolloutOrder
 from moledale.gateway.calls import CallAnswer, CallFailed
 from moledale.gateway.messages import AttemptFacts, RequestHead
-from moledale.gateway.outside import ServerList
+from moledale.gateway.outside import PAGES_ENDLESS, ServerList
 from moledale.platform.entries import EntryReader, platform_id
 from moledale.platform.headers import PlatformHeaders
 from moledale.platform.records import RowRecord
-from moledale.platform.store import FULL_FEED_ROWS, PAGES_ENDLESS, PlatformStore
+from moledale.platform.store import FULL_FEED_ROWS, PlatformStore
 from standins.rows import RowsPlatform
 
 
