--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -21,12 +21,14 @@
 
 from moledale import settings as daemon_settings
 from moledale.bundle import schema
-from moledale.core.leases import LeaseRow
+from moledale.clock import monotonic
+from moledale.core.leases import MAX_EPOCH, Lease, LeaseRow
 from moledale.core.quarantine import Block, Quarantine
 from moledale.core.rollouts import RolloutNews
 from moledale.decoding import decode_json, decode_msgpack, decode_toml
 from moledale.gateway import settings as gateway_settings
-from moledale.gateway.document_archive import DocumentPiece
+from moledale.gateway.document_archive import DocumentArchive, DocumentPiece
+from moledale.gateway.document_fetch import DocumentFetch
 from moledale.gateway.duties import WindowRow
 from moledale.gateway.gossip import (
     NO_KIND,
@@ -39,7 +41,8 @@
     open_gossip,
 )
 from moledale.gateway.messages import AnswerHead, RequestHead, Server
-from moledale.gateway.outside import StateRow
+from moledale.gateway.outside import MAX_ERA, StateRow
+from moledale.gateway.peers import LeaseNews
 from moledale.gateway.quarantine_store import StoredBlock
 from moledale.gateway.server_list import ServerList
 from moledale.gateway.state_packing import NO_BASE, StatePacker, StateUnpacker, pack_snapshot
@@ -50,10 +53,12 @@
 from moledale.platform.entries import EntryReader
 from moledale.platform.headers import PlatformHeaders
 from moledale.platform.records import RowRecord, read_config, read_phase, read_rollout
-from moledale.platform.store import ERA_HEADER, MAX_ERA
+from moledale.platform.store import ERA_HEADER
 from moledale.streams.origin_log import OriginRow
 from moledale.streams.version_register import VersionRow
 from tests.gateway_states import make_state
+from tests.gateway_world import run_quietly
+from tests.test_gateway_lease import SingleRowStore, make_keeper
 from tests.test_gateway_nodes import random_loopback_address
 
 FUZZ = settings(max_examples=400, deadline=None, derandomize=True)
@@ -369,6 +374,21 @@
                 row = StateRow("k", encode_json(value), 1)
                 self.assertIsNone(decode_row("table", row, row_type))
 
+    def test_lease_with_the_largest_epoch_is_acquired(self) -> None:
+        lease = Lease("duties", "n1", 1.0)
+        lease.record_read(LeaseRow("n9", MAX_EPOCH, "x"), 7, 0.0)
+        self.assertEqual(lease.next_row("y", 2**64).epoch, MAX_EPOCH)
+
+    def test_renewals_of_peers_with_any_fence_are_applied(self) -> None:
+        async def work() -> None:
+            for fence in (2**64 - 1, -1):
+                keeper = make_keeper(SingleRowStore(), "n1")
+                keeper.on_renewal("n9", LeaseNews(fence, 3, 0.0), monotonic())
+                self.assertEqual(keeper.holder, "n9")
+                keeper.lease.next_row("x", keeper._highest_fence + 1)
+
+        run_quietly(work())
+
     def test_blocks_with_any_count_fail_nothing(self) -> None:
         quarantine = Quarantine()
         for times in (-(2**40), -1, 0, 1, 1_100, 2**32 - 1, 2**32, 2**63):
@@ -603,6 +623,18 @@
         with self.assertRaises(msgspec.DecodeError):
             decode_msgpack(MSGPACK_LISTS, DocumentPiece)
 
+    def test_sources_of_documents_may_state_any_capacity(self) -> None:
+        async def read_store() -> bool:
+            return True
+
+        for powers in ((0.0, 0.0), (1e308, 1e308), (-1.0, 1.0), (-1.0, -1.0)):
+            archive = DocumentArchive(1.0, monotonic)
+            fetch = DocumentFetch("/x", archive, EraVersion, lambda *_: None, read_store)
+            for name, power in zip("ab", powers, strict=True):
+                fetch.add_source(name, EraVersion(1, 1), power, 0.0)
+            with self.subTest(powers):
+                self.assertIn(fetch._choose(fetch._newer_sources(), 1.0), ("a", "b"))
+
     def test_settings_and_bundles(self) -> None:
         for text in ("a = " + "[" * DEPTH + "]" * DEPTH, "a = " + "9" * DEPTH):
             with self.subTest(text[:8]):
