Connections: blame no server for this process's lack of descriptors

Callers saw: 503 although the servers were well. A node without free descriptors counted each failed connection as the server's, and its check of a server that broke off an answer could conclude that the server had ended. A server whose address no connection can be made to (a NUL, a port out of range) raised an error past the attempt, so no other server was tried.

An unusable address counts as not reached.

Evidence: ResourceTest of tests.test_unexpected_errors failed with the code before in all three cases, DescriptorTest of tests.test_process_start with uvloop for want of a log line; both pass now. Before and now, a process with 60 descriptors and 120 connections serves again once they are closed, with uvloop and with asyncio's loop.

--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -29,7 +29,7 @@
 from moledale.gateway.settings import Scheduling
 from moledale.gateway.sharing import Sharing
 from moledale.gateway.turns import PERMIT_TIMEOUT_SHARE, RetryScheduler, max_queue_wait_s
-from moledale.gateway.upstream import AnswerCut, ConnectFailed, UpstreamConnection
+from moledale.gateway.upstream import AnswerCut, ConnectFailed, NoResources, UpstreamConnection
 from moledale.log import Event, emit
 from moledale.scheduling.backup_runs import Backups
 from moledale.scheduling.backups import BackupCopy
@@ -677,7 +677,8 @@
             try:
                 connection = await self._pool.acquire(server.id, server.address)
             except ConnectFailed as error:
-                record_silence(view, self._now())
+                if not isinstance(error, NoResources):
+                    record_silence(view, self._now())
                 emit(Event.CONNECT_FAILED, request=job.facts.id, server=server.id, why=str(error))
                 return Attempt(AttemptOutcome.NOT_SENT, why=NO_CONNECTION)
             if continuation is None and not view.is_open(self._now()):
--- a/src/moledale/gateway/pool.py
+++ b/src/moledale/gateway/pool.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Awaitable, Callable, Iterator
 
-from moledale.gateway.upstream import ConnectFailed, UpstreamConnection, connect
+from moledale.gateway.upstream import ConnectFailed, NoResources, UpstreamConnection, connect
 
 KEEP_ALIVE_SHARE = 0.7
 """Share of a server's stated keep-alive time during which a connection is reused."""
@@ -57,6 +57,8 @@
         self.opened += 1
         try:
             connection = await self._connect(address)
+        except NoResources:
+            raise
         except ConnectFailed:
             self.on_connect(server, False)
             raise
@@ -64,9 +66,14 @@
         return connection
 
     async def probe(self, server: str, address: str) -> bool:
-        """Return whether a server takes a new connection, which is kept for reuse."""
+        """Return whether a server takes a new connection, which is kept for reuse.
+
+        If this process can open none, nothing shows that the server takes none.
+        """
         try:
             connection = await self._open(server, address)
+        except NoResources:
+            return True
         except ConnectFailed:
             return False
         self.release_unused(server, connection)
--- a/src/moledale/gateway/server_ends.py
+++ b/src/moledale/gateway/server_ends.py
@@ -16,7 +16,7 @@
 from moledale.gateway.messages import Server
 from moledale.gateway.pool import ConnectionPool
 from moledale.gateway.server_view import Placement
-from moledale.gateway.upstream import ConnectFailed
+from moledale.gateway.upstream import ConnectFailed, NoResources
 from moledale.node.background import BackgroundTasks
 from moledale.quarantine.part_guard import NamedPart
 
@@ -123,11 +123,16 @@
         return Verdict.CRASHED
 
     async def probe(self, server: Server) -> Reach:
-        """Return whether the server accepts a connection; a new one is kept for reuse."""
+        """Return whether the server accepts a connection; a new one is kept for reuse.
+
+        If this process can open none, nothing shows that the server has ended.
+        """
         if self._pool.has_idle(server.id):
             return Reach.ACCEPTS
         try:
             connection = await self._pool.acquire(server.id, server.address)
+        except NoResources:
+            return Reach.ACCEPTS
         except ConnectFailed as error:
             refused = isinstance(error.__cause__, ConnectionRefusedError)
             return Reach.REFUSES if refused else Reach.SILENT
--- a/src/moledale/gateway/upstream.py
+++ b/src/moledale/gateway/upstream.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import errno
 from collections import deque
 from enum import StrEnum
 
@@ -36,10 +37,18 @@
     SLOW = "slow"
 
 
+OWN_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+"""Errors of a new connection that are due to this process or machine."""
+
+
 class ConnectFailed(Exception):
     """No connection was established, so nothing was sent."""
 
 
+class NoResources(ConnectFailed):
+    """This process or machine has no descriptor or memory left, which tells nothing of a server."""
+
+
 class AnswerCut(Exception):
     """A response ended before it was complete; `cut` is the cause."""
 
@@ -271,6 +280,9 @@
     try:
         async with asyncio.timeout(timeout_s):
             _, connection = await loop.create_connection(UpstreamConnection, host, int(port))
-    except (OSError, TimeoutError) as error:
+    except (OSError, TimeoutError, ValueError, OverflowError) as error:
+        if isinstance(error, OSError) and error.errno in OWN_ERRORS:
+            record_fault("connect", error)
+            raise NoResources(f"{address}: {type(error).__name__}") from error
         raise ConnectFailed(f"{address}: {type(error).__name__}") from error
     return connection
--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -241,5 +241,32 @@
         self.assert_stops(process)
 
 
+class DescriptorTest(StartCase):
+    def assert_survives_running_out(self, process: "subprocess.Popen[bytes]") -> None:
+        self.wait_until_serving(process)
+        connections = []
+        for _ in range(120):
+            connection = socket.socket()
+            connection.setblocking(False)
+            connection.connect_ex((self.host, 7100))
+            connections.append(connection)
+        time.sleep(2.0)
+        self.assertIsNone(process.poll(), self.lines())
+        for connection in connections:
+            connection.close()
+        self.wait_until_serving(process)
+        self.assertIn("Too many open files", self.lines())
+        self.assertLess(len(self.lines()), 20_000)
+        self.assert_stops(process)
+
+    def test_node_that_ran_out_of_descriptors_says_so_and_serves_again(self) -> None:
+        self.assert_survives_running_out(self.start(limits="ulimit -n 60;"))
+
+    def test_node_on_the_loop_of_asyncio_does_too(self) -> None:
+        (self.folder / "uvloop.py").write_text('raise ImportError("wrong ELF class")')
+        path = f"{self.folder}:{ROOT / 'src'}"
+        self.assert_survives_running_out(self.start(limits="ulimit -n 60;", PYTHONPATH=path))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_unexpected_errors.py
+++ b/tests/test_unexpected_errors.py
@@ -1,6 +1,7 @@
 """An unexpected error costs one request, message or callback, and is logged with its place."""
 
 import asyncio
+import errno
 import gc
 import os
 import signal
@@ -187,6 +188,43 @@
         self.assertIn(got.status, (0, 502))
 
 
+class ResourceTest(FaultsCase):
+    def after_failed_connect(self, error: Exception) -> tuple[int, bool, list[bool], int]:
+        """Return status, whether the server counts as failed, its connects, and the next status."""
+        found: list[tuple[int, bool, list[bool], int]] = []
+
+        async def work() -> None:
+            async with GatewayWorld(make_plan()) as world:
+                await world.start_server("s1", "plain", answer_ok)
+                connects: list[bool] = []
+                world.pool.on_connect = lambda _, took: connects.append(took)
+                loop = asyncio.get_running_loop()
+                reader, writer = await world.connect()
+                headers = {"Authorization": "Bearer key-of-north"}
+                with unittest.mock.patch.object(loop, "create_connection", failing(error)):
+                    writer.write(request_bytes("/check/", "POST", b"", headers))
+                    status = (await read_answer(reader)).status
+                failed = world.balancer.views["s1"].failed_share > 0
+                recorded = list(connects)
+                writer.write(request_bytes("/check/", "POST", b"", headers))
+                found.append((status, failed, recorded, (await read_answer(reader)).status))
+                writer.close()
+
+        self.run_bounded(work())
+        return found[0]
+
+    def test_own_lack_of_descriptors_is_not_taken_for_a_server_that_is_down(self) -> None:
+        got = self.after_failed_connect(OSError(errno.EMFILE, "Too many open files"))
+        self.assertEqual(got, (503, False, [], 200))
+        self.assertEqual(len(self.lines()), 1)
+
+    def test_server_with_an_address_that_is_none_counts_as_not_reached(self) -> None:
+        for error in (ValueError("embedded null byte"), OverflowError("port")):
+            with self.subTest(error=error):
+                status, failed, connects, _ = self.after_failed_connect(error)
+                self.assertEqual((status, failed, connects), (503, True, [False]))
+
+
 class MessageTest(FaultsCase):
     def test_message_whose_handling_fails_stops_no_later_message(self) -> None:
         async def work() -> None:
