Say what the highest port is

tests.test_written asks a reason of each constant; left this one without. Evidence: test_each_constant_has_a_reason failed before, and passes now.

--- a/src/moledale/gateway/gossip.py
+++ b/src/moledale/gateway/gossip.py
@@ -99,6 +99,7 @@
 """Parsed addresses of peers that are remembered."""
 
 MAX_PORT = 65_535
+"""Highest port number of UDP."""
 
 NO_KIND = "no message"
 """Kind of datagrams that name none."""
