Connections: close one whose later data was refused

Callers saw: a connection that hangs. If data that is no HTTP followed a whole request, nothing more was read after the response, and the connection stayed open with its descriptor until the caller closed it, as its timeouts no longer applied.

It is closed after the response in progress.

--- a/src/moledale/gateway/inbound.py
+++ b/src/moledale/gateway/inbound.py
@@ -239,7 +239,7 @@
             return
         if not reply.complete:
             transport.abort()
-        elif reply.close_after:
+        elif reply.close_after or self._refused:
             transport.close()
         else:
             transport.resume_reading()
--- a/tests/test_unexpected_errors.py
+++ b/tests/test_unexpected_errors.py
@@ -189,6 +189,20 @@
 
 
 class ResourceTest(FaultsCase):
+    def test_connection_whose_later_data_was_refused_is_closed_after_the_response(self) -> None:
+        async def work() -> None:
+            async with GatewayWorld(make_plan()) as world:
+                await world.start_server("s1", "plain", answer_ok)
+                reader, writer = await world.connect()
+                headers = {"Authorization": "Bearer key-of-north"}
+                writer.write(request_bytes("/check/", "POST", b"", headers) + b"\x00\x01 odd\r\n")
+                self.assertEqual((await read_answer(reader)).status, 200)
+                async with asyncio.timeout(2.0):
+                    self.assertEqual(await reader.read(), b"")
+                writer.close()
+
+        self.run_bounded(work())
+
     def after_failed_connect(self, error: Exception) -> tuple[int, bool, list[bool], int]:
         """Return status, whether the server counts as failed, its connects, and the next status."""
         found: list[tuple[int, bool, list[bool], int]] = []
