--- a/src/moledale/gateway/attempts.py
+++ b/src/moledale/gateway/attempts.py
@@ -19,7 +19,7 @@
 from moledale.gateway.request_guard import RequestGuard
 from moledale.gateway.server_view import Placement, ServerView, record_silence
 from moledale.gateway.stream_backups import StreamBackups
-from moledale.gateway.upstream import AnswerCut, ConnectFailed, UpstreamConnection
+from moledale.gateway.upstream import AnswerCut, ConnectFailed, NoResources, UpstreamConnection
 from moledale.log import Event, emit
 from moledale.scheduling.stream_runs import Continuation, StreamRun
 
@@ -127,7 +127,8 @@
         try:
             return await self._pool.acquire(server.id, server.address)
         except ConnectFailed as error:
-            record_silence(view, self._now())
+            if not isinstance(error, NoResources):
+                record_silence(view, self._now())
             emit(Event.CONNECT_FAILED, request=job.facts.id, server=server.id, why=str(error))
             return None
 
