--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -41,10 +41,7 @@
 from moledale.scheduling.backup_runs import Backups
 from moledale.scheduling.move_slot_gate import MoveSlotGate
 from moledale.scheduling.overload_gate import OverloadGate
-from moledale.scheduling.stream_runs import (
-    Continuation,
-    Engines,
-)
+from moledale.scheduling.stream_runs import Continuation, Engines
 from moledale.scheduling.switches import Switches
 from moledale.streams.origins import StreamOrigins, standalone_origins
 from moledale.streams.version_register import any_version
@@ -77,14 +74,14 @@
 class Forwarder:
     """Forwards requests to backend servers; state from peers arrives through `sharing`.
 
-    `trial_share` is called with a service, a route and whether this is a request's first send. It
-    returns the share of the load that servers of a version on trial bear if the request goes to one
-    of them, and 0 if it goes to the others. `starting_nodes` returns how many nodes may be starting
-    to serve at the same time. `newer_plan` returns whether a newer plan is known to exist, and
-    `list_is_current` whether requests may rely on the list of servers. `first_start` is set when
-    the whole system starts for the first time. `switches` tells which scheduling features apply;
-    none do without it. `may_begin` returns whether streams of a service may begin at a version.
-    `handled` counts the requests of callers.
+    It decides whether a request is relayed, sent to another server or given up. What each of these
+    takes is done by the parts that it is made of.
+
+    `starting_nodes` returns how many nodes may be starting to serve at the same time. `newer_plan`
+    returns whether a newer plan is known to exist, and `list_is_current` whether requests may rely
+    on the list of servers. `first_start` is set when the whole system starts for the first time.
+    `switches` tells which scheduling features apply; none do without it. `may_begin` returns
+    whether streams of a service may begin at a version. `handled` counts the requests of callers.
     """
 
     def __init__(
@@ -279,16 +276,8 @@
                 if not job.sends:
                     last = _stale_list_attempt()
                 break
-            if blocked_s := self.guard.job_wait_s(job):
-                if continuation is not None:
-                    self._continuations.release_unused(continuation)
-                await self._final.end_blocked(job, last, blocked_s)
+            if await self._ended_before_send(job, last, continuation):
                 return
-            # Timers do not advance while the machine is suspended, so the timeout may fire late.
-            if job.left_s(self._now()) <= 0:
-                if continuation is not None:
-                    self._continuations.release_unused(continuation)
-                raise TimeoutError
             try:
                 placement = (
                     await self._job_placer.place(job)
@@ -320,6 +309,24 @@
                 break
         await self._final.end_without_answer(job, last)
 
+    async def _ended_before_send(
+        self, job: Job, last: Attempt, continuation: Continuation | None
+    ) -> bool:
+        """End a request that was blocked; return whether it was.
+
+        Raise `TimeoutError` if the deadline passed: timers do not advance while the machine is
+        suspended, so the timeout may fire late.
+        """
+        blocked_s = self.guard.job_wait_s(job)
+        if not blocked_s and job.left_s(self._now()) > 0:
+            return False
+        if continuation is not None:
+            self._continuations.release_unused(continuation)
+        if not blocked_s:
+            raise TimeoutError
+        await self._final.end_blocked(job, last, blocked_s)
+        return True
+
     def _may_relay(self, job: Job) -> bool:
         """Return whether a request may be relayed: it was sent to no server, and none is reached.
 
--- a/src/moledale/gateway/job_placing.py
+++ b/src/moledale/gateway/job_placing.py
@@ -20,9 +20,10 @@
 from moledale.scheduling.switches import Feature
 
 TrialShare = Callable[[str, str, bool], float]
-"""Returns the share of the load that servers of a version on trial bear if a request goes to them.
+"""Called with a service, a route and whether this is a request's first send.
 
-It is called with a service, a route and whether this is a request's first send.
+Returns the share of the load that servers of a version on trial bear if the request goes to one of
+them, and 0 if it goes to the others.
 """
 
 
