--- a/src/moledale/gateway/forwarder.py
+++ b/src/moledale/gateway/forwarder.py
@@ -191,7 +191,7 @@
             JobSender(dialect, sharing, self._plan, self._charges, now),
             self._answers,
             CutAttempts(self._answers, self.guard, sharing, now),
-            now,
+            lambda: self._now(),
         )
         self._served = ServedRequests(
             self._plan, self.guard, self._stream_backups, self.overload, now
