Supervisor: end a task whose cleanup fails at a stop

What callers would see: a node that does not end after a planned stop and keeps its addresses, so that the next start fails.

Cause: an error raised while a task is cancelled was taken for any other failure, and the task was started again.

Change: a task that is being cancelled is not started again.

--- a/src/moledale/node/supervisor.py
+++ b/src/moledale/node/supervisor.py
@@ -91,6 +91,9 @@
                 self._record_failure(child, error)
             except Exception as error:
                 self._record_failure(child, error)
+                task = asyncio.current_task()
+                if task is not None and task.cancelling():
+                    return
             await self._clock.sleep(self._restart_delay_s(child))
 
     def _record_failure(self, child: _Child, error: BaseException) -> None:
--- a/tests/test_supervisor.py
+++ b/tests/test_supervisor.py
@@ -111,6 +111,27 @@
 
         self.run_on_clock(work())
 
+    def test_stop_ends_although_the_cleanup_of_a_task_fails(self) -> None:
+        started = 0
+
+        async def task() -> None:
+            nonlocal started
+            started += 1
+            try:
+                await asyncio.Event().wait()
+            finally:
+                raise OSError("cleanup")
+
+        async def work() -> None:
+            tree = Supervisor("tree", self.clock)
+            tree.start("task", task)
+            await self.clock.sleep(1.0)
+            async with asyncio.timeout(2.0):
+                await tree.stop()
+            self.assertEqual((started, tree.failures), (1, 1))
+
+        self.run_on_clock(work())
+
     def test_errors_without_a_place_or_a_text_do_not_end_their_task_for_good(self) -> None:
         class Textless(Exception):
             def __repr__(self) -> str:
