--- a/deploy/build.py
+++ b/deploy/build.py
@@ -45,7 +45,7 @@
     """Return why a folder can't be used, or None if it is current."""
     try:
         record = json.loads((folder / RECORD_NAME).read_text("utf-8"))
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         return f"no record of a whole installation: {type(error).__name__}"
     if not isinstance(record, dict):
         return "its record is no table"
--- a/tests/test_build_folder.py
+++ b/tests/test_build_folder.py
@@ -96,7 +96,7 @@
 
     def test_unreadable_record_and_a_file_in_place_of_the_folder_are_replaced(self) -> None:
         self.assertEqual(self.build(), 0)
-        for text in ("", "[]", '{"platform"', "\0"):
+        for text in ("", "[]", '{"platform"', "\0", "[" * 100_000):
             (self.deps / "installed.json").write_text(text)
             self.assertEqual(self.build(), 0)
             self.assert_whole()
