Ignore eras that no store can have reached; windows of settings are more than 0

Cause: a number of 2^62 and more, from one header or one datagram of a peer, was taken for the store's era; the row of the lease then refused it, so the task of the duties failed for good. A window of 0 s in the settings was accepted and divided by later, for each request.

Change: eras end at 2^41, wherever they come from, so that epochs of leases have room; windows of 0 s are findings.

The new tests were not run on the code before.

--- a/src/moledale/gateway/outside.py
+++ b/src/moledale/gateway/outside.py
@@ -16,9 +16,6 @@
 MAX_PAGES = 1_000
 """Pages of one read: 500,000 rows. Without a bound a store that repeats itself is read forever."""
 
-MAX_ERA = 2**62
-"""Messages to peers carry numbers of 64 bits."""
-
 
 class Failure(msgspec.Struct, frozen=True):
     """A failed call; if `uncertain`, its effect may have happened or may still happen.
--- a/src/moledale/gateway/settings.py
+++ b/src/moledale/gateway/settings.py
@@ -14,6 +14,9 @@
 MAX_NAME_CHARS = 255
 """Longest id, hall or region: messages to peers and headers carry them."""
 
+POSITIVE_BOUNDS = ("apply_s", "retry_window_s", "usage_window_s")
+"""Bounds that other figures are divided by, or that pace calls."""
+
 LOG_LEVELS = ("debug", "info", "notice", "warning", "error", "critical")
 
 
@@ -162,6 +165,9 @@
     for path, number in numbers.items():
         if not 0 <= number < inf:
             findings.append(Finding(source, path, "must be a finite number, 0 or more"))
+    for name in POSITIVE_BOUNDS:
+        if getattr(settings.bounds, name) == 0:
+            findings.append(Finding(source, f"bounds.{name}", "must be more than 0"))
     names = {"node.id": node.id, "node.hall": node.hall, "node.region": node.region}
     for path, name in names.items():
         if not name.isprintable() or len(name) > MAX_NAME_CHARS:
--- a/src/moledale/gateway/store_era.py
+++ b/src/moledale/gateway/store_era.py
@@ -16,6 +16,10 @@
 """No era is known: before the first answer of the store, or in messages of earlier builds."""
 
 
+MAX_ERA = 2**41
+"""Highest era that is accepted: epochs of leases have room for 2^20 holders in each era."""
+
+
 class EraVersion(msgspec.Struct, frozen=True, order=True):
     """A version and the era in which it was assigned; any version of a later era is newer.
 
@@ -53,8 +57,11 @@
         self._now = now
 
     def observe(self, era: int, age_s: float = 0.0) -> None:
-        """Record an era named by the store or a peer, and its minimum age; ignore older eras."""
-        if era < self.number or era == UNKNOWN_ERA:
+        """Record an era named by the store or a peer, and its minimum age.
+
+        Older eras are ignored, and numbers that can be none.
+        """
+        if not max(self.number, UNKNOWN_ERA + 1) <= era <= MAX_ERA:
             return
         began_at = self._now() - age_s
         if era == self.number:
--- a/src/moledale/platform/store.py
+++ b/src/moledale/platform/store.py
@@ -24,7 +24,7 @@
 )
 from moledale.gateway.plan import Plan
 from moledale.gateway.state_rows import decode_row, parse_or_log
-from moledale.gateway.store_era import UNKNOWN_ERA, EraVersion, StoreEra
+from moledale.gateway.store_era import MAX_ERA, UNKNOWN_ERA, EraVersion, StoreEra
 from moledale.http_fields import first_count
 from moledale.platform.entries import EntryReader, platform_id
 from moledale.platform.records import (
@@ -268,7 +268,7 @@
         if isinstance(outcome, Err):
             return Err(Failure(outcome.err_value.detail, uncertain=outcome.err_value.sent))
         response = outcome.ok_value
-        count = first_count(response.headers, ERA_HEADER, outside.MAX_ERA)
+        count = first_count(response.headers, ERA_HEADER, MAX_ERA - 1)
         era = UNKNOWN_ERA if count is None else count + 1  # a count of 0 is valid, unlike era 0
         self.era.observe(era)
         if response.status not in expected_statuses:
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -41,13 +41,13 @@
     open_gossip,
 )
 from moledale.gateway.messages import AnswerHead, RequestHead, Server
-from moledale.gateway.outside import MAX_ERA, StateRow
+from moledale.gateway.outside import StateRow
 from moledale.gateway.peers import LeaseNews
 from moledale.gateway.quarantine_store import StoredBlock
 from moledale.gateway.server_list import ServerList
 from moledale.gateway.state_packing import NO_BASE, StatePacker, StateUnpacker, pack_snapshot
 from moledale.gateway.state_rows import decode_row
-from moledale.gateway.store_era import EraVersion
+from moledale.gateway.store_era import MAX_ERA, EraVersion
 from moledale.host_port import split_address
 from moledale.http_fields import first_count, retry_after_s
 from moledale.platform.entries import EntryReader
@@ -195,6 +195,14 @@
                 first_count([(b"Store-Era", str(2**64).encode())], ERA_HEADER, MAX_ERA)
             )
 
+    def test_era_of_a_peer_beyond_all_eras_of_the_store_is_ignored(self) -> None:
+        era = StoreEra()
+        era.observe(3)
+        for number in (MAX_ERA + 1, 2**63, 2**64 - 1):
+            era.observe(number)
+        self.assertEqual(era.number, 3)
+        self.assertLessEqual(MAX_ERA << 20, MAX_EPOCH)
+
     @FUZZ
     @given(st.lists(st.text(max_size=40), max_size=3), st.one_of(st.none(), st.text(max_size=40)))
     def test_times_to_retry(self, values: list[str], date: str | None) -> None:
@@ -548,8 +556,11 @@
             ("lease_s = 1.0", "lease_s = " + "9" * DEPTH),
             ("lease_s = 1.0", "lease_s = [[[[1]]]]"),
             ("cores = 1.0", "cores = nan"),
+            ("lease_s = 1.0", "lease_s = 1.0\nusage_window_s = 0.0"),
+            ("lease_s = 1.0", "lease_s = 1.0\nretry_window_s = 0.0"),
+            ("lease_s = 1.0", "lease_s = 1.0\napply_s = 0.0"),
         ):
-            with self.subTest(old=old, new=new[:24]):
+            with self.subTest(old=old, new=new[:40]):
                 self.assertTrue(gateway_settings.parse("file", self.make_text(old, new)).is_err())
 
     def test_files_that_cannot_be_read_are_findings(self) -> None:
