--- a/src/moledale/listening.py
+++ b/src/moledale/listening.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any, TypeVar
 
+from moledale.faults import record_fault
 from moledale.log import Event, emit
 
 Bound = TypeVar("Bound")
@@ -15,8 +16,16 @@
 
 BIND_RETRY_INTERVAL_S = 0.1
 
-PASSING_ERRORS = (errno.EADDRINUSE, errno.EADDRNOTAVAIL)
-"""The address belongs to another process, or is not configured on the machine yet."""
+PASSING_ERRORS = (
+    errno.EADDRINUSE,
+    errno.EADDRNOTAVAIL,
+    errno.EMFILE,
+    errno.ENFILE,
+    errno.ENOBUFS,
+    errno.ENOMEM,
+)
+"""The address belongs to another process or is not configured on the machine yet, or the machine
+lacks descriptors or memory."""
 
 
 def _may_pass(error: OSError) -> bool:
@@ -39,6 +48,7 @@
             return await bind()
         except OSError as error:
             if not _may_pass(error) or loop.time() >= ends_at:
+                record_fault(f"listen at {address}", error)
                 raise
             if not logged:
                 emit(Event.ADDRESS_IN_USE, address=address, why=str(error), wait_s=BIND_WAIT_S)
