--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -47,7 +47,7 @@
 from moledale.gateway.server_list import ServerList
 from moledale.gateway.state_packing import NO_BASE, StatePacker, StateUnpacker, pack_snapshot
 from moledale.gateway.state_rows import decode_row
-from moledale.gateway.store_era import MAX_ERA, EraVersion
+from moledale.gateway.store_era import MAX_ERA, EraVersion, StoreEra
 from moledale.host_port import split_address
 from moledale.http_fields import first_count, retry_after_s
 from moledale.platform.entries import EntryReader
